Lay the workspace: inner protocol, decision signatures, telemetry, design

Cause: nothing existed; parts can only go side by side once the wire types and the signatures of the decisions are fixed. Ruled out: fencing job ids (a frozen home delays a placement without bound, so tombstones by id have no safe lifetime); see docs/DESIGN.md. Conclusion: session tests pass (reply, wrong role, other cluster); nothing is measured yet.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,6 @@
+//! Pure decisions: no input or output, no clock and no randomness but by
+//! argument. Every function that depends on the present time takes `now_ms`,
+//! the process's monotonic time in milliseconds.
+
+pub mod placement;
+pub mod view;
--- /dev/null
+++ b/crates/decide/src/view.rs
@@ -0,0 +1,117 @@
+//! What an entry knows of upstreams: facts that change seldom, and load that
+//! changes with every reply.
+//!
+//! The set of rows is replaced as a whole (read-copy-update); load is atomic,
+//! so that a request's path takes no lock.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+};
+
+/// Place of an upstream in its entry's arena. Never used again for another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UpstreamKey(pub u32);
+
+/// A data centre, numbered by the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct DataCentreKey(pub u16);
+
+/// A rack, numbered by the entry; unique over data centres.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct RackKey(pub u16);
+
+/// A request kind of an organisation, numbered by the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct KindKey(pub u32);
+
+/// Load of one upstream, shared by all threads of the entry.
+#[derive(Debug, Default)]
+pub struct Live {
+    /// Slots in all, from the last report.
+    pub slots: AtomicU32,
+    /// Tasks running there, from the last report.
+    pub running: AtomicU32,
+    /// Tasks queued there, from the last report.
+    pub queued: AtomicU32,
+    /// Sequence of the last report taken.
+    pub load_sequence: AtomicU64,
+    /// Placements of this entry without a reply.
+    pub outstanding: AtomicU32,
+    /// Of those, how many the last report already counts.
+    pub outstanding_reported: AtomicU32,
+    /// When a packet of it was last heard, in monotonic milliseconds.
+    pub heard_at_ms: AtomicU64,
+    /// It announced leaving; no new work goes there.
+    pub leaving: AtomicBool,
+    /// Ejected until this time in monotonic milliseconds; 0 when serving.
+    pub ejected_until_ms: AtomicU64,
+    /// Observed mean run time of a task, in microseconds; 0 when unknown.
+    pub mean_run_us: AtomicU64,
+}
+
+/// One upstream.
+#[derive(Clone, Debug)]
+pub struct Row {
+    /// Its place in the arena.
+    pub key: UpstreamKey,
+    /// Its data centre.
+    pub data_centre: DataCentreKey,
+    /// Its rack.
+    pub rack: RackKey,
+    /// Largest task it can hold, in bytes.
+    pub max_task_bytes: u64,
+    /// Kinds it serves; empty means all.
+    pub kinds: Vec<KindKey>,
+    /// Its load.
+    pub live: Arc<Live>,
+}
+
+impl Row {
+    /// Whether it serves the kind and could hold the size.
+    #[must_use]
+    pub fn could_hold(&self, kind: KindKey, size_bytes: u64) -> bool {
+        size_bytes <= self.max_task_bytes && (self.kinds.is_empty() || self.kinds.contains(&kind))
+    }
+
+    /// Whether new work may go there now.
+    #[must_use]
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        !self.live.leaving.load(Ordering::Acquire)
+            && self.live.ejected_until_ms.load(Ordering::Acquire) <= now_ms
+    }
+
+    /// Tasks there as far as known: reported ones, and own placements which
+    /// the last report could not count yet.
+    #[must_use]
+    pub fn assigned(&self) -> u32 {
+        let live = &self.live;
+        let reported = live.running.load(Ordering::Acquire) + live.queued.load(Ordering::Acquire);
+        let unreported = live
+            .outstanding
+            .load(Ordering::Acquire)
+            .saturating_sub(live.outstanding_reported.load(Ordering::Acquire));
+        reported + unreported
+    }
+
+    /// Slots free as far as known; negative when tasks wait.
+    #[must_use]
+    pub fn free_slots(&self) -> i64 {
+        i64::from(self.live.slots.load(Ordering::Acquire)) - i64::from(self.assigned())
+    }
+}
+
+/// All upstreams an entry knows.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// In the order of their keys.
+    pub rows: Vec<Row>,
+}
+
+impl View {
+    /// Finds a row by its key.
+    #[must_use]
+    pub fn row(&self, key: UpstreamKey) -> Option<&Row> {
+        self.rows.binary_search_by_key(&key, |row| row.key).ok().map(|index| &self.rows[index])
+    }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/telemetry/src/logs.rs
@@ -0,0 +1,86 @@
+//! Logs: one line of key=value pairs an event, on standard error.
+
+use {
+    log::LevelFilter,
+    simplelog::{ConfigBuilder, WriteLogger},
+    std::{fmt, io},
+};
+
+/// Longest value written, in characters; the rest is cut.
+const MAX_VALUE_CHARS: usize = 200;
+
+/// Sets up logging for the process. A second call changes nothing.
+pub fn init(level: LevelFilter) {
+    let config = ConfigBuilder::new()
+        .set_time_level(LevelFilter::Off)
+        .set_thread_level(LevelFilter::Off)
+        .set_target_level(LevelFilter::Off)
+        .set_location_level(LevelFilter::Off)
+        .set_max_level(LevelFilter::Off)
+        .add_filter_allow_str("sycamorerail")
+        .build();
+    // Fails only if a logger is set already.
+    let _ = WriteLogger::init(level, config, io::stderr());
+}
+
+/// Reads a level's name in settings.
+#[must_use]
+pub fn level(name: &str) -> Option<LevelFilter> {
+    name.parse().ok()
+}
+
+/// A value of an event, escaped so that it stays one word or one quoted text.
+pub struct Value<T>(pub T);
+
+impl<T: fmt::Display> fmt::Display for Value<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = self.0.to_string();
+        let short: String = text.chars().take(MAX_VALUE_CHARS).collect();
+        let plain = |c: char| c.is_ascii_graphic() && !matches!(c, '"' | '=' | '\\');
+        if !short.is_empty() && short.chars().all(plain) {
+            f.write_str(&short)
+        } else {
+            write!(f, "{short:?}")
+        }
+    }
+}
+
+/// Milliseconds of Unix time, for log lines.
+#[must_use]
+pub fn unix_ms() -> u128 {
+    std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis())
+}
+
+/// Logs an event: `event!(Info, "job_accepted", job = id, tasks = 3)`.
+#[macro_export]
+macro_rules! event {
+    ($level:ident, $name:literal $(, $key:ident = $value:expr)* $(,)?) => {
+        if $crate::logs::enabled($crate::logs::Level::$level) {
+            $crate::logs::write(
+                $crate::logs::Level::$level,
+                module_path!(),
+                format_args!(
+                    concat!("time_unix_ms={} level={} event=", $name $(, " ", stringify!($key), "={}")*),
+                    $crate::logs::unix_ms(),
+                    stringify!($level)
+                    $(, $crate::logs::Value(&$value))*
+                ),
+            );
+        }
+    };
+}
+
+pub use log::Level;
+
+/// Whether events of this level are written.
+#[must_use]
+pub fn enabled(level: Level) -> bool {
+    level <= log::max_level()
+}
+
+/// Writes one line. Called by [`event!`].
+pub fn write(level: Level, target: &str, line: fmt::Arguments<'_>) {
+    log::log!(target: target, level, "{line}");
+}
--- /dev/null
+++ b/crates/wire/src/session.rs
@@ -0,0 +1,248 @@
+//! QUIC sessions: mutually authenticated, one request and one reply a stream.
+//!
+//! 0-RTT is off: a replayed first flight could carry a placement twice.
+
+use {
+    crate::{
+        codec::{self, CodecError, MAX_MESSAGE_BYTES},
+        keys::{KeyError, ProcessKeys, Role, proves_role},
+    },
+    quinn::{
+        ClientConfig, Connection, Endpoint, EndpointConfig, IdleTimeout, RecvStream, SendStream,
+        ServerConfig, TransportConfig, VarInt,
+        crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    },
+    rustls::{crypto::ring, pki_types::CertificateDer, server::WebPkiClientVerifier},
+    serde::{Serialize, de::DeserializeOwned},
+    std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration},
+};
+
+const ALPN: &[u8] = b"sycamorerail/1";
+const MAX_STREAMS: u32 = 16_384;
+
+/// Timing of sessions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SessionTiming {
+    /// A session with no packet for this long is dead.
+    pub idle_timeout_ms: u32,
+    /// An idle session sends a packet this often. It is control traffic.
+    pub keep_alive_ms: u32,
+}
+
+impl Default for SessionTiming {
+    fn default() -> Self {
+        Self { idle_timeout_ms: 12_000, keep_alive_ms: 5_000 }
+    }
+}
+
+/// What went wrong on a session.
+#[derive(Debug)]
+pub enum SessionError {
+    /// The endpoint could not be opened on this address.
+    Open(SocketAddr, io::Error),
+    /// The keys were refused.
+    Keys(KeyError),
+    /// No connection could be made; nothing was sent.
+    Connect(SocketAddr, String),
+    /// The peer's certificate does not prove the role asked for.
+    Role(SocketAddr),
+    /// The connection ended before a reply; the request may have arrived.
+    Broken(SocketAddr, String),
+    /// No reply came in time; the request may have arrived.
+    Timeout(SocketAddr),
+    /// The peer's bytes are no message.
+    Codec(SocketAddr, CodecError),
+}
+
+impl SessionError {
+    /// Whether the request certainly did not reach the peer.
+    #[must_use]
+    pub fn nothing_sent(&self) -> bool {
+        matches!(self, Self::Open(..) | Self::Keys(_) | Self::Connect(..) | Self::Role(_))
+    }
+}
+
+impl fmt::Display for SessionError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Open(addr, err) => write!(f, "cannot open {addr}: {err}"),
+            Self::Keys(err) => err.fmt(f),
+            Self::Connect(peer, why) => write!(f, "cannot connect to {peer}: {why}"),
+            Self::Role(peer) => write!(f, "{peer} does not prove the role expected of it"),
+            Self::Broken(peer, why) => write!(f, "connection to {peer} broke: {why}"),
+            Self::Timeout(peer) => write!(f, "no reply from {peer} in time"),
+            Self::Codec(peer, err) => write!(f, "from {peer}: {err}"),
+        }
+    }
+}
+
+impl std::error::Error for SessionError {}
+
+impl From<KeyError> for SessionError {
+    fn from(err: KeyError) -> Self {
+        Self::Keys(err)
+    }
+}
+
+impl From<rustls::Error> for SessionError {
+    fn from(err: rustls::Error) -> Self {
+        Self::Keys(KeyError::Tls(err))
+    }
+}
+
+/// Opens the process's UDP socket for sessions in both directions.
+///
+/// # Errors
+///
+/// When the address is taken or the keys are refused.
+pub fn open(
+    listen: SocketAddr,
+    keys: &ProcessKeys,
+    timing: SessionTiming,
+) -> Result<Endpoint, SessionError> {
+    let transport = Arc::new(transport(timing));
+    let mut server = server_config(keys)?;
+    server.transport_config(Arc::clone(&transport));
+    let mut client = client_config(keys)?;
+    client.transport_config(transport);
+    let socket =
+        std::net::UdpSocket::bind(listen).map_err(|err| SessionError::Open(listen, err))?;
+    let runtime = Arc::new(quinn::TokioRuntime);
+    let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+        .map_err(|err| SessionError::Open(listen, err))?;
+    endpoint.set_default_client_config(client);
+    Ok(endpoint)
+}
+
+fn transport(timing: SessionTiming) -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(timing.idle_timeout_ms))));
+    transport.keep_alive_interval(Some(Duration::from_millis(timing.keep_alive_ms.into())));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    transport
+}
+
+fn server_config(keys: &ProcessKeys) -> Result<ServerConfig, SessionError> {
+    let provider = Arc::new(ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(
+        Arc::new(keys.roots.clone()),
+        Arc::clone(&provider),
+    )
+    .build()
+    .map_err(|err| rustls::Error::General(err.to_string()))?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(keys.chain.clone(), keys.key.clone_key())?;
+    tls.alpn_protocols = vec![ALPN.to_vec()];
+    tls.max_early_data_size = 0;
+    let quic =
+        QuicServerConfig::try_from(tls).map_err(|err| rustls::Error::General(err.to_string()))?;
+    Ok(ServerConfig::with_crypto(Arc::new(quic)))
+}
+
+fn client_config(keys: &ProcessKeys) -> Result<ClientConfig, SessionError> {
+    let mut tls = rustls::ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_protocol_versions(&[&rustls::version::TLS13])?
+        .with_root_certificates(keys.roots.clone())
+        .with_client_auth_cert(keys.chain.clone(), keys.key.clone_key())?;
+    tls.alpn_protocols = vec![ALPN.to_vec()];
+    tls.enable_early_data = false;
+    let quic =
+        QuicClientConfig::try_from(tls).map_err(|err| rustls::Error::General(err.to_string()))?;
+    Ok(ClientConfig::new(Arc::new(quic)))
+}
+
+/// Connects to an entry or agent and checks its role by its certificate.
+///
+/// # Errors
+///
+/// When the peer cannot be reached in time or is not what it should be.
+pub async fn connect(
+    endpoint: &Endpoint,
+    peer: SocketAddr,
+    role: Role,
+    within: Duration,
+) -> Result<Connection, SessionError> {
+    let connecting = endpoint
+        .connect(peer, role.server_name())
+        .map_err(|err| SessionError::Connect(peer, err.to_string()))?;
+    match tokio::time::timeout(within, connecting).await {
+        Ok(Ok(connection)) => Ok(connection),
+        Ok(Err(err)) => Err(SessionError::Connect(peer, err.to_string())),
+        Err(_) => Err(SessionError::Connect(peer, "timed out".to_owned())),
+    }
+}
+
+/// The role that an accepted connection's certificate proves, if any.
+#[must_use]
+pub fn peer_role(connection: &Connection) -> Option<Role> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    let certificate = chain.first()?;
+    [Role::Entry, Role::Agent].into_iter().find(|&role| proves_role(certificate, role))
+}
+
+/// Sends one request and reads its reply.
+///
+/// # Errors
+///
+/// When the connection ends, the time runs out, or the reply is malformed.
+/// All but [`SessionError::nothing_sent`] leave open whether it arrived.
+pub async fn call<Q: Serialize, R: DeserializeOwned>(
+    connection: &Connection,
+    request: &Q,
+    within: Duration,
+) -> Result<R, SessionError> {
+    let peer = connection.remote_address();
+    match tokio::time::timeout(within, exchange(connection, request)).await {
+        Ok(reply) => reply,
+        Err(_) => Err(SessionError::Timeout(peer)),
+    }
+}
+
+async fn exchange<Q: Serialize, R: DeserializeOwned>(
+    connection: &Connection,
+    request: &Q,
+) -> Result<R, SessionError> {
+    let peer = connection.remote_address();
+    let broken = |why: String| SessionError::Broken(peer, why);
+    let bytes = codec::encode(request).map_err(|err| SessionError::Codec(peer, err))?;
+    let (mut send, mut recv) = connection.open_bi().await.map_err(|err| broken(err.to_string()))?;
+    send.write_all(&bytes).await.map_err(|err| broken(err.to_string()))?;
+    send.finish().map_err(|err| broken(err.to_string()))?;
+    let reply = recv.read_to_end(MAX_MESSAGE_BYTES).await.map_err(|err| broken(err.to_string()))?;
+    codec::decode(&reply).map_err(|err| SessionError::Codec(peer, err))
+}
+
+/// Reads the one request of an accepted stream.
+///
+/// # Errors
+///
+/// When the connection ends first or the bytes are no message.
+pub async fn read_request<Q: DeserializeOwned>(
+    peer: SocketAddr,
+    recv: &mut RecvStream,
+) -> Result<Q, SessionError> {
+    let bytes = recv
+        .read_to_end(MAX_MESSAGE_BYTES)
+        .await
+        .map_err(|err| SessionError::Broken(peer, err.to_string()))?;
+    codec::decode(&bytes).map_err(|err| SessionError::Codec(peer, err))
+}
+
+/// Writes the one reply of an accepted stream.
+///
+/// # Errors
+///
+/// When the connection has ended.
+pub async fn write_reply<R: Serialize>(
+    peer: SocketAddr,
+    send: &mut SendStream,
+    reply: &R,
+) -> Result<(), SessionError> {
+    let bytes = codec::encode(reply).map_err(|err| SessionError::Codec(peer, err))?;
+    send.write_all(&bytes).await.map_err(|err| SessionError::Broken(peer, err.to_string()))?;
+    send.finish().map_err(|err| SessionError::Broken(peer, err.to_string()))
+}
