Read settings and templates from YAML, all errors at once

The structs stood without a way to fill them. A reader walks the YAML value, notes each field it was asked for, and records every unknown, missing, mistyped or out-of-range field with its path and what is allowed. serde's own derive was ruled out: it stops at the first error and names no path. Retention and drain are held at or above the longest deadline. Secrets are never repeated in errors or Debug output.

--- a/crates/settings/src/agent.rs
+++ b/crates/settings/src/agent.rs
@@ -1,6 +1,35 @@
 //! Settings of `sycamorerail-agent`.
 
-use {crate::keys::KeySettings, std::net::SocketAddr};
+use {
+    crate::{
+        entry::{LOG_LEVELS, LONGEST_DEADLINE_MS, MAX_RETENTION_MS},
+        error::{LoadError, SettingsErrors},
+        keys::KeySettings,
+        load,
+        reader::{self, Env, Reader},
+        rules::NAME,
+    },
+    std::{net::SocketAddr, path::Path},
+};
+
+/// Default of `retention_ms`: the entries' default and the time of one drain.
+pub const DEFAULT_RETENTION_MS: u32 = 150_000;
+/// Default of `kept_result_bytes`.
+pub const DEFAULT_KEPT_RESULT_BYTES: u64 = 32 * MIB;
+/// Default of `record_bytes`.
+pub const DEFAULT_RECORD_BYTES: u64 = 32 * MIB;
+/// Default of `max_queued`.
+pub const DEFAULT_MAX_QUEUED: u16 = 64;
+/// Default of `upstream_lease_ms`.
+pub const DEFAULT_UPSTREAM_LEASE_MS: u32 = 3_000;
+/// Default of `heartbeat_ms`.
+pub const DEFAULT_HEARTBEAT_MS: u32 = 10_000;
+/// Default of `idle_timeout_ms`.
+pub const DEFAULT_IDLE_TIMEOUT_MS: u32 = 12_000;
+/// Default of `drain_ms`: above the longest deadline.
+pub const DEFAULT_DRAIN_MS: u32 = 65_000;
+
+const MIB: u64 = 1024 * 1024;
 
 /// Settings of an agent.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,3 +69,77 @@
     /// A broken invariant ends the process.
     pub fatal_invariants: bool,
 }
+
+impl AgentSettings {
+    /// Reads settings from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// All fields that are unknown, missing, of the wrong type or out of range.
+    pub fn read(yaml: &str, env: Env<'_>) -> Result<Self, SettingsErrors> {
+        reader::document(yaml, env, Self::read_fields)
+    }
+
+    /// Reads settings from a file, and secrets from the process's environment.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or its content is refused.
+    pub fn load(path: &Path) -> Result<Self, LoadError> {
+        load::load(path, |yaml| Self::read(yaml, &load::process_env))
+    }
+
+    fn read_fields(reader: &Reader<'_>) -> Self {
+        let lasting_ms = LONGEST_DEADLINE_MS..=MAX_RETENTION_MS;
+        let settings = Self {
+            name: reader.text("name", NAME),
+            data_centre: reader.text("data_centre", NAME),
+            rack: reader.text("rack", NAME),
+            http_address: reader.address("http_address"),
+            inner_address: reader.dialled_address("inner_address"),
+            entries: reader.addresses("entries"),
+            keys: reader.section("keys", KeySettings::read),
+            retention_ms: reader.number("retention_ms", DEFAULT_RETENTION_MS, lasting_ms.clone()),
+            kept_result_bytes: reader.number(
+                "kept_result_bytes",
+                DEFAULT_KEPT_RESULT_BYTES,
+                0..=1024 * MIB,
+            ),
+            record_bytes: reader.number("record_bytes", DEFAULT_RECORD_BYTES, MIB..=1024 * MIB),
+            max_queued: reader.number("max_queued", DEFAULT_MAX_QUEUED, 0..=10_000),
+            upstream_lease_ms: reader.number(
+                "upstream_lease_ms",
+                DEFAULT_UPSTREAM_LEASE_MS,
+                100..=60_000,
+            ),
+            heartbeat_ms: reader.number("heartbeat_ms", DEFAULT_HEARTBEAT_MS, 100..=60_000),
+            idle_timeout_ms: reader.number(
+                "idle_timeout_ms",
+                DEFAULT_IDLE_TIMEOUT_MS,
+                500..=120_000,
+            ),
+            drain_ms: reader.number("drain_ms", DEFAULT_DRAIN_MS, lasting_ms),
+            log_level: reader.choice("log_level", "info", LOG_LEVELS).to_owned(),
+            fatal_invariants: reader.switch("fatal_invariants", false),
+        };
+        settings.check(reader);
+        settings
+    }
+
+    fn check(&self, reader: &Reader<'_>) {
+        reader.require(
+            &["entries"],
+            !self.entries.is_empty(),
+            "entries",
+            "found none",
+            "the inner address of at least one entry",
+        );
+        reader.require(
+            &["heartbeat_ms", "idle_timeout_ms"],
+            self.heartbeat_ms < self.idle_timeout_ms,
+            "heartbeat_ms",
+            format!("found {} with idle_timeout_ms {}", self.heartbeat_ms, self.idle_timeout_ms),
+            "less than idle_timeout_ms, else idle sessions die",
+        );
+    }
+}
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -1,9 +1,69 @@
 //! Settings of `sycamorerail-entry`.
 
-use {crate::keys::KeySettings, std::net::SocketAddr};
+use {
+    crate::{
+        error::{LoadError, SettingsErrors},
+        keys::KeySettings,
+        load,
+        reader::{self, Env, Reader},
+        rules::{HTTP_URL, NAME, SHA256},
+    },
+    std::{fmt, net::SocketAddr, path::Path},
+};
+
+/// Longest deadline of a kind. Retention and drain are never shorter: a job
+/// must not outlive its id, and a planned stop must not cut it.
+pub const LONGEST_DEADLINE_MS: u32 = 60_000;
+/// Longest retention.
+pub const MAX_RETENTION_MS: u32 = 3_600_000;
+/// Shortest secret of a cluster, in bytes.
+pub const MIN_SECRET_BYTES: usize = 16;
+
+/// Default of `limits.max_body_bytes`.
+pub const DEFAULT_MAX_BODY_BYTES: u64 = MIB;
+/// Default of `limits.max_reserved_ids`.
+pub const DEFAULT_MAX_RESERVED_IDS: u32 = 1_000;
+/// Default of `limits.retention_ms`.
+pub const DEFAULT_RETENTION_MS: u32 = 120_000;
+/// Default of `limits.record_bytes`.
+pub const DEFAULT_RECORD_BYTES: u64 = 96 * MIB;
+/// Default of `limits.kept_answer_bytes`.
+pub const DEFAULT_KEPT_ANSWER_BYTES: u64 = 64 * MIB;
+/// Default of `limits.max_queued_tasks`.
+pub const DEFAULT_MAX_QUEUED_TASKS: u32 = 20_000;
+/// Default of `limits.lost_after_ms`.
+pub const DEFAULT_LOST_AFTER_MS: u32 = 2_000;
+/// Default of `limits.probe_after_ms`.
+pub const DEFAULT_PROBE_AFTER_MS: u32 = 300;
+/// Default of `limits.idle_timeout_ms`.
+pub const DEFAULT_IDLE_TIMEOUT_MS: u32 = 12_000;
+/// Default of `limits.drain_ms`: above the longest deadline.
+pub const DEFAULT_DRAIN_MS: u32 = 65_000;
+/// Default of `platform.timeout_ms`.
+pub const DEFAULT_TIMEOUT_MS: u32 = 1_000;
+/// Default of `platform.call_budget_per_s`.
+pub const DEFAULT_CALL_BUDGET_PER_S: u32 = 50;
+/// Default of `platform.key_budget_per_s`.
+pub const DEFAULT_KEY_BUDGET_PER_S: u32 = 20;
+/// Default of `platform.poll_ms`.
+pub const DEFAULT_POLL_MS: u32 = 5_000;
+/// Default of `platform.lease_ms`.
+pub const DEFAULT_LEASE_MS: u32 = 10_000;
+
+/// Words of `log_level`; the default is info.
+pub(crate) const LOG_LEVELS: &[(&str, &str)] = &[
+    ("error", "error"),
+    ("warn", "warn"),
+    ("info", "info"),
+    ("debug", "debug"),
+    ("trace", "trace"),
+];
+
+const MIB: u64 = 1024 * 1024;
+const MAX_OPERATORS: usize = 256;
 
 /// Settings of an entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct EntrySettings {
     /// Name, the same over restarts and unique in the cluster.
     pub name: String,
@@ -81,3 +141,189 @@
     /// Longest wait for requests in flight at a planned stop.
     pub drain_ms: u32,
 }
+
+impl fmt::Debug for EntrySettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("EntrySettings")
+            .field("name", &self.name)
+            .field("data_centre", &self.data_centre)
+            .field("http_address", &self.http_address)
+            .field("inner_address", &self.inner_address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EntrySettings {
+    /// Reads settings from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// All fields that are unknown, missing, of the wrong type or out of range.
+    pub fn read(yaml: &str, env: Env<'_>) -> Result<Self, SettingsErrors> {
+        reader::document(yaml, env, Self::read_fields)
+    }
+
+    /// Reads settings from a file, and secrets from the process's environment.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or its content is refused.
+    pub fn load(path: &Path) -> Result<Self, LoadError> {
+        load::load(path, |yaml| Self::read(yaml, &load::process_env))
+    }
+
+    fn read_fields(reader: &Reader<'_>) -> Self {
+        let settings = Self {
+            name: reader.text("name", NAME),
+            data_centre: reader.text("data_centre", NAME),
+            http_address: reader.address("http_address"),
+            inner_address: reader.dialled_address("inner_address"),
+            peers: reader.addresses("peers"),
+            platform: reader.section("platform", PlatformSettings::read),
+            keys: reader.section("keys", KeySettings::read),
+            cluster_secret: reader.secret("cluster_secret", "cluster_secret", false),
+            operators: TokenSettings::read_list(reader, "operators", 1, MAX_OPERATORS),
+            limits: reader.section("limits", LimitSettings::read),
+            log_level: reader.choice("log_level", "info", LOG_LEVELS).to_owned(),
+            fatal_invariants: reader.switch("fatal_invariants", false),
+        };
+        settings.check(reader);
+        settings
+    }
+
+    fn check(&self, reader: &Reader<'_>) {
+        reader.require(
+            &["cluster_secret", "cluster_secret_env"],
+            self.cluster_secret.len() >= MIN_SECRET_BYTES,
+            "cluster_secret",
+            format!("found {} bytes", self.cluster_secret.len()),
+            format!("at least {MIN_SECRET_BYTES} bytes, as `sycamorerail keys token` prints them"),
+        );
+        reader.require(
+            &["peers", "inner_address"],
+            !self.peers.contains(&self.inner_address),
+            "peers",
+            format!("found {}, the entry's own", self.inner_address),
+            "inner addresses of other entries",
+        );
+    }
+}
+
+impl PlatformSettings {
+    fn read(reader: &Reader<'_>) -> Self {
+        let settings = Self {
+            url: reader.text("url", HTTP_URL),
+            timeout_ms: reader.number("timeout_ms", DEFAULT_TIMEOUT_MS, 10..=30_000),
+            call_budget_per_s: reader.number(
+                "call_budget_per_s",
+                DEFAULT_CALL_BUDGET_PER_S,
+                1..=10_000,
+            ),
+            key_budget_per_s: reader.number(
+                "key_budget_per_s",
+                DEFAULT_KEY_BUDGET_PER_S,
+                0..=10_000,
+            ),
+            poll_ms: reader.number("poll_ms", DEFAULT_POLL_MS, 100..=60_000),
+            lease_ms: reader.number("lease_ms", DEFAULT_LEASE_MS, 1_000..=600_000),
+        };
+        reader.require(
+            &["key_budget_per_s", "call_budget_per_s"],
+            settings.key_budget_per_s <= settings.call_budget_per_s,
+            "key_budget_per_s",
+            format!(
+                "found {} with call_budget_per_s {}",
+                settings.key_budget_per_s, settings.call_budget_per_s
+            ),
+            "at most call_budget_per_s, of which it is a part",
+        );
+        reader.require(
+            &["timeout_ms", "lease_ms"],
+            settings.timeout_ms < settings.lease_ms,
+            "timeout_ms",
+            format!("found {} with lease_ms {}", settings.timeout_ms, settings.lease_ms),
+            "less than lease_ms, else one slow renewal loses the lease",
+        );
+        settings
+    }
+}
+
+impl TokenSettings {
+    pub(crate) fn read_list(
+        reader: &Reader<'_>,
+        name: &str,
+        min_items: usize,
+        max_items: usize,
+    ) -> Vec<Self> {
+        let list = reader.list(name, min_items..=max_items, |item| Self {
+            name: item.text("name", NAME),
+            token_sha256: item.text("token_sha256", SHA256),
+        });
+        let names: Vec<_> = list.iter().map(|token| token.name.as_str()).collect();
+        reader.require_distinct(name, "name", &names);
+        let hashes: Vec<_> = list.iter().map(|token| token.token_sha256.as_str()).collect();
+        reader.require_distinct(name, "token_sha256", &hashes);
+        list
+    }
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: DEFAULT_MAX_BODY_BYTES,
+            max_reserved_ids: DEFAULT_MAX_RESERVED_IDS,
+            retention_ms: DEFAULT_RETENTION_MS,
+            record_bytes: DEFAULT_RECORD_BYTES,
+            kept_answer_bytes: DEFAULT_KEPT_ANSWER_BYTES,
+            max_queued_tasks: DEFAULT_MAX_QUEUED_TASKS,
+            lost_after_ms: DEFAULT_LOST_AFTER_MS,
+            probe_after_ms: DEFAULT_PROBE_AFTER_MS,
+            idle_timeout_ms: DEFAULT_IDLE_TIMEOUT_MS,
+            drain_ms: DEFAULT_DRAIN_MS,
+        }
+    }
+}
+
+impl LimitSettings {
+    fn read(reader: &Reader<'_>) -> Self {
+        let default = Self::default();
+        let bytes = MIB..=4096 * MIB;
+        let lasting_ms = LONGEST_DEADLINE_MS..=MAX_RETENTION_MS;
+        let limits = Self {
+            // An inner message holds a whole body, so it is bounded by that.
+            max_body_bytes: reader.number("max_body_bytes", default.max_body_bytes, 1..=4 * MIB),
+            max_reserved_ids: reader.number(
+                "max_reserved_ids",
+                default.max_reserved_ids,
+                1..=100_000,
+            ),
+            retention_ms: reader.number("retention_ms", default.retention_ms, lasting_ms.clone()),
+            record_bytes: reader.number("record_bytes", default.record_bytes, bytes.clone()),
+            kept_answer_bytes: reader.number("kept_answer_bytes", default.kept_answer_bytes, bytes),
+            max_queued_tasks: reader.number(
+                "max_queued_tasks",
+                default.max_queued_tasks,
+                1..=1_000_000,
+            ),
+            lost_after_ms: reader.number("lost_after_ms", default.lost_after_ms, 100..=60_000),
+            probe_after_ms: reader.number("probe_after_ms", default.probe_after_ms, 10..=60_000),
+            idle_timeout_ms: reader.number(
+                "idle_timeout_ms",
+                default.idle_timeout_ms,
+                500..=120_000,
+            ),
+            drain_ms: reader.number("drain_ms", default.drain_ms, lasting_ms),
+        };
+        reader.require(
+            &["probe_after_ms", "idle_timeout_ms"],
+            limits.probe_after_ms < limits.idle_timeout_ms,
+            "probe_after_ms",
+            format!(
+                "found {} with idle_timeout_ms {}",
+                limits.probe_after_ms, limits.idle_timeout_ms
+            ),
+            "less than idle_timeout_ms, else a session dies before it is probed",
+        );
+        limits
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,6 +5,16 @@
 
 pub mod agent;
 pub mod entry;
+pub mod error;
 pub mod keys;
+pub mod load;
+mod reader;
+pub mod rules;
 pub mod standin;
 pub mod template;
+pub mod token;
+
+pub use {
+    error::{FieldError, LoadError, SettingsErrors},
+    reader::{DOCUMENT_PATH, Env},
+};
--- /dev/null
+++ b/crates/settings/src/load.rs
@@ -0,0 +1,22 @@
+//! Reading of files of settings.
+
+use {
+    crate::error::{LoadError, SettingsErrors},
+    std::path::Path,
+};
+
+/// Reads the file at `path` and checks it with `read`.
+pub(crate) fn load<T>(
+    path: &Path,
+    read: impl FnOnce(&str) -> Result<T, SettingsErrors>,
+) -> Result<T, LoadError> {
+    let yaml =
+        std::fs::read_to_string(path).map_err(|err| LoadError::Read(path.to_owned(), err))?;
+    read(&yaml).map_err(|errors| LoadError::Check(path.to_owned(), errors))
+}
+
+/// Looks up a variable of the process's environment.
+#[must_use]
+pub fn process_env(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
--- /dev/null
+++ b/crates/settings/src/rules.rs
@@ -0,0 +1,59 @@
+//! What a text field may hold.
+
+/// Longest name, in characters.
+pub const MAX_NAME_CHARS: usize = 64;
+
+/// A rule for the text of a field.
+#[derive(Clone, Copy)]
+pub(crate) struct TextRule {
+    /// What is allowed, for error messages.
+    pub(crate) allowed: &'static str,
+    /// Whether a text is allowed.
+    pub(crate) holds: fn(&str) -> bool,
+}
+
+/// Names of processes, places, organisations, kinds and callers.
+pub(crate) const NAME: TextRule =
+    TextRule { allowed: "1 to 64 of the characters a-z 0-9 _ -", holds: is_name };
+
+/// SHA-256 of a token.
+pub(crate) const SHA256: TextRule = TextRule {
+    allowed: "64 hexadecimal digits in lower case, as `sycamorerail keys token` prints them",
+    holds: is_sha256,
+};
+
+/// Base URL of a peer.
+pub(crate) const HTTP_URL: TextRule =
+    TextRule { allowed: "a base URL as http://127.0.0.1:2379", holds: is_http_url };
+
+/// Kinds that an upstream serves.
+pub(crate) const KIND_PATTERN: TextRule =
+    TextRule { allowed: "organisation/kind, */kind or *", holds: is_kind_pattern };
+
+/// Whether `text` is a name: `[a-z0-9_-]{1,64}`.
+#[must_use]
+pub fn is_name(text: &str) -> bool {
+    let allowed = |c: char| matches!(c, 'a'..='z' | '0'..='9' | '_' | '-');
+    (1..=MAX_NAME_CHARS).contains(&text.len()) && text.chars().all(allowed)
+}
+
+fn is_sha256(text: &str) -> bool {
+    text.len() == 64 && text.chars().all(|c| matches!(c, '0'..='9' | 'a'..='f'))
+}
+
+fn is_http_url(text: &str) -> bool {
+    let Some(rest) = text.strip_prefix("http://") else {
+        return false;
+    };
+    let authority = rest.split('/').next().unwrap_or_default();
+    !authority.is_empty() && rest.chars().all(|c| c.is_ascii_graphic() && !"?#".contains(c))
+}
+
+fn is_kind_pattern(text: &str) -> bool {
+    match text.split_once('/') {
+        None => text == "*",
+        Some((organisation, kind)) => {
+            (organisation == "*" || is_name(organisation)) && is_name(kind)
+        }
+    }
+}
--- a/crates/settings/src/template.rs
+++ b/crates/settings/src/template.rs
@@ -1,6 +1,46 @@
 //! The template of an organisation: its request kinds and their parameters.
 
-use crate::entry::TokenSettings;
+use {
+    crate::{
+        entry::{LONGEST_DEADLINE_MS, TokenSettings},
+        error::{LoadError, SettingsErrors},
+        load,
+        reader::{self, Reader},
+        rules::NAME,
+    },
+    std::path::Path,
+};
+
+/// Default of `quota.starts_per_s`.
+pub const DEFAULT_STARTS_PER_S: u32 = 1_000;
+/// Default of `quota.burst`: several jobs of the largest size at once.
+pub const DEFAULT_BURST: u32 = 1_000;
+/// Default of `quota.max_in_flight`.
+pub const DEFAULT_MAX_IN_FLIGHT: u32 = 5_000;
+/// Default of `kinds[].deadline_ms`.
+pub const DEFAULT_DEADLINE_MS: u32 = 5_000;
+/// Default of `kinds[].size_bytes`.
+pub const DEFAULT_SIZE_BYTES: u64 = 1024;
+/// Default of `kinds[].run_ms`.
+pub const DEFAULT_RUN_MS: u32 = 100;
+/// Default of `kinds[].max_attempts` where the kind is repeatable, else 1.
+pub const DEFAULT_MAX_ATTEMPTS: u8 = 2;
+
+const MAX_KINDS: usize = 64;
+const MAX_CALLERS: usize = 256;
+const MAX_AVOIDED: usize = 16;
+
+const URGENCIES: &[(&str, Urgency)] = &[
+    ("urgent", Urgency::Urgent),
+    ("normal", Urgency::Normal),
+    ("background", Urgency::Background),
+];
+const PRIORITIES: &[(&str, Priority)] = &[("time", Priority::Time), ("waste", Priority::Waste)];
+const SPREADS: &[(&str, SpreadTemplate)] = &[
+    ("even", SpreadTemplate::Even),
+    ("local", SpreadTemplate::Local),
+    ("avoid", SpreadTemplate::Avoid),
+];
 
 /// Template of one organisation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,3 +131,115 @@
     /// Anywhere but in the named ones.
     Avoid,
 }
+
+impl Template {
+    /// Reads a template from YAML text.
+    ///
+    /// # Errors
+    ///
+    /// All fields that are unknown, missing, of the wrong type or out of range.
+    pub fn read(yaml: &str) -> Result<Self, SettingsErrors> {
+        reader::document(yaml, &|_| None, Self::read_fields)
+    }
+
+    /// Reads a template from a file.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read or its content is refused.
+    pub fn load(path: &Path) -> Result<Self, LoadError> {
+        load::load(path, Self::read)
+    }
+
+    fn read_fields(reader: &Reader<'_>) -> Self {
+        let template = Self {
+            organisation: reader.text("organisation", NAME),
+            quota: reader.section("quota", Quota::read),
+            callers: TokenSettings::read_list(reader, "callers", 0, MAX_CALLERS),
+            kinds: reader.list("kinds", 1..=MAX_KINDS, KindTemplate::read),
+        };
+        let names: Vec<_> = template.kinds.iter().map(|kind| kind.name.as_str()).collect();
+        reader.require_distinct("kinds", "name", &names);
+        template
+    }
+}
+
+impl Quota {
+    fn read(reader: &Reader<'_>) -> Self {
+        Self {
+            starts_per_s: reader.number("starts_per_s", DEFAULT_STARTS_PER_S, 1..=1_000_000),
+            burst: reader.number("burst", DEFAULT_BURST, 1..=1_000_000),
+            max_in_flight: reader.number("max_in_flight", DEFAULT_MAX_IN_FLIGHT, 1..=1_000_000),
+        }
+    }
+}
+
+impl KindTemplate {
+    fn read(reader: &Reader<'_>) -> Self {
+        let repeatable = reader.switch("repeatable", false);
+        let default_attempts = if repeatable { DEFAULT_MAX_ATTEMPTS } else { 1 };
+        let kind = Self {
+            name: reader.text("name", NAME),
+            urgency: reader.choice("urgency", Urgency::Normal, URGENCIES),
+            deadline_ms: reader.number("deadline_ms", DEFAULT_DEADLINE_MS, 1..=LONGEST_DEADLINE_MS),
+            placement: reader.section("placement", PlacementTemplate::read),
+            repeatable,
+            priority: reader.choice("priority", Priority::Time, PRIORITIES),
+            size_bytes: reader.number("size_bytes", DEFAULT_SIZE_BYTES, 0..=u64::MAX),
+            run_ms: reader.number("run_ms", DEFAULT_RUN_MS, 1..=LONGEST_DEADLINE_MS),
+            max_attempts: reader.number("max_attempts", default_attempts, 1..=10),
+            hedge_percentile: reader.optional_number("hedge_percentile", 50..=99),
+        };
+        kind.check(reader);
+        kind
+    }
+
+    fn check(&self, reader: &Reader<'_>) {
+        reader.require(
+            &["repeatable", "max_attempts"],
+            self.repeatable || self.max_attempts == 1,
+            "max_attempts",
+            format!("found {} for a kind that is not repeatable", self.max_attempts),
+            "1, or repeatable: true",
+        );
+        reader.require(
+            &["repeatable", "hedge_percentile"],
+            self.repeatable || self.hedge_percentile.is_none(),
+            "hedge_percentile",
+            "found for a kind that is not repeatable",
+            "none, or repeatable: true",
+        );
+        reader.require(
+            &["run_ms", "deadline_ms"],
+            self.run_ms <= self.deadline_ms,
+            "run_ms",
+            format!("found {} with deadline_ms {}", self.run_ms, self.deadline_ms),
+            "at most deadline_ms, else no task could ever end in time",
+        );
+    }
+}
+
+impl PlacementTemplate {
+    fn read(reader: &Reader<'_>) -> Self {
+        let placement = Self {
+            spread: reader.choice("spread", SpreadTemplate::Even, SPREADS),
+            avoid: reader.texts("avoid", NAME),
+        };
+        let avoids = placement.spread == SpreadTemplate::Avoid;
+        reader.require(
+            &["spread", "avoid"],
+            avoids || placement.avoid.is_empty(),
+            "avoid",
+            "found without spread: avoid",
+            "none, or spread: avoid",
+        );
+        reader.require(
+            &["spread", "avoid"],
+            !avoids || (1..=MAX_AVOIDED).contains(&placement.avoid.len()),
+            "avoid",
+            format!("found {} data centres with spread: avoid", placement.avoid.len()),
+            format!("1 to {MAX_AVOIDED} names of data centres"),
+        );
+        placement
+    }
+}
