--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,5 +2,6 @@
 //! argument. Every function that depends on the present time takes `now_ms`,
 //! the process's monotonic time in milliseconds.
 
+pub mod gate;
 pub mod placement;
 pub mod view;
