Add the client of the platform's service and its mirror

The entry, templates and membership need the key-value service. The client speaks the JSON form of etcd's version 3 API: range, transaction, lease, watch. Compiles; not yet run against a stand-in.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,18 @@
-//! placeholder
+//! Client of the platform's key-value service, and a local mirror of one prefix.
+//!
+//! The service is spoken to in the JSON form of etcd's version 3 API, of which
+//! only range, transaction, lease and watch are used.
+
+pub mod budget;
+pub mod client;
+pub mod error;
+mod json;
+pub mod mirror;
+pub mod table;
+pub mod watch;
+
+pub use {
+    client::{Expected, KeyValue, LeaseId, Platform, PlatformConfig, Range, Swap},
+    error::{Effect, PlatformError, PlatformErrorKind, PlatformStep},
+    mirror::Mirror,
+};
