Decide: one job at its home as a state machine

A home must place each task at most once over replies that come late, doubled or not at all. Events go in and actions come out; a task is placed again only with proof that no earlier placement of it can start. A placement that was sent again after a broken connection and is refused without a tombstone is revoked first: an earlier copy may still be on its way within the agent.

--- /dev/null
+++ b/crates/decide/src/job.rs
@@ -0,0 +1,600 @@
+//! One job at its home, as a state machine: events in, actions out.
+//!
+//! A task is placed again only with proof that no earlier placement of it can
+//! start. Attempts above 0 exist only for requests of repeatable kinds; then
+//! the job has one task. Late and doubled events change nothing.
+
+mod attempt;
+mod verdict;
+
+use {
+    crate::view::UpstreamKey,
+    attempt::{Attempt, State, Without},
+    std::{collections::BTreeMap, mem, sync::Arc},
+    sycamorerail_wire::answer::{Answer, Outcome, Payload, Reason, TaskEnd, TaskRecord},
+};
+
+/// Shortest time for which a refused attempt avoids the upstream, in
+/// milliseconds, so that it does not bounce there at once.
+const MIN_AVOID_MS: u32 = 20;
+
+/// What a job may do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Tasks of the job; one for a request.
+    pub task_count: u16,
+    /// Attempts at the one task, the first included; 1 unless the job is a
+    /// request of a repeatable kind.
+    pub max_attempts: u8,
+    /// When it must be answered, in monotonic milliseconds.
+    pub deadline_at_ms: u64,
+    /// An attempt slower than this is joined by a second one.
+    pub hedge_after_ms: Option<u32>,
+    /// Longest wait for reports of revoked tasks once no answer can be whole.
+    pub report_wait_ms: u32,
+    /// What the caller is told where coming back makes sense.
+    pub retry_after_ms: u32,
+}
+
+/// One attempt at one task of the job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskKey {
+    /// Position in the job.
+    pub index: u16,
+    /// Number of the attempt.
+    pub attempt: u8,
+}
+
+/// One sending of an attempt to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct PlacementKey {
+    /// What was sent.
+    pub task: TaskKey,
+    /// Number of the placement of this attempt.
+    pub serial: u16,
+}
+
+/// What an agent replied to a placement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// Started there and ended.
+    Ended(TaskEnd),
+    /// Started there; its end is not known and won't be.
+    Broken(Reason),
+    /// Not started by this placement.
+    NotStarted {
+        /// Why.
+        reason: Reason,
+        /// No later placement of it starts there either.
+        never: bool,
+        /// When a slot is expected, in milliseconds.
+        retry_after_ms: u32,
+    },
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// An agent replied to a placement.
+    Replied {
+        /// The placement.
+        placement: PlacementKey,
+        /// Name of the agent.
+        peer: Arc<str>,
+        /// The reply.
+        reply: Reply,
+    },
+    /// The connection broke with the placement open; the same placement is
+    /// sent again when the same run of the agent is back.
+    ConnectionBroke {
+        /// The placement.
+        placement: PlacementKey,
+    },
+    /// The run of the agent is gone for good with the placement open.
+    AgentLost {
+        /// The placement.
+        placement: PlacementKey,
+        /// Name of the agent.
+        peer: Arc<str>,
+    },
+    /// An agent told what it knows of a revoked attempt.
+    Reported {
+        /// Where it was revoked.
+        upstream: UpstreamKey,
+        /// The attempt.
+        task: TaskKey,
+        /// Name of the agent.
+        peer: Arc<str>,
+        /// What is known.
+        record: TaskRecord,
+    },
+    /// No report of a revoked attempt can be had.
+    RevokeFailed {
+        /// Where it was to be revoked.
+        upstream: UpstreamKey,
+        /// The attempt.
+        task: TaskKey,
+    },
+    /// The caller cancels.
+    Cancel,
+    /// This run of the home entry is fenced: it must place nothing more.
+    Fenced,
+    /// The job is given up on, for a reason found when placing it.
+    GiveUp(Reason),
+    /// Time has passed.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Find an upstream for a waiting attempt, then call [`Job::place`].
+    Enqueue {
+        /// The attempt.
+        task: TaskKey,
+        /// Why it is not the first time, if so.
+        cause: Option<Reason>,
+    },
+    /// Revoke these at the upstream.
+    Revoke {
+        /// Where they were placed.
+        upstream: UpstreamKey,
+        /// What to revoke.
+        tasks: Vec<TaskKey>,
+    },
+    /// Answer the caller. Given once, and once more where an `unknown` answer
+    /// is made up for by late knowledge.
+    Answer(Answer),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Running,
+    /// Nothing is placed any more; reports are awaited until the time given.
+    Stopping {
+        reason: Reason,
+        decide_by_ms: u64,
+    },
+    Answered(Outcome),
+}
+
+#[derive(Clone, Debug)]
+struct Failure {
+    index: u16,
+    reason: Reason,
+    detail: String,
+    peer: Arc<str>,
+}
+
+/// One job at its home.
+#[derive(Debug)]
+pub struct Job {
+    terms: Terms,
+    phase: Phase,
+    /// In the order of indices; further attempts of a request follow.
+    attempts: Vec<Attempt>,
+    results: Vec<Option<Payload>>,
+    failure: Option<Failure>,
+    /// Why placing was stopped, and at whom that arose.
+    stopped: Option<(Reason, Option<Arc<str>>)>,
+}
+
+/// Whether a further attempt may be made; called once an attempt.
+pub type AllowRetry<'a> = dyn FnMut(Reason) -> bool + 'a;
+
+impl Job {
+    /// A job of which every task waits; enqueue each of [`Job::first_tasks`].
+    #[must_use]
+    pub fn new(terms: Terms) -> Self {
+        let count = usize::from(terms.task_count);
+        let attempts = (0..terms.task_count).map(|index| Attempt::new(index, 0)).collect();
+        Self {
+            terms,
+            phase: Phase::Running,
+            attempts,
+            results: vec![None; count],
+            failure: None,
+            stopped: None,
+        }
+    }
+
+    /// The first attempts of all tasks.
+    pub fn first_tasks(&self) -> impl Iterator<Item = TaskKey> + use<> {
+        (0..self.terms.task_count).map(|index| TaskKey { index, attempt: 0 })
+    }
+
+    /// The terms.
+    #[must_use]
+    pub fn terms(&self) -> &Terms {
+        &self.terms
+    }
+
+    /// Whether an answer was given.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        matches!(self.phase, Phase::Answered(_))
+    }
+
+    /// Whether the attempt still waits for an upstream.
+    #[must_use]
+    pub fn wants(&self, task: TaskKey) -> bool {
+        self.phase == Phase::Running
+            && self.attempt(task).is_some_and(|attempt| attempt.state == State::Waiting)
+    }
+
+    /// Upstreams that the attempt must avoid now: those which refused it, and
+    /// those of the other attempts.
+    #[must_use]
+    pub fn avoid(&self, task: TaskKey, now_ms: u64) -> Vec<UpstreamKey> {
+        let Some(attempt) = self.attempt(task) else {
+            return Vec::new();
+        };
+        let others = self
+            .attempts
+            .iter()
+            .filter(|other| other.key.index == task.index && other.key.attempt != task.attempt);
+        attempt.avoided(now_ms).chain(others.filter_map(|other| other.last_upstream)).collect()
+    }
+
+    /// Takes leave to send a waiting attempt to `upstream`; `None` if it must
+    /// not be placed any more.
+    pub fn place(
+        &mut self,
+        task: TaskKey,
+        upstream: UpstreamKey,
+        now_ms: u64,
+    ) -> Option<PlacementKey> {
+        if !self.wants(task) || now_ms >= self.terms.deadline_at_ms {
+            return None;
+        }
+        let attempt = self.attempt_mut(task)?;
+        Some(attempt.open(upstream, now_ms))
+    }
+
+    /// When [`Event::Tick`] is next due, in monotonic milliseconds.
+    #[must_use]
+    pub fn wake_at_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.phase {
+            Phase::Answered(_) => None,
+            Phase::Stopping { decide_by_ms, .. } => Some(decide_by_ms),
+            Phase::Running => {
+                let hedge_at_ms = self.hedge_at_ms(now_ms).unwrap_or(u64::MAX);
+                Some(self.terms.deadline_at_ms.min(hedge_at_ms))
+            }
+        }
+    }
+
+    /// Takes an event.
+    pub fn on(
+        &mut self,
+        event: Event,
+        now_ms: u64,
+        allow_retry: &mut AllowRetry<'_>,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        let mut turn = Turn { now_ms, allow_retry, actions: &mut actions };
+        self.take(event, &mut turn);
+        self.settle(&mut turn);
+        actions
+    }
+
+    fn take(&mut self, event: Event, turn: &mut Turn<'_, '_>) {
+        match event {
+            Event::Replied { placement, peer, reply } => {
+                self.on_reply(placement, &peer, reply, turn);
+            }
+            Event::ConnectionBroke { placement } => self.on_connection_broke(placement, turn),
+            Event::AgentLost { placement, peer } => self.on_agent_lost(placement, &peer, turn),
+            Event::Reported { upstream, task, peer, record } => {
+                self.on_report(upstream, task, &peer, record, turn);
+            }
+            Event::RevokeFailed { upstream, task } => self.on_revoke_failed(upstream, task),
+            Event::Cancel => self.stop(Reason::Cancelled, None, turn),
+            Event::Fenced => self.stop(Reason::Fenced, None, turn),
+            Event::GiveUp(reason) => self.stop(reason, None, turn),
+            Event::Tick => self.on_tick(turn),
+        }
+    }
+
+    fn on_reply(
+        &mut self,
+        placement: PlacementKey,
+        peer: &Arc<str>,
+        reply: Reply,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        if !self.is_open(placement) {
+            return;
+        }
+        match reply {
+            Reply::Ended(end) => self.on_end(placement.task, peer, end, turn),
+            Reply::Broken(reason) => self.on_broken(placement.task, reason, peer, turn),
+            Reply::NotStarted { reason, never, retry_after_ms } => {
+                self.on_not_started(placement, peer, (reason, never, retry_after_ms), turn);
+            }
+        }
+    }
+
+    fn on_end(&mut self, task: TaskKey, peer: &Arc<str>, end: TaskEnd, turn: &mut Turn<'_, '_>) {
+        match end {
+            TaskEnd::Finished(payload) => {
+                self.set_state(task, State::Finished);
+                self.results[usize::from(task.index)].get_or_insert(payload);
+                self.revoke_open(turn, |attempt| attempt.key.index == task.index);
+                self.drop_waiting(task.index);
+            }
+            TaskEnd::Failed { reason, detail } => {
+                self.set_state(task, State::Failed);
+                self.failure.get_or_insert(Failure {
+                    index: task.index,
+                    reason,
+                    detail,
+                    peer: Arc::clone(peer),
+                });
+                self.try_again(reason, turn);
+            }
+        }
+    }
+
+    fn on_broken(
+        &mut self,
+        task: TaskKey,
+        reason: Reason,
+        peer: &Arc<str>,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        self.set_state(task, State::Without(Without::EndUnknown));
+        self.lost_end(task, reason, peer, turn);
+    }
+
+    fn on_agent_lost(&mut self, placement: PlacementKey, peer: &Arc<str>, turn: &mut Turn<'_, '_>) {
+        if !self.is_open(placement) {
+            return;
+        }
+        self.set_state(placement.task, State::Without(Without::StartUnknown));
+        self.lost_end(placement.task, Reason::AgentLost, peer, turn);
+    }
+
+    /// A task whose end cannot be had: only another attempt can make up for it.
+    fn lost_end(
+        &mut self,
+        task: TaskKey,
+        reason: Reason,
+        peer: &Arc<str>,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        self.try_again(reason, turn);
+        let others = self
+            .attempts
+            .iter()
+            .any(|attempt| attempt.key.index == task.index && attempt.state.is_undecided());
+        if !others {
+            self.stop(reason, Some(Arc::clone(peer)), turn);
+        }
+    }
+
+    fn on_not_started(
+        &mut self,
+        placement: PlacementKey,
+        peer: &Arc<str>,
+        (reason, never, retry_after_ms): (Reason, bool, u32),
+        turn: &mut Turn<'_, '_>,
+    ) {
+        let resent = self.attempt(placement.task).is_some_and(Attempt::is_resent);
+        if resent && reason == Reason::WrongIncarnation {
+            return self.on_agent_lost(placement, peer, turn);
+        }
+        if resent && !never {
+            // An earlier copy may still be on its way within the agent; only
+            // a tombstone there proves that it never starts.
+            return self.revoke_open(turn, |attempt| attempt.key == placement.task);
+        }
+        let until_ms = if never {
+            u64::MAX
+        } else {
+            turn.now_ms + u64::from(retry_after_ms.max(MIN_AVOID_MS))
+        };
+        self.return_to_queue(placement.task, until_ms, reason, turn);
+        if reason == Reason::Fenced {
+            self.stop(Reason::Fenced, Some(Arc::clone(peer)), turn);
+        }
+    }
+
+    /// The attempt is proven not started where it was placed.
+    fn return_to_queue(
+        &mut self,
+        task: TaskKey,
+        avoid_until_ms: u64,
+        cause: Reason,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        let running = self.phase == Phase::Running;
+        let finished = self.results[usize::from(task.index)].is_some();
+        let Some(attempt) = self.attempt_mut(task) else {
+            return;
+        };
+        attempt.refused(avoid_until_ms);
+        if running && !finished {
+            attempt.state = State::Waiting;
+            turn.actions.push(Action::Enqueue { task, cause: Some(cause) });
+        } else {
+            attempt.state = State::Never;
+        }
+    }
+
+    fn on_connection_broke(&mut self, placement: PlacementKey, turn: &mut Turn<'_, '_>) {
+        if !self.is_open(placement) {
+            return;
+        }
+        if let Some(attempt) = self.attempt_mut(placement.task) {
+            attempt.set_resent();
+        }
+        self.try_again(Reason::AgentUnreachable, turn);
+    }
+
+    fn on_report(
+        &mut self,
+        upstream: UpstreamKey,
+        task: TaskKey,
+        peer: &Arc<str>,
+        record: TaskRecord,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        if !self.attempt(task).is_some_and(|attempt| attempt.is_open_at(upstream)) {
+            return;
+        }
+        match record {
+            TaskRecord::NeverStarted => {
+                self.return_to_queue(task, u64::MAX, Reason::Revoked, turn);
+            }
+            // Its placement is still to be replied to.
+            TaskRecord::Running => {}
+            TaskRecord::Ended(end) => self.on_end(task, peer, end, turn),
+            TaskRecord::EndDropped => self.on_broken(task, Reason::ResultDropped, peer, turn),
+            TaskRecord::Broken(reason) => self.on_broken(task, reason, peer, turn),
+        }
+    }
+
+    fn on_revoke_failed(&mut self, upstream: UpstreamKey, task: TaskKey) {
+        if let Some(attempt) = self.attempt_mut(task)
+            && attempt.is_open_at(upstream)
+        {
+            attempt.set_unreachable();
+        }
+    }
+
+    fn on_tick(&mut self, turn: &mut Turn<'_, '_>) {
+        if turn.now_ms >= self.terms.deadline_at_ms {
+            self.stop(Reason::DeadlinePassed, None, turn);
+        } else if self.hedge_at_ms(turn.now_ms).is_some_and(|at_ms| turn.now_ms >= at_ms) {
+            self.try_again(Reason::Hedged, turn);
+            // Refused or not, one hedge is asked for.
+            self.terms.hedge_after_ms = None;
+        }
+    }
+
+    fn hedge_at_ms(&self, now_ms: u64) -> Option<u64> {
+        let after_ms = u64::from(self.terms.hedge_after_ms?);
+        if self.attempts.len() != 1 || self.terms.max_attempts < 2 {
+            return None;
+        }
+        match self.attempts[0].state {
+            State::Open { since_ms, .. } => Some(since_ms + after_ms),
+            State::Waiting => Some(now_ms + after_ms),
+            _ => None,
+        }
+    }
+
+    /// Adds an attempt to a repeatable request, if it may still help.
+    fn try_again(&mut self, cause: Reason, turn: &mut Turn<'_, '_>) {
+        let waiting = self.attempts.iter().any(|attempt| attempt.state == State::Waiting);
+        let made = self.attempts.len();
+        let may = self.phase == Phase::Running
+            && self.terms.task_count == 1
+            && made < usize::from(self.terms.max_attempts)
+            && !waiting
+            && self.results[0].is_none()
+            && turn.now_ms < self.terms.deadline_at_ms;
+        if !may || !(turn.allow_retry)(cause) {
+            return;
+        }
+        let Ok(number) = u8::try_from(made) else {
+            return;
+        };
+        let attempt = Attempt::new(0, number);
+        turn.actions.push(Action::Enqueue { task: attempt.key, cause: Some(cause) });
+        self.attempts.push(attempt);
+    }
+
+    /// Places nothing more and revokes what may still run.
+    fn stop(&mut self, reason: Reason, peer: Option<Arc<str>>, turn: &mut Turn<'_, '_>) {
+        if self.phase != Phase::Running {
+            return;
+        }
+        let wait_ms = u64::from(self.terms.report_wait_ms);
+        let decide_by_ms = if reason == Reason::Fenced {
+            // What runs may well finish; only placing is over.
+            self.terms.deadline_at_ms.max(turn.now_ms) + wait_ms
+        } else {
+            turn.now_ms + wait_ms
+        };
+        self.phase = Phase::Stopping { reason, decide_by_ms };
+        self.stopped = Some((reason, peer));
+        for attempt in &mut self.attempts {
+            if attempt.state == State::Waiting {
+                attempt.state = State::Never;
+            }
+        }
+        if reason != Reason::Fenced {
+            self.revoke_open(turn, |_| true);
+        }
+    }
+
+    fn drop_waiting(&mut self, index: u16) {
+        let waiting = self
+            .attempts
+            .iter_mut()
+            .filter(|attempt| attempt.key.index == index && attempt.state == State::Waiting);
+        waiting.for_each(|attempt| attempt.state = State::Never);
+    }
+
+    fn revoke_open(&mut self, turn: &mut Turn<'_, '_>, which: impl Fn(&Attempt) -> bool) {
+        let mut by_upstream: BTreeMap<UpstreamKey, Vec<TaskKey>> = BTreeMap::new();
+        for attempt in self.attempts.iter_mut().filter(|attempt| which(attempt)) {
+            if let Some(upstream) = attempt.revoke() {
+                by_upstream.entry(upstream).or_default().push(attempt.key);
+            }
+        }
+        let revokes =
+            by_upstream.into_iter().map(|(upstream, tasks)| Action::Revoke { upstream, tasks });
+        turn.actions.extend(revokes);
+    }
+
+    fn settle(&mut self, turn: &mut Turn<'_, '_>) {
+        let Some(outcome) = self.verdict(turn.now_ms) else {
+            return;
+        };
+        match mem::replace(&mut self.phase, Phase::Answered(outcome)) {
+            Phase::Answered(before) if before == outcome => return,
+            _ => {}
+        }
+        self.drop_all_waiting();
+        self.revoke_open(turn, |_| true);
+        turn.actions.push(Action::Answer(self.answer(outcome)));
+    }
+
+    fn drop_all_waiting(&mut self) {
+        for index in 0..self.terms.task_count {
+            self.drop_waiting(index);
+        }
+    }
+
+    fn is_open(&self, placement: PlacementKey) -> bool {
+        self.attempt(placement.task).is_some_and(|attempt| attempt.is_open(placement.serial))
+    }
+
+    fn set_state(&mut self, task: TaskKey, state: State) {
+        if let Some(attempt) = self.attempt_mut(task) {
+            attempt.state = state;
+        }
+    }
+
+    fn attempt(&self, task: TaskKey) -> Option<&Attempt> {
+        self.attempts.get(position(task)).filter(|attempt| attempt.key == task)
+    }
+
+    fn attempt_mut(&mut self, task: TaskKey) -> Option<&mut Attempt> {
+        self.attempts.get_mut(position(task)).filter(|attempt| attempt.key == task)
+    }
+}
+
+/// Either the attempt or the index is 0.
+fn position(task: TaskKey) -> usize {
+    usize::from(task.index) + usize::from(task.attempt)
+}
+
+struct Turn<'a, 'b> {
+    now_ms: u64,
+    allow_retry: &'a mut AllowRetry<'b>,
+    actions: &'a mut Vec<Action>,
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,5 +3,6 @@
 //! the process's monotonic time in milliseconds.
 
 pub mod gate;
+pub mod job;
 pub mod placement;
 pub mod view;
