--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -237,13 +237,14 @@
         let resolved = if name == inline {
             Ok(text.to_owned())
         } else if name == path_name {
-            std::fs::read_to_string(text).map_err(|err| format!("cannot read {text}: {err}"))
+            std::fs::read_to_string(text)
+                .map_err(|err| format!("cannot read {}: {err}", named(text)))
         } else {
-            (self.shared.env)(text).ok_or_else(|| format!("variable {text} is not set"))
+            (self.shared.env)(text).ok_or_else(|| format!("{} is not set", named(text)))
         };
         match resolved {
             Ok(secret) if secret.trim().is_empty() => {
-                self.fail(name, format!("{text} is empty"), "a secret that is not empty");
+                self.fail(name, format!("{} is empty", named(text)), "a secret that is not empty");
             }
             Ok(secret) => return secret,
             Err(problem) if name == path_name => self.fail(name, problem, "a readable file"),
@@ -362,6 +363,15 @@
     }
 }
 
+/// The text of a `_path` or `_env` field for an error, unless it looks as if
+/// the secret itself was put there.
+fn named(text: &str) -> &str {
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '/' | '.' | '_' | '-');
+    let is_path = text.contains(['/', '.']) && text.chars().all(plain);
+    let is_variable = text.chars().all(|c| matches!(c, 'A'..='Z' | '0'..='9' | '_'));
+    if text.len() <= MAX_FOUND_CHARS && (is_path || is_variable) { text } else { "what it names" }
+}
+
 const ADDRESS_ALLOWED: &str = "an IP address and port as 127.0.0.1:7080";
 
 fn found(value: &Value) -> String {
