--- /dev/null
+++ b/crates/agent/src/counters.rs
@@ -0,0 +1,84 @@
+//! Counters and gauges of an agent.
+
+use {
+    crate::core::Core,
+    std::sync::atomic::Ordering,
+    sycamorerail_decide::gate::{Placed, Refusal},
+    sycamorerail_wire::{answer::TaskEnd, message::AgentReplyBody},
+};
+
+/// Counts what became of a placement.
+pub(crate) fn placed(placed: &Placed) {
+    let result = match placed {
+        Placed::Start(_) => "started",
+        Placed::Queued { .. } => "queued",
+        Placed::Joined => "joined",
+        Placed::Known(_) => "known",
+        Placed::Refused(Refusal { reason, .. }) => {
+            metrics::counter!("sycamorerail_agent_refusals_total", "reason" => reason.name())
+                .increment(1);
+            "refused"
+        }
+    };
+    metrics::counter!("sycamorerail_agent_placements_total", "result" => result).increment(1);
+}
+
+/// Counts a call to the upstream.
+pub(crate) fn start() {
+    metrics::counter!("sycamorerail_agent_starts_total").increment(1);
+}
+
+/// Counts how an accepted task ended.
+pub(crate) fn end(reply: &AgentReplyBody) {
+    let (result, reason) = match reply {
+        AgentReplyBody::Ended { end: TaskEnd::Finished(_), .. } => ("finished", "done"),
+        AgentReplyBody::Ended { end: TaskEnd::Failed { reason, .. }, .. } => {
+            ("failed", reason.name())
+        }
+        AgentReplyBody::Broken(reason) => ("broken", reason.name()),
+        AgentReplyBody::NotStarted { reason, .. } => ("not_started", reason.name()),
+        AgentReplyBody::Revoked(_) | AgentReplyBody::Fenced(_) | AgentReplyBody::Probed => return,
+    };
+    metrics::counter!("sycamorerail_agent_ends_total", "result" => result, "reason" => reason)
+        .increment(1);
+}
+
+/// Counts a message that serves no task: its request and its reply.
+pub(crate) fn control(message: &'static str, bytes: usize) {
+    metrics::counter!("sycamorerail_agent_control_messages_total", "message" => message)
+        .increment(1);
+    metrics::counter!("sycamorerail_agent_control_bytes_total", "message" => message)
+        .increment(bytes as u64);
+}
+
+/// Counts a request of an entry, by its type.
+pub(crate) fn request(message: &'static str) {
+    metrics::counter!("sycamorerail_agent_requests_total", "message" => message).increment(1);
+}
+
+/// Counts bytes of packets of one session since the last count, with all that
+/// QUIC adds.
+pub(crate) fn packets(sent_bytes: u64, received_bytes: u64) {
+    metrics::counter!("sycamorerail_agent_udp_bytes_total", "direction" => "sent")
+        .increment(sent_bytes);
+    metrics::counter!("sycamorerail_agent_udp_bytes_total", "direction" => "received")
+        .increment(received_bytes);
+}
+
+/// Counts a session that could not be made, or that ended.
+pub(crate) fn session(result: &'static str) {
+    metrics::counter!("sycamorerail_agent_sessions_total", "result" => result).increment(1);
+}
+
+/// Sets the gauges.
+pub(crate) fn gauges(core: &Core) {
+    let counts = core.counts();
+    let set = |name: &'static str, value: u64| metrics::gauge!(name).set(value as f64);
+    set("sycamorerail_agent_running", counts.running as u64);
+    set("sycamorerail_agent_queued", counts.queued as u64);
+    set("sycamorerail_agent_records", counts.records as u64);
+    set("sycamorerail_agent_record_bytes", counts.record_bytes);
+    set("sycamorerail_agent_kept_result_bytes", counts.kept_result_bytes);
+    set("sycamorerail_agent_fenced", counts.fenced as u64);
+    set("sycamorerail_agent_sessions", core.sessions.load(Ordering::Acquire) as u64);
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -1,1 +1,19 @@
-//! placeholder
+//! `sycamorerail-agent`: runs beside an upstream, holds the start gate, calls
+//! the upstream, and keeps what became of each task for a while.
+
+pub mod agent;
+pub mod exit;
+pub mod options;
+
+mod announcement;
+mod call;
+mod clock;
+mod core;
+mod counters;
+mod entries;
+mod http;
+mod serve;
+mod session;
+mod status;
+mod tasks;
+mod upstream;
--- /dev/null
+++ b/crates/agent/src/upstream.rs
@@ -0,0 +1,61 @@
+//! The upstream beside the agent: announced, renewed, leaving, lapsed.
+
+use {
+    crate::core::Core,
+    std::sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    sycamorerail_decide::gate::UpstreamState,
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::message::UpstreamInfo,
+};
+
+/// What the upstream announced.
+#[derive(Debug)]
+pub(crate) struct Announced {
+    pub(crate) info: UpstreamInfo,
+    pub(crate) base_url: reqwest::Url,
+    renewed_at_ms: AtomicU64,
+}
+
+impl Announced {
+    pub(crate) fn new(info: UpstreamInfo, base_url: reqwest::Url) -> Self {
+        Self { info, base_url, renewed_at_ms: AtomicU64::new(0) }
+    }
+}
+
+/// Takes an announcement, or renews the lease of the one in force.
+pub(crate) fn announce(core: &Arc<Core>, announced: Announced) {
+    announced.renewed_at_ms.store(core.clock.now_ms(), Ordering::Release);
+    let state = UpstreamState::Serving { slots: announced.info.slots };
+    let before = core.upstream.load_full();
+    let same = before.is_some_and(|before| {
+        before.info == announced.info && before.base_url == announced.base_url
+    });
+    let name = announced.info.name.clone();
+    core.upstream.store(Some(Arc::new(announced)));
+    if !same || core.upstream_state() != state {
+        event!(Info, "upstream_announced", upstream = name);
+        core.set_upstream_state(state);
+    }
+}
+
+/// Takes no new work for the upstream; what runs there goes on.
+pub(crate) fn leave(core: &Arc<Core>, why: &'static str) {
+    if matches!(core.upstream_state(), UpstreamState::Serving { .. }) {
+        event!(Info, "upstream_leaving", why = why);
+        core.set_upstream_state(UpstreamState::Leaving);
+    }
+}
+
+/// Treats an upstream whose lease has lapsed as leaving.
+pub(crate) fn check_lease(core: &Arc<Core>) {
+    let lease_ms = u64::from(core.settings.upstream_lease_ms);
+    let lapsed = core.upstream.load().as_ref().is_some_and(|announced| {
+        core.clock.now_ms() > announced.renewed_at_ms.load(Ordering::Acquire) + lease_ms
+    });
+    if lapsed {
+        leave(core, "lease_lapsed");
+    }
+}
