Choose upstreams by four policies under one set of rules

Placement knew one policy, which ranked by queue length and ignored the spread.

Ruled out: a full ranking of all rows at each choice.

--- a/crates/decide/src/placement/least_wait.rs
+++ b/crates/decide/src/placement/least_wait.rs
@@ -1,31 +1,24 @@
 //! Least expected wait on the view.
 
 use {
-    super::{Ask, Choice},
-    crate::view::{Row, View},
+    super::{Ask, Choice, candidate::Survey, walk::Walk},
+    crate::view::View,
     rand::RngCore,
 };
 
-const RETRY_AFTER_MS: u32 = 50;
-
-/// Chooses the upstream at which the task is expected to start first; among
-/// equals, one at random.
+/// Chooses the upstream at which the task is expected to start first, by the
+/// observed run times there; among those with a free slot the one with most
+/// free of a few at random.
+///
+/// Rows are looked at in a random order until a few free ones are met, so that
+/// the cost falls with the share of free upstreams; all are looked at when
+/// hardly any is free.
 pub fn least_wait(view: &View, ask: &Ask<'_>, rng: &mut dyn RngCore, now_ms: u64) -> Choice {
-    if !view.rows.iter().any(|row| row.could_hold(ask.kind, ask.size_bytes)) {
-        return Choice::Never;
+    let mut survey = Survey::new(view, ask, now_ms);
+    for row in Walk::new(&view.rows, rng) {
+        if !survey.consider(row) {
+            break;
+        }
     }
-    let usable = view.rows.iter().filter(|row| is_usable(row, ask, now_ms));
-    let best = usable.min_by_key(|row| (wait_slots(row), rng.next_u32()));
-    best.map_or(Choice::Wait { retry_after_ms: RETRY_AFTER_MS }, |row| Choice::Place(row.key))
-}
-
-fn is_usable(row: &Row, ask: &Ask<'_>, now_ms: u64) -> bool {
-    row.could_hold(ask.kind, ask.size_bytes)
-        && row.takes_work(now_ms)
-        && !ask.tried.contains(&row.key)
-        && row.free_slots() > -i64::from(ask.max_queued)
-}
-
-fn wait_slots(row: &Row) -> i64 {
-    -row.free_slots()
+    survey.choice(view)
 }
--- a/crates/decide/src/placement/mod.rs
+++ b/crates/decide/src/placement/mod.rs
@@ -1,6 +1,17 @@
 //! Choosing the upstream for a task. One file a policy.
+//!
+//! All policies keep the same rules: never an upstream that is leaving,
+//! ejected, already tried, too small, of another kind or beyond
+//! [`Ask::max_queued`]; and the spread of [`spread`]. They differ in the choice
+//! among the rest.
 
+mod candidate;
+mod late_binding;
 mod least_wait;
+mod random;
+pub mod spread;
+mod two_choices;
+mod walk;
 
 use {
     crate::view::{DataCentreKey, KindKey, RackKey, UpstreamKey, View},
@@ -8,7 +19,9 @@
     std::fmt,
 };
 
-pub use least_wait::least_wait;
+pub use {
+    late_binding::late_binding, least_wait::least_wait, random::random, two_choices::two_choices,
+};
 
 /// How the tasks of a kind are spread across data centres.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -55,7 +68,7 @@
         /// In milliseconds.
         retry_after_ms: u32,
     },
-    /// No upstream known could ever hold it.
+    /// Upstreams are known, and none of them could ever hold it.
     Never,
 }
 
@@ -77,11 +90,17 @@
 }
 
 impl Policy {
+    /// The names that [`Policy::by_name`] knows.
+    pub const NAMES: [&'static str; 4] = ["random", "two_choices", "least_wait", "late_binding"];
+
     /// Finds a policy by its name in templates.
     #[must_use]
     pub fn by_name(name: &str) -> Option<Self> {
         match name {
+            "random" => Some(Self { name: "random", choose: Box::new(random) }),
+            "two_choices" => Some(Self { name: "two_choices", choose: Box::new(two_choices) }),
             "least_wait" => Some(Self { name: "least_wait", choose: Box::new(least_wait) }),
+            "late_binding" => Some(Self { name: "late_binding", choose: Box::new(late_binding) }),
             _ => None,
         }
     }
--- /dev/null
+++ b/crates/decide/src/placement/spread.rs
@@ -0,0 +1,210 @@
+//! Spread of a job's tasks over data centres and racks.
+//!
+//! `Even` bounds what the loss of one place takes: of the tasks of a job placed
+//! so far, the next one included, a data centre gets at most half as much
+//! again as its fair share, and a rack at most as much of its data centre's bound. The
+//! fair share is an equal part, or the place's part of the upstreams where that
+//! is more: equal parts alone would fill a small data centre and leave a large
+//! one idle. The bounds of all places together always exceed the job, so that some place is always below its bound. Places below it may
+//! be full: the task waits for one of them. Where none of them takes work at
+//! all (leaving or ejected), the bound gives way, for a job held back for ever
+//! is worse than one spread badly.
+//!
+//! A job's first task and a single request have no siblings, and no bound.
+
+use {
+    super::{Ask, Spread},
+    crate::view::{DataCentreKey, RackKey, Row, View},
+};
+
+/// A place's bound, in halves of its fair share.
+const BOUND_HALVES: u64 = 3;
+
+/// The fair share itself, in halves.
+const FAIR_HALVES: u64 = 2;
+
+/// How a row stands by the rule of spread.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// As good as any.
+    Preferred,
+    /// Allowed; taken where no preferred row is free.
+    Allowed,
+    /// Its data centre or rack has its share of the job; taken where no place
+    /// below its share takes work.
+    OverShare,
+    /// Never taken.
+    Forbidden,
+}
+
+/// The rule of spread for one task.
+#[derive(Debug)]
+pub enum SpreadRule<'a> {
+    /// Every place alike.
+    Any,
+    /// This data centre is preferred.
+    Local(DataCentreKey),
+    /// These data centres are forbidden.
+    Avoid(&'a [DataCentreKey]),
+    /// The standing of each rack, by its key.
+    Shares(Vec<Standing>),
+}
+
+impl<'a> SpreadRule<'a> {
+    /// The rule for a task that asks.
+    #[must_use]
+    pub fn new(view: &View, ask: &Ask<'a>) -> Self {
+        match ask.spread {
+            Spread::Local => Self::Local(ask.local),
+            Spread::Avoid => Self::Avoid(ask.avoid),
+            Spread::Even if ask.siblings.is_empty() => Self::Any,
+            Spread::Even => Self::Shares(Places::count(view, ask).standings()),
+        }
+    }
+
+    /// How a row stands.
+    #[must_use]
+    pub fn standing(&self, row: &Row) -> Standing {
+        match self {
+            Self::Any => Standing::Preferred,
+            Self::Local(local) if row.data_centre == *local => Standing::Preferred,
+            Self::Local(_) => Standing::Allowed,
+            Self::Avoid(avoid) if avoid.contains(&row.data_centre) => Standing::Forbidden,
+            Self::Avoid(_) => Standing::Preferred,
+            Self::Shares(standings) => {
+                standings.get(usize::from(row.rack.0)).copied().unwrap_or(Standing::Allowed)
+            }
+        }
+    }
+}
+
+/// A place's part of some tasks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The tasks to share out.
+    pub tasks: u32,
+    /// Places that share them.
+    pub places: u32,
+    /// Upstreams in this place.
+    pub rows_here: u32,
+    /// Upstreams in all places.
+    pub rows: u32,
+}
+
+impl Share {
+    /// Most tasks that this place may hold: one and a half fair shares, rounded
+    /// up, where the fair share is an equal part or the part of the upstreams.
+    #[must_use]
+    pub fn bound(&self) -> u32 {
+        let tasks = BOUND_HALVES * u64::from(self.tasks);
+        let equal = tasks.div_ceil(2 * u64::from(self.places));
+        let by_rows = (tasks * u64::from(self.rows_here)).div_ceil(2 * u64::from(self.rows));
+        equal.max(by_rows) as u32
+    }
+
+    /// Whether `placed` is not below that many halves of the fair share. By
+    /// multiplication, for it is asked for each rack at each choice.
+    fn is_reached(&self, placed: u32, halves: u64) -> bool {
+        let placed = 2 * u64::from(placed);
+        let tasks = halves * u64::from(self.tasks);
+        placed * u64::from(self.places) >= tasks
+            && placed * u64::from(self.rows) >= tasks * u64::from(self.rows_here)
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct DataCentre {
+    rows: u32,
+    racks: u32,
+    placed: u32,
+    bound: u32,
+    is_at_fair_share: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Rack {
+    data_centre: DataCentreKey,
+    rows: u32,
+    placed: u32,
+}
+
+/// Rows and siblings by data centre and rack, indexed by their keys.
+struct Places {
+    data_centres: Vec<DataCentre>,
+    racks: Vec<Rack>,
+    rows: u32,
+    placed: u32,
+}
+
+impl Places {
+    fn count(view: &View, ask: &Ask<'_>) -> Self {
+        let placed = ask.siblings.iter().map(|&(_, tasks)| u32::from(tasks)).sum();
+        let racks = vec![Rack::default(); view.rows.len()];
+        let mut places = Self { data_centres: vec![], racks, rows: 0, placed };
+        for row in view.rows.iter().filter(|row| row.could_hold(ask.kind, ask.size_bytes)) {
+            let rack = grown(&mut places.racks, usize::from(row.rack.0));
+            rack.data_centre = row.data_centre;
+            rack.rows += 1;
+        }
+        places.add_siblings(ask.siblings);
+        places.sum_up();
+        places
+    }
+
+    /// Siblings in a rack that is gone count for the job, and for no place.
+    fn add_siblings(&mut self, siblings: &[(RackKey, u16)]) {
+        for &(rack, tasks) in siblings {
+            if let Some(rack) = self.racks.get_mut(usize::from(rack.0)) {
+                rack.placed += u32::from(tasks);
+            }
+        }
+    }
+
+    fn sum_up(&mut self) {
+        for rack in self.racks.iter().filter(|rack| rack.rows > 0) {
+            let data_centre = grown(&mut self.data_centres, usize::from(rack.data_centre.0));
+            data_centre.racks += 1;
+            data_centre.rows += rack.rows;
+            data_centre.placed += rack.placed;
+            self.rows += rack.rows;
+        }
+        let places = self.data_centres.iter().filter(|it| it.rows > 0).count() as u32;
+        let (tasks, rows) = (self.placed + 1, self.rows);
+        for it in self.data_centres.iter_mut().filter(|it| it.rows > 0) {
+            let share = Share { tasks, places, rows_here: it.rows, rows };
+            it.bound = share.bound();
+            it.is_at_fair_share = share.is_reached(it.placed, FAIR_HALVES);
+        }
+    }
+
+    fn standings(&self) -> Vec<Standing> {
+        self.racks.iter().map(|rack| self.standing(rack)).collect()
+    }
+
+    fn standing(&self, rack: &Rack) -> Standing {
+        if rack.rows == 0 {
+            return Standing::Allowed;
+        }
+        let data_centre = &self.data_centres[usize::from(rack.data_centre.0)];
+        let (places, rows) = (data_centre.racks, data_centre.rows);
+        let share = |tasks| Share { tasks, places, rows_here: rack.rows, rows };
+        if data_centre.placed >= data_centre.bound
+            || share(data_centre.bound).is_reached(rack.placed, BOUND_HALVES)
+        {
+            Standing::OverShare
+        } else if data_centre.is_at_fair_share
+            || share(data_centre.placed + 1).is_reached(rack.placed, FAIR_HALVES)
+        {
+            Standing::Allowed
+        } else {
+            Standing::Preferred
+        }
+    }
+}
+
+fn grown<T: Clone + Default>(items: &mut Vec<T>, index: usize) -> &mut T {
+    if items.len() <= index {
+        items.resize(index + 1, T::default());
+    }
+    &mut items[index]
+}
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -14,7 +14,7 @@
 pub struct UpstreamKey(pub u32);
 
 /// A data centre, numbered by the entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct DataCentreKey(pub u16);
 
 /// A rack, numbered by the entry; unique over data centres.
@@ -26,7 +26,11 @@
 pub struct KindKey(pub u32);
 
 /// Load of one upstream, shared by all threads of the entry.
+///
+/// It fills cache lines of its own, so that a choice reads one line an
+/// upstream and writes to one upstream do not slow the reads of another.
 #[derive(Debug, Default)]
+#[repr(align(64))]
 pub struct Live {
     /// Slots in all, from the last report.
     pub slots: AtomicU32,
@@ -99,6 +103,22 @@
     pub fn free_slots(&self) -> i64 {
         i64::from(self.live.slots.load(Ordering::Acquire)) - i64::from(self.assigned())
     }
+
+    /// Time until a task sent now would start, in microseconds, if it waited
+    /// behind those assigned: `(assigned - slots + 1) * mean run / slots`, and
+    /// 0 while a slot is free. `run_hint_us` stands in for the mean run time
+    /// while none was observed. Infinite without slots.
+    #[must_use]
+    pub fn expected_wait_us(&self, run_hint_us: f32) -> f32 {
+        let slots = self.live.slots.load(Ordering::Acquire);
+        let assigned = self.assigned();
+        if assigned < slots {
+            return 0.0;
+        }
+        let observed_us = self.live.mean_run_us.load(Ordering::Relaxed);
+        let run_us = if observed_us == 0 { run_hint_us.max(1.0) } else { observed_us as f32 };
+        (assigned - slots + 1) as f32 * run_us / slots as f32
+    }
 }
 
 /// All upstreams an entry knows.
--- /dev/null
+++ b/crates/decide/tests/placement.rs
@@ -0,0 +1,324 @@
+//! Placement: what no policy may choose, the spread, and each policy's own rule.
+
+use {
+    proptest::{collection::vec, prelude::*},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::sync::{Arc, atomic::Ordering::Relaxed},
+    sycamorerail_decide::{
+        placement::{Ask, Choice, Policy, Spread, spread::Share},
+        view::{DataCentreKey, KindKey, Live, RackKey, Row, UpstreamKey, View},
+    },
+};
+
+const NOW_MS: u64 = 1_000;
+const KIND: KindKey = KindKey(1);
+
+#[derive(Clone, Debug)]
+struct Upstream {
+    slots: u32,
+    running: u32,
+    outstanding: u32,
+    leaving: bool,
+    ejected_until_ms: u64,
+    max_task_bytes: u64,
+    kinds: Vec<KindKey>,
+    run_us: u64,
+}
+
+fn upstream() -> impl Strategy<Value = Upstream> {
+    let kinds = prop_oneof![Just(vec![]), Just(vec![KIND]), Just(vec![KindKey(2)])];
+    let load = (0u32..5, 0u32..12, 0u32..3, 0u64..90_000);
+    let until_ms = prop_oneof![3 => Just(0), 1 => 0u64..2 * NOW_MS];
+    (load, any::<bool>(), until_ms, 1u64..4, kinds).prop_map(
+        |((slots, running, outstanding, run_us), leaving, ejected_until_ms, bytes, kinds)| {
+            let max_task_bytes = bytes * 100;
+            let leaving = leaving && running % 3 == 0;
+            Upstream {
+                slots,
+                running,
+                outstanding,
+                leaving,
+                ejected_until_ms,
+                max_task_bytes,
+                kinds,
+                run_us,
+            }
+        },
+    )
+}
+
+fn row(index: usize, upstream: &Upstream) -> Row {
+    let live = Live::default();
+    live.slots.store(upstream.slots, Relaxed);
+    live.running.store(upstream.running, Relaxed);
+    live.outstanding.store(upstream.outstanding, Relaxed);
+    live.leaving.store(upstream.leaving, Relaxed);
+    live.ejected_until_ms.store(upstream.ejected_until_ms, Relaxed);
+    live.mean_run_us.store(upstream.run_us, Relaxed);
+    Row {
+        key: UpstreamKey(index as u32 * 2),
+        data_centre: DataCentreKey((index / 2 % 3) as u16),
+        rack: RackKey((index / 2) as u16),
+        max_task_bytes: upstream.max_task_bytes,
+        kinds: upstream.kinds.clone(),
+        live: Arc::new(live),
+    }
+}
+
+fn view(upstreams: &[Upstream]) -> View {
+    View { rows: upstreams.iter().enumerate().map(|(index, it)| row(index, it)).collect() }
+}
+
+/// An idle fleet: data centres of racks of upstreams.
+fn idle(racks_by_data_centre: &[Vec<u16>], slots: u32) -> View {
+    let mut rows = vec![];
+    let mut rack = 0;
+    for (data_centre, racks) in racks_by_data_centre.iter().enumerate() {
+        for &upstreams in racks {
+            for _ in 0..upstreams {
+                let live = Live::default();
+                live.slots.store(slots, Relaxed);
+                rows.push(Row {
+                    key: UpstreamKey(rows.len() as u32),
+                    data_centre: DataCentreKey(data_centre as u16),
+                    rack: RackKey(rack),
+                    max_task_bytes: u64::MAX,
+                    kinds: vec![],
+                    live: Arc::new(live),
+                });
+            }
+            rack += 1;
+        }
+    }
+    View { rows }
+}
+
+fn ask(spread: Spread) -> Ask<'static> {
+    Ask {
+        kind: KIND,
+        size_bytes: 150,
+        run_ms: 100,
+        spread,
+        local: DataCentreKey(1),
+        avoid: &[],
+        tried: &[],
+        siblings: &[],
+        max_queued: 4,
+    }
+}
+
+fn choose(name: &str, view: &View, ask: &Ask<'_>, seed: u64) -> Choice {
+    let policy = Policy::by_name(name).unwrap();
+    (policy.choose)(view, ask, &mut SmallRng::seed_from_u64(seed), NOW_MS)
+}
+
+fn spreads() -> impl Strategy<Value = Spread> {
+    prop_oneof![Just(Spread::Even), Just(Spread::Local), Just(Spread::Avoid)]
+}
+
+fn names() -> impl Strategy<Value = &'static str> {
+    prop::sample::select(Policy::NAMES.to_vec())
+}
+
+fn has_room(row: &Row, ask: &Ask<'_>) -> bool {
+    row.could_hold(ask.kind, ask.size_bytes)
+        && row.takes_work(NOW_MS)
+        && !ask.tried.contains(&row.key)
+        && row.live.slots.load(Relaxed) > 0
+        && row.free_slots() > -i64::from(ask.max_queued)
+        && !(ask.spread == Spread::Avoid && ask.avoid.contains(&row.data_centre))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// Each choice has room and is allowed; `Wait` only if none has room,
+    /// `Never` only if none could ever hold the task.
+    #[test]
+    fn allowed_only(
+        upstreams in vec(upstream(), 0..24), name in names(), spread in spreads(),
+        tried in vec((0u32..24).prop_map(|key| UpstreamKey(key * 2)), 0..4),
+        max_queued in 0u16..5, seed: u64,
+    ) {
+        let view = view(&upstreams);
+        let avoid = [DataCentreKey(2)];
+        let mut ask = Ask { tried: &tried, avoid: &avoid, max_queued, ..ask(spread) };
+        let choice = choose(name, &view, &ask, seed);
+        if name == "late_binding" {
+            ask.max_queued = 0;
+        }
+        let could_hold = |row: &Row| row.could_hold(KIND, ask.size_bytes)
+            && !(spread == Spread::Avoid && avoid.contains(&row.data_centre));
+        match choice {
+            Choice::Place(key) => prop_assert!(has_room(view.row(key).unwrap(), &ask)),
+            Choice::Wait { retry_after_ms } => {
+                prop_assert!((1..=50).contains(&retry_after_ms));
+                prop_assert!(!view.rows.iter().any(|row| has_room(row, &ask)));
+                prop_assert!(view.rows.is_empty() || view.rows.iter().any(could_hold));
+            }
+            Choice::Never => prop_assert!(!view.rows.iter().any(could_hold)),
+        }
+    }
+
+    /// Late binding never counts on more than the free slots known.
+    #[test]
+    fn late_binding(upstreams in vec(upstream(), 1..24), seed: u64) {
+        let view = view(&upstreams);
+        let free: i64 = view.rows.iter().filter(|row| has_room(row, &ask(Spread::Even)))
+            .map(|row| row.free_slots().max(0)).sum();
+        let mut placed = 0;
+        while let Choice::Place(key) = choose("late_binding", &view, &ask(Spread::Even), seed) {
+            let row = view.row(key).unwrap();
+            prop_assert!(row.free_slots() > 0);
+            row.live.outstanding.fetch_add(1, Relaxed);
+            placed += 1;
+        }
+        prop_assert_eq!(placed, free);
+    }
+
+    /// The least expected wait of all, while there are few.
+    #[test]
+    fn least_wait(upstreams in vec(upstream(), 1..24), seed: u64) {
+        let view = view(&upstreams);
+        let ask = ask(Spread::Even);
+        let wait_us = |row: &Row| row.expected_wait_us(100_000.0);
+        let rows = view.rows.iter().filter(|row| has_room(row, &ask));
+        let least_us = rows.map(wait_us).fold(f32::INFINITY, f32::min);
+        if let Choice::Place(key) = choose("least_wait", &view, &ask, seed) {
+            prop_assert_eq!(wait_us(view.row(key).unwrap()), least_us);
+        }
+    }
+
+    /// Of a job placed task by task, no data centre and no rack holds more than
+    /// its bound at any point, and no task is held back.
+    #[test]
+    fn even_bound(
+        racks in vec(vec(1u16..5, 1..5), 1..5), tasks in 1usize..170, name in names(), seed: u64,
+    ) {
+        let view = idle(&racks, 200);
+        let rows = view.rows.len() as u32;
+        let mut siblings: Vec<(RackKey, u16)> = vec![];
+        for placed in 0..tasks as u32 {
+            let ask = Ask { siblings: &siblings, ..ask(Spread::Even) };
+            let Choice::Place(key) = choose(name, &view, &ask, seed ^ u64::from(placed)) else {
+                return Err(TestCaseError::fail("held back"));
+            };
+            let row = view.row(key).unwrap();
+            row.live.outstanding.fetch_add(1, Relaxed);
+            siblings.push((row.rack, 1));
+            let of_data_centre = |it: &&Row| it.data_centre == row.data_centre;
+            let rows_here = view.rows.iter().filter(of_data_centre).count() as u32;
+            let places = racks.len() as u32;
+            let bound = Share { tasks: placed + 1, places, rows_here, rows }.bound();
+            let held = |racks: &dyn Fn(RackKey) -> bool| siblings.iter()
+                .filter(|(rack, _)| racks(*rack)).count() as u32;
+            let is_here = |rack| view.rows.iter().filter(of_data_centre).any(|it| it.rack == rack);
+            prop_assert!(held(&is_here) <= bound);
+            let in_rack = view.rows.iter().filter(|it| it.rack == row.rack).count() as u32;
+            let places = racks[usize::from(row.data_centre.0)].len() as u32;
+            let rack = Share { tasks: bound, places, rows_here: in_rack, rows: rows_here };
+            prop_assert!(held(&|rack| rack == row.rack) <= rack.bound());
+        }
+    }
+
+    /// The own data centre while it has a free slot.
+    #[test]
+    fn local_first(upstreams in vec(upstream(), 1..24), seed: u64) {
+        let view = view(&upstreams);
+        let ask = Ask { max_queued: 0, ..ask(Spread::Local) };
+        let is_local = |row: &Row| row.data_centre == ask.local;
+        let has_local = view.rows.iter().any(|row| is_local(row) && has_room(row, &ask));
+        for name in Policy::NAMES {
+            if let Choice::Place(key) = choose(name, &view, &ask, seed) {
+                prop_assert_eq!(is_local(view.row(key).unwrap()), has_local, "{}", name);
+            }
+        }
+    }
+}
+
+#[test]
+fn lost_share() {
+    let view = idle(&vec![vec![3, 3]; 4], 200);
+    for name in Policy::NAMES {
+        let mut siblings: Vec<(RackKey, u16)> = vec![];
+        for seed in 0..100 {
+            let ask = Ask { siblings: &siblings, ..ask(Spread::Even) };
+            if let Choice::Place(key) = choose(name, &view, &ask, seed) {
+                siblings.push((view.row(key).unwrap().rack, 1));
+            }
+        }
+        for data_centre in 0..4 {
+            let held = siblings.iter().filter(|(rack, _)| rack.0 / 2 == data_centre).count();
+            assert!((20..=30).contains(&held), "{name}: {held} of {}", siblings.len());
+        }
+    }
+}
+
+#[test]
+fn lost_data_centre() {
+    let view = idle(&[vec![3], vec![3]], 200);
+    for row in &view.rows[3..] {
+        row.live.leaving.store(true, Relaxed);
+    }
+    let siblings = [(RackKey(0), 40)];
+    let ask = Ask { siblings: &siblings, ..ask(Spread::Even) };
+    for name in Policy::NAMES {
+        assert!(matches!(choose(name, &view, &ask, 1), Choice::Place(_)), "{name}");
+    }
+}
+
+#[test]
+fn full_data_centre() {
+    let view = idle(&[vec![3], vec![3]], 1);
+    for row in &view.rows[3..] {
+        row.live.running.store(9, Relaxed);
+    }
+    let siblings = [(RackKey(0), 40)];
+    let ask = Ask { siblings: &siblings, ..ask(Spread::Even) };
+    for name in Policy::NAMES {
+        assert!(matches!(choose(name, &view, &ask, 1), Choice::Wait { .. }), "{name}");
+    }
+}
+
+#[test]
+fn two_choices() {
+    let view = idle(&[vec![40]], 1);
+    let (short, long) = view.rows.split_at(20);
+    short.iter().for_each(|row| row.live.mean_run_us.store(1_000, Relaxed));
+    long.iter().for_each(|row| row.live.mean_run_us.store(9_000, Relaxed));
+    view.rows.iter().for_each(|row| row.live.running.store(2, Relaxed));
+    let is_short = |seed| match choose("two_choices", &view, &ask(Spread::Even), seed) {
+        Choice::Place(key) => key.0 < 20,
+        other => panic!("{other:?}"),
+    };
+    let short_of_1000 = (0..1_000).filter(|&seed| is_short(seed)).count();
+    assert!((700..800).contains(&short_of_1000), "{short_of_1000}");
+}
+
+#[test]
+fn random_evenness() {
+    let view = idle(&[vec![10]], 1);
+    let mut counts = [0; 10];
+    for seed in 0..10_000 {
+        if let Choice::Place(key) = choose("random", &view, &ask(Spread::Even), seed) {
+            counts[key.0 as usize] += 1;
+        }
+    }
+    assert!(counts.iter().all(|count| (850..1_150).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn unknown_policy() {
+    assert!(Policy::by_name("best").is_none());
+    for name in Policy::NAMES {
+        assert_eq!(Policy::by_name(name).unwrap().name, name);
+    }
+}
+
+#[test]
+fn no_upstreams() {
+    for name in Policy::NAMES {
+        let choice = choose(name, &View::default(), &ask(Spread::Even), 1);
+        assert_eq!(choice, Choice::Wait { retry_after_ms: 50 }, "{name}");
+    }
+}
