Membership: records of entries, homes, agents and fences

Cause: an entry may say not_run for a lost home only if it knows every agent that the home may have used. Deleting an agent's record after a time of silence alone was ruled out: a home and an agent cut off together from everyone else can go on with each other, and the roster would then lack the agent. Change: a home is recorded without a lease; an agent is retired first, and its record deleted only after every home has taken note, or is fenced with a mark that its roster is not whole, and the retention has passed.

--- /dev/null
+++ b/crates/membership/src/record.rs
@@ -0,0 +1,67 @@
+//! The records' values, as JSON.
+
+use {
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::net::SocketAddr,
+    sycamorerail_wire::message::AgentIdentity,
+};
+
+/// An entry that serves.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryRecord {
+    /// Name from the settings.
+    pub name: String,
+    /// Data centre from the settings.
+    pub data_centre: String,
+    /// Address for its peers and agents.
+    pub inner_address: SocketAddr,
+    /// Address for callers and operators.
+    pub http_address: SocketAddr,
+}
+
+/// An incarnation of an entry that may place work.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HomeRecord {
+    /// Address for its peers.
+    pub inner_address: SocketAddr,
+    /// Platform revision up to which it has taken note of retired agents: it
+    /// uses none that were retired at or before it.
+    pub seen: u64,
+}
+
+/// An agent that was registered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentRecord {
+    /// Who it is.
+    #[serde(flatten)]
+    pub agent: AgentIdentity,
+    /// When it was registered, by the registering entry's clock.
+    pub registered_unix_ms: u64,
+    /// No entry uses it any more; the record stays until nothing it may have
+    /// started can be asked for.
+    #[serde(default)]
+    pub retired: bool,
+}
+
+/// A fenced incarnation of an entry.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FenceRecord {
+    /// When it was fenced, by the fencing entry's clock.
+    pub fenced_unix_ms: u64,
+    /// The roster is not whole for it: an agent that it may still have used
+    /// was deleted. Nothing can be concluded from silence any more.
+    #[serde(default)]
+    pub silent: bool,
+}
+
+/// Writes a record's value.
+#[must_use]
+pub fn to_json(record: &impl Serialize) -> String {
+    serde_json::to_string(record).expect("records are plain structs with text keys")
+}
+
+/// Reads a record's value; `None` if it is none of that kind.
+#[must_use]
+pub fn from_json<R: DeserializeOwned>(value: &str) -> Option<R> {
+    serde_json::from_str(value).ok()
+}
