--- a/crates/templates/src/envelope.rs
+++ b/crates/templates/src/envelope.rs
@@ -174,6 +174,16 @@
         if oldest <= revision { Fate::NeverTaken } else { Fate::Forgotten }
     }
 
+    /// The change that made a revision, if it is kept.
+    #[must_use]
+    pub fn stamp_of(&self, revision: u64) -> Option<&Stamp> {
+        if revision == self.revision {
+            return Some(&self.stamp);
+        }
+        let past = self.history.iter().find(|past| past.revision == revision)?;
+        Some(&past.stamp)
+    }
+
     /// The template of a revision, if it is kept and no tombstone.
     #[must_use]
     pub fn yaml_of(&self, revision: u64) -> Option<&str> {
