Queue waiting tasks by urgency and fair share

The entry needs an order for tasks that find no free slot: urgent first, and no organisation slowed by another's flood. Start-time fair queueing with run time as cost; room by dynamic threshold; late and cancelled tasks leave in O(log n).

Ruled out: deficit round robin (needs a quantum for run times from 50 ms to seconds, and serves it in bursts), and keys of removed tasks left in the lanes (a wave of cancellations behind a blocked head would keep them without bound).

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod gate;
 pub mod job;
 pub mod placement;
+pub mod queue;
 pub mod view;
--- /dev/null
+++ b/crates/decide/tests/queue.rs
@@ -0,0 +1,210 @@
+//! The waiting queue: urgency, fairness between organisations, order within
+//! one, room, deadlines and removal.
+
+use {
+    proptest::{collection::vec, prelude::*},
+    std::collections::HashMap,
+    sycamorerail_decide::{
+        queue::{Backlog, Queue, Rank},
+        view::KindKey,
+    },
+    sycamorerail_wire::ids::OrganisationKey,
+};
+
+fn rank(organisation: u64, urgency: u8) -> Rank {
+    Rank {
+        organisation: OrganisationKey(organisation),
+        kind: KindKey(0),
+        urgency,
+        weight: 1,
+        cost_ms: 100,
+        latest_start_ms: 1_000,
+    }
+}
+
+fn next<T>(queue: &mut Queue<T>) -> Option<(Rank, T)> {
+    queue.take(usize::MAX, |_, _| true)
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Push(Rank),
+    Take,
+    TakeSecond,
+    Remove(usize),
+    Late(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let rank = (0u64..4, 0u32..2, 0u8..2, 1u32..3, 1u32..500, 0u64..100).prop_map(
+        |(organisation, kind, urgency, weight, cost_ms, latest_start_ms)| {
+            let kind = KindKey(kind);
+            Rank { kind, weight, cost_ms, latest_start_ms, ..rank(organisation, urgency) }
+        },
+    );
+    prop_oneof![
+        6 => rank.prop_map(Step::Push),
+        2 => Just(Step::Take),
+        1 => Just(Step::TakeSecond),
+        1 => any::<usize>().prop_map(Step::Remove),
+        1 => (0u64..100).prop_map(Step::Late),
+    ]
+}
+
+proptest! {
+    /// Against a plain list: nothing is lost or given twice, the most urgent
+    /// class goes first, and a kind of an organisation in order.
+    #[test]
+    fn like_a_list(steps in vec(step(), 0..120)) {
+        let mut queue = Queue::new(50);
+        let mut list = vec![];
+        for (id, step) in steps.into_iter().enumerate() {
+            match step {
+                Step::Push(rank) => if let Ok(key) = queue.push(rank, id) {
+                    list.push((rank, id, key));
+                },
+                Step::Take | Step::TakeSecond => {
+                    let mut skip = usize::from(matches!(step, Step::TakeSecond));
+                    let taken = queue.take(9, |_, _| { skip = skip.wrapping_sub(1); skip > 9 });
+                    let Some((rank, id)) = taken else { continue };
+                    let position = list.iter().position(|it| it.1 == id).unwrap();
+                    list.remove(position);
+                    let lane = |it: &Rank| (it.urgency, it.organisation, it.kind);
+                    prop_assert!(list[..position].iter().all(|it| lane(&it.0) != lane(&rank)));
+                    let is_first = matches!(step, Step::Take);
+                    let most_urgent = list.iter().all(|it| it.0.urgency >= rank.urgency);
+                    prop_assert!(!is_first || most_urgent);
+                }
+                Step::Remove(index) if !list.is_empty() => {
+                    let (rank, id, key) = list.remove(index % list.len());
+                    prop_assert_eq!(queue.remove(key), Some((rank, id)));
+                    prop_assert_eq!(queue.remove(key), None);
+                }
+                Step::Remove(_) => {}
+                Step::Late(now_ms) => {
+                    let mut late = vec![];
+                    while let Some((_, id)) = queue.take_late(now_ms) {
+                        late.push(id);
+                    }
+                    late.sort_unstable();
+                    let is_late = |it: &&(Rank, usize, _)| it.0.latest_start_ms < now_ms;
+                    let expected: Vec<_> = list.iter().filter(is_late).map(|it| it.1).collect();
+                    list.retain(|it| it.0.latest_start_ms >= now_ms);
+                    prop_assert_eq!(late, expected);
+                }
+            }
+            prop_assert_eq!(queue.len() as usize, list.len());
+            prop_assert!(queue.len() <= 50);
+        }
+        while let Some((_, id)) = next(&mut queue) {
+            list.retain(|it| it.1 != id);
+        }
+        prop_assert!(list.is_empty());
+        prop_assert_eq!(queue.next_late_ms(), None);
+    }
+
+    /// Two organisations with tasks waiting throughout get work in proportion
+    /// to their weights, to within one task of each.
+    #[test]
+    fn fair_shares(weights in (1u32..5, 1u32..5), costs in vec((1u32..300, 1u32..300), 400)) {
+        let mut queue = Queue::new(4_000);
+        for &(first, second) in &costs {
+            let first = Rank { weight: weights.0, cost_ms: first, ..rank(1, 0) };
+            let second = Rank { weight: weights.1, cost_ms: second, ..rank(2, 0) };
+            prop_assert!(queue.push(first, ()).and(queue.push(second, ())).is_ok());
+        }
+        let mut served = HashMap::from([(1, 0.0), (2, 0.0)]);
+        for _ in 0..200 {
+            let (rank, ()) = next(&mut queue).unwrap();
+            let share = f64::from(rank.cost_ms) / f64::from(rank.weight);
+            *served.get_mut(&rank.organisation.0).unwrap() += share;
+            let bound = 300.0 / f64::from(weights.0) + 300.0 / f64::from(weights.1);
+            prop_assert!((served[&1] - served[&2]).abs() <= bound + 1.0);
+        }
+    }
+
+    /// However much another queued or was served before, a quiet organisation's
+    /// first task waits for at most one task of each other.
+    #[test]
+    fn noisy_neighbour(flood in 1u32..500, served in 0u32..400, noisy in 1u64..5) {
+        let mut queue = Queue::new(10_000);
+        for sequence in 0..flood {
+            for organisation in 1..=noisy {
+                prop_assert!(queue.push(rank(organisation, 0), sequence).is_ok());
+            }
+        }
+        for _ in 0..served.min(flood) {
+            next(&mut queue);
+        }
+        prop_assert!(queue.push(rank(99, 0), 0).is_ok());
+        let ahead = queue.backlog(OrganisationKey(99), 0).tasks_ahead();
+        let position = (0..).find(|_| next(&mut queue).unwrap().0.organisation.0 == 99).unwrap();
+        prop_assert!(position <= noisy);
+        prop_assert!(u64::from(ahead) >= position);
+    }
+
+    /// There is room for one more organisation, however many flood the queue.
+    #[test]
+    fn room_left(max_tasks in 20u32..2_000, noisy in 1u64..8) {
+        let mut queue = Queue::new(max_tasks);
+        for organisation in 0..noisy {
+            let room = queue.room_for(OrganisationKey(organisation));
+            let mut taken = 0;
+            while queue.push(rank(organisation, 0), ()).is_ok() {
+                taken += 1;
+            }
+            prop_assert_eq!(taken, room);
+        }
+        prop_assert!(queue.room_for(OrganisationKey(99)) > 0 || max_tasks >> noisy == 0);
+    }
+}
+
+#[test]
+fn urgent_first() {
+    let mut queue = Queue::new(100);
+    queue.push(rank(1, 2), "background").unwrap();
+    queue.push(rank(1, 1), "normal").unwrap();
+    queue.push(rank(2, 0), "urgent").unwrap();
+    let order: Vec<_> = std::iter::from_fn(|| next(&mut queue)).map(|(_, item)| item).collect();
+    assert_eq!(order, ["urgent", "normal", "background"]);
+}
+
+#[test]
+fn blocked_kind() {
+    let mut queue = Queue::new(100);
+    queue.push(rank(1, 0), "blocked").unwrap();
+    queue.push(rank(1, 0), "blocked too").unwrap();
+    queue.push(Rank { kind: KindKey(1), ..rank(1, 0) }, "free").unwrap();
+    let mut asked = vec![];
+    let taken = queue.take(9, |rank, item| {
+        asked.push(*item);
+        rank.kind == KindKey(1)
+    });
+    assert_eq!(taken.unwrap().1, "free");
+    assert_eq!(asked, ["blocked", "free"]);
+    assert!(queue.take(0, |_, _| true).is_none());
+}
+
+#[test]
+fn drained_organisation() {
+    let mut queue = Queue::new(100);
+    queue.push(rank(2, 0), "other").unwrap();
+    queue.push(rank(2, 0), "other").unwrap();
+    for _ in 0..3 {
+        queue.push(rank(1, 0), "own").unwrap();
+        let (first, _) = next(&mut queue).unwrap();
+        if first.organisation.0 == 2 {
+            return;
+        }
+    }
+    panic!("it gained by emptying its queue");
+}
+
+#[test]
+fn empty_backlog() {
+    let queue = Queue::<()>::new(100);
+    let backlog = queue.backlog(OrganisationKey(1), 1);
+    assert_eq!(backlog, Backlog { organisations: 1, ..Backlog::default() });
+    assert_eq!(backlog.tasks_ahead(), 0);
+    assert!(queue.is_empty());
+}
