Decide: fence of a lost home, its questions and conclusions

Cause: an entry that gets an id whose home is lost must answer truthfully. Change: pure state machines for when a home is shown lost, whom to ask in one message an agent, and what follows for a job.

--- /dev/null
+++ b/crates/decide/src/fence.rs
@@ -0,0 +1,203 @@
+//! A lost home: when it is shown lost, whom to ask, and what follows.
+//!
+//! [`lost::HomeWatch`] tells when a home may be fenced. [`collect::Collector`]
+//! asks the agents of the roster, one message an agent for many jobs, and
+//! keeps what they told. [`conclude`] draws the conclusion for one job.
+//!
+//! # Why a conclusion is final
+//!
+//! Every agent that the home may have used is in the roster, or the roster is
+//! marked as not whole. An agent that has answered a fence starts nothing more
+//! of that home; so what it does not hold it never starts, and of what runs
+//! only the end is open. `complete`, `failed` and `not_run` each need what
+//! excludes the other two, whoever collects it: see `job`.
+
+pub mod collect;
+pub mod lost;
+
+use {
+    std::collections::BTreeMap,
+    sycamorerail_wire::{
+        answer::{Payload, Reason, TaskEnd, TaskRecord},
+        ids::{ContentHash, Incarnation},
+        message::FencedJob,
+    },
+};
+
+/// Who must have answered.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Roster {
+    /// Every agent that the home may have used, the dead included.
+    pub agents: Vec<Incarnation>,
+    /// Whether it is known to name all of them.
+    pub whole: bool,
+}
+
+/// What each agent told of one job; `None` where it holds nothing of it.
+pub type Told = BTreeMap<Incarnation, Option<FencedJob>>;
+
+/// What the one who asks knows of the job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    /// Hash of the submission that came, if one came.
+    pub content: Option<ContentHash>,
+    /// It is surely a job, so that each task had one attempt.
+    pub single_attempt: bool,
+}
+
+/// What follows from what the agents told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Conclusion {
+    /// Another submission was made under this id; this one never runs. Final.
+    Conflict,
+    /// Every task finished. Final.
+    Complete(Vec<Payload>),
+    /// A task definitely failed, or some started and another never will.
+    /// Final.
+    Failed {
+        /// Why.
+        reason: Reason,
+        /// More for a person.
+        detail: String,
+        /// The agent at which it failed.
+        agent: Option<Incarnation>,
+        /// Tasks known to have started.
+        tasks_started: u16,
+    },
+    /// No task started, and none ever will. Final.
+    NotRun,
+    /// A task is still running.
+    Running {
+        /// Tasks known to have started.
+        tasks_started: u16,
+    },
+    /// An agent that has not answered may still do so.
+    Waiting {
+        /// Tasks known to have started.
+        tasks_started: u16,
+    },
+    /// It cannot be known; who answers later may change that.
+    Unknown {
+        /// Why.
+        reason: Reason,
+        /// Tasks known to have started.
+        tasks_started: u16,
+        /// Agents that did not answer.
+        silent_agents: usize,
+    },
+}
+
+impl Conclusion {
+    /// Whether nothing learnt later can change it.
+    #[must_use]
+    pub fn is_final(&self) -> bool {
+        matches!(self, Self::Conflict | Self::Complete(_) | Self::Failed { .. } | Self::NotRun)
+    }
+}
+
+/// How one task stands over all agents and attempts.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Standing<'a> {
+    finished: Option<&'a Payload>,
+    failed: Option<(Reason, &'a str, Incarnation)>,
+    running: bool,
+    /// Started, with an end that cannot be had.
+    without_end: bool,
+}
+
+impl<'a> Standing<'a> {
+    fn add(&mut self, record: &'a TaskRecord, agent: Incarnation) {
+        match record {
+            TaskRecord::NeverStarted => {}
+            TaskRecord::Running => self.running = true,
+            TaskRecord::Ended(TaskEnd::Finished(result)) => {
+                self.finished.get_or_insert(result);
+            }
+            TaskRecord::Ended(TaskEnd::Failed { reason, detail }) => {
+                self.failed.get_or_insert((*reason, detail, agent));
+            }
+            TaskRecord::EndDropped | TaskRecord::Broken(_) => self.without_end = true,
+        }
+    }
+
+    fn started(&self) -> bool {
+        self.finished.is_some() || self.failed.is_some() || self.running || self.without_end
+    }
+
+    /// The failure, if no attempt can have finished. `only_attempt`: there was
+    /// but this one. `all_told`: all agents answered.
+    fn failure(
+        &self,
+        only_attempt: bool,
+        all_told: bool,
+    ) -> Option<(Reason, &'a str, Incarnation)> {
+        let others_failed = all_told && !self.running && !self.without_end;
+        let definite = self.finished.is_none() && (only_attempt || others_failed);
+        self.failed.filter(|_| definite)
+    }
+}
+
+/// Draws the conclusion for one job. `time_up`: agents that have not answered
+/// are waited for no longer.
+#[must_use]
+pub fn conclude(roster: &Roster, told: &Told, known: Known, time_up: bool) -> Conclusion {
+    let jobs = || told.iter().filter_map(|(agent, job)| Some((*agent, job.as_ref()?)));
+    if jobs().any(|(_, job)| known.content.is_some_and(|content| content != job.content)) {
+        return Conclusion::Conflict;
+    }
+    let silent_agents = roster.agents.iter().filter(|agent| !told.contains_key(agent)).count();
+    let all_told = roster.whole && silent_agents == 0;
+    let task_count = jobs().map(|(_, job)| job.task_count).max().unwrap_or(0);
+    let standings = standings(jobs(), task_count);
+    let started = standings.iter().filter(|standing| standing.started()).count();
+    let tasks_started = u16::try_from(started).unwrap_or(u16::MAX);
+
+    let only_attempt = known.single_attempt || task_count > 1;
+    let failure = standings.iter().find_map(|standing| standing.failure(only_attempt, all_told));
+    if let Some((reason, detail, agent)) = failure {
+        let detail = detail.to_owned();
+        return Conclusion::Failed { reason, detail, agent: Some(agent), tasks_started };
+    }
+    if task_count > 0 && standings.iter().all(|standing| standing.finished.is_some()) {
+        return Conclusion::Complete(results(&standings));
+    }
+    if standings.iter().any(|standing| standing.running && standing.finished.is_none()) {
+        return Conclusion::Running { tasks_started };
+    }
+    if !all_told {
+        if silent_agents > 0 && !time_up {
+            return Conclusion::Waiting { tasks_started };
+        }
+        return Conclusion::Unknown { reason: Reason::HomeLost, tasks_started, silent_agents };
+    }
+    match started {
+        0 => Conclusion::NotRun,
+        started if started < standings.len() => partly_started(tasks_started, task_count),
+        _ => Conclusion::Unknown { reason: Reason::ResultDropped, tasks_started, silent_agents },
+    }
+}
+
+fn standings<'a>(
+    jobs: impl Iterator<Item = (Incarnation, &'a FencedJob)>,
+    task_count: u16,
+) -> Vec<Standing<'a>> {
+    let mut standings = vec![Standing::default(); task_count.into()];
+    for (agent, job) in jobs {
+        for report in &job.tasks {
+            if let Some(standing) = standings.get_mut(usize::from(report.task.index)) {
+                standing.add(&report.record, agent);
+            }
+        }
+    }
+    standings
+}
+
+fn results(standings: &[Standing<'_>]) -> Vec<Payload> {
+    standings.iter().filter_map(|standing| standing.finished.cloned()).collect()
+}
+
+fn partly_started(tasks_started: u16, task_count: u16) -> Conclusion {
+    let detail =
+        format!("the home was lost; {tasks_started} of {task_count} tasks started, the rest never");
+    Conclusion::Failed { reason: Reason::HomeLost, detail, agent: None, tasks_started }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -2,6 +2,8 @@
 //! argument. Every function that depends on the present time takes `now_ms`,
 //! the process's monotonic time in milliseconds.
 
+pub mod admission;
+pub mod fence;
 pub mod gate;
 pub mod job;
 pub mod placement;
