--- /dev/null
+++ b/crates/standin/src/bin/upstream_standin.rs
@@ -0,0 +1,29 @@
+//! `sycamorerail-upstream-standin`: takes the place of an upstream.
+
+use {
+    std::{process::ExitCode, sync::Arc},
+    sycamorerail_settings::standin::UpstreamStandinSettings,
+    sycamorerail_standin::{
+        exit::Exit,
+        options::UpstreamOptions,
+        run,
+        upstream::{UpstreamStandin, UpstreamStandinConfig},
+    },
+};
+
+fn main() -> ExitCode {
+    let options: UpstreamOptions = argh::from_env();
+    let settings = match UpstreamStandinSettings::load(&options.settings) {
+        Ok(settings) => settings,
+        Err(error) => return Exit::Settings.report(&error).into(),
+    };
+    let mut config = UpstreamStandinConfig::from(settings);
+    run::process(|page| async move {
+        config.metrics_page = Some(Arc::new(page));
+        let standin = UpstreamStandin::start(config).await?;
+        run::told_to_stop().await?;
+        standin.leave_and_stop().await;
+        Ok(())
+    })
+    .into()
+}
