Bench: layout, open-loop load, fault script, checks, reports, slopes

Experiments need the real processes, a load that does not wait for answers, and a check of every answer against the starts that upstreams counted. The bench lays out a directory and speaks HTTP and signals; scripts start the processes. Latency counts from the due time, so that a stalled system cannot hide its queue.

--- a/crates/bench/src/arrivals.rs
+++ b/crates/bench/src/arrivals.rs
@@ -12,7 +12,7 @@
 const US_PER_S: f64 = 1_000_000.0;
 
 /// A job of tasks or a single call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Unit {
     /// Each task starts at most once.
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,7 +5,25 @@
 //! The bench starts no processes; `scripts/cluster.sh` does.
 
 pub mod arrivals;
+pub mod client;
+pub mod cluster;
+pub mod commands;
+pub mod drive;
+pub mod fault_script;
 pub mod fit;
 pub mod ideal;
+pub mod layout;
+pub mod options;
+pub mod pool;
+pub mod report;
+pub mod results;
+pub mod run;
 pub mod run_time;
+pub mod sample;
 pub mod scenario;
+pub mod scrape;
+pub mod slopes;
+pub mod starts;
+pub mod usage;
+pub mod verdict;
+pub mod waste;
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -133,6 +133,21 @@
     pub resubmit_pause_ms: u32,
     /// Ids in one reservation.
     pub reserve_block: u32,
+    /// Times that a submission answered `not_run` is sent under a new id.
+    pub not_run_retries: u8,
+    /// How submissions find an entry.
+    pub route: Route,
+}
+
+/// How submissions find an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Route {
+    /// Over all entries in turn, as a balancer does.
+    Balancer,
+    /// To the entry that reserved the id, as a balancer with lasting
+    /// connections does; to others when that fails.
+    Home,
 }
 
 impl Default for Client {
@@ -142,7 +157,9 @@
             answer_timeout_ms: 10_000,
             give_up_ms: 40_000,
             resubmit_pause_ms: 50,
-            reserve_block: 1_000,
+            reserve_block: 200,
+            not_run_retries: 3,
+            route: Route::Balancer,
         }
     }
 }
@@ -223,6 +240,8 @@
     pub template: Map<String, Value>,
     /// Each kind of each template.
     pub kind: Map<String, Value>,
+    /// One kind, by its name, of each template.
+    pub kinds: Map<String, Value>,
 }
 
 /// A field that is not as it should be.
--- a/crates/bench/src/scenario/preset.rs
+++ b/crates/bench/src/scenario/preset.rs
@@ -82,19 +82,25 @@
     pub priority: &'static str,
     /// How tasks are spread, by its name in templates.
     pub spread: &'static str,
+    /// Slower requests than this share are hedged, if repeatable.
+    pub hedge_percentile: Option<u8>,
 }
 
 impl Kind {
     /// Kinds of a deployment.
     #[must_use]
     pub fn of(deployment: Deployment) -> Vec<Self> {
-        let kind = |name, repeatable, share| match deployment {
-            Deployment::Alpenfunk => {
-                Self { name, repeatable, share, priority: "time", spread: "even" }
-            }
-            Deployment::Rangmancha => {
-                Self { name, repeatable, share, priority: "waste", spread: "even" }
-            }
+        let (priority, hedge_percentile) = match deployment {
+            Deployment::Alpenfunk => ("time", Some(95)),
+            Deployment::Rangmancha => ("waste", None),
+        };
+        let kind = |name, repeatable, share| Self {
+            name,
+            repeatable,
+            share,
+            priority,
+            spread: "even",
+            hedge_percentile,
         };
         match deployment {
             Deployment::Alpenfunk => vec![
--- /dev/null
+++ b/scripts/slopes.sh
@@ -0,0 +1,67 @@
+#!/usr/bin/env bash
+# Measures what processes use and send, idle and under load, at several sizes,
+# and fits lines: by agents, entries, organisations (idle), and by starts a
+# second (under load).
+#
+#   scripts/slopes.sh
+#
+# Environment:
+#   AGENTS="10 30 60"  ENTRIES="2 4 6"  ORGANISATIONS="1 20 60"  LOADS="0.1 0.3 0.6"
+#   WINDOW_MS=20000    length of an idle sample
+#   OUT=DIR            default bench-results/slopes
+#   SYCAMORERAIL_BIN=DIR binaries; default target/release
+set -euo pipefail
+
+root=$(cd "$(dirname "$0")/.." && pwd)
+export SYCAMORERAIL_BIN=${SYCAMORERAIL_BIN:-$root/target/release}
+out=${OUT:-$root/bench-results/slopes}
+bench=$SYCAMORERAIL_BIN/sycamorerail-bench
+build="$(basename "$SYCAMORERAIL_BIN") $(git -C "$root" rev-parse --short HEAD 2>/dev/null || echo unknown)"
+window_ms=${WINDOW_MS:-20000}
+# Time for sessions and first reports before an idle sample.
+settle_s=5
+mkdir -p "$out"
+
+# with_cluster NAME LAYOUT-OPTIONS... -- BENCH-COMMAND...
+with_cluster() {
+    local name=$1 options=() dir
+    shift
+    while [ "$1" != -- ]; do options+=("$1"); shift; done
+    shift
+    dir=$out/$name.d
+    rm -rf "$dir"
+    "$bench" layout --scenario "$root/bench/slopes.yaml" --dir "$dir" "${options[@]}"
+    "$root/scripts/cluster.sh" up "$dir"
+    trap '"$root/scripts/cluster.sh" down "$dir"' EXIT
+    "$bench" publish --dir "$dir"
+    sleep "$settle_s"
+    "$bench" "$@" --dir "$dir" --out "$out/$name.json" >/dev/null
+    "$root/scripts/cluster.sh" down "$dir"
+    trap - EXIT
+}
+
+idle() {
+    local by=$1 option=$2 files=() value
+    shift 2
+    for value in "$@"; do
+        with_cluster "idle-$by-$value" "$option" "$value" -- sample --window-ms "$window_ms"
+        files+=("$out/idle-$by-$value.json")
+    done
+    echo "## Idle, by $by"
+    "$bench" slopes --by "$by" --out "$out/idle-$by.json" "${files[@]}" | tee "$out/idle-$by.md"
+}
+
+loaded() {
+    local files=() load
+    for load in "$@"; do
+        with_cluster "load-$load" --load "$load" -- run --build "$build"
+        files+=("$out/load-$load.json")
+    done
+    echo "## Under load, by starts_per_s"
+    "$bench" slopes --by starts_per_s --out "$out/load.json" "${files[@]}" | tee "$out/load.md"
+}
+
+idle agents --upstreams ${AGENTS:-10 30 60}
+idle entries --entries ${ENTRIES:-2 4 6}
+idle organisations --organisations ${ORGANISATIONS:-1 20 60}
+loaded ${LOADS:-0.1 0.3 0.6}
