--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -21,7 +21,7 @@
 
 fn main() -> std::process::ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    let args = options::globals_first(&args);
+    let args = options::in_parser_order(&args);
     let args: Vec<_> = args.iter().map(String::as_str).collect();
     let code = match Options::from_args(&[COMMAND_NAME], &args) {
         Ok(options) => run(&options),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -5,16 +5,23 @@
 /// Options that may stand anywhere on the command line.
 const GLOBAL_OPTIONS: &[&str] = &["--entry", "--token", "--output", "--timeout-ms"];
 
-/// Moves the options of all commands before the command, where the parser
-/// wants them. Nothing after `--` is moved.
-pub(crate) fn globals_first(args: &[String]) -> Vec<String> {
+/// Ends the options of a command.
+const END_OF_OPTIONS: &str = "--";
+/// Standard input in place of a file; the parser would take it as an option.
+const STDIN: &str = "-";
+
+/// Puts arguments into the order that the parser wants: the options of all
+/// commands before the command, `-` after `--`. Nothing after `--` is moved.
+pub(crate) fn in_parser_order(args: &[String]) -> Vec<String> {
     let mut globals = Vec::new();
     let mut others = Vec::new();
+    let mut last = Vec::new();
     let mut rest = args.iter();
     while let Some(arg) = rest.next() {
-        if arg == "--" {
-            others.push(arg.clone());
-            others.extend(rest.by_ref().cloned());
+        if arg == END_OF_OPTIONS {
+            last.extend(rest.by_ref().cloned());
+        } else if arg == STDIN {
+            last.push(arg.clone());
         } else if GLOBAL_OPTIONS.contains(&arg.as_str()) {
             globals.push(arg.clone());
             globals.extend(rest.next().cloned());
@@ -23,6 +30,10 @@
         }
     }
     globals.extend(others);
+    if !last.is_empty() {
+        globals.push(END_OF_OPTIONS.to_owned());
+    }
+    globals.extend(last);
     globals
 }
 
