Entry: serve callers, accept agents' sessions, place, answer

The thin path of the entry's binary: rocket for callers, QUIC sessions for agents, one state machine a job, a queue of tasks that wait for a slot. Ids that were refused are kept at one byte each, so that not_run stays true for a delayed copy and a wave of refusals does not fill the memory for records.

--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -251,6 +251,16 @@
         Some(attempt.open(upstream, now_ms))
     }
 
+    /// Whether a placement without a reply may be sent once more, to the same
+    /// run of the agent. Else ask by a revoke what became of it.
+    #[must_use]
+    pub fn may_send_again(&self, placement: PlacementKey) -> bool {
+        self.phase == Phase::Running
+            && self
+                .attempt(placement.task)
+                .is_some_and(|attempt| attempt.is_open(placement.serial) && !attempt.is_revoked())
+    }
+
     /// When [`Event::Tick`] is next due, in monotonic milliseconds.
     #[must_use]
     pub fn wake_at_ms(&self, now_ms: u64) -> Option<u64> {
--- a/crates/decide/src/job/attempt.rs
+++ b/crates/decide/src/job/attempt.rs
@@ -93,6 +93,10 @@
         matches!(self.state, State::Open { resent: true, .. })
     }
 
+    pub(super) fn is_revoked(&self) -> bool {
+        matches!(self.state, State::Open { revoked: true, .. })
+    }
+
     pub(super) fn set_resent(&mut self) {
         if let State::Open { resent, .. } = &mut self.state {
             *resent = true;
--- /dev/null
+++ b/crates/entry/src/drain.rs
@@ -0,0 +1,116 @@
+//! Planned stops: readiness fails first, nothing new is taken, what is in
+//! flight is finished and answered, then the process ends.
+
+use {
+    crate::shared::Shared,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    sycamorerail_telemetry::event,
+    tokio::sync::Notify,
+};
+
+/// Time given to balancers to see that readiness fails, before the listener
+/// closes, where nothing else takes longer.
+const NOTICE: Duration = Duration::from_millis(500);
+/// Longest pause between looks at what is in flight.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// Whether the entry serves, and what is in flight.
+#[derive(Debug, Default)]
+pub struct Lifecycle {
+    configured: AtomicBool,
+    draining: AtomicBool,
+    drain_asked: Notify,
+    changed: Notify,
+    requests: AtomicU32,
+}
+
+impl Lifecycle {
+    /// Notes that a configuration is in force.
+    pub fn set_configured(&self) {
+        self.configured.store(true, Ordering::Release);
+    }
+
+    /// Whether a configuration is in force.
+    #[must_use]
+    pub fn is_configured(&self) -> bool {
+        self.configured.load(Ordering::Acquire)
+    }
+
+    /// Whether callers are served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.is_configured() && !self.is_draining()
+    }
+
+    /// Whether a planned stop is under way.
+    #[must_use]
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Begins a planned stop. Doing so again changes nothing.
+    pub fn drain(&self) {
+        if !self.draining.swap(true, Ordering::AcqRel) {
+            event!(Info, "draining");
+        }
+        self.drain_asked.notify_one();
+    }
+
+    /// Waits for the beginning of a planned stop.
+    pub async fn drain_asked(&self) {
+        self.drain_asked.notified().await;
+    }
+
+    /// Callers without a response.
+    #[must_use]
+    pub fn requests(&self) -> u32 {
+        self.requests.load(Ordering::Acquire)
+    }
+
+    /// Wakes whoever waits for what is in flight.
+    pub fn wake(&self) {
+        self.changed.notify_one();
+    }
+}
+
+/// A request in flight, from its head to the end of its response.
+#[derive(Debug)]
+pub struct InFlight(Arc<Shared>);
+
+impl InFlight {
+    /// Counts a request.
+    #[must_use]
+    pub fn begin(shared: Arc<Shared>) -> Self {
+        shared.lifecycle.requests.fetch_add(1, Ordering::AcqRel);
+        Self(shared)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.lifecycle.requests.fetch_sub(1, Ordering::AcqRel);
+        self.0.lifecycle.wake();
+    }
+}
+
+/// Waits until nothing is in flight, at most for the bound of the settings.
+/// Returns the time left of it.
+pub async fn finish(shared: &Shared) -> Duration {
+    let bound_ms = u64::from(shared.settings.limits.drain_ms);
+    let until_ms = shared.now_ms() + bound_ms;
+    tokio::time::sleep(NOTICE.min(Duration::from_millis(bound_ms))).await;
+    while in_flight(shared) && shared.now_ms() < until_ms {
+        let _ = tokio::time::timeout(LOOK_PERIOD, shared.lifecycle.changed.notified()).await;
+    }
+    Duration::from_millis(until_ms.saturating_sub(shared.now_ms()))
+}
+
+fn in_flight(shared: &Shared) -> bool {
+    shared.jobs.running() > 0 || shared.lifecycle.requests() > 0
+}
--- /dev/null
+++ b/crates/entry/src/jobs/cell.rs
@@ -0,0 +1,127 @@
+//! One accepted job: what was submitted, its state machine, its answer.
+
+use {
+    crate::{
+        organisations::{Kind, Organisation},
+        shared::Shared,
+    },
+    parking_lot::Mutex,
+    std::sync::Arc,
+    sycamorerail_decide::{
+        job::{Job, Terms},
+        view::RackKey,
+    },
+    sycamorerail_wire::{
+        answer::{Answer, Payload},
+        ids::{ContentHash, JobId},
+        message::{Submission, Unit},
+    },
+    tokio::sync::watch,
+};
+
+/// Longest wait for reports of revoked tasks, in milliseconds.
+const REPORT_WAIT_MS: u32 = 200;
+/// What a caller is told where coming back makes sense, in milliseconds.
+const RETRY_AFTER_MS: u32 = 500;
+
+/// One accepted job.
+#[derive(Debug)]
+pub struct JobCell {
+    /// Its id.
+    pub id: JobId,
+    /// Its organisation, as in force when it was accepted.
+    pub organisation: Arc<Organisation>,
+    /// Its kind, as in force when it was accepted.
+    pub kind: Arc<Kind>,
+    /// Job or request.
+    pub unit: Unit,
+    /// Hash of the submission.
+    pub content: ContentHash,
+    /// One payload a task.
+    pub payloads: Vec<Payload>,
+    /// Bytes of all payloads.
+    pub payload_bytes: u64,
+    /// Its place in the order of events: see [`Shared::next_event`].
+    pub accepted_event: u64,
+    /// When it was accepted, in monotonic milliseconds.
+    pub accepted_at_ms: u64,
+    /// When it was accepted, for durations below a millisecond.
+    pub accepted_at: std::time::Instant,
+    /// When it must be answered, in monotonic milliseconds.
+    pub deadline_at_ms: u64,
+    /// The state machine.
+    pub state: Mutex<Job>,
+    /// Tasks placed, by rack.
+    pub siblings: Mutex<Vec<(RackKey, u16)>>,
+    /// The answer; callers that wait subscribe.
+    pub answer: watch::Sender<Option<Arc<Answer>>>,
+}
+
+impl JobCell {
+    /// A job accepted now. `hedge_after_ms` is for repeatable requests.
+    #[must_use]
+    pub fn new(
+        shared: &Shared,
+        submission: Submission,
+        organisation: Arc<Organisation>,
+        kind: Arc<Kind>,
+        hedge_after_ms: Option<u32>,
+    ) -> Self {
+        let now_ms = shared.now_ms();
+        let deadline_ms =
+            submission.deadline_ms.map_or(kind.deadline_ms, |asked| asked.min(kind.deadline_ms));
+        let deadline_at_ms = now_ms + u64::from(deadline_ms);
+        let repeatable = submission.unit == Unit::Request && kind.repeatable;
+        let terms = Terms {
+            task_count: u16::try_from(submission.payloads.len()).unwrap_or(u16::MAX),
+            max_attempts: if repeatable { kind.max_attempts } else { 1 },
+            deadline_at_ms,
+            hedge_after_ms: hedge_after_ms.filter(|_| repeatable),
+            report_wait_ms: REPORT_WAIT_MS,
+            retry_after_ms: RETRY_AFTER_MS,
+        };
+        Self {
+            id: submission.job,
+            organisation,
+            kind,
+            unit: submission.unit,
+            content: submission.content,
+            payload_bytes: submission.payloads.iter().map(|payload| payload.0.len() as u64).sum(),
+            payloads: submission.payloads,
+            accepted_event: shared.next_event(),
+            accepted_at_ms: now_ms,
+            accepted_at: std::time::Instant::now(),
+            deadline_at_ms,
+            state: Mutex::new(Job::new(terms)),
+            siblings: Mutex::new(Vec::new()),
+            answer: watch::Sender::new(None),
+        }
+    }
+
+    /// Tasks of the job.
+    #[must_use]
+    pub fn task_count(&self) -> u16 {
+        u16::try_from(self.payloads.len()).unwrap_or(u16::MAX)
+    }
+
+    /// Waits for the answer.
+    pub async fn answered(&self) -> Arc<Answer> {
+        let mut answers = self.answer.subscribe();
+        loop {
+            if let Some(answer) = answers.borrow_and_update().clone() {
+                return answer;
+            }
+            // The sender lives as long as `self`.
+            let _ = answers.changed().await;
+        }
+    }
+
+    /// Notes that a task was placed in a rack.
+    pub fn note_rack(&self, rack: RackKey) {
+        let mut siblings = self.siblings.lock();
+        match siblings.iter_mut().find(|(other, _)| *other == rack) {
+            Some((_, count)) => *count += 1,
+            None => siblings.push((rack, 1)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/jobs/mod.rs
@@ -0,0 +1,17 @@
+//! Jobs of which this run is the home: their records, and what drives them.
+
+mod accept;
+mod burnt;
+mod cell;
+mod drive;
+mod kept;
+mod table;
+mod timer;
+
+pub use {
+    accept::{Accepted, Refused, accept, cancel, fetch, is_home, submit},
+    cell::JobCell,
+    drive::{drive, fence_all},
+    table::{JobKey, Table},
+    timer::sweep_until,
+};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,17 @@
-//! placeholder
+//! An entry: serves callers and operators, and is the home of the jobs it
+//! accepts.
+
+pub mod callers;
+pub mod clock;
+pub mod counters;
+pub mod dispatch;
+pub mod drain;
+pub mod entry;
+pub mod error;
+pub mod health;
+pub mod jobs;
+pub mod names;
+pub mod organisations;
+pub mod seams;
+pub mod shared;
+pub mod upstreams;
--- /dev/null
+++ b/crates/entry/src/upstreams/accept.rs
@@ -0,0 +1,111 @@
+//! Accepts sessions of agents, and answers what agents say.
+
+use {
+    super::agent::Agent,
+    crate::{
+        counters::{self, Message},
+        dispatch,
+        shared::Shared,
+    },
+    std::sync::Arc,
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        answer::Reason,
+        keys::Role,
+        message::{EntryWelcome, FromAgent},
+        session::{self, SessionError},
+    },
+    tokio::sync::watch,
+};
+
+/// Accepts sessions until told to stop.
+pub async fn accept_until(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
+    loop {
+        let incoming = tokio::select! {
+            _ = stop.wait_for(|&stopped| stopped) => return,
+            incoming = shared.endpoint.accept() => incoming,
+        };
+        let Some(incoming) = incoming else {
+            return;
+        };
+        tokio::spawn(serve(Arc::clone(&shared), incoming));
+    }
+}
+
+async fn serve(shared: Arc<Shared>, incoming: quinn::Incoming) {
+    let peer = incoming.remote_address();
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(err) => {
+            event!(Warn, "session_refused", peer = peer, cause = err);
+            return;
+        }
+    };
+    match session::peer_role(&connection) {
+        Some(Role::Agent) => serve_agent(&shared, connection).await,
+        Some(Role::Entry) => (shared.seams.on_entry_connection)(Arc::clone(&shared), connection),
+        None => connection.close(0u32.into(), b"no role"),
+    }
+}
+
+async fn serve_agent(shared: &Arc<Shared>, connection: quinn::Connection) {
+    let mut agent = None;
+    let ended = loop {
+        // One after the other: of two hellos the later one must win.
+        if let Err(err) = serve_stream(shared, &connection, &mut agent).await {
+            break err;
+        }
+    };
+    if let Some(agent) = agent {
+        event!(Info, "agent_session_ended", agent = agent.peer, cause = ended);
+        let now_ms = shared.now_ms();
+        shared.upstreams.disconnected(&agent, connection.stable_id(), now_ms);
+    }
+    connection.close(0u32.into(), b"ended");
+}
+
+async fn serve_stream(
+    shared: &Arc<Shared>,
+    connection: &quinn::Connection,
+    agent: &mut Option<Arc<Agent>>,
+) -> Result<(), SessionError> {
+    let peer = connection.remote_address();
+    let broken = |err: quinn::ConnectionError| SessionError::Broken(peer, err.to_string());
+    let (mut send, mut recv) = connection.accept_bi().await.map_err(broken)?;
+    let message: FromAgent = session::read_request(peer, &mut recv).await?;
+    counters::message(Message::Beat, Reason::Done);
+    take(shared, connection, agent, message)
+        .ok_or_else(|| SessionError::Broken(peer, "run is gone or said no hello".to_owned()))?;
+    dispatch::pump(shared);
+    session::write_reply(peer, &mut send, &welcome(shared)).await
+}
+
+fn take(
+    shared: &Arc<Shared>,
+    connection: &quinn::Connection,
+    agent: &mut Option<Arc<Agent>>,
+    message: FromAgent,
+) -> Option<()> {
+    match message {
+        FromAgent::Hello(hello) => {
+            shared.note_config_mark(hello.config_mark);
+            *agent = Some(shared.upstreams.hello(shared, connection, hello)?);
+        }
+        FromAgent::Beat { load, config_mark } => {
+            shared.note_config_mark(config_mark);
+            agent.as_ref()?.take_load(load, shared.now_ms());
+        }
+    }
+    Some(())
+}
+
+fn welcome(shared: &Shared) -> EntryWelcome {
+    let members = shared.members.load();
+    EntryWelcome {
+        incarnation: shared.incarnation(),
+        entries: members.entries.clone(),
+        fenced: members.fenced.clone(),
+        config_mark: shared.config_mark(),
+        draining: shared.lifecycle.is_draining(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstreams/send.rs
@@ -0,0 +1,188 @@
+//! Sends one placement and hears of its end, over breaks of the connection.
+
+use {
+    super::{
+        agent::Agent,
+        link::{Waited, wait_up},
+        revoke::ask_record,
+    },
+    crate::{
+        counters::{self, Message},
+        dispatch,
+        jobs::{JobCell, drive},
+        shared::Shared,
+    },
+    std::{sync::Arc, time::Duration},
+    sycamorerail_decide::job::{Event, PlacementKey, Reply},
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        answer::Reason,
+        ids::TaskId,
+        message::{AgentReply, AgentReplyBody, Placement, ToAgent},
+        session,
+    },
+};
+
+/// How long after the deadline a placement without a reply is followed up.
+const FOLLOW_UP_MS: u64 = 30_000;
+/// Pause before sending again on a connection that still stands.
+const RESEND_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends a placement that was counted and that its job gave leave for.
+pub fn send(
+    shared: &Arc<Shared>,
+    cell: &Arc<JobCell>,
+    agent: &Arc<Agent>,
+    placement: PlacementKey,
+) {
+    let (shared, cell, agent) = (Arc::clone(shared), Arc::clone(cell), Arc::clone(agent));
+    tokio::spawn(async move {
+        let sending = Sending { shared: &shared, cell: &cell, agent: &agent, placement };
+        let event = sending.run().await;
+        // A reply has ended it in the view already, before its load was taken.
+        if !matches!(event, Some(Event::Replied { .. })) {
+            agent.end_placement();
+        }
+        if let Some(event) = event {
+            drive(&shared, &cell, event);
+        }
+        dispatch::pump(&shared);
+    });
+}
+
+struct Sending<'a> {
+    shared: &'a Arc<Shared>,
+    cell: &'a Arc<JobCell>,
+    agent: &'a Arc<Agent>,
+    placement: PlacementKey,
+}
+
+impl Sending<'_> {
+    async fn run(&self) -> Option<Event> {
+        let mut link = self.agent.link.subscribe();
+        let mut broken = None;
+        let mut sent = 0_u32;
+        loop {
+            let left = self.time_left()?;
+            let connection = match wait_up(&mut link, broken, left).await {
+                Waited::Up(connection) => connection,
+                Waited::Gone => return Some(self.lost()),
+                Waited::TimedOut => return None,
+            };
+            if sent > 0 && !self.may_send_again() {
+                return ask_record(self.shared, self.agent, &connection, self.task_id())
+                    .await
+                    .map(|record| self.reported(record));
+            }
+            self.count(sent);
+            sent += 1;
+            match self.exchange(&connection).await {
+                Ok(reply) => return Some(self.replied(reply)),
+                Err(err) => {
+                    event!(Info, "placement_broke", agent = self.agent.peer, cause = err);
+                    let broke = Event::ConnectionBroke { placement: self.placement };
+                    drive(self.shared, self.cell, broke);
+                }
+            }
+            broken = connection.close_reason().map(|_| connection.stable_id());
+            if broken.is_none() {
+                tokio::time::sleep(RESEND_PAUSE).await;
+            }
+        }
+    }
+
+    fn time_left(&self) -> Option<Duration> {
+        let until_ms = self.cell.deadline_at_ms + FOLLOW_UP_MS;
+        let left_ms = until_ms.checked_sub(self.shared.now_ms())?;
+        Some(Duration::from_millis(left_ms))
+    }
+
+    fn may_send_again(&self) -> bool {
+        self.cell.state.lock().may_send_again(self.placement)
+    }
+
+    fn count(&self, sent: u32) {
+        if sent == 0 {
+            counters::message(Message::Placement, Reason::Done);
+        } else {
+            counters::message(Message::PlacementResent, Reason::AgentUnreachable);
+        }
+    }
+
+    async fn exchange(
+        &self,
+        connection: &quinn::Connection,
+    ) -> Result<AgentReply, session::SessionError> {
+        let left = self.time_left().unwrap_or_default();
+        let request = ToAgent::Place(self.message());
+        session::call(connection, &request, left).await
+    }
+
+    fn task_id(&self) -> TaskId {
+        let task = self.placement.task;
+        TaskId { job: self.cell.id, index: task.index, attempt: task.attempt }
+    }
+
+    fn message(&self) -> Placement {
+        let cell = self.cell;
+        let left_ms = cell.deadline_at_ms.saturating_sub(self.shared.now_ms());
+        let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+        Placement {
+            agent: self.agent.identity.incarnation,
+            task: self.task_id(),
+            task_count: cell.task_count(),
+            content: cell.content,
+            organisation: cell.organisation.name.clone(),
+            kind: cell.kind.name.clone(),
+            payload: cell.payloads[usize::from(self.placement.task.index)].clone(),
+            start_within_ms: left_ms,
+            end_within_ms: left_ms,
+            urgency: cell.kind.urgency,
+            config_mark: self.shared.config_mark(),
+        }
+    }
+
+    fn lost(&self) -> Event {
+        Event::AgentLost { placement: self.placement, peer: Arc::clone(&self.agent.peer) }
+    }
+
+    fn reported(&self, record: sycamorerail_wire::answer::TaskRecord) -> Event {
+        Event::Reported {
+            upstream: self.agent.key,
+            task: self.placement.task,
+            peer: Arc::clone(&self.agent.peer),
+            record,
+        }
+    }
+
+    fn replied(&self, reply: AgentReply) -> Event {
+        self.shared.note_config_mark(reply.config_mark);
+        self.agent.end_placement();
+        self.agent.take_load(reply.load, self.shared.now_ms());
+        let reply = match reply.body {
+            AgentReplyBody::Ended { end, run_us, .. } => {
+                dispatch::ended(self.shared, self.cell, self.agent, &end, run_us);
+                Reply::Ended(end)
+            }
+            AgentReplyBody::Broken(reason) => Reply::Broken(reason),
+            AgentReplyBody::NotStarted { reason, never, retry_after_ms } => {
+                self.refused(reason);
+                Reply::NotStarted { reason, never, retry_after_ms }
+            }
+            // Not a reply to a placement: whether it started is not known.
+            AgentReplyBody::Revoked(_) | AgentReplyBody::Fenced(_) | AgentReplyBody::Probed => {
+                event!(Error, "reply_out_of_place", agent = self.agent.peer);
+                Reply::Broken(Reason::Invalid)
+            }
+        };
+        let peer = Arc::clone(&self.agent.peer);
+        Event::Replied { placement: self.placement, peer, reply }
+    }
+
+    fn refused(&self, reason: Reason) {
+        counters::message(Message::PlacementRefused, reason);
+        if reason == Reason::Fenced {
+            (self.shared.seams.on_fenced)(self.shared, self.cell.id.incarnation);
+        }
+    }
+}
