Correct estimates, eject failing upstreams, bound retries and hedges

Declared run times are off by ten times, and an upstream that fails everything is always free and so draws work. Estimates are kept by kind, upstream and pair, with the declaration fading after a handful of observations. Ejection compares failure rates with the peers' kind by kind, so that a bad kind ejects nobody, and lets at most three in ten be out; the way back is a probe by one repeatable request, then one task more at once with each success (`Live::return_window`). Retries and hedges are paid from a budget that successes earn.

Ruled out: an absolute failure rate (ejects the fleet when a bad kind is published), consecutive failures alone (keeps what fails nine of ten), peers' rates weighted by load (an upstream that draws the work is compared with itself), P2 percentiles (one percentile each, and drift). Property tests hold the invariants: at most the share out, no ejection for a kind that fails everywhere, a declaration wrong by ten times within a quarter after 20 observations, retries below a tenth of successes and the saved ones.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,9 +3,13 @@
 //! the process's monotonic time in milliseconds.
 
 pub mod admission;
+pub mod ejection;
+pub mod estimate;
 pub mod fence;
 pub mod gate;
+pub mod hedge;
 pub mod job;
 pub mod placement;
 pub mod queue;
+pub mod retry;
 pub mod view;
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -50,6 +50,9 @@
     pub leaving: AtomicBool,
     /// Ejected until this time in monotonic milliseconds; 0 when serving.
     pub ejected_until_ms: AtomicU64,
+    /// Most placements of this entry at once while the upstream returns from
+    /// ejection; 0 for no bound.
+    pub return_window: AtomicU32,
     /// Observed mean run time of a task, in microseconds; 0 when unknown.
     pub mean_run_us: AtomicU64,
 }
@@ -81,8 +84,10 @@
     /// Whether new work may go there now.
     #[must_use]
     pub fn takes_work(&self, now_ms: u64) -> bool {
+        let return_window = self.live.return_window.load(Ordering::Acquire);
         !self.live.leaving.load(Ordering::Acquire)
             && self.live.ejected_until_ms.load(Ordering::Acquire) <= now_ms
+            && (return_window == 0 || self.live.outstanding.load(Ordering::Acquire) < return_window)
     }
 
     /// Tasks there as far as known: reported ones, and own placements which
