Share quotas over entries by the demand of the last window

A quota holds over all entries, and a message a request would cost a round trip and an owner that can be lost. `OrganisationLimit` counts what was asked.

--- a/crates/decide/src/admission/limit.rs
+++ b/crates/decide/src/admission/limit.rs
@@ -51,6 +51,7 @@
     /// When all starts taken are paid for, in monotonic nanoseconds.
     paid_at_ns: AtomicU64,
     in_flight: AtomicU32,
+    asked: AtomicU32,
 }
 
 impl OrganisationLimit {
@@ -63,6 +64,7 @@
             max_in_flight: AtomicU32::new(0),
             paid_at_ns: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
+            asked: AtomicU32::new(0),
         };
         limit.set(part);
         limit
@@ -87,6 +89,17 @@
         self.in_flight.load(Ordering::Acquire)
     }
 
+    /// Counts tasks asked for, whether they are taken or not.
+    pub fn count_asked(&self, tasks: u16) {
+        self.asked.fetch_add(tasks.into(), Ordering::Relaxed);
+    }
+
+    /// Tasks asked for since the last call, for [`crate::share`].
+    #[must_use]
+    pub fn take_asked(&self) -> u32 {
+        self.asked.swap(0, Ordering::Relaxed)
+    }
+
     /// Whether that many tasks would be taken now.
     ///
     /// # Errors
--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -95,6 +95,7 @@
     forecast: &Forecast,
     now_ms: u64,
 ) -> Result<(), Refusal> {
+    limit.count_asked(submitted.tasks);
     limit.check(submitted.tasks, now_ms)?;
     check_placeable(submitted, view, now_ms)?;
     check_room(submitted, forecast)?;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod placement;
 pub mod queue;
 pub mod retry;
+pub mod share;
 pub mod view;
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -228,6 +228,7 @@
     let empty = View::default();
     assert!(admit(&submitted(), &limit, &empty, &forecast, NOW_MS).is_err());
     assert_eq!(limit.in_flight(), 0);
+    assert_eq!((limit.take_asked(), limit.take_asked()), (1, 0));
     assert_eq!(limit.take(1, NOW_MS), Ok(()));
     assert_eq!(limit.take(1, NOW_MS), refused(Reason::QuotaUsedUp, 1_000));
     assert_eq!(limit.in_flight(), 1);
