--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -15,6 +15,7 @@
         sync::{Arc, atomic::Ordering},
         time::Duration,
     },
+    sycamorerail_decide::gate::Counts,
     sycamorerail_settings::agent::AgentSettings,
     sycamorerail_telemetry::{
         event,
@@ -96,6 +97,18 @@
         self.core.identity.incarnation
     }
 
+    /// What the start gate holds.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.core.counts()
+    }
+
+    /// Sessions with entries.
+    #[must_use]
+    pub fn sessions(&self) -> usize {
+        self.entries.connected().len()
+    }
+
     /// Stops as planned: fails readiness, refuses new work, drops what is
     /// queued, lets what runs finish and its replies arrive, then closes. At
     /// the latest after `drain_ms`.
--- a/crates/agent/src/announcement.rs
+++ b/crates/agent/src/announcement.rs
@@ -1,24 +1,16 @@
 //! What an upstream announces over HTTP, as JSON.
 
 use {
-    crate::upstream::Announced, serde::Deserialize, std::fmt,
+    crate::upstream::Announced,
+    serde::de::DeserializeOwned,
+    serde_json::{Map, Value},
+    std::fmt,
     sycamorerail_wire::message::UpstreamInfo,
 };
 
 const MAX_NAME_CHARS: usize = 128;
 const MAX_KINDS: usize = 1024;
 
-/// Body of `PUT /v1/upstream`.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Announcement {
-    name: String,
-    address: String,
-    slots: u16,
-    max_task_bytes: u64,
-    kinds: Vec<String>,
-}
-
 /// A field of an announcement that is not as it should be.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct BadAnnouncement {
@@ -32,11 +24,18 @@
     }
 }
 
-/// Reads and checks an announcement.
+/// Reads and checks the body of `PUT /v1/upstream`.
 pub(crate) fn read(body: &[u8]) -> Result<Announced, BadAnnouncement> {
-    let announcement: Announcement =
+    let mut fields: Map<String, Value> =
         serde_json::from_slice(body).map_err(|err| bad("body", err.to_string()))?;
-    let Announcement { name, address, slots, max_task_bytes, kinds } = announcement;
+    let name: String = take(&mut fields, "name")?;
+    let address: String = take(&mut fields, "address")?;
+    let slots: u16 = take(&mut fields, "slots")?;
+    let max_task_bytes: u64 = take(&mut fields, "max_task_bytes")?;
+    let kinds: Vec<String> = take(&mut fields, "kinds")?;
+    if let Some((unknown, _)) = fields.iter().next() {
+        return Err(bad("body", format!("unknown field {unknown:?}")));
+    }
     check(is_name(&name), "name", "1 to 128 printable characters")?;
     check(slots > 0, "slots", "at least 1")?;
     check(max_task_bytes > 0, "max_task_bytes", "at least 1")?;
@@ -46,6 +45,14 @@
     Ok(Announced::new(UpstreamInfo { name, slots, max_task_bytes, kinds }, base_url))
 }
 
+fn take<T: DeserializeOwned>(
+    fields: &mut Map<String, Value>,
+    field: &'static str,
+) -> Result<T, BadAnnouncement> {
+    let value = fields.remove(field).ok_or_else(|| bad(field, "missing".to_owned()))?;
+    serde_json::from_value(value).map_err(|err| bad(field, err.to_string()))
+}
+
 fn check(holds: bool, field: &'static str, expected: &str) -> Result<(), BadAnnouncement> {
     if holds { Ok(()) } else { Err(bad(field, format!("expected {expected}"))) }
 }
