--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,9 +5,9 @@
         budget::CallBudget,
         error::{Effect, PlatformError, PlatformErrorKind, PlatformStep},
         json::{
-            Compare, DeleteRequest, GrantRequest, Int, KeepAliveRequest, Kv, LeaseResponse,
+            Compare, DeleteRequest, End, GrantRequest, Int, KeepAliveRequest, Kv, LeaseResponse,
             Operation, PutRequest, RangeRequest, RangeResponse, Streamed, Text, TxnRequest,
-            TxnResponse, range_end,
+            TxnResponse,
         },
     },
     parking_lot::Mutex,
@@ -169,7 +169,7 @@
         prefix: &str,
         keys_only: bool,
     ) -> Result<RangeResponse, PlatformError> {
-        let range_end = Some(range_end(prefix));
+        let range_end = Some(End::of(prefix));
         let request = RangeRequest { key: first_key(prefix), range_end, keys_only };
         self.call(PlatformStep::Range, RANGE_PATH, &request).await
     }
--- a/crates/platform/src/json.rs
+++ b/crates/platform/src/json.rs
@@ -51,24 +51,33 @@
     }
 }
 
-/// The end of the range of all keys with this prefix; `\0` (all keys) when
-/// there is none. Prefixes are ASCII, so the raised byte stays UTF-8.
-pub(crate) fn range_end(prefix: &str) -> Text {
-    let mut chars: Vec<char> = prefix.chars().collect();
-    while let Some(last) = chars.pop() {
-        if last < '\u{7f}' {
-            chars.push(char::from(last as u8 + 1));
-            return Text(chars.into_iter().collect());
-        }
+/// The first key beyond a range, as base64; it need not be text.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct End(Vec<u8>);
+
+impl Serialize for End {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl End {
+    /// The end of the range of all keys with this prefix: its last byte raised
+    /// by one, and `\0`, which means all keys, where there is none to raise.
+    pub(crate) fn of(prefix: &str) -> Self {
+        let mut end = prefix.as_bytes().to_vec();
+        let Some(last) = end.last_mut() else { return Self(vec![0]) };
+        // No byte of UTF-8 is 0xff.
+        *last += 1;
+        Self(end)
     }
-    Text("\0".to_owned())
 }
 
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct RangeRequest {
     pub key: Text,
     #[serde(skip_serializing_if = "Option::is_none")]
-    pub range_end: Option<Text>,
+    pub range_end: Option<End>,
     #[serde(skip_serializing_if = "std::ops::Not::not")]
     pub keys_only: bool,
 }
@@ -217,7 +226,7 @@
 #[derive(Debug, Serialize)]
 pub(crate) struct WatchCreate {
     pub key: Text,
-    pub range_end: Text,
+    pub range_end: End,
     pub start_revision: Int,
     pub progress_notify: bool,
 }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -5,8 +5,8 @@
         client::{KeyValue, Platform, count, first_key},
         error::{PlatformError, PlatformErrorKind, PlatformStep},
         json::{
-            Int, Streamed, WatchCreate, WatchEvent, WatchEventKind, WatchRequest, WatchResponse,
-            range_end,
+            End, Int, Streamed, WatchCreate, WatchEvent, WatchEventKind, WatchRequest,
+            WatchResponse,
         },
         table::Change,
     },
@@ -67,7 +67,7 @@
         self.admit(step)?;
         let create_request = WatchCreate {
             key: first_key(prefix),
-            range_end: range_end(prefix),
+            range_end: End::of(prefix),
             start_revision: Int(start),
             progress_notify: true,
         };
--- a/crates/standin/src/platform/follow.rs
+++ b/crates/standin/src/platform/follow.rs
@@ -89,6 +89,9 @@
 
     fn catch_up(&mut self) -> Option<Vec<u8>> {
         self.revision.mark_unchanged();
+        if self.state.watches_mute.load(Ordering::Acquire) {
+            return None;
+        }
         let state = Arc::clone(&self.state);
         let store = state.store.lock();
         let read = store.events(&self.range, self.next_revision);
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -22,7 +22,7 @@
     std::{
         fmt, io,
         net::{Ipv4Addr, SocketAddr},
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
     },
     sycamorerail_settings::standin::PlatformStandinSettings,
     tokio::sync::{mpsc, watch},
@@ -196,6 +196,17 @@
         self.state.cut_watches();
     }
 
+    /// Leaves watches open but silent, or lets them speak again.
+    pub fn mute_watches(&self, mute: bool) {
+        self.state.watches_mute.store(mute, Ordering::Release);
+        self.state.revision.send_modify(|_| ());
+    }
+
+    /// Puts the stand-in's clock forward, so that tests of leases need not wait.
+    pub fn advance(&self, ms: u64) {
+        self.state.advance(ms);
+    }
+
     /// Counts of calls since the start.
     #[must_use]
     pub fn calls(&self) -> CallCounts {
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -10,7 +10,10 @@
     parking_lot::Mutex,
     rand::{Rng, SeedableRng, rngs::SmallRng},
     std::{
-        sync::{Arc, atomic::Ordering},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     tokio::{
@@ -30,12 +33,16 @@
     pub(super) faults: Arc<watch::Sender<PlatformFaults>>,
     /// Grows when all watches are to end.
     pub(super) watch_cut: watch::Sender<u64>,
+    /// Watches stay open and tell nothing.
+    pub(super) watches_mute: AtomicBool,
     pub(super) orders: mpsc::UnboundedSender<FaultOrder<PlatformFaults>>,
     pub(super) counters: Counters,
     random: Mutex<SmallRng>,
     reads: Mutex<RateLimit>,
     writes: Mutex<RateLimit>,
     started: Instant,
+    /// Added to the time since the start.
+    ahead_ms: AtomicU64,
 }
 
 /// Why a call is not run.
@@ -68,18 +75,25 @@
             store: Mutex::new(store),
             faults,
             watch_cut: watch::Sender::new(0),
+            watches_mute: AtomicBool::new(false),
             orders,
             counters: Counters::default(),
             random: Mutex::new(SmallRng::seed_from_u64(config.seed)),
             reads: Mutex::default(),
             writes: Mutex::default(),
             started: Instant::now(),
+            ahead_ms: AtomicU64::new(0),
             config,
         }
     }
 
     pub(super) fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        let since_ms = u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        since_ms.saturating_add(self.ahead_ms.load(Ordering::Acquire))
+    }
+
+    pub(super) fn advance(&self, ms: u64) {
+        self.ahead_ms.fetch_add(ms, Ordering::AcqRel);
     }
 
     /// Counts a call and lets it through, late or not at all as the faults say.
