--- /dev/null
+++ b/crates/decide/tests/fence.rs
@@ -0,0 +1,263 @@
+//! Fencing: when a home is lost, whom to ask, and what follows.
+
+use {
+    std::collections::BTreeMap,
+    sycamorerail_decide::fence::{
+        Conclusion, Known, Roster, Told,
+        collect::{Collector, FenceTimes, MAX_JOBS, Request},
+        conclude,
+        lost::{HomeWatch, Sighting, Standing},
+    },
+    sycamorerail_wire::{
+        answer::{Payload, Reason, TaskEnd, TaskRecord, TaskReport},
+        ids::{ContentHash, IdKey, Incarnation, JobId, OrganisationKey, TaskId},
+        message::FencedJob,
+    },
+};
+
+const ONE: Incarnation = Incarnation(1);
+const TWO: Incarnation = Incarnation(2);
+const TIMES: FenceTimes =
+    FenceTimes { window_ms: 10, answer_within_ms: 1_000, ask_again_ms: 100, unknown_kept_ms: 500 };
+const JOB: Known = Known { content: None, single_attempt: true };
+const ANY: Known = Known { content: None, single_attempt: false };
+
+fn id(sequence: u64) -> JobId {
+    let (key, home) = (IdKey::derive("test"), "10.0.0.1:1".parse().unwrap());
+    JobId::mint(&key, home, Incarnation(9), 1_000, sequence, OrganisationKey(1))
+}
+
+fn held(job: JobId, task_count: u16, records: &[(u16, u8, TaskRecord)]) -> FencedJob {
+    let report = |(index, attempt, record): &(u16, u8, TaskRecord)| TaskReport {
+        task: TaskId { job, index: *index, attempt: *attempt },
+        record: record.clone(),
+    };
+    let content = ContentHash::of(b"content");
+    FencedJob { job, task_count, content, tasks: records.iter().map(report).collect() }
+}
+
+fn finished(text: &str) -> TaskRecord {
+    TaskRecord::Ended(TaskEnd::Finished(Payload(text.to_owned())))
+}
+
+fn failed() -> TaskRecord {
+    TaskRecord::Ended(TaskEnd::Failed { reason: Reason::TaskFailed, detail: "no".to_owned() })
+}
+
+fn both() -> Roster {
+    Roster { agents: vec![ONE, TWO], whole: true }
+}
+
+fn told(one: Option<FencedJob>, two: Option<FencedJob>) -> Told {
+    BTreeMap::from([(ONE, one), (TWO, two)])
+}
+
+#[test]
+fn none_started() {
+    let tombstone = held(id(0), 2, &[(0, 0, TaskRecord::NeverStarted)]);
+    let all = told(Some(tombstone), None);
+    assert_eq!(conclude(&both(), &all, JOB, false), Conclusion::NotRun);
+}
+
+#[test]
+fn silent_agent() {
+    let one = Told::from([(ONE, None)]);
+    assert_eq!(conclude(&both(), &one, JOB, false), Conclusion::Waiting { tasks_started: 0 });
+    let unknown =
+        Conclusion::Unknown { reason: Reason::HomeLost, tasks_started: 0, silent_agents: 1 };
+    assert_eq!(conclude(&both(), &one, JOB, true), unknown);
+}
+
+#[test]
+fn roster_not_whole() {
+    let roster = Roster { whole: false, ..both() };
+    let conclusion = conclude(&roster, &told(None, None), JOB, false);
+    assert!(matches!(conclusion, Conclusion::Unknown { silent_agents: 0, .. }), "{conclusion:?}");
+}
+
+#[test]
+fn all_finished() {
+    let one = held(id(0), 2, &[(1, 0, finished("b"))]);
+    let two = held(id(0), 2, &[(0, 0, finished("a"))]);
+    let results = vec![Payload("a".to_owned()), Payload("b".to_owned())];
+    let conclusion = conclude(&both(), &told(Some(one), Some(two)), JOB, false);
+    assert_eq!(conclusion, Conclusion::Complete(results));
+}
+
+#[test]
+fn still_running() {
+    let one = held(id(0), 2, &[(0, 0, finished("a")), (1, 0, TaskRecord::Running)]);
+    let conclusion = conclude(&both(), &told(Some(one), None), JOB, true);
+    assert_eq!(conclusion, Conclusion::Running { tasks_started: 2 });
+}
+
+#[test]
+fn failure_at_once() {
+    let one = Told::from([(ONE, Some(held(id(0), 3, &[(2, 0, failed())])))]);
+    let conclusion = conclude(&both(), &one, JOB, false);
+    let Conclusion::Failed { reason, agent, tasks_started, .. } = conclusion else {
+        panic!("{conclusion:?}")
+    };
+    assert_eq!((reason, agent, tasks_started), (Reason::TaskFailed, Some(ONE), 1));
+}
+
+#[test]
+fn partly_started() {
+    let one = held(id(0), 2, &[(0, 0, finished("a"))]);
+    let conclusion = conclude(&both(), &told(Some(one), None), JOB, false);
+    assert!(matches!(conclusion, Conclusion::Failed { reason: Reason::HomeLost, .. }));
+}
+
+#[test]
+fn result_lost() {
+    for record in [TaskRecord::EndDropped, TaskRecord::Broken(Reason::UpstreamBroken)] {
+        let one = held(id(0), 1, &[(0, 0, record)]);
+        let conclusion = conclude(&both(), &told(Some(one), None), JOB, false);
+        assert!(matches!(conclusion, Conclusion::Unknown { tasks_started: 1, .. }));
+    }
+}
+
+#[test]
+fn other_attempt() {
+    let one = Told::from([(ONE, Some(held(id(0), 1, &[(0, 0, failed())])))]);
+    let conclusion = conclude(&both(), &one, ANY, false);
+    assert_eq!(conclusion, Conclusion::Waiting { tasks_started: 1 });
+    let first = held(id(0), 1, &[(0, 0, failed())]);
+    let second = held(id(0), 1, &[(0, 1, finished("a"))]);
+    let conclusion = conclude(&both(), &told(Some(first), Some(second)), ANY, false);
+    assert_eq!(conclusion, Conclusion::Complete(vec![Payload("a".to_owned())]));
+}
+
+#[test]
+fn other_content() {
+    let one = held(id(0), 1, &[(0, 0, finished("a"))]);
+    let known = Known { content: Some(ContentHash::of(b"other")), single_attempt: true };
+    let conclusion = conclude(&both(), &told(Some(one), None), known, false);
+    assert_eq!(conclusion, Conclusion::Conflict);
+}
+
+#[test]
+fn one_message() {
+    let mut collector = Collector::new(both(), TIMES);
+    collector.ask(id(0), 0);
+    collector.ask(id(1), 5);
+    collector.ask(id(0), 6);
+    assert_eq!(collector.due(9), []);
+    let jobs = vec![id(0), id(1)];
+    let expected =
+        [Request { agent: ONE, jobs: jobs.clone() }, Request { agent: TWO, jobs: jobs.clone() }];
+    assert_eq!(collector.due(10), expected);
+    expected.iter().for_each(|request| collector.answered(request, Vec::new()));
+    collector.ask(id(0), 500);
+    assert_eq!(collector.due(600), [], "both told all they know");
+    assert_eq!(collector.conclude(id(1), JOB, 600), Conclusion::NotRun);
+}
+
+#[test]
+fn message_bounded() {
+    let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
+    (0..=MAX_JOBS as u64).for_each(|sequence| collector.ask(id(sequence), 0));
+    let sizes: Vec<_> = collector.due(10).iter().map(|request| request.jobs.len()).collect();
+    assert_eq!(sizes, [MAX_JOBS, 1]);
+}
+
+#[test]
+fn cut_answer() {
+    let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
+    (0..2).for_each(|sequence| collector.ask(id(sequence), 0));
+    let [request] = &collector.due(10)[..] else { panic!("one message") };
+    let whole = held(id(0), 1, &[(0, 0, finished("a"))]);
+    let cut = held(id(1), 1, &[(0, 0, TaskRecord::EndDropped)]);
+    collector.answered(request, vec![whole, cut]);
+    let again = Request { agent: ONE, jobs: vec![id(1)] };
+    assert_eq!(collector.due(110), std::slice::from_ref(&again));
+    collector.answered(&again, vec![held(id(1), 1, &[(0, 0, finished("b"))])]);
+    let complete = Conclusion::Complete(vec![Payload("b".to_owned())]);
+    assert_eq!(collector.conclude(id(1), JOB, 120), complete);
+}
+
+#[test]
+fn lost_answer() {
+    let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
+    (0..4).for_each(|sequence| collector.ask(id(sequence), 0));
+    let request = collector.due(10).remove(0);
+    collector.unanswered(&request);
+    let sizes: Vec<_> = collector.due(110).iter().map(|request| request.jobs.len()).collect();
+    assert_eq!(sizes, [2, 2], "smaller messages, in case the answer was too long");
+}
+
+#[test]
+fn rounds_end() {
+    let mut collector = Collector::new(both(), TIMES);
+    collector.ask(id(0), 0);
+    collector.due(10).iter().for_each(|request| collector.unanswered(request));
+    assert!(matches!(collector.conclude(id(0), JOB, 1_000), Conclusion::Unknown { .. }));
+    assert_eq!(collector.due(1_010), [], "given up");
+    collector.ask(id(0), 1_100);
+    assert_eq!(collector.due(1_110), [], "unknown is kept for a while");
+    collector.ask(id(0), 1_600);
+    assert_eq!(collector.due(1_610).len(), 2, "asked again");
+}
+
+#[test]
+fn running_asked_again() {
+    let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
+    collector.ask(id(0), 0);
+    let request = collector.due(10).remove(0);
+    collector.answered(&request, vec![held(id(0), 1, &[(0, 0, TaskRecord::Running)])]);
+    assert_eq!(collector.due(110).len(), 1);
+    collector.answered(&request, vec![held(id(0), 1, &[(0, 0, finished("a"))])]);
+    assert!(collector.conclude(id(0), JOB, 120).is_final());
+    assert_eq!(collector.due(210), []);
+    assert_eq!(collector.wake_at_ms(), None);
+}
+
+#[test]
+fn lost_by_both() {
+    let mut watch = HomeWatch::new(1_000);
+    assert_eq!(watch.standing(), Standing::Reachable);
+    watch.sighted(Sighting::Unreachable, 0);
+    assert_eq!(watch.standing(), Standing::InDoubt { retry_after_ms: 1_000 });
+    (1..=10).for_each(|step| watch.sighted(Sighting::Unreachable, step * 200));
+    assert_eq!(watch.standing(), Standing::InDoubt { retry_after_ms: 1_000 });
+    (10..=15).for_each(|step| watch.witnessed(Sighting::Unreachable, step * 200));
+    assert_eq!(watch.standing(), Standing::Lost);
+}
+
+#[test]
+fn answer_resets() {
+    let mut watch = HomeWatch::new(1_000);
+    (0..5).for_each(|step| watch.sighted(Sighting::Unreachable, step * 200));
+    (0..6).for_each(|step| watch.witnessed(Sighting::Unreachable, step * 200));
+    watch.sighted(Sighting::Answered, 1_000);
+    assert_eq!(watch.standing(), Standing::Reachable);
+    watch.sighted(Sighting::Unreachable, 1_200);
+    assert!(matches!(watch.standing(), Standing::InDoubt { .. }));
+}
+
+#[test]
+fn witness_reaches() {
+    let mut watch = HomeWatch::new(1_000);
+    (0..20).for_each(|step| watch.sighted(Sighting::Unreachable, step * 200));
+    (0..20).for_each(|step| watch.witnessed(Sighting::Answered, step * 200));
+    assert!(matches!(watch.standing(), Standing::InDoubt { .. }));
+}
+
+#[test]
+fn gap_resets() {
+    let mut watch = HomeWatch::new(1_000);
+    for now_ms in [0, 5_000] {
+        watch.sighted(Sighting::Unreachable, now_ms);
+        watch.witnessed(Sighting::Unreachable, now_ms);
+    }
+    assert_eq!(watch.standing(), Standing::InDoubt { retry_after_ms: 1_000 });
+}
+
+#[test]
+fn other_run() {
+    for sighting in [Sighting::OtherIncarnation, Sighting::Refused] {
+        let mut watch = HomeWatch::new(1_000);
+        watch.sighted(sighting, 5);
+        assert_eq!(watch.standing(), Standing::Lost);
+    }
+}
