--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -27,7 +27,7 @@
 /// entry runs.
 pub(crate) async fn announce_on(shared: &Shared) {
     loop {
-        let incarnation = shared.current();
+        let incarnation = shared.settled();
         match announce(shared, incarnation).await {
             Ok(lease) => keep(shared, incarnation, lease).await,
             Err(error) => {
@@ -35,7 +35,7 @@
                 sleep(beat_pause(shared)).await;
             }
         }
-        if shared.current() != incarnation {
+        if shared.settled() != incarnation {
             withdraw(shared, incarnation).await;
         }
     }
@@ -69,7 +69,7 @@
 
 /// Keeps the lease alive until it is lost or the incarnation retires.
 async fn keep(shared: &Shared, incarnation: Incarnation, lease: LeaseId) {
-    while shared.current() == incarnation && !shared.is_leaving() {
+    while shared.settled() == incarnation && !shared.is_leaving() {
         sleep(beat_pause(shared)).await;
         match shared.platform.keep_alive(lease).await {
             Ok(true) => {}
@@ -118,7 +118,7 @@
     // The members published, not the mirror: what is told as seen must be in
     // force for all who choose agents.
     let members = shared.members();
-    let own = shared.current();
+    let own = shared.settled();
     let (expected, seen) = match members.homes.get(&own) {
         None => (Expected::Absent, 0),
         Some(home) if home.record.seen < members.last_retirement() => {
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -8,7 +8,6 @@
     },
     arc_swap::ArcSwap,
     parking_lot::Mutex,
-    rand::Rng,
     std::{
         collections::BTreeSet,
         fmt,
@@ -36,6 +35,8 @@
 /// Most fences told to an agent: the latest. Agents learn those that matter to
 /// them by the fence itself; this spares a lost home its refused placements.
 pub const MAX_FENCES_TOLD: usize = 64;
+/// Stands for none: no record is ever written for it.
+const NO_INCARNATION: Incarnation = Incarnation(0);
 /// Changes that come together are read together.
 const GATHER_MS: u64 = 10;
 
@@ -66,9 +67,10 @@
 
 /// What membership asks of its entry.
 pub struct Hooks {
-    /// The first incarnation is fenced and places nothing more; the entry
-    /// goes on under the second. Called once a fence, and must not block.
-    pub retired: Box<dyn Fn(Incarnation, Incarnation) + Send + Sync>,
+    /// The incarnation is fenced. On return it places nothing more; the entry
+    /// goes on under the one returned. Called once a fence, must not block, and
+    /// must not call back.
+    pub retired: Box<dyn Fn(Incarnation) -> Incarnation + Send + Sync>,
     /// Whether an agent is connected to this entry.
     pub connected: Box<dyn Fn(Incarnation) -> bool + Send + Sync>,
     /// Whether an entry's incarnation answers at the address.
@@ -239,7 +241,7 @@
     /// Withdraws this entry's announcement, at a planned stop.
     pub async fn leave(&self) {
         self.shared.leaving.store(true, Ordering::Release);
-        announce::withdraw(&self.shared, self.shared.current()).await;
+        announce::withdraw(&self.shared, self.shared.settled()).await;
     }
 }
 
@@ -271,6 +273,12 @@
         Incarnation(self.current.load(Ordering::Acquire))
     }
 
+    /// The current incarnation, waiting while it changes.
+    pub(crate) fn settled(&self) -> Incarnation {
+        let _retiring = self.retiring.lock();
+        self.current()
+    }
+
     pub(crate) fn members(&self) -> Arc<Members> {
         self.members.load_full()
     }
@@ -316,11 +324,13 @@
         if self.current() != fenced {
             return;
         }
-        let next = Incarnation(rand::rng().random());
+        // While it changes there is no current one, under which anything may
+        // be placed.
+        self.current.store(NO_INCARNATION.0, Ordering::Release);
+        let next = (self.hooks.retired)(fenced);
         self.current.store(next.0, Ordering::Release);
         metrics::counter!("sycamorerail_retirements_total").increment(1);
         event!(Error, "incarnation_fenced", fenced = fenced, next = next);
-        (self.hooks.retired)(fenced, next);
         self.changed.send_modify(|_| {});
     }
 }
--- a/crates/membership/src/register.rs
+++ b/crates/membership/src/register.rs
@@ -124,7 +124,7 @@
 
 async fn register(shared: &Shared, agent: &AgentIdentity) -> Result<(), MembershipError> {
     let step = MembershipStep::Register;
-    let own = shared.current();
+    let own = shared.settled();
     let key = keys::key(AGENTS, agent.incarnation);
     let registered_unix_ms = shared.unix_ms();
     let record = AgentRecord { agent: agent.clone(), registered_unix_ms, retired: false };
--- a/crates/membership/src/sweep.rs
+++ b/crates/membership/src/sweep.rs
@@ -46,7 +46,7 @@
 
 fn due(shared: &Shared, members: &Members, memory: &mut Memory, times: SweepTimes) -> Vec<Change> {
     let connected = |agent| (shared.hooks.connected)(agent);
-    let sight = Sight { members, own: shared.current(), connected: &connected };
+    let sight = Sight { members, own: shared.settled(), connected: &connected };
     garbage::decide(memory, &sight, times, shared.now_ms())
 }
 
