Wire: a close code that proves an agent took nothing more

An entry that places at an agent in the instant of its planned stop saw just a broken connection, and could not tell such a task from one that was started.

--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -8,8 +8,8 @@
         keys::{KeyError, ProcessKeys, Role, proves_role},
     },
     quinn::{
-        ClientConfig, Connection, Endpoint, EndpointConfig, IdleTimeout, RecvStream, SendStream,
-        ServerConfig, TransportConfig, VarInt,
+        ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig, IdleTimeout,
+        RecvStream, SendStream, ServerConfig, TransportConfig, VarInt,
         crypto::rustls::{QuicClientConfig, QuicServerConfig},
     },
     rustls::{crypto::ring, pki_types::CertificateDer, server::WebPkiClientVerifier},
@@ -20,6 +20,10 @@
 const ALPN: &[u8] = b"sycamorerail/1";
 const MAX_STREAMS: u32 = 16_384;
 
+/// Application error code with which an agent closes its sessions after a
+/// planned stop that cut off nothing.
+pub const CLOSE_DRAINED: u32 = 1;
+
 /// Timing of sessions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SessionTiming {
@@ -184,6 +188,18 @@
     [Role::Entry, Role::Agent].into_iter().find(|&role| proves_role(certificate, role))
 }
 
+/// Whether the peer, an agent, closed the connection with [`CLOSE_DRAINED`]:
+/// a task first placed over this connection and without a reply was not
+/// started there, and never will be.
+#[must_use]
+pub fn peer_drained(connection: &Connection) -> bool {
+    let drained = VarInt::from_u32(CLOSE_DRAINED);
+    matches!(
+        connection.close_reason(),
+        Some(ConnectionError::ApplicationClosed(close)) if close.error_code == drained
+    )
+}
+
 /// Sends one request and reads its reply.
 ///
 /// # Errors
