--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -115,9 +115,11 @@
 
 /// Writes the home record if it is due; returns whether it called the platform.
 async fn tend_home(shared: &Shared) -> Result<bool, MembershipError> {
-    // The members published, not the mirror: what is told as seen must be in
-    // force for all who choose agents.
     let members = shared.members();
+    if shared.applied() < members.mark {
+        // What is told as seen must be in force for all who choose agents.
+        return Ok(false);
+    }
     let own = shared.settled();
     let (expected, seen) = match members.homes.get(&own) {
         None => (Expected::Absent, 0),
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -71,6 +71,9 @@
     /// goes on under the one returned. Called once a fence, must not block, and
     /// must not call back.
     pub retired: Box<dyn Fn(Incarnation) -> Incarnation + Send + Sync>,
+    /// The records have changed. On return the entry uses no agent that
+    /// [`Membership::may_use`] doesn't allow. Must not block.
+    pub changed: Box<dyn Fn() + Send + Sync>,
     /// Whether an agent is connected to this entry.
     pub connected: Box<dyn Fn(Incarnation) -> bool + Send + Sync>,
     /// Whether an entry's incarnation answers at the address.
@@ -108,6 +111,8 @@
     pub(crate) waiting: register::Waiting,
     pub(crate) changed: watch::Sender<u64>,
     members: ArcSwap<Members>,
+    /// Revision of the records that the entry has applied.
+    applied: AtomicU64,
     current: AtomicU64,
     retiring: Mutex<()>,
     leaving: AtomicBool,
@@ -134,6 +139,7 @@
             waiting: register::Waiting::default(),
             changed: watch::Sender::new(0),
             members: ArcSwap::default(),
+            applied: AtomicU64::new(0),
             current,
             retiring: Mutex::new(()),
             leaving: AtomicBool::new(false),
@@ -304,7 +310,13 @@
         Duration::from_micros(entries * 1_000_000 / per_s)
     }
 
-    /// Publishes the mirror's records, then retires if they show a fence.
+    /// Revision of the records that the entry has applied.
+    pub(crate) fn applied(&self) -> u64 {
+        self.applied.load(Ordering::Acquire)
+    }
+
+    /// Publishes the mirror's records, retires if they show a fence, then has
+    /// the entry apply them.
     fn refresh(&self) {
         let members = Arc::new(Members::read(&self.mirror.snapshot()));
         let own = self.current();
@@ -315,6 +327,8 @@
         if fenced {
             self.retire(own);
         }
+        (self.hooks.changed)();
+        self.applied.store(mark, Ordering::Release);
         self.changed.send_replace(mark);
     }
 
