Test late comers, small fleets and second hedges

Of 25 deliberate faults in the decisions four passed the tests: a late comer's start tag (two), an upstream counted among its own peers, and a second hedge. Each of them fails a test now.

--- a/crates/decide/tests/ejection.rs
+++ b/crates/decide/tests/ejection.rs
@@ -135,6 +135,13 @@
     assert_eq!(ejections.service(BAD), Service::Ejected { until_ms: 1_000 + FIRST_EJECTION_MS });
 }
 
+#[test]
+fn small_fleet() {
+    let failures = eject(&mut fleet(3), 3, 1_000);
+    assert!(failures <= 5, "{failures}");
+    assert_eq!([0, 2, 3, 10, 1_100].map(max_ejected), [0, 0, 1, 3, 330]);
+}
+
 #[test]
 fn only_server() {
     let mut ejections = fleet(10);
--- a/crates/decide/tests/queue.rs
+++ b/crates/decide/tests/queue.rs
@@ -192,6 +192,17 @@
     assert!(queue.take(0, |_, _| true).is_none());
 }
 
+#[test]
+fn late_comer() {
+    let mut queue = Queue::new(10_000);
+    (0..200).for_each(|_| _ = queue.push(rank(1, 0), ()));
+    (0..100).for_each(|_| _ = next(&mut queue));
+    (0..100).for_each(|_| _ = queue.push(rank(2, 0), ()));
+    let served = std::iter::from_fn(|| next(&mut queue)).take(40);
+    let first = served.filter(|(rank, ())| rank.organisation.0 == 1).count();
+    assert!((19..=21).contains(&first), "{first}");
+}
+
 #[test]
 fn drained_organisation() {
     let mut queue = Queue::new(100);
--- a/crates/decide/tests/retry.rs
+++ b/crates/decide/tests/retry.rs
@@ -142,6 +142,8 @@
     assert_eq!(hedge(&running(), &budget, false, 1_200), Hedge::At(1_400));
     assert_eq!(hedge(&running(), &spent(), true, 1_200), Hedge::At(1_400));
     assert_eq!(hedge(&running(), &budget, true, 5_000), Hedge::Never);
+    let hedged = RunningRequest { attempts: 2, max_attempts: 3, ..running() };
+    assert_eq!(hedge(&hedged, &budget, true, 1_200), Hedge::Never);
     let unknown = RunningRequest { slow_after_us: None, ..running() };
     assert_eq!(hedge(&unknown, &budget, true, 4_000), Hedge::Never);
 }
