Count a job's places only when a row has room

A task of a large job counted the racks of all rows before it looked at the first, and computed every rack's standing. Now the counts are made when the first row with room is met, and a standing when it is asked for; of rows that could queue, 32 are looked at instead of 64.

--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -18,7 +18,7 @@
 
 use {
     crate::{
-        placement::{Ask, spread::SpreadRule, spread::Standing},
+        placement::{Ask, spread::SpreadRule},
         queue::Backlog,
         view::{Row, View},
     },
@@ -110,11 +110,9 @@
 ///
 /// `NoUpstream` or `NeverPlaceable`.
 pub fn check_placeable(submitted: &Submitted<'_>, view: &View, now_ms: u64) -> Result<(), Refusal> {
-    let rule = SpreadRule::new(view, &Ask { siblings: &[], ..submitted.ask });
-    let could_go_to = |row: &&Row| {
-        row.could_hold(submitted.ask.kind, submitted.ask.size_bytes)
-            && rule.standing(row) != Standing::Forbidden
-    };
+    let ask = &submitted.ask;
+    let rule = SpreadRule::new(view, ask);
+    let could_go_to = |row: &&Row| row.could_hold(ask.kind, ask.size_bytes) && !rule.forbids(row);
     let mut could_hold = view.rows.iter().filter(could_go_to).peekable();
     if !view.rows.is_empty() && could_hold.peek().is_none() {
         return Err(Refusal::for_good(Reason::NeverPlaceable));
--- a/crates/decide/src/placement/candidate.rs
+++ b/crates/decide/src/placement/candidate.rs
@@ -20,7 +20,7 @@
 /// Rows with room in their queue only, after which just rows with a free slot
 /// are looked for: the shortest wait of that many random ones is close to the
 /// shortest of all, at a fraction of the cost in a fleet that is full.
-const ENOUGH_WAITING: u32 = 64;
+const ENOUGH_WAITING: u32 = 32;
 
 /// A row that a task may go to.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -68,7 +68,7 @@
 }
 
 impl<'a> Survey<'a> {
-    pub(super) fn new(view: &View, ask: &'a Ask<'a>, now_ms: u64) -> Self {
+    pub(super) fn new(view: &'a View, ask: &'a Ask<'a>, now_ms: u64) -> Self {
         Self {
             ask,
             rule: SpreadRule::new(view, ask),
@@ -139,28 +139,24 @@
     }
 
     fn could_go_to(&self, row: &Row) -> bool {
-        row.could_hold(self.ask.kind, self.ask.size_bytes)
-            && self.rule.standing(row) != Standing::Forbidden
+        row.could_hold(self.ask.kind, self.ask.size_bytes) && !self.rule.forbids(row)
     }
 
     fn serves_below_share(&self, view: &View) -> bool {
-        view.rows.iter().any(|row| self.is_allowed_below_share(row))
-    }
-
-    fn is_allowed_below_share(&self, row: &Row) -> bool {
-        self.rule.standing(row) < Standing::OverShare && self.is_allowed(row)
+        let is_below = |row: &Row| self.rule.standing(row) < Standing::OverShare;
+        view.rows.iter().any(|row| self.is_allowed(row) && is_below(row))
     }
 
     fn is_never(&self, view: &View) -> bool {
         !view.rows.is_empty() && !view.rows.iter().any(|row| self.could_go_to(row))
     }
 
-    /// The shortest wait of the first rows that the task may go to: a longer
-    /// look costs more than asking again.
+    /// The shortest wait of the first full rows that the task may go to: a
+    /// longer look costs more than asking again.
     fn retry_after_ms(&self, view: &View) -> u32 {
-        let allowed = view.rows.iter().filter(|row| self.is_allowed_below_share(row));
-        let waits_us = allowed.take(64).map(|row| row.expected_wait_us(self.run_hint_us()));
-        let soonest_us = waits_us.fold(f32::INFINITY, f32::min);
+        let allowed = view.rows.iter().filter(|row| self.is_allowed(row));
+        let waits_us = allowed.map(|row| row.expected_wait_us(self.run_hint_us()));
+        let soonest_us = waits_us.filter(|wait| *wait > 0.0).take(64).fold(f32::INFINITY, f32::min);
         ((soonest_us / 1_000.0) as u32).clamp(1, MAX_RETRY_AFTER_MS)
     }
 }
--- a/crates/decide/src/placement/spread.rs
+++ b/crates/decide/src/placement/spread.rs
@@ -15,6 +15,7 @@
 use {
     super::{Ask, Spread},
     crate::view::{DataCentreKey, RackKey, Row, View},
+    std::cell::OnceCell,
 };
 
 /// A place's bound, in halves of its fair share.
@@ -33,8 +34,6 @@
     /// Its data centre or rack has its share of the job; taken where no place
     /// below its share takes work.
     OverShare,
-    /// Never taken.
-    Forbidden,
 }
 
 /// The rule of spread for one task.
@@ -46,33 +45,45 @@
     Local(DataCentreKey),
     /// These data centres are forbidden.
     Avoid(&'a [DataCentreKey]),
-    /// The standing of each rack, by its key.
-    Shares(Vec<Standing>),
+    /// Places below their share of the job are preferred. They are counted when
+    /// the first row is asked about: none is while no row has room.
+    Shares {
+        /// The rows.
+        view: &'a View,
+        /// The task, with its siblings.
+        ask: &'a Ask<'a>,
+        /// The counts, once asked for.
+        places: OnceCell<Places>,
+    },
 }
 
 impl<'a> SpreadRule<'a> {
     /// The rule for a task that asks.
     #[must_use]
-    pub fn new(view: &View, ask: &Ask<'a>) -> Self {
+    pub fn new(view: &'a View, ask: &'a Ask<'a>) -> Self {
         match ask.spread {
             Spread::Local => Self::Local(ask.local),
             Spread::Avoid => Self::Avoid(ask.avoid),
             Spread::Even if ask.siblings.is_empty() => Self::Any,
-            Spread::Even => Self::Shares(Places::count(view, ask).standings()),
+            Spread::Even => Self::Shares { view, ask, places: OnceCell::new() },
         }
     }
 
-    /// How a row stands.
+    /// Whether the task may go there at all.
+    #[must_use]
+    pub fn forbids(&self, row: &Row) -> bool {
+        matches!(self, Self::Avoid(avoid) if avoid.contains(&row.data_centre))
+    }
+
+    /// How a row stands that is not forbidden.
     #[must_use]
     pub fn standing(&self, row: &Row) -> Standing {
         match self {
-            Self::Any => Standing::Preferred,
+            Self::Any | Self::Avoid(_) => Standing::Preferred,
             Self::Local(local) if row.data_centre == *local => Standing::Preferred,
             Self::Local(_) => Standing::Allowed,
-            Self::Avoid(avoid) if avoid.contains(&row.data_centre) => Standing::Forbidden,
-            Self::Avoid(_) => Standing::Preferred,
-            Self::Shares(standings) => {
-                standings.get(usize::from(row.rack.0)).copied().unwrap_or(Standing::Allowed)
+            Self::Shares { view, ask, places } => {
+                places.get_or_init(|| Places::count(view, ask)).standing(row.rack)
             }
         }
     }
@@ -129,7 +140,8 @@
 }
 
 /// Rows and siblings by data centre and rack, indexed by their keys.
-struct Places {
+#[derive(Debug)]
+pub struct Places {
     data_centres: Vec<DataCentre>,
     racks: Vec<Rack>,
     rows: u32,
@@ -139,10 +151,11 @@
 impl Places {
     fn count(view: &View, ask: &Ask<'_>) -> Self {
         let placed = ask.siblings.iter().map(|&(_, tasks)| u32::from(tasks)).sum();
-        let racks = vec![Rack::default(); view.rows.len()];
+        let racks = view.rows.iter().map(|row| usize::from(row.rack.0) + 1).max().unwrap_or(0);
+        let racks = vec![Rack::default(); racks];
         let mut places = Self { data_centres: vec![], racks, rows: 0, placed };
         for row in view.rows.iter().filter(|row| row.could_hold(ask.kind, ask.size_bytes)) {
-            let rack = grown(&mut places.racks, usize::from(row.rack.0));
+            let rack = &mut places.racks[usize::from(row.rack.0)];
             rack.data_centre = row.data_centre;
             rack.rows += 1;
         }
@@ -177,14 +190,10 @@
         }
     }
 
-    fn standings(&self) -> Vec<Standing> {
-        self.racks.iter().map(|rack| self.standing(rack)).collect()
-    }
-
-    fn standing(&self, rack: &Rack) -> Standing {
-        if rack.rows == 0 {
+    fn standing(&self, rack: RackKey) -> Standing {
+        let Some(rack) = self.racks.get(usize::from(rack.0)).filter(|rack| rack.rows > 0) else {
             return Standing::Allowed;
-        }
+        };
         let data_centre = &self.data_centres[usize::from(rack.data_centre.0)];
         let (places, rows) = (data_centre.racks, data_centre.rows);
         let share = |tasks| Share { tasks, places, rows_here: rack.rows, rows };
