Agent: close only when every entry knows of the stop; fewer control packets

A placement that crossed with the close of a draining agent looked like one that may have started. Now the agent waits until each entry has confirmed the hello that tells of the stop and has been quiet for 500 ms, and its close code proves that nothing more was taken.

Of two sessions with the same run of an entry the later one stays, because the entry holds to the later hello too; the earlier address waits until that ends.

Keep-alive packets every third of the idle timeout did what heartbeats do already; they are left for the case that a heartbeat is late. Busy pairs never beat, so they would never learn of new entries: one session in turn asks.

The bound of a drain has a test file of its own, because it breaks an invariant on purpose.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -25,7 +25,7 @@
         ids::Incarnation,
         keys::ProcessKeys,
         message::AgentIdentity,
-        session::{self, SessionTiming},
+        session::{self, CLOSE_DRAINED, SessionTiming},
     },
     tokio::task::JoinHandle,
 };
@@ -35,8 +35,10 @@
 const TICK: Duration = Duration::from_millis(250);
 const DRAIN_POLL: Duration = Duration::from_millis(10);
 const CLOSE_WITHIN: Duration = Duration::from_secs(2);
-/// Keep-alives come often enough that two may be lost within the idle timeout.
-const KEEP_ALIVES_PER_TIMEOUT: u32 = 3;
+/// An entry is quiet when it placed nothing for this long, and no reply to it
+/// was lost, which it would ask for again.
+const QUIET_MS: u64 = 500;
+const CLOSE_CUT: u32 = 0;
 
 /// A running agent.
 pub struct Agent {
@@ -112,6 +114,11 @@
     /// Stops as planned: fails readiness, refuses new work, drops what is
     /// queued, lets what runs finish and its replies arrive, then closes. At
     /// the latest after `drain_ms`.
+    ///
+    /// Sessions are closed only when each entry has confirmed that it knows of
+    /// the stop and has been quiet for a while. Where nothing was cut off,
+    /// the close code proves to an entry that a placement which crossed with
+    /// the close was not taken.
     pub async fn stop(self) -> Stopped {
         let drain = Duration::from_millis(self.core.settings.drain_ms.into());
         self.core.drain();
@@ -120,12 +127,14 @@
         let cut = if drained.is_ok() { 0 } else { self.in_flight() };
         invariant::check(Invariant::NoCutInDrain, cut == 0, &self.core.identity.name);
         event!(Info, "agent_stopped", cut = cut);
-        self.close().await;
+        self.close(if cut == 0 { CLOSE_DRAINED } else { CLOSE_CUT }).await;
         Stopped { cut }
     }
 
     async fn wait_until_idle(&self) {
-        while self.in_flight() > 0 {
+        let change = *self.core.changes.borrow();
+        let idle = || self.in_flight() == 0 && self.core.idle_ms() >= QUIET_MS;
+        while !(idle() && self.entries.all_know(change)) {
             tokio::time::sleep(DRAIN_POLL).await;
         }
     }
@@ -136,13 +145,13 @@
 
     /// Ends at once, as the death of the process would.
     pub async fn abort(self) {
-        self.close().await;
+        self.close(CLOSE_CUT).await;
     }
 
-    async fn close(self) {
+    async fn close(self, code: u32) {
         self.ticking.abort();
         self.entries.stop();
-        self.endpoint.close(0u32.into(), b"stopped");
+        self.endpoint.close(code.into(), b"stopped");
         let _ = tokio::time::timeout(CLOSE_WITHIN, self.endpoint.wait_idle()).await;
         self.http.stop().await;
     }
@@ -150,11 +159,15 @@
 
 fn open(settings: &AgentSettings) -> eyre::Result<Endpoint> {
     let keys = ProcessKeys::read(&settings.keys.authority_pem, &settings.keys.own())?;
-    let timing = SessionTiming {
-        idle_timeout_ms: settings.idle_timeout_ms,
-        keep_alive_ms: (settings.idle_timeout_ms / KEEP_ALIVES_PER_TIMEOUT).max(1),
-    };
-    session::open(settings.inner_address, &keys, timing).wrap_err("inner_address")
+    // Heartbeats keep a session alive, and they tell something too. Packets
+    // that only keep it alive come when a heartbeat is late.
+    let keep_alive_ms = settings.heartbeat_ms / 2 + settings.idle_timeout_ms / 2;
+    let timing = SessionTiming { idle_timeout_ms: settings.idle_timeout_ms, keep_alive_ms };
+    let endpoint =
+        session::open(settings.inner_address, &keys, timing).wrap_err("inner_address")?;
+    // Agents dial; nobody dials them.
+    endpoint.set_server_config(None);
+    Ok(endpoint)
 }
 
 fn identity(settings: &AgentSettings, address: SocketAddr) -> AgentIdentity {
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -40,6 +40,11 @@
 pub(crate) enum Pending {
     Now(AgentReplyBody),
     Later(oneshot::Receiver<AgentReplyBody>),
+    /// As [`Self::Later`], for a task that is dropped unless it starts in time.
+    Queued {
+        told: oneshot::Receiver<AgentReplyBody>,
+        start_within: Duration,
+    },
 }
 
 pub(crate) struct Core {
@@ -51,10 +56,10 @@
     pub(crate) changes: watch::Sender<u64>,
     /// Streams whose request was read and whose reply is not delivered.
     pub(crate) replies_due: AtomicUsize,
-    /// Sessions with an entry.
-    pub(crate) sessions: AtomicUsize,
-    /// When an entry last told the list of entries.
-    pub(crate) welcomed_at_ms: AtomicU64,
+    /// When an entry was last asked for the list of entries.
+    asked_at_ms: AtomicU64,
+    /// When a placement last came, or a reply was last lost.
+    active_at_ms: AtomicU64,
     caller: Caller,
     tasks: Mutex<Tasks>,
     config_mark: AtomicU64,
@@ -79,8 +84,8 @@
             upstream: ArcSwapOption::empty(),
             changes: watch::Sender::new(0),
             replies_due: AtomicUsize::new(0),
-            sessions: AtomicUsize::new(0),
-            welcomed_at_ms: AtomicU64::new(0),
+            asked_at_ms: AtomicU64::new(0),
+            active_at_ms: AtomicU64::new(0),
             caller: Caller::new()?,
             tasks: Mutex::new(Tasks::new(gate)),
             config_mark: AtomicU64::new(0),
@@ -119,6 +124,7 @@
         placement: Placement,
     ) -> Option<Pending> {
         self.raise_config_mark(placement.config_mark);
+        self.note_activity();
         let task = placement.task;
         self.change(|tasks, now_ms| {
             if !session.is_current() {
@@ -131,10 +137,10 @@
                     self.begin(tasks, *start);
                     Pending::Later(tasks.wait_for(task))
                 }
-                Placed::Queued { start_by_ms } => {
-                    self.expire_at(start_by_ms, now_ms);
-                    Pending::Later(tasks.wait_for(task))
-                }
+                Placed::Queued { start_by_ms } => Pending::Queued {
+                    told: tasks.wait_for(task),
+                    start_within: Duration::from_millis(start_by_ms.saturating_sub(now_ms)),
+                },
                 Placed::Joined => Pending::Later(tasks.wait_for(task)),
                 Placed::Known(reply) => Pending::Now(reply),
                 Placed::Refused(refusal) => Pending::Now(refusal.reply()),
@@ -142,15 +148,6 @@
         })
     }
 
-    fn expire_at(self: &Arc<Self>, at_ms: u64, now_ms: u64) {
-        let core = Arc::clone(self);
-        let pause = Duration::from_millis(at_ms.saturating_sub(now_ms));
-        tokio::spawn(async move {
-            tokio::time::sleep(pause).await;
-            core.expire();
-        });
-    }
-
     /// Drops queued tasks and records whose time has passed.
     pub(crate) fn expire(self: &Arc<Self>) {
         self.change(|tasks, now_ms| {
@@ -293,7 +290,6 @@
     /// this returns.
     pub(crate) fn welcomed(self: &Arc<Self>, welcome: &EntryWelcome) {
         self.raise_config_mark(welcome.config_mark);
-        self.welcomed_at_ms.fetch_max(self.clock.now_ms(), Ordering::AcqRel);
         for &home in &welcome.fenced {
             if !self.tasks.lock().gate.is_fenced(home) {
                 event!(Info, "home_fenced", home = home);
@@ -302,6 +298,28 @@
         }
     }
 
+    /// When the list of entries must be asked for again.
+    pub(crate) fn ask_at_ms(&self) -> u64 {
+        self.asked_at_ms.load(Ordering::Acquire) + u64::from(self.settings.heartbeat_ms)
+    }
+
+    /// Whether the caller is the one session that asks for the list now.
+    pub(crate) fn takes_turn_to_ask(&self, now_ms: u64) -> bool {
+        let asked_at_ms = self.asked_at_ms.load(Ordering::Acquire);
+        let due = now_ms >= asked_at_ms + u64::from(self.settings.heartbeat_ms);
+        let (success, failure) = (Ordering::AcqRel, Ordering::Acquire);
+        due && self.asked_at_ms.compare_exchange(asked_at_ms, now_ms, success, failure).is_ok()
+    }
+
+    /// Notes that an entry may still be about to send or ask something.
+    pub(crate) fn note_activity(&self) {
+        self.active_at_ms.fetch_max(self.clock.now_ms(), Ordering::AcqRel);
+    }
+
+    pub(crate) fn idle_ms(&self) -> u64 {
+        self.clock.now_ms().saturating_sub(self.active_at_ms.load(Ordering::Acquire))
+    }
+
     pub(crate) fn caller(&self) -> &Caller {
         &self.caller
     }
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -1,8 +1,7 @@
 //! Counters and gauges of an agent.
 
 use {
-    crate::core::Core,
-    std::sync::atomic::Ordering,
+    crate::{core::Core, entries::Entries},
     sycamorerail_decide::gate::{Placed, Refusal},
     sycamorerail_wire::{answer::TaskEnd, message::AgentReplyBody},
 };
@@ -71,7 +70,7 @@
 }
 
 /// Sets the gauges.
-pub(crate) fn gauges(core: &Core) {
+pub(crate) fn gauges(core: &Core, entries: &Entries) {
     let counts = core.counts();
     let set = |name: &'static str, value: u64| metrics::gauge!(name).set(value as f64);
     set("sycamorerail_agent_running", counts.running as u64);
@@ -80,5 +79,5 @@
     set("sycamorerail_agent_record_bytes", counts.record_bytes);
     set("sycamorerail_agent_kept_result_bytes", counts.kept_result_bytes);
     set("sycamorerail_agent_fenced", counts.fenced as u64);
-    set("sycamorerail_agent_sessions", core.sessions.load(Ordering::Acquire) as u64);
+    set("sycamorerail_agent_sessions", entries.connected().len() as u64);
 }
--- a/crates/agent/src/entries.rs
+++ b/crates/agent/src/entries.rs
@@ -11,6 +11,7 @@
         collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
+        time::Duration,
     },
     sycamorerail_wire::ids::Incarnation,
     tokio::task::JoinSet,
@@ -23,6 +24,8 @@
 /// Most entries dialled; beyond it newly listed ones are left out.
 const MAX_ENTRIES: usize = 4_096;
 
+const OTHER_ADDRESS_POLL: Duration = Duration::from_secs(1);
+
 /// The entries known.
 #[derive(Default)]
 pub(crate) struct Entries {
@@ -85,18 +88,34 @@
         recent
     }
 
-    /// Takes a session in; refused when there is one with the same run.
-    pub(crate) fn open(&self, session: &Arc<Session>) -> bool {
+    /// Takes a session in. An earlier one with the same run, which has another
+    /// address then, ends: the entry holds to the latest too.
+    pub(crate) fn open(&self, session: &Arc<Session>) {
+        let earlier = self.sessions.lock().insert(session.incarnation, Arc::clone(session));
+        if let Some(earlier) = earlier {
+            earlier.retire("a later session with this run exists");
+        }
+    }
+
+    pub(crate) fn close(&self, session: &Arc<Session>) {
         let mut sessions = self.sessions.lock();
-        let free = !sessions.contains_key(&session.incarnation);
-        if free {
-            sessions.insert(session.incarnation, Arc::clone(session));
+        let current = sessions.get(&session.incarnation);
+        if current.is_some_and(|current| Arc::ptr_eq(current, session)) {
+            sessions.remove(&session.incarnation);
+        }
+    }
+
+    /// Waits while there is a session with this run of an entry, over whatever
+    /// address.
+    pub(crate) async fn while_open(&self, incarnation: Incarnation) {
+        while self.sessions.lock().contains_key(&incarnation) {
+            tokio::time::sleep(OTHER_ADDRESS_POLL).await;
         }
-        free
     }
 
-    pub(crate) fn close(&self, session: &Session) {
-        self.sessions.lock().remove(&session.incarnation);
+    /// Whether every connected entry has confirmed this change.
+    pub(crate) fn all_know(&self, change: u64) -> bool {
+        self.sessions.lock().values().all(|session| session.knows_change(change))
     }
 
     /// Entries with a session now.
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -3,6 +3,9 @@
 //! Whoever reaches this port may announce an upstream, which is then called.
 //! `http_address` belongs on loopback, or on an address that only the
 //! upstream's machine reaches.
+//!
+//! An upstream stops renewing before it says that it leaves: an announcement
+//! that comes after means that it is back.
 
 use {
     crate::{announcement, core::Core, counters, entries::Entries, status, upstream},
@@ -114,6 +117,8 @@
             ctrlc: false,
             signals: Default::default(),
             force: false,
+            grace: 1,
+            mercy: 1,
             ..ShutdownConfig::default()
         },
         ..Config::release_default()
@@ -170,8 +175,12 @@
 }
 
 #[get("/metrics")]
-fn metrics_page(core: &State<Arc<Core>>, render: &State<RenderMetrics>) -> RawText<String> {
-    counters::gauges(core);
+fn metrics_page(
+    core: &State<Arc<Core>>,
+    entries: &State<Arc<Entries>>,
+    render: &State<RenderMetrics>,
+) -> RawText<String> {
+    counters::gauges(core, entries);
     RawText(render())
 }
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -7,12 +7,17 @@
         session::Session,
     },
     quinn::{RecvStream, SendStream},
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
-        message::{AgentReplyBody, ToAgent},
+        message::{AgentReply, AgentReplyBody, ToAgent},
         session::{self, SessionError},
     },
+    tokio::sync::oneshot,
 };
 
 /// Takes streams of the session's entry until the connection ends.
@@ -40,11 +45,22 @@
     };
     let reply = core.reply(body);
     session.sent(core.clock.now_ms());
-    if let Err(err) = session::write_reply(session.peer, &mut send, &reply).await {
-        return event!(Debug, "reply_lost", peer = session.peer, error = err);
+    if let Err(err) = deliver(session.peer, &mut send, &reply).await {
+        core.note_activity();
+        event!(Debug, "reply_lost", peer = session.peer, error = err);
     }
-    // Until the entry has all of it, a planned stop must not close the session.
-    let _ = send.stopped().await;
+}
+
+/// Returns when the entry has all of the reply: until then a planned stop must
+/// not close the session.
+async fn deliver(
+    peer: SocketAddr,
+    send: &mut SendStream,
+    reply: &AgentReply,
+) -> Result<(), SessionError> {
+    session::write_reply(peer, send, reply).await?;
+    send.stopped().await.map_err(|err| SessionError::Broken(peer, err.to_string()))?;
+    Ok(())
 }
 
 async fn decide(core: &Arc<Core>, session: &Session, request: ToAgent) -> Option<AgentReplyBody> {
@@ -53,6 +69,7 @@
         ToAgent::Place(placement) => match core.place(session, placement)? {
             Pending::Now(reply) => Some(reply),
             Pending::Later(told) => told.await.ok(),
+            Pending::Queued { told, start_within } => wait_in_queue(core, told, start_within).await,
         },
         ToAgent::Revoke { tasks } => Some(core.revoke(&tasks)),
         ToAgent::Fence { home, jobs } => {
@@ -63,6 +80,18 @@
     }
 }
 
+async fn wait_in_queue(
+    core: &Arc<Core>,
+    mut told: oneshot::Receiver<AgentReplyBody>,
+    start_within: Duration,
+) -> Option<AgentReplyBody> {
+    if let Ok(told) = tokio::time::timeout(start_within, &mut told).await {
+        return told.ok();
+    }
+    core.expire();
+    told.await.ok()
+}
+
 fn name(request: &ToAgent) -> &'static str {
     match request {
         ToAgent::Place(_) => "place",
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -21,6 +21,7 @@
         message::{EntryWelcome, FromAgent},
         session::{self, SessionError},
     },
+    tokio::sync::watch,
 };
 
 const CONNECT_WITHIN: Duration = Duration::from_secs(3);
@@ -35,9 +36,25 @@
     pub(crate) incarnation: Incarnation,
     current: AtomicBool,
     sent_at_ms: AtomicU64,
+    told_change: AtomicU64,
+    counted_sent_bytes: AtomicU64,
+    counted_received_bytes: AtomicU64,
 }
 
 impl Session {
+    fn new(connection: Connection, incarnation: Incarnation, now_ms: u64) -> Self {
+        Self {
+            peer: connection.remote_address(),
+            connection,
+            incarnation,
+            current: AtomicBool::new(true),
+            sent_at_ms: AtomicU64::new(now_ms),
+            told_change: AtomicU64::new(0),
+            counted_sent_bytes: AtomicU64::new(0),
+            counted_received_bytes: AtomicU64::new(0),
+        }
+    }
+
     /// Placements are taken only while this holds. It ends before the agent
     /// dials again, so that a copy left over from this session can never
     /// follow what the entry did over the next one.
@@ -45,6 +62,26 @@
         self.current.load(Ordering::Acquire)
     }
 
+    /// Takes no placement any more.
+    pub(crate) fn retire(&self, why: &'static str) {
+        self.current.store(false, Ordering::Release);
+        self.connection.close(0u32.into(), why.as_bytes());
+    }
+
+    /// Whether the entry has confirmed a hello with this change or a later one.
+    pub(crate) fn knows_change(&self, change: u64) -> bool {
+        self.told_change.load(Ordering::Acquire) >= change
+    }
+
+    fn count_packets(&self) {
+        let stats = self.connection.stats();
+        let (sent, received) = (stats.udp_tx.bytes, stats.udp_rx.bytes);
+        counters::packets(
+            sent - self.counted_sent_bytes.swap(sent, Ordering::AcqRel),
+            received - self.counted_received_bytes.swap(received, Ordering::AcqRel),
+        );
+    }
+
     /// Notes that the entry was sent the agent's load.
     pub(crate) fn sent(&self, now_ms: u64) {
         self.sent_at_ms.fetch_max(now_ms, Ordering::AcqRel);
@@ -62,10 +99,13 @@
     let mut backoff_ms = FIRST_BACKOFF_MS;
     loop {
         match run(&core, &entries, &endpoint, peer).await {
-            Ok(()) => backoff_ms = FIRST_BACKOFF_MS,
+            Ok(incarnation) => {
+                backoff_ms = FIRST_BACKOFF_MS;
+                entries.while_open(incarnation).await;
+            }
             Err(err) => {
                 counters::session("failed");
-                event!(Info, "session_failed", peer = peer, error = err);
+                event!(Debug, "session_failed", peer = peer, error = err);
             }
         }
         if !entries.is_listed(peer, core.clock.now_ms()) {
@@ -78,43 +118,34 @@
     }
 }
 
-/// One session from its dialling to its end.
+/// One session from its dialling to its end; returns the entry's run.
 async fn run(
     core: &Arc<Core>,
     entries: &Arc<Entries>,
     endpoint: &Endpoint,
     peer: SocketAddr,
-) -> Result<(), SessionError> {
+) -> Result<Incarnation, SessionError> {
     let connection = session::connect(endpoint, peer, Role::Entry, CONNECT_WITHIN).await?;
     let changes = core.changes.subscribe();
+    let change = *changes.borrow();
     let welcome = say_hello(core, &connection).await?;
     core.welcomed(&welcome);
-    let session = Arc::new(Session {
-        connection,
-        peer,
-        incarnation: welcome.incarnation,
-        current: AtomicBool::new(true),
-        sent_at_ms: AtomicU64::new(core.clock.now_ms()),
-    });
-    if !entries.open(&session) {
-        session.connection.close(0u32.into(), b"another session with this run exists");
-        return Err(SessionError::Connect(peer, "known under another address".to_owned()));
-    }
+    let session = Arc::new(Session::new(connection, welcome.incarnation, core.clock.now_ms()));
+    session.told_change.store(change, Ordering::Release);
+    entries.open(&session);
     entries.listed(core, endpoint, &welcome.entries);
     counters::session("opened");
-    core.sessions.fetch_add(1, Ordering::AcqRel);
     event!(Info, "session_opened", peer = peer, entry = session.incarnation);
     let ended = tokio::select! {
         ended = serve::accept(core, &session) => ended,
         ended = keep_told(core, entries, endpoint, &session, changes) => ended,
     };
-    session.current.store(false, Ordering::Release);
-    session.connection.close(0u32.into(), b"session ended");
+    session.retire("session ended");
     entries.close(&session);
-    core.sessions.fetch_sub(1, Ordering::AcqRel);
+    session.count_packets();
     counters::session("ended");
     event!(Info, "session_ended", peer = peer, entry = session.incarnation, error = ended);
-    Ok(())
+    Ok(session.incarnation)
 }
 
 /// Says hello again when the upstream changes, and beats when idle.
@@ -123,15 +154,18 @@
     entries: &Arc<Entries>,
     endpoint: &Endpoint,
     session: &Session,
-    mut changes: tokio::sync::watch::Receiver<u64>,
+    mut changes: watch::Receiver<u64>,
 ) -> SessionError {
-    let mut packets = Packets::default();
     loop {
         let told = tokio::select! {
-            _ = changes.changed() => say_hello(core, &session.connection).await,
+            _ = changes.changed() => {
+                let change = *changes.borrow_and_update();
+                let told = say_hello(core, &session.connection).await;
+                told.inspect(|_| session.told_change.store(change, Ordering::Release))
+            }
             () = beat_due(core, session) => beat(core, &session.connection).await,
         };
-        packets.count(&session.connection);
+        session.count_packets();
         match told {
             Ok(welcome) => {
                 session.sent(core.clock.now_ms());
@@ -144,18 +178,18 @@
 }
 
 /// Waits until a heartbeat is due: nothing was sent to this entry for the
-/// pause of heartbeats, or no entry has told the list of entries for as long.
+/// pause of heartbeats, or it is this session's turn to ask for the list of
+/// entries, which busy pairs would never learn otherwise.
 async fn beat_due(core: &Core, session: &Session) {
     let pause_ms = u64::from(core.settings.heartbeat_ms);
     loop {
-        let sent_at_ms = session.sent_at_ms.load(Ordering::Acquire);
-        let welcomed_at_ms = core.welcomed_at_ms.load(Ordering::Acquire);
-        let due_at_ms = sent_at_ms.min(welcomed_at_ms) + pause_ms;
         let now_ms = core.clock.now_ms();
-        if now_ms >= due_at_ms {
+        let beat_at_ms = session.sent_at_ms.load(Ordering::Acquire) + pause_ms;
+        if now_ms >= beat_at_ms || core.takes_turn_to_ask(now_ms) {
             return;
         }
-        tokio::time::sleep(Duration::from_millis(due_at_ms - now_ms)).await;
+        let next_ms = beat_at_ms.min(core.ask_at_ms()).saturating_sub(now_ms).max(1);
+        tokio::time::sleep(Duration::from_millis(next_ms)).await;
     }
 }
 
@@ -181,22 +215,3 @@
 fn encoded_bytes<M: Serialize>(message: &M) -> usize {
     codec::encode(message).map_or(0, |bytes| bytes.len())
 }
-
-/// Bytes of packets counted so far.
-#[derive(Default)]
-struct Packets {
-    sent_bytes: u64,
-    received_bytes: u64,
-}
-
-impl Packets {
-    fn count(&mut self, connection: &Connection) {
-        let stats = connection.stats();
-        counters::packets(
-            stats.udp_tx.bytes - self.sent_bytes,
-            stats.udp_rx.bytes - self.received_bytes,
-        );
-        self.sent_bytes = stats.udp_tx.bytes;
-        self.received_bytes = stats.udp_rx.bytes;
-    }
-}
--- /dev/null
+++ b/crates/agent/tests/drain_bound.rs
@@ -0,0 +1,21 @@
+//! A planned stop that outlasts its bound. Alone in its process, since it
+//! breaks an invariant on purpose.
+
+mod support;
+
+use {
+    support::Cluster, sycamorerail_agent::agent::Stopped, sycamorerail_telemetry::invariant,
+    sycamorerail_wire::session::peer_drained,
+};
+
+#[tokio::test]
+async fn drain_bounded() {
+    let cluster = Cluster::start_with(1, |settings| settings.drain_ms = 100).await;
+    invariant::set_fatal(false);
+    let _running = cluster.entry.place_later(&cluster.placement(1, r#"{"run_ms":600000}"#)).await;
+    cluster.until_started(1).await;
+    let connection = cluster.entry.connection().await;
+    assert_eq!(cluster.agent.stop().await, Stopped { cut: 2 });
+    connection.closed().await;
+    assert!(!peer_drained(&connection));
+}
