Bound the upstream stand-in's memory of starts by a setting

It keeps the id of every task it started, so that proofs can compare starts with answers; over a long run that grows without bound. `kept_starts` bounds it; the report counts what was not kept.

--- a/crates/settings/src/standin.rs
+++ b/crates/settings/src/standin.rs
@@ -21,6 +21,9 @@
 /// Default of `default_run_ms`.
 pub const DEFAULT_RUN_MS: u32 = 100;
 
+/// Default of `kept_starts`.
+pub const DEFAULT_KEPT_STARTS: u32 = 2_000_000;
+
 /// Settings of `sycamorerail-platform-standin`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformStandinSettings {
@@ -57,6 +60,8 @@
     pub default_run_ms: u32,
     /// Seed of its random choices.
     pub seed: u64,
+    /// Most ids of started tasks that it keeps; beyond it they are counted only.
+    pub kept_starts: u32,
 }
 
 impl PlatformStandinSettings {
@@ -119,6 +124,7 @@
             announce_ms: reader.number("announce_ms", DEFAULT_ANNOUNCE_MS, 10..=60_000),
             default_run_ms: reader.number("default_run_ms", DEFAULT_RUN_MS, 0..=60_000),
             seed: reader.number("seed", DEFAULT_SEED, 0..=u64::MAX),
+            kept_starts: reader.number("kept_starts", DEFAULT_KEPT_STARTS, 1..=50_000_000),
         };
         reader.require(
             &["kinds"],
