Entry: forward to a job's home, fence it when it is lost

Cause: an id may come to any entry, and its home may be gone. Change: sessions between entries, calls handed to the home, a home watched directly and through a peer, the fence and its conclusions, agents made usable in one place by the platform's records.

--- a/crates/decide/src/fence/collect.rs
+++ b/crates/decide/src/fence/collect.rs
@@ -9,7 +9,7 @@
     std::collections::{BTreeMap, BTreeSet},
     sycamorerail_wire::{
         answer::TaskRecord,
-        ids::{Incarnation, JobId},
+        ids::{ContentHash, Incarnation, JobId},
         message::FencedJob,
     },
 };
@@ -192,6 +192,13 @@
         conclude(&self.roster, told, known, time_up)
     }
 
+    /// Hash of the submission whose tasks agents were given, if any tell.
+    #[must_use]
+    pub fn content(&self, job: JobId) -> Option<ContentHash> {
+        let mut told = self.jobs.get(&job)?.told.values();
+        told.find_map(|held| Some(held.as_ref()?.content))
+    }
+
     /// Forgets jobs minted before the time given: their ids are expired.
     pub fn forget_before(&mut self, minted_unix_ms: u64) {
         self.jobs.retain(|job, _| job.minted_unix_ms >= minted_unix_ms);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod jobs;
 pub mod names;
 pub mod organisations;
+pub mod peers;
 pub mod seams;
 pub mod shared;
 pub mod upstreams;
--- /dev/null
+++ b/crates/entry/src/peers/home.rs
@@ -0,0 +1,156 @@
+//! Homes that cannot be reached: watched until reached again or shown lost.
+
+use {
+    super::{Inner, sessions},
+    crate::{clock::Clock, shared::Shared},
+    dashmap::DashMap,
+    parking_lot::Mutex,
+    rand::seq::IndexedRandom,
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Weak},
+        time::Duration,
+    },
+    sycamorerail_decide::fence::lost::{HomeWatch, Sighting, Standing},
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        ids::{Incarnation, JobId},
+        message::{EntryReplyBody, ToEntry},
+    },
+    tokio::time::sleep,
+};
+
+/// Attempts to reach a home in doubt, in the time after which it is lost.
+const ATTEMPTS: u64 = 5;
+/// Pause between rounds of forgetting.
+const FORGET_PAUSE: Duration = Duration::from_secs(5);
+
+/// Homes in doubt or lost.
+#[derive(Debug, Default)]
+pub(super) struct Homes {
+    watches: DashMap<Incarnation, Arc<Mutex<HomeWatch>>>,
+}
+
+impl Homes {
+    /// Where a home stands, as far as known.
+    pub(super) fn standing(&self, home: Incarnation) -> Standing {
+        self.watches.get(&home).map_or(Standing::Reachable, |watch| watch.lock().standing())
+    }
+}
+
+impl Inner {
+    /// Takes what came of an attempt to reach the home of a job; from the
+    /// first failure on it is watched.
+    pub(super) fn sighted(
+        self: &Arc<Self>,
+        shared: &Arc<Shared>,
+        id: &JobId,
+        sighting: Sighting,
+    ) -> Standing {
+        let home = id.incarnation;
+        let now_ms = shared.now_ms();
+        if sighting == Sighting::Answered {
+            self.homes.watches.remove(&home);
+            return Standing::Reachable;
+        }
+        let lost_after_ms = u64::from(shared.settings.limits.lost_after_ms);
+        let mut is_new = false;
+        let watch = Arc::clone(&self.homes.watches.entry(home).or_insert_with(|| {
+            is_new = true;
+            Arc::new(Mutex::new(HomeWatch::new(lost_after_ms)))
+        }));
+        let mut watching = watch.lock();
+        watching.sighted(sighting, now_ms);
+        let standing = watching.standing();
+        drop(watching);
+        if is_new && standing != Standing::Lost {
+            event!(Warn, "home_in_doubt", home = home, address = id.home);
+            tokio::spawn(Arc::clone(self).watch_home(Arc::clone(shared), *id, watch));
+        }
+        standing
+    }
+
+    /// Tries to reach a home, directly and through others, until it is reached
+    /// or lost.
+    async fn watch_home(
+        self: Arc<Self>,
+        shared: Arc<Shared>,
+        id: JobId,
+        watch: Arc<Mutex<HomeWatch>>,
+    ) {
+        let pause_ms = u64::from(shared.settings.limits.lost_after_ms) / ATTEMPTS;
+        loop {
+            sleep(Duration::from_millis(pause_ms.max(1))).await;
+            let (own, witness) =
+                tokio::join!(self.try_home(&shared, &id), self.ask_witness(&shared, &id));
+            let standing = {
+                let (mut watch, now_ms) = (watch.lock(), shared.now_ms());
+                watch.sighted(own, now_ms);
+                watch.witnessed(witness, now_ms);
+                watch.standing()
+            };
+            match standing {
+                Standing::InDoubt { .. } => {}
+                Standing::Reachable => {
+                    self.homes.watches.remove(&id.incarnation);
+                    return event!(Info, "home_reached_again", home = id.incarnation);
+                }
+                Standing::Lost => {
+                    return event!(Warn, "home_lost", home = id.incarnation, address = id.home);
+                }
+            }
+        }
+    }
+
+    async fn try_home(&self, shared: &Shared, id: &JobId) -> Sighting {
+        let call = ToEntry::Reach { address: id.home, incarnation: id.incarnation };
+        match self.sessions.call(shared, id.home, &call, sessions::short(shared)).await {
+            Ok(reply) => sighting(&reply.body, id.incarnation),
+            Err(_) => Sighting::Unreachable,
+        }
+    }
+
+    /// Asks a peer, at random. Where there is none, and where the platform
+    /// shows that the home's lease has ended, that counts as a witness.
+    async fn ask_witness(&self, shared: &Shared, id: &JobId) -> Sighting {
+        let others = self.others(shared);
+        let peers: Vec<SocketAddr> =
+            others.into_iter().filter(|address| *address != id.home).collect();
+        let chosen = peers.choose(&mut rand::rng()).copied();
+        let Some(peer) = chosen else { return Sighting::Unreachable };
+        let call = ToEntry::Reach { address: id.home, incarnation: id.incarnation };
+        let within = sessions::short(shared) * 2;
+        match self.sessions.call(shared, peer, &call, within).await {
+            Ok(reply) => sighting(&reply.body, id.incarnation),
+            // A peer that is away tells nothing; the lease may.
+            Err(_) if self.has_lease(id.incarnation) => Sighting::Answered,
+            Err(_) => Sighting::Unreachable,
+        }
+    }
+
+    fn has_lease(&self, home: Incarnation) -> bool {
+        self.membership
+            .get()
+            .is_some_and(|membership| membership.members().entries.contains_key(&home))
+    }
+}
+
+fn sighting(body: &EntryReplyBody, home: Incarnation) -> Sighting {
+    match body {
+        EntryReplyBody::Reached(Some(run)) if *run == home => Sighting::Answered,
+        EntryReplyBody::Reached(Some(_)) => Sighting::OtherIncarnation,
+        _ => Sighting::Unreachable,
+    }
+}
+
+/// Forgets what concerns expired ids, for as long as the entry runs.
+pub(super) async fn forget_on(inner: Weak<Inner>, shared: Arc<Shared>) {
+    loop {
+        sleep(FORGET_PAUSE).await;
+        let Some(inner) = inner.upgrade() else { return };
+        let retention_ms = u64::from(shared.settings.limits.retention_ms);
+        let before_unix_ms = Clock::unix_ms().saturating_sub(retention_ms);
+        inner.concluded.forget_before(before_unix_ms);
+        inner.fences.forget_before(before_unix_ms);
+    }
+}
--- a/crates/entry/src/upstreams/agent.rs
+++ b/crates/entry/src/upstreams/agent.rs
@@ -65,6 +65,11 @@
         let _ = self.usable_since.compare_exchange(0, event, Ordering::AcqRel, Ordering::Acquire);
     }
 
+    /// Makes it unusable.
+    pub(super) fn clear_usable(&self) {
+        self.usable_since.store(0, Ordering::Release);
+    }
+
     /// Its upstream, if one has announced itself.
     #[must_use]
     pub fn upstream(&self) -> Option<UpstreamInfo> {
--- a/crates/entry/src/upstreams/registry.rs
+++ b/crates/entry/src/upstreams/registry.rs
@@ -109,6 +109,21 @@
         self.rebuild(shared);
     }
 
+    /// Makes runs usable for jobs accepted after the event, or unusable where
+    /// there is none.
+    pub fn change_usable(&self, shared: &Shared, changes: &[(Incarnation, Option<u64>)]) {
+        let known = self.agents.lock().by_name.values().cloned().collect::<Vec<_>>();
+        let changes: HashMap<_, _> = changes.iter().copied().collect();
+        for agent in known {
+            match changes.get(&agent.identity.incarnation) {
+                Some(Some(event)) => agent.set_usable(*event),
+                Some(None) => agent.clear_usable(),
+                None => {}
+            }
+        }
+        self.rebuild(shared);
+    }
+
     /// Forgets runs that are away for long.
     pub fn forget_lost(&self, shared: &Shared) {
         let now_ms = shared.now_ms();
