Command line: take refusals that concern no job

A trial of the demo against the real entry showed that a refusal before any job has no outcome, and the command line called that not understood. The code now comes from the reason, then the outcome, then the HTTP status. The demo also fetches with the other organisation's token.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -45,8 +45,9 @@
     /// Its id, where one is known.
     #[serde(default)]
     pub(crate) id: Option<String>,
-    /// How it ended.
-    pub(crate) outcome: Outcome,
+    /// How it ended; none where nothing is said of a job.
+    #[serde(default)]
+    pub(crate) outcome: Option<Outcome>,
     /// Why.
     pub(crate) reason: Reason,
     /// Where that arose.
--- a/crates/cli/src/exit_codes.rs
+++ b/crates/cli/src/exit_codes.rs
@@ -36,18 +36,23 @@
 }
 
 impl ExitCode {
-    /// The code of an answer about a job or request.
-    pub(crate) fn of_answer(outcome: Outcome, reason: Reason) -> Self {
-        Self::of_reason(reason).unwrap_or(match outcome {
+    /// The code of an answer: its reason's where that says more than the
+    /// outcome, else the outcome's, else the HTTP status's.
+    pub(crate) fn of_answer(outcome: Option<Outcome>, reason: Reason, status: u16) -> Self {
+        let by_outcome = || outcome.map(Self::of_outcome);
+        Self::of_reason(reason).or_else(by_outcome).unwrap_or_else(|| Self::of_status(status))
+    }
+
+    fn of_outcome(outcome: Outcome) -> Self {
+        match outcome {
             Outcome::Complete => Self::Ok,
             Outcome::Failed => Self::JobFailed,
             Outcome::NotRun => Self::NotRun,
             Outcome::Unknown => Self::Unknown,
             Outcome::InDoubt => Self::InDoubt,
-        })
+        }
     }
 
-    /// The code of a reason that says more than the outcome it comes with.
     fn of_reason(reason: Reason) -> Option<Self> {
         match reason {
             Reason::Conflict => Some(Self::Conflict),
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -75,7 +75,7 @@
         let Ok(answer) = reply.body::<AnswerBody>() else {
             return Self::refused(form, reply);
         };
-        let exit = ExitCode::of_answer(answer.outcome, answer.reason);
+        let exit = ExitCode::of_answer(answer.outcome, answer.reason, reply.status);
         let text = if form == Form::Json { json_line(reply) } else { answer_text(&answer) };
         let line = || format!("{}: {}: {}", reply.call.step, reply.call.peer, sentence(&answer));
         let errors = if exit == ExitCode::Ok { Vec::new() } else { vec![line()] };
@@ -85,12 +85,9 @@
 
 /// The code of a refused call: of its answer if it has one, else of its status.
 fn refusal_code(reply: &Reply) -> ExitCode {
-    let by_status = ExitCode::of_status(reply.status);
     match reply.body::<AnswerBody>() {
-        Ok(answer) if by_status == ExitCode::Refused && answer.outcome == Outcome::Unknown => {
-            ExitCode::Unknown
-        }
-        _ => by_status,
+        Ok(answer) => ExitCode::of_answer(answer.outcome, answer.reason, reply.status),
+        Err(_) => ExitCode::of_status(reply.status),
     }
 }
 
@@ -109,7 +106,8 @@
 
 /// One line about an answer: outcome, reason, step, peer and advice.
 fn sentence(answer: &AnswerBody) -> String {
-    let mut line = format!("{}, {}", answer.outcome.name(), answer.reason);
+    let outcome = answer.outcome.map_or("refused", Outcome::name);
+    let mut line = format!("{outcome}, {}", answer.reason);
     let mut push = |part: String| line.push_str(&part);
     if let Some(step) = answer.step {
         push(format!(" at step {}", format!("{step:?}").to_lowercase()));
@@ -135,7 +133,9 @@
     if let Some(id) = &answer.id {
         push("id", id);
     }
-    push("outcome", answer.outcome.name());
+    if let Some(outcome) = answer.outcome {
+        push("outcome", outcome.name());
+    }
     push("reason", answer.reason.name());
     if let Some(tasks_started) = answer.tasks_started {
         push("tasks_started", &tasks_started.to_string());
--- a/crates/cli/tests/submit_jobs.rs
+++ b/crates/cli/tests/submit_jobs.rs
@@ -84,6 +84,20 @@
     }
 }
 
+#[test]
+fn refused_call() {
+    let body = r#"{"id":null,"outcome":null,"reason":"draining","step":"accept","peer":null,
+        "detail":"stopping","retry_after_ms":100,"tasks_started":null,"results":[]}"#;
+    let (url, seen) = fake_entry(vec![Reply::Answer(503, "", body.to_owned())]);
+    let run = TestEnv::new().run(&["submit", "--kind", "k", "--task", "1", "--entry", &url]);
+    assert_eq!(run.code, 18, "{run:?}");
+    let expected = format!(
+        "error: reserve: {url}: refused, draining at step accept: stopping; come back in 100 ms\n"
+    );
+    assert_eq!(run.stderr, expected);
+    seen.join().unwrap();
+}
+
 #[test]
 fn lost_answer() {
     let (url, seen) = fake_entry(vec![ids(), Reply::HangUp]);
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -247,6 +247,11 @@
     say "$org: the answer is kept, for this organisation alone"
     check "$org-fetch" $OK entry-1 "$org" fetch "$id"
     same "$org-request" "$org-fetch" "the fetched answer"
+    check "$org-foreign" $FORBIDDEN entry-2 "$(other "$org")" fetch "$id"
+}
+
+other() { # organisation
+    if [[ $1 == alpenfunk ]]; then echo rangmancha; else echo alpenfunk; fi
 }
 
 id_of() { # name of an output
