--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -222,8 +222,8 @@
             && self.attempt(task).is_some_and(|attempt| attempt.state == State::Waiting)
     }
 
-    /// Upstreams that the attempt must avoid now: those which refused it, and
-    /// those of the other attempts.
+    /// Upstreams that the attempt must avoid now: those which refused it, those
+    /// at which another attempt is open, and those at which one has just ended.
     #[must_use]
     pub fn avoid(&self, task: TaskKey, now_ms: u64) -> Vec<UpstreamKey> {
         let Some(attempt) = self.attempt(task) else {
@@ -233,7 +233,7 @@
             .attempts
             .iter()
             .filter(|other| other.key.index == task.index && other.key.attempt != task.attempt);
-        attempt.avoided(now_ms).chain(others.filter_map(|other| other.last_upstream)).collect()
+        attempt.avoided(now_ms).chain(others.filter_map(|other| other.occupies(now_ms))).collect()
     }
 
     /// Takes leave to send a waiting attempt to `upstream`; `None` if it must
@@ -335,6 +335,7 @@
             }
             TaskEnd::Failed { reason, detail } => {
                 self.set_state(task, State::Failed);
+                self.note_end(task, turn.now_ms);
                 self.failure.get_or_insert(Failure {
                     index: task.index,
                     reason,
@@ -354,6 +355,7 @@
         turn: &mut Turn<'_, '_>,
     ) {
         self.set_state(task, State::Without(Without::EndUnknown));
+        self.note_end(task, turn.now_ms);
         self.lost_end(task, reason, peer, turn);
     }
 
@@ -589,6 +591,12 @@
         }
     }
 
+    fn note_end(&mut self, task: TaskKey, now_ms: u64) {
+        if let Some(attempt) = self.attempt_mut(task) {
+            attempt.ended_at_ms = now_ms;
+        }
+    }
+
     fn attempt(&self, task: TaskKey) -> Option<&Attempt> {
         self.attempts.get(position(task)).filter(|attempt| attempt.key == task)
     }
--- a/crates/decide/src/job/attempt.rs
+++ b/crates/decide/src/job/attempt.rs
@@ -5,6 +5,10 @@
     crate::view::UpstreamKey,
 };
 
+/// How long another attempt avoids an upstream where this one ended without a
+/// result, in milliseconds: the others may be busy for a moment, or gone.
+const AVOID_AFTER_END_MS: u64 = 100;
+
 /// Why an attempt has no end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Without {
@@ -51,7 +55,9 @@
 pub(super) struct Attempt {
     pub(super) key: TaskKey,
     pub(super) state: State,
-    pub(super) last_upstream: Option<UpstreamKey>,
+    /// When it ended without a result.
+    pub(super) ended_at_ms: u64,
+    last_upstream: Option<UpstreamKey>,
     serial: u16,
     /// Upstreams that refused it, each with the time until which to avoid it.
     refused_by: Vec<(UpstreamKey, u64)>,
@@ -62,6 +68,7 @@
         Self {
             key: TaskKey { index, attempt },
             state: State::Waiting,
+            ended_at_ms: 0,
             last_upstream: None,
             serial: 0,
             refused_by: Vec::new(),
@@ -128,6 +135,16 @@
         }
     }
 
+    /// The upstream that another attempt must avoid for this one.
+    pub(super) fn occupies(&self, now_ms: u64) -> Option<UpstreamKey> {
+        let avoid = match self.state {
+            State::Open { .. } => true,
+            State::Failed | State::Without(_) => now_ms < self.ended_at_ms + AVOID_AFTER_END_MS,
+            _ => false,
+        };
+        self.last_upstream.filter(|_| avoid)
+    }
+
     pub(super) fn avoided(&self, now_ms: u64) -> impl Iterator<Item = UpstreamKey> {
         let held = self.refused_by.iter().filter(move |&&(_, until_ms)| now_ms < until_ms);
         held.map(|&(upstream, _)| upstream)
