--- a/crates/cli/src/commands/fetch.rs
+++ b/crates/cli/src/commands/fetch.rs
@@ -36,7 +36,7 @@
 /// The pause before another fetch, or `None` if this reply is to be shown.
 fn next_fetch_ms(reply: &Reply, left_ms: u64) -> Option<u64> {
     let answer: AnswerBody = reply.body().ok()?;
-    if answer.outcome != Outcome::InDoubt || left_ms == 0 {
+    if answer.outcome != Some(Outcome::InDoubt) || left_ms == 0 {
         return None;
     }
     let pause_ms = answer.retry_after_ms.unwrap_or(DEFAULT_PAUSE_MS).max(MIN_PAUSE_MS);
