--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -264,6 +264,8 @@
         retention_ms: settings.limits.retention_ms,
         clock_margin_ms: CLOCK_MARGIN_MS,
         registrations_per_s: REGISTRATIONS_PER_S,
+        // The other half of the budget is for all else.
+        own_registrations_per_s: settings.platform.call_budget_per_s / 2,
         sweep_pause_ms: SWEEP_PAUSE_MS,
         peers: settings.peers.clone(),
     }
--- a/crates/entry/tests/forward_cluster/mod.rs
+++ b/crates/entry/tests/forward_cluster/mod.rs
@@ -292,7 +292,7 @@
             keys: self.keys(&own),
             cluster_secret: "secret of the tests' cluster".to_owned(),
             operators: Vec::new(),
-            limits: self.limits,
+            limits: self.limits.clone(),
             log_level: "info".to_owned(),
             fatal_invariants: true,
         }
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -55,6 +55,8 @@
     pub clock_margin_ms: u32,
     /// Most registrations of agents a second, over all entries.
     pub registrations_per_s: u32,
+    /// The same, by this entry.
+    pub own_registrations_per_s: u32,
     /// Longest pause between two sweeps.
     pub sweep_pause_ms: u32,
     /// Inner addresses of entries from the settings.
@@ -306,8 +308,9 @@
     /// within the rate.
     pub(crate) fn registration_pause(&self) -> Duration {
         let entries = self.members.load().entries.len().max(1) as u64;
-        let per_s = u64::from(self.config.registrations_per_s).max(1);
-        Duration::from_micros(entries * 1_000_000 / per_s)
+        let pause_us = |per_s: u32| 1_000_000 / u64::from(per_s.max(1));
+        let fair_us = entries * pause_us(self.config.registrations_per_s);
+        Duration::from_micros(fair_us.max(pause_us(self.config.own_registrations_per_s)))
     }
 
     /// Revision of the records that the entry has applied.
