Entry: install the metrics recorder at start

The demo printed no counter of an entry: the recorder was installed by the first scrape, so all that was counted before was lost, broken invariants too. The process now installs it before it starts anything.

--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -10,11 +10,19 @@
 
 static PAGE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
 
-/// Installs the recorder once a process and renders the page.
+/// Installs the recorder, once a process. What is counted before is lost.
+pub fn install() {
+    let _ = handle();
+}
+
+fn handle() -> Option<&'static PrometheusHandle> {
+    PAGE.get_or_init(|| metrics_page::install().ok()).as_ref()
+}
+
+/// Renders the page.
 #[must_use]
 pub fn page() -> String {
-    let handle = PAGE.get_or_init(|| metrics_page::install().ok());
-    handle.as_ref().map(PrometheusHandle::render).unwrap_or_default()
+    handle().map(PrometheusHandle::render).unwrap_or_default()
 }
 
 /// Kinds of messages to agents and entries, for the sum of wasted ones.
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -6,6 +6,7 @@
     options::Options,
     std::{fmt::Display, process::ExitCode},
     sycamorerail_entry::{
+        counters,
         entry::{Entry, EntryHandle},
         error::EntryError,
     },
@@ -45,6 +46,7 @@
         return Exit::Success.into();
     }
     logs::init(logs::level(&settings.log_level).unwrap_or(log::LevelFilter::Info));
+    counters::install();
     invariant::set_fatal(settings.fatal_invariants);
     run(settings, templates)
 }
