Gate's state machine: each revoke reports, nothing starts while draining

Seventeen faults were put into the gate on a scratch copy, one at a time. The state machine missed three: no tombstone for an unknown task, a revoked queued task forgotten, a drain that keeps the queue. It catches these too now; the tests by feature caught them before.

--- a/crates/decide/tests/gate_machine.rs
+++ b/crates/decide/tests/gate_machine.rs
@@ -101,6 +101,7 @@
 struct World {
     gate: Gate,
     now_ms: u64,
+    draining: bool,
     tasks: Vec<TaskId>,
     /// On their way, with the time of sending.
     sent: Vec<(u64, Message)>,
@@ -123,6 +124,7 @@
         Self {
             gate,
             now_ms: 0,
+            draining: false,
             tasks: all_tasks(),
             sent: Vec::new(),
             running: Vec::new(),
@@ -167,6 +169,7 @@
             }
             Op::Wait { ms } => self.wait(ms),
             Op::Drain => {
+                self.draining = true;
                 let settled = self.gate.drain();
                 self.hear_all(settled);
             }
@@ -219,6 +222,9 @@
                     assert!(self.started.contains(task), "aborted a call never made");
                 }
                 self.hear_all(revoked.settled);
+                let full =
+                    self.gate.counts().record_bytes + RECORD_COST_BYTES > LIMITS.record_bytes;
+                assert!(full || revoked.reports.len() == tasks.len(), "a task without a report");
                 revoked.reports.into_iter().for_each(|report| self.hear_report(report));
             }
             Message::Fence(home, jobs) => self.fence(home, &jobs),
@@ -315,6 +321,7 @@
     fn take_next(&mut self) {
         let mut settled = Vec::new();
         while let Some(start) = self.gate.take_next(self.now_ms, &mut settled) {
+            assert!(!self.draining, "started while draining");
             self.running.push((start.placement.task, false));
         }
         self.hear_all(settled);
