--- a/crates/standin/src/bin/platform_standin.rs
+++ b/crates/standin/src/bin/platform_standin.rs
@@ -1,7 +1,7 @@
 //! `sycamorerail-platform-standin`: takes the place of the platform's service.
 
 use {
-    std::{process::ExitCode, sync::Arc},
+    std::process::ExitCode,
     sycamorerail_settings::standin::PlatformStandinSettings,
     sycamorerail_standin::{
         exit::Exit,
@@ -18,10 +18,10 @@
         Err(error) => return Exit::Settings.report(&error).into(),
     };
     let mut config = PlatformStandinConfig::from(settings);
-    run::process(|page| async move {
-        config.metrics_page = Some(Arc::new(page));
+    run::process(|page, stop| async move {
+        config.metrics_page = Some(page);
         let standin = PlatformStandin::start(config).await?;
-        run::told_to_stop().await?;
+        stop.wait().await;
         standin.stop().await;
         Ok(())
     })
--- a/crates/standin/src/bin/upstream_standin.rs
+++ b/crates/standin/src/bin/upstream_standin.rs
@@ -1,7 +1,7 @@
 //! `sycamorerail-upstream-standin`: takes the place of an upstream.
 
 use {
-    std::{process::ExitCode, sync::Arc},
+    std::process::ExitCode,
     sycamorerail_settings::standin::UpstreamStandinSettings,
     sycamorerail_standin::{
         exit::Exit,
@@ -18,10 +18,10 @@
         Err(error) => return Exit::Settings.report(&error).into(),
     };
     let mut config = UpstreamStandinConfig::from(settings);
-    run::process(|page| async move {
-        config.metrics_page = Some(Arc::new(page));
+    run::process(|page, stop| async move {
+        config.metrics_page = Some(page);
         let standin = UpstreamStandin::start(config).await?;
-        run::told_to_stop().await?;
+        stop.wait().await;
         standin.leave_and_stop().await;
         Ok(())
     })
--- a/crates/standin/src/upstream/mod.rs
+++ b/crates/standin/src/upstream/mod.rs
@@ -105,6 +105,7 @@
             announce_ms: settings.announce_ms,
             default_run_ms: settings.default_run_ms,
             seed: settings.seed,
+            most_ids: settings.kept_starts as usize,
             ..Self::default()
         }
     }
