--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -134,6 +134,8 @@
         task: TaskKey,
         /// Why it is not the first time, if so.
         cause: Option<Reason>,
+        /// Pause before it is looked for, in milliseconds.
+        after_ms: u32,
     },
     /// Revoke these at the upstream.
     Revoke {
@@ -175,12 +177,32 @@
     attempts: Vec<Attempt>,
     results: Vec<Option<Payload>>,
     failure: Option<Failure>,
+    /// When a hedge was last asked for.
+    hedge_from_ms: u64,
     /// Why placing was stopped, and at whom that arose.
     stopped: Option<(Reason, Option<Arc<str>>)>,
 }
 
-/// Whether a further attempt may be made; called once an attempt.
-pub type AllowRetry<'a> = dyn FnMut(Reason) -> bool + 'a;
+/// What is asked of whoever paces repetitions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Again {
+    /// An attempt that was proven not started is placed elsewhere.
+    Refused {
+        /// How often that happened to this attempt, this time included.
+        times: u16,
+    },
+    /// A further attempt at a repeatable request.
+    Attempt {
+        /// Why.
+        cause: Reason,
+        /// Attempts made so far.
+        made: u8,
+    },
+}
+
+/// The pause before a repetition in milliseconds; `None` to make no further
+/// attempt. A refused attempt is placed again in any case.
+pub type Pace<'a> = dyn FnMut(Again) -> Option<u32> + 'a;
 
 impl Job {
     /// A job of which every task waits; enqueue each of [`Job::first_tasks`].
@@ -194,6 +216,7 @@
             attempts,
             results: vec![None; count],
             failure: None,
+            hedge_from_ms: 0,
             stopped: None,
         }
     }
@@ -275,14 +298,9 @@
     }
 
     /// Takes an event.
-    pub fn on(
-        &mut self,
-        event: Event,
-        now_ms: u64,
-        allow_retry: &mut AllowRetry<'_>,
-    ) -> Vec<Action> {
+    pub fn on(&mut self, event: Event, now_ms: u64, pace: &mut Pace<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        let mut turn = Turn { now_ms, allow_retry, actions: &mut actions };
+        let mut turn = Turn { now_ms, pace, actions: &mut actions };
         self.take(event, &mut turn);
         self.settle(&mut turn);
         actions
@@ -425,13 +443,14 @@
         let Some(attempt) = self.attempt_mut(task) else {
             return;
         };
-        attempt.refused(avoid_until_ms);
-        if running && !finished {
-            attempt.state = State::Waiting;
-            turn.actions.push(Action::Enqueue { task, cause: Some(cause) });
-        } else {
+        let times = attempt.refused(avoid_until_ms);
+        if !running || finished {
             attempt.state = State::Never;
+            return;
         }
+        attempt.state = State::Waiting;
+        let after_ms = (turn.pace)(Again::Refused { times }).unwrap_or(0);
+        turn.actions.push(Action::Enqueue { task, cause: Some(cause), after_ms });
     }
 
     fn on_connection_broke(&mut self, placement: PlacementKey, turn: &mut Turn<'_, '_>) {
@@ -480,8 +499,8 @@
             self.stop(Reason::DeadlinePassed, None, turn);
         } else if self.hedge_at_ms(turn.now_ms).is_some_and(|at_ms| turn.now_ms >= at_ms) {
             self.try_again(Reason::Hedged, turn);
-            // Refused or not, one hedge is asked for.
-            self.terms.hedge_after_ms = None;
+            // Refused, it is asked for again after as long a time.
+            self.hedge_from_ms = turn.now_ms;
         }
     }
 
@@ -491,7 +510,7 @@
             return None;
         }
         match self.attempts[0].state {
-            State::Open { since_ms, .. } => Some(since_ms + after_ms),
+            State::Open { since_ms, .. } => Some(since_ms.max(self.hedge_from_ms) + after_ms),
             State::Waiting => Some(now_ms + after_ms),
             _ => None,
         }
@@ -507,14 +526,14 @@
             && !waiting
             && self.results[0].is_none()
             && turn.now_ms < self.terms.deadline_at_ms;
-        if !may || !(turn.allow_retry)(cause) {
+        let Some(made) = u8::try_from(made).ok().filter(|_| may) else {
             return;
-        }
-        let Ok(number) = u8::try_from(made) else {
+        };
+        let Some(after_ms) = (turn.pace)(Again::Attempt { cause, made }) else {
             return;
         };
-        let attempt = Attempt::new(0, number);
-        turn.actions.push(Action::Enqueue { task: attempt.key, cause: Some(cause) });
+        let attempt = Attempt::new(0, made);
+        turn.actions.push(Action::Enqueue { task: attempt.key, cause: Some(cause), after_ms });
         self.attempts.push(attempt);
     }
 
@@ -613,6 +632,6 @@
 
 struct Turn<'a, 'b> {
     now_ms: u64,
-    allow_retry: &'a mut AllowRetry<'b>,
+    pace: &'a mut Pace<'b>,
     actions: &'a mut Vec<Action>,
 }
--- a/crates/decide/src/job/attempt.rs
+++ b/crates/decide/src/job/attempt.rs
@@ -127,12 +127,13 @@
         }
     }
 
-    /// Its upstream refused it.
-    pub(super) fn refused(&mut self, avoid_until_ms: u64) {
+    /// Its upstream refused it. Returns how often that happened so far.
+    pub(super) fn refused(&mut self, avoid_until_ms: u64) -> u16 {
         if let State::Open { upstream, .. } = self.state {
             self.refused_by.retain(|&(other, _)| other != upstream);
             self.refused_by.push((upstream, avoid_until_ms));
         }
+        self.serial
     }
 
     /// The upstream that another attempt must avoid for this one.
