Entry: decide by estimates, quotas, ejection, retry budget and hedges

The thin path placed by load alone, in order of arrival, without quotas. The queue at the entry is now the fair one of decide; submissions are admitted by quota, room and forecast; run times are learnt from replies; upstreams that fail what their peers do not are ejected, and probed by one repeatable request; a request is tried again within the organisation's budget.

--- a/crates/entry/src/dispatch/admit.rs
+++ b/crates/entry/src/dispatch/admit.rs
@@ -1,48 +1,53 @@
-//! Whether a submission is taken, and whether an attempt may be repeated.
+//! Whether a submission is taken.
 
 use {
+    super::{choose::ask, kinds::numbers},
     crate::{
-        jobs::{JobCell, Refused},
+        jobs::Refused,
         organisations::{Kind, Organisation},
         shared::Shared,
     },
     std::sync::Arc,
+    sycamorerail_decide::admission::{self, Submitted},
     sycamorerail_wire::{answer::Reason, message::Submission},
 };
 
-/// When to come back where no upstream is known, in milliseconds.
-const NO_UPSTREAM_RETRY_MS: u64 = 1_000;
-/// When to come back where the queue is full, in milliseconds.
-const OVERLOADED_RETRY_MS: u64 = 500;
-
-/// Decides whether a submission is taken.
+/// Decides whether a submission is taken. What is taken counts against the
+/// quota until its job is answered.
 ///
 /// # Errors
 ///
 /// Why it is not; its id is then refused for good.
 pub fn admit(
     shared: &Shared,
-    _organisation: &Arc<Organisation>,
+    organisation: &Arc<Organisation>,
     kind: &Arc<Kind>,
     submission: &Submission,
 ) -> Result<(), Refused> {
-    let snapshot = shared.upstreams.snapshot();
-    if snapshot.view.rows.is_empty() {
-        return Err(Refused::for_now(Reason::NoUpstream, NO_UPSTREAM_RETRY_MS));
-    }
-    if !snapshot.view.rows.iter().any(|row| row.could_hold(kind.key, kind.size_bytes)) {
-        let detail = format!("no upstream serves {:?} with {} bytes", kind.name, kind.size_bytes);
-        return Err(Refused::for_good(Reason::NeverPlaceable, detail));
-    }
-    let waiting = u64::from(shared.dispatch.waiting()) + submission.payloads.len() as u64;
-    if waiting > u64::from(shared.settings.limits.max_queued_tasks) {
-        return Err(Refused::for_now(Reason::Overloaded, OVERLOADED_RETRY_MS));
-    }
-    Ok(())
+    let numbers = numbers(shared, kind);
+    let (queue_room, backlog) = shared.dispatch.room(organisation.key, kind.urgency);
+    let submitted = Submitted {
+        ask: ask(shared, kind, &numbers, &[], &[]),
+        tasks: u16::try_from(submission.payloads.len()).unwrap_or(u16::MAX),
+        deadline_ms: submission.deadline_ms.map_or(kind.deadline_ms, |ms| ms.min(kind.deadline_ms)),
+        least_run_ms: numbers.least_run_ms,
+        queue_room,
+        backlog,
+    };
+    let limit = shared.dispatch.quotas.limit(organisation);
+    let view = &shared.upstreams.snapshot().view;
+    admission::admit(&submitted, &limit, view, &numbers.forecast, shared.now_ms())
+        .map_err(|refusal| refused(&refusal, kind))
 }
 
-/// Whether another attempt at a repeatable request may be made. Called with
-/// the job's state locked.
-pub fn allow_retry(_shared: &Shared, _cell: &JobCell, _cause: Reason) -> bool {
-    true
+fn refused(refusal: &admission::Refusal, kind: &Kind) -> Refused {
+    let detail = match refusal.reason {
+        Reason::NeverPlaceable => {
+            let (name, size_bytes) = (&kind.name, kind.size_bytes);
+            Some(format!("no upstream could ever hold a task of {name}, {size_bytes} bytes"))
+        }
+        Reason::QuotaUsedUp => Some("the organisation's quota is used up for now".to_owned()),
+        _ => None,
+    };
+    Refused { reason: refusal.reason, retry_after_ms: refusal.retry_after_ms, detail }
 }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -2,13 +2,21 @@
 
 mod admit;
 mod choose;
-mod lanes;
+mod kinds;
 mod observe;
+mod pace;
 mod place;
+mod probe;
 mod queue;
+mod quota;
+
+pub(crate) use observe::{declare, judged, ran};
 
 pub use {
-    admit::{admit, allow_retry},
-    observe::{answered, ended, hedge_after_ms},
-    queue::{Dispatch, enqueue, pump, pump_until},
+    admit::admit,
+    kinds::{KindNumbers, numbers as kind_numbers},
+    observe::{Observed, Service, answered, observe_until, upstreams_changed},
+    pace::pace,
+    queue::{Dispatch, enqueue, enqueue_after, pump, pump_until},
+    quota::{Quotas, hear_usage, report_usage},
 };
--- /dev/null
+++ b/crates/entry/src/dispatch/pace.rs
@@ -0,0 +1,73 @@
+//! Whether and when a task or a request is tried again.
+
+use {
+    super::kinds::numbers,
+    crate::{counters, jobs::JobCell, shared::Shared},
+    sycamorerail_decide::{
+        hedge::{Hedge, RunningRequest, hedge},
+        job::{Again, Terms},
+        retry::{FailedAttempt, backoff_ms, retry_after_ms},
+    },
+    sycamorerail_settings::template::Priority,
+    sycamorerail_wire::answer::Reason,
+};
+
+/// The pause before a repetition, `None` for no further attempt. Called with
+/// the job's state locked; `terms` are the job's.
+#[must_use]
+pub fn pace(shared: &Shared, cell: &JobCell, terms: &Terms, again: Again) -> Option<u32> {
+    match again {
+        // Another upstream may well take it: the first time it goes at once.
+        Again::Refused { times: 0 | 1 } => Some(0),
+        Again::Refused { times } => {
+            let repetitions = u8::try_from(times - 1).unwrap_or(u8::MAX);
+            Some(narrow(backoff_ms(repetitions, 0, &mut rand::rng())))
+        }
+        Again::Attempt { cause: Reason::Hedged, made } => may_hedge(shared, cell, terms, made),
+        Again::Attempt { cause, made } => may_retry(shared, cell, terms, (cause, made)),
+    }
+}
+
+fn may_retry(
+    shared: &Shared,
+    cell: &JobCell,
+    terms: &Terms,
+    (reason, made): (Reason, u8),
+) -> Option<u32> {
+    let failed = FailedAttempt {
+        repeatable: cell.is_repeatable(),
+        attempts: made,
+        max_attempts: terms.max_attempts,
+        left_ms: terms.deadline_at_ms.saturating_sub(shared.now_ms()),
+        least_run_ms: numbers(shared, &cell.kind).least_run_ms.into(),
+        reason,
+    };
+    match retry_after_ms(&failed, &cell.retries, &mut rand::rng()) {
+        Ok(pause_ms) => Some(narrow(pause_ms)),
+        Err(reason) => {
+            counters::refusal(reason);
+            None
+        }
+    }
+}
+
+fn may_hedge(shared: &Shared, cell: &JobCell, terms: &Terms, made: u8) -> Option<u32> {
+    let numbers = numbers(shared, &cell.kind);
+    let running = RunningRequest {
+        repeatable: cell.is_repeatable(),
+        prefers_time: cell.kind.priority == Priority::Time,
+        slow_after_us: cell.slow_after_us,
+        attempts: made,
+        max_attempts: terms.max_attempts,
+        // The state machine has waited for as long as the kind asks.
+        placed_at_ms: 0,
+        deadline_ms: terms.deadline_at_ms,
+    };
+    let has_free_slot = numbers.forecast.free_slots > shared.dispatch.waiting();
+    let decided = hedge(&running, &cell.retries, has_free_slot, shared.now_ms());
+    (decided == Hedge::Now).then_some(0)
+}
+
+fn narrow(ms: u64) -> u32 {
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
--- a/crates/entry/src/dispatch/place.rs
+++ b/crates/entry/src/dispatch/place.rs
@@ -1,11 +1,15 @@
 //! Tries to place one waiting task now.
 
 use {
-    super::choose::{choose, max_queued},
+    super::{
+        choose::{choose, max_queued},
+        observe::Observed,
+        probe::probe_target,
+    },
     crate::{
         jobs::JobCell,
         shared::Shared,
-        upstreams::{self, Snapshot},
+        upstreams::{self, Agent, Snapshot},
     },
     std::sync::Arc,
     sycamorerail_decide::{job::TaskKey, placement::Choice, view::UpstreamKey},
@@ -36,6 +40,9 @@
     if !wanted {
         return Tried::Dropped;
     }
+    if let Some(key) = probe_target(shared, &snapshot, cell, task, &avoid) {
+        return probe(shared, &snapshot, cell, task, key);
+    }
     for _ in 0..MAX_TRIES {
         let Choice::Place(key) = choose(shared, &snapshot, cell, &avoid, now_ms) else {
             break;
@@ -47,6 +54,24 @@
     Tried::Wait { restricted: !avoid.is_empty() }
 }
 
+fn probe(
+    shared: &Arc<Shared>,
+    snapshot: &Snapshot,
+    cell: &Arc<JobCell>,
+    task: TaskKey,
+    key: UpstreamKey,
+) -> Tried {
+    let Some(agent) = snapshot.agent(key) else {
+        return Tried::Wait { restricted: true };
+    };
+    agent.begin_placement();
+    let sent = send(shared, cell, agent, task, true);
+    if sent == Tried::Dropped {
+        Observed::nothing(true).take(shared, cell, agent);
+    }
+    sent
+}
+
 /// Takes a slot in the view, then leave of the job; `None` if the slot is gone.
 fn try_at(
     shared: &Arc<Shared>,
@@ -62,12 +87,25 @@
         agent.end_placement();
         return None;
     }
-    let placed = cell.state.lock().place(task, key, shared.now_ms());
+    let tried = send(shared, cell, agent, task, false);
+    if tried == Tried::Sent {
+        cell.note_rack(row.rack);
+    }
+    Some(tried)
+}
+
+fn send(
+    shared: &Arc<Shared>,
+    cell: &Arc<JobCell>,
+    agent: &Arc<Agent>,
+    task: TaskKey,
+    probe: bool,
+) -> Tried {
+    let placed = cell.state.lock().place(task, agent.key, shared.now_ms());
     let Some(placement) = placed else {
         agent.end_placement();
-        return Some(Tried::Dropped);
+        return Tried::Dropped;
     };
-    cell.note_rack(row.rack);
-    upstreams::send(shared, cell, agent, placement);
-    Some(Tried::Sent)
+    upstreams::send(shared, cell, agent, placement, probe);
+    Tried::Sent
 }
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -2,10 +2,14 @@
 
 use {
     super::{
-        lanes::{Lanes, SetAside, Waiting},
+        kinds::{Kinds, numbers},
         place::{Tried, try_place},
+        quota::Quotas,
+    },
+    crate::{
+        jobs::{JobCell, drive},
+        shared::Shared,
     },
-    crate::{jobs::JobCell, shared::Shared},
     parking_lot::Mutex,
     std::{
         sync::{
@@ -14,56 +18,167 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::job::TaskKey,
+    sycamorerail_decide::{
+        admission::forecast::DrainRate,
+        ejection::Ejections,
+        estimate::Estimates,
+        job::{Event, TaskKey},
+        queue::{Backlog, Queue, Rank},
+    },
+    sycamorerail_settings::entry::LimitSettings,
+    sycamorerail_wire::{
+        answer::Reason,
+        ids::{Incarnation, OrganisationKey},
+    },
     tokio::sync::watch,
 };
 
 /// Pause between passes that no reply brought about.
 const PASS_PERIOD: Duration = Duration::from_millis(25);
-/// Passes between removals of tasks that wait no more.
-const PASSES_A_CLEANING: u32 = 8;
-/// Tasks set aside in a pass before it ends.
-const MAX_SET_ASIDE: usize = 16;
+/// Kinds tried in vain before a pass ends.
+const MAX_TRIES: usize = 64;
+/// Pause of a task that has to avoid upstreams or finds no place in the queue.
+const ASIDE_MS: u32 = 50;
 
-/// Tasks that wait at the entry.
-#[derive(Debug, Default)]
+/// A task that waits.
+#[derive(Debug)]
+struct Waiting {
+    cell: Arc<JobCell>,
+    task: TaskKey,
+}
+
+/// Tasks that wait at the entry, and what is known for placing them.
+#[derive(Debug)]
 pub struct Dispatch {
-    lanes: Mutex<Lanes>,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
+    pub(super) estimates: Mutex<Estimates>,
+    pub(super) ejections: Mutex<Ejections>,
+    pub(super) kinds: Kinds,
+    queue: Mutex<Queue<Waiting>>,
+    drain_rate: Mutex<DrainRate>,
     waiting: AtomicU32,
+    /// Upstreams ejected or probed.
+    out: AtomicU32,
     /// A pass was asked for while another one ran.
     again: AtomicBool,
 }
 
 impl Dispatch {
+    /// Nothing waits yet.
+    #[must_use]
+    pub fn new(limits: &LimitSettings, own: Incarnation) -> Self {
+        Self {
+            quotas: Quotas::new(own),
+            estimates: Mutex::default(),
+            ejections: Mutex::default(),
+            kinds: Kinds::default(),
+            queue: Mutex::new(Queue::new(limits.max_queued_tasks)),
+            drain_rate: Mutex::default(),
+            waiting: AtomicU32::new(0),
+            out: AtomicU32::new(0),
+            again: AtomicBool::new(false),
+        }
+    }
+
     /// Tasks that wait.
     #[must_use]
     pub fn waiting(&self) -> u32 {
         self.waiting.load(Ordering::Acquire)
     }
 
-    fn note_count(&self, lanes: &Lanes) {
-        self.waiting.store(lanes.count(), Ordering::Release);
-        metrics::gauge!("sycamorerail_queued_tasks").set(lanes.count());
+    /// Upstreams ejected or probed.
+    #[must_use]
+    pub fn out(&self) -> u32 {
+        self.out.load(Ordering::Acquire)
+    }
+
+    pub(super) fn note_out(&self, out: usize) {
+        self.out.store(u32::try_from(out).unwrap_or(u32::MAX), Ordering::Release);
+    }
+
+    /// Tasks the organisation may still add, and what waits before a new one.
+    pub(super) fn room(&self, organisation: OrganisationKey, urgency: u8) -> (u32, Backlog) {
+        let queue = self.queue.lock();
+        (queue.room_for(organisation), queue.backlog(organisation, urgency))
     }
 
-    fn must_queue(&self, cell: &JobCell) -> bool {
-        self.waiting() > 0 && self.lanes.lock().has_lane(cell.kind.key)
+    pub(super) fn drain_per_s(&self, now_ms: u64) -> Option<f64> {
+        self.drain_rate.lock().per_s(now_ms)
+    }
+
+    /// Takes a job's tasks out of the queue.
+    pub(super) fn forget(&self, cell: &JobCell) {
+        let keys = std::mem::take(&mut *cell.queued.lock());
+        if keys.is_empty() {
+            return;
+        }
+        let mut queue = self.queue.lock();
+        for key in keys {
+            queue.remove(key);
+        }
+        self.note_count(&queue);
+    }
+
+    fn note_count(&self, queue: &Queue<Waiting>) {
+        self.waiting.store(queue.len(), Ordering::Release);
+        metrics::gauge!("sycamorerail_queued_tasks").set(queue.len());
+    }
+
+    fn push(&self, rank: Rank, waiting: Waiting) -> Result<(), Waiting> {
+        let cell = Arc::clone(&waiting.cell);
+        let mut queue = self.queue.lock();
+        let key = queue.push(rank, waiting)?;
+        cell.queued.lock().push(key);
+        self.note_count(&queue);
+        Ok(())
+    }
+
+    fn has_others(&self, cell: &JobCell) -> bool {
+        let backlog = self.queue.lock().backlog(cell.organisation.key, cell.kind.urgency);
+        backlog.own_tasks > 0
     }
 }
 
 /// Places a waiting task now, or when there is room.
 pub fn enqueue(shared: &Arc<Shared>, cell: &Arc<JobCell>, task: TaskKey) {
     let dispatch = &shared.dispatch;
-    if !dispatch.must_queue(cell) && !matches!(try_place(shared, cell, task), Tried::Wait { .. }) {
+    let behind_others = dispatch.waiting() > 0 && dispatch.has_others(cell);
+    if !behind_others && !matches!(try_place(shared, cell, task), Tried::Wait { .. }) {
         return;
     }
-    {
-        let mut lanes = dispatch.lanes.lock();
-        lanes.push(Waiting { cell: Arc::clone(cell), task });
-        dispatch.note_count(&lanes);
+    let waiting = Waiting { cell: Arc::clone(cell), task };
+    match dispatch.push(rank(shared, cell), waiting) {
+        // A slot may have been freed since there was none.
+        Ok(()) => pump(shared),
+        Err(waiting) => enqueue_after(shared, &waiting.cell, waiting.task, ASIDE_MS),
+    }
+}
+
+/// Places a waiting task after a pause.
+pub fn enqueue_after(shared: &Arc<Shared>, cell: &Arc<JobCell>, task: TaskKey, after_ms: u32) {
+    if after_ms == 0 {
+        return enqueue(shared, cell, task);
+    }
+    let (shared, cell) = (Arc::clone(shared), Arc::clone(cell));
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(after_ms.into())).await;
+        if cell.state.lock().wants(task) {
+            enqueue(&shared, &cell, task);
+        }
+    });
+}
+
+fn rank(shared: &Shared, cell: &JobCell) -> Rank {
+    let numbers = numbers(shared, &cell.kind);
+    Rank {
+        organisation: cell.organisation.key,
+        kind: cell.kind.key,
+        urgency: cell.kind.urgency,
+        weight: cell.organisation.quota.starts_per_s.max(1),
+        cost_ms: numbers.run_ms.max(1),
+        latest_start_ms: cell.deadline_at_ms.saturating_sub(numbers.least_run_ms.into()),
     }
-    // A slot may have been freed since there was none.
-    pump(shared);
 }
 
 /// Places as many waiting tasks as there is room for.
@@ -74,48 +189,77 @@
     }
     dispatch.again.store(true, Ordering::Release);
     while dispatch.again.load(Ordering::Acquire) {
-        // Whoever holds the lanes looks at `again` once more.
-        let Some(mut lanes) = dispatch.lanes.try_lock() else {
+        // Whoever holds the queue looks at `again` once more, or the next pass
+        // of `pump_until` does.
+        let Some(mut queue) = dispatch.queue.try_lock() else {
             return;
         };
         dispatch.again.store(false, Ordering::Release);
-        pass(shared, &mut lanes);
-        dispatch.note_count(&lanes);
+        let aside = pass(shared, &mut queue);
+        dispatch.note_count(&queue);
+        drop(queue);
+        for waiting in aside {
+            enqueue_after(shared, &waiting.cell, waiting.task, ASIDE_MS);
+        }
     }
 }
 
-fn pass(shared: &Arc<Shared>, lanes: &mut Lanes) {
-    let mut aside = SetAside::default();
-    while aside.tasks.len() < MAX_SET_ASIDE {
-        let Some((key, waiting)) = lanes.next(&aside) else {
-            return;
+/// One pass over the queue. Returns tasks that must avoid upstreams and would
+/// hold up those behind them.
+fn pass(shared: &Arc<Shared>, queue: &mut Queue<Waiting>) -> Vec<Waiting> {
+    let mut aside = Vec::new();
+    let mut sent = 0;
+    loop {
+        let mut tried = Tried::Dropped;
+        let taken = queue.take(MAX_TRIES, |_, waiting| {
+            tried = try_place(shared, &waiting.cell, waiting.task);
+            tried != Tried::Wait { restricted: false }
+        });
+        let Some((_, waiting)) = taken else {
+            break;
         };
-        match try_place(shared, &waiting.cell, waiting.task) {
-            Tried::Sent | Tried::Dropped => lanes.remove(key),
-            Tried::Wait { restricted: true } => drop(aside.tasks.insert(key)),
-            Tried::Wait { restricted: false } => drop(aside.lanes.insert(key.kind)),
+        match tried {
+            Tried::Sent => sent += 1,
+            Tried::Dropped => {}
+            Tried::Wait { .. } => aside.push(waiting),
         }
     }
+    let now_ms = shared.now_ms();
+    let mut drain_rate = shared.dispatch.drain_rate.lock();
+    if queue.is_empty() {
+        drain_rate.clear(now_ms);
+    } else {
+        drain_rate.record(sent, now_ms);
+    }
+    aside
 }
 
-/// Makes passes from time to time until told to stop.
+/// Makes passes from time to time until told to stop, and gives up on jobs
+/// that can no longer meet their deadline.
 pub async fn pump_until(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
-    let mut passes = 0_u32;
     loop {
         tokio::select! {
             _ = stop.wait_for(|&stopped| stopped) => return,
             () = tokio::time::sleep(PASS_PERIOD) => {}
         }
-        passes = passes.wrapping_add(1);
-        if passes.is_multiple_of(PASSES_A_CLEANING) && shared.dispatch.waiting() > 0 {
-            clean(&shared);
-        }
+        give_up_late(&shared);
         pump(&shared);
     }
 }
 
-fn clean(shared: &Shared) {
-    let mut lanes = shared.dispatch.lanes.lock();
-    lanes.retain(|waiting| waiting.cell.state.lock().wants(waiting.task));
-    shared.dispatch.note_count(&lanes);
+fn give_up_late(shared: &Arc<Shared>) {
+    loop {
+        let late = {
+            let mut queue = shared.dispatch.queue.lock();
+            let late = queue.take_late(shared.now_ms());
+            shared.dispatch.note_count(&queue);
+            late
+        };
+        let Some((_, waiting)) = late else {
+            return;
+        };
+        if waiting.cell.state.lock().wants(waiting.task) {
+            drive(shared, &waiting.cell, Event::GiveUp(Reason::DeadlineUnreachable));
+        }
+    }
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -79,6 +79,7 @@
         tokio::spawn(upstreams::accept_until(Arc::clone(&shared), stopped.clone()));
         tokio::spawn(upstreams::probe_until(Arc::clone(&shared), stopped.clone()));
         tokio::spawn(dispatch::pump_until(Arc::clone(&shared), stopped.clone()));
+        tokio::spawn(dispatch::observe_until(Arc::clone(&shared), stopped.clone()));
         tokio::spawn(jobs::sweep_until(Arc::clone(&shared), stopped));
         let (http_address, shutdown, server) = serve_http(&shared).await?;
         event!(Info, "entry_started", http = http_address, inner = shared.inner_address);
--- a/crates/entry/src/jobs/accept.rs
+++ b/crates/entry/src/jobs/accept.rs
@@ -153,8 +153,8 @@
     organisation: Arc<organisations::Organisation>,
     kind: Arc<organisations::Kind>,
 ) -> JobCell {
-    let hedge_after_ms = dispatch::hedge_after_ms(shared, &kind);
-    JobCell::new(shared, submission, organisation, kind, hedge_after_ms)
+    let slow_after_us = dispatch::kind_numbers(shared, &kind).slow_after_us;
+    JobCell::new(shared, submission, organisation, kind, slow_after_us)
 }
 
 fn joined(found: Found, id: &JobId, content: ContentHash) -> Accepted {
--- a/crates/entry/src/jobs/cell.rs
+++ b/crates/entry/src/jobs/cell.rs
@@ -6,9 +6,12 @@
         shared::Shared,
     },
     parking_lot::Mutex,
-    std::sync::Arc,
+    std::sync::{Arc, atomic::AtomicBool},
     sycamorerail_decide::{
+        admission::limit::OrganisationLimit,
         job::{Job, Terms},
+        queue::WaitingKey,
+        retry::RetryBudget,
         view::RackKey,
     },
     sycamorerail_wire::{
@@ -49,6 +52,16 @@
     pub accepted_at: std::time::Instant,
     /// When it must be answered, in monotonic milliseconds.
     pub deadline_at_ms: u64,
+    /// Run time after which an attempt counts as slow, if it may be hedged.
+    pub slow_after_us: Option<u64>,
+    /// The organisation's limit, against which the job counts.
+    pub limit: Arc<OrganisationLimit>,
+    /// The organisation's budget of retries.
+    pub retries: Arc<RetryBudget>,
+    /// Whether the job counts against the limit no more.
+    pub released: AtomicBool,
+    /// Its places in the queue, those left included.
+    pub queued: Mutex<Vec<WaitingKey>>,
     /// The state machine.
     pub state: Mutex<Job>,
     /// Tasks placed, by rack.
@@ -58,14 +71,15 @@
 }
 
 impl JobCell {
-    /// A job accepted now. `hedge_after_ms` is for repeatable requests.
+    /// A job accepted now. An attempt slower than `slow_after_us` is hedged if
+    /// the request is repeatable.
     #[must_use]
     pub fn new(
         shared: &Shared,
         submission: Submission,
         organisation: Arc<Organisation>,
         kind: Arc<Kind>,
-        hedge_after_ms: Option<u32>,
+        slow_after_us: Option<u64>,
     ) -> Self {
         let now_ms = shared.now_ms();
         let deadline_ms =
@@ -76,13 +90,12 @@
             task_count: u16::try_from(submission.payloads.len()).unwrap_or(u16::MAX),
             max_attempts: if repeatable { kind.max_attempts } else { 1 },
             deadline_at_ms,
-            hedge_after_ms: hedge_after_ms.filter(|_| repeatable),
+            hedge_after_ms: slow_after_us.filter(|_| repeatable).map(to_ms),
             report_wait_ms: REPORT_WAIT_MS,
             retry_after_ms: RETRY_AFTER_MS,
         };
         Self {
             id: submission.job,
-            organisation,
             kind,
             unit: submission.unit,
             content: submission.content,
@@ -92,12 +105,24 @@
             accepted_at_ms: now_ms,
             accepted_at: std::time::Instant::now(),
             deadline_at_ms,
+            slow_after_us,
+            limit: shared.dispatch.quotas.limit(&organisation),
+            retries: shared.dispatch.quotas.retries(&organisation),
+            released: AtomicBool::new(false),
+            queued: Mutex::new(Vec::new()),
+            organisation,
             state: Mutex::new(Job::new(terms)),
             siblings: Mutex::new(Vec::new()),
             answer: watch::Sender::new(None),
         }
     }
 
+    /// Whether its task may run more than once.
+    #[must_use]
+    pub fn is_repeatable(&self) -> bool {
+        self.unit == Unit::Request && self.kind.repeatable
+    }
+
     /// Tasks of the job.
     #[must_use]
     pub fn task_count(&self) -> u16 {
@@ -125,3 +150,7 @@
         }
     }
 }
+
+fn to_ms(us: u64) -> u32 {
+    u32::try_from(us.div_ceil(1_000)).unwrap_or(u32::MAX)
+}
--- a/crates/entry/src/jobs/drive.rs
+++ b/crates/entry/src/jobs/drive.rs
@@ -9,7 +9,6 @@
     sycamorerail_wire::{
         answer::{Answer, Outcome, TaskRecord},
         ids::Incarnation,
-        message::Unit,
     },
 };
 
@@ -28,7 +27,8 @@
     let now_ms = shared.now_ms();
     let actions = {
         let mut job = cell.state.lock();
-        job.on(event, now_ms, &mut |cause| dispatch::allow_retry(shared, cell, cause))
+        let terms = *job.terms();
+        job.on(event, now_ms, &mut |again| dispatch::pace(shared, cell, &terms, again))
     };
     for action in actions {
         act(shared, cell, action);
@@ -37,11 +37,11 @@
 
 fn act(shared: &Arc<Shared>, cell: &Arc<JobCell>, action: Action) {
     match action {
-        Action::Enqueue { task, cause } => {
+        Action::Enqueue { task, cause, after_ms } => {
             if let Some(cause) = cause {
                 counters::retry(cause);
             }
-            dispatch::enqueue(shared, cell, task);
+            dispatch::enqueue_after(shared, cell, task, after_ms);
         }
         Action::Revoke { upstream, tasks } => {
             upstreams::revoke(shared, cell, upstream, &tasks);
@@ -79,10 +79,9 @@
     let not_run =
         cell.answer.borrow().as_ref().is_some_and(|answer| answer.outcome == Outcome::NotRun);
     check(Invariant::TrueNotRun, !not_run, &format_args!("{} at {peer}", cell.id));
-    let repeatable = cell.unit == Unit::Request && cell.kind.repeatable;
     check(
         Invariant::NotRepeated,
-        repeatable || task.attempt == 0,
+        cell.is_repeatable() || task.attempt == 0,
         &format_args!("{} at {peer}", cell.id),
     );
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -89,6 +89,7 @@
     pub fn new(settings: EntrySettings, endpoint: quinn::Endpoint, seams: Seams) -> Self {
         let inner_address = endpoint.local_addr().unwrap_or(settings.inner_address);
         let names = Names::default();
+        let home = Home::fresh();
         let mut entries = settings.peers.clone();
         entries.push(inner_address);
         Self {
@@ -98,12 +99,12 @@
             endpoint,
             data_centre: names.data_centre(&settings.data_centre),
             names,
-            home: ArcSwap::from_pointee(Home::fresh()),
             organisations: ArcSwap::default(),
             members: ArcSwap::from_pointee(Members { entries, fenced: Vec::new() }),
             jobs: Table::new(&settings.limits),
             upstreams: Registry::default(),
-            dispatch: Dispatch::default(),
+            dispatch: Dispatch::new(&settings.limits, home.incarnation),
+            home: ArcSwap::from_pointee(home),
             lifecycle: Lifecycle::default(),
             seams,
             events: AtomicU64::new(1),
@@ -169,7 +170,9 @@
     /// Puts templates in force.
     pub fn set_organisations(self: &Arc<Self>, organisations: Organisations) {
         self.note_config_mark(organisations.mark);
+        let all: Vec<_> = organisations.all().cloned().collect();
         self.organisations.store(Arc::new(organisations));
+        crate::dispatch::declare(self, &all);
         self.lifecycle.set_configured();
         self.upstreams.rebuild(self);
         crate::dispatch::pump(self);
--- a/crates/entry/src/upstreams/registry.rs
+++ b/crates/entry/src/upstreams/registry.rs
@@ -159,7 +159,9 @@
             }
         }
         snapshot.agents = all;
-        self.snapshot.store(Arc::new(snapshot));
+        let before = self.snapshot.swap(Arc::new(snapshot));
+        let after = self.snapshot.load();
+        crate::dispatch::upstreams_changed(shared, &before.view, &after.view);
     }
 }
 
--- a/crates/entry/src/upstreams/send.rs
+++ b/crates/entry/src/upstreams/send.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         counters::{self, Message},
-        dispatch,
+        dispatch::{self, Observed},
         jobs::{JobCell, drive},
         shared::Shared,
     },
@@ -34,14 +34,16 @@
     cell: &Arc<JobCell>,
     agent: &Arc<Agent>,
     placement: PlacementKey,
+    probe: bool,
 ) {
     let (shared, cell, agent) = (Arc::clone(shared), Arc::clone(cell), Arc::clone(agent));
     tokio::spawn(async move {
-        let sending = Sending { shared: &shared, cell: &cell, agent: &agent, placement };
+        let sending = Sending { shared: &shared, cell: &cell, agent: &agent, placement, probe };
         let event = sending.run().await;
         // A reply has ended it in the view already, before its load was taken.
         if !matches!(event, Some(Event::Replied { .. })) {
             agent.end_placement();
+            Observed::nothing(probe).take(&shared, &cell, &agent);
         }
         if let Some(event) = event {
             drive(&shared, &cell, event);
@@ -55,6 +57,8 @@
     cell: &'a Arc<JobCell>,
     agent: &'a Arc<Agent>,
     placement: PlacementKey,
+    /// It probes an ejected upstream.
+    probe: bool,
 }
 
 impl Sending<'_> {
@@ -159,9 +163,13 @@
         self.shared.note_config_mark(reply.config_mark);
         self.agent.end_placement();
         self.agent.take_load(reply.load, self.shared.now_ms());
+        let succeeded = dispatch::judged(&reply.body);
+        Observed { succeeded, probe: self.probe }.take(self.shared, self.cell, self.agent);
         let reply = match reply.body {
             AgentReplyBody::Ended { end, run_us, .. } => {
-                dispatch::ended(self.shared, self.cell, self.agent, &end, run_us);
+                if succeeded == Some(true) {
+                    dispatch::ran(self.shared, self.cell, self.agent, run_us);
+                }
                 Reply::Ended(end)
             }
             AgentReplyBody::Broken(reason) => Reply::Broken(reason),
--- a/crates/entry/src/upstreams/snapshot.rs
+++ b/crates/entry/src/upstreams/snapshot.rs
@@ -3,7 +3,7 @@
 use {
     super::agent::Agent,
     std::{borrow::Cow, sync::Arc},
-    sycamorerail_decide::view::{UpstreamKey, View},
+    sycamorerail_decide::view::{Row, UpstreamKey, View},
 };
 
 /// The upstreams known at one moment.
@@ -31,11 +31,15 @@
         if self.newest_usable < accepted_event {
             return Cow::Borrowed(&self.view);
         }
-        let may_use = |key| {
-            let since = self.agent(key).and_then(|agent| agent.usable_since());
-            since.is_some_and(|since| since < accepted_event)
-        };
-        let rows = self.view.rows.iter().filter(|row| may_use(row.key)).cloned().collect();
+        let may_use = |row: &&Row| self.may_use(row.key, accepted_event);
+        let rows = self.view.rows.iter().filter(may_use).cloned().collect();
         Cow::Owned(View { rows })
     }
+
+    /// Whether a job may use an upstream.
+    #[must_use]
+    pub fn may_use(&self, key: UpstreamKey, accepted_event: u64) -> bool {
+        let since = self.agent(key).and_then(|agent| agent.usable_since());
+        since.is_some_and(|since| since < accepted_event)
+    }
 }
