Agent: one heartbeat a pause, not two

A trial with a pause of 2 s counted 19 heartbeats in 20 s: an idle pair's heartbeat did not count as asking for the list of entries, so that a second one followed at once.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -311,6 +311,11 @@
         due && self.asked_at_ms.compare_exchange(asked_at_ms, now_ms, success, failure).is_ok()
     }
 
+    /// Notes that an entry is asked: every hello and heartbeat does.
+    pub(crate) fn asks(&self, now_ms: u64) {
+        self.asked_at_ms.fetch_max(now_ms, Ordering::AcqRel);
+    }
+
     /// Notes that an entry may still be about to send or ask something.
     pub(crate) fn note_activity(&self) {
         self.active_at_ms.fetch_max(self.clock.now_ms(), Ordering::AcqRel);
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -194,19 +194,21 @@
 }
 
 async fn say_hello(core: &Core, connection: &Connection) -> Result<EntryWelcome, SessionError> {
-    tell(connection, "hello", &FromAgent::Hello(core.hello())).await
+    tell(core, connection, "hello", &FromAgent::Hello(core.hello())).await
 }
 
 async fn beat(core: &Core, connection: &Connection) -> Result<EntryWelcome, SessionError> {
     let beat = FromAgent::Beat { load: core.load(), config_mark: core.config_mark() };
-    tell(connection, "beat", &beat).await
+    tell(core, connection, "beat", &beat).await
 }
 
 async fn tell(
+    core: &Core,
     connection: &Connection,
     name: &'static str,
     message: &FromAgent,
 ) -> Result<EntryWelcome, SessionError> {
+    core.asks(core.clock.now_ms());
     let welcome: EntryWelcome = session::call(connection, message, HELLO_WITHIN).await?;
     counters::control(name, encoded_bytes(message) + encoded_bytes(&welcome));
     Ok(welcome)
--- a/crates/agent/tests/sessions.rs
+++ b/crates/agent/tests/sessions.rs
@@ -58,6 +58,22 @@
     until("three heartbeats", || beats() >= 3).await;
 }
 
+#[tokio::test]
+async fn busy_asks() {
+    let cluster = Cluster::start_with(1, |settings| settings.heartbeat_ms = 200).await;
+    let second = FakeEntry::start(&cluster.authority, Incarnation(78), any_port());
+    cluster.entry.heard.welcome.lock().entries = vec![second.address];
+    let busy = async {
+        for sequence in 0.. {
+            cluster.entry.place(&cluster.placement(sequence, "{}")).await;
+        }
+    };
+    tokio::select! {
+        () = busy => {}
+        _ = second.connection() => {}
+    }
+}
+
 #[tokio::test]
 async fn same_run_once() {
     let cluster = Cluster::start(1).await;
