--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -298,13 +298,17 @@
     fs::write(&path, text).wrap_err_with(|| path.display().to_string())
 }
 
-fn random_hex() -> String {
+/// A token or secret at random.
+#[must_use]
+pub fn random_hex() -> String {
     let mut bytes = [0; TOKEN_BYTES];
     rand::rng().fill(&mut bytes);
     hex(&bytes)
 }
 
-fn sha256(text: &str) -> String {
+/// SHA-256 of a token, as settings and templates name it.
+#[must_use]
+pub fn sha256(text: &str) -> String {
     hex(&Sha256::digest(text.as_bytes()))
 }
 
