Soak: start the built binaries as child processes, signal and restart them

Tests of failures need real processes: SIGKILL, SIGSTOP and restarts cannot be shown in one process. The layout of ports, keys and settings is the bench's; templates are the examples of both deployments.

--- /dev/null
+++ b/crates/soak/src/cluster.rs
@@ -0,0 +1,451 @@
+//! The built binaries as child processes on loopback: started, signalled,
+//! started again, and ended with the value.
+
+use {
+    crate::{
+        binaries,
+        operator::{Base, Change, Operator},
+        plan::{Organisation, Plan},
+        process::{ChildProcess, Told, log_tail},
+        wait::until,
+    },
+    eyre::{OptionExt, WrapErr, bail, ensure, eyre},
+    nix::sys::signal::Signal,
+    parking_lot::Mutex,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+        process::ExitStatus,
+    },
+    sycamorerail_bench::{
+        client::Client,
+        cluster::{Cluster as Layout, Process, Role},
+    },
+    sycamorerail_telemetry::invariant,
+    tempfile::TempDir,
+    uuid::Uuid,
+};
+
+const TAIL_LINES: usize = 8;
+
+/// Running processes. Those still running are killed on drop; settings and
+/// logs are kept if the thread is panicking.
+#[derive(Debug)]
+pub struct Cluster {
+    directory: Option<TempDir>,
+    binaries: PathBuf,
+    layout: Layout,
+    organisations: Vec<Organisation>,
+    operator: Operator,
+    client: Client,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    running: BTreeMap<String, ChildProcess>,
+    ended: Vec<Ended>,
+}
+
+/// A process that ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// Its name.
+    pub name: String,
+    /// What it had been told.
+    pub told: Told,
+    /// How it ended.
+    pub status: ExitStatus,
+}
+
+impl Ended {
+    /// Whether it ended as told: a planned stop with success, or killed.
+    #[must_use]
+    pub fn as_told(&self) -> bool {
+        match self.told {
+            Told::Nothing => false,
+            Told::Stop => self.status.success(),
+            Told::Kill => true,
+        }
+    }
+
+    /// Whether it ended itself on a broken invariant.
+    #[must_use]
+    pub fn broke_invariant(&self) -> bool {
+        self.status.code() == Some(invariant::EXIT_CODE)
+    }
+}
+
+impl Cluster {
+    /// Lays out and starts all but the spare processes, and publishes the
+    /// templates of both deployments. All are ready and have the templates in
+    /// force on return.
+    ///
+    /// # Errors
+    ///
+    /// When the binaries are not built, or a process does not get ready.
+    pub async fn start(plan: &Plan) -> eyre::Result<Self> {
+        Self::start_from(plan, binaries::directory()?).await
+    }
+
+    /// The same with the binaries of another directory.
+    ///
+    /// # Errors
+    ///
+    /// When the binaries are not there, or a process does not get ready.
+    pub async fn start_from(plan: &Plan, binaries: PathBuf) -> eyre::Result<Self> {
+        let cluster = Self::lay_out(plan, binaries)?;
+        let spares = cluster.spares(plan);
+        let names = cluster.layout.processes.iter().map(|process| process.name.clone());
+        let first: Vec<String> = names.filter(|name| !spares.contains(name)).collect();
+        let (platform, others) = first.split_first().ok_or_eyre("no process laid out")?;
+        cluster.run(platform)?;
+        cluster.wait_ready(platform).await?;
+        for name in others {
+            cluster.run(name)?;
+        }
+        let entries = cluster.running(Role::Entry);
+        for entry in &entries {
+            cluster.wait_ready(entry).await?;
+        }
+        cluster.publish_all(&entries).await?;
+        for name in others {
+            cluster.wait_ready(name).await?;
+        }
+        Ok(cluster)
+    }
+
+    fn lay_out(plan: &Plan, binaries: PathBuf) -> eyre::Result<Self> {
+        binaries::check(&binaries)?;
+        let directory = tempfile::Builder::new().prefix("sycamorerail-").tempdir()?;
+        let layout = plan.lay_out(directory.path())?;
+        Ok(Self {
+            operator: Operator::new(&layout.operator_token)?,
+            directory: Some(directory),
+            binaries,
+            layout,
+            organisations: plan.organisations()?,
+            client: Client::new()?,
+            state: Mutex::default(),
+        })
+    }
+
+    fn spares(&self, plan: &Plan) -> Vec<String> {
+        let beyond = |role, first: u16| {
+            self.layout.of_role(role).skip(first.into()).map(|process| process.name.clone())
+        };
+        let upstreams = beyond(Role::Upstream, plan.upstreams);
+        beyond(Role::Entry, plan.entries)
+            .chain(beyond(Role::Agent, plan.upstreams))
+            .chain(upstreams)
+            .collect()
+    }
+
+    async fn publish_all(&self, entries: &[String]) -> eyre::Result<()> {
+        let first = entries.first().ok_or_eyre("no entry")?;
+        for organisation in &self.organisations {
+            self.create(first, organisation).await?;
+        }
+        for organisation in &self.organisations {
+            for entry in entries {
+                self.wait_in_force(entry, &organisation.name, 1).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn create(&self, entry: &str, organisation: &Organisation) -> eyre::Result<()> {
+        let (address, change_id) = (self.http(entry), Uuid::now_v7());
+        let (name, yaml) = (&organisation.name, &organisation.yaml);
+        until(&format!("{name} is published"), || async {
+            self.check_alive()?;
+            let reply = self.operator.publish(address, name, Base::Absent, change_id, yaml).await;
+            match reply.told() {
+                Some(Change::Accepted { .. }) => Ok(Some(())),
+                Some(Change::Refused { status, body }) => bail!("{name}: {status}: {body}"),
+                _ => Ok(None),
+            }
+        })
+        .await
+    }
+
+    /// The organisations of both deployments.
+    #[must_use]
+    pub fn organisations(&self) -> &[Organisation] {
+        &self.organisations
+    }
+
+    /// An operator.
+    #[must_use]
+    pub fn operator(&self) -> &Operator {
+        &self.operator
+    }
+
+    /// Calls to the stand-ins and metrics pages.
+    #[must_use]
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    /// What was laid out.
+    #[must_use]
+    pub fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// Where a process answers HTTP.
+    ///
+    /// # Panics
+    ///
+    /// When there is no such process.
+    #[must_use]
+    pub fn http(&self, name: &str) -> SocketAddr {
+        self.process(name).unwrap_or_else(|err| panic!("{err}")).http_address
+    }
+
+    fn process(&self, name: &str) -> eyre::Result<&Process> {
+        let found = self.layout.processes.iter().find(|process| process.name == name);
+        found.ok_or_else(|| eyre!("no process {name}"))
+    }
+
+    /// Names of the processes of a role that run and were not told to stop.
+    #[must_use]
+    pub fn running(&self, role: Role) -> Vec<String> {
+        let state = self.state.lock();
+        let runs = |process: &&Process| {
+            state.running.get(&process.name).is_some_and(|child| child.told == Told::Nothing)
+        };
+        self.layout.of_role(role).filter(runs).map(|process| process.name.clone()).collect()
+    }
+
+    /// Starts a process that is not running, again or for the first time.
+    ///
+    /// # Errors
+    ///
+    /// When it is running, or cannot be run.
+    pub fn run(&self, name: &str) -> eyre::Result<()> {
+        self.reap()?;
+        let process = self.process(name)?;
+        let mut state = self.state.lock();
+        ensure!(!state.running.contains_key(name), "{name} is running");
+        let binary = self.binaries.join(process.role.binary());
+        let log = self.log(name);
+        let child = ChildProcess::spawn(name, &binary, self.directory(), &process.settings, &log)?;
+        state.running.insert(name.to_owned(), child);
+        Ok(())
+    }
+
+    /// Kills a process by SIGKILL; it is gone on return.
+    ///
+    /// # Errors
+    ///
+    /// When it is not running.
+    pub fn kill(&self, name: &str) -> eyre::Result<()> {
+        let mut state = self.state.lock();
+        let mut child = state.running.remove(name).ok_or_else(|| eyre!("{name} is not running"))?;
+        // One that had ended by itself must not pass for killed.
+        let ended = child.ended()?;
+        let told = if ended.is_some() { child.told } else { Told::Kill };
+        let status = child.kill()?;
+        state.ended.push(Ended { name: name.to_owned(), told, status });
+        Ok(())
+    }
+
+    /// Stops a process by SIGTERM; it goes on until it has drained.
+    ///
+    /// # Errors
+    ///
+    /// When it is not running.
+    pub fn stop(&self, name: &str) -> eyre::Result<()> {
+        self.with(name, |child| {
+            child.told = Told::Stop;
+            child.signal(Signal::SIGTERM)
+        })
+    }
+
+    /// Freezes a process by SIGSTOP.
+    ///
+    /// # Errors
+    ///
+    /// When it is not running.
+    pub fn freeze(&self, name: &str) -> eyre::Result<()> {
+        self.with(name, |child| {
+            child.frozen = true;
+            child.signal(Signal::SIGSTOP)
+        })
+    }
+
+    /// Lets a frozen process go on by SIGCONT.
+    ///
+    /// # Errors
+    ///
+    /// When it is not running.
+    pub fn thaw(&self, name: &str) -> eyre::Result<()> {
+        self.with(name, |child| {
+            child.frozen = false;
+            child.signal(Signal::SIGCONT)
+        })
+    }
+
+    fn with(
+        &self,
+        name: &str,
+        act: impl FnOnce(&mut ChildProcess) -> eyre::Result<()>,
+    ) -> eyre::Result<()> {
+        let mut state = self.state.lock();
+        act(state.running.get_mut(name).ok_or_else(|| eyre!("{name} is not running"))?)
+    }
+
+    /// Waits for the end of a process that was told to stop.
+    ///
+    /// # Errors
+    ///
+    /// When it goes on for too long.
+    pub async fn wait_end(&self, name: &str) -> eyre::Result<Ended> {
+        until(&format!("{name} has stopped"), || async {
+            self.reap()?;
+            let state = self.state.lock();
+            if state.running.contains_key(name) {
+                return Ok(None);
+            }
+            let ended = state.ended.iter().rev().find(|ended| ended.name == name);
+            Ok(Some(ended.cloned().ok_or_else(|| eyre!("{name} was not running"))?))
+        })
+        .await
+    }
+
+    /// Waits until a process says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// When it ends, or takes too long.
+    pub async fn wait_ready(&self, name: &str) -> eyre::Result<()> {
+        let address = self.http(name);
+        until(&format!("{name} is ready"), || async {
+            self.check_alive()?;
+            Ok(self.client.is_ready(address).await.then_some(()))
+        })
+        .await
+        .wrap_err_with(|| self.log_tail(name))
+    }
+
+    /// Waits until an entry has a revision, or a later one, in force.
+    ///
+    /// # Errors
+    ///
+    /// When a process ends, or it takes too long.
+    pub async fn wait_in_force(
+        &self,
+        entry: &str,
+        organisation: &str,
+        revision: u64,
+    ) -> eyre::Result<u64> {
+        let address = self.http(entry);
+        until(&format!("revision {revision} of {organisation} at {entry}"), || async {
+            self.check_alive()?;
+            let in_force = self.operator.in_force(address).await.told().unwrap_or_default();
+            Ok(in_force.get(organisation).copied().filter(|there| *there >= revision))
+        })
+        .await
+    }
+
+    /// Notes the processes that have ended.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses.
+    pub fn reap(&self) -> eyre::Result<()> {
+        let mut state = self.state.lock();
+        let State { running, ended } = &mut *state;
+        let mut gone = Vec::new();
+        for (name, child) in running.iter_mut() {
+            if let Some(status) = child.ended()? {
+                ended.push(Ended { name: name.clone(), told: child.told, status });
+                gone.push(name.clone());
+            }
+        }
+        gone.iter().for_each(|name| drop(running.remove(name)));
+        Ok(())
+    }
+
+    /// Processes that ended otherwise than told, and breaches of invariants in
+    /// the logs: none in a good run.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses.
+    pub fn misbehaved(&self) -> eyre::Result<Vec<String>> {
+        self.reap()?;
+        let state = self.state.lock();
+        let ended = state.ended.iter().filter(|ended| !ended.as_told());
+        let mut found: Vec<String> = ended
+            .map(|ended| {
+                let tail = self.log_tail(&ended.name);
+                format!("{} ended with {}: {tail}", ended.name, ended.status)
+            })
+            .collect();
+        found.extend(self.breaches());
+        Ok(found)
+    }
+
+    /// Log lines of broken invariants.
+    #[must_use]
+    pub fn breaches(&self) -> Vec<String> {
+        let lines = |process: &Process| {
+            let text = std::fs::read_to_string(self.log(&process.name)).unwrap_or_default();
+            let broken = text.lines().filter(|line| line.contains("invariant_broken"));
+            broken.map(|line| format!("{}: {line}", process.name)).collect::<Vec<_>>()
+        };
+        self.layout.processes.iter().flat_map(lines).collect()
+    }
+
+    /// All that ended so far.
+    #[must_use]
+    pub fn ended(&self) -> Vec<Ended> {
+        self.state.lock().ended.clone()
+    }
+
+    fn check_alive(&self) -> eyre::Result<()> {
+        self.reap()?;
+        let state = self.state.lock();
+        let early = state.ended.iter().find(|ended| ended.told == Told::Nothing);
+        match early {
+            Some(ended) => {
+                bail!("{} ended with {}: {}", ended.name, ended.status, self.log_tail(&ended.name))
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn directory(&self) -> &Path {
+        self.directory.as_ref().map_or(Path::new("."), TempDir::path)
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.directory().join("logs").join(format!("{name}.log"))
+    }
+
+    /// The last lines of a process's log.
+    #[must_use]
+    pub fn log_tail(&self, name: &str) -> String {
+        log_tail(&self.log(name), TAIL_LINES)
+    }
+
+    /// Keeps settings and logs after the end; returns where they are.
+    #[must_use]
+    pub fn keep_files(&mut self) -> Option<PathBuf> {
+        self.directory.take().map(TempDir::keep)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.state.lock().running.clear();
+        if std::thread::panicking()
+            && let Some(path) = self.keep_files()
+        {
+            eprintln!("settings and logs are kept in {}", path.display());
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,14 @@
+//! Tests of failures and long randomised runs over the built processes.
+//!
+//! A [`cluster::Cluster`] starts the binaries of the workspace on loopback,
+//! under generated keys, tokens and settings. Callers keep a record of all that
+//! they are told, which is held against the starts counted by the upstreams'
+//! stand-ins.
+
+pub mod binaries;
+pub mod caller;
+pub mod cluster;
+pub mod operator;
+pub mod plan;
+pub mod process;
+pub mod wait;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,3 @@
+//! `sycamorerail-soak`: a long randomised run over real processes.
+
+fn main() {}
