Entry: bind callers' own keys at the platform

A submission without a reserved id was refused. It may now carry an Idempotency-Key, a version 7 UUID, which is bound to a reserved id by create-if-absent under a lease that outlives the key; a lost answer is resolved by reading back.

While the platform is out the answer is in_doubt and not not_run: an earlier copy with the same key may have run. A key that would be refused by quota or load is not bound, so that it stays good for another time.

--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -87,6 +87,18 @@
         Err(Refusal::new(Status::NotFound, Reason::NotFound, detail))
     }
 
+    pub(super) fn kind(&self) -> &str {
+        &self.kind
+    }
+
+    pub(super) fn task_count(&self) -> u16 {
+        u16::try_from(self.payloads.len()).unwrap_or(u16::MAX)
+    }
+
+    pub(super) fn deadline_ms(&self) -> Option<u32> {
+        self.deadline_ms
+    }
+
     pub(super) fn submission(self, job: JobId, caller: &Caller) -> Submission {
         let content = content_hash(self.unit, &self.kind, &self.payloads);
         Submission {
@@ -120,7 +132,7 @@
     } else {
         forward(shared, id, ToEntry::Submit(submission)).await
     };
-    Reply { id, answer }
+    Reply { id: Some(id), answer }
 }
 
 async fn forward(
@@ -173,7 +185,7 @@
     } else {
         forward(shared, id, ToEntry::Fetch { job: id }).await
     };
-    Ok(Reply { id, answer })
+    Ok(Reply { id: Some(id), answer })
 }
 
 #[delete("/v1/jobs/<id>")]
@@ -188,5 +200,5 @@
     } else {
         forward(shared, id, ToEntry::Cancel { job: id }).await
     };
-    Ok(Reply { id, answer })
+    Ok(Reply { id: Some(id), answer })
 }
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP for callers: ids, jobs and requests.
 
+mod binder;
 mod body;
 mod ids;
 mod jobs;
@@ -11,6 +12,7 @@
 use rocket::{Catcher, Request, Route, catch, catchers, http::Status, routes};
 
 pub use {
+    binder::{BindError, Binder},
     body::{BodyLength, read_json},
     reply::{Refusal, Reply},
 };
--- a/crates/entry/src/callers/reply.rs
+++ b/crates/entry/src/callers/reply.rs
@@ -23,8 +23,8 @@
 /// The answer on one job.
 #[derive(Clone, Debug)]
 pub struct Reply {
-    /// The job.
-    pub id: JobId,
+    /// The job, if it has an id.
+    pub id: Option<JobId>,
     /// The answer.
     pub answer: Arc<Answer>,
 }
@@ -38,6 +38,14 @@
     retry_after_ms: Option<u64>,
 }
 
+impl Reply {
+    /// An answer on a submission that got no id.
+    #[must_use]
+    pub fn without_id(answer: Answer) -> Self {
+        Self { id: None, answer: Arc::new(answer) }
+    }
+}
+
 impl Refusal {
     /// Refuses, and counts it.
     #[must_use]
@@ -92,7 +100,7 @@
     fn respond_to(self, _request: &'r Request<'_>) -> RocketResult<'static> {
         let answer = &*self.answer;
         let body = Body {
-            id: Some(self.id.to_string()),
+            id: self.id.map(|id| id.to_string()),
             outcome: Some(answer.outcome),
             reason: answer.reason,
             step: answer.step,
--- a/crates/entry/src/callers/status.rs
+++ b/crates/entry/src/callers/status.rs
@@ -47,9 +47,14 @@
 fn of_in_doubt(reason: Reason) -> Status {
     match reason {
         Reason::NotSubmitted => Status::NotFound,
-        Reason::MemoryFull | Reason::PlatformOut | Reason::PlatformBudget => {
-            Status::ServiceUnavailable
-        }
+        Reason::QuotaUsedUp | Reason::Overloaded => Status::TooManyRequests,
+        Reason::NeverPlaceable => Status::UnprocessableEntity,
+        Reason::MemoryFull
+        | Reason::PlatformOut
+        | Reason::PlatformBudget
+        | Reason::Draining
+        | Reason::NoUpstream
+        | Reason::DeadlineUnreachable => Status::ServiceUnavailable,
         _ => Status::Accepted,
     }
 }
--- a/crates/entry/src/dispatch/admit.rs
+++ b/crates/entry/src/dispatch/admit.rs
@@ -1,7 +1,10 @@
 //! Whether a submission is taken.
 
 use {
-    super::{choose::ask, kinds::numbers},
+    super::{
+        choose::ask,
+        kinds::{KindNumbers, numbers},
+    },
     crate::{
         jobs::Refused,
         organisations::{Kind, Organisation},
@@ -25,21 +28,60 @@
     submission: &Submission,
 ) -> Result<(), Refused> {
     let numbers = numbers(shared, kind);
-    let (queue_room, backlog) = shared.dispatch.room(organisation.key, kind.urgency);
-    let submitted = Submitted {
-        ask: ask(shared, kind, &numbers, &[], &[]),
-        tasks: u16::try_from(submission.payloads.len()).unwrap_or(u16::MAX),
-        deadline_ms: submission.deadline_ms.map_or(kind.deadline_ms, |ms| ms.min(kind.deadline_ms)),
-        least_run_ms: numbers.least_run_ms,
-        queue_room,
-        backlog,
-    };
+    let tasks = u16::try_from(submission.payloads.len()).unwrap_or(u16::MAX);
+    let submitted =
+        submitted(shared, organisation, kind, &numbers, (tasks, submission.deadline_ms));
     let limit = shared.dispatch.quotas.limit(organisation);
     let view = &shared.upstreams.snapshot().view;
     admission::admit(&submitted, &limit, view, &numbers.forecast, shared.now_ms())
         .map_err(|refusal| refused(&refusal, kind))
 }
 
+/// Whether a submission would be taken now. It counts against nothing.
+///
+/// # Errors
+///
+/// Why it would not.
+pub fn would_admit(
+    shared: &Shared,
+    organisation: &Arc<Organisation>,
+    kind: &Arc<Kind>,
+    tasks: u16,
+    deadline_ms: Option<u32>,
+) -> Result<(), Refused> {
+    let numbers = numbers(shared, kind);
+    let submitted = submitted(shared, organisation, kind, &numbers, (tasks, deadline_ms));
+    let now_ms = shared.now_ms();
+    let view = &shared.upstreams.snapshot().view;
+    shared
+        .dispatch
+        .quotas
+        .limit(organisation)
+        .check(tasks, now_ms)
+        .and_then(|()| admission::check_placeable(&submitted, view, now_ms))
+        .and_then(|()| admission::check_room(&submitted, &numbers.forecast))
+        .and_then(|()| admission::check_deadline(&submitted, &numbers.forecast))
+        .map_err(|refusal| refused(&refusal, kind))
+}
+
+fn submitted<'a>(
+    shared: &Shared,
+    organisation: &Organisation,
+    kind: &'a Kind,
+    numbers: &KindNumbers,
+    (tasks, deadline_ms): (u16, Option<u32>),
+) -> Submitted<'a> {
+    let (queue_room, backlog) = shared.dispatch.room(organisation.key, kind.urgency);
+    Submitted {
+        ask: ask(shared, kind, numbers, &[], &[]),
+        tasks,
+        deadline_ms: deadline_ms.map_or(kind.deadline_ms, |ms| ms.min(kind.deadline_ms)),
+        least_run_ms: numbers.least_run_ms,
+        queue_room,
+        backlog,
+    }
+}
+
 fn refused(refusal: &admission::Refusal, kind: &Kind) -> Refused {
     let detail = match refusal.reason {
         Reason::NeverPlaceable => {
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 pub(crate) use observe::{declare, judged, ran};
 
 pub use {
-    admit::admit,
+    admit::{admit, would_admit},
     kinds::{KindNumbers, numbers as kind_numbers},
     observe::{Observed, Service, answered, observe_until, upstreams_changed},
     pace::pace,
--- a/crates/entry/src/seams.rs
+++ b/crates/entry/src/seams.rs
@@ -1,12 +1,13 @@
 //! Where other parts of the entry come in: closures with plain defaults.
 //!
-//! `peers` replaces [`Seams::forward`], [`Seams::on_entry_connection`],
-//! [`Seams::on_fenced`] and [`Seams::on_config_mark`]; see
-//! `Entry::start_with`.
+//! `peers` replaces [`Seams::forward`], [`Seams::on_entry_connection`] and
+//! [`Seams::on_fenced`], `cluster` [`Seams::on_config_mark`] and
+//! [`Seams::mount`]; see `Entry::start_with`.
 
 use {
-    crate::shared::Shared,
+    crate::{callers::Binder, shared::Shared},
     futures::future::BoxFuture,
+    rocket::{Build, Rocket},
     std::{fmt, sync::Arc},
     sycamorerail_wire::{
         answer::{Answer, Outcome, Reason, Step},
@@ -31,7 +32,12 @@
 /// A higher configuration mark than the own one was seen.
 pub type OnConfigMark = dyn Fn(&Shared, ConfigMark) + Send + Sync;
 
+/// Adds routes to the HTTP server.
+pub type Mount = dyn Fn(Rocket<Build>) -> Rocket<Build> + Send + Sync;
+
 /// All seams.
+///
+/// [`Seams::binder`] is the platform's part in callers' own keys.
 pub struct Seams {
     /// See [`Forward`].
     pub forward: Box<Forward>,
@@ -41,8 +47,12 @@
     pub usable_since: Box<UsableSince>,
     /// See [`OnFenced`].
     pub on_fenced: Box<OnFenced>,
+    /// Binds callers' own keys; without it they are put off.
+    pub binder: Option<Binder>,
     /// See [`OnConfigMark`].
     pub on_config_mark: Box<OnConfigMark>,
+    /// See [`Mount`].
+    pub mount: Box<Mount>,
 }
 
 impl fmt::Debug for Seams {
@@ -61,6 +71,8 @@
             usable_since: Box::new(|shared, _| Some(shared.next_event())),
             on_fenced: Box::new(|shared, incarnation| shared.retire(incarnation)),
             on_config_mark: Box::new(|_, _| {}),
+            binder: None,
+            mount: Box::new(|rocket| rocket),
         }
     }
 }
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -5,11 +5,19 @@
 mod agent;
 
 use {
-    reqwest::{Client, Method},
+    reqwest::{Client, Method, RequestBuilder},
     serde_json::{Value, json},
     sha2::{Digest, Sha256},
-    std::{net::SocketAddr, time::Duration},
-    sycamorerail_entry::entry::{Entry, EntryHandle},
+    std::{
+        net::SocketAddr,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    sycamorerail_entry::{
+        callers::Binder,
+        entry::{Entry, EntryHandle},
+        seams::Seams,
+    },
+    sycamorerail_platform::{Platform, PlatformConfig},
     sycamorerail_settings::{
         entry::{EntrySettings, LimitSettings, PlatformSettings},
         keys::KeySettings,
@@ -17,8 +25,10 @@
             KindTemplate, PlacementTemplate, Priority, Quota, SpreadTemplate, Template, Urgency,
         },
     },
+    sycamorerail_standin::platform::{PlatformStandin, PlatformStandinConfig},
     sycamorerail_telemetry::invariant,
     sycamorerail_wire::keys::{PemPair, Role, issue, make_authority},
+    uuid::{NoContext, Timestamp, Uuid},
 };
 
 pub use agent::FakeAgent;
@@ -54,12 +64,28 @@
         Self::with_limits(|_| {}).await
     }
 
+    /// With a platform that binds callers' own keys.
+    pub async fn with_platform() -> (Self, PlatformStandin) {
+        let standin = PlatformStandin::start(PlatformStandinConfig::default()).await.unwrap();
+        let config =
+            PlatformConfig { url: standin.url(), timeout_ms: 500, call_budget_per_s: 1_000 };
+        let platform = Platform::new(config).unwrap();
+        let retention_ms = LimitSettings::default().retention_ms;
+        let binder = Some(Binder::new(platform, 500, retention_ms));
+        let seams = Seams { binder, ..Seams::default() };
+        (Self::with_seams(LimitSettings::default(), seams).await, standin)
+    }
+
     pub async fn with_limits(change: impl FnOnce(&mut LimitSettings)) -> Self {
-        invariant::set_fatal(true);
-        let authority = make_authority("test").unwrap();
         let mut limits = LimitSettings { drain_ms: 20_000, ..LimitSettings::default() };
         change(&mut limits);
-        let entry = Entry::start(settings(&authority, limits)).await.unwrap();
+        Self::with_seams(limits, Seams::default()).await
+    }
+
+    async fn with_seams(limits: LimitSettings, seams: Seams) -> Self {
+        invariant::set_fatal(true);
+        let authority = make_authority("test").unwrap();
+        let entry = Entry::start_with(settings(&authority, limits), seams).await.unwrap();
         entry.put_in_force(vec![template("alpenfunk"), template("rangmancha")]);
         Self { authority, entry, http: Client::new() }
     }
@@ -96,6 +122,12 @@
         self.call(Method::PUT, &format!("/v1/requests/{id}"), "alpenfunk", Some(body)).await
     }
 
+    pub async fn post_keyed(&self, path: &str, key: &str, body: &Value) -> Got {
+        let url = format!("http://{}{path}", self.entry.http_address());
+        let request = self.http.post(url).header("Idempotency-Key", key);
+        got(request.header("Authorization", "Bearer alpenfunk").body(body.to_string())).await
+    }
+
     pub async fn fetch(&self, id: &str) -> Got {
         self.call(Method::GET, &format!("/v1/jobs/{id}"), "alpenfunk", None).await
     }
@@ -133,6 +165,10 @@
     if let Some(body) = body {
         request = request.body(body.to_string());
     }
+    got(request).await
+}
+
+async fn got(request: RequestBuilder) -> Got {
     let response = request.send().await.unwrap();
     let status = response.status().as_u16();
     let retry_after = response.headers().get("retry-after");
@@ -142,6 +178,14 @@
     Got { status, body, retry_after }
 }
 
+/// A caller's own key that was made so many milliseconds ago.
+pub fn key_of_age(age_ms: u64) -> String {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let made = now - Duration::from_millis(age_ms);
+    let timestamp = Timestamp::from_unix(NoContext, made.as_secs(), made.subsec_nanos());
+    Uuid::new_v7(timestamp).to_string()
+}
+
 fn settings(authority: &PemPair, limits: LimitSettings) -> EntrySettings {
     let own = issue(authority, Role::Entry, "entry").unwrap();
     EntrySettings {
