Entry: templates from the platform, and the administration API

Cause: the entry took its templates from a hidden option; operators had no way to publish.

Change: an entry of a cluster has one mirror of the platform's prefix, which feeds the templates in force and the membership. While the platform is out, or does not answer this entry, records are taken page by page from all peers; it is not ready before it has a set. The administration API serves organisations with If-Match and If-None-Match, history, roll back, check, the fate of a change, rollout, status and drain, to operators only. After a change peers are told the new mark.

--- /dev/null
+++ b/crates/entry/src/admin/mod.rs
@@ -0,0 +1,59 @@
+//! HTTP for operators: templates, their history and rollout, status, drain.
+
+mod change;
+mod condition;
+mod drain;
+mod operator;
+mod read;
+mod reply;
+mod rollout;
+mod status;
+
+use {
+    crate::{organisations::TokenHash, peers::Peers},
+    rocket::{Build, Rocket, routes},
+    std::{collections::HashMap, sync::Arc},
+    sycamorerail_settings::entry::TokenSettings,
+    sycamorerail_templates::{InForce, Publisher},
+};
+
+/// What the administration needs.
+#[derive(Debug)]
+pub struct Admin {
+    operators: HashMap<TokenHash, String>,
+    in_force: InForce,
+    publisher: Publisher,
+    peers: Peers,
+}
+
+impl Admin {
+    /// The administration of one entry, open to these operators.
+    #[must_use]
+    pub fn new(
+        operators: &[TokenSettings],
+        in_force: InForce,
+        publisher: Publisher,
+        peers: Peers,
+    ) -> Self {
+        let hashed = |operator: &TokenSettings| {
+            let hash = crate::organisations::parse_hash(&operator.token_sha256)?;
+            Some((hash, operator.name.clone()))
+        };
+        let operators = operators.iter().filter_map(hashed).collect();
+        Self { operators, in_force, publisher, peers }
+    }
+}
+
+/// Adds the administration to an entry's HTTP server.
+#[must_use]
+pub fn mount(rocket: Rocket<Build>, admin: Arc<Admin>) -> Rocket<Build> {
+    let changes =
+        routes![change::put, change::delete, change::rollback, change::check, change::look_up,];
+    let reads = routes![read::list, read::current, read::history, read::revision];
+    let others = routes![rollout::rollout, status::status, drain::drain];
+    rocket
+        .manage(admin)
+        .mount("/v1/admin", changes)
+        .mount("/v1/admin", reads)
+        .mount("/v1/admin", others)
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -134,6 +134,7 @@
         };
         self.stop.send_replace(true);
         shared.endpoint.close(0u32.into(), b"stopped");
+        let _ = tokio::time::timeout(CLOSE_PAUSE, shared.endpoint.wait_idle()).await;
         let whole = jobs == 0 && requests == 0 && closed;
         check(Invariant::NoCutInDrain, whole, &shared.settings.name);
         event!(Info, "entry_stopped", cut_jobs = jobs, cut_requests = requests);
@@ -178,7 +179,7 @@
 }
 
 fn build(shared: &Arc<Shared>, bound: oneshot::Sender<SocketAddr>) -> Rocket<Build> {
-    rocket::custom(config(shared))
+    let rocket = rocket::custom(config(shared))
         .manage(Arc::clone(shared))
         .attach(AdHoc::on_request("in flight", |request, _| {
             Box::pin(async move {
@@ -192,7 +193,8 @@
         .attach(AdHoc::on_shutdown("close", |_| Box::pin(tokio::time::sleep(CLOSE_PAUSE))))
         .mount("/", callers::routes())
         .mount("/", health::routes())
-        .register("/", callers::catchers())
+        .register("/", callers::catchers());
+    (shared.seams.mount)(rocket)
 }
 
 async fn tell_bound(rocket: &Rocket<Orbit>, bound: oneshot::Sender<SocketAddr>) {
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -2,6 +2,7 @@
 
 use {
     std::{fmt, net::SocketAddr},
+    sycamorerail_platform::PlatformError,
     sycamorerail_wire::{keys::KeyError, session::SessionError},
 };
 
@@ -12,6 +13,8 @@
     Keys(KeyError),
     /// The inner protocol's socket could not be opened.
     Session(SessionError),
+    /// The platform's client could not be set up.
+    Platform(PlatformError),
     /// The HTTP server failed.
     Http {
         /// Its address.
@@ -33,6 +36,7 @@
         match self {
             Self::Keys(err) => write!(f, "keys: {err}"),
             Self::Session(err) => write!(f, "inner protocol: {err}"),
+            Self::Platform(err) => write!(f, "platform: {err}"),
             Self::Http { address, cause } => write!(f, "HTTP at {address}: {cause}"),
             Self::DrainCut { jobs, requests } => {
                 write!(f, "drain: cut {jobs} jobs and {requests} requests at drain_ms")
@@ -54,3 +58,9 @@
         Self::Session(err)
     }
 }
+
+impl From<PlatformError> for EntryError {
+    fn from(err: PlatformError) -> Self {
+        Self::Platform(err)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,10 @@
 //! An entry: serves callers and operators, and is the home of the jobs it
 //! accepts.
 
+pub mod admin;
 pub mod callers;
 pub mod clock;
+pub mod cluster;
 pub mod counters;
 pub mod dispatch;
 pub mod drain;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -5,12 +5,8 @@
 use {
     options::Options,
     std::{fmt::Display, process::ExitCode},
-    sycamorerail_entry::{
-        counters,
-        entry::{Entry, EntryHandle},
-        error::EntryError,
-    },
-    sycamorerail_settings::{entry::EntrySettings, template::Template},
+    sycamorerail_entry::{cluster::ClusterEntry, counters, error::EntryError},
+    sycamorerail_settings::entry::EntrySettings,
     sycamorerail_telemetry::{invariant, logs},
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -36,30 +32,21 @@
         Ok(settings) => settings,
         Err(err) => return fail(Exit::BadSettings, &err),
     };
-    let templates: Result<Vec<_>, _> =
-        options.templates.iter().map(|path| Template::load(path)).collect();
-    let templates = match templates {
-        Ok(templates) => templates,
-        Err(err) => return fail(Exit::BadSettings, &err),
-    };
     if options.check {
         return Exit::Success.into();
     }
     logs::init(logs::level(&settings.log_level).unwrap_or(log::LevelFilter::Info));
     counters::install();
     invariant::set_fatal(settings.fatal_invariants);
-    run(settings, templates)
+    run(settings)
 }
 
 #[tokio::main]
-async fn run(settings: EntrySettings, templates: Vec<Template>) -> ExitCode {
-    let entry = match Entry::start(settings).await {
+async fn run(settings: EntrySettings) -> ExitCode {
+    let entry = match ClusterEntry::start(settings).await {
         Ok(entry) => entry,
         Err(err) => return fail(Exit::Failure, &err),
     };
-    if !templates.is_empty() {
-        entry.put_in_force(templates);
-    }
     match serve(entry).await {
         Ok(()) => Exit::Success.into(),
         Err(err @ EntryError::DrainCut { .. }) => fail(Exit::DrainCut, &err),
@@ -67,7 +54,7 @@
     }
 }
 
-async fn serve(mut entry: EntryHandle) -> Result<(), EntryError> {
+async fn serve(mut entry: ClusterEntry) -> Result<(), EntryError> {
     let mut terminate = signal(SignalKind::terminate()).ok();
     let mut interrupt = signal(SignalKind::interrupt()).ok();
     tokio::select! {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -12,8 +12,4 @@
     /// check the settings and exit
     #[argh(switch)]
     pub check: bool,
-
-    /// template to put in force in place of the platform's; for trials only
-    #[argh(option, arg_name = "file", hidden_help)]
-    pub templates: Vec<PathBuf>,
 }
--- a/crates/templates/src/envelope.rs
+++ b/crates/templates/src/envelope.rs
@@ -184,6 +184,15 @@
         Some(&past.stamp)
     }
 
+    /// Whether a revision that is kept deleted the organisation.
+    #[must_use]
+    pub fn is_deletion(&self, revision: u64) -> bool {
+        if revision == self.revision {
+            return self.deleted;
+        }
+        self.history.iter().any(|past| past.revision == revision && past.deleted)
+    }
+
     /// The template of a revision, if it is kept and no tombstone.
     #[must_use]
     pub fn yaml_of(&self, revision: u64) -> Option<&str> {
