--- a/crates/entry/src/seams.rs
+++ b/crates/entry/src/seams.rs
@@ -8,7 +8,6 @@
     crate::{callers::Binder, shared::Shared},
     futures::future::BoxFuture,
     rocket::{Build, Rocket},
-    rocket::{Build, Rocket},
     std::{fmt, sync::Arc},
     sycamorerail_wire::{
         answer::{Answer, Outcome, Reason, Step},
@@ -72,7 +71,6 @@
             usable_since: Box::new(|shared, _| Some(shared.next_event())),
             on_fenced: Box::new(|shared, incarnation| shared.retire(incarnation)),
             on_config_mark: Box::new(|_, _| {}),
-            mount: Box::new(|rocket| rocket),
             binder: None,
             mount: Box::new(|rocket| rocket),
         }
