--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -46,6 +46,7 @@
 struct State {
     running: BTreeMap<String, ChildProcess>,
     ended: Vec<Ended>,
+    keep_files: bool,
 }
 
 /// A process that ended.
@@ -357,7 +358,7 @@
     /// When the system refuses.
     pub fn reap(&self) -> eyre::Result<()> {
         let mut state = self.state.lock();
-        let State { running, ended } = &mut *state;
+        let State { running, ended, .. } = &mut *state;
         let mut gone = Vec::new();
         for (name, child) in running.iter_mut() {
             if let Some(status) = child.ended()? {
@@ -432,20 +433,19 @@
         log_tail(&self.log(name), TAIL_LINES)
     }
 
-    /// Keeps settings and logs after the end; returns where they are.
-    #[must_use]
-    pub fn keep_files(&mut self) -> Option<PathBuf> {
-        self.directory.take().map(TempDir::keep)
+    /// Keeps settings and logs after the end, and tells where they are.
+    pub fn keep_files_on_drop(&self) {
+        self.state.lock().keep_files = true;
     }
 }
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        self.state.lock().running.clear();
-        if std::thread::panicking()
-            && let Some(path) = self.keep_files()
-        {
-            eprintln!("settings and logs are kept in {}", path.display());
+        let state = self.state.get_mut();
+        state.running.clear();
+        let keep = state.keep_files || std::thread::panicking();
+        if let Some(directory) = self.directory.take().filter(|_| keep) {
+            eprintln!("settings and logs are kept in {}", directory.keep().display());
         }
     }
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,10 +5,15 @@
 //! they are told, which is held against the starts counted by the upstreams'
 //! stand-ins.
 
+pub mod balancer;
 pub mod binaries;
 pub mod caller;
 pub mod cluster;
+pub mod ledger;
+pub mod load;
 pub mod operator;
 pub mod plan;
 pub mod process;
+pub mod standins;
+pub mod testing;
 pub mod wait;
--- /dev/null
+++ b/crates/soak/tests/agent_killed.rs
@@ -0,0 +1,116 @@
+//! An agent is killed or frozen in the middle of tasks.
+
+use {
+    eyre::ensure,
+    futures::future::{join_all, try_join_all},
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+    sycamorerail_bench::client::Outcome,
+    sycamorerail_soak::{
+        caller::Submission,
+        load::Load,
+        plan::{Plan, fields},
+        standins::starts_at,
+        testing::{wait_starts, with_cluster},
+    },
+    tokio::time::sleep,
+};
+
+const IDLE_TIMEOUT_MS: u64 = 1_500;
+
+fn plan() -> Plan {
+    Plan {
+        entry: fields(json!({
+            "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MS, "lost_after_ms": 500},
+        })),
+        agent: fields(json!({"idle_timeout_ms": IDLE_TIMEOUT_MS, "heartbeat_ms": 500})),
+        ..Plan::default()
+    }
+}
+
+/// Jobs of two tasks, requests that may and requests that must not be repeated.
+async fn submissions(load: &Load) -> eyre::Result<Vec<(usize, Submission)>> {
+    let mut all = Vec::new();
+    for organisation in 0..load.cluster.organisations().len() {
+        for (number, id) in load.reserve(organisation, "entry-1", 9).await?.into_iter().enumerate()
+        {
+            let submission = match number % 3 {
+                0 => load.request(organisation, id, false, 1_500),
+                1 => load.request(organisation, id, true, 1_500),
+                _ => load.job(organisation, id, &[300, 1_500]),
+            };
+            all.push((organisation, submission));
+        }
+    }
+    Ok(all)
+}
+
+async fn submit_all(load: &Load, all: &[(usize, Submission)]) {
+    let calls = all.iter().map(|(organisation, one)| load.submit(*organisation, "entry-1", one));
+    join_all(calls).await;
+}
+
+async fn settle_all(load: &Load, all: &[(usize, Submission)]) -> eyre::Result<Vec<Outcome>> {
+    let settled = all.iter().map(|(organisation, one)| load.settle(*organisation, one));
+    Ok(try_join_all(settled).await?.into_iter().map(|answer| answer.outcome).collect())
+}
+
+/// Submits one request after the other until an upstream starts one.
+async fn wait_used(load: &Load, upstream: &str) -> eyre::Result<()> {
+    let before = starts_at(&load.cluster, upstream).await?.starts;
+    for _ in 0..200 {
+        let id = load.reserve_anywhere(0).await?;
+        load.settle(0, &load.request(0, id, true, 10)).await?;
+        if starts_at(&load.cluster, upstream).await?.starts > before {
+            return Ok(());
+        }
+    }
+    eyre::bail!("{upstream} was given nothing")
+}
+
+async fn kill_mid_task(load: Arc<Load>) -> eyre::Result<()> {
+    let all = submissions(&load).await?;
+    let kill = async {
+        wait_starts(&load.cluster, 10).await?;
+        ensure!(starts_at(&load.cluster, "upstream-1").await?.running > 0, "nothing was running");
+        load.cluster.kill("agent-1")
+    };
+    let ((), killed) = tokio::join!(submit_all(&load, &all), kill);
+    killed?;
+    settle_all(&load, &all).await?;
+
+    // The new run knows nothing of the old one's starts, and repeats none.
+    load.cluster.run("agent-1")?;
+    load.cluster.wait_ready("agent-1").await?;
+    wait_used(&load, "upstream-1").await?;
+    settle_all(&load, &all).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn kill_mid_task_restart() {
+    with_cluster(plan(), kill_mid_task).await;
+}
+
+/// Frozen for longer than the idle timeout: entries take it for dead, and it
+/// comes back with all it had.
+async fn freeze_mid_task(load: Arc<Load>) -> eyre::Result<()> {
+    let all = submissions(&load).await?;
+    let freeze = async {
+        wait_starts(&load.cluster, 10).await?;
+        load.cluster.freeze("agent-1")?;
+        sleep(Duration::from_millis(3 * IDLE_TIMEOUT_MS)).await;
+        load.cluster.thaw("agent-1")
+    };
+    let ((), frozen) = tokio::join!(submit_all(&load, &all), freeze);
+    frozen?;
+    load.cluster.wait_ready("agent-1").await?;
+    wait_used(&load, "upstream-1").await?;
+    settle_all(&load, &all).await?;
+    Ok(())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn freeze_mid_task_thaw() {
+    with_cluster(plan(), freeze_mid_task).await;
+}
