--- a/crates/entry/src/cluster.rs
+++ b/crates/entry/src/cluster.rs
@@ -6,6 +6,8 @@
 use {
     crate::{
         admin::{self, Admin},
+        callers::Binder,
+        dispatch,
         entry::{Entry, EntryHandle},
         error::EntryError,
         organisations::Organisations,
@@ -79,6 +81,12 @@
         let peers = Peers::new(sources(&in_force));
         let admin =
             Admin::new(&settings.operators, in_force.clone(), publisher.clone(), peers.clone());
+        let binder = Binder::new(
+            platform.clone(),
+            settings.platform.key_budget_per_s,
+            settings.limits.retention_ms,
+        );
+        let base = Seams { binder: Some(binder), ..base };
         let seams = seams(peers.seams(base), &in_force, Arc::new(admin));
         let entry = Entry::start_with(settings, seams).await?;
         let shared = &entry.shared;
@@ -125,7 +133,8 @@
             tells.records_since(since)
         }),
         revisions: Box::new(move || lists.load().revisions()),
-        ..Sources::default()
+        usage: Box::new(|shared| Some(dispatch::report_usage(shared))),
+        on_usage: Box::new(|shared, report| dispatch::hear_usage(shared, &report)),
     }
 }
 
