--- a/crates/decide/tests/fence_model.rs
+++ b/crates/decide/tests/fence_model.rs
@@ -241,7 +241,7 @@
     }
 
     fn drive(&mut self, job: usize, event: Event) {
-        let actions = self.jobs[job].on(event, self.now_ms, &mut |_| true);
+        let actions = self.jobs[job].on(event, self.now_ms, &mut |_| Some(0));
         for action in actions {
             match action {
                 Action::Enqueue { task, .. } => self.waiting.push((job, task)),
