Demo: changes, own keys, status and a drain

The administration API and own keys had come, and the demo left them out. It now publishes a change, goes back through the other entry, waits until that is in force at both, submits under an own key at both entries, and stops one entry by a drain.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,7 +19,7 @@
 # Longest waits, in seconds. A stop waits for requests in flight.
 readonly READY_S=60 STOP_S=90
 # Exit codes of the command line.
-readonly OK=0 CONFLICT=14 NOT_FOUND=15 FORBIDDEN=16
+readonly OK=0 DIFFERENT=4 CONFLICT=14 NOT_FOUND=15 FORBIDDEN=16
 readonly NO_TOKEN_SHA256=$(printf '0%.0s' {1..64})
 readonly ENTRIES="entry-1 entry-2" AGENTS="agent-1 agent-2 agent-3"
 readonly UPSTREAMS="upstream-1 upstream-2 upstream-3"
@@ -221,9 +221,10 @@
 # --- the deployments -------------------------------------------------------
 
 # Sends a job of three tasks through one entry and a request through the other,
-# each again at the other entry, another body under the job's id, and fetches.
+# and a request under an own key, each again at the other entry; another body
+# under the job's id; and fetches.
 run_deployment() { # organisation job-kind request-kind task task task payload
-    local org=$1 job_kind=$2 request_kind=$3 payload=$7 id
+    local org=$1 job_kind=$2 request_kind=$3 payload=$7 id key
     local job=(submit --kind "$job_kind" --task "$4" --task "$5" --task "$6")
     local request=(submit --kind "$request_kind" --payload "$payload")
 
@@ -244,16 +245,43 @@
     same "$org-request" "$org-request-again" "the answer to a resubmission"
     results "$org-request" 1
 
+    say "$org: a request under the caller's own key, and the same again at the other entry"
+    key=$(uuid_v7)
+    check "$org-key" $OK entry-1 "$org" "${request[@]}" --key "$key"
+    check "$org-key-again" $OK entry-2 "$org" "${request[@]}" --key "$key"
+    same "$org-key" "$org-key-again" "the answer to a resubmission"
+
     say "$org: the answer is kept, for this organisation alone"
     check "$org-fetch" $OK entry-1 "$org" fetch "$id"
     same "$org-request" "$org-fetch" "the fetched answer"
     check "$org-foreign" $NOT_FOUND entry-2 "$(other "$org")" fetch "$id"
 }
 
+# A UUID of version 7: 48 bits of Unix time in milliseconds, then random ones.
+uuid_v7() {
+    local time
+    time=$(printf '%012x' "$(date +%s%3N)")
+    printf '%s-%s-7%03x-%04x-%04x%04x%04x\n' "${time:0:8}" "${time:8}" $((RANDOM % 4096)) \
+        $((0x8000 + RANDOM % 16384)) $RANDOM $RANDOM $RANDOM
+}
+
 other() { # organisation
     if [[ $1 == alpenfunk ]]; then echo rangmancha; else echo alpenfunk; fi
 }
 
+# Publishes a change through one entry, and goes back through the other.
+change_and_roll_back() {
+    local changed=$work/settings/alpenfunk-changed.yaml
+    sed 's/starts_per_s: 1000/starts_per_s: 900/' "$work/settings/alpenfunk.yaml" >"$changed"
+    say "an operator changes a quota, and another goes back"
+    check diff $DIFFERENT entry-1 operator diff "$changed"
+    check publish-change $OK entry-1 operator publish --revision 1 "$changed"
+    check rollback $OK entry-2 operator rollback alpenfunk --to 1 --revision 2
+    wait_until "revision 3 is in force at both entries" $READY_S in_force 3
+    check diff-back $OK entry-2 operator diff "$work/settings/alpenfunk.yaml"
+    check history $OK entry-2 operator history alpenfunk
+}
+
 id_of() { # name of an output
     awk '$1 == "id:" { print $2 }' "$work/out/$1"
 }
@@ -266,12 +294,13 @@
 
 # --- what came of it -------------------------------------------------------
 
-in_force() { # both templates, at both entries
+# Whether both entries have both templates, alpenfunk's at this revision or later.
+in_force() { # revision
     SYCAMORERAIL_ENTRY=$(url entry-1) SYCAMORERAIL_TOKEN=${token_of[operator]} \
         "$BIN/sycamorerail" rollout 2>/dev/null |
-        awk 'NR == 1 { for (i = 4; i <= NF; i++) columns++ }
-             NR > 1 && $4 >= 1 && $5 >= 1 { entries++ }
-             END { exit !(columns == 2 && entries == 2) }'
+        awk -v least="$1" 'NR == 1 { for (i = 4; i <= NF; i++) column[$i] = i }
+             NR > 1 && $column["alpenfunk"] >= least && $column["rangmancha"] >= 1 { entries++ }
+             END { exit !(length(column) == 2 && entries == 2) }'
 }
 
 # Counters of a process that are not zero.
@@ -360,7 +389,7 @@
         check "publish-$organisation" $OK entry-1 operator \
             publish --create "$work/settings/$organisation.yaml"
     done
-    wait_until "both templates are in force at both entries" $READY_S in_force
+    wait_until "both templates are in force at both entries" $READY_S in_force 1
     say "a second operator who thinks that nothing is published gets a conflict"
     check publish-again $CONFLICT entry-2 operator \
         publish --create "$work/settings/alpenfunk.yaml"
@@ -380,14 +409,19 @@
     run_deployment rangmancha headshot-match slot-confirmation \
         '{"echo":{"sheet":1}}' '{"echo":{"sheet":2}}' '{"echo":{"sheet":3}}' \
         '{"echo":{"slot":"tuesday-11","actor":"howrah-7"}}'
+    change_and_roll_back
     say "an organisation that is not known"
     check unknown-organisation $NOT_FOUND entry-1 operator history nobody
-    say "the revisions in force, by entry"
+    say "the organisations, and the revisions in force by entry"
+    check organisations $OK entry-2 operator organisations
     check rollout $OK entry-1 operator rollout
+    say "the state, as entry-2 sees it"
+    check status $OK entry-2 operator status
     print_counters
-    check_starts 8
+    check_starts 10
     check_invariants
-    say "stopping"
+    say "stopping: entry-1 by a drain, the others by SIGTERM"
+    check drain $OK entry-1 operator drain
 }
 
 trap finish EXIT
