--- a/crates/agent/tests/place.rs
+++ b/crates/agent/tests/place.rs
@@ -10,6 +10,10 @@
         ids::Incarnation,
         message::{AgentReplyBody, ConfigMark, Placement, ToAgent},
     },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
 };
 
 const SLOW: &str = r#"{"run_ms":600000}"#;
@@ -163,3 +167,46 @@
     };
     assert_eq!(reason, Reason::TooLarge);
 }
+
+/// Takes calls, answers each with these bytes, and closes its connection.
+async fn answer_raw(upstream: TcpListener, bytes: &'static str) {
+    while let Ok((mut call, _)) = upstream.accept().await {
+        let mut seen = Vec::new();
+        while !seen.ends_with(b"{}") && call.read_buf(&mut seen).await.unwrap() > 0 {}
+        call.write_all(bytes.as_bytes()).await.unwrap();
+    }
+}
+
+#[tokio::test]
+async fn raw_answers() {
+    let cluster = Cluster::start(1).await;
+    let mut replies = Vec::new();
+    for (sequence, answer) in [
+        "",
+        "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n{\"a\"",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+        "HTTP/1.1 302 Found\r\nlocation: /other\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\ncontent-length: 4\r\n\r\nwhat",
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n[1]",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        cluster.announce(upstream.local_addr().unwrap()).await;
+        let answering = tokio::spawn(answer_raw(upstream, answer));
+        replies.push(match cluster.entry.place(&cluster.placement(sequence as u64, "{}")).await {
+            AgentReplyBody::Ended { end, .. } => format!("{end:?}"),
+            other => format!("{other:?}"),
+        });
+        answering.abort();
+    }
+    insta::assert_snapshot!(replies.join("\n"), @r#"
+    Broken(UpstreamBroken)
+    Broken(UpstreamBroken)
+    Failed { reason: TaskFailed, detail: "the result is not JSON" }
+    Failed { reason: TaskFailed, detail: "status 302: " }
+    Failed { reason: TaskFailed, detail: "status 404: what" }
+    Finished(Payload("[1]"))
+    "#);
+}
--- a/crates/agent/tests/revoke.rs
+++ b/crates/agent/tests/revoke.rs
@@ -3,12 +3,13 @@
 mod support;
 
 use {
-    support::{Cluster, HOME, not_started, task, until},
+    support::{Cluster, HOME, PATIENCE, not_started, task, until},
     sycamorerail_wire::{
         answer::{Reason, TaskEnd, TaskRecord},
         ids::Incarnation,
         message::{AgentReplyBody, FencedJob, ToAgent},
     },
+    tokio::{io::AsyncReadExt, net::TcpListener},
 };
 
 const SLOW: &str = r#"{"run_ms":600000}"#;
@@ -47,6 +48,21 @@
     assert!(matches!(next, AgentReplyBody::Ended { .. }), "{next:?}");
 }
 
+#[tokio::test]
+async fn call_ended() {
+    let cluster = Cluster::start(1).await;
+    let upstream = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    cluster.announce(upstream.local_addr().unwrap()).await;
+    let _running = cluster.entry.place_later(&cluster.placement(1, "{}")).await;
+    let (mut call, _) = upstream.accept().await.unwrap();
+    assert!(call.read(&mut [0; 1]).await.unwrap() > 0);
+    cluster.entry.revoke(task(1)).await;
+    let mut rest = Vec::new();
+    // Ends when the agent has closed the connection, gracefully or not.
+    let ended = tokio::time::timeout(PATIENCE, call.read_to_end(&mut rest)).await;
+    assert!(ended.is_ok(), "the call goes on");
+}
+
 #[tokio::test]
 async fn while_queued() {
     let cluster = Cluster::start(1).await;
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -91,6 +91,12 @@
         self.heard.connection.lock().clone().unwrap()
     }
 
+    /// Whether an agent has said hello over another connection than this.
+    pub fn has_other_than(&self, connection: &Connection) -> bool {
+        let current = self.heard.connection.lock();
+        current.as_ref().is_some_and(|current| current.stable_id() != connection.stable_id())
+    }
+
     pub async fn call(&self, request: &ToAgent) -> AgentReply {
         let connection = self.connection().await;
         session::call(&connection, request, PATIENCE).await.unwrap()
@@ -207,6 +213,17 @@
         self.upstream.starts(false).starts
     }
 
+    /// Lets the stand-in leave and announces an upstream at `address` in its place.
+    pub async fn announce(&self, address: SocketAddr) {
+        self.upstream.leave().await.unwrap();
+        let url = format!("http://{}/v1/upstream", self.agent.http_address());
+        let body = serde_json::json!({
+            "name": "raw", "address": address, "slots": 1, "max_task_bytes": 1, "kinds": ["*"]
+        });
+        let put = reqwest::Client::new().put(url).body(body.to_string());
+        assert!(put.send().await.unwrap().status().is_success());
+    }
+
     pub async fn get(&self, path: &str) -> (u16, String) {
         let url = format!("http://{}{path}", self.agent.http_address());
         let response = reqwest::get(url).await.unwrap();
