Mirror: poll soon once the watch is down; split client and mirror

The pause between polls was fixed when it began: after the watch went down the mirror still slept out the long pause of a healthy one. The pause is now worked out anew when the watch breaks. A mark told by another process polled again and again where the copy was exact beyond it already (its newest change may be known there by a poll, at a later mark): it is now compared with both. Values are shared between copies of the table, as each event cloned all of them. The client's types and the mirror's tasks have files of their own. The stand-in can refuse watches and leave them open but silent.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,10 +5,11 @@
         budget::CallBudget,
         error::{Effect, PlatformError, PlatformErrorKind, PlatformStep},
         json::{
-            Compare, DeleteRequest, End, GrantRequest, Int, KeepAliveRequest, Kv, LeaseResponse,
+            Compare, DeleteRequest, End, GrantRequest, Int, KeepAliveRequest, LeaseResponse,
             Operation, PutRequest, RangeRequest, RangeResponse, Streamed, Text, TxnRequest,
             TxnResponse,
         },
+        value::{Expected, KeyValue, LeaseId, Range, Swap},
     },
     parking_lot::Mutex,
     reqwest::{Client, ClientBuilder, RequestBuilder},
@@ -40,58 +41,6 @@
     pub call_budget_per_s: u32,
 }
 
-/// A key and what is known of it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeyValue {
-    /// The key.
-    pub key: String,
-    /// Its value.
-    pub value: String,
-    /// Platform revision at which it was created.
-    pub created: u64,
-    /// Platform revision of its last change.
-    pub modified: u64,
-    /// The lease it is bound to; 0 for none.
-    pub lease: u64,
-}
-
-/// All keys of a prefix at one moment.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Range {
-    /// Platform revision of the answer.
-    pub mark: u64,
-    /// The keys, in their order.
-    pub items: Vec<KeyValue>,
-}
-
-/// The state of a key that a swap asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Expected {
-    /// There is no such key.
-    Absent,
-    /// Its last change was at this platform revision.
-    Modified(u64),
-}
-
-/// How a compare-and-swap ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Swap {
-    /// The change took effect at this platform revision.
-    Done {
-        /// Platform revision of the change.
-        mark: u64,
-    },
-    /// The comparison failed and nothing changed.
-    Lost {
-        /// The key as it is. As expected where only a guard failed.
-        current: Option<KeyValue>,
-    },
-}
-
-/// A lease at the platform.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct LeaseId(pub u64);
-
 /// The service, as one process uses it. Clones share connections and budget.
 #[derive(Clone, Debug)]
 pub struct Platform {
@@ -343,18 +292,6 @@
     }
 }
 
-impl From<Kv> for KeyValue {
-    fn from(kv: Kv) -> Self {
-        Self {
-            key: kv.key.0,
-            value: kv.value.0,
-            created: kv.create_revision.0,
-            modified: kv.mod_revision.0,
-            lease: kv.lease.0,
-        }
-    }
-}
-
 /// Counts a call by its kind and result.
 pub(crate) fn count(step: PlatformStep, error: Option<&PlatformError>) {
     let result = error.map_or("ok", |error| error.kind.name());
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,10 +9,12 @@
 mod json;
 pub mod mirror;
 pub mod table;
+pub mod value;
 pub mod watch;
 
 pub use {
-    client::{Expected, KeyValue, LeaseId, Platform, PlatformConfig, Range, Swap},
+    client::{Platform, PlatformConfig},
     error::{Effect, PlatformError, PlatformErrorKind, PlatformStep},
     mirror::Mirror,
+    value::{Expected, KeyValue, LeaseId, Range, Swap},
 };
--- /dev/null
+++ b/crates/platform/src/mirror/follow.rs
@@ -0,0 +1,78 @@
+//! The one watch, opened anew after each break.
+
+use {
+    super::{jittered, shared::Shared},
+    crate::{
+        error::PlatformError,
+        table::{Applied, Change},
+        watch::{Told, Watch},
+    },
+    std::sync::{Arc, atomic::Ordering},
+    sycamorerail_telemetry::event,
+    tokio::time::sleep,
+};
+
+/// First pause before a broken watch is opened again.
+const BACKOFF_FIRST_MS: u64 = 50;
+/// Longest pause before a broken watch is opened again.
+const BACKOFF_MOST_MS: u64 = 2_000;
+
+/// Follows the prefix by one watch after another as long as the mirror lives.
+pub(super) async fn follow(shared: Arc<Shared>) {
+    let mut backoff_ms = BACKOFF_FIRST_MS;
+    loop {
+        match follow_once(&shared).await {
+            Ok(()) => backoff_ms = BACKOFF_FIRST_MS,
+            Err(error) => {
+                event!(Debug, "platform_watch_failed", prefix = shared.prefix, error = error);
+            }
+        }
+        let was_up = shared.watch_up.swap(false, Ordering::AcqRel);
+        if was_up {
+            backoff_ms = BACKOFF_FIRST_MS;
+            shared.poll_wanted.notify_one();
+        }
+        sleep(jittered(backoff_ms)).await;
+        backoff_ms = (backoff_ms * 2).min(BACKOFF_MOST_MS);
+    }
+}
+
+async fn follow_once(shared: &Shared) -> Result<(), PlatformError> {
+    if !shared.published.load().synced() || shared.full_wanted.swap(false, Ordering::AcqRel) {
+        shared.poll().await?;
+    }
+    let start = shared.published.load().mark();
+    let watch = shared.platform.watch(&shared.prefix, start + 1).await?;
+    shared.watch_told.store(start, Ordering::Release);
+    shared.watch_up.store(true, Ordering::Release);
+    tokio::select! {
+        ended = take_in(shared, watch, start) => ended,
+        () = shared.watch_suspect.notified() => Ok(()),
+    }
+}
+
+async fn take_in(shared: &Shared, mut watch: Watch, start: u64) -> Result<(), PlatformError> {
+    // The watch told everything of the prefix from `start` up to here.
+    let mut after = start;
+    loop {
+        let applied = match watch.next().await? {
+            Told::Compacted => Applied::Refused,
+            Told::Progress(mark) => {
+                let applied = shared.change(|table| table.apply_progress(after, mark));
+                after = after.max(mark);
+                applied
+            }
+            Told::Changes(changes) => {
+                let applied = shared.change(|table| table.apply_changes(after, &changes));
+                let last = changes.iter().map(Change::revision).max().unwrap_or(0);
+                after = after.max(last);
+                applied
+            }
+        };
+        shared.watch_told.store(after, Ordering::Release);
+        if applied == Applied::Refused {
+            shared.full_wanted.store(true, Ordering::Release);
+            return Ok(());
+        }
+    }
+}
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -5,8 +5,8 @@
 //! Items from peers may be ahead of the mark; a key never moves back.
 
 use {
-    crate::client::KeyValue,
-    std::{collections::BTreeMap, ops::Bound},
+    crate::value::KeyValue,
+    std::{collections::BTreeMap, ops::Bound, sync::Arc},
 };
 
 /// One change of a key.
@@ -48,7 +48,8 @@
 /// A copy of one prefix.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Table {
-    items: BTreeMap<String, KeyValue>,
+    // Shared, so that the next copy of the table costs no copy of the values.
+    items: BTreeMap<String, Arc<KeyValue>>,
     mark: u64,
     newest: u64,
     synced: bool,
@@ -68,6 +69,13 @@
         self.newest
     }
 
+    /// Whether there may be a change at this platform revision, told as the
+    /// newest of another copy, that this one does not reflect.
+    #[must_use]
+    pub fn lacks(&self, newest_elsewhere: u64) -> bool {
+        newest_elsewhere > self.newest.max(self.mark)
+    }
+
     /// Whether a full copy was applied.
     #[must_use]
     pub fn synced(&self) -> bool {
@@ -79,13 +87,13 @@
         self.items
             .range::<str, _>((Bound::Included(prefix), Bound::Unbounded))
             .take_while(move |(key, _)| key.starts_with(prefix))
-            .map(|(_, item)| item)
+            .map(|(_, item)| item.as_ref())
     }
 
     /// One item.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&KeyValue> {
-        self.items.get(key)
+        self.items.get(key).map(Arc::as_ref)
     }
 
     /// Applies changes in the platform's order, all or none. `after` is the
@@ -181,7 +189,7 @@
             return false;
         }
         self.newest = self.newest.max(item.modified);
-        self.items.insert(item.key.clone(), item.clone());
+        self.items.insert(item.key.clone(), Arc::new(item.clone()));
         true
     }
 }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -2,13 +2,14 @@
 
 use {
     crate::{
-        client::{KeyValue, Platform, count, first_key},
+        client::{Platform, count, first_key},
         error::{PlatformError, PlatformErrorKind, PlatformStep},
         json::{
             End, Int, Streamed, WatchCreate, WatchEvent, WatchEventKind, WatchRequest,
             WatchResponse,
         },
         table::Change,
+        value::KeyValue,
     },
     reqwest::Response,
     std::sync::atomic::Ordering,
--- a/crates/platform/tests/mirroring.rs
+++ b/crates/platform/tests/mirroring.rs
@@ -153,6 +153,21 @@
     until("the watch is opened anew", || standin.calls().watch > opened).await;
 }
 
+#[tokio::test]
+async fn watches_refused() {
+    let standin = standin().await;
+    let platform = client(&standin);
+    let mirror = Mirror::start(platform.clone(), "/m/", NEVER_MS);
+    until("the watch waits", || standin.calls().waiting_watches == 1).await;
+    standin.set_faults(PlatformFaults { no_watches: true, ..Default::default() }).await.unwrap();
+    // Polls take over, at their own pace for that.
+    churn(&platform, 0, 10).await;
+    equals(&mirror, &platform).await;
+    churn(&platform, 10, 20).await;
+    equals(&mirror, &platform).await;
+    assert!(mirror.healthy());
+}
+
 #[tokio::test]
 async fn mark_seen_elsewhere() {
     let standin = standin().await;
--- a/crates/platform/tests/table.rs
+++ b/crates/platform/tests/table.rs
@@ -218,15 +218,28 @@
     }
 }
 
+fn item(key: &str, modified: u64) -> KeyValue {
+    let key = key.to_owned();
+    KeyValue { key, value: String::new(), created: modified, modified, lease: 0 }
+}
+
+#[test]
+fn newest_spreads() {
+    let mut table = Table::default();
+    table.apply_full(5, vec![item("/p/a", 2)]);
+    assert_eq!((table.newest(), table.lacks(5), table.lacks(6)), (2, false, true));
+    // A deletion that only the copy shows is a change too.
+    table.apply_full(7, Vec::new());
+    assert_eq!(table.newest(), 7);
+    // Another copy may know by a poll what this one knows by the watch.
+    table.apply_progress(7, 9);
+    assert_eq!((table.newest(), table.lacks(9)), (7, false));
+    table.apply_from_peer(&[item("/p/b", 12)]);
+    assert_eq!((table.mark(), table.newest(), table.lacks(12)), (9, 12, false));
+}
+
 #[test]
 fn gap_refused() {
-    let item = |key: &str, modified| KeyValue {
-        key: key.to_owned(),
-        value: String::new(),
-        created: modified,
-        modified,
-        lease: 0,
-    };
     let mut table = Table::default();
     assert_eq!(table.apply_changes(0, &[Change::Put(item("/p/a", 2))]), Applied::Refused);
     table.apply_full(5, vec![item("/p/a", 2)]);
--- a/crates/standin/src/platform/follow.rs
+++ b/crates/standin/src/platform/follow.rs
@@ -65,7 +65,7 @@
     pub(super) async fn next(&mut self) -> Option<Vec<u8>> {
         loop {
             self.state.thawed().await;
-            if self.ended || self.cut.has_changed().unwrap_or(true) || self.faults.borrow().hang {
+            if self.over() {
                 return None;
             }
             if !std::mem::replace(&mut self.created, true) {
@@ -76,7 +76,7 @@
                 }));
             }
             if let Some(line) = self.catch_up() {
-                let delay = self.state.delay(&self.faults.borrow().clone());
+                let delay = self.state.delay();
                 sleep(delay).await;
                 self.state.thawed().await;
                 return Some(line);
@@ -87,9 +87,14 @@
         }
     }
 
+    fn over(&self) -> bool {
+        let faults = *self.faults.borrow();
+        self.ended || faults.hang || faults.no_watches || self.cut.has_changed().unwrap_or(true)
+    }
+
     fn catch_up(&mut self) -> Option<Vec<u8>> {
         self.revision.mark_unchanged();
-        if self.state.watches_mute.load(Ordering::Acquire) {
+        if self.faults.borrow().mute_watches {
             return None;
         }
         let state = Arc::clone(&self.state);
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/standin/src/platform/mod.rs
@@ -22,7 +22,7 @@
     std::{
         fmt, io,
         net::{Ipv4Addr, SocketAddr},
-        sync::{Arc, atomic::Ordering},
+        sync::Arc,
     },
     sycamorerail_settings::standin::PlatformStandinSettings,
     tokio::sync::{mpsc, watch},
@@ -101,6 +101,11 @@
     /// Stands still as a paused process: watches stay open and silent, and
     /// calls run once it goes on.
     pub freeze: bool,
+    /// Refuses watches, and ends those that wait.
+    pub no_watches: bool,
+    /// Watches stay open and tell nothing, as over a connection that is dead
+    /// without either end knowing.
+    pub mute_watches: bool,
     /// Delay of each answer, in place of the configured one.
     pub delay_ms: Option<u32>,
     /// Up to this much more, at random.
@@ -196,10 +201,10 @@
         self.state.cut_watches();
     }
 
-    /// Leaves watches open but silent, or lets them speak again.
+    /// Leaves watches open but silent, or lets them speak again. Other faults
+    /// stay as they are.
     pub fn mute_watches(&self, mute: bool) {
-        self.state.watches_mute.store(mute, Ordering::Release);
-        self.state.revision.send_modify(|_| ());
+        self.state.faults.send_modify(|faults| faults.mute_watches = mute);
     }
 
     /// Puts the stand-in's clock forward, so that tests of leases need not wait.
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -12,7 +12,7 @@
     std::{
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -33,8 +33,6 @@
     pub(super) faults: Arc<watch::Sender<PlatformFaults>>,
     /// Grows when all watches are to end.
     pub(super) watch_cut: watch::Sender<u64>,
-    /// Watches stay open and tell nothing.
-    pub(super) watches_mute: AtomicBool,
     pub(super) orders: mpsc::UnboundedSender<FaultOrder<PlatformFaults>>,
     pub(super) counters: Counters,
     random: Mutex<SmallRng>,
@@ -75,7 +73,6 @@
             store: Mutex::new(store),
             faults,
             watch_cut: watch::Sender::new(0),
-            watches_mute: AtomicBool::new(false),
             orders,
             counters: Counters::default(),
             random: Mutex::new(SmallRng::seed_from_u64(config.seed)),
@@ -106,7 +103,8 @@
             return Err(Refusal::Dropped);
         }
         self.thawed().await;
-        if !self.within_rate(call) {
+        let no_watches = call == Call::Watch && self.faults.borrow().no_watches;
+        if no_watches || !self.within_rate(call) {
             self.counters.refused.fetch_add(1, Ordering::Relaxed);
             return Err(Refusal::TooMany);
         }
@@ -125,7 +123,7 @@
 
     fn draw(&self, call: Call) -> Admitted {
         let faults = *self.faults.borrow();
-        let delay = self.delay(&faults);
+        let delay = self.delay();
         let mut random = self.random.lock();
         // A slow call may take effect early or late in its delay.
         let before = delay.mul_f64(random.random_range(0.0..1.0));
@@ -133,8 +131,9 @@
         Admitted { before, after: delay.saturating_sub(before), lose_answer }
     }
 
-    /// The delay of one answer under these faults.
-    pub(super) fn delay(&self, faults: &PlatformFaults) -> Duration {
+    /// The delay of one answer under the faults of now.
+    pub(super) fn delay(&self) -> Duration {
+        let faults = *self.faults.borrow();
         let base_ms = u64::from(faults.delay_ms.unwrap_or(self.config.delay_ms));
         let jitter_ms = self.random.lock().random_range(0..=u64::from(faults.jitter_ms));
         Duration::from_millis(base_ms + jitter_ms)
