--- a/crates/entry/src/cluster.rs
+++ b/crates/entry/src/cluster.rs
@@ -167,16 +167,21 @@
 }
 
 /// Takes records from peers as long as there is no set, or a peer told of a
-/// change that the platform does not give.
+/// change that the platform does not give: it is out for this entry, or its
+/// watch is open and silent.
 async fn catch_up(shared: Arc<Shared>, in_force: InForce, peers: Peers) {
     sleep(PLATFORM_HEAD_START).await;
+    let mut was_behind = false;
     loop {
-        let lags = in_force.behind() && !in_force.mirror().healthy();
+        let behind = in_force.behind();
+        let lags = behind && (was_behind || !in_force.mirror().healthy());
         if !in_force.ready() || lags {
             let records = records_of_peers(&shared, &in_force, &peers).await;
+            metrics::counter!("sycamorerail_peer_records_total").increment(records.len() as u64);
             event!(Info, "records_from_peers", records = records.len());
             in_force.take_from_peer(records);
         }
+        was_behind = behind;
         sleep(CATCH_UP_PAUSE).await;
     }
 }
--- a/crates/entry/tests/admin_peers.rs
+++ b/crates/entry/tests/admin_peers.rs
@@ -54,7 +54,22 @@
         site.entries[0].peers.others(&site.entries[0].entry.shared).len() == 1
     })
     .await;
-    relay.cut(true);
+    relay.cut();
     assert_eq!(site.put(0, "alpenfunk", 1, &yaml("alpenfunk", 200)).await.status, 200);
     site.until_revision(1, "alpenfunk", 2).await;
 }
+
+#[tokio::test]
+async fn silent_watch() {
+    let mut site = Site::start(1).await;
+    let relay = Relay::start(site.standin.address()).await;
+    site.add_entry(relay.address).await;
+    site.until_ready(1).await;
+    admin_site::until("they know each other", async || {
+        site.entries[0].peers.others(&site.entries[0].entry.shared).len() == 1
+    })
+    .await;
+    relay.stall();
+    assert_eq!(site.put(0, "alpenfunk", 0, &yaml("alpenfunk", 100)).await.status, 200);
+    site.until_revision(1, "alpenfunk", 1).await;
+}
--- a/crates/entry/tests/admin_site/mod.rs
+++ b/crates/entry/tests/admin_site/mod.rs
@@ -191,38 +191,53 @@
     )
 }
 
-/// Carries connections to the platform until cut.
+/// Carries connections to the platform until cut or stalled.
 pub struct Relay {
     pub address: SocketAddr,
-    cut: watch::Sender<bool>,
+    state: watch::Sender<Line>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Line {
+    Open,
+    /// Connections stay, and nothing goes through.
+    Stalled,
+    Cut,
 }
 
 impl Relay {
     pub async fn start(to: SocketAddr) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
-        let cut = watch::Sender::new(false);
-        let seen = cut.subscribe();
+        let state = watch::Sender::new(Line::Open);
+        let seen = state.subscribe();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(carry(stream, to, seen.clone()));
             }
         });
-        Self { address, cut }
+        Self { address, state }
+    }
+
+    pub fn cut(&self) {
+        self.state.send_replace(Line::Cut);
     }
 
-    pub fn cut(&self, cut: bool) {
-        self.cut.send_replace(cut);
+    pub fn stall(&self) {
+        self.state.send_replace(Line::Stalled);
     }
 }
 
-async fn carry(mut inward: TcpStream, to: SocketAddr, mut cut: watch::Receiver<bool>) {
-    if *cut.borrow() {
+async fn carry(mut inward: TcpStream, to: SocketAddr, mut line: watch::Receiver<Line>) {
+    if *line.borrow() == Line::Cut {
         return;
     }
     let Ok(mut outward) = TcpStream::connect(to).await else { return };
-    tokio::select! {
-        _ = tokio::io::copy_bidirectional(&mut inward, &mut outward) => {}
-        _ = cut.wait_for(|&cut| cut) => {}
+    let open = tokio::select! {
+        _ = tokio::io::copy_bidirectional(&mut inward, &mut outward) => return,
+        line = line.wait_for(|&line| line != Line::Open) => line.map(|line| *line),
+    };
+    if matches!(open, Ok(Line::Stalled)) {
+        let _ = line.wait_for(|&line| line != Line::Stalled).await;
     }
 }
--- a/crates/templates/src/in_force.rs
+++ b/crates/templates/src/in_force.rs
@@ -169,7 +169,8 @@
     /// Whether another process told of a change that is not here yet.
     #[must_use]
     pub fn behind(&self) -> bool {
-        self.shared.seen.load(Ordering::Acquire) > self.shared.mirror.newest()
+        let table = self.shared.mirror.snapshot();
+        self.shared.seen.load(Ordering::Acquire) > table.newest().max(table.mark())
     }
 
     /// Records newer than `since`, oldest first, for a peer. One page: the
