Test fences with entries, agents and upstreams in process

Change: homes killed with jobs in flight, cut off and back, restarted at the same address, lost while the platform is out; starts counted at the upstreams.

--- a/crates/entry/tests/forward_cluster/mod.rs
+++ b/crates/entry/tests/forward_cluster/mod.rs
@@ -135,6 +135,19 @@
         tokio::time::timeout(PATIENCE, decided).await.expect("decided")
     }
 
+    /// Gives its address up to another process.
+    pub async fn free_address(&self) -> SocketAddr {
+        let address = self.entry.inner_address();
+        self.entry.shared.endpoint.wait_idle().await;
+        // The endpoint keeps the socket before the present one.
+        for _ in 0..2 {
+            let other = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+            self.entry.shared.endpoint.rebind(other).unwrap();
+        }
+        until("the address is free", async || std::net::UdpSocket::bind(address).is_ok()).await;
+        address
+    }
+
     /// Ends all its sessions for good, and cuts it off from the platform. Its
     /// tasks go on, as those of a process that is cut off.
     pub fn kill(&self) {
