Entry: forecast from a live queue only, and count own placements in the view

It is now used only while tasks wait, and only where it is higher than the fleet's own pace, for it looks back 250 ms and tasks may run for seconds.

The end of the HTTP server before a stop is an error now, and a request that comes while the listener closes is no longer taken for one that was cut.

--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -94,8 +94,18 @@
 }
 
 /// Records the time of a task outside its upstream: from the acceptance of its
-/// job to its end, less its run time.
+/// job to its end, less its run time. Waits for a slot are part of it.
 pub fn dispatch_overhead_us(overhead_us: u64) {
-    #[allow(clippy::cast_precision_loss)]
-    metrics::histogram!("sycamorerail_dispatch_overhead_us").record(overhead_us as f64);
+    record("sycamorerail_dispatch_overhead_us", overhead_us);
+}
+
+/// Records the time of a placement between entry and upstream: from its sending
+/// to its reply, less its run time and its wait at the agent.
+pub fn placement_overhead_us(overhead_us: u64) {
+    record("sycamorerail_placement_overhead_us", overhead_us);
+}
+
+#[allow(clippy::cast_precision_loss)]
+fn record(name: &'static str, us: u64) {
+    metrics::histogram!(name).record(us as f64);
 }
--- a/crates/entry/src/dispatch/kinds.rs
+++ b/crates/entry/src/dispatch/kinds.rs
@@ -53,7 +53,12 @@
     let entries = u32::try_from(shared.members.load().entries.len()).unwrap_or(u32::MAX);
     let view = &shared.upstreams.snapshot().view;
     let ask = ask(shared, kind, &made, &[], &[]);
-    made.forecast = Forecast::new(view, &ask, drain_per_s, entries, now_ms);
+    made.forecast = Forecast::new(view, &ask, None, entries, now_ms);
+    // The queue's own pace is short-sighted where tasks run for longer than it
+    // looks back. It counts where it is higher: other entries use less.
+    if let Some(drain_per_s) = drain_per_s {
+        made.forecast.starts_per_s = made.forecast.starts_per_s.max(drain_per_s);
+    }
     made
 }
 
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -106,7 +106,12 @@
         (queue.room_for(organisation), queue.backlog(organisation, urgency))
     }
 
+    /// Pace at which tasks leave the queue; `None` while it is empty, when the
+    /// pace says nothing.
     pub(super) fn drain_per_s(&self, now_ms: u64) -> Option<f64> {
+        if self.waiting() == 0 {
+            return None;
+        }
         self.drain_rate.lock().per_s(now_ms)
     }
 
@@ -128,9 +133,12 @@
         metrics::gauge!("sycamorerail_queued_tasks").set(queue.len());
     }
 
-    fn push(&self, rank: Rank, waiting: Waiting) -> Result<(), Waiting> {
+    fn push(&self, rank: Rank, waiting: Waiting, now_ms: u64) -> Result<(), Waiting> {
         let cell = Arc::clone(&waiting.cell);
         let mut queue = self.queue.lock();
+        if queue.is_empty() {
+            self.drain_rate.lock().clear(now_ms);
+        }
         let key = queue.push(rank, waiting)?;
         cell.queued.lock().push(key);
         self.note_count(&queue);
@@ -151,7 +159,7 @@
         return;
     }
     let waiting = Waiting { cell: Arc::clone(cell), task };
-    match dispatch.push(rank(shared, cell), waiting) {
+    match dispatch.push(rank(shared, cell), waiting, shared.now_ms()) {
         // A slot may have been freed since there was none.
         Ok(()) => pump(shared),
         Err(waiting) => enqueue_after(shared, &waiting.cell, waiting.task, ASIDE_MS),
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -27,10 +27,7 @@
         message::ConfigMark,
         session::{self, SessionTiming},
     },
-    tokio::{
-        sync::{oneshot, watch},
-        task::JoinHandle,
-    },
+    tokio::sync::{oneshot, watch},
 };
 
 /// Pause for connections to close after the listener has, so that the stop
@@ -39,6 +36,9 @@
 /// Keep-alives of inner sessions in one idle timeout.
 const KEEP_ALIVES_A_TIMEOUT: u32 = 3;
 
+/// How the HTTP server ended.
+type Ended = Result<(), String>;
+
 /// Starts entries.
 #[derive(Clone, Copy, Debug)]
 pub struct Entry;
@@ -50,7 +50,7 @@
     pub shared: Arc<Shared>,
     http_address: SocketAddr,
     shutdown: Shutdown,
-    server: JoinHandle<Result<(), String>>,
+    server: watch::Receiver<Option<Ended>>,
     stop: watch::Sender<bool>,
 }
 
@@ -112,7 +112,7 @@
     pub async fn stopping(&mut self) {
         tokio::select! {
             () = self.shared.lifecycle.drain_asked() => {}
-            _ = &mut self.server => {}
+            _ = self.server.wait_for(Option::is_some) => {}
         }
     }
 
@@ -125,23 +125,37 @@
         let shared = self.shared;
         shared.lifecycle.drain();
         let left = drain::finish(&shared).await;
-        let (jobs, requests) = (shared.jobs.running(), shared.lifecycle.requests());
+        let mut server = self.server;
+        if let Some(ended) = server.borrow().clone() {
+            return Err(ended_early(self.http_address, ended));
+        }
         self.shutdown.notify();
         let bound = left + CLOSE_PAUSE + CLOSE_PAUSE;
-        let closed = match self.server.is_finished() {
-            true => true,
-            false => tokio::time::timeout(bound, self.server).await.is_ok(),
-        };
+        let closed = tokio::time::timeout(bound, server.wait_for(Option::is_some)).await.is_ok();
+        // Requests that came before the listener closed have ended by now.
+        let (jobs, requests) = (shared.jobs.running(), shared.lifecycle.requests());
         self.stop.send_replace(true);
         shared.endpoint.close(0u32.into(), b"stopped");
         let _ = tokio::time::timeout(CLOSE_PAUSE, shared.endpoint.wait_idle()).await;
-        let whole = jobs == 0 && requests == 0 && closed;
+        let whole = jobs == 0 && requests == 0;
         check(Invariant::NoCutInDrain, whole, &shared.settings.name);
-        event!(Info, "entry_stopped", cut_jobs = jobs, cut_requests = requests);
+        event!(
+            Info,
+            "entry_stopped",
+            cut_jobs = jobs,
+            cut_requests = requests,
+            all_closed = closed,
+        );
         if whole { Ok(()) } else { Err(EntryError::DrainCut { jobs, requests }) }
     }
 }
 
+/// The HTTP server ended before it was told to.
+fn ended_early(address: SocketAddr, ended: Ended) -> EntryError {
+    let cause = ended.err().unwrap_or_else(|| "it ended by itself".to_owned());
+    EntryError::Http { address, cause }
+}
+
 fn open_endpoint(settings: &EntrySettings) -> Result<quinn::Endpoint, EntryError> {
     let own = PemPair {
         certificate_pem: settings.keys.certificate_pem.clone(),
@@ -156,26 +170,25 @@
 
 async fn serve_http(
     shared: &Arc<Shared>,
-) -> Result<(SocketAddr, Shutdown, JoinHandle<Result<(), String>>), EntryError> {
+) -> Result<(SocketAddr, Shutdown, watch::Receiver<Option<Ended>>), EntryError> {
     let address = shared.settings.http_address;
     let failed = |cause: String| EntryError::Http { address, cause };
     let (bound_sender, bound) = oneshot::channel();
     let rocket = build(shared, bound_sender).ignite().await;
     let rocket = rocket.map_err(|err| failed(err.kind().to_string()))?;
     let shutdown = rocket.shutdown();
-    let mut server = tokio::spawn(async move {
-        rocket.launch().await.map(drop).map_err(|err| err.kind().to_string())
+    let (ended_sender, mut ended) = watch::channel(None);
+    tokio::spawn(async move {
+        let ended = rocket.launch().await.map(drop).map_err(|err| err.kind().to_string());
+        ended_sender.send_replace(Some(ended));
     });
-    tokio::select! {
-        bound = bound => match bound {
-            Ok(bound) => Ok((bound, shutdown, server)),
-            Err(_) => Err(failed("ended before it served".to_owned())),
-        },
-        ended = &mut server => match ended {
-            Ok(Err(cause)) => Err(failed(cause)),
-            _ => Err(failed("ended before it served".to_owned())),
-        },
+    // Without an address it has ended; its part of the channel is dropped.
+    if let Ok(bound) = bound.await {
+        return Ok((bound, shutdown, ended));
     }
+    let cause = ended.wait_for(Option::is_some).await.ok().and_then(|ended| ended.clone());
+    let cause = cause.and_then(Result::err);
+    Err(failed(cause.unwrap_or_else(|| "ended before it served".to_owned())))
 }
 
 fn build(shared: &Arc<Shared>, bound: oneshot::Sender<SocketAddr>) -> Rocket<Build> {
--- a/crates/entry/src/upstreams/agent.rs
+++ b/crates/entry/src/upstreams/agent.rs
@@ -134,8 +134,11 @@
         live.running.store(load.running.into(), Ordering::Release);
         live.queued.store(load.queued.into(), Ordering::Release);
         live.leaving.store(load.leaving || !self.is_up(), Ordering::Release);
+        // Of the own placements the report counts those that had arrived, and
+        // no more than there are tasks in all.
         let outstanding = live.outstanding.load(Ordering::Acquire);
-        live.outstanding_reported.store(outstanding, Ordering::Release);
+        let tasks = u32::from(load.running) + u32::from(load.queued);
+        live.outstanding_reported.store(outstanding.min(tasks), Ordering::Release);
     }
 }
 
--- a/crates/entry/src/upstreams/send.rs
+++ b/crates/entry/src/upstreams/send.rs
@@ -12,7 +12,10 @@
         jobs::{JobCell, drive},
         shared::Shared,
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     sycamorerail_decide::job::{Event, PlacementKey, Reply},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -80,8 +83,9 @@
             }
             self.count(sent);
             sent += 1;
+            let sent_at = Instant::now();
             match self.exchange(&connection).await {
-                Ok(reply) => return Some(self.replied(reply)),
+                Ok(reply) => return Some(self.replied(reply, sent_at)),
                 Err(err) => {
                     event!(Info, "placement_broke", agent = self.agent.peer, cause = err);
                     let broke = Event::ConnectionBroke { placement: self.placement };
@@ -159,14 +163,16 @@
         }
     }
 
-    fn replied(&self, reply: AgentReply) -> Event {
+    fn replied(&self, reply: AgentReply, sent_at: Instant) -> Event {
         self.shared.note_config_mark(reply.config_mark);
         self.agent.end_placement();
         self.agent.take_load(reply.load, self.shared.now_ms());
         let succeeded = dispatch::judged(&reply.body);
         Observed { succeeded, probe: self.probe }.take(self.shared, self.cell, self.agent);
         let reply = match reply.body {
-            AgentReplyBody::Ended { end, run_us, .. } => {
+            AgentReplyBody::Ended { end, run_us, queued_us } => {
+                let took_us = u64::try_from(sent_at.elapsed().as_micros()).unwrap_or(u64::MAX);
+                counters::placement_overhead_us(took_us.saturating_sub(run_us + queued_us));
                 if succeeded == Some(true) {
                     dispatch::ran(self.shared, self.cell, self.agent, run_us);
                 }
--- a/crates/entry/tests/answers.rs
+++ b/crates/entry/tests/answers.rs
@@ -5,6 +5,7 @@
 use {
     reqwest::Method,
     serde_json::{Value, json},
+    std::time::Duration,
     support::World,
 };
 
@@ -127,3 +128,16 @@
     assert_eq!(world.put_job(&world.id().await, &large).await.status, 200);
     assert_eq!(world.fetch(&id).await.verdict(), (410, "unknown", "result_dropped"));
 }
+
+#[tokio::test]
+async fn large_job_after_idle() {
+    let world = World::start().await;
+    let _agent = world.agent_with("a", 1).await;
+    let large = tasks(&["ok"; 100]);
+    for _ in 0..3 {
+        // Longer than the forecast's window.
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let got = world.put_job(&world.id().await, &large).await;
+        assert_eq!(got.verdict(), (200, "complete", "done"), "{}", got.body);
+    }
+}
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -48,3 +48,11 @@
     let drained = tokio::time::timeout(PATIENCE, entry.drain()).await;
     drained.expect("the drain did not end").expect("an idle entry cut something");
 }
+
+#[tokio::test]
+async fn address_taken() {
+    let world = World::start().await;
+    let address = world.entry.http_address();
+    let refused = world.second_at(address).await.expect_err("two entries at one address");
+    assert!(refused.to_string().starts_with(&format!("HTTP at {address}")), "{refused}");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -16,6 +16,7 @@
     sycamorerail_entry::{
         callers::Binder,
         entry::{Entry, EntryHandle},
+        error::EntryError,
         seams::Seams,
     },
     sycamorerail_platform::{Platform, PlatformConfig},
@@ -91,6 +92,12 @@
         Self { authority, entry, http: Client::new() }
     }
 
+    /// Starts another entry at this address.
+    pub async fn second_at(&self, http_address: SocketAddr) -> Result<EntryHandle, EntryError> {
+        let settings = settings(&self.authority, LimitSettings::default());
+        Entry::start(EntrySettings { http_address, ..settings }).await
+    }
+
     pub async fn agent(&self, name: &str) -> FakeAgent {
         self.agent_with(name, 4).await
     }
