Mirror: test the poll of a mirror whose watch is refused

The earlier form of the test passed also with the pause fixed at its beginning, as the mirror's first pause is short anyway. It now waits until the mirror sleeps out its long pause: with the old way it fails, with the present one it passes.

--- a/crates/platform/tests/mirroring.rs
+++ b/crates/platform/tests/mirroring.rs
@@ -4,8 +4,10 @@
 
 use {
     site::{client, client_with, standin, until},
+    std::time::Duration,
     sycamorerail_platform::{Expected, KeyValue, Mirror, Platform},
     sycamorerail_standin::platform::{PlatformFaults, PlatformStandin, PlatformStandinConfig},
+    tokio::time::sleep,
 };
 
 const NEVER_MS: u32 = 3_600_000;
@@ -159,6 +161,9 @@
     let platform = client(&standin);
     let mirror = Mirror::start(platform.clone(), "/m/", NEVER_MS);
     until("the watch waits", || standin.calls().waiting_watches == 1).await;
+    until("the first poll is over", || standin.calls().range >= 2).await;
+    // By now the mirror most likely sleeps out its pause of an hour.
+    sleep(Duration::from_millis(500)).await;
     standin.set_faults(PlatformFaults { no_watches: true, ..Default::default() }).await.unwrap();
     // Polls take over, at their own pace for that.
     churn(&platform, 0, 10).await;
