--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -17,6 +17,14 @@
 //! that the agent has closed since, and the agent drops those. Incarnations
 //! that were fenced are kept for the life of the process.
 //!
+//! A refusal without a record is no promise about later placements unless it
+//! says `never`. An entry therefore sends a task again only over a new
+//! connection, or after it has revoked it.
+//!
+//! A placement that names another run of the agent is refused without `never`:
+//! this run cannot tell what that run started, and may start the task when a
+//! placement names it. The reply names the run that answers.
+//!
 //! # Memory
 //!
 //! Records cost [`RECORD_COST_BYTES`] each, plus the payloads of queued ones.
@@ -30,6 +38,7 @@
 mod fences;
 mod queue;
 mod record;
+mod types;
 
 use {
     fences::Fences,
@@ -42,7 +51,11 @@
     },
 };
 
-pub use {fences::MAX_FENCED, record::RECORD_COST_BYTES};
+pub use {
+    fences::MAX_FENCED,
+    record::RECORD_COST_BYTES,
+    types::{Counts, Fenced, Go, Limits, Placed, Refusal, Revoked, Settled, Start, UpstreamState},
+};
 
 /// Bytes of results that one reply about several tasks may carry. Results
 /// beyond it are reported as [`TaskRecord::EndDropped`]; whoever needs them
@@ -54,140 +67,6 @@
 const RUN_TIME_WEIGHT: u64 = 8;
 const TOMBSTONE_SHARE: u64 = 8;
 
-/// Bounds of a gate.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Limits {
-    /// How long a record is kept after its last change.
-    pub retention_ms: u64,
-    /// Most bytes of kept results.
-    pub kept_result_bytes: u64,
-    /// Most bytes of records and queued payloads.
-    pub record_bytes: u64,
-    /// Most tasks that wait for a slot.
-    pub max_queued: usize,
-}
-
-/// Whether the upstream takes work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum UpstreamState {
-    /// None has announced itself.
-    Absent,
-    /// It takes work.
-    Serving {
-        /// Tasks it runs at once.
-        slots: u16,
-    },
-    /// It announced leaving, or its lease lapsed.
-    Leaving,
-}
-
-/// A task to be started now. Its record is made already.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Start {
-    /// What to start.
-    pub placement: Placement,
-    /// When the task must have ended.
-    pub end_by_ms: u64,
-    /// Time it waited for a slot.
-    pub queued_ms: u64,
-}
-
-/// What becomes of a placement.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Placed {
-    /// Start it now.
-    Start(Box<Start>),
-    /// It waits for a slot.
-    Queued {
-        /// When it is dropped unless it has started.
-        start_by_ms: u64,
-    },
-    /// An earlier placement of the task is queued or running: wait for it.
-    Joined,
-    /// An earlier placement decided this.
-    Known(AgentReplyBody),
-    /// Not taken, no record made.
-    Refused(Refusal),
-}
-
-/// Why a placement was not taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// No later placement of the task starts here either.
-    pub never: bool,
-    /// When a slot is expected to be free.
-    pub retry_after_ms: u32,
-}
-
-impl Refusal {
-    /// The reply that tells it.
-    #[must_use]
-    pub fn reply(self) -> AgentReplyBody {
-        let Self { reason, never, retry_after_ms } = self;
-        AgentReplyBody::NotStarted { reason, never, retry_after_ms }
-    }
-}
-
-/// A task on which everyone who waits for it must be told the reply.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Settled {
-    /// The task.
-    pub task: TaskId,
-    /// What became of it.
-    pub reply: AgentReplyBody,
-}
-
-/// Whether the upstream may be called for a task that [`Placed::Start`] or
-/// [`Gate::take_next`] told to start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Go {
-    /// Call it.
-    Call,
-    /// The task was revoked meanwhile.
-    Withdrawn,
-    /// The upstream was called for it already: a broken invariant.
-    CalledBefore,
-}
-
-/// What a revoke did.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Revoked {
-    /// What is known of each task.
-    pub reports: Vec<TaskReport>,
-    /// Tasks whose waiters must be told.
-    pub settled: Vec<Settled>,
-    /// Tasks whose call to the upstream must be ended.
-    pub aborted: Vec<TaskId>,
-}
-
-/// What a fence did.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Fenced {
-    /// What is held of the jobs asked for.
-    pub jobs: Vec<FencedJob>,
-    /// Queued tasks that were dropped.
-    pub settled: Vec<Settled>,
-}
-
-/// Counts for load reports and gauges.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
-    /// Tasks running.
-    pub running: usize,
-    /// Tasks waiting for a slot.
-    pub queued: usize,
-    /// Records in all.
-    pub records: usize,
-    /// Bytes of records and queued payloads.
-    pub record_bytes: u64,
-    /// Bytes of kept results.
-    pub kept_result_bytes: u64,
-    /// Fenced incarnations.
-    pub fenced: usize,
-}
-
 /// The start gate of one run of an agent.
 #[derive(Debug)]
 pub struct Gate {
