Decide: keep a bit an agent, not a record, of what a fence was told

Cause: arithmetic: 1,100 agents that hold nothing of 10,000 jobs would have taken a record each, a gigabyte in all, and each look at what is due went through every pair. Change: sets of agents as bits; only what is held is kept; due messages are made from the pairs still to be asked.

--- a/crates/decide/src/fence.rs
+++ b/crates/decide/src/fence.rs
@@ -12,6 +12,7 @@
 //! only the end is open. `complete`, `failed` and `not_run` each need what
 //! excludes the other two, whoever collects it: see `job`.
 
+mod agents;
 pub mod collect;
 pub mod lost;
 
@@ -33,8 +34,16 @@
     pub whole: bool,
 }
 
-/// What each agent told of one job; `None` where it holds nothing of it.
-pub type Told = BTreeMap<Incarnation, Option<FencedJob>>;
+/// What agents told of one job.
+#[derive(Clone, Copy, Debug)]
+pub struct Heard<'a> {
+    /// What is held of it, by agent.
+    pub held: &'a BTreeMap<Incarnation, FencedJob>,
+    /// Agents of the roster that have not answered.
+    pub silent_agents: usize,
+    /// Whether the roster is known to name all agents.
+    pub whole: bool,
+}
 
 /// What the one who asks knows of the job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -140,13 +149,13 @@
 /// Draws the conclusion for one job. `time_up`: agents that have not answered
 /// are waited for no longer.
 #[must_use]
-pub fn conclude(roster: &Roster, told: &Told, known: Known, time_up: bool) -> Conclusion {
-    let jobs = || told.iter().filter_map(|(agent, job)| Some((*agent, job.as_ref()?)));
+pub fn conclude(heard: Heard<'_>, known: Known, time_up: bool) -> Conclusion {
+    let jobs = || heard.held.iter().map(|(agent, job)| (*agent, job));
     if jobs().any(|(_, job)| known.content.is_some_and(|content| content != job.content)) {
         return Conclusion::Conflict;
     }
-    let silent_agents = roster.agents.iter().filter(|agent| !told.contains_key(agent)).count();
-    let all_told = roster.whole && silent_agents == 0;
+    let silent_agents = heard.silent_agents;
+    let all_told = heard.whole && silent_agents == 0;
     let task_count = jobs().map(|(_, job)| job.task_count).max().unwrap_or(0);
     let standings = standings(jobs(), task_count);
     let started = standings.iter().filter(|standing| standing.started()).count();
--- a/crates/decide/src/fence/collect.rs
+++ b/crates/decide/src/fence/collect.rs
@@ -2,11 +2,12 @@
 //!
 //! Jobs asked for within a window go in one message to each agent. An agent is
 //! asked about a job again only if it said that a task was running, if its
-//! answer was lost, or if it left results out to keep its answer short.
+//! answer was lost, or if it left results out to keep its answer short. A job
+//! costs a few bits an agent, and what is held of it where it was started.
 
 use {
-    super::{Conclusion, Known, Roster, Told, conclude},
-    std::collections::{BTreeMap, BTreeSet},
+    super::{Conclusion, Heard, Known, Roster, agents::AgentSet, conclude},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
     sycamorerail_wire::{
         answer::TaskRecord,
         ids::{ContentHash, Incarnation, JobId},
@@ -41,15 +42,17 @@
 
 #[derive(Clone, Debug, Default)]
 struct Asked {
-    told: Told,
+    held: BTreeMap<Incarnation, FencedJob>,
+    answered: AgentSet,
+    under_way: AgentSet,
+    /// Agents to be asked next; those that had not answered by the end of a
+    /// round wait for the next round.
+    to_ask: AgentSet,
+    /// Agents to be asked about this job alone, as their answer was cut short.
+    alone: BTreeSet<usize>,
     /// When the present round of asking began.
     round_ms: u64,
-    /// Agents with a message under way.
-    under_way: BTreeSet<Incarnation>,
-    /// Agents to be asked about this job alone, as their answer was cut short.
-    alone: BTreeSet<Incarnation>,
-    /// Agents not to be asked before this time.
-    not_before_ms: BTreeMap<Incarnation, u64>,
+    not_before_ms: u64,
     /// Somebody waits for it.
     wanted: bool,
 }
@@ -58,6 +61,7 @@
 #[derive(Clone, Debug)]
 pub struct Collector {
     roster: Roster,
+    places: HashMap<Incarnation, usize>,
     times: FenceTimes,
     jobs: BTreeMap<JobId, Asked>,
     /// Most jobs in one message to an agent; halved when its answer was lost.
@@ -69,19 +73,29 @@
     /// A collection over the roster read after the fence was recorded.
     #[must_use]
     pub fn new(roster: Roster, times: FenceTimes) -> Self {
-        let (jobs, most_jobs) = (BTreeMap::new(), BTreeMap::new());
-        Self { roster, times, jobs, most_jobs, window_ends_ms: None }
+        let places = roster.agents.iter().enumerate().map(|(place, agent)| (*agent, place));
+        Self {
+            places: places.collect(),
+            roster,
+            times,
+            jobs: BTreeMap::new(),
+            most_jobs: BTreeMap::new(),
+            window_ends_ms: None,
+        }
     }
 
     /// Somebody wants to know of the job.
     pub fn ask(&mut self, job: JobId, now_ms: u64) {
         let times = self.times;
-        let asked =
-            self.jobs.entry(job).or_insert_with(|| Asked { round_ms: now_ms, ..Asked::default() });
-        let round_over_ms = asked.round_ms + times.answer_within_ms;
-        if now_ms >= round_over_ms + times.unknown_kept_ms {
+        let all = self.roster.agents.len();
+        let asked = self.jobs.entry(job).or_insert_with(|| Asked {
+            to_ask: AgentSet::first(all),
+            round_ms: now_ms,
+            ..Asked::default()
+        });
+        if now_ms >= asked.round_ms + times.answer_within_ms + times.unknown_kept_ms {
             asked.round_ms = now_ms;
-            asked.not_before_ms.clear();
+            asked.not_before_ms = 0;
         }
         asked.wanted = true;
         self.window_ends_ms.get_or_insert(now_ms + times.window_ms);
@@ -105,78 +119,53 @@
         if self.window_ends_ms.is_none_or(|ends_ms| now_ms < ends_ms) {
             return Vec::new();
         }
+        let mut together: BTreeMap<usize, Vec<JobId>> = BTreeMap::new();
         let mut requests = Vec::new();
-        for index in 0..self.roster.agents.len() {
-            self.due_to(self.roster.agents[index], now_ms, &mut requests);
-        }
-        let open = self.jobs.values().any(|asked| self.is_open(asked, now_ms));
-        self.window_ends_ms = open.then_some(now_ms + self.times.ask_again_ms);
-        requests
-    }
-
-    /// Whether somebody waits for a job that asking may still decide.
-    fn is_open(&self, asked: &Asked, now_ms: u64) -> bool {
-        asked.wanted
-            && (!asked.under_way.is_empty()
-                || self.roster.agents.iter().any(|agent| self.needs(asked, *agent, now_ms)))
-    }
-
-    /// Whether the agent is to be asked about the job, now or later.
-    fn needs(&self, asked: &Asked, agent: Incarnation, now_ms: u64) -> bool {
-        match asked.told.get(&agent) {
-            Some(told) => told.as_ref().is_some_and(is_running),
-            None => now_ms < asked.round_ms + self.times.answer_within_ms,
-        }
-    }
-
-    fn due_to(&mut self, agent: Incarnation, now_ms: u64, requests: &mut Vec<Request>) {
-        let is_due = |asked: &Asked| {
-            let not_before_ms = asked.not_before_ms.get(&agent).copied().unwrap_or(0);
-            asked.wanted
-                && !asked.under_way.contains(&agent)
-                && now_ms >= not_before_ms
-                && self.needs(asked, agent, now_ms)
-        };
-        let due: Vec<_> =
-            self.jobs.iter().filter(|(_, asked)| is_due(asked)).map(|(job, _)| *job).collect();
-        let is_alone = |job: &JobId| self.jobs[job].alone.contains(&agent);
-        let (alone, together): (Vec<_>, Vec<_>) = due.iter().copied().partition(is_alone);
-        let most = self.most_jobs.get(&agent).copied().unwrap_or(MAX_JOBS);
-        let batches = alone.chunks(1).chain(together.chunks(most));
-        requests.extend(batches.map(|jobs| Request { agent, jobs: jobs.to_vec() }));
-        for job in due {
-            if let Some(asked) = self.jobs.get_mut(&job) {
-                asked.under_way.insert(agent);
-                asked.not_before_ms.insert(agent, now_ms + self.times.ask_again_ms);
+        let mut is_open = false;
+        for (job, asked) in self.jobs.iter_mut().filter(|(_, asked)| asked.wanted) {
+            for place in asked.take_due(self.times, now_ms) {
+                if asked.alone.contains(&place) {
+                    let agent = self.roster.agents[place];
+                    requests.push(Request { agent, jobs: vec![*job] });
+                } else {
+                    together.entry(place).or_default().push(*job);
+                }
             }
+            is_open |= asked.is_open(self.times, now_ms);
+        }
+        for (place, jobs) in together {
+            let agent = self.roster.agents[place];
+            let most = self.most_jobs.get(&agent).copied().unwrap_or(MAX_JOBS);
+            let batch = |jobs: &[JobId]| Request { agent, jobs: jobs.to_vec() };
+            requests.extend(jobs.chunks(most).map(batch));
         }
+        self.window_ends_ms = is_open.then_some(now_ms + self.times.ask_again_ms);
+        requests
     }
 
     /// An agent has answered a message.
     pub fn answered(&mut self, request: &Request, held: Vec<FencedJob>) {
+        let Some(&place) = self.places.get(&request.agent) else { return };
         let mut held: BTreeMap<JobId, FencedJob> =
             held.into_iter().map(|job| (job.job, job)).collect();
         self.most_jobs.remove(&request.agent);
         for job in &request.jobs {
-            let Some(asked) = self.jobs.get_mut(job) else { continue };
-            asked.under_way.remove(&request.agent);
-            let told = held.remove(job);
-            if request.jobs.len() > 1 && told.as_ref().is_some_and(was_cut) {
-                asked.alone.insert(request.agent);
-                asked.not_before_ms.remove(&request.agent);
-                continue;
+            if let Some(asked) = self.jobs.get_mut(job) {
+                let is_alone = request.jobs.len() == 1;
+                asked.answer(place, request.agent, held.remove(job), is_alone);
             }
-            asked.told.insert(request.agent, told);
         }
     }
 
     /// No answer to a message came: the agent is away, or the answer was too
     /// long.
     pub fn unanswered(&mut self, request: &Request) {
+        let Some(&place) = self.places.get(&request.agent) else { return };
         self.most_jobs.insert(request.agent, (request.jobs.len() / 2).max(1));
         for job in &request.jobs {
             if let Some(asked) = self.jobs.get_mut(job) {
-                asked.under_way.remove(&request.agent);
+                asked.under_way.remove(place);
+                asked.to_ask.insert(place);
             }
         }
     }
@@ -184,19 +173,24 @@
     /// What follows for a job so far.
     #[must_use]
     pub fn conclude(&self, job: JobId, known: Known, now_ms: u64) -> Conclusion {
-        let none = Told::new();
+        let all = self.roster.agents.len();
+        let none = BTreeMap::new();
+        let heard = |asked: Option<&Asked>| all - asked.map_or(0, |asked| asked.answered.len());
         let asked = self.jobs.get(&job);
-        let told = asked.map_or(&none, |asked| &asked.told);
-        let time_up =
-            asked.is_some_and(|asked| now_ms >= asked.round_ms + self.times.answer_within_ms);
-        conclude(&self.roster, told, known, time_up)
+        let heard = Heard {
+            held: asked.map_or(&none, |asked| &asked.held),
+            silent_agents: heard(asked),
+            whole: self.roster.whole,
+        };
+        let time_up = asked.is_some_and(|asked| asked.is_round_over(self.times, now_ms));
+        conclude(heard, known, time_up)
     }
 
     /// Hash of the submission whose tasks agents were given, if any tell.
     #[must_use]
     pub fn content(&self, job: JobId) -> Option<ContentHash> {
-        let mut told = self.jobs.get(&job)?.told.values();
-        told.find_map(|held| Some(held.as_ref()?.content))
+        let held = &self.jobs.get(&job)?.held;
+        held.values().next().map(|held| held.content)
     }
 
     /// Forgets jobs minted before the time given: their ids are expired.
@@ -217,6 +211,60 @@
     }
 }
 
+impl Asked {
+    fn is_round_over(&self, times: FenceTimes, now_ms: u64) -> bool {
+        now_ms >= self.round_ms + times.answer_within_ms
+    }
+
+    /// Takes out the agents to be asked now.
+    fn take_due(&mut self, times: FenceTimes, now_ms: u64) -> Vec<usize> {
+        if now_ms < self.not_before_ms {
+            return Vec::new();
+        }
+        let is_over = self.is_round_over(times, now_ms);
+        // One that answered is asked again while a task runs there, however
+        // long that takes.
+        let is_due = |place: &usize| self.answered.contains(*place) || !is_over;
+        let due: Vec<_> = self.to_ask.iter().filter(is_due).collect();
+        for &place in &due {
+            self.to_ask.remove(place);
+            self.under_way.insert(place);
+        }
+        self.not_before_ms = now_ms + times.ask_again_ms;
+        due
+    }
+
+    /// Whether asking may still decide it.
+    fn is_open(&self, times: FenceTimes, now_ms: u64) -> bool {
+        !self.under_way.is_empty()
+            || self.held.values().any(is_running)
+            || !(self.to_ask.is_empty() || self.is_round_over(times, now_ms))
+    }
+
+    fn answer(
+        &mut self,
+        place: usize,
+        agent: Incarnation,
+        held: Option<FencedJob>,
+        is_alone: bool,
+    ) {
+        self.under_way.remove(place);
+        if !is_alone && held.as_ref().is_some_and(was_cut) {
+            self.alone.insert(place);
+            self.to_ask.insert(place);
+            return;
+        }
+        self.answered.insert(place);
+        self.held.remove(&agent);
+        if let Some(held) = held {
+            if is_running(&held) {
+                self.to_ask.insert(place);
+            }
+            self.held.insert(agent, held);
+        }
+    }
+}
+
 fn is_running(job: &FencedJob) -> bool {
     job.tasks.iter().any(|report| report.record == TaskRecord::Running)
 }
--- a/crates/decide/tests/fence.rs
+++ b/crates/decide/tests/fence.rs
@@ -3,9 +3,9 @@
 use {
     std::collections::BTreeMap,
     sycamorerail_decide::fence::{
-        Conclusion, Known, Roster, Told,
+        Conclusion, Heard, Known, Roster,
         collect::{Collector, FenceTimes, MAX_JOBS, Request},
-        conclude,
+        conclude as conclude_heard,
         lost::{HomeWatch, Sighting, Standing},
     },
     sycamorerail_wire::{
@@ -48,6 +48,15 @@
     Roster { agents: vec![ONE, TWO], whole: true }
 }
 
+/// What agents told; `None` where they hold nothing.
+type Told = BTreeMap<Incarnation, Option<FencedJob>>;
+
+fn conclude(roster: &Roster, told: &Told, known: Known, time_up: bool) -> Conclusion {
+    let held = told.iter().filter_map(|(agent, job)| Some((*agent, job.clone()?))).collect();
+    let silent_agents = roster.agents.len() - told.len();
+    conclude_heard(Heard { held: &held, silent_agents, whole: roster.whole }, known, time_up)
+}
+
 fn told(one: Option<FencedJob>, two: Option<FencedJob>) -> Told {
     BTreeMap::from([(ONE, one), (TWO, two)])
 }
