--- a/crates/decide/src/fence/lost.rs
+++ b/crates/decide/src/fence/lost.rs
@@ -30,6 +30,10 @@
     Lost,
 }
 
+/// A gap between attempts longer than this many times the time after which a
+/// home is lost begins a new silence.
+const GAP: u64 = 2;
+
 /// A time without an answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Silence {
@@ -77,7 +81,7 @@
                 self.witness = Silence::default();
             }
             Sighting::OtherIncarnation | Sighting::Refused => self.lost = true,
-            Sighting::Unreachable => self.own.note(self.lost_after_ms, now_ms),
+            Sighting::Unreachable => self.own.note(GAP * self.lost_after_ms, now_ms),
         }
     }
 
@@ -88,7 +92,7 @@
             Sighting::Answered => self.witness = Silence::default(),
             Sighting::OtherIncarnation => self.lost = true,
             Sighting::Refused | Sighting::Unreachable => {
-                self.witness.note(self.lost_after_ms, now_ms);
+                self.witness.note(GAP * self.lost_after_ms, now_ms);
             }
         }
     }
