Entry: a placement left out by a drained agent goes elsewhere

Cause: a placement on its way when an agent ends its planned stop had no reply; the entry waited for that run to come back until the deadline and answered unknown, though the agent's close code proves that it took nothing more. Ruled out: treating any closed connection so: a killed agent proves nothing. Change: after the first sending, the close code of a drained agent counts as not started, for good. A reply of another run of an agent is taken as the loss of the one addressed. Before: tests/agents.rs drained_goes_elsewhere fails with the check switched off. After: it passes, with the file's other four.

--- a/crates/entry/src/upstreams/send.rs
+++ b/crates/entry/src/upstreams/send.rs
@@ -88,6 +88,9 @@
                 Ok(reply) => return Some(self.replied(reply, sent_at)),
                 Err(err) => {
                     event!(Info, "placement_broke", agent = self.agent.peer, cause = err);
+                    if sent == 1 && session::peer_drained(&connection) {
+                        return Some(self.left_out_by_drain());
+                    }
                     let broke = Event::ConnectionBroke { placement: self.placement };
                     drive(self.shared, self.cell, broke);
                 }
@@ -163,7 +166,21 @@
         }
     }
 
+    /// The agent has drained and closed without a reply: it took nothing more.
+    fn left_out_by_drain(&self) -> Event {
+        self.agent.end_placement();
+        Observed::nothing(self.probe).take(self.shared, self.cell, self.agent);
+        self.refused(Reason::Draining);
+        let reply = Reply::NotStarted { reason: Reason::Draining, never: true, retry_after_ms: 0 };
+        let peer = Arc::clone(&self.agent.peer);
+        Event::Replied { placement: self.placement, peer, reply }
+    }
+
     fn replied(&self, reply: AgentReply, sent_at: Instant) -> Event {
+        if reply.agent != self.agent.identity.incarnation {
+            // Another run answered: it says nothing of what this one started.
+            return self.lost();
+        }
         self.shared.note_config_mark(reply.config_mark);
         self.agent.end_placement();
         self.agent.take_load(reply.load, self.shared.now_ms());
--- a/crates/entry/tests/agents.rs
+++ b/crates/entry/tests/agents.rs
@@ -68,3 +68,20 @@
     assert_eq!(answer.verdict(), (409, "not_run", "cancelled"));
     assert!(refusing.starts().is_empty());
 }
+
+#[tokio::test]
+async fn drained_goes_elsewhere() {
+    let world = World::start().await;
+    let (drained, other) = (world.agent_with("a", 4).await, world.agent_with("b", 4).await);
+    let task = json!({ "do": "drain" });
+    let body = json!({ "kind": "once", "tasks": [task, task, task, task] });
+    let id = world.id().await;
+    let moved = async {
+        drained.heard_at_least("place drain", 1).await;
+        other.started(4).await;
+        other.finish_all();
+    };
+    let (answer, ()) = tokio::join!(world.put_job(&id, &body), moved);
+    assert_eq!(answer.verdict(), (200, "complete", "done"));
+    assert!(drained.starts().is_empty());
+}
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -147,6 +147,10 @@
             let mut state = self.state.lock();
             state.messages.push(format!("place {order}"));
             let known = state.records.contains_key(&task);
+            if order == "drain" && self.identity.name == "a" {
+                connection.close(session::CLOSE_DRAINED.into(), b"drained");
+                return not_started(Reason::Draining, true);
+            }
             if !known && order == "refuse" {
                 return not_started(Reason::UpstreamUnreachable, false);
             }
