Templates: a kind may name its placement policy

Cause: which policy suits which deployment is to be measured, and operators drive the system only by templates; the choice stood in the code. Change: placement.policy, by_priority where none is named. The tests of settings and of the command line pass.

--- a/crates/entry/src/dispatch/choose.rs
+++ b/crates/entry/src/dispatch/choose.rs
@@ -8,32 +8,44 @@
         placement::{Ask, Choice, Policy},
         view::{RackKey, UpstreamKey},
     },
-    sycamorerail_settings::template::Priority,
+    sycamorerail_settings::template::{PolicyTemplate, Priority},
 };
 
-/// Where time matters more: a task may wait at an upstream, to start there
-/// without a round trip.
-const FOR_TIME: &str = "least_wait";
-const MAX_QUEUED_FOR_TIME: u16 = 1;
-/// Where wasted messages matter more: tasks wait at the entry.
-const FOR_WASTE: &str = "late_binding";
-const MAX_QUEUED_FOR_WASTE: u16 = 0;
+/// Tasks that may wait at an upstream beyond its slots, to start there without
+/// a round trip. [`late_binding`] takes no notice of it.
+///
+/// [`late_binding`]: sycamorerail_decide::placement::late_binding
+const MAX_QUEUED: u16 = 1;
 
-static CHOOSE_FOR_TIME: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name(FOR_TIME));
-static CHOOSE_FOR_WASTE: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name(FOR_WASTE));
+static RANDOM: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("random"));
+static TWO_CHOICES: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("two_choices"));
+static LEAST_WAIT: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("least_wait"));
+static LATE_BINDING: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("late_binding"));
+
+/// Where time matters more, a task may wait at an upstream; where wasted
+/// messages do, it waits at the entry. See docs/DECISIONS.md.
+fn policy_name(kind: &Kind) -> PolicyTemplate {
+    match (kind.policy, kind.priority) {
+        (PolicyTemplate::ByPriority, Priority::Time) => PolicyTemplate::LeastWait,
+        (PolicyTemplate::ByPriority, Priority::Waste) => PolicyTemplate::LateBinding,
+        (named, _) => named,
+    }
+}
 
 /// Most tasks of the kind that may wait at an upstream beyond its slots.
 pub(super) fn max_queued(kind: &Kind) -> u16 {
-    match kind.priority {
-        Priority::Time => MAX_QUEUED_FOR_TIME,
-        Priority::Waste => MAX_QUEUED_FOR_WASTE,
+    match policy_name(kind) {
+        PolicyTemplate::LateBinding => 0,
+        _ => MAX_QUEUED,
     }
 }
 
 fn policy(kind: &Kind) -> Option<&'static Policy> {
-    match kind.priority {
-        Priority::Time => CHOOSE_FOR_TIME.as_ref(),
-        Priority::Waste => CHOOSE_FOR_WASTE.as_ref(),
+    match policy_name(kind) {
+        PolicyTemplate::Random => RANDOM.as_ref(),
+        PolicyTemplate::TwoChoices => TWO_CHOICES.as_ref(),
+        PolicyTemplate::LateBinding => LATE_BINDING.as_ref(),
+        PolicyTemplate::LeastWait | PolicyTemplate::ByPriority => LEAST_WAIT.as_ref(),
     }
 }
 
--- a/crates/entry/src/organisations.rs
+++ b/crates/entry/src/organisations.rs
@@ -9,7 +9,7 @@
         view::{DataCentreKey, KindKey},
     },
     sycamorerail_settings::template::{
-        KindTemplate, Priority, Quota, SpreadTemplate, Template, Urgency,
+        KindTemplate, PolicyTemplate, Priority, Quota, SpreadTemplate, Template, Urgency,
     },
     sycamorerail_wire::{ids::OrganisationKey, message::ConfigMark},
 };
@@ -47,6 +47,8 @@
     pub spread: Spread,
     /// Data centres not to be used.
     pub avoid: Vec<DataCentreKey>,
+    /// How the upstream of a task is chosen.
+    pub policy: PolicyTemplate,
     /// Whether a request may run more than once.
     pub repeatable: bool,
     /// What is given up first.
@@ -130,6 +132,7 @@
         deadline_ms: kind.deadline_ms,
         spread: spread(kind.placement.spread),
         avoid: kind.placement.avoid.iter().map(|name| names.data_centre(name)).collect(),
+        policy: kind.placement.policy,
         repeatable: kind.repeatable,
         priority: kind.priority,
         size_bytes: kind.size_bytes,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -24,7 +24,8 @@
         entry::{EntrySettings, LimitSettings, PlatformSettings},
         keys::KeySettings,
         template::{
-            KindTemplate, PlacementTemplate, Priority, Quota, SpreadTemplate, Template, Urgency,
+            KindTemplate, PlacementTemplate, PolicyTemplate, Priority, Quota, SpreadTemplate,
+            Template, Urgency,
         },
     },
     sycamorerail_standin::platform::{PlatformStandin, PlatformStandinConfig},
@@ -246,7 +247,11 @@
         name: name.to_owned(),
         urgency: Urgency::Urgent,
         deadline_ms: 15_000,
-        placement: PlacementTemplate { spread: SpreadTemplate::Even, avoid: Vec::new() },
+        placement: PlacementTemplate {
+            spread: SpreadTemplate::Even,
+            avoid: Vec::new(),
+            policy: PolicyTemplate::ByPriority,
+        },
         repeatable,
         priority: Priority::Time,
         size_bytes: 1_000,
--- a/crates/settings/src/template.rs
+++ b/crates/settings/src/template.rs
@@ -41,6 +41,13 @@
     ("local", SpreadTemplate::Local),
     ("avoid", SpreadTemplate::Avoid),
 ];
+const POLICIES: &[(&str, PolicyTemplate)] = &[
+    ("by_priority", PolicyTemplate::ByPriority),
+    ("random", PolicyTemplate::Random),
+    ("two_choices", PolicyTemplate::TwoChoices),
+    ("least_wait", PolicyTemplate::LeastWait),
+    ("late_binding", PolicyTemplate::LateBinding),
+];
 
 /// Template of one organisation.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -119,6 +126,8 @@
     pub spread: SpreadTemplate,
     /// Data centres not to be used, with `avoid`.
     pub avoid: Vec<String>,
+    /// How the upstream of a task is chosen.
+    pub policy: PolicyTemplate,
 }
 
 /// How tasks are spread across data centres.
@@ -132,6 +141,21 @@
     Avoid,
 }
 
+/// How the upstream of a task is chosen; see docs/DECISIONS.md.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PolicyTemplate {
+    /// The policy measured to be best for the kind's priority.
+    ByPriority,
+    /// Any upstream with room.
+    Random,
+    /// The better of two at random.
+    TwoChoices,
+    /// The least expected wait of all.
+    LeastWait,
+    /// Only where a slot is free; the rest waits at the entry.
+    LateBinding,
+}
+
 impl Template {
     /// Reads a template from YAML text.
     ///
@@ -224,6 +248,7 @@
         let placement = Self {
             spread: reader.choice("spread", SpreadTemplate::Even, SPREADS),
             avoid: reader.texts("avoid", NAME),
+            policy: reader.choice("policy", PolicyTemplate::ByPriority, POLICIES),
         };
         let avoids = placement.spread == SpreadTemplate::Avoid;
         reader.require(
