Fence: an agent that goes while a task runs, a stale read, a planned stop

Cause: on paper, an agent that reported a running task and died kept the job in doubt for ever; a stale read of the fence after the roster could miss the mark that the roster is not whole; and after a planned stop others waited until the home was shown lost. Change: what ran at an agent that answers no more has no end; both readings are checked against the revision before; an entry that has drained fences itself; attempts to reach a home fit into the time after which it is lost, whatever the probe pause; agents are told of entries and fences.

--- a/crates/decide/src/fence.rs
+++ b/crates/decide/src/fence.rs
@@ -17,7 +17,7 @@
 pub mod lost;
 
 use {
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     sycamorerail_wire::{
         answer::{Payload, Reason, TaskEnd, TaskRecord},
         ids::{ContentHash, Incarnation},
@@ -41,6 +41,9 @@
     pub held: &'a BTreeMap<Incarnation, FencedJob>,
     /// Agents of the roster that have not answered.
     pub silent_agents: usize,
+    /// Agents that answered, and have gone since: what ran there has no end
+    /// that can be had.
+    pub gone: &'a BTreeSet<Incarnation>,
     /// Whether the roster is known to name all agents.
     pub whole: bool,
 }
@@ -115,9 +118,10 @@
 }
 
 impl<'a> Standing<'a> {
-    fn add(&mut self, record: &'a TaskRecord, agent: Incarnation) {
+    fn add(&mut self, record: &'a TaskRecord, agent: Incarnation, is_gone: bool) {
         match record {
             TaskRecord::NeverStarted => {}
+            TaskRecord::Running if is_gone => self.without_end = true,
             TaskRecord::Running => self.running = true,
             TaskRecord::Ended(TaskEnd::Finished(result)) => {
                 self.finished.get_or_insert(result);
@@ -157,7 +161,7 @@
     let silent_agents = heard.silent_agents;
     let all_told = heard.whole && silent_agents == 0;
     let task_count = jobs().map(|(_, job)| job.task_count).max().unwrap_or(0);
-    let standings = standings(jobs(), task_count);
+    let standings = standings(jobs(), heard.gone, task_count);
     let started = standings.iter().filter(|standing| standing.started()).count();
     let tasks_started = u16::try_from(started).unwrap_or(u16::MAX);
 
@@ -188,13 +192,14 @@
 
 fn standings<'a>(
     jobs: impl Iterator<Item = (Incarnation, &'a FencedJob)>,
+    gone: &BTreeSet<Incarnation>,
     task_count: u16,
 ) -> Vec<Standing<'a>> {
     let mut standings = vec![Standing::default(); task_count.into()];
     for (agent, job) in jobs {
         for report in &job.tasks {
             if let Some(standing) = standings.get_mut(usize::from(report.task.index)) {
-                standing.add(&report.record, agent);
+                standing.add(&report.record, agent, gone.contains(&agent));
             }
         }
     }
--- a/crates/decide/src/fence/collect.rs
+++ b/crates/decide/src/fence/collect.rs
@@ -50,6 +50,8 @@
     to_ask: AgentSet,
     /// Agents to be asked about this job alone, as their answer was cut short.
     alone: BTreeSet<usize>,
+    /// Agents that answered before and did not since, with the time.
+    unheard: BTreeMap<Incarnation, u64>,
     /// When the present round of asking began.
     round_ms: u64,
     not_before_ms: u64,
@@ -159,13 +161,14 @@
 
     /// No answer to a message came: the agent is away, or the answer was too
     /// long.
-    pub fn unanswered(&mut self, request: &Request) {
+    pub fn unanswered(&mut self, request: &Request, now_ms: u64) {
         let Some(&place) = self.places.get(&request.agent) else { return };
         self.most_jobs.insert(request.agent, (request.jobs.len() / 2).max(1));
         for job in &request.jobs {
             if let Some(asked) = self.jobs.get_mut(job) {
                 asked.under_way.remove(place);
                 asked.to_ask.insert(place);
+                asked.unheard.entry(request.agent).or_insert(now_ms);
             }
         }
     }
@@ -173,16 +176,16 @@
     /// What follows for a job so far.
     #[must_use]
     pub fn conclude(&self, job: JobId, known: Known, now_ms: u64) -> Conclusion {
-        let all = self.roster.agents.len();
-        let none = BTreeMap::new();
-        let heard = |asked: Option<&Asked>| all - asked.map_or(0, |asked| asked.answered.len());
+        let new = Asked::default();
         let asked = self.jobs.get(&job);
+        let time_up = asked.is_some_and(|asked| asked.is_round_over(self.times, now_ms));
+        let asked = asked.unwrap_or(&new);
         let heard = Heard {
-            held: asked.map_or(&none, |asked| &asked.held),
-            silent_agents: heard(asked),
+            held: &asked.held,
+            silent_agents: self.roster.agents.len() - asked.answered.len(),
+            gone: &asked.gone(self.times, now_ms),
             whole: self.roster.whole,
         };
-        let time_up = asked.is_some_and(|asked| asked.is_round_over(self.times, now_ms));
         conclude(heard, known, time_up)
     }
 
@@ -216,6 +219,13 @@
         now_ms >= self.round_ms + times.answer_within_ms
     }
 
+    /// Agents that have not answered any more for long.
+    fn gone(&self, times: FenceTimes, now_ms: u64) -> BTreeSet<Incarnation> {
+        let is_gone = |since_ms: u64| now_ms >= since_ms + times.answer_within_ms;
+        let gone = self.unheard.iter().filter(|(_, since_ms)| is_gone(**since_ms));
+        gone.map(|(agent, _)| *agent).collect()
+    }
+
     /// Takes out the agents to be asked now.
     fn take_due(&mut self, times: FenceTimes, now_ms: u64) -> Vec<usize> {
         if now_ms < self.not_before_ms {
@@ -249,6 +259,7 @@
         is_alone: bool,
     ) {
         self.under_way.remove(place);
+        self.unheard.remove(&agent);
         if !is_alone && held.as_ref().is_some_and(was_cut) {
             self.alone.insert(place);
             self.to_ask.insert(place);
--- a/crates/decide/tests/fence.rs
+++ b/crates/decide/tests/fence.rs
@@ -1,7 +1,7 @@
 //! Fencing: when a home is lost, whom to ask, and what follows.
 
 use {
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     sycamorerail_decide::fence::{
         Conclusion, Heard, Known, Roster,
         collect::{Collector, FenceTimes, MAX_JOBS, Request},
@@ -54,7 +54,9 @@
 fn conclude(roster: &Roster, told: &Told, known: Known, time_up: bool) -> Conclusion {
     let held = told.iter().filter_map(|(agent, job)| Some((*agent, job.clone()?))).collect();
     let silent_agents = roster.agents.len() - told.len();
-    conclude_heard(Heard { held: &held, silent_agents, whole: roster.whole }, known, time_up)
+    let gone = &BTreeSet::new();
+    let heard = Heard { held: &held, silent_agents, gone, whole: roster.whole };
+    conclude_heard(heard, known, time_up)
 }
 
 fn told(one: Option<FencedJob>, two: Option<FencedJob>) -> Told {
@@ -190,7 +192,7 @@
     let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
     (0..4).for_each(|sequence| collector.ask(id(sequence), 0));
     let request = collector.due(10).remove(0);
-    collector.unanswered(&request);
+    collector.unanswered(&request, 50);
     let sizes: Vec<_> = collector.due(110).iter().map(|request| request.jobs.len()).collect();
     assert_eq!(sizes, [2, 2], "smaller messages, in case the answer was too long");
 }
@@ -199,7 +201,7 @@
 fn rounds_end() {
     let mut collector = Collector::new(both(), TIMES);
     collector.ask(id(0), 0);
-    collector.due(10).iter().for_each(|request| collector.unanswered(request));
+    collector.due(10).iter().for_each(|request| collector.unanswered(request, 50));
     assert!(matches!(collector.conclude(id(0), JOB, 1_000), Conclusion::Unknown { .. }));
     assert_eq!(collector.due(1_010), [], "given up");
     collector.ask(id(0), 1_100);
@@ -221,6 +223,23 @@
     assert_eq!(collector.wake_at_ms(), None);
 }
 
+#[test]
+fn gone_while_running() {
+    let mut collector = Collector::new(Roster { agents: vec![ONE], whole: true }, TIMES);
+    collector.ask(id(0), 0);
+    let request = collector.due(10).remove(0);
+    collector.answered(&request, vec![held(id(0), 1, &[(0, 0, TaskRecord::Running)])]);
+    assert_eq!(collector.due(110).len(), 1);
+    collector.unanswered(&request, 120);
+    let running = Conclusion::Running { tasks_started: 1 };
+    assert_eq!(collector.conclude(id(0), JOB, 1_119), running);
+    let conclusion = collector.conclude(id(0), JOB, 1_120);
+    assert!(matches!(conclusion, Conclusion::Unknown { tasks_started: 1, .. }));
+    assert_eq!(collector.due(1_120).len(), 1, "asked on");
+    collector.answered(&request, vec![held(id(0), 1, &[(0, 0, finished("a"))])]);
+    assert!(collector.conclude(id(0), JOB, 1_130).is_final());
+}
+
 #[test]
 fn lost_by_both() {
     let mut watch = HomeWatch::new(1_000);
--- a/crates/decide/tests/fence_model.rs
+++ b/crates/decide/tests/fence_model.rs
@@ -441,7 +441,7 @@
         let at = usize::try_from(request.agent.0 - 100).unwrap();
         if !self.agents[at].alive {
             if let Some(collector) = &mut self.collectors[fencer] {
-                collector.unanswered(&request);
+                collector.unanswered(&request, self.now_ms);
             }
             return;
         }
@@ -474,7 +474,7 @@
             }
             Message::Fence { fencer, request } | Message::Fenced { fencer, request, .. } => {
                 if let Some(collector) = &mut self.collectors[fencer] {
-                    collector.unanswered(&request);
+                    collector.unanswered(&request, self.now_ms);
                 }
             }
         }
--- a/crates/entry/src/peers/fencing.rs
+++ b/crates/entry/src/peers/fencing.rs
@@ -238,7 +238,8 @@
                 fence.with(|collector| collector.answered(&request, held));
             }
             None => {
-                fence.with(|collector| collector.unanswered(&request));
+                let now_ms = shared.now_ms();
+                fence.with(|collector| collector.unanswered(&request, now_ms));
             }
         }
         fence.progress.send_modify(|count| *count += 1);
--- a/crates/entry/src/peers/forward.rs
+++ b/crates/entry/src/peers/forward.rs
@@ -67,7 +67,7 @@
         // back.
         let is_lost = self.homes.standing(id.incarnation) == Standing::Lost
             && self.fences.is_recorded(id.incarnation);
-        if is_lost || id.home == shared.inner_address {
+        if is_lost || id.home == shared.inner_address || self.has_left(id) {
             return Asked::Lost;
         }
         let sighting = match self.call_home(shared, id, call).await {
@@ -97,6 +97,19 @@
     }
 }
 
+impl Inner {
+    /// Whether the platform shows that the home has stopped as planned: it is
+    /// fenced, and nothing is announced at its address.
+    fn has_left(&self, id: &JobId) -> bool {
+        self.membership.get().is_some_and(|membership| {
+            let members = membership.members();
+            let mut entries = members.entries.values();
+            members.fenced.contains_key(&id.incarnation)
+                && !entries.any(|entry| entry.record.inner_address == id.home)
+        })
+    }
+}
+
 fn known(call: &ToEntry) -> Known {
     match call {
         ToEntry::Submit(submission) => Known {
--- a/crates/entry/src/peers/home.rs
+++ b/crates/entry/src/peers/home.rs
@@ -20,8 +20,9 @@
     tokio::time::sleep,
 };
 
-/// Attempts to reach a home in doubt, in the time after which it is lost.
-const ATTEMPTS: u64 = 5;
+/// Pauses between attempts to reach a home in doubt, in the time after which it
+/// is lost.
+const PAUSES: u64 = 5;
 /// Pause between rounds of forgetting.
 const FORGET_PAUSE: Duration = Duration::from_secs(5);
 
@@ -78,7 +79,7 @@
         id: JobId,
         watch: Arc<Mutex<HomeWatch>>,
     ) {
-        let pause_ms = u64::from(shared.settings.limits.lost_after_ms) / ATTEMPTS;
+        let pause_ms = u64::from(shared.settings.limits.lost_after_ms) / PAUSES;
         loop {
             sleep(Duration::from_millis(pause_ms.max(1))).await;
             let (own, witness) =
@@ -104,7 +105,7 @@
 
     async fn try_home(&self, shared: &Shared, id: &JobId) -> Sighting {
         let call = ToEntry::Reach { address: id.home, incarnation: id.incarnation };
-        match self.sessions.call(shared, id.home, &call, sessions::short(shared)).await {
+        match self.sessions.call(shared, id.home, &call, sessions::reach_within(shared)).await {
             Ok(reply) => sighting(&reply.body, id.incarnation),
             Err(_) => Sighting::Unreachable,
         }
@@ -119,7 +120,7 @@
         let chosen = peers.choose(&mut rand::rng()).copied();
         let Some(peer) = chosen else { return Sighting::Unreachable };
         let call = ToEntry::Reach { address: id.home, incarnation: id.incarnation };
-        let within = sessions::short(shared) * 2;
+        let within = sessions::reach_within(shared) * 2;
         match self.sessions.call(shared, peer, &call, within).await {
             Ok(reply) => sighting(&reply.body, id.incarnation),
             // A peer that is away tells nothing; the lease may.
--- a/crates/entry/src/peers/serve.rs
+++ b/crates/entry/src/peers/serve.rs
@@ -129,7 +129,8 @@
             let known = shared.jobs.is_retired(incarnation);
             return Some(if known { incarnation } else { shared.incarnation() });
         }
-        let status = tokio::time::timeout(sessions::short(shared), self.status(shared, address));
+        let within = sessions::reach_within(shared);
+        let status = tokio::time::timeout(within, self.status(shared, address));
         Some(status.await.ok()?.ok()?.incarnation)
     }
 
--- a/crates/entry/src/peers/sessions.rs
+++ b/crates/entry/src/peers/sessions.rs
@@ -23,6 +23,8 @@
 const DIAL_PAUSE_MS: u64 = 100;
 /// Longest wait for a connection and for a short reply, at least.
 const MIN_WITHIN_MS: u32 = 50;
+/// Attempts to reach a home in the time after which it is lost, at least.
+const ATTEMPTS: u32 = 4;
 
 /// A session with an entry.
 #[derive(Debug)]
@@ -51,6 +53,13 @@
     Duration::from_millis(shared.settings.limits.probe_after_ms.max(MIN_WITHIN_MS).into())
 }
 
+/// Longest wait for a connection, and for a reply on whether an entry is there.
+pub(super) fn reach_within(shared: &Shared) -> Duration {
+    let limits = &shared.settings.limits;
+    let within_ms = limits.probe_after_ms.min(limits.lost_after_ms / ATTEMPTS);
+    Duration::from_millis(within_ms.max(MIN_WITHIN_MS).into())
+}
+
 impl Sessions {
     /// The session with an entry, opened if need be.
     pub(super) async fn session(
@@ -59,7 +68,7 @@
         address: SocketAddr,
     ) -> Result<Arc<Session>, SessionError> {
         let slot = Arc::clone(&self.slots.entry(address).or_default());
-        let within = short(shared);
+        let within = reach_within(shared);
         let Ok(mut slot) = timeout(within, slot.lock()).await else {
             return Err(SessionError::Connect(address, "another dial is under way".to_owned()));
         };
--- a/crates/entry/src/peers/usable.rs
+++ b/crates/entry/src/peers/usable.rs
@@ -6,7 +6,7 @@
 
 use {
     super::Inner,
-    crate::shared::Shared,
+    crate::shared::{Members, Shared},
     parking_lot::Mutex,
     std::sync::{Arc, OnceLock},
     sycamorerail_membership::Membership,
@@ -30,6 +30,7 @@
     fn apply(&self, membership: &Membership) {
         let _changing = self.changing.lock();
         let Some(shared) = self.shared.get() else { return };
+        tell_agents(shared, membership);
         let mut changes = Vec::new();
         for agent in &shared.upstreams.snapshot().agents {
             let run = agent.identity.incarnation;
@@ -55,6 +56,15 @@
     }
 }
 
+/// Has agents told of the entries known and of the latest fences.
+fn tell_agents(shared: &Shared, membership: &Membership) {
+    let (entries, fenced) = (membership.addresses(), membership.fences_told());
+    let told = shared.members.load();
+    if told.entries != entries || told.fenced != fenced {
+        shared.members.store(Arc::new(Members { entries, fenced }));
+    }
+}
+
 /// Whether the agent's run is connected.
 pub(super) fn is_connected(shared: &Shared, run: Incarnation) -> bool {
     let snapshot = shared.upstreams.snapshot();
--- a/crates/entry/tests/fence.rs
+++ b/crates/entry/tests/fence.rs
@@ -18,7 +18,10 @@
     let ids = cluster.nodes[0].ids(count).await;
     let shape = |(number, id): (usize, String)| {
         let run_ms = 30 + 97 * number as u64 % 600;
-        (id, job(1 + number % 4, run_ms))
+        let mut body = job(1 + number % 4, run_ms);
+        // A home that is cut off from its agents answers by then.
+        body["deadline_ms"] = 6_000.into();
+        (id, body)
     };
     ids.into_iter().enumerate().map(shape).collect()
 }
--- a/crates/entry/tests/forward.rs
+++ b/crates/entry/tests/forward.rs
@@ -77,6 +77,28 @@
     assert_eq!((got.text("outcome"), got.text("reason")), ("not_run", "draining"));
 }
 
+#[tokio::test]
+async fn stopped_home() {
+    let mut cluster = Cluster::start_with(2, 1, patient).await;
+    let home = cluster.nodes.remove(0);
+    let ids = home.ids(2).await;
+    assert_eq!(home.submit(&ids[0], &job(2, 10)).await.status, 200);
+    let run = home.entry.shared.incarnation();
+    home.entry.drain().await.unwrap();
+    home.peers.leave().await;
+    let other = &cluster.nodes[0];
+    let knows = async || {
+        let members = other.peers.membership().unwrap().members();
+        members.fenced.contains_key(&run) && !members.entries.contains_key(&run)
+    };
+    until("the others see that it left", knows).await;
+    let got = other.submit(&ids[0], &job(2, 10)).await;
+    assert_eq!((got.text("outcome"), echoes(&got)), ("complete", vec![0, 1]));
+    let got = other.submit(&ids[1], &job(1, 10)).await;
+    assert_eq!((got.text("outcome"), got.text("reason")), ("not_run", "home_lost"));
+    assert_eq!(cluster.starts_of(&ids[0]), 2);
+}
+
 #[tokio::test]
 async fn entries_listed() {
     let cluster = Cluster::start_with(3, 1, patient).await;
--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -116,8 +116,8 @@
 /// Writes the home record if it is due; returns whether it called the platform.
 async fn tend_home(shared: &Shared) -> Result<bool, MembershipError> {
     let members = shared.members();
-    if shared.applied() < members.mark {
-        // What is told as seen must be in force for all who choose agents.
+    // What is told as seen must be in force for all who choose agents.
+    if shared.applied() < members.mark || shared.is_leaving() {
         return Ok(false);
     }
     let own = shared.settled();
--- a/crates/membership/src/fencing.rs
+++ b/crates/membership/src/fencing.rs
@@ -46,7 +46,12 @@
     // A fence is marked silent before an agent that its home may have used is
     // deleted. It is read after the roster: if the agent is missing there, the
     // mark shows here.
-    let fence = platform.get(&keys::key(FENCED, home)).await.map_err(failed)?;
+    let key = keys::key(FENCED, home);
+    let fences = platform.range(&key).await.map_err(failed)?;
+    if fences.mark < range.mark {
+        return Err(MembershipError::Stale { step, mark: fences.mark, least: range.mark });
+    }
+    let fence = fences.items.iter().find(|item| item.key == key);
     let fence = fence.ok_or(MembershipError::Contradiction(step))?;
     let record: Option<FenceRecord> = record::from_json(&fence.value);
     let named: Vec<_> =
@@ -80,6 +85,15 @@
     Err(last)
 }
 
+/// Fences an incarnation that places nothing any more, at its planned stop.
+pub(crate) async fn fence_left(
+    platform: &Platform,
+    own: Incarnation,
+    now_unix_ms: u64,
+) -> Result<(), MembershipError> {
+    record_fence(platform, own, now_unix_ms).await.map(|_| ())
+}
+
 /// Fences a home that is long gone, or marks its fence, as silent.
 pub(crate) async fn silence(
     platform: &Platform,
--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -223,7 +223,7 @@
     ///
     /// When the platform doesn't answer; calling again is harmless.
     pub async fn fence(&self, home: Incarnation) -> Result<FencedRoster, MembershipError> {
-        let fenced = fencing::fence(&self.shared.platform, home, self.shared.unix_ms()).await;
+        let fenced = fencing::fence(&self.shared.platform, home, unix_ms()).await;
         match &fenced {
             Ok(roster) => {
                 let agents = roster.agents.len();
@@ -246,10 +246,16 @@
         self.shared.changed.subscribe()
     }
 
-    /// Withdraws this entry's announcement, at a planned stop.
+    /// Ends a planned stop, when nothing is placed any more: fences the own
+    /// incarnation, so that others need not wait until it is shown lost, and
+    /// withdraws the announcement. Both may fail; others find out then.
     pub async fn leave(&self) {
         self.shared.leaving.store(true, Ordering::Release);
-        announce::withdraw(&self.shared, self.shared.settled()).await;
+        let own = self.shared.settled();
+        if let Err(error) = fencing::fence_left(&self.shared.platform, own, unix_ms()).await {
+            event!(Debug, "own_fence_failed", error = error);
+        }
+        announce::withdraw(&self.shared, own).await;
     }
 }
 
@@ -299,11 +305,6 @@
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    pub(crate) fn unix_ms(&self) -> u64 {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Pause between two registrations, so that all entries together stay
     /// within the rate.
     pub(crate) fn registration_pause(&self) -> Duration {
@@ -327,7 +328,7 @@
         show_sizes(&members);
         let mark = members.mark;
         self.members.store(members);
-        if fenced {
+        if fenced && !self.is_leaving() {
             self.retire(own);
         }
         (self.hooks.changed)();
@@ -352,6 +353,12 @@
     }
 }
 
+/// Unix time in milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 fn show_sizes(members: &Members) {
     let sizes = [
         ("entries", members.entries.len()),
--- a/crates/membership/src/register.rs
+++ b/crates/membership/src/register.rs
@@ -9,7 +9,7 @@
     crate::{
         error::{MembershipError, MembershipStep},
         keys::{self, AGENTS, FENCED},
-        membership::Shared,
+        membership::{Shared, unix_ms},
         record::{self, AgentRecord},
     },
     parking_lot::Mutex,
@@ -126,7 +126,7 @@
     let step = MembershipStep::Register;
     let own = shared.settled();
     let key = keys::key(AGENTS, agent.incarnation);
-    let registered_unix_ms = shared.unix_ms();
+    let registered_unix_ms = unix_ms();
     let record = AgentRecord { agent: agent.clone(), registered_unix_ms, retired: false };
     let value = record::to_json(&record);
     let guard = keys::key(FENCED, own);
--- a/crates/membership/src/sweep.rs
+++ b/crates/membership/src/sweep.rs
@@ -7,7 +7,7 @@
         garbage::{self, Change, Memory, Sight, SweepTimes},
         keys::{self, AGENTS, HOMES},
         members::Members,
-        membership::Shared,
+        membership::{Shared, unix_ms},
         record,
     },
     rand::Rng,
@@ -87,7 +87,7 @@
     home: Incarnation,
 ) -> Result<(), MembershipError> {
     let known = members.fenced.get(&home).map(|fence| (fence.record.clone(), fence.modified));
-    fencing::silence(&shared.platform, home, known, shared.unix_ms()).await
+    fencing::silence(&shared.platform, home, known, unix_ms()).await
 }
 
 async fn set_retired(
