--- a/crates/entry/examples/rollout_time.rs
+++ b/crates/entry/examples/rollout_time.rs
@@ -29,6 +29,11 @@
 const CHANGE_WITHIN: Duration = Duration::from_secs(120);
 const IDLE: Duration = Duration::from_secs(20);
 const OPERATORS: usize = 6;
+/// Longest pause of a racing operator between two changes.
+const OPERATOR_PAUSE_MS: u64 = 600;
+/// In a race the platform refuses all calls for a while, again and again.
+const OUTAGE_EVERY: Duration = Duration::from_secs(10);
+const OUTAGE_MS: u64 = 1_500;
 
 /// Measure the rollout of templates on running processes.
 #[derive(Debug, FromArgs)]
@@ -100,10 +105,13 @@
     }
 
     async fn set_faults(&self, faults: &str) -> eyre::Result<()> {
-        let url = format!("{}/standin/faults", self.platform);
         let faults: Value = serde_json::from_str(faults)?;
-        let body = json!({ "faults": faults });
-        self.http.post(url).json(&body).send().await?.error_for_status()?;
+        self.order(&json!({ "faults": faults })).await
+    }
+
+    async fn order(&self, order: &Value) -> eyre::Result<()> {
+        let url = format!("{}/standin/faults", self.platform);
+        self.http.post(url).json(order).send().await?.error_for_status()?;
         sleep(Duration::from_millis(100)).await;
         Ok(())
     }
@@ -302,8 +310,11 @@
     let observers: Vec<_> = (0..site.entries.len())
         .map(|entry| tokio::spawn(observe(Arc::clone(site), Arc::clone(&found), entry)))
         .collect();
+    let outages = tokio::spawn(disturb(Arc::clone(site), options.faults.clone()));
     let operators = (0..OPERATORS).map(|operator| operate(site, &found, operator, options));
     try_join_all(operators).await?;
+    outages.abort();
+    site.order(&json!({ "faults": {} })).await?;
     let elapsed = begun.elapsed();
     print_calls("race", &before, &site.calls().await?, elapsed);
     let settled = settle(site, &found).await?;
@@ -327,6 +338,16 @@
     Ok(())
 }
 
+/// Lets the platform refuse all calls for a while, again and again.
+async fn disturb(site: Arc<Site>, faults: String) {
+    loop {
+        sleep(OUTAGE_EVERY).await;
+        let _ = site.order(&json!({ "refuse": true, "for_ms": OUTAGE_MS })).await;
+        sleep(Duration::from_millis(OUTAGE_MS)).await;
+        let _ = site.set_faults(&faults).await;
+    }
+}
+
 async fn operate(
     site: &Site,
     found: &Found,
@@ -338,6 +359,8 @@
     let mut revision = revisions.get(&organisation).copied().unwrap_or(0);
     while (found.accepted.lock().map_err(|_| eyre!("poisoned"))?.len() as u64) < options.changes {
         let change = wanted(&organisation, revision, "race");
+        let pause_ms = rand::random_range(0..=OPERATOR_PAUSE_MS);
+        sleep(Duration::from_millis(pause_ms)).await;
         match timeout(CHANGE_WITHIN, site.publish(operator, &change)).await?? {
             Ended::Accepted(accepted) => {
                 revision = accepted;
--- a/scripts/rollout.sh
+++ b/scripts/rollout.sh
@@ -53,7 +53,7 @@
 touch "$dir/restarting"
 restart_entries &
 restarts=$!
-run "six racing operators, 30% of answers lost, entries killed in turn" --measure race \
+run "six racing operators, 30% of answers lost, outages, entries killed in turn" --measure race \
     --changes "${RACE_CHANGES:-1000}" --organisations 3 --faults '{"lose_answers":0.3}'
 rm -f "$dir/restarting"
 wait "$restarts"
