Bench: a balancer that looks at readiness, and smaller blocks of ids

In the planned stop, callers went on to the draining entry in turn, which no balancer does, and its drain lasted as long as the load: 42 s from the signal. The balancer now leaves out entries whose /ready fails a look each half second. Blocks of 50 ids in place of 200: a stock of half a minute made every later submission under a lost home wait for its fence. Examples tell what was not complete first.

--- a/crates/bench/src/client.rs
+++ b/crates/bench/src/client.rs
@@ -204,10 +204,10 @@
         Ok(())
     }
 
-    /// Whether a process says that it is ready.
-    pub async fn is_ready(&self, process: SocketAddr) -> bool {
+    /// Whether a process says that it is ready, within a time.
+    pub async fn is_ready(&self, process: SocketAddr, timeout: Duration) -> bool {
         let url = format!("http://{process}/ready");
-        let call = self.http.get(url).timeout(side_call()).send().await;
+        let call = self.http.get(url).timeout(timeout).send().await;
         call.is_ok_and(|answer| answer.status().is_success())
     }
 
--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -4,8 +4,9 @@
 use {
     crate::{
         arrivals::{Arrival, Unit},
+        balancer::Balancer,
         client::{Answer, Client, Outcome, Submission},
-        cluster::{Cluster, Role},
+        cluster::Cluster,
         pool::{IdPool, Reserved},
         scenario::{Kind, Route, Scenario},
         verdict::Told,
@@ -14,10 +15,9 @@
     serde_json::{Value, json},
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -54,6 +54,21 @@
     pub detail: Option<String>,
 }
 
+impl Record {
+    /// One line for people.
+    #[must_use]
+    pub fn line(&self) -> String {
+        let (arrival, outcome, reason) = (self.arrival, self.outcome.name(), &self.reason);
+        let (after_ms, broken) = (self.response_us / 1_000, self.broken);
+        let id = self.told.last().map_or("none", |told| &told.id);
+        let detail = self.detail.as_deref().unwrap_or("none");
+        format!(
+            "arrival {arrival}: {outcome}/{reason} after {after_ms} ms, broken calls {broken}, \
+             id {id}: {detail}"
+        )
+    }
+}
+
 /// Counts for the progress line.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -69,12 +84,11 @@
 pub struct Drive {
     client: Client,
     pool: Arc<IdPool>,
-    entries: Vec<SocketAddr>,
+    balancer: Arc<Balancer>,
     tokens: Vec<String>,
     kinds: Vec<Kind>,
     scenario: Scenario,
     arrivals: Arc<Vec<Arrival>>,
-    turn: AtomicUsize,
     in_flight: Mutex<HashMap<usize, InFlight>>,
     /// Counts for the progress line.
     pub progress: Progress,
@@ -92,20 +106,19 @@
     #[must_use]
     pub fn new(
         client: Client,
+        balancer: Arc<Balancer>,
         pool: Arc<IdPool>,
         cluster: &Cluster,
-        scenario: &Scenario,
         arrivals: Arc<Vec<Arrival>>,
     ) -> Arc<Self> {
         Arc::new(Self {
             client,
             pool,
-            entries: cluster.of_role(Role::Entry).map(|entry| entry.http_address).collect(),
+            balancer,
             tokens: cluster.organisations.iter().map(|org| org.token.clone()).collect(),
-            kinds: scenario.kinds(),
-            scenario: scenario.clone(),
+            kinds: cluster.scenario.kinds(),
+            scenario: cluster.scenario.clone(),
             arrivals,
-            turn: AtomicUsize::new(0),
             in_flight: Mutex::default(),
             progress: Progress::default(),
         })
@@ -162,7 +175,7 @@
                 .collect()
         };
         let cancel = |one: &InFlight| {
-            let (entry, token) = (self.next_entry(), self.tokens[one.organisation].clone());
+            let (entry, token) = (self.balancer.next(), self.tokens[one.organisation].clone());
             let (client, id) = (self.client.clone(), one.id.clone());
             async move { client.job(Method::DELETE, entry, &token, &id).await }
         };
@@ -249,8 +262,8 @@
         let token = &self.tokens[organisation];
         let timeout = Duration::from_millis(u64::from(self.scenario.client.answer_timeout_ms));
         let mut entry = match self.scenario.client.route {
-            Route::Balancer => self.next_entry(),
-            Route::Home => self.entries[home],
+            Route::Balancer => self.balancer.next(),
+            Route::Home => self.balancer.entry(home),
         };
         let mut fetch = false;
         while Instant::now() < give_up {
@@ -275,7 +288,7 @@
                 }
             };
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            entry = self.next_entry();
+            entry = self.balancer.next();
         }
         None
     }
@@ -319,10 +332,6 @@
             contradicted: false,
         }
     }
-
-    fn next_entry(&self) -> SocketAddr {
-        self.entries[self.turn.fetch_add(1, Ordering::Relaxed) % self.entries.len()]
-    }
 }
 
 fn echo(index: usize, attempt: usize, task: usize) -> String {
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 //! The bench starts no processes; `scripts/cluster.sh` does.
 
 pub mod arrivals;
+pub mod balancer;
 pub mod client;
 pub mod cluster;
 pub mod commands;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         arrivals::{self, Arrival, Unit},
+        balancer::Balancer,
         client::{Client, Outcome, Submission},
         cluster::{self, Cluster, Process, Role},
         drive::{Drive, Record},
@@ -108,11 +109,12 @@
 }
 
 async fn wait_ready(cluster: &Cluster, client: &Client, deadline: Instant) -> eyre::Result<()> {
+    let timeout = Duration::from_millis(READY_TIMEOUT_MS);
     loop {
         let mut missing = Vec::new();
         for process in &cluster.processes {
             let asked = matches!(process.role, Role::Entry | Role::Agent);
-            if asked && !client.is_ready(process.http_address).await {
+            if asked && !client.is_ready(process.http_address, timeout).await {
                 missing.push(process.name.as_str());
             }
         }
@@ -242,7 +244,9 @@
 ) -> Outcomes {
     let scenario = &cluster.scenario;
     let count = arrivals.len();
-    let drive = Drive::new(client.clone(), Arc::clone(pool), cluster, scenario, arrivals);
+    let balancer = Balancer::new(cluster, client);
+    let checks = tokio::spawn(Arc::clone(&balancer).check_health(scenario.client.health_check_ms));
+    let drive = Drive::new(client.clone(), balancer, Arc::clone(pool), cluster, arrivals);
     let refill = tokio::spawn(Arc::clone(pool).keep_filled());
     let began = Instant::now();
     let faults = tokio::spawn(fault_script::play(
@@ -263,6 +267,7 @@
     }
     bar.abort();
     refill.abort();
+    checks.abort();
     let applied = faults.await.unwrap_or_default();
     waves.abort();
     records.sort_by_key(|record| record.arrival);
@@ -427,17 +432,12 @@
         self.outcomes.records.iter().map(pair).collect()
     }
 
+    /// What was not complete first, then what had to be sent again.
     fn examples(&self) -> Vec<String> {
-        let not_complete =
-            |record: &&Record| record.outcome != Outcome::Complete || record.broken > 0;
-        let line = |record: &Record| {
-            let detail = record.detail.as_deref().unwrap_or("none");
-            let (outcome, reason) = (record.outcome.name(), &record.reason);
-            format!(
-                "arrival {}: {outcome}/{reason}, broken {}: {detail}",
-                record.arrival, record.broken
-            )
-        };
-        self.outcomes.records.iter().filter(not_complete).take(MAX_EXAMPLES).map(line).collect()
+        let records = &self.outcomes.records;
+        let complete = |record: &&Record| record.outcome == Outcome::Complete;
+        let others = records.iter().filter(|record| !complete(record));
+        let sent_again = records.iter().filter(|record| complete(record) && record.broken > 0);
+        others.chain(sent_again).take(MAX_EXAMPLES).map(Record::line).collect()
     }
 }
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -137,6 +137,9 @@
     pub not_run_retries: u8,
     /// How submissions find an entry.
     pub route: Route,
+    /// Pause between the balancer's looks at `/ready`, and its wait for the
+    /// answer; an entry that is not ready gets no calls. 0 for no looks.
+    pub health_check_ms: u32,
 }
 
 /// How submissions find an entry.
@@ -157,9 +160,10 @@
             answer_timeout_ms: 10_000,
             give_up_ms: 40_000,
             resubmit_pause_ms: 50,
-            reserve_block: 200,
+            reserve_block: 50,
             not_run_retries: 3,
             route: Route::Balancer,
+            health_check_ms: 500,
         }
     }
 }
