--- a/crates/entry/src/peers/fencing.rs
+++ b/crates/entry/src/peers/fencing.rs
@@ -260,7 +260,9 @@
         if !recorded && !conclusion.is_final() {
             return answers::platform_out(&id);
         }
-        if conclusion == Conclusion::NotRun && !answers::is_recent(shared, &id) {
+        // Both may rest on what agents don't hold.
+        let by_absence = matches!(conclusion, Conclusion::NotRun | Conclusion::Failed { .. });
+        if by_absence && !answers::is_recent(shared, &id) {
             counters::refusal(Reason::Expired);
             return answers::expired();
         }
