A command for the tables of placement and faults

Cause: the choice of policies rests on runs that anyone can repeat. Change: scripts/decisions.sh runs four policies, loads, deployments and seeds, several at a time, and the fault scenarios with the defaults.

--- /dev/null
+++ b/scripts/decisions.sh
@@ -0,0 +1,91 @@
+#!/usr/bin/env bash
+# Measures the placement policies against each other, and the defaults under
+# faults: the tables of docs/DECISIONS.md.
+#
+#   scripts/decisions.sh policies    four policies, both deployments, calm
+#   scripts/decisions.sh faults      the defaults under bursts and faults
+#   scripts/decisions.sh table       the rows of all results so far
+#
+# Environment:
+#   SEEDS="1 2 3"     one run each
+#   LOADS="0.8 0.95"  shares of all slots, for `policies`
+#   LANES=3           runs at a time; each takes about one core
+#   SECONDS_EACH=20   measured time of a run of `policies`
+#   OUT=DIR           results; default bench-results/decisions
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly POLICIES="random two_choices least_wait late_binding"
+readonly DEPLOYMENTS="alpenfunk rangmancha"
+readonly FAULTS="bursts bad-upstreams cancellations entry-lost planned-stop platform"
+readonly WARM_UP_S=4 STAGGER_S=2
+seeds=${SEEDS:-1 2 3}
+loads=${LOADS:-0.8 0.95}
+lanes=${LANES:-3}
+seconds_each=${SECONDS_EACH:-20}
+out=${OUT:-bench-results/decisions}
+mkdir -p "$out/scenarios"
+
+# A copy of the calm scenario with another policy and length.
+write_scenario() { # deployment policy
+    local file=$out/scenarios/calm-$1-$2.yaml
+    sed -E "s/^name: .*/name: calm-$1-$2/
+        s/^warm_up_ms: .*/warm_up_ms: $((WARM_UP_S * 1000))/
+        s/^duration_ms: .*/duration_ms: $((seconds_each * 1000))/" "bench/calm-$1.yaml" >"$file"
+    printf 'policy: %s\noverrides: {kind: {placement: {spread: even, policy: %s}}}\n' \
+        "$2" "$2" >>"$file"
+    echo "$file"
+}
+
+# Runs one scenario with one seed, and a load unless it is "-".
+run() { # scenario load seed
+    local load=$2
+    [[ $load != - ]] || load=""
+    OUT=$out/$(basename "$1" .yaml)$load-$3 SEEDS=$3 LOADS=$load scripts/bench.sh "$1" \
+        >"$out/$(basename "$1" .yaml)$load-$3.log" 2>&1 ||
+        echo "$(basename "$1") load $load seed $3: exit code $?"
+}
+
+# Starts a run when a lane is free. Starts are staggered, as each takes ports.
+in_lane() { # scenario load seed
+    while (($(jobs -rp | wc -l) >= lanes)); do wait -n || true; done
+    run "$@" &
+    sleep "$STAGGER_S"
+}
+
+policies() {
+    local seed load deployment policy
+    for seed in $seeds; do
+        for load in $loads; do
+            for deployment in $DEPLOYMENTS; do
+                for policy in $POLICIES; do
+                    in_lane "$(write_scenario "$deployment" "$policy")" "$load" "$seed"
+                done
+            done
+        done
+    done
+    wait
+}
+
+faults() {
+    local seed deployment fault
+    for seed in $seeds; do
+        for deployment in $DEPLOYMENTS; do
+            for fault in $FAULTS; do
+                in_lane "bench/$fault-$deployment.yaml" - "$seed"
+            done
+        done
+    done
+    wait
+}
+
+table() {
+    local bin=${SYCAMORERAIL_BIN:-target/release}
+    find "$out" -name '*.json' -not -name cluster.json -not -path '*.d/*' -print0 | sort -z |
+        xargs -0 "$bin/sycamorerail-bench" report --markdown
+}
+
+case ${1:-} in
+    policies | faults | table) "$1" ;;
+    *) sed -n '2,15s/^# \{0,1\}//p' "$0"; exit 2 ;;
+esac
