--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -4,7 +4,7 @@
 use {
     crate::{
         binaries,
-        operator::{Base, Change, Operator},
+        operator::{Base, Change, Operator, UpstreamStatus},
         plan::{Organisation, Plan},
         process::{ChildProcess, Told, log_tail},
         wait::until,
@@ -17,6 +17,7 @@
         net::SocketAddr,
         path::{Path, PathBuf},
         process::ExitStatus,
+        time::Duration,
     },
     sycamorerail_bench::{
         client::Client,
@@ -28,6 +29,7 @@
 };
 
 const TAIL_LINES: usize = 8;
+const METRICS_WITHIN: Duration = Duration::from_secs(2);
 
 /// Running processes. Those still running are killed on drop; settings and
 /// logs are kept if the thread is panicking.
@@ -107,6 +109,7 @@
             cluster.run(name)?;
         }
         let entries = cluster.running(Role::Entry);
+        cluster.check_alive()?;
         for entry in &entries {
             cluster.wait_ready(entry).await?;
         }
@@ -114,6 +117,9 @@
         for name in others {
             cluster.wait_ready(name).await?;
         }
+        for agent in cluster.running(Role::Agent) {
+            cluster.wait_taking_work(&agent).await?;
+        }
         Ok(cluster)
     }
 
@@ -331,6 +337,25 @@
         .wrap_err_with(|| self.log_tail(name))
     }
 
+    /// Waits until every running entry may place work at an agent.
+    ///
+    /// # Errors
+    ///
+    /// When a process ends, or it takes too long.
+    pub async fn wait_taking_work(&self, agent: &str) -> eyre::Result<()> {
+        for entry in self.running(Role::Entry) {
+            let address = self.http(&entry);
+            until(&format!("{agent} takes work of {entry}"), || async {
+                self.check_alive()?;
+                let upstreams = self.operator.upstreams(address).await.told().unwrap_or_default();
+                let taking = |one: &UpstreamStatus| one.agent == agent && one.takes_work();
+                Ok(upstreams.iter().any(taking).then_some(()))
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
     /// Waits until an entry has a revision, or a later one, in force.
     ///
     /// # Errors
@@ -433,6 +458,18 @@
         log_tail(&self.log(name), TAIL_LINES)
     }
 
+    /// Writes the metrics pages of running processes beside their logs.
+    pub async fn save_metrics(&self) {
+        for process in &self.layout.processes {
+            let url = format!("http://{}/metrics", process.http_address);
+            let page = async { reqwest::get(url).await?.text().await };
+            if let Ok(Ok(page)) = tokio::time::timeout(METRICS_WITHIN, page).await {
+                let path = self.log(&process.name).with_extension("metrics");
+                let _ = std::fs::write(path, page);
+            }
+        }
+    }
+
     /// Keeps settings and logs after the end, and tells where they are.
     pub fn keep_files_on_drop(&self) {
         self.state.lock().keep_files = true;
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -68,6 +68,25 @@
     pub revisions: BTreeMap<String, u64>,
 }
 
+/// One agent's upstream, as an entry sees it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct UpstreamStatus {
+    /// The agent's name.
+    pub agent: String,
+    connected: bool,
+    usable: bool,
+    leaving: bool,
+    ejected: bool,
+}
+
+impl UpstreamStatus {
+    /// Whether the entry may place work there now.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.connected && self.usable && !self.leaving && !self.ejected
+    }
+}
+
 /// An operator.
 #[derive(Clone, Debug)]
 pub struct Operator {
@@ -113,6 +132,17 @@
         read(send(call, SIDE_CALL).await)
     }
 
+    /// The upstreams, as one entry sees them.
+    pub async fn upstreams(&self, entry: SocketAddr) -> Reply<Vec<UpstreamStatus>> {
+        #[derive(Deserialize)]
+        struct Status {
+            upstreams: Vec<UpstreamStatus>,
+        }
+        let call = self.call(Method::GET, entry, "status");
+        let status: Reply<Status> = read(send(call, SIDE_CALL).await);
+        status.and_then(|status| Reply::Told(status.upstreams))
+    }
+
     /// Revision in force by organisation at one entry alone.
     pub async fn in_force(&self, entry: SocketAddr) -> Reply<BTreeMap<String, u64>> {
         #[derive(Deserialize)]
--- a/crates/soak/src/testing.rs
+++ b/crates/soak/src/testing.rs
@@ -37,6 +37,7 @@
         }
         eprintln!("answers: {:?}", load.ledger.outcomes());
         eprintln!("other replies: {:?}", load.other_replies());
+        cluster.save_metrics().await;
         cluster.keep_files_on_drop();
         panic!("{err:?}");
     }
--- a/crates/soak/tests/agent_killed.rs
+++ b/crates/soak/tests/agent_killed.rs
@@ -21,7 +21,11 @@
 fn plan() -> Plan {
     Plan {
         entry: fields(json!({
-            "limits": {"idle_timeout_ms": IDLE_TIMEOUT_MS, "lost_after_ms": 500},
+            "limits": {
+                "idle_timeout_ms": IDLE_TIMEOUT_MS,
+                "probe_after_ms": 300,
+                "lost_after_ms": 500,
+            },
         })),
         agent: fields(json!({"idle_timeout_ms": IDLE_TIMEOUT_MS, "heartbeat_ms": 500})),
         ..Plan::default()
@@ -81,7 +85,7 @@
 
     // The new run knows nothing of the old one's starts, and repeats none.
     load.cluster.run("agent-1")?;
-    load.cluster.wait_ready("agent-1").await?;
+    load.cluster.wait_taking_work("agent-1").await?;
     wait_used(&load, "upstream-1").await?;
     settle_all(&load, &all).await?;
     Ok(())
@@ -104,7 +108,7 @@
     };
     let ((), frozen) = tokio::join!(submit_all(&load, &all), freeze);
     frozen?;
-    load.cluster.wait_ready("agent-1").await?;
+    load.cluster.wait_taking_work("agent-1").await?;
     wait_used(&load, "upstream-1").await?;
     settle_all(&load, &all).await?;
     Ok(())
--- a/crates/soak/tests/entry_frozen.rs
+++ b/crates/soak/tests/entry_frozen.rs
@@ -22,7 +22,11 @@
         entries,
         slots: SLOTS,
         entry: fields(json!({
-            "limits": {"lost_after_ms": LOST_AFTER_MS, "idle_timeout_ms": IDLE_TIMEOUT_MS},
+            "limits": {
+                "lost_after_ms": LOST_AFTER_MS,
+                "probe_after_ms": 300,
+                "idle_timeout_ms": IDLE_TIMEOUT_MS,
+            },
         })),
         agent: fields(json!({"idle_timeout_ms": IDLE_TIMEOUT_MS, "heartbeat_ms": 500})),
         ..Plan::default()
