--- a/crates/membership/tests/records.rs
+++ b/crates/membership/tests/records.rs
@@ -14,6 +14,7 @@
 };
 
 const PATIENCE: Duration = Duration::from_secs(30);
+const FLEET: u64 = 1_100;
 
 /// One entry's membership.
 struct Site {
@@ -49,6 +50,10 @@
 }
 
 fn start(standin: &PlatformStandin, run: u64) -> Site {
+    start_with(standin, config(run))
+}
+
+fn start_with(standin: &PlatformStandin, config: MembershipConfig) -> Site {
     let config_of_client =
         PlatformConfig { url: standin.url(), timeout_ms: 1_000, call_budget_per_s: 5_000 };
     let platform = Platform::new(config_of_client).unwrap();
@@ -65,7 +70,7 @@
         connected: Box::new(move |agent| is_connected.lock().contains(&agent)),
         reaches: Box::new(|_, _| Box::pin(async { false })),
     };
-    let membership = Membership::start(platform.clone(), mirror, config(run), hooks);
+    let membership = Membership::start(platform.clone(), mirror, config, hooks);
     Site { membership, platform, connected, retired }
 }
 
@@ -148,6 +153,41 @@
     assert!(once, "each was written once");
 }
 
+/// The whole fleet starts at once: no write is refused for the rate.
+#[tokio::test]
+async fn fleet_start() {
+    let limits = PlatformStandinConfig { max_writes_per_s: 300, ..Default::default() };
+    let standin = PlatformStandin::start(limits).await.unwrap();
+    let paced = |run| {
+        let per_s = (150, 50);
+        start_with(
+            &standin,
+            MembershipConfig {
+                registrations_per_s: per_s.0,
+                own_registrations_per_s: per_s.1,
+                ..config(run)
+            },
+        )
+    };
+    let sites: Vec<_> = (1..=4).map(paced).collect();
+    for site in &sites {
+        let all = async || site.membership.members().entries.len() == sites.len();
+        until("all are known", all).await;
+    }
+    let agents: Vec<_> = (1_000..1_000 + FLEET).map(agent).collect();
+    agents.iter().for_each(|agent| sites.iter().for_each(|site| site.hello(agent)));
+    for site in &sites {
+        let all = async || site.membership.members().agents.len() == agents.len();
+        until("all are registered", all).await;
+    }
+    let calls = standin.calls();
+    assert_eq!(calls.refused, 0);
+    let others = 4 * 10;
+    assert!(calls.txn <= FLEET + others, "the first writes, the others find it: {calls:?}");
+    let range = sites[0].platform.range(AGENTS).await.unwrap();
+    assert!(range.items.iter().all(|item| item.created == item.modified));
+}
+
 #[tokio::test]
 async fn registered_after_outage() {
     let standin = standin().await;
