Entry: read what a caller submits in one place

Cause: four routes read, checked and bound a body each for itself, and the file of routes held the bodies too. Change: callers/order.rs; routes call read_order. No change of behaviour: the tests of answers, refusals and keys pass as before.

--- a/crates/entry/src/callers/keyed.rs
+++ b/crates/entry/src/callers/keyed.rs
@@ -3,8 +3,9 @@
 use {
     super::{
         binder::{BindError, MAX_AHEAD_MS},
-        body::{BodyLength, read_json},
-        jobs::{JobBody, Order, RequestBody, submit},
+        body::BodyLength,
+        jobs::submit,
+        order::{Order, read_order},
         reply::{Refusal, Reply},
         token::Caller,
     },
@@ -19,6 +20,7 @@
     sycamorerail_wire::{
         answer::{Answer, Outcome, Reason, Step},
         ids::JobId,
+        message::Unit,
     },
     uuid::Uuid,
 };
@@ -79,8 +81,8 @@
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
     let (caller, key) = (caller?, key?);
-    let body: JobBody = read_json(data, length, shared.settings.limits.max_body_bytes).await?;
-    let order = body.order()?.of_caller(&caller)?;
+    let unit = Unit::Job;
+    let order = read_order(shared, &caller, unit, length, data).await?;
     submit_keyed(shared, &caller, key.0, order).await
 }
 
@@ -93,8 +95,8 @@
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
     let (caller, key) = (caller?, key?);
-    let body: RequestBody = read_json(data, length, shared.settings.limits.max_body_bytes).await?;
-    let order = body.order()?.of_caller(&caller)?;
+    let unit = Unit::Request;
+    let order = read_order(shared, &caller, unit, length, data).await?;
     submit_keyed(shared, &caller, key.0, order).await
 }
 
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -5,6 +5,7 @@
 mod ids;
 mod jobs;
 mod keyed;
+mod order;
 mod reply;
 mod status;
 mod token;
