--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -15,6 +15,7 @@
     serde_json::{Value, json},
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{
             Arc, Mutex, PoisonError,
             atomic::{AtomicU64, Ordering},
@@ -52,9 +53,48 @@
     pub told: Vec<Told>,
     /// The last error or detail, for people.
     pub detail: Option<String>,
+    /// Every call of the submission, where there was more than one.
+    pub calls: Vec<CallNote>,
+}
+
+/// One call of a submission, for people.
+#[derive(Clone, Debug)]
+pub struct CallNote {
+    /// When it ended, from the due time.
+    pub at_ms: u64,
+    /// Port of the entry called.
+    pub port: u16,
+    /// Outcome and reason, or that it broke.
+    pub told: String,
+    /// Pause that was asked for.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl CallNote {
+    fn text(&self) -> String {
+        let Self { at_ms, port, told, retry_after_ms } = self;
+        let pause = retry_after_ms.map_or_else(String::new, |ms| format!(" (again in {ms} ms)"));
+        format!("{at_ms} ms at :{port} {told}{pause}")
+    }
 }
 
 impl Record {
+    fn note(&mut self, due: Instant, entry: SocketAddr, answer: &eyre::Result<Answer>) {
+        let told = answer.as_ref().map_or_else(
+            |_| "broke".to_owned(),
+            |answer| format!("{}/{}", answer.outcome.name(), answer.reason),
+        );
+        let retry_after_ms = answer.as_ref().ok().and_then(|answer| answer.retry_after_ms);
+        let at_ms = due.elapsed().as_millis() as u64;
+        self.calls.push(CallNote { at_ms, port: entry.port(), told, retry_after_ms });
+    }
+
+    /// Not complete, or not by one call.
+    #[must_use]
+    pub fn is_unusual(&self) -> bool {
+        self.outcome != Outcome::Complete || self.calls.len() > 1
+    }
+
     /// One line for people.
     #[must_use]
     pub fn line(&self) -> String {
@@ -62,9 +102,11 @@
         let (after_ms, broken) = (self.response_us / 1_000, self.broken);
         let id = self.told.last().map_or("none", |told| &told.id);
         let detail = self.detail.as_deref().unwrap_or("none");
+        let calls: Vec<String> = self.calls.iter().map(CallNote::text).collect();
         format!(
             "arrival {arrival}: {outcome}/{reason} after {after_ms} ms, broken calls {broken}, \
-             id {id}: {detail}"
+             id {id}: {detail}; calls: {}",
+            calls.join(", ")
         )
     }
 }
@@ -94,6 +136,13 @@
     pub progress: Progress,
 }
 
+/// Due time of a submission, and when its caller gives up.
+#[derive(Clone, Copy, Debug)]
+struct Times {
+    due: Instant,
+    give_up: Instant,
+}
+
 #[derive(Clone, Debug)]
 struct InFlight {
     id: String,
@@ -194,10 +243,12 @@
             cancelled: false,
             told: Vec::new(),
             detail: None,
+            calls: Vec::new(),
         };
         let give_up = due + Duration::from_millis(u64::from(self.scenario.client.give_up_ms));
+        let times = Times { due, give_up };
         for _ in 0..=self.scenario.client.not_run_retries {
-            let pause_ms = self.under_new_id(index, give_up, &mut record).await;
+            let pause_ms = self.under_new_id(index, times, &mut record).await;
             if record.outcome != Outcome::NotRun || Instant::now() >= give_up {
                 break;
             }
@@ -210,12 +261,7 @@
 
     /// Sends the arrival under one id until it is decided; returns the pause
     /// that the answer asks for.
-    async fn under_new_id(
-        &self,
-        index: usize,
-        give_up: Instant,
-        record: &mut Record,
-    ) -> Option<u64> {
+    async fn under_new_id(&self, index: usize, times: Times, record: &mut Record) -> Option<u64> {
         let arrival = &self.arrivals[index];
         let organisation = usize::from(arrival.organisation);
         let reserved = match self.pool.take(organisation).await {
@@ -234,7 +280,7 @@
         let attempt = record.told.len();
         let submission = self.submission(index, attempt, &reserved);
         let answer =
-            self.until_decided(&submission, organisation, reserved.home, give_up, record).await;
+            self.until_decided(&submission, organisation, reserved.home, times, record).await;
         let pause_ms = answer.as_ref().and_then(|answer| answer.retry_after_ms);
         record.told.push(self.told(index, attempt, &reserved, answer.as_ref()));
         match answer {
@@ -256,9 +302,10 @@
         submission: &Submission,
         organisation: usize,
         home: usize,
-        give_up: Instant,
+        times: Times,
         record: &mut Record,
     ) -> Option<Answer> {
+        let Times { due, give_up } = times;
         let token = &self.tokens[organisation];
         let timeout = Duration::from_millis(u64::from(self.scenario.client.answer_timeout_ms));
         let mut entry = match self.scenario.client.route {
@@ -272,6 +319,7 @@
             } else {
                 self.client.submit(entry, token, submission, timeout).await
             };
+            record.note(due, entry, &answer);
             let pause_ms = match answer {
                 Ok(answer) if answer.outcome != Outcome::InDoubt => return Some(answer),
                 Ok(answer) => {
--- a/crates/bench/src/layout.rs
+++ b/crates/bench/src/layout.rs
@@ -14,14 +14,16 @@
     std::{
         fs,
         net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+        ops::Range,
         path::Path,
     },
     sycamorerail_wire::keys::{self, PemPair},
 };
 
-/// First port tried. Below the range from which systems take ports of
-/// outgoing connections.
-pub const DEFAULT_PORT_BASE: u16 = 20_000;
+/// First ports tried. Below the range from which systems take ports of
+/// outgoing connections; one at random, so that two clusters of one machine
+/// seldom meet: a process that is down leaves its ports to others.
+const PORT_BASES: Range<u16> = 12_000..30_000;
 
 const TOKEN_BYTES: usize = 24;
 const QUOTA_STARTS_PER_S: u32 = 100_000;
@@ -32,6 +34,12 @@
 const PLATFORM_READS_PER_S: u32 = 2_000;
 const PLATFORM_DELAY_MS: u32 = 3;
 
+/// A first port at random.
+#[must_use]
+pub fn random_port_base() -> u16 {
+    rand::rng().random_range(PORT_BASES)
+}
+
 /// Lays out a new directory.
 ///
 /// # Errors
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -39,8 +39,8 @@
     /// directory to write
     #[argh(option)]
     pub dir: PathBuf,
-    /// first port tried; default 20000
-    #[argh(option, default = "crate::layout::DEFAULT_PORT_BASE")]
+    /// first port tried; default one at random
+    #[argh(option, default = "crate::layout::random_port_base()")]
     pub port_base: u16,
     /// seed in place of the scenario's
     #[argh(option)]
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,6 +24,7 @@
     reqwest::Method,
     serde_json::json,
     std::{
+        cmp::Reverse,
         collections::{BTreeMap, HashMap},
         fs,
         path::Path,
@@ -40,7 +41,7 @@
 const PROGRESS_MS: u64 = 250;
 /// Calls at once when answers are asked for again.
 const RECHECKS_AT_ONCE: usize = 16;
-const MAX_EXAMPLES: usize = 20;
+const MAX_EXAMPLES: usize = 60;
 
 /// Publishes all templates, and waits until every process is ready.
 ///
@@ -432,12 +433,13 @@
         self.outcomes.records.iter().map(pair).collect()
     }
 
-    /// What was not complete first, then what had to be sent again.
+    /// What was not complete, and of the rest those that took most calls.
     fn examples(&self) -> Vec<String> {
-        let records = &self.outcomes.records;
-        let complete = |record: &&Record| record.outcome == Outcome::Complete;
-        let others = records.iter().filter(|record| !complete(record));
-        let sent_again = records.iter().filter(|record| complete(record) && record.broken > 0);
-        others.chain(sent_again).take(MAX_EXAMPLES).map(Record::line).collect()
+        let mut records: Vec<&Record> =
+            self.outcomes.records.iter().filter(|record| record.is_unusual()).collect();
+        records.sort_by_key(|record| {
+            (record.outcome == Outcome::Complete, Reverse(record.calls.len()), record.arrival)
+        });
+        records.into_iter().take(MAX_EXAMPLES).map(Record::line).collect()
     }
 }
--- a/crates/bench/tests/layout_files.rs
+++ b/crates/bench/tests/layout_files.rs
@@ -32,7 +32,7 @@
 fn settings_load() {
     let scenario = Scenario::parse(SCENARIO).unwrap();
     let dir = tempfile::tempdir().unwrap();
-    let cluster = layout::lay_out(&scenario, dir.path(), layout::DEFAULT_PORT_BASE).unwrap();
+    let cluster = layout::lay_out(&scenario, dir.path(), layout::random_port_base()).unwrap();
     assert_eq!(Cluster::load(dir.path()).unwrap(), cluster);
     assert_eq!(cluster.processes.len(), 1 + 2 + 4 + 4);
     let platform = cluster.of_role(Role::Platform).next().unwrap();
@@ -60,7 +60,7 @@
 fn fault_targets() {
     let scenario = Scenario::parse(SCENARIO).unwrap();
     let dir = tempfile::tempdir().unwrap();
-    let cluster = layout::lay_out(&scenario, dir.path(), layout::DEFAULT_PORT_BASE).unwrap();
+    let cluster = layout::lay_out(&scenario, dir.path(), layout::random_port_base()).unwrap();
     let names = |target: &str| -> Vec<String> {
         cluster.targets(target).unwrap().iter().map(|process| process.name.clone()).collect()
     };
