--- a/crates/soak/src/balancer.rs
+++ b/crates/soak/src/balancer.rs
@@ -1,7 +1,7 @@
 //! Which entries are in service, as the platform's balancer sees it.
 
 use {
-    crate::cluster::Cluster,
+    crate::{cluster::Cluster, http::is_ready},
     parking_lot::Mutex,
     std::{
         net::SocketAddr,
@@ -64,12 +64,12 @@
 
 async fn look(
     balancer: Weak<Balancer>,
-    client: sycamorerail_bench::client::Client,
+    client: reqwest::Client,
     name: String,
     address: SocketAddr,
 ) {
     while let Some(balancer) = balancer.upgrade() {
-        let ready = timeout(LOOK_TIMEOUT, client.is_ready(address)).await.unwrap_or(false);
+        let ready = timeout(LOOK_TIMEOUT, is_ready(&client, address)).await.unwrap_or(false);
         balancer.set(&name, address, ready);
         drop(balancer);
         sleep(LOOK_PERIOD).await;
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,7 +1,7 @@
 //! Calls of one organisation's callers, and what came of them.
 
 use {
-    eyre::eyre,
+    crate::http::{self, Reply, SIDE_CALL},
     reqwest::{Method, RequestBuilder, StatusCode, header},
     serde::Deserialize,
     serde_json::{Value, json},
@@ -9,51 +9,6 @@
     sycamorerail_bench::{arrivals::Unit, client::Answer},
 };
 
-/// What came of a call.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Reply<T> {
-    /// What was asked for.
-    Told(T),
-    /// Refused without a word about a job.
-    Refused {
-        /// HTTP status.
-        status: u16,
-        /// Reason in the body.
-        reason: String,
-        /// When to come back.
-        retry_after_ms: Option<u64>,
-    },
-    /// No connection came about, so nothing was sent.
-    NotConnected,
-    /// The connection broke after it had come about.
-    Cut(String),
-    /// The caller waited long enough.
-    TimedOut,
-}
-
-impl<T> Reply<T> {
-    /// Goes on with what was told.
-    pub fn and_then<U>(self, next: impl FnOnce(T) -> Reply<U>) -> Reply<U> {
-        match self {
-            Self::Told(told) => next(told),
-            Self::Refused { status, reason, retry_after_ms } => {
-                Reply::Refused { status, reason, retry_after_ms }
-            }
-            Self::NotConnected => Reply::NotConnected,
-            Self::Cut(how) => Reply::Cut(how),
-            Self::TimedOut => Reply::TimedOut,
-        }
-    }
-
-    /// What was told, if anything.
-    pub fn told(self) -> Option<T> {
-        match self {
-            Self::Told(told) => Some(told),
-            _ => None,
-        }
-    }
-}
-
 /// A job or request as it is sent, again and again under the same id.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Submission {
@@ -99,7 +54,7 @@
     ///
     /// When the HTTP library cannot be set up.
     pub fn new(token: &str) -> eyre::Result<Self> {
-        Ok(Self { http: http_client()?, token: token.to_owned() })
+        Ok(Self { http: http::client()?, token: token.to_owned() })
     }
 
     /// Reserves ids at an entry.
@@ -143,43 +98,7 @@
 
     async fn send(&self, call: RequestBuilder, patience: Duration) -> Reply<(StatusCode, Value)> {
         let call = call.bearer_auth(&self.token).header(header::ACCEPT, "application/json");
-        send(call, patience).await
-    }
-}
-
-/// Longest wait for calls that don't wait for tasks to run.
-pub(crate) const SIDE_CALL: Duration = Duration::from_secs(30);
-
-pub(crate) fn http_client() -> eyre::Result<reqwest::Client> {
-    Ok(reqwest::Client::builder().no_proxy().tcp_nodelay(true).build()?)
-}
-
-pub(crate) async fn send(call: RequestBuilder, patience: Duration) -> Reply<(StatusCode, Value)> {
-    let received = async {
-        let response = call.timeout(patience).send().await?;
-        let status = response.status();
-        Ok((status, response.bytes().await?))
-    };
-    match received.await {
-        Ok((status, bytes)) => {
-            let body = serde_json::from_slice(&bytes);
-            Reply::Told((status, body.unwrap_or_else(|_| text(&bytes))))
-        }
-        Err(err) => failure(&err),
-    }
-}
-
-fn text(bytes: &[u8]) -> Value {
-    Value::String(String::from_utf8_lossy(bytes).into_owned())
-}
-
-fn failure<T>(err: &reqwest::Error) -> Reply<T> {
-    if err.is_timeout() {
-        Reply::TimedOut
-    } else if err.is_connect() {
-        Reply::NotConnected
-    } else {
-        Reply::Cut(format!("{:#}", eyre!(err.to_string()).wrap_err(format!("{err:?}"))))
+        http::send(call, patience).await
     }
 }
 
@@ -189,16 +108,7 @@
 
 fn parse<T>(reply: Reply<(StatusCode, Value)>, read: impl FnOnce(Value) -> Option<T>) -> Reply<T> {
     reply.and_then(|(status, body)| {
-        let refused = refused(status, &body);
+        let refused = http::refused(status, &body);
         read(body).map_or(refused, Reply::Told)
     })
 }
-
-/// A refusal, by its status and body.
-pub(crate) fn refused<T>(status: StatusCode, body: &Value) -> Reply<T> {
-    Reply::Refused {
-        status: status.as_u16(),
-        reason: body["reason"].as_str().unwrap_or("none").to_owned(),
-        retry_after_ms: body["retry_after_ms"].as_u64(),
-    }
-}
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        binaries,
+        binaries, http,
         operator::{Base, Change, Operator, UpstreamStatus},
         plan::{Organisation, Plan},
         process::{ChildProcess, Told, log_tail},
@@ -19,10 +19,7 @@
         process::ExitStatus,
         time::Duration,
     },
-    sycamorerail_bench::{
-        client::Client,
-        cluster::{Cluster as Layout, Process, Role},
-    },
+    sycamorerail_bench::cluster::{Cluster as Layout, Process, Role},
     sycamorerail_telemetry::invariant,
     tempfile::TempDir,
     uuid::Uuid,
@@ -40,7 +37,7 @@
     layout: Layout,
     organisations: Vec<Organisation>,
     operator: Operator,
-    client: Client,
+    client: reqwest::Client,
     state: Mutex<State>,
 }
 
@@ -133,7 +130,7 @@
             binaries,
             layout,
             organisations: plan.organisations()?,
-            client: Client::new()?,
+            client: http::client()?,
             state: Mutex::default(),
         })
     }
@@ -191,7 +188,7 @@
 
     /// Calls to the stand-ins and metrics pages.
     #[must_use]
-    pub fn client(&self) -> &Client {
+    pub fn client(&self) -> &reqwest::Client {
         &self.client
     }
 
@@ -331,7 +328,7 @@
         let address = self.http(name);
         until(&format!("{name} is ready"), || async {
             self.check_alive()?;
-            Ok(self.client.is_ready(address).await.then_some(()))
+            Ok(http::is_ready(&self.client, address).await.then_some(()))
         })
         .await
         .wrap_err_with(|| self.log_tail(name))
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod binaries;
 pub mod caller;
 pub mod cluster;
+pub mod http;
 pub mod ledger;
 pub mod load;
 pub mod operator;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -4,8 +4,9 @@
 use {
     crate::{
         balancer::Balancer,
-        caller::{Caller, Reply, Submission},
+        caller::{Caller, Submission},
         cluster::Cluster,
+        http::Reply,
         ledger::{Ledger, is_final},
         standins::StartBook,
         wait::PATIENCE,
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -1,7 +1,7 @@
 //! Calls of operators.
 
 use {
-    crate::caller::{Reply, SIDE_CALL, http_client, refused, send},
+    crate::http::{self, Reply, SIDE_CALL, refused, send},
     reqwest::{Method, RequestBuilder, StatusCode, header},
     serde::{Deserialize, de::DeserializeOwned},
     serde_json::Value,
@@ -101,7 +101,7 @@
     ///
     /// When the HTTP library cannot be set up.
     pub fn new(token: &str) -> eyre::Result<Self> {
-        Ok(Self { http: http_client()?, token: token.to_owned() })
+        Ok(Self { http: http::client()?, token: token.to_owned() })
     }
 
     /// Publishes a template under a change id of the operator's own, so that
--- a/crates/soak/src/standins.rs
+++ b/crates/soak/src/standins.rs
@@ -1,7 +1,11 @@
 //! Orders to the stand-ins, and the starts that upstreams counted.
 
 use {
-    crate::{cluster::Cluster, wait::until},
+    crate::{
+        cluster::Cluster,
+        http::{get_json, post_json},
+        wait::until,
+    },
     eyre::WrapErr,
     serde::{Serialize, de::DeserializeOwned},
     serde_json::to_value,
@@ -28,12 +32,12 @@
     F: Serialize + DeserializeOwned + PartialEq,
 {
     let (address, client) = (cluster.http(name), cluster.client());
-    client.post_json(address, "/standin/faults", &to_value(order)?).await?;
+    post_json(client, address, "/standin/faults", &to_value(order)?).await?;
     if order.refuse {
         return Ok(());
     }
     until(&format!("{name} has its faults"), || async {
-        let there = client.get_json(address, "/standin/faults").await?;
+        let there = get_json(client, address, "/standin/faults").await?;
         let there: F = serde_json::from_value(there)?;
         Ok((there == order.faults).then_some(()))
     })
@@ -69,7 +73,7 @@
 /// When it cannot be reached.
 pub async fn starts_at(cluster: &Cluster, upstream: &str) -> eyre::Result<StartReport> {
     let address = cluster.http(upstream);
-    let report = cluster.client().get_json(address, "/standin/starts?full=1").await;
+    let report = get_json(cluster.client(), address, "/standin/starts?full=1").await;
     let report = report.wrap_err_with(|| format!("starts at {upstream}"))?;
     Ok(serde_json::from_value(report)?)
 }
--- a/crates/soak/src/testing.rs
+++ b/crates/soak/src/testing.rs
@@ -30,13 +30,13 @@
         test(Arc::clone(&load)).await?;
         load.check().await
     };
-    if let Err(err) = ended.await {
+    let ended = ended.await;
+    eprintln!("answers: {:?}, other replies: {:?}", load.ledger.outcomes(), load.other_replies());
+    if let Err(err) = ended {
         // While processes and directory are still there.
         for process in &cluster.layout().processes {
             eprintln!("-- {}\n{}", process.name, cluster.log_tail(&process.name));
         }
-        eprintln!("answers: {:?}", load.ledger.outcomes());
-        eprintln!("other replies: {:?}", load.other_replies());
         cluster.save_metrics().await;
         cluster.keep_files_on_drop();
         panic!("{err:?}");
--- a/crates/soak/tests/agent_killed.rs
+++ b/crates/soak/tests/agent_killed.rs
@@ -17,6 +17,8 @@
 };
 
 const IDLE_TIMEOUT_MS: u64 = 1_500;
+/// Tasks of a dead agent are waited for until then: it may come back.
+const DEADLINE_MS: u64 = 20_000;
 
 fn plan() -> Plan {
     Plan {
@@ -28,6 +30,7 @@
             },
         })),
         agent: fields(json!({"idle_timeout_ms": IDLE_TIMEOUT_MS, "heartbeat_ms": 500})),
+        kind: fields(json!({"deadline_ms": DEADLINE_MS})),
         ..Plan::default()
     }
 }
@@ -81,7 +84,11 @@
     };
     let ((), killed) = tokio::join!(submit_all(&load, &all), kill);
     killed?;
-    settle_all(&load, &all).await?;
+    let outcomes = settle_all(&load, &all).await?;
+    // What may be repeated is served all the same.
+    for ((_, one), outcome) in all.iter().zip(outcomes) {
+        ensure!(!one.repeatable || outcome == Outcome::Complete, "{one:?}: {outcome:?}");
+    }
 
     // The new run knows nothing of the old one's starts, and repeats none.
     load.cluster.run("agent-1")?;
