Bench: unusual answers tell how many tasks started; ports at random

Change: no base unless PORT_BASE gives one; a line of an example names the starts of each id. Nothing measured.

--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -16,7 +16,8 @@
         scrape::Series,
         starts::StartBook,
         usage::{self, Usage},
-        verdict, waste,
+        verdict::{self, Starts},
+        waste,
     },
     eyre::{WrapErr, ensure},
     futures::StreamExt,
@@ -420,7 +421,7 @@
             usage: self.watched.usage.clone(),
             platform_calls,
             faults: self.outcomes.applied.clone(),
-            examples: self.examples(),
+            examples: self.examples(&starts),
         }
     }
 
@@ -434,12 +435,17 @@
     }
 
     /// What was not complete, and of the rest those that took most calls.
-    fn examples(&self) -> Vec<String> {
+    fn examples(&self, starts: &Starts) -> Vec<String> {
         let mut records: Vec<&Record> =
             self.outcomes.records.iter().filter(|record| record.is_unusual()).collect();
         records.sort_by_key(|record| {
             (record.outcome == Outcome::Complete, Reverse(record.calls.len()), record.arrival)
         });
-        records.into_iter().take(MAX_EXAMPLES).map(Record::line).collect()
+        let line = |record: &Record| {
+            let tasks = self.arrivals[record.arrival].run_ms.len();
+            let started: Vec<_> = record.told.iter().map(|told| starts.started(&told.id)).collect();
+            format!("{}; started by id {started:?} of {tasks}", record.line())
+        };
+        records.into_iter().take(MAX_EXAMPLES).map(line).collect()
     }
 }
--- a/crates/bench/src/verdict.rs
+++ b/crates/bench/src/verdict.rs
@@ -37,6 +37,14 @@
     pub some_lost: bool,
 }
 
+impl Starts {
+    /// Tasks of an id that were started at all.
+    #[must_use]
+    pub fn started(&self, id: &str) -> usize {
+        self.counts.keys().filter(|(job, _)| job == id).count()
+    }
+}
+
 /// Broken promises; all must be 0.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Violations {
--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -7,7 +7,7 @@
 #   SEEDS="1 2 3"        seeds, one run each; default: the scenario's own
 #   LOADS="0.5 0.8"      loads, one run each; default: the scenario's own
 #   OUT=DIR              results and report; default bench-results
-#   PORT_BASE=20000      first port tried; give each of several at a time its own
+#   PORT_BASE=20000      first port tried; default one at random
 #   SYCAMORERAIL_BIN=DIR binaries; default target/release
 set -euo pipefail
 
@@ -27,8 +27,8 @@
     rm -rf "$dir"
     [ -z "$seed" ] || options+=(--seed "$seed")
     [ -z "$load" ] || options+=(--load "$load")
-    "$bench" layout --scenario "$scenario" --dir "$dir" \
-        --port-base "${PORT_BASE:-20000}" "${options[@]}"
+    [ -z "${PORT_BASE:-}" ] || options+=(--port-base "$PORT_BASE")
+    "$bench" layout --scenario "$scenario" --dir "$dir" "${options[@]}"
     "$root/scripts/cluster.sh" up "$dir"
     trap '"$root/scripts/cluster.sh" down "$dir"' EXIT
     "$bench" publish --dir "$dir"
