Scripts: read whole before they run

Cause: a run of slopes ended in the middle when its script was edited meanwhile, as the shell reads on from where it was. Change: the body in one group. Checked by the shell's parser; nothing measured.

--- a/scripts/bench.sh
+++ b/scripts/bench.sh
@@ -11,6 +11,9 @@
 #   SYCAMORERAIL_BIN=DIR binaries; default target/release
 set -euo pipefail
 
+# Read whole before it runs, so that an edit meanwhile does no harm.
+{
+
 [ $# -ge 1 ] || { sed -n '2,10s/^# \{0,1\}//p' "$0"; exit 2; }
 root=$(cd "$(dirname "$0")/.." && pwd)
 export SYCAMORERAIL_BIN=${SYCAMORERAIL_BIN:-$root/target/release}
@@ -56,3 +59,4 @@
 "$bench" report --markdown "${existing[@]}"
 echo "report: $out/report.html"
 exit "$broken"
+}
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -13,6 +13,9 @@
 #   SYCAMORERAIL_BIN=DIR binaries; default target/release
 set -euo pipefail
 
+# Read whole before it runs, so that an edit meanwhile does no harm.
+{
+
 root=$(cd "$(dirname "$0")/.." && pwd)
 export SYCAMORERAIL_BIN=${SYCAMORERAIL_BIN:-$root/target/release}
 out=${OUT:-$root/bench-results/slopes}
@@ -73,3 +76,5 @@
         *) echo "slopes.sh: $part is none of agents, entries, organisations, load" >&2; exit 2 ;;
     esac
 done
+exit
+}
