Bench: a counter missing at a point did not grow there

A slope over three points was fitted to those only at which the counter existed, so that idle beats met in one window of three had no line. Missing is 0 now.

--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,7 +8,11 @@
     },
     eyre::eyre,
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, fmt::Write, str::FromStr},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write,
+        str::FromStr,
+    },
 };
 
 /// What lines run along.
@@ -79,49 +83,53 @@
 /// Fits every measure of each role.
 #[must_use]
 pub fn fit(points: &[Point], by: By) -> Vec<Fit> {
-    let mut series: BTreeMap<(Role, String), Vec<(f64, f64)>> = BTreeMap::new();
-    for point in points {
-        let x = by.of(point);
-        for role in Role::ALL {
-            for (measure, y) in measures(point, role) {
-                series.entry((role, measure)).or_default().push((x, y));
-            }
-        }
-    }
-    let fit = |((role, measure), points): ((Role, String), Vec<(f64, f64)>)| Fit {
-        role: role.name().to_owned(),
-        measure,
-        line: line(&points),
-        points,
+    Role::ALL.into_iter().flat_map(|role| fit_role(points, by, role)).collect()
+}
+
+fn fit_role(points: &[Point], by: By, role: Role) -> Vec<Fit> {
+    let measured: Vec<(f64, BTreeMap<String, f64>)> =
+        points.iter().map(|point| (by.of(point), measures(point, role))).collect();
+    let names: BTreeSet<&String> = measured.iter().flat_map(|(_, values)| values.keys()).collect();
+    let fit = |measure: &String| {
+        // A counter that is missing at a point did not grow there.
+        let at = |values: &BTreeMap<String, f64>| values.get(measure).copied().unwrap_or(0.0);
+        let points: Vec<_> = measured.iter().map(|(x, values)| (*x, at(values))).collect();
+        let role = role.name().to_owned();
+        Fit { role, measure: measure.clone(), line: line(&points), points }
     };
-    series.into_iter().map(fit).collect()
+    names.into_iter().map(fit).collect()
 }
 
 /// Measures of a role's mean process.
-fn measures(point: &Point, role: Role) -> Vec<(String, f64)> {
+fn measures(point: &Point, role: Role) -> BTreeMap<String, f64> {
     let of_role: Vec<_> = point.usage.iter().filter(|usage| usage.role == role.name()).collect();
-    let count = of_role.len().max(1) as f64;
-    let mean = |values: Vec<f64>| {
-        let known = values.len();
-        (known > 0).then(|| values.iter().sum::<f64>() / known as f64)
-    };
-    let cpu = mean(of_role.iter().filter_map(|usage| usage.cpu_s).collect());
-    let resident =
-        mean(of_role.iter().filter_map(|usage| Some(usage.end?.resident_bytes as f64)).collect());
-    let mut measures = Vec::new();
-    measures.extend(cpu.map(|cpu_s| ("cpu_share".to_owned(), cpu_s / point.window_s)));
-    measures.extend(resident.map(|bytes| ("resident_bytes".to_owned(), bytes)));
+    let mut measures = BTreeMap::new();
+    if let Some(cpu_s) = mean(of_role.iter().filter_map(|usage| usage.cpu_s)) {
+        measures.insert("cpu_share".to_owned(), cpu_s / point.window_s);
+    }
+    let resident = of_role.iter().filter_map(|usage| Some(usage.end?.resident_bytes as f64));
+    if let Some(bytes) = mean(resident) {
+        measures.insert("resident_bytes".to_owned(), bytes);
+    }
+    let process_s = of_role.len().max(1) as f64 * point.window_s;
     if let Some(counters) = point.counters.get(role.name()) {
-        for (series, value) in &counters.0 {
-            let name = series.split('{').next().unwrap_or_default();
-            if name.contains("_bytes") || name.contains("messages") || name.contains("calls") {
-                measures.push((format!("{series} per s"), value / count / point.window_s));
-            }
+        for (series, value) in counters.0.iter().filter(|(series, _)| is_control(series)) {
+            measures.insert(format!("{series} per s"), value / process_s);
         }
     }
     measures
 }
 
+fn is_control(series: &str) -> bool {
+    let name = series.split('{').next().unwrap_or_default();
+    ["_bytes", "messages", "calls"].iter().any(|part| name.contains(part))
+}
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (count, sum) = values.fold((0, 0.0), |(count, sum), value| (count + 1, sum + value));
+    (count > 0).then(|| sum / f64::from(count))
+}
+
 /// A table of the fits.
 #[must_use]
 pub fn markdown(fits: &[Fit], by: By) -> String {
