--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod operator;
 pub mod plan;
 pub mod process;
+pub mod publishing;
 pub mod standins;
 pub mod testing;
 pub mod wait;
+pub mod watcher;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -94,6 +94,12 @@
         &self.callers[organisation]
     }
 
+    /// The next entry in service, in turn.
+    #[must_use]
+    pub fn next_entry(&self) -> Option<(String, std::net::SocketAddr)> {
+        self.balancer.next()
+    }
+
     /// Reserves ids at an entry, asking again until it gives them.
     ///
     /// # Errors
