--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,6 +12,8 @@
 /// A job or request as it is sent, again and again under the same id.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Submission {
+    /// Whose: the place of the organisation in the cluster.
+    pub organisation: usize,
     /// Reserved id.
     pub id: String,
     /// Job or request.
@@ -25,6 +27,12 @@
 }
 
 impl Submission {
+    /// Whether each of its tasks starts at most once.
+    #[must_use]
+    pub fn starts_once(&self) -> bool {
+        self.unit == Unit::Job || !self.repeatable
+    }
+
     fn body(&self) -> Value {
         match self.unit {
             Unit::Job => json!({"kind": self.kind, "tasks": self.payloads}),
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -223,6 +223,24 @@
         self.layout.of_role(role).filter(runs).map(|process| process.name.clone()).collect()
     }
 
+    /// Names of the processes of a role that don't run.
+    #[must_use]
+    pub fn idle(&self, role: Role) -> Vec<String> {
+        let state = self.state.lock();
+        let idle = |process: &&Process| !state.running.contains_key(&process.name);
+        self.layout.of_role(role).filter(idle).map(|process| process.name.clone()).collect()
+    }
+
+    /// Whether a process runs, told to stop or not.
+    ///
+    /// # Errors
+    ///
+    /// When the system refuses.
+    pub fn is_running(&self, name: &str) -> eyre::Result<bool> {
+        self.reap()?;
+        Ok(self.state.lock().running.contains_key(name))
+    }
+
     /// Starts a process that is not running, again or for the first time.
     ///
     /// # Errors
@@ -319,6 +337,21 @@
         .await
     }
 
+    /// Waits until a process answers, ready or not.
+    ///
+    /// # Errors
+    ///
+    /// When it ends, or takes too long.
+    pub async fn wait_live(&self, name: &str) -> eyre::Result<()> {
+        let address = self.http(name);
+        until(&format!("{name} is live"), || async {
+            self.check_alive()?;
+            Ok(http::is_live(&self.client, address).await.then_some(()))
+        })
+        .await
+        .wrap_err_with(|| self.log_tail(name))
+    }
+
     /// Waits until a process says that it is ready.
     ///
     /// # Errors
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -99,7 +99,16 @@
 
 /// Whether a process says that it is ready.
 pub async fn is_ready(client: &reqwest::Client, process: SocketAddr) -> bool {
-    let reply = send(client.get(format!("http://{process}/ready")), SIDE_CALL).await;
+    is_well(client, process, "ready").await
+}
+
+/// Whether a process answers.
+pub async fn is_live(client: &reqwest::Client, process: SocketAddr) -> bool {
+    is_well(client, process, "live").await
+}
+
+async fn is_well(client: &reqwest::Client, process: SocketAddr, path: &str) -> bool {
+    let reply = send(client.get(format!("http://{process}/{path}")), SIDE_CALL).await;
     matches!(reply, Reply::Told((status, _)) if status.is_success())
 }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -5,7 +5,10 @@
     crate::caller::Submission,
     parking_lot::Mutex,
     serde_json::Value,
-    std::collections::{BTreeMap, HashMap},
+    std::{
+        collections::{BTreeMap, HashMap},
+        time::{Duration, Instant},
+    },
     sycamorerail_bench::{
         client::{Answer, Outcome},
         verdict::{Starts, Told, Violations, violations},
@@ -21,6 +24,7 @@
 #[derive(Debug)]
 struct Record {
     submission: Submission,
+    submitted_at: Instant,
     heard: Vec<Heard>,
     /// Results of the first complete answer.
     complete: Option<Vec<Value>>,
@@ -53,7 +57,12 @@
 impl Ledger {
     /// Notes a submission, before it is sent.
     pub fn submitted(&self, submission: &Submission) {
-        let record = Record { submission: submission.clone(), heard: Vec::new(), complete: None };
+        let record = Record {
+            submission: submission.clone(),
+            submitted_at: Instant::now(),
+            heard: Vec::new(),
+            complete: None,
+        };
         self.records.lock().entry(submission.id.clone()).or_insert(record);
     }
 
@@ -70,7 +79,7 @@
         if answer.outcome == Outcome::Complete {
             let first = record.complete.get_or_insert_with(|| answer.results.clone());
             // Attempts at a repeatable request may have results of their own.
-            differs = !record.submission.repeatable && *first != answer.results;
+            differs = record.submission.starts_once() && *first != answer.results;
         }
         record.heard.push(Heard {
             outcome: answer.outcome,
@@ -90,6 +99,20 @@
         open.map(|record| record.submission.clone()).collect()
     }
 
+    /// Submissions not older than `age`.
+    #[must_use]
+    pub fn recent(&self, age: Duration) -> Vec<Submission> {
+        let records = self.records.lock();
+        let recent = records.values().filter(|record| record.submitted_at.elapsed() <= age);
+        recent.map(|record| record.submission.clone()).collect()
+    }
+
+    /// Answers heard.
+    #[must_use]
+    pub fn answers(&self) -> u64 {
+        self.records.lock().values().map(|record| record.heard.len() as u64).sum()
+    }
+
     /// All submissions.
     #[must_use]
     pub fn submissions(&self) -> Vec<Submission> {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -12,6 +12,7 @@
         wait::PATIENCE,
     },
     eyre::bail,
+    futures::future::try_join_all,
     parking_lot::Mutex,
     serde_json::{Value, json},
     std::{
@@ -49,6 +50,14 @@
     pub how: String,
 }
 
+impl Cut {
+    /// How long the call had lasted.
+    #[must_use]
+    pub fn lasted(&self) -> Duration {
+        self.ended - self.began
+    }
+}
+
 /// Callers of both deployments, and what they were told.
 #[derive(Debug)]
 pub struct Load {
@@ -143,7 +152,7 @@
     pub fn job(&self, organisation: usize, id: String, run_ms: &[u64]) -> Submission {
         let kind = self.cluster.organisations()[organisation].kind(false).to_owned();
         let payloads = run_ms.iter().map(|run_ms| self.payload(*run_ms)).collect();
-        Submission { id, unit: Unit::Job, kind, repeatable: false, payloads }
+        Submission { organisation, id, unit: Unit::Job, kind, repeatable: false, payloads }
     }
 
     /// A request of the first kind that may, or may not, be repeated.
@@ -157,46 +166,50 @@
     ) -> Submission {
         let kind = self.cluster.organisations()[organisation].kind(repeatable).to_owned();
         let payloads = vec![self.payload(run_ms)];
-        Submission { id, unit: Unit::Request, kind, repeatable, payloads }
+        Submission { organisation, id, unit: Unit::Request, kind, repeatable, payloads }
     }
 
-    fn payload(&self, run_ms: u64) -> Value {
+    /// A payload unlike any other.
+    #[must_use]
+    pub fn payload(&self, run_ms: u64) -> Value {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         json!({"run_ms": run_ms, "echo": {"number": number}})
     }
 
     /// Submits once through an entry.
-    pub async fn submit(
-        &self,
-        organisation: usize,
-        entry: &str,
-        submission: &Submission,
-    ) -> Option<Answer> {
+    pub async fn submit(&self, entry: &str, submission: &Submission) -> Option<Answer> {
         self.ledger.submitted(submission);
         let (address, began) = (self.cluster.http(entry), Instant::now());
-        let reply = self.caller(organisation).submit(address, submission, PATIENCE).await;
+        let caller = self.caller(submission.organisation);
+        let reply = caller.submit(address, submission, PATIENCE).await;
         let answer = self.note(entry, began, reply)?;
         self.ledger.heard(&submission.id, &answer, entry);
         Some(answer)
     }
 
+    /// Submits each again and again until its answer is final or `unknown`
+    /// stays.
+    ///
+    /// # Errors
+    ///
+    /// When there is no such answer for too long.
+    pub async fn settle_all(&self, submissions: &[Submission]) -> eyre::Result<Vec<Answer>> {
+        try_join_all(submissions.iter().map(|submission| self.settle(submission))).await
+    }
+
     /// Submits again and again, through one entry in service after the other,
     /// until the answer is final or `unknown` stays.
     ///
     /// # Errors
     ///
     /// When there is no such answer for too long.
-    pub async fn settle(
-        &self,
-        organisation: usize,
-        submission: &Submission,
-    ) -> eyre::Result<Answer> {
+    pub async fn settle(&self, submission: &Submission) -> eyre::Result<Answer> {
         let (began, mut unknowns) = (Instant::now(), 0);
         let mut last = None;
         while began.elapsed() < PATIENCE {
             let mut pause = PAUSE;
             if let Some((entry, _)) = self.balancer.next()
-                && let Some(answer) = self.submit(organisation, &entry, submission).await
+                && let Some(answer) = self.submit(&entry, submission).await
             {
                 unknowns += u32::from(answer.outcome == Outcome::Unknown);
                 if is_final(answer.outcome) || unknowns > UNKNOWN_RETRIES {
@@ -211,10 +224,11 @@
     }
 
     /// Cancels through any entry in service.
-    pub async fn cancel(&self, organisation: usize, submission: &Submission) -> Option<Answer> {
+    pub async fn cancel(&self, submission: &Submission) -> Option<Answer> {
         let (entry, address) = self.balancer.next()?;
         let began = Instant::now();
-        let reply = self.caller(organisation).cancel(address, &submission.id).await;
+        let caller = self.caller(submission.organisation);
+        let reply = caller.cancel(address, &submission.id).await;
         let answer = self.note(&entry, began, reply)?;
         self.ledger.heard(&submission.id, &answer, &entry);
         Some(answer)
--- a/crates/soak/tests/agent_killed.rs
+++ b/crates/soak/tests/agent_killed.rs
@@ -2,7 +2,7 @@
 
 use {
     eyre::ensure,
-    futures::future::{join_all, try_join_all},
+    futures::future::join_all,
     serde_json::json,
     std::{sync::Arc, time::Duration},
     sycamorerail_bench::client::Outcome,
@@ -36,7 +36,7 @@
 }
 
 /// Jobs of two tasks, requests that may and requests that must not be repeated.
-async fn submissions(load: &Load) -> eyre::Result<Vec<(usize, Submission)>> {
+async fn submissions(load: &Load) -> eyre::Result<Vec<Submission>> {
     let mut all = Vec::new();
     for organisation in 0..load.cluster.organisations().len() {
         for (number, id) in load.reserve(organisation, "entry-1", 9).await?.into_iter().enumerate()
@@ -46,20 +46,14 @@
                 1 => load.request(organisation, id, true, 1_500),
                 _ => load.job(organisation, id, &[300, 1_500]),
             };
-            all.push((organisation, submission));
+            all.push(submission);
         }
     }
     Ok(all)
 }
 
-async fn submit_all(load: &Load, all: &[(usize, Submission)]) {
-    let calls = all.iter().map(|(organisation, one)| load.submit(*organisation, "entry-1", one));
-    join_all(calls).await;
-}
-
-async fn settle_all(load: &Load, all: &[(usize, Submission)]) -> eyre::Result<Vec<Outcome>> {
-    let settled = all.iter().map(|(organisation, one)| load.settle(*organisation, one));
-    Ok(try_join_all(settled).await?.into_iter().map(|answer| answer.outcome).collect())
+async fn submit_all(load: &Load, all: &[Submission]) {
+    join_all(all.iter().map(|one| load.submit("entry-1", one))).await;
 }
 
 /// Submits one request after the other until an upstream starts one.
@@ -67,7 +61,7 @@
     let before = starts_at(&load.cluster, upstream).await?.starts;
     for _ in 0..200 {
         let id = load.reserve_anywhere(0).await?;
-        load.settle(0, &load.request(0, id, true, 10)).await?;
+        load.settle(&load.request(0, id, true, 10)).await?;
         if starts_at(&load.cluster, upstream).await?.starts > before {
             return Ok(());
         }
@@ -84,17 +78,18 @@
     };
     let ((), killed) = tokio::join!(submit_all(&load, &all), kill);
     killed?;
-    let outcomes = settle_all(&load, &all).await?;
+    let answers = load.settle_all(&all).await?;
     // What may be repeated is served all the same.
-    for ((_, one), outcome) in all.iter().zip(outcomes) {
-        ensure!(!one.repeatable || outcome == Outcome::Complete, "{one:?}: {outcome:?}");
+    for (one, answer) in all.iter().zip(answers) {
+        let served = answer.outcome == Outcome::Complete;
+        ensure!(!one.repeatable || served, "{one:?}: {answer:?}");
     }
 
     // The new run knows nothing of the old one's starts, and repeats none.
     load.cluster.run("agent-1")?;
     load.cluster.wait_taking_work("agent-1").await?;
     wait_used(&load, "upstream-1").await?;
-    settle_all(&load, &all).await?;
+    load.settle_all(&all).await?;
     Ok(())
 }
 
@@ -117,7 +112,7 @@
     frozen?;
     load.cluster.wait_taking_work("agent-1").await?;
     wait_used(&load, "upstream-1").await?;
-    settle_all(&load, &all).await?;
+    load.settle_all(&all).await?;
     Ok(())
 }
 
--- a/crates/soak/tests/entry_frozen.rs
+++ b/crates/soak/tests/entry_frozen.rs
@@ -1,7 +1,7 @@
 //! An entry stands still for longer than others wait for it, and goes on.
 
 use {
-    futures::future::{join_all, try_join_all},
+    futures::future::join_all,
     serde_json::json,
     std::{sync::Arc, time::Duration},
     sycamorerail_soak::{
@@ -35,7 +35,7 @@
 
 /// More tasks than slots: when the home stands still, some run, some wait at
 /// agents and some at the home.
-async fn submissions(load: &Load) -> eyre::Result<Vec<(usize, Submission)>> {
+async fn submissions(load: &Load) -> eyre::Result<Vec<Submission>> {
     let mut all = Vec::new();
     for organisation in 0..load.cluster.organisations().len() {
         for (number, id) in load.reserve(organisation, "entry-1", 10).await?.into_iter().enumerate()
@@ -45,7 +45,7 @@
                 1 => load.request(organisation, id, true, 700),
                 _ => load.job(organisation, id, &[100, 700, 1_200]),
             };
-            all.push((organisation, submission));
+            all.push(submission);
         }
     }
     Ok(all)
@@ -53,13 +53,12 @@
 
 async fn freeze(load: Arc<Load>) -> eyre::Result<()> {
     let all = submissions(&load).await?;
-    let waiting = all.iter().map(|(organisation, one)| load.submit(*organisation, "entry-1", one));
+    let waiting = all.iter().map(|one| load.submit("entry-1", one));
     let meanwhile = async {
         wait_starts(&load.cluster, u64::from(SLOTS)).await?;
         load.cluster.freeze("entry-1")?;
         sleep(Duration::from_millis(2 * (LOST_AFTER_MS + IDLE_TIMEOUT_MS))).await;
-        let settled = all.iter().map(|(organisation, one)| load.settle(*organisation, one));
-        let settled = try_join_all(settled).await;
+        let settled = load.settle_all(&all).await;
         load.cluster.thaw("entry-1")?;
         settled
     };
@@ -67,15 +66,15 @@
     let (_, settled) = tokio::join!(join_all(waiting), meanwhile);
     settled?;
     load.cluster.wait_ready("entry-1").await?;
-    for (organisation, one) in &all {
+    for one in &all {
         for entry in ["entry-1", "entry-2"] {
-            load.submit(*organisation, entry, one).await;
+            load.submit(entry, one).await;
         }
     }
     // It serves again, under ids of a new run.
     for organisation in 0..load.cluster.organisations().len() {
         let id = load.reserve(organisation, "entry-1", 1).await?.remove(0);
-        load.settle(organisation, &load.job(organisation, id, &[10, 10])).await?;
+        load.settle(&load.job(organisation, id, &[10, 10])).await?;
     }
     Ok(())
 }
--- a/crates/soak/tests/entry_killed.rs
+++ b/crates/soak/tests/entry_killed.rs
@@ -1,7 +1,7 @@
 //! An entry is killed with jobs in flight; its callers go to another one.
 
 use {
-    futures::future::{join_all, try_join_all},
+    futures::future::join_all,
     std::sync::Arc,
     sycamorerail_bench::client::Outcome,
     sycamorerail_soak::{
@@ -19,7 +19,7 @@
 const UNUSED: u32 = 4;
 
 /// Jobs and requests under ids of one entry, for each organisation.
-async fn submissions(load: &Load, entry: &str) -> eyre::Result<Vec<(usize, Submission)>> {
+async fn submissions(load: &Load, entry: &str) -> eyre::Result<Vec<Submission>> {
     let mut all = Vec::new();
     for organisation in 0..load.cluster.organisations().len() {
         for (number, id) in load.reserve(organisation, entry, JOBS).await?.into_iter().enumerate() {
@@ -28,15 +28,14 @@
                 1 => load.request(organisation, id, true, 800),
                 _ => load.job(organisation, id, &RUN_MS),
             };
-            all.push((organisation, submission));
+            all.push(submission);
         }
     }
     Ok(all)
 }
 
-async fn settle_all(load: &Load, all: &[(usize, Submission)]) -> eyre::Result<Vec<Outcome>> {
-    let settled = all.iter().map(|(organisation, one)| load.settle(*organisation, one));
-    Ok(try_join_all(settled).await?.into_iter().map(|answer| answer.outcome).collect())
+async fn settle_all(load: &Load, all: &[Submission]) -> eyre::Result<Vec<Outcome>> {
+    Ok(load.settle_all(all).await?.into_iter().map(|answer| answer.outcome).collect())
 }
 
 /// The callers' first attempt is through the entry that dies.
@@ -45,10 +44,9 @@
     let mut unused = Vec::new();
     for organisation in 0..load.cluster.organisations().len() {
         let ids = load.reserve(organisation, "entry-1", UNUSED).await?;
-        unused
-            .extend(ids.into_iter().map(|id| (organisation, load.job(organisation, id, &RUN_MS))));
+        unused.extend(ids.into_iter().map(|id| load.job(organisation, id, &RUN_MS)));
     }
-    let first = all.iter().map(|(organisation, one)| load.submit(*organisation, "entry-1", one));
+    let first = all.iter().map(|one| load.submit("entry-1", one));
     let kill = async {
         wait_starts(&load.cluster, 10).await?;
         load.cluster.kill("entry-1")
@@ -66,9 +64,9 @@
     // A new run at the same address takes nothing of the old one's.
     load.cluster.run("entry-1")?;
     load.cluster.wait_ready("entry-1").await?;
-    for (organisation, one) in all.iter().chain(&unused) {
+    for one in all.iter().chain(&unused) {
         for entry in ["entry-1", "entry-2"] {
-            load.submit(*organisation, entry, one).await;
+            load.submit(entry, one).await;
         }
     }
     Ok(())
@@ -83,7 +81,7 @@
 /// that dies.
 async fn kill_home(load: Arc<Load>) -> eyre::Result<()> {
     let all = submissions(&load, "entry-1").await?;
-    let first = all.iter().map(|(organisation, one)| load.submit(*organisation, "entry-2", one));
+    let first = all.iter().map(|one| load.submit("entry-2", one));
     let kill = async {
         wait_starts(&load.cluster, 10).await?;
         load.cluster.kill("entry-1")
--- a/crates/soak/tests/platform_out.rs
+++ b/crates/soak/tests/platform_out.rs
@@ -2,7 +2,7 @@
 
 use {
     eyre::ensure,
-    futures::future::{join_all, try_join_all},
+    futures::future::join_all,
     serde_json::json,
     std::sync::Arc,
     sycamorerail_bench::client::Outcome,
@@ -36,7 +36,7 @@
     for organisation in 0..load.cluster.organisations().len() {
         let id = load.reserve(organisation, entry, 1).await?.remove(0);
         let job = load.job(organisation, id, &[10, 20, 30]);
-        let answer = load.submit(organisation, through, &job).await;
+        let answer = load.submit(through, &job).await;
         let outcome = answer.as_ref().map(|answer| answer.outcome);
         ensure!(outcome == Some(Outcome::Complete), "{answer:?}");
     }
@@ -69,7 +69,7 @@
     until("work goes on", || async {
         let id = load.reserve(0, "entry-2", 1).await?.remove(0);
         let request = load.request(0, id, true, 10);
-        let answer = load.submit(0, "entry-2", &request).await;
+        let answer = load.submit("entry-2", &request).await;
         Ok(answer.filter(|answer| answer.outcome == Outcome::Complete))
     })
     .await?;
@@ -137,12 +137,12 @@
     let mut jobs = Vec::new();
     for organisation in 0..cluster.organisations().len() {
         for id in load.reserve(organisation, "entry-1", 8).await? {
-            jobs.push((organisation, load.job(organisation, id, &[50, 600])));
+            jobs.push(load.job(organisation, id, &[50, 600]));
         }
     }
     let unused = load.reserve(0, "entry-1", 1).await?.remove(0);
     let unused = load.job(0, unused, &[10]);
-    let waiting = join_all(jobs.iter().map(|(org, job)| load.submit(*org, "entry-1", job)));
+    let waiting = join_all(jobs.iter().map(|job| load.submit("entry-1", job)));
     let lose = async {
         wait_starts(cluster, 6).await?;
         order_platform(cluster, out()).await?;
@@ -150,17 +150,16 @@
     };
     let (_, lost) = tokio::join!(waiting, lose);
     lost?;
-    for (organisation, job) in jobs.iter().chain([&(0, unused.clone())]) {
-        if let Some(answer) = load.submit(*organisation, "entry-2", job).await {
+    for job in jobs.iter().chain([&unused]) {
+        if let Some(answer) = load.submit("entry-2", job).await {
             ensure!(answer.outcome != Outcome::NotRun, "{answer:?}");
         }
     }
     order_platform(cluster, PlatformFaults::default()).await?;
-    let settled = jobs.iter().map(|(organisation, job)| load.settle(*organisation, job));
-    let settled = try_join_all(settled).await?;
+    let settled = load.settle_all(&jobs).await?;
     let open = settled.iter().find(|answer| answer.outcome == Outcome::Unknown);
     ensure!(open.is_none(), "{open:?}");
-    let answer = load.settle(0, &unused).await?;
+    let answer = load.settle(&unused).await?;
     ensure!(answer.outcome == Outcome::NotRun, "{answer:?}");
     Ok(())
 }
--- a/crates/soak/tests/rolling_stops.rs
+++ b/crates/soak/tests/rolling_stops.rs
@@ -41,7 +41,7 @@
             1 => load.request(organisation, id, true, 300),
             _ => load.job(organisation, id, &[20, 200, 400]),
         };
-        let answer = load.settle(organisation, &submission).await?;
+        let answer = load.settle(&submission).await?;
         match answer.outcome {
             Outcome::Complete => drop(done.fetch_add(1, Ordering::AcqRel)),
             // Refused at once. One that was held up for its whole deadline was
--- a/crates/soak/tests/upstream_leaves.rs
+++ b/crates/soak/tests/upstream_leaves.rs
@@ -3,7 +3,6 @@
 
 use {
     eyre::ensure,
-    futures::future::try_join_all,
     serde_json::json,
     std::{sync::Arc, time::Duration},
     sycamorerail_bench::client::Outcome,
@@ -29,7 +28,7 @@
         let organisation = number as usize % load.cluster.organisations().len();
         let id = load.reserve_anywhere(organisation).await?;
         let submission = load.request(organisation, id, false, SHORT_RUN_MS);
-        outcomes.push(load.settle(organisation, &submission).await?.outcome);
+        outcomes.push(load.settle(&submission).await?.outcome);
     }
     Ok(outcomes)
 }
@@ -41,7 +40,7 @@
         let id = load.reserve_anywhere(0).await?;
         long.push(load.request(0, id, false, LONG_RUN_MS));
     }
-    let settled = try_join_all(long.iter().map(|one| load.settle(0, one)));
+    let settled = load.settle_all(&long);
     let leaving = async {
         wait_starts(&load.cluster, 8).await?;
         ensure!(starts_at(&load.cluster, "upstream-1").await?.running > 0, "nothing runs there");
@@ -89,13 +88,13 @@
             _ => load.job(0, id, &[SHORT_RUN_MS, SHORT_RUN_MS]),
         });
     }
-    try_join_all(sent.iter().map(|one| load.settle(0, one))).await?;
+    load.settle_all(&sent).await?;
     // Its lease has lapsed by now: nothing more goes there.
     let outcomes = run_short(&load, 20).await?;
     ensure!(outcomes.iter().all(|one| *one == Outcome::Complete), "{outcomes:?}");
     order_upstream(&load.cluster, "upstream-1", UpstreamFaults::default()).await?;
     load.cluster.wait_taking_work("agent-1").await?;
-    try_join_all(sent.iter().map(|one| load.settle(0, one))).await?;
+    load.settle_all(&sent).await?;
     Ok(())
 }
 
