Entry: work that waits may go to agents that start later

Cause: a job could use only the agents that became usable before it was accepted (a count of events at the entry).

Ruled out: that the count of events is needed for at-most-once. MEMBERSHIP.md rests on which run of the entry uses an agent, and on one copy of the records showing both the registration and no fence; when the job was accepted does not enter. What must not happen is that a job of a fenced run uses an agent which only the next run may use.

Change: an agent is usable by one run of the entry, set under the lock that retires runs; a job uses the agents usable by the run its id names.

Before: queued_over_restart red.

--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -60,7 +60,7 @@
         data_centre: agent.identity.data_centre.clone(),
         rack: agent.identity.rack.clone(),
         connected: agent.is_up(),
-        usable: agent.usable_since().is_some(),
+        usable: agent.usable_by().is_some(),
         leaving: live.leaving.load(Ordering::Acquire),
         ejected: live.ejected_until_ms.load(Ordering::Acquire) > now_ms,
         slots: read(&live.slots),
--- a/crates/entry/src/dispatch/choose.rs
+++ b/crates/entry/src/dispatch/choose.rs
@@ -81,7 +81,7 @@
     let siblings = cell.siblings.lock().clone();
     let kind = &cell.kind;
     let ask = ask(shared, kind, &numbers(shared, kind), avoid, &siblings);
-    let view = snapshot.view_for(cell.accepted_event);
+    let view = snapshot.view_for(cell.id.incarnation);
     match policy(kind) {
         Some(policy) => (policy.choose)(&view, &ask, &mut rand::rng(), now_ms),
         None => Choice::Never,
--- a/crates/entry/src/dispatch/probe.rs
+++ b/crates/entry/src/dispatch/probe.rs
@@ -22,7 +22,7 @@
     let size_bytes = cell.kind.size_bytes;
     take_probe(shared, |key| {
         let row = snapshot.view.row(key);
-        let may_use = snapshot.may_use(key, cell.accepted_event) && !avoid.contains(&key);
+        let may_use = snapshot.may_use(key, cell.id.incarnation) && !avoid.contains(&key);
         let serves = row.is_some_and(|row| {
             row.could_hold(cell.kind.key, size_bytes) && !row.live.leaving.load(Ordering::Acquire)
         });
--- a/crates/entry/src/jobs/cell.rs
+++ b/crates/entry/src/jobs/cell.rs
@@ -45,8 +45,6 @@
     pub payloads: Vec<Payload>,
     /// What it takes of memory.
     pub size: SubmissionSize,
-    /// Its place in the order of events: see [`Shared::next_event`].
-    pub accepted_event: u64,
     /// When it was accepted, in monotonic milliseconds.
     pub accepted_at_ms: u64,
     /// When it was accepted, for durations below a millisecond.
@@ -102,7 +100,6 @@
             content: submission.content,
             size: SubmissionSize::of(&submission.payloads),
             payloads: submission.payloads,
-            accepted_event: shared.next_event(),
             accepted_at_ms: now_ms,
             accepted_at: std::time::Instant::now(),
             deadline_at_ms,
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -123,7 +123,7 @@
             on_entry_connection: Box::new(move |shared, connection| {
                 tokio::spawn(serve::serve(Arc::clone(&serves), shared, connection));
             }),
-            usable_since: Box::new(move |_, identity| {
+            usable_by: Box::new(move |_, identity| {
                 hears.heard(identity);
                 None
             }),
--- a/crates/entry/src/peers/usable.rs
+++ b/crates/entry/src/peers/usable.rs
@@ -32,11 +32,12 @@
         let Some(shared) = self.shared.get() else { return };
         tell_agents(shared, membership);
         let mut changes = Vec::new();
+        let home = membership.current();
         for agent in &shared.upstreams.snapshot().agents {
             let run = agent.identity.incarnation;
-            let may_use = membership.usable(run);
-            if may_use != agent.usable_since().is_some() {
-                changes.push((run, may_use.then(|| shared.next_event())));
+            let usable_by = membership.may_use(home, run).then_some(home);
+            if usable_by != agent.usable_by() {
+                changes.push((run, usable_by));
             }
         }
         if !changes.is_empty() {
--- a/crates/entry/src/seams.rs
+++ b/crates/entry/src/seams.rs
@@ -22,9 +22,9 @@
 /// Serves a connection that another entry opened.
 pub type OnEntryConnection = dyn Fn(Arc<Shared>, quinn::Connection) + Send + Sync;
 
-/// Tells since which event the agent may be used, `None` if not yet. Called at
-/// each hello; when it becomes usable later, call `Registry::set_usable`.
-pub type UsableSince = dyn Fn(&Shared, &AgentIdentity) -> Option<u64> + Send + Sync;
+/// Tells which run of this entry may use the agent, `None` if that is not for
+/// the hello to say. Called at each hello; else `Registry::change_usable` says.
+pub type UsableBy = dyn Fn(&Shared, &AgentIdentity) -> Option<Incarnation> + Send + Sync;
 
 /// This run of the entry was found to be fenced.
 pub type OnFenced = dyn Fn(&Arc<Shared>, Incarnation) + Send + Sync;
@@ -43,8 +43,8 @@
     pub forward: Box<Forward>,
     /// See [`OnEntryConnection`].
     pub on_entry_connection: Box<OnEntryConnection>,
-    /// See [`UsableSince`].
-    pub usable_since: Box<UsableSince>,
+    /// See [`UsableBy`].
+    pub usable_by: Box<UsableBy>,
     /// See [`OnFenced`].
     pub on_fenced: Box<OnFenced>,
     /// Binds callers' own keys; without it they are put off.
@@ -68,7 +68,7 @@
         Self {
             forward: Box::new(|_, id, _| Box::pin(async move { home_unreachable(id) })),
             on_entry_connection: Box::new(|_, connection| connection.close(0u32.into(), b"")),
-            usable_since: Box::new(|shared, _| Some(shared.next_event())),
+            usable_by: Box::new(|shared, _| Some(shared.incarnation())),
             on_fenced: Box::new(|shared, incarnation| shared.retire(incarnation)),
             on_config_mark: Box::new(|_, _| {}),
             binder: None,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -79,7 +79,6 @@
     pub lifecycle: Lifecycle,
     /// Where other parts come in.
     pub seams: Seams,
-    events: AtomicU64,
     config_mark: AtomicU64,
 }
 
@@ -107,7 +106,6 @@
             home: ArcSwap::from_pointee(home),
             lifecycle: Lifecycle::default(),
             seams,
-            events: AtomicU64::new(1),
             config_mark: AtomicU64::new(0),
             settings,
         }
@@ -119,12 +117,6 @@
         self.clock.now_ms()
     }
 
-    /// The next number in the order of events of this process. A job may use
-    /// the agents that became usable before it was accepted, no others.
-    pub fn next_event(&self) -> u64 {
-        self.events.fetch_add(1, Ordering::AcqRel)
-    }
-
     /// The run in use.
     #[must_use]
     pub fn incarnation(&self) -> Incarnation {
--- a/crates/entry/src/upstreams/agent.rs
+++ b/crates/entry/src/upstreams/agent.rs
@@ -9,10 +9,16 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     sycamorerail_decide::view::{DataCentreKey, KindKey, Live, RackKey, Row, UpstreamKey},
-    sycamorerail_wire::message::{AgentIdentity, Load, UpstreamInfo},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        message::{AgentIdentity, Load, UpstreamInfo},
+    },
     tokio::sync::watch,
 };
 
+/// Stands for no run of an entry: none is ever given this number.
+const NO_RUN: u64 = 0;
+
 /// One run of an agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -32,8 +38,8 @@
     upstream: Mutex<Option<UpstreamInfo>>,
     data_centre: DataCentreKey,
     rack: RackKey,
-    /// Since which event it may be used; 0 for not yet.
-    usable_since: AtomicU64,
+    /// The run of this entry that may use it; 0 for none.
+    usable_by: AtomicU64,
 }
 
 impl Agent {
@@ -49,25 +55,21 @@
             upstream: Mutex::new(None),
             data_centre: names.data_centre(&identity.data_centre),
             rack: names.rack(&identity.data_centre, &identity.rack),
-            usable_since: AtomicU64::new(0),
+            usable_by: AtomicU64::new(NO_RUN),
             identity,
         }
     }
 
-    /// Since which event it may be used, if it may.
+    /// The run of this entry that may use it, if one may.
     #[must_use]
-    pub fn usable_since(&self) -> Option<u64> {
-        Some(self.usable_since.load(Ordering::Acquire)).filter(|&event| event > 0)
-    }
-
-    /// Makes it usable, unless it is already.
-    pub(super) fn set_usable(&self, event: u64) {
-        let _ = self.usable_since.compare_exchange(0, event, Ordering::AcqRel, Ordering::Acquire);
+    pub fn usable_by(&self) -> Option<Incarnation> {
+        let run = self.usable_by.load(Ordering::Acquire);
+        (run != NO_RUN).then_some(Incarnation(run))
     }
 
-    /// Makes it unusable.
-    pub(super) fn clear_usable(&self) {
-        self.usable_since.store(0, Ordering::Release);
+    /// Makes it usable by the jobs of one run of this entry, or by none.
+    pub(super) fn set_usable_by(&self, run: Option<Incarnation>) {
+        self.usable_by.store(run.map_or(NO_RUN, |run| run.0), Ordering::Release);
     }
 
     /// Its upstream, if one has announced itself.
@@ -97,7 +99,7 @@
 
     /// Its row in the view, given the kinds of the templates in force.
     pub(super) fn row(&self, known_kinds: &[(String, KindKey)]) -> Option<Row> {
-        self.usable_since()?;
+        self.usable_by()?;
         let upstream = self.upstream.lock();
         let upstream = upstream.as_ref()?;
         Some(Row {
--- a/crates/entry/src/upstreams/registry.rs
+++ b/crates/entry/src/upstreams/registry.rs
@@ -52,10 +52,8 @@
         agent.take_load(hello.load, shared.now_ms());
         // Down meant "leaving", whichever load was taken last.
         agent.live.leaving.store(hello.load.leaving, Ordering::Release);
-        if agent.usable_since().is_none()
-            && let Some(event) = (shared.seams.usable_since)(shared, &agent.identity)
-        {
-            agent.set_usable(event);
+        if let Some(run) = (shared.seams.usable_by)(shared, &agent.identity) {
+            agent.set_usable_by(Some(run));
         }
         self.rebuild(shared);
         Some(agent)
@@ -100,25 +98,13 @@
         }
     }
 
-    /// Makes a run usable for jobs accepted after `event`.
-    pub fn set_usable(&self, shared: &Shared, incarnation: Incarnation, event: u64) {
-        let known = self.agents.lock().by_name.values().cloned().collect::<Vec<_>>();
-        for agent in known.iter().filter(|agent| agent.identity.incarnation == incarnation) {
-            agent.set_usable(event);
-        }
-        self.rebuild(shared);
-    }
-
-    /// Makes runs usable for jobs accepted after the event, or unusable where
-    /// there is none.
-    pub fn change_usable(&self, shared: &Shared, changes: &[(Incarnation, Option<u64>)]) {
+    /// Makes agents usable by a run of this entry, or by none.
+    pub fn change_usable(&self, shared: &Shared, changes: &[(Incarnation, Option<Incarnation>)]) {
         let known = self.agents.lock().by_name.values().cloned().collect::<Vec<_>>();
         let changes: HashMap<_, _> = changes.iter().copied().collect();
         for agent in known {
-            match changes.get(&agent.identity.incarnation) {
-                Some(Some(event)) => agent.set_usable(*event),
-                Some(None) => agent.clear_usable(),
-                None => {}
+            if let Some(run) = changes.get(&agent.identity.incarnation) {
+                agent.set_usable_by(*run);
             }
         }
         self.rebuild(shared);
@@ -151,13 +137,14 @@
         let mut all: Vec<_> = agents.by_name.values().cloned().collect();
         all.sort_unstable_by_key(|agent| agent.key);
         let mut snapshot = Snapshot::default();
+        let mut runs = HashSet::new();
         for agent in &all {
             if let Some(row) = agent.row(&kinds) {
-                snapshot.newest_usable =
-                    snapshot.newest_usable.max(agent.usable_since().unwrap_or(0));
+                runs.insert(agent.usable_by());
                 snapshot.view.rows.push(row);
             }
         }
+        snapshot.usable_by = runs.iter().next().copied().flatten().filter(|_| runs.len() == 1);
         snapshot.agents = all;
         let before = self.snapshot.swap(Arc::new(snapshot));
         let after = self.snapshot.load();
--- a/crates/entry/src/upstreams/snapshot.rs
+++ b/crates/entry/src/upstreams/snapshot.rs
@@ -4,6 +4,7 @@
     super::agent::Agent,
     std::{borrow::Cow, sync::Arc},
     sycamorerail_decide::view::{Row, UpstreamKey, View},
+    sycamorerail_wire::ids::Incarnation,
 };
 
 /// The upstreams known at one moment.
@@ -13,8 +14,9 @@
     pub view: View,
     /// All agents, in the order of their keys.
     pub agents: Vec<Arc<Agent>>,
-    /// The latest event since which one of the view may be used.
-    pub newest_usable: u64,
+    /// The run of this entry that may use all of the view, if it is the same
+    /// for all.
+    pub usable_by: Option<Incarnation>,
 }
 
 impl Snapshot {
@@ -25,21 +27,20 @@
         found.ok().map(|index| &self.agents[index])
     }
 
-    /// The upstreams that a job may use: those usable before it was accepted.
+    /// The upstreams that a job of this run of the entry may use.
     #[must_use]
-    pub fn view_for(&self, accepted_event: u64) -> Cow<'_, View> {
-        if self.newest_usable < accepted_event {
+    pub fn view_for(&self, home: Incarnation) -> Cow<'_, View> {
+        if self.usable_by == Some(home) {
             return Cow::Borrowed(&self.view);
         }
-        let may_use = |row: &&Row| self.may_use(row.key, accepted_event);
+        let may_use = |row: &&Row| self.may_use(row.key, home);
         let rows = self.view.rows.iter().filter(may_use).cloned().collect();
         Cow::Owned(View { rows })
     }
 
-    /// Whether a job may use an upstream.
+    /// Whether a job of this run of the entry may use an upstream.
     #[must_use]
-    pub fn may_use(&self, key: UpstreamKey, accepted_event: u64) -> bool {
-        let since = self.agent(key).and_then(|agent| agent.usable_since());
-        since.is_some_and(|since| since < accepted_event)
+    pub fn may_use(&self, key: UpstreamKey, home: Incarnation) -> bool {
+        self.agent(key).is_some_and(|agent| agent.usable_by() == Some(home))
     }
 }
