Jobs are given up when an agent stays out of reach, not at the deadline

Cause: a task at an agent whose connection broke was waited for until the deadline (20 s), though nothing but the agent's return could decide it; a request whose last attempt failed beside a lost one waited as well.

Ruled out: in_doubt answers instead: nobody works on the job any more, its other tasks should be revoked. Answering as soon as the connection breaks: a short cut heals within the time after which homes count as lost.

Change: after lost_after_ms without a connection the job is told (AgentUnreachable). It stops once some task has nothing awaited that could decide it, and answers unknown with a time to come back; if the agent is back later, the kept answer becomes final. What was never sent for want of a connection is proven not started and goes elsewhere.

--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -90,6 +90,14 @@
         /// The placement.
         placement: PlacementKey,
     },
+    /// The run of the agent could not be reached for long with the placement
+    /// open. It may come back and tell of it.
+    AgentUnreachable {
+        /// The placement.
+        placement: PlacementKey,
+        /// Name of the agent.
+        peer: Arc<str>,
+    },
     /// The run of the agent is gone for good with the placement open.
     AgentLost {
         /// The placement.
@@ -177,6 +185,8 @@
     attempts: Vec<Attempt>,
     results: Vec<Option<Payload>>,
     failure: Option<Failure>,
+    /// The first loss of an attempt's end, and at whom it arose.
+    lost: Option<(Reason, Arc<str>)>,
     /// When a hedge was last asked for.
     hedge_from_ms: u64,
     /// Why placing was stopped, and at whom that arose.
@@ -216,6 +226,7 @@
             attempts,
             results: vec![None; count],
             failure: None,
+            lost: None,
             hedge_from_ms: 0,
             stopped: None,
         }
@@ -274,14 +285,18 @@
         Some(attempt.open(upstream, now_ms))
     }
 
-    /// Whether a placement without a reply may be sent once more, to the same
-    /// run of the agent. Else ask by a revoke what became of it.
-    #[must_use]
-    pub fn may_send_again(&self, placement: PlacementKey) -> bool {
-        self.phase == Phase::Running
-            && self
-                .attempt(placement.task)
-                .is_some_and(|attempt| attempt.is_open(placement.serial) && !attempt.is_revoked())
+    /// Takes leave to send a placement without a reply once more, to the same
+    /// run of the agent, which is there again. If there is none, ask by a
+    /// revoke what became of it.
+    pub fn send_again(&mut self, placement: PlacementKey) -> bool {
+        let running = self.phase == Phase::Running;
+        let attempt = self.attempt_mut(placement.task);
+        let open = attempt.filter(|attempt| attempt.is_open(placement.serial));
+        let Some(attempt) = open.filter(|attempt| running && !attempt.is_revoked()) else {
+            return false;
+        };
+        attempt.set_unreachable(false);
+        true
     }
 
     /// When [`Event::Tick`] is next due, in monotonic milliseconds.
@@ -302,6 +317,7 @@
         let mut actions = Vec::new();
         let mut turn = Turn { now_ms, pace, actions: &mut actions };
         self.take(event, &mut turn);
+        self.stop_if_hopeless(&mut turn);
         self.settle(&mut turn);
         actions
     }
@@ -312,6 +328,9 @@
                 self.on_reply(placement, &peer, reply, turn);
             }
             Event::ConnectionBroke { placement } => self.on_connection_broke(placement, turn),
+            Event::AgentUnreachable { placement, peer } => {
+                self.on_agent_unreachable(placement, &peer, turn);
+            }
             Event::AgentLost { placement, peer } => self.on_agent_lost(placement, &peer, turn),
             Event::Reported { upstream, task, peer, record } => {
                 self.on_report(upstream, task, &peer, record, turn);
@@ -374,7 +393,23 @@
     ) {
         self.set_state(task, State::Without(Without::EndUnknown));
         self.note_end(task, turn.now_ms);
-        self.lost_end(task, reason, peer, turn);
+        self.lost_end(reason, peer, turn);
+    }
+
+    /// The attempt stays open, as a reply may still come, but is not waited for.
+    fn on_agent_unreachable(
+        &mut self,
+        placement: PlacementKey,
+        peer: &Arc<str>,
+        turn: &mut Turn<'_, '_>,
+    ) {
+        if !self.is_open(placement) {
+            return;
+        }
+        if let Some(attempt) = self.attempt_mut(placement.task) {
+            attempt.set_unreachable(true);
+        }
+        self.lost_end(Reason::AgentUnreachable, peer, turn);
     }
 
     fn on_agent_lost(&mut self, placement: PlacementKey, peer: &Arc<str>, turn: &mut Turn<'_, '_>) {
@@ -382,24 +417,24 @@
             return;
         }
         self.set_state(placement.task, State::Without(Without::StartUnknown));
-        self.lost_end(placement.task, Reason::AgentLost, peer, turn);
+        self.lost_end(Reason::AgentLost, peer, turn);
     }
 
-    /// A task whose end cannot be had: only another attempt can make up for it.
-    fn lost_end(
-        &mut self,
-        task: TaskKey,
-        reason: Reason,
-        peer: &Arc<str>,
-        turn: &mut Turn<'_, '_>,
-    ) {
+    /// The end of an attempt cannot be had: only another one can make up for it.
+    fn lost_end(&mut self, reason: Reason, peer: &Arc<str>, turn: &mut Turn<'_, '_>) {
+        self.lost.get_or_insert_with(|| (reason, Arc::clone(peer)));
         self.try_again(reason, turn);
-        let others = self
-            .attempts
-            .iter()
-            .any(|attempt| attempt.key.index == task.index && attempt.state.is_undecided());
-        if !others {
-            self.stop(reason, Some(Arc::clone(peer)), turn);
+    }
+
+    /// Gives up where nothing awaited can decide a task any more, rather than
+    /// at the deadline.
+    fn stop_if_hopeless(&mut self, turn: &mut Turn<'_, '_>) {
+        if self.phase == Phase::Running && self.has_undecidable() {
+            let (reason, peer) = match &self.lost {
+                Some((reason, peer)) => (*reason, Some(Arc::clone(peer))),
+                None => (Reason::AgentUnreachable, None),
+            };
+            self.stop(reason, peer, turn);
         }
     }
 
@@ -490,7 +525,7 @@
         if let Some(attempt) = self.attempt_mut(task)
             && attempt.is_open_at(upstream)
         {
-            attempt.set_unreachable();
+            attempt.set_unreachable(true);
         }
     }
 
--- a/crates/decide/src/job/attempt.rs
+++ b/crates/decide/src/job/attempt.rs
@@ -30,7 +30,7 @@
         /// Sent more than once, so that an earlier copy may be on its way.
         resent: bool,
         revoked: bool,
-        /// No report can be had.
+        /// No report can be had for now.
         unreachable: bool,
     },
     /// Ended with a result.
@@ -44,9 +44,9 @@
 }
 
 impl State {
-    /// Whether it may still be decided.
-    pub(super) fn is_undecided(self) -> bool {
-        matches!(self, Self::Waiting | Self::Open { .. })
+    /// Whether something is expected to decide it.
+    pub(super) fn is_awaited(self) -> bool {
+        matches!(self, Self::Waiting | Self::Open { unreachable: false, .. })
     }
 }
 
@@ -110,9 +110,9 @@
         }
     }
 
-    pub(super) fn set_unreachable(&mut self) {
+    pub(super) fn set_unreachable(&mut self, now: bool) {
         if let State::Open { unreachable, .. } = &mut self.state {
-            *unreachable = true;
+            *unreachable = now;
         }
     }
 
--- a/crates/decide/src/job/verdict.rs
+++ b/crates/decide/src/job/verdict.rs
@@ -33,6 +33,7 @@
     never: u16,
     pending: u16,
     started_without_end: u16,
+    undecidable: u16,
 }
 
 impl Job {
@@ -65,6 +66,11 @@
         (time_up || tally.pending == 0).then_some(Outcome::Unknown)
     }
 
+    /// Whether some task can't be decided by anything that is awaited.
+    pub(super) fn has_undecidable(&self) -> bool {
+        self.tally().undecidable > 0
+    }
+
     fn tally(&self) -> Tally {
         let mut tally = Tally::default();
         for index in 0..self.terms.task_count {
@@ -73,8 +79,10 @@
                 Standing::Failed => tally.failed += 1,
                 Standing::Never => tally.never += 1,
                 Standing::Pending => tally.pending += 1,
-                Standing::Undecidable { started: true } => tally.started_without_end += 1,
-                Standing::Undecidable { started: false } => {}
+                Standing::Undecidable { started } => {
+                    tally.undecidable += 1;
+                    tally.started_without_end += u16::from(started);
+                }
             }
         }
         tally
@@ -85,8 +93,7 @@
             return Standing::Finished;
         }
         let states = || self.states_of(index);
-        let reachable_open = |state| matches!(state, State::Open { unreachable: false, .. });
-        if states().any(|state| state == State::Waiting || reachable_open(state)) {
+        if states().any(State::is_awaited) {
             return Standing::Pending;
         }
         let ended = states().any(|state| state == State::Failed);
--- a/crates/decide/tests/fence_model.rs
+++ b/crates/decide/tests/fence_model.rs
@@ -459,7 +459,7 @@
             Message::Place { agent, job, key } | Message::Placed { agent, job, key, .. } => {
                 self.agents[agent].waiters.retain(|(_, of, waits)| (*of, *waits) != (job, key));
                 self.drive(job, Event::ConnectionBroke { placement: key });
-                if self.jobs[job].may_send_again(key) {
+                if self.jobs[job].send_again(key) {
                     self.messages.push(Message::Place { agent, job, key });
                 } else {
                     let tasks = vec![key.task];
--- a/crates/decide/tests/job.rs
+++ b/crates/decide/tests/job.rs
@@ -111,10 +111,10 @@
     let mut job = Job::new(terms(1, 1));
     let first = job.place(task(0, 0), A, 0).unwrap();
     assert_eq!(on(&mut job, Event::ConnectionBroke { placement: first }, 1), []);
-    assert!(job.may_send_again(first));
+    assert!(job.send_again(first));
     let actions = on(&mut job, refused(first, false), 2);
     assert_eq!(actions, [Action::Revoke { upstream: A, tasks: vec![task(0, 0)] }]);
-    assert!(!job.may_send_again(first));
+    assert!(!job.send_again(first));
     let actions = on(&mut job, reported(A, task(0, 0), TaskRecord::NeverStarted), 3);
     assert!(is_placed_again(&actions, task(0, 0)));
 }
@@ -131,6 +131,47 @@
     assert_eq!(verdict(&actions), Some((Outcome::Unknown, Reason::AgentLost)));
 }
 
+fn unreachable(placement: PlacementKey) -> Event {
+    Event::AgentUnreachable { placement, peer: Arc::from("a") }
+}
+
+#[test]
+fn unreachable_agent() {
+    let mut job = Job::new(terms(1, 1));
+    let placed = job.place(task(0, 0), A, 0).unwrap();
+    assert_eq!(on(&mut job, Event::ConnectionBroke { placement: placed }, 1), []);
+    let actions = on(&mut job, unreachable(placed), 2);
+    assert_eq!(verdict(&actions), Some((Outcome::Unknown, Reason::AgentUnreachable)));
+    assert_eq!(answer(&actions).unwrap().peer.as_deref(), Some("a"));
+    assert!(answer(&actions).unwrap().retry_after_ms.is_some());
+    // It is back, and tells.
+    let actions = on(&mut job, finished(placed), 3);
+    assert_eq!(verdict(&actions).unwrap().0, Outcome::Complete);
+}
+
+#[test]
+fn other_attempt_awaited() {
+    let mut job = Job::new(terms(1, 2));
+    let first = job.place(task(0, 0), A, 0).unwrap();
+    let actions = on(&mut job, unreachable(first), 1);
+    assert!(is_placed_again(&actions, task(0, 1)));
+    assert_eq!(verdict(&actions), None);
+    let second = job.place(task(0, 1), B, 1).unwrap();
+    let actions = on(&mut job, failed(second, Reason::TaskFailed), 2);
+    assert_eq!(verdict(&actions), Some((Outcome::Unknown, Reason::AgentUnreachable)));
+}
+
+#[test]
+fn reached_again() {
+    let mut job = Job::new(terms(1, 2));
+    let first = job.place(task(0, 0), A, 0).unwrap();
+    on(&mut job, unreachable(first), 1);
+    let second = job.place(task(0, 1), B, 1).unwrap();
+    assert!(job.send_again(first));
+    assert_eq!(verdict(&on(&mut job, failed(second, Reason::TaskFailed), 2)), None);
+    assert_eq!(verdict(&on(&mut job, finished(first), 3)).unwrap().0, Outcome::Complete);
+}
+
 #[test]
 fn deadline_unplaced() {
     let mut job = Job::new(terms(2, 1));
@@ -180,7 +221,7 @@
     let placed = job.place(task(0, 0), A, 0).unwrap();
     assert_eq!(on(&mut job, Event::Fenced, 1), [], "what runs may finish");
     assert_eq!(job.place(task(1, 0), B, 2), None);
-    assert!(!job.may_send_again(placed));
+    assert!(!job.send_again(placed));
     let actions = on(&mut job, finished(placed), 3);
     assert_eq!(verdict(&actions), Some((Outcome::Failed, Reason::Fenced)));
 }
--- a/crates/decide/tests/job_machine.rs
+++ b/crates/decide/tests/job_machine.rs
@@ -16,6 +16,7 @@
 
 const AGENTS: u32 = 3;
 const DEADLINE_MS: u64 = 1_000;
+const REPORT_WAIT_MS: u64 = 200;
 
 /// One thing that happens. Numbers choose among what is possible.
 #[derive(Clone, Debug)]
@@ -43,6 +44,10 @@
     Break {
         placement: usize,
     },
+    /// The agent is out of reach for long, and may come back.
+    Unreachable {
+        placement: usize,
+    },
     /// The agent's run is gone with all it knew.
     Lose {
         agent: u32,
@@ -69,6 +74,7 @@
         5 => (any(), 0..8_u8).prop_map(|(running, end)| Step::End { running, end }),
         6 => any().prop_map(|placement| Step::Reply { placement }),
         2 => any().prop_map(|placement| Step::Break { placement }),
+        1 => any().prop_map(|placement| Step::Unreachable { placement }),
         1 => (0..AGENTS).prop_map(|agent| Step::Lose { agent }),
         3 => (any(), prop::bool::weighted(0.2))
             .prop_map(|(revoke, fails)| Step::Revoke { revoke, fails }),
@@ -118,7 +124,7 @@
             max_attempts,
             deadline_at_ms: DEADLINE_MS,
             hedge_after_ms,
-            report_wait_ms: 200,
+            report_wait_ms: REPORT_WAIT_MS as u32,
             retry_after_ms: 500,
         };
         let job = Job::new(terms);
@@ -235,12 +241,25 @@
         let (upstream, placement) = self.open[index];
         self.refusals.remove(&placement);
         self.on(Event::ConnectionBroke { placement });
-        if self.job.may_send_again(placement) {
+        if self.job.send_again(placement) {
             assert!(!self.stopped && self.answers.is_empty(), "sent again after the end");
             self.messages.push((upstream, placement));
         }
     }
 
+    fn unreachable(&mut self, placement: usize) {
+        let Some(index) = pick(placement, self.open.len()) else { return };
+        let (_, placement) = self.open[index];
+        let was_awaited = self.job.send_again(placement);
+        self.on(Event::AgentUnreachable { placement, peer: Arc::from("a") });
+        if was_awaited && !self.repeatable {
+            // A task of a job has no other attempt to wait for.
+            self.stopped = true;
+            let decides_at_ms = self.job.wake_at_ms(self.now_ms).unwrap_or(0);
+            assert!(decides_at_ms <= self.now_ms + REPORT_WAIT_MS, "held back");
+        }
+    }
+
     fn lose(&mut self, agent: u32) {
         let upstream = UpstreamKey(agent);
         if !self.fleet.gone.insert(upstream) {
@@ -280,6 +299,7 @@
             Step::End { running, end } => self.end(running, end),
             Step::Reply { placement } => self.reply(placement),
             Step::Break { placement } => self.break_connection(placement),
+            Step::Unreachable { placement } => self.unreachable(placement),
             Step::Lose { agent } => self.lose(agent),
             Step::Revoke { revoke, fails } => self.revoke(revoke, fails),
             Step::Tick { ms } => {
--- a/crates/entry/src/upstreams/send.rs
+++ b/crates/entry/src/upstreams/send.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         agent::Agent,
-        link::{Waited, wait_up},
+        link::{Link, Waited, wait_up},
         revoke::ask_record,
     },
     crate::{
@@ -24,6 +24,7 @@
         message::{AgentReply, AgentReplyBody, Placement, ToAgent},
         session,
     },
+    tokio::sync::watch,
 };
 
 /// How long after the deadline a placement without a reply is followed up.
@@ -70,11 +71,10 @@
         let mut broken = None;
         let mut sent = 0_u32;
         loop {
-            let left = self.time_left()?;
-            let connection = match wait_up(&mut link, broken, left).await {
+            let connection = match self.connection(&mut link, broken, sent).await? {
                 Waited::Up(connection) => connection,
-                Waited::Gone => return Some(self.lost()),
-                Waited::TimedOut => return None,
+                Waited::Gone | Waited::TimedOut if sent == 0 => return Some(self.not_sent()),
+                Waited::Gone | Waited::TimedOut => return Some(self.lost()),
             };
             if sent > 0 && !self.may_send_again() {
                 return ask_record(self.shared, self.agent, &connection, self.task_id())
@@ -109,7 +109,29 @@
     }
 
     fn may_send_again(&self) -> bool {
-        self.cell.state.lock().may_send_again(self.placement)
+        self.cell.state.lock().send_again(self.placement)
+    }
+
+    /// Waits for a connection other than the broken one; `None` when the time
+    /// of the placement is up. Once that has taken long, what was not sent goes
+    /// elsewhere, and for what was sent the job is told, which may give up.
+    async fn connection(
+        &self,
+        link: &mut watch::Receiver<Link>,
+        broken: Option<usize>,
+        sent: u32,
+    ) -> Option<Waited> {
+        let lost_after_ms = self.shared.settings.limits.lost_after_ms;
+        let patience = Duration::from_millis(lost_after_ms.into());
+        let waited = wait_up(link, broken, patience.min(self.time_left()?)).await;
+        if sent == 0 || !matches!(waited, Waited::TimedOut) {
+            return Some(waited);
+        }
+        drive(self.shared, self.cell, self.unreachable());
+        match wait_up(link, broken, self.time_left()?).await {
+            Waited::TimedOut => None,
+            waited => Some(waited),
+        }
     }
 
     fn count(&self, sent: u32) {
@@ -153,6 +175,10 @@
         }
     }
 
+    fn unreachable(&self) -> Event {
+        Event::AgentUnreachable { placement: self.placement, peer: Arc::clone(&self.agent.peer) }
+    }
+
     fn lost(&self) -> Event {
         Event::AgentLost { placement: self.placement, peer: Arc::clone(&self.agent.peer) }
     }
@@ -168,10 +194,19 @@
 
     /// The agent has drained and closed without a reply: it took nothing more.
     fn left_out_by_drain(&self) -> Event {
+        self.left_out(Reason::Draining, true)
+    }
+
+    /// There was never a connection to send it on.
+    fn not_sent(&self) -> Event {
+        self.left_out(Reason::AgentUnreachable, false)
+    }
+
+    fn left_out(&self, reason: Reason, never: bool) -> Event {
         self.agent.end_placement();
         Observed::nothing(self.probe).take(self.shared, self.cell, self.agent);
-        self.refused(Reason::Draining);
-        let reply = Reply::NotStarted { reason: Reason::Draining, never: true, retry_after_ms: 0 };
+        self.refused(reason);
+        let reply = Reply::NotStarted { reason, never, retry_after_ms: 0 };
         let peer = Arc::clone(&self.agent.peer);
         Event::Replied { placement: self.placement, peer, reply }
     }
