Sessions: a restarted process ends those of its last run at their next packet

Cause: keys of stateless resets and of connection ids were random at each start, so a process started again at an address could not tell the peers of its last run that their sessions were dead; they found out by the idle timeout or a probe.

Change: both keys follow from the private key and the bound address (blake3 in its mode for derived keys); resets at most one a millisecond. RFC 9000, 10.3. Sharing a key between hosts would let one reset another's sessions; the address in it prevents that.

--- a/crates/wire/src/session.rs
+++ b/crates/wire/src/session.rs
@@ -7,11 +7,13 @@
         codec::{self, CodecError, MAX_MESSAGE_BYTES},
         keys::{KeyError, ProcessKeys, Role, proves_role},
     },
+    ::ring::hmac,
     quinn::{
         ClientConfig, Connection, ConnectionError, Endpoint, EndpointConfig, IdleTimeout,
         RecvStream, SendStream, ServerConfig, TransportConfig, VarInt,
         crypto::rustls::{QuicClientConfig, QuicServerConfig},
     },
+    quinn_proto::HashedConnectionIdGenerator,
     rustls::{crypto::ring, pki_types::CertificateDer, server::WebPkiClientVerifier},
     serde::{Serialize, de::DeserializeOwned},
     std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration},
@@ -26,6 +28,11 @@
 /// Streams for forwarded calls that an entry allows another.
 pub const FORWARD_STREAMS: u32 = 4_096;
 
+/// Separates the derived keys of resets from other uses of the private key.
+const RESET_CONTEXT: &str = "sycamorerail 2026-12 stateless reset";
+/// Sessions of more than a thousand agents are reset within some seconds.
+const MIN_RESET_INTERVAL: Duration = Duration::from_millis(1);
+
 /// Application error code with which an agent closes its sessions after a
 /// planned stop that cut off nothing.
 pub const CLOSE_DRAINED: u32 = 1;
@@ -118,12 +125,31 @@
     let socket =
         std::net::UdpSocket::bind(listen).map_err(|err| SessionError::Open(listen, err))?;
     let runtime = Arc::new(quinn::TokioRuntime);
-    let mut endpoint = Endpoint::new(EndpointConfig::default(), Some(server), socket, runtime)
+    let bound = socket.local_addr().map_err(|err| SessionError::Open(listen, err))?;
+    let mut endpoint = Endpoint::new(endpoint_config(bound, keys), Some(server), socket, runtime)
         .map_err(|err| SessionError::Open(listen, err))?;
     endpoint.set_default_client_config(client);
     Ok(endpoint)
 }
 
+/// Has a process that is started again end the sessions of the run before it at
+/// their next packet, by stateless resets (RFC 9000, section 10.3): the keys of
+/// resets and of connection ids follow from the private key and the address.
+fn endpoint_config(bound: SocketAddr, keys: &ProcessKeys) -> EndpointConfig {
+    let mut hasher = blake3::Hasher::new_derive_key(RESET_CONTEXT);
+    hasher.update(keys.key.secret_der());
+    hasher.update(bound.to_string().as_bytes());
+    let mut derived = hasher.finalize_xof();
+    let (mut reset_key, mut id_key) = ([0; 64], [0; 8]);
+    derived.fill(&mut reset_key);
+    derived.fill(&mut id_key);
+    let id_key = u64::from_le_bytes(id_key);
+    let mut config = EndpointConfig::new(Arc::new(hmac::Key::new(hmac::HMAC_SHA256, &reset_key)));
+    config.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(id_key)));
+    config.min_reset_interval(MIN_RESET_INTERVAL);
+    config
+}
+
 fn transport(timing: SessionTiming) -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(timing.idle_timeout_ms))));
--- a/crates/wire/tests/session.rs
+++ b/crates/wire/tests/session.rs
@@ -7,17 +7,21 @@
         ids::Incarnation,
         keys::{PemPair, ProcessKeys, Role, issue, make_authority},
         message::{EntryReply, EntryReplyBody, ToEntry},
-        session::{self, SessionTiming},
+        session::{self, SessionError, SessionTiming},
     },
+    tokio::runtime::Runtime,
 };
 
 const WITHIN: Duration = Duration::from_secs(5);
 
 fn endpoint(authority: &PemPair, role: Role) -> quinn::Endpoint {
     let own = issue(authority, role, "test").unwrap();
-    let keys = ProcessKeys::read(&authority.certificate_pem, &own).unwrap();
-    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-    session::open(any, &keys, SessionTiming::default()).unwrap()
+    open_at("127.0.0.1:0".parse().unwrap(), authority, &own)
+}
+
+fn open_at(address: SocketAddr, authority: &PemPair, own: &PemPair) -> quinn::Endpoint {
+    let keys = ProcessKeys::read(&authority.certificate_pem, own).unwrap();
+    session::open(address, &keys, SessionTiming::default()).unwrap()
 }
 
 async fn answer_one(server: quinn::Endpoint, incarnation: Incarnation) -> Option<Role> {
@@ -73,3 +77,53 @@
     assert!(refused.nothing_sent(), "{refused}");
     assert_eq!(serving.await.unwrap(), None);
 }
+
+/// A server that accepts one connection and dies with its runtime, so that it
+/// sends no word of its end.
+fn dies_with_one_connection(authority: PemPair, own: PemPair) -> (SocketAddr, DeadOnDrop) {
+    let runtime = Runtime::new().unwrap();
+    let server = {
+        let _inside = runtime.enter();
+        open_at("127.0.0.1:0".parse().unwrap(), &authority, &own)
+    };
+    let address = server.local_addr().unwrap();
+    runtime.spawn(async move {
+        let connection = server.accept().await.unwrap().await.unwrap();
+        connection.closed().await;
+    });
+    (address, DeadOnDrop(Some(runtime)))
+}
+
+struct DeadOnDrop(Option<Runtime>);
+
+impl Drop for DeadOnDrop {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+#[tokio::test]
+async fn restart_resets() {
+    let authority = make_authority("test").unwrap();
+    let own = issue(&authority, Role::Entry, "test").unwrap();
+    let (address, server) = dies_with_one_connection(authority.clone(), own.clone());
+    let client = endpoint(&authority, Role::Agent);
+    let connection = session::connect(&client, address, Role::Entry, WITHIN).await.unwrap();
+    drop(server);
+
+    let keys = ProcessKeys::read(&authority.certificate_pem, &own).unwrap();
+    let next = loop {
+        // Its socket is closed a moment later.
+        match session::open(address, &keys, SessionTiming::default()) {
+            Ok(next) => break next,
+            Err(SessionError::Open(..)) => tokio::time::sleep(Duration::from_millis(5)).await,
+            Err(err) => panic!("{err}"),
+        }
+    };
+    let _accepting = tokio::spawn(async move { next.accept().await.is_some() });
+    session::call::<_, EntryReply>(&connection, &ToEntry::Status, WITHIN).await.unwrap_err();
+    let ended = connection.close_reason();
+    assert_eq!(ended, Some(quinn::ConnectionError::Reset), "not by a timeout");
+}
