Entry: agents are told of its start, and it is ready when they have dialled

Cause: agents found out about a restarted entry at their next heartbeat (10 s).

Ruled out: shorter heartbeats (control traffic for a rare event); having the entry dial agents (a second handshake each); telling runs with the list of entries (a busy agent asks for it once a heartbeat).

Change: at its start an entry has one peer tell that peer's agents (ToEntry::Started, ToAgent::EntryStarted, one small message an agent), which drop what they held at the address and dial. It is ready when every agent of the roster has dialled and may be used, or after 4 s; before that it fences nobody and answers in_doubt. Welcomes name entries and fences only when they have changed: with 30 entries and 64 fences the list would be some 700 bytes a heartbeat (arithmetic).

The test seam that cuts an entry from others now cuts open connections too: it relied on none being open (home_cut_off hung, as a peer with an older connection still reached the home).

Before: entry_restarted::serves_once_ready red without the telling (heartbeats at 60 s): unknown/home_lost. After: green in 1.9 s; agents::members_told_once.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -65,10 +65,10 @@
     pub async fn start(settings: AgentSettings, metrics: RenderMetrics) -> eyre::Result<Self> {
         let endpoint = open(&settings)?;
         let identity = identity(&settings, endpoint.local_addr()?);
-        let entries = Arc::new(Entries::new(settings.entries.iter().copied()));
+        let entries = Arc::new(Entries::new(endpoint.clone(), settings.entries.iter().copied()));
         let core = Arc::new(Core::new(settings, identity)?);
         let http = http::start(Arc::clone(&core), Arc::clone(&entries), metrics).await?;
-        entries.dial(&core, &endpoint);
+        entries.dial(&core);
         let ticking = tokio::spawn(tick(Arc::clone(&core)));
         event!(
             Info,
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -290,7 +290,7 @@
     /// this returns.
     pub(crate) fn welcomed(self: &Arc<Self>, welcome: &EntryWelcome) {
         self.raise_config_mark(welcome.config_mark);
-        for &home in &welcome.fenced {
+        for &home in welcome.members.iter().flat_map(|members| &members.fenced) {
             if !self.tasks.lock().gate.is_fenced(home) {
                 event!(Info, "home_fenced", home = home);
                 self.fence(home, &[]);
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -36,7 +36,10 @@
         }
         AgentReplyBody::Broken(reason) => ("broken", reason.name()),
         AgentReplyBody::NotStarted { reason, .. } => ("not_started", reason.name()),
-        AgentReplyBody::Revoked(_) | AgentReplyBody::Fenced(_) | AgentReplyBody::Probed => return,
+        AgentReplyBody::Revoked(_)
+        | AgentReplyBody::Fenced(_)
+        | AgentReplyBody::Probed
+        | AgentReplyBody::Noted => return,
     };
     metrics::counter!("sycamorerail_agent_ends_total", "result" => result, "reason" => reason)
         .increment(1);
--- a/crates/agent/src/entries.rs
+++ b/crates/agent/src/entries.rs
@@ -27,8 +27,8 @@
 const OTHER_ADDRESS_POLL: Duration = Duration::from_secs(1);
 
 /// The entries known.
-#[derive(Default)]
 pub(crate) struct Entries {
+    endpoint: Endpoint,
     fixed: HashSet<SocketAddr>,
     known: Mutex<Known>,
     sessions: Mutex<HashMap<Incarnation, Arc<Session>>>,
@@ -41,23 +41,40 @@
 }
 
 impl Entries {
-    pub(crate) fn new(fixed: impl IntoIterator<Item = SocketAddr>) -> Self {
-        Self { fixed: fixed.into_iter().collect(), ..Self::default() }
+    /// Entries that the settings name, to be dialled from the endpoint.
+    pub(crate) fn new(endpoint: Endpoint, fixed: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self {
+            endpoint,
+            fixed: fixed.into_iter().collect(),
+            known: Mutex::default(),
+            sessions: Mutex::default(),
+        }
     }
 
     /// Dials the entries that the settings name.
-    pub(crate) fn dial(self: &Arc<Self>, core: &Arc<Core>, endpoint: &Endpoint) {
+    pub(crate) fn dial(self: &Arc<Self>, core: &Arc<Core>) {
         let fixed: Vec<SocketAddr> = self.fixed.iter().copied().collect();
-        self.listed(core, endpoint, &fixed);
+        self.listed(core, &fixed);
     }
 
-    /// Takes a list of entries that an entry told, and dials the new ones.
-    pub(crate) fn listed(
+    /// A run of an entry has started: whatever runs at its address otherwise is
+    /// gone. Told wrongly, it costs one dial.
+    pub(crate) fn started(
         self: &Arc<Self>,
         core: &Arc<Core>,
-        endpoint: &Endpoint,
-        listed: &[SocketAddr],
+        address: SocketAddr,
+        run: Incarnation,
     ) {
+        let sessions: Vec<_> = self.sessions.lock().values().cloned().collect();
+        let gone = |session: &&Arc<Session>| session.peer == address && session.incarnation != run;
+        for session in sessions.iter().filter(gone) {
+            session.retire("another run has started there");
+        }
+        self.listed(core, &[address]);
+    }
+
+    /// Takes a list of entries that an entry told, and dials the new ones.
+    pub(crate) fn listed(self: &Arc<Self>, core: &Arc<Core>, listed: &[SocketAddr]) {
         let now_ms = core.clock.now_ms();
         let mut known = self.known.lock();
         while known.dialling.try_join_next().is_some() {}
@@ -70,7 +87,7 @@
                 continue;
             }
             let (core, entries) = (Arc::clone(core), Arc::clone(self));
-            known.dialling.spawn(session::keep(core, entries, endpoint.clone(), peer));
+            known.dialling.spawn(session::keep(core, entries, self.endpoint.clone(), peer));
         }
     }
 
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -4,6 +4,7 @@
     crate::{
         core::{Core, Pending},
         counters,
+        entries::Entries,
         session::Session,
     },
     quinn::{RecvStream, SendStream},
@@ -21,33 +22,78 @@
 };
 
 /// Takes streams of the session's entry until the connection ends.
-pub(crate) async fn accept(core: &Arc<Core>, session: &Arc<Session>) -> SessionError {
+pub(crate) async fn accept(
+    core: &Arc<Core>,
+    entries: &Arc<Entries>,
+    session: &Arc<Session>,
+) -> SessionError {
     loop {
         match session.connection.accept_bi().await {
             Ok((send, recv)) => {
-                tokio::spawn(serve(Arc::clone(core), Arc::clone(session), send, recv));
+                let serving = Serving {
+                    core: Arc::clone(core),
+                    entries: Arc::clone(entries),
+                    session: Arc::clone(session),
+                };
+                tokio::spawn(serving.serve(send, recv));
             }
             Err(err) => return SessionError::Broken(session.peer, err.to_string()),
         }
     }
 }
 
-/// Serves one stream. A task goes on when its stream ends: only what the entry
-/// says, never that it fell silent, revokes it.
-async fn serve(core: Arc<Core>, session: Arc<Session>, mut send: SendStream, mut recv: RecvStream) {
-    let request = match session::read_request(session.peer, &mut recv).await {
-        Ok(request) => request,
-        Err(err) => return event!(Debug, "request_lost", peer = session.peer, error = err),
-    };
-    let _due = ReplyDue::new(&core);
-    let Some(body) = decide(&core, &session, request).await else {
-        return;
-    };
-    let reply = core.reply(body);
-    session.sent(core.clock.now_ms());
-    if let Err(err) = deliver(session.peer, &mut send, &reply).await {
-        core.note_activity();
-        event!(Debug, "reply_lost", peer = session.peer, error = err);
+/// What serves one stream.
+struct Serving {
+    core: Arc<Core>,
+    entries: Arc<Entries>,
+    session: Arc<Session>,
+}
+
+impl Serving {
+    /// Serves one stream. A task goes on when its stream ends: only what the
+    /// entry says, never that it fell silent, revokes it.
+    async fn serve(self, mut send: SendStream, mut recv: RecvStream) {
+        let peer = self.session.peer;
+        let request = match session::read_request(peer, &mut recv).await {
+            Ok(request) => request,
+            Err(err) => return event!(Debug, "request_lost", peer = peer, error = err),
+        };
+        let _due = ReplyDue::new(&self.core);
+        let Some(body) = self.decide(request).await else {
+            return;
+        };
+        let reply = self.core.reply(body);
+        self.session.sent(self.core.clock.now_ms());
+        if let Err(err) = deliver(peer, &mut send, &reply).await {
+            self.core.note_activity();
+            event!(Debug, "reply_lost", peer = peer, error = err);
+        }
+    }
+
+    async fn decide(&self, request: ToAgent) -> Option<AgentReplyBody> {
+        let core = &self.core;
+        counters::request(name(&request));
+        match request {
+            ToAgent::Place(placement) => match core.place(&self.session, placement)? {
+                Pending::Now(reply) => Some(reply),
+                Pending::Later(told) => told.await.ok(),
+                Pending::Queued { told, start_within } => {
+                    wait_in_queue(core, told, start_within).await
+                }
+            },
+            ToAgent::Revoke { tasks } => Some(core.revoke(&tasks)),
+            ToAgent::Fence { home, jobs } => {
+                let peer = self.session.peer;
+                event!(Info, "fence", peer = peer, home = home, jobs = jobs.len());
+                Some(core.fence(home, &jobs))
+            }
+            ToAgent::Probe => Some(AgentReplyBody::Probed),
+            ToAgent::EntryStarted { address, incarnation } => {
+                event!(Info, "entry_started", peer = address, run = incarnation);
+                self.entries.started(core, address, incarnation);
+                Some(AgentReplyBody::Noted)
+            }
+        }
     }
 }
 
@@ -63,23 +109,6 @@
     Ok(())
 }
 
-async fn decide(core: &Arc<Core>, session: &Session, request: ToAgent) -> Option<AgentReplyBody> {
-    counters::request(name(&request));
-    match request {
-        ToAgent::Place(placement) => match core.place(session, placement)? {
-            Pending::Now(reply) => Some(reply),
-            Pending::Later(told) => told.await.ok(),
-            Pending::Queued { told, start_within } => wait_in_queue(core, told, start_within).await,
-        },
-        ToAgent::Revoke { tasks } => Some(core.revoke(&tasks)),
-        ToAgent::Fence { home, jobs } => {
-            event!(Info, "fence", peer = session.peer, home = home, jobs = jobs.len());
-            Some(core.fence(home, &jobs))
-        }
-        ToAgent::Probe => Some(AgentReplyBody::Probed),
-    }
-}
-
 async fn wait_in_queue(
     core: &Arc<Core>,
     mut told: oneshot::Receiver<AgentReplyBody>,
@@ -98,6 +127,7 @@
         ToAgent::Revoke { .. } => "revoke",
         ToAgent::Fence { .. } => "fence",
         ToAgent::Probe => "probe",
+        ToAgent::EntryStarted { .. } => "entry_started",
     }
 }
 
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{core::Core, counters, entries::Entries, serve},
+    parking_lot::Mutex,
     quinn::{Connection, Endpoint},
     rand::Rng,
     serde::Serialize,
@@ -18,7 +19,7 @@
         codec,
         ids::Incarnation,
         keys::Role,
-        message::{EntryWelcome, FromAgent},
+        message::{EntryWelcome, FromAgent, MemberList},
         session::{self, SessionError},
     },
     tokio::sync::watch,
@@ -37,6 +38,8 @@
     current: AtomicBool,
     sent_at_ms: AtomicU64,
     told_change: AtomicU64,
+    /// The entries that this one listed last.
+    listed: Mutex<Vec<SocketAddr>>,
     counted_sent_bytes: AtomicU64,
     counted_received_bytes: AtomicU64,
 }
@@ -50,6 +53,7 @@
             current: AtomicBool::new(true),
             sent_at_ms: AtomicU64::new(now_ms),
             told_change: AtomicU64::new(0),
+            listed: Mutex::default(),
             counted_sent_bytes: AtomicU64::new(0),
             counted_received_bytes: AtomicU64::new(0),
         }
@@ -82,6 +86,15 @@
         );
     }
 
+    /// Takes the members that the entry told of; `None` for those it told last.
+    fn take_members(&self, core: &Arc<Core>, entries: &Arc<Entries>, told: Option<MemberList>) {
+        let mut listed = self.listed.lock();
+        if let Some(members) = told {
+            *listed = members.entries;
+        }
+        entries.listed(core, &listed);
+    }
+
     /// Notes that the entry was sent the agent's load.
     pub(crate) fn sent(&self, now_ms: u64) {
         self.sent_at_ms.fetch_max(now_ms, Ordering::AcqRel);
@@ -134,12 +147,12 @@
     let session = Arc::new(Session::new(connection, welcome.incarnation, core.clock.now_ms()));
     session.told_change.store(change, Ordering::Release);
     entries.open(&session);
-    entries.listed(core, endpoint, &welcome.entries);
+    session.take_members(core, entries, welcome.members);
     counters::session("opened");
     event!(Info, "session_opened", peer = peer, entry = session.incarnation);
     let ended = tokio::select! {
-        ended = serve::accept(core, &session) => ended,
-        ended = keep_told(core, entries, endpoint, &session, changes) => ended,
+        ended = serve::accept(core, entries, &session) => ended,
+        ended = keep_told(core, entries, &session, changes) => ended,
     };
     session.retire("session ended");
     entries.close(&session);
@@ -153,7 +166,6 @@
 async fn keep_told(
     core: &Arc<Core>,
     entries: &Arc<Entries>,
-    endpoint: &Endpoint,
     session: &Session,
     mut changes: watch::Receiver<u64>,
 ) -> SessionError {
@@ -171,7 +183,7 @@
             Ok(welcome) => {
                 session.sent(core.clock.now_ms());
                 core.welcomed(&welcome);
-                entries.listed(core, endpoint, &welcome.entries);
+                session.take_members(core, entries, welcome.members);
             }
             Err(err) => return err,
         }
--- a/crates/agent/tests/revoke.rs
+++ b/crates/agent/tests/revoke.rs
@@ -107,7 +107,7 @@
 #[tokio::test]
 async fn welcome_fences() {
     let cluster = Cluster::start(1).await;
-    cluster.entry.heard.welcome.lock().fenced = vec![Incarnation(1), HOME];
+    cluster.entry.list(Vec::new(), vec![Incarnation(1), HOME]);
     cluster.entry.hang_up().await;
     let reply = cluster.entry.place(&cluster.placement(1, "{}")).await;
     assert_eq!(not_started(reply), (Reason::Fenced, true));
--- a/crates/agent/tests/sessions.rs
+++ b/crates/agent/tests/sessions.rs
@@ -32,7 +32,7 @@
 async fn entries_learnt() {
     let cluster = Cluster::start(1).await;
     let second = FakeEntry::start(&cluster.authority, Incarnation(78), any_port());
-    cluster.entry.heard.welcome.lock().entries = vec![cluster.entry.address, second.address];
+    cluster.entry.list(vec![cluster.entry.address, second.address], Vec::new());
     cluster.entry.hang_up().await;
     second.connection().await;
     let reply = second.place(&cluster.placement(1, "{}")).await;
@@ -62,7 +62,7 @@
 async fn busy_asks() {
     let cluster = Cluster::start_with(1, |settings| settings.heartbeat_ms = 200).await;
     let second = FakeEntry::start(&cluster.authority, Incarnation(78), any_port());
-    cluster.entry.heard.welcome.lock().entries = vec![second.address];
+    cluster.entry.list(vec![second.address], Vec::new());
     let busy = async {
         for sequence in 0.. {
             cluster.entry.place(&cluster.placement(sequence, "{}")).await;
@@ -79,7 +79,7 @@
     let cluster = Cluster::start(1).await;
     let first = cluster.entry.connection().await;
     let twin = FakeEntry::start(&cluster.authority, HOME, any_port());
-    cluster.entry.heard.welcome.lock().entries = vec![twin.address];
+    cluster.entry.list(vec![twin.address], Vec::new());
     cluster.upstream.leave().await.unwrap();
     twin.connection().await;
     first.closed().await;
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -22,8 +22,8 @@
         ids::{ContentHash, IdKey, Incarnation, JobId, OrganisationKey, TaskId},
         keys::{PemPair, ProcessKeys, Role, issue, make_authority},
         message::{
-            AgentHello, AgentReply, AgentReplyBody, ConfigMark, EntryWelcome, FromAgent, Placement,
-            ToAgent,
+            AgentHello, AgentReply, AgentReplyBody, ConfigMark, EntryWelcome, FromAgent,
+            MemberList, Placement, ToAgent,
         },
         session::{self, SessionTiming},
     },
@@ -70,8 +70,7 @@
         let endpoint = session::open(address, &keys, SessionTiming::default()).unwrap();
         let welcome = EntryWelcome {
             incarnation,
-            entries: Vec::new(),
-            fenced: Vec::new(),
+            members: Some(MemberList::default()),
             config_mark: ConfigMark(0),
             draining: false,
         };
@@ -85,6 +84,11 @@
         Self { address: endpoint.local_addr().unwrap(), heard, endpoint }
     }
 
+    /// What the entry tells of members from now on.
+    pub fn list(&self, entries: Vec<SocketAddr>, fenced: Vec<Incarnation>) {
+        self.heard.welcome.lock().members = Some(MemberList { entries, fenced });
+    }
+
     /// The connection of the agent that said hello last.
     pub async fn connection(&self) -> Connection {
         until("an agent says hello", || self.heard.connection.lock().is_some()).await;
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -44,6 +44,8 @@
     Forward,
     /// A fence sent.
     Fence,
+    /// The start of a peer told to an agent: wasted.
+    EntryStarted,
 }
 
 impl Message {
@@ -59,6 +61,7 @@
             Self::Beat => "beat",
             Self::Forward => "forward",
             Self::Fence => "fence",
+            Self::EntryStarted => "entry_started",
         }
     }
 }
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -24,6 +24,7 @@
 #[derive(Debug, Default)]
 pub struct Lifecycle {
     configured: AtomicBool,
+    awaits_agents: AtomicBool,
     draining: AtomicBool,
     drain_asked: Notify,
     changed: Notify,
@@ -42,10 +43,26 @@
         self.configured.load(Ordering::Acquire)
     }
 
+    /// Notes that agents are still to dial this entry.
+    pub fn await_agents(&self) {
+        self.awaits_agents.store(true, Ordering::Release);
+    }
+
+    /// Notes that the agents have dialled, or are waited for no longer.
+    pub fn set_settled(&self) {
+        self.awaits_agents.store(false, Ordering::Release);
+    }
+
+    /// Whether the agents that run have dialled, as far as they ever will.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        !self.awaits_agents.load(Ordering::Acquire)
+    }
+
     /// Whether callers are served.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.is_configured() && !self.is_draining()
+        self.is_configured() && self.is_settled() && !self.is_draining()
     }
 
     /// Whether a planned stop is under way.
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -23,6 +23,8 @@
         (Status::ServiceUnavailable, "draining\n")
     } else if shared.lifecycle.is_ready() {
         (Status::Ok, "ready\n")
+    } else if shared.lifecycle.is_configured() {
+        (Status::ServiceUnavailable, "agents are still to dial\n")
     } else {
         (Status::ServiceUnavailable, "no configuration yet\n")
     }
--- a/crates/entry/src/peers/answers.rs
+++ b/crates/entry/src/peers/answers.rs
@@ -55,6 +55,13 @@
         .with_detail("the home of the job cannot be reached, and is not shown lost yet")
 }
 
+pub(super) fn unsettled(id: &JobId) -> Answer {
+    Answer::without_results(Outcome::InDoubt, Reason::AgentUnreachable, Step::Fence)
+        .at_peer(id.home.to_string())
+        .retry_after_ms(RUNNING_RETRY_MS)
+        .with_detail("the home of the job is lost; this entry has just started, and agents are still to dial it")
+}
+
 pub(super) fn platform_out(id: &JobId) -> Answer {
     Answer::without_results(Outcome::InDoubt, Reason::PlatformOut, Step::Fence)
         .at_peer(id.home.to_string())
--- a/crates/entry/src/peers/forward.rs
+++ b/crates/entry/src/peers/forward.rs
@@ -57,6 +57,8 @@
         }
         match self.ask_home(shared, &id, &call).await {
             Asked::Answered(answer) => answer,
+            // Agents that have not dialled this run yet would count as silent.
+            Asked::Lost if !shared.lifecycle.is_settled() => answers::unsettled(&id),
             Asked::Lost => self.conclude(shared, id, known).await,
             Asked::InDoubt { retry_after_ms } => answers::home_in_doubt(&id, retry_after_ms),
         }
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! needs the platform. Until then no agent is usable and no home is fenced.
 
 mod answers;
+mod arrival;
 mod concluded;
 mod fencing;
 mod forward;
@@ -144,8 +145,10 @@
             return;
         }
         self.inner.usable.keep(Arc::clone(shared));
+        shared.lifecycle.await_agents();
         self.inner.apply_records();
         tokio::spawn(gossip::tell_usage(Arc::downgrade(&self.inner), Arc::clone(shared)));
+        tokio::spawn(arrival::settle(Arc::downgrade(&self.inner), Arc::clone(shared)));
         tokio::spawn(home::forget_on(Arc::downgrade(&self.inner), Arc::clone(shared)));
     }
 
--- a/crates/entry/src/peers/serve.rs
+++ b/crates/entry/src/peers/serve.rs
@@ -1,7 +1,7 @@
 //! Serves the sessions that other entries open.
 
 use {
-    super::{Inner, answers, sessions},
+    super::{Inner, answers, arrival, sessions},
     crate::{
         counters,
         drain::InFlight,
@@ -99,6 +99,10 @@
                 EntryReplyBody::Noted
             }
             ToEntry::Status => EntryReplyBody::Status(self.own_status(shared)),
+            ToEntry::Started { address, incarnation } => {
+                arrival::tell_agents(shared, address, incarnation);
+                EntryReplyBody::Noted
+            }
         }
     }
 
--- a/crates/entry/src/peers/usable.rs
+++ b/crates/entry/src/peers/usable.rs
@@ -6,11 +6,14 @@
 
 use {
     super::Inner,
-    crate::shared::{Members, Shared},
+    crate::shared::Shared,
     parking_lot::Mutex,
     std::sync::{Arc, OnceLock},
     sycamorerail_membership::Membership,
-    sycamorerail_wire::{ids::Incarnation, message::AgentIdentity},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        message::{AgentIdentity, MemberList},
+    },
 };
 
 /// The one place.
@@ -62,7 +65,7 @@
     let (entries, fenced) = (membership.addresses(), membership.fences_told());
     let told = shared.members.load();
     if told.entries != entries || told.fenced != fenced {
-        shared.members.store(Arc::new(Members { entries, fenced }));
+        shared.members.store(Arc::new(MemberList { entries, fenced }));
     }
 }
 
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -19,7 +19,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::{IdKey, Incarnation, JobId, OrganisationKey},
-        message::ConfigMark,
+        message::{ConfigMark, MemberList},
     },
 };
 
@@ -37,15 +37,6 @@
     }
 }
 
-/// Entries and fenced runs, as told to agents.
-#[derive(Clone, Debug, Default)]
-pub struct Members {
-    /// Inner addresses of all entries known, the own one included.
-    pub entries: Vec<SocketAddr>,
-    /// Runs of entries that are fenced for good.
-    pub fenced: Vec<Incarnation>,
-}
-
 /// What all parts of an entry share.
 #[derive(Debug)]
 pub struct Shared {
@@ -67,8 +58,9 @@
     pub home: ArcSwap<Home>,
     /// Templates in force. Replace by [`Shared::set_organisations`].
     pub organisations: ArcSwap<Organisations>,
-    /// Entries and fenced runs. Whoever knows them stores a new set.
-    pub members: ArcSwap<Members>,
+    /// Entries and fenced runs, as told to agents. Whoever knows them stores a
+    /// new list.
+    pub members: ArcSwap<MemberList>,
     /// Jobs of this home.
     pub jobs: Table,
     /// Upstreams known.
@@ -99,7 +91,7 @@
             data_centre: names.data_centre(&settings.data_centre),
             names,
             organisations: ArcSwap::default(),
-            members: ArcSwap::from_pointee(Members { entries, fenced: Vec::new() }),
+            members: ArcSwap::from_pointee(MemberList { entries, fenced: Vec::new() }),
             jobs: Table::new(&settings.limits),
             upstreams: Registry::default(),
             dispatch: Dispatch::new(&settings.limits, home.incarnation),
--- a/crates/entry/src/upstreams/accept.rs
+++ b/crates/entry/src/upstreams/accept.rs
@@ -12,7 +12,7 @@
     sycamorerail_wire::{
         answer::Reason,
         keys::Role,
-        message::{EntryWelcome, FromAgent},
+        message::{EntryWelcome, FromAgent, MemberList},
         session::{self, SessionError},
     },
     tokio::sync::watch,
@@ -51,15 +51,24 @@
     }
 }
 
+/// What was said on one connection.
+#[derive(Default)]
+struct Heard {
+    /// Who said hello.
+    agent: Option<Arc<Agent>>,
+    /// The members last told.
+    told: Option<Arc<MemberList>>,
+}
+
 async fn serve_agent(shared: &Arc<Shared>, connection: quinn::Connection) {
-    let mut agent = None;
+    let mut heard = Heard::default();
     let ended = loop {
         // One after the other: of two hellos the later one must win.
-        if let Err(err) = serve_stream(shared, &connection, &mut agent).await {
+        if let Err(err) = serve_stream(shared, &connection, &mut heard).await {
             break err;
         }
     };
-    if let Some(agent) = agent {
+    if let Some(agent) = heard.agent {
         event!(Info, "agent_session_ended", agent = agent.peer, cause = ended);
         let now_ms = shared.now_ms();
         shared.upstreams.disconnected(&agent, connection.stable_id(), now_ms);
@@ -70,17 +79,22 @@
 async fn serve_stream(
     shared: &Arc<Shared>,
     connection: &quinn::Connection,
-    agent: &mut Option<Arc<Agent>>,
+    heard: &mut Heard,
 ) -> Result<(), SessionError> {
     let peer = connection.remote_address();
     let broken = |err: quinn::ConnectionError| SessionError::Broken(peer, err.to_string());
     let (mut send, mut recv) = connection.accept_bi().await.map_err(broken)?;
     let message: FromAgent = session::read_request(peer, &mut recv).await?;
     counters::message(Message::Beat, Reason::Done);
-    take(shared, connection, agent, message)
+    take(shared, connection, &mut heard.agent, message)
         .ok_or_else(|| SessionError::Broken(peer, "run is gone or said no hello".to_owned()))?;
     dispatch::pump(shared);
-    session::write_reply(peer, &mut send, &welcome(shared)).await
+    let members = shared.members.load_full();
+    let told = heard.told.as_ref().is_some_and(|told| Arc::ptr_eq(told, &members));
+    let welcome = welcome(shared, (!told).then_some(&*members));
+    // A reply that is lost ends the session, and the next one begins anew.
+    heard.told = Some(members);
+    session::write_reply(peer, &mut send, &welcome).await
 }
 
 fn take(
@@ -102,12 +116,10 @@
     Some(())
 }
 
-fn welcome(shared: &Shared) -> EntryWelcome {
-    let members = shared.members.load();
+fn welcome(shared: &Shared, news: Option<&MemberList>) -> EntryWelcome {
     EntryWelcome {
         incarnation: shared.incarnation(),
-        entries: members.entries.clone(),
-        fenced: members.fenced.clone(),
+        members: news.cloned(),
         config_mark: shared.config_mark(),
         draining: shared.lifecycle.is_draining(),
     }
--- a/crates/entry/src/upstreams/send.rs
+++ b/crates/entry/src/upstreams/send.rs
@@ -236,7 +236,10 @@
                 Reply::NotStarted { reason, never, retry_after_ms }
             }
             // Not a reply to a placement: whether it started is not known.
-            AgentReplyBody::Revoked(_) | AgentReplyBody::Fenced(_) | AgentReplyBody::Probed => {
+            AgentReplyBody::Revoked(_)
+            | AgentReplyBody::Fenced(_)
+            | AgentReplyBody::Probed
+            | AgentReplyBody::Noted => {
                 event!(Error, "reply_out_of_place", agent = self.agent.peer);
                 Reply::Broken(Reason::Invalid)
             }
--- a/crates/entry/tests/agents.rs
+++ b/crates/entry/tests/agents.rs
@@ -2,7 +2,12 @@
 
 mod support;
 
-use {serde_json::json, support::World};
+use {
+    serde_json::json,
+    std::sync::Arc,
+    support::World,
+    sycamorerail_wire::{ids::Incarnation, message::MemberList},
+};
 
 #[tokio::test]
 async fn same_run_joins() {
@@ -85,3 +90,15 @@
     assert_eq!(answer.verdict(), (200, "complete", "done"));
     assert!(drained.starts().is_empty());
 }
+
+#[tokio::test]
+async fn members_told_once() {
+    let world = World::start().await;
+    let agent = world.agent("a").await;
+    assert_eq!(agent.hello_again().await.members, None, "told at the first hello");
+    let shared = &world.entry.shared;
+    let next = MemberList { entries: vec![shared.inner_address], fenced: vec![Incarnation(7)] };
+    shared.members.store(Arc::new(next.clone()));
+    assert_eq!(agent.hello_again().await.members, Some(next));
+    assert_eq!(agent.hello_again().await.members, None);
+}
--- a/crates/entry/tests/forward_cluster/mod.rs
+++ b/crates/entry/tests/forward_cluster/mod.rs
@@ -350,12 +350,23 @@
         if cut.load(Ordering::Acquire) {
             tokio::spawn(async move { connection.closed().await });
         } else {
+            tokio::spawn(end_when_cut(connection.clone(), Arc::clone(&cut)));
             serve(shared, connection);
         }
     });
     Seams { on_entry_connection, ..seams }
 }
 
+/// What was opened before a cut is cut as well.
+async fn end_when_cut(connection: quinn::Connection, cut: Arc<AtomicBool>) {
+    while connection.close_reason().is_none() {
+        if cut.load(Ordering::Acquire) {
+            connection.close(0u32.into(), b"cut");
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+}
+
 /// A job of tasks that run this long.
 pub fn job(tasks: usize, run_ms: u64) -> Value {
     let tasks: Vec<_> =
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -72,12 +72,22 @@
     pub async fn connect(&self) {
         let connection =
             session::connect(&self.endpoint, self.entry, Role::Entry, PATIENCE).await.unwrap();
-        let hello = FromAgent::Hello(self.hello());
-        let _: EntryWelcome = session::call(&connection, &hello, PATIENCE).await.unwrap();
+        self.say_hello(&connection).await;
         *self.connection.lock() = Some(connection.clone());
         tokio::spawn(self.clone().serve(connection));
     }
 
+    async fn say_hello(&self, connection: &quinn::Connection) -> EntryWelcome {
+        let hello = FromAgent::Hello(self.hello());
+        session::call(connection, &hello, PATIENCE).await.unwrap()
+    }
+
+    /// Says hello again on the same connection.
+    pub async fn hello_again(&self) -> EntryWelcome {
+        let connection = self.connection.lock().clone().unwrap();
+        self.say_hello(&connection).await
+    }
+
     pub fn disconnect(&self) {
         if let Some(connection) = self.connection.lock().take() {
             connection.close(0u32.into(), b"test");
@@ -136,6 +146,7 @@
             ToAgent::Revoke { tasks } => self.revoke(&tasks),
             ToAgent::Fence { .. } => AgentReplyBody::Fenced(Vec::new()),
             ToAgent::Probe => AgentReplyBody::Probed,
+            ToAgent::EntryStarted { .. } => AgentReplyBody::Noted,
         }
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -79,16 +79,23 @@
 pub struct EntryWelcome {
     /// This run of the entry.
     pub incarnation: Incarnation,
-    /// All entries known, for the agent to dial.
-    pub entries: Vec<SocketAddr>,
-    /// Runs of entries that are fenced for good.
-    pub fenced: Vec<Incarnation>,
+    /// The members known, unless they are those last told on this connection.
+    pub members: Option<MemberList>,
     /// Highest configuration mark the entry has seen.
     pub config_mark: ConfigMark,
     /// The entry is stopping: keep the connection, expect no new work.
     pub draining: bool,
 }
 
+/// Members that an entry tells agents of.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberList {
+    /// All entries known, for the agent to dial.
+    pub entries: Vec<SocketAddr>,
+    /// Runs of entries that are fenced for good.
+    pub fenced: Vec<Incarnation>,
+}
+
 /// From an agent to an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FromAgent {
@@ -153,6 +160,14 @@
     /// Are you there? Sent only while work is outstanding and nothing was
     /// heard for a while.
     Probe,
+    /// A run of an entry has started: dial it, rather than find out at the next
+    /// heartbeat.
+    EntryStarted {
+        /// Its address for agents.
+        address: SocketAddr,
+        /// The run.
+        incarnation: Incarnation,
+    },
 }
 
 /// From an agent, in reply to [`ToAgent`].
@@ -199,6 +214,8 @@
     Fenced(Vec<FencedJob>),
     /// Reply to a probe.
     Probed,
+    /// Taken.
+    Noted,
 }
 
 /// What an agent holds of a fenced job.
@@ -275,6 +292,13 @@
     Usage(UsageReport),
     /// Who are you? Answered with the run and its state.
     Status,
+    /// This run of an entry has started: tell the agents connected to you.
+    Started {
+        /// Its address for agents.
+        address: SocketAddr,
+        /// The run.
+        incarnation: Incarnation,
+    },
 }
 
 /// Use of quotas in one window.
