Quotas: reports name what has changed

Ruled out: a longer window alone (a burst would wait for it); a dead band for all changes (the parts no longer follow steady demand within the bound that share::demand_follows asserts).

Change: reports are numbered; one gives the changes since the report that the peer holds, or all where it holds none. A demand changed by half and by 10 starts a second is told at the end of its window, others every 5 s. An entry counts as not heard after 12 s (was 5 s). The reports go past the seams that only the tests' entries left empty.

--- a/crates/decide/src/share.rs
+++ b/crates/decide/src/share.rs
@@ -1,8 +1,8 @@
 //! Sharing an organisation's quota over entries without a message a request.
 //!
-//! Each entry may use a part of each quota. Once a window (about a second) it
-//! tells the others what was asked of it ([`UsageReport`]); from the reports
-//! heard every entry computes its own part:
+//! Each entry may use a part of each quota. It tells the others what is asked
+//! of it ([`UsageReport`]); from the reports heard every entry computes its own
+//! part:
 //!
 //! - entries not heard lately keep an equal part, for that is what an entry
 //!   that hears nothing gives itself;
@@ -16,6 +16,11 @@
 //! passed or missed until the next window; an entry counts its own demand as
 //! it last reported it, for a newer one would widen that gap.
 //!
+//! A report names what has changed since the one that the other entry holds.
+//! A large change is told at the end of its window, others are gathered for
+//! [`REFRESH_MS`]: every entry tells every other one, so that a report of all
+//! organisations a second would be most of the control traffic.
+//!
 //! Ruled out: a message a request to an owner of the quota (a round trip, and
 //! an owner to be lost), leases of tokens from the platform (writes grow with
 //! entries times organisations), equal parts alone (the balancer keeps long
@@ -23,20 +28,30 @@
 
 use {
     crate::admission::limit::QuotaPart,
-    std::collections::HashMap,
+    std::collections::{HashMap, HashSet},
     sycamorerail_wire::{
         ids::{Incarnation, OrganisationKey},
         message::UsageReport,
     },
 };
 
-/// A report older than this counts as not heard, in milliseconds.
-pub const FRESH_MS: u64 = 5_000;
+/// A report older than this counts as not heard, in milliseconds: two that
+/// come every [`REFRESH_MS`] may be lost.
+pub const FRESH_MS: u64 = 12_000;
+
+/// How long small changes are gathered, and how often an entry is told that
+/// there is no change, in milliseconds.
+pub const REFRESH_MS: u64 = 5_000;
+
+/// A demand changed by this factor is told at the end of the window.
+const LARGE_CHANGE: f64 = 1.5;
+/// Smaller changes than this are never large, in task starts a second.
+const SMALL_PER_S: f64 = 10.0;
 
 /// Part of what is shared by demand that goes to each entry alike.
 const EQUAL_PART: f64 = 0.2;
 
-/// Weight of the last window in the demand that is reported.
+/// Weight of the last window in the smoothed demand.
 const NEW_WEIGHT: f64 = 0.5;
 
 /// Quota of one organisation, over all entries.
@@ -69,7 +84,17 @@
 #[derive(Clone, Debug)]
 struct Heard {
     at_ms: u64,
-    demand_per_s: HashMap<OrganisationKey, f64>,
+    /// Number of the last report.
+    number: u64,
+    starts_per_s: HashMap<OrganisationKey, u32>,
+}
+
+/// What was told of one organisation.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    starts_per_s: u32,
+    /// Number of the report that first told it.
+    number: u64,
 }
 
 /// What one entry knows of the demand at all of them.
@@ -78,6 +103,10 @@
     own: Incarnation,
     /// Smoothed demand of this entry, a second.
     demand_per_s: HashMap<OrganisationKey, f64>,
+    told: HashMap<OrganisationKey, Told>,
+    /// Number of the latest report.
+    number: u64,
+    refreshed_at_ms: u64,
     heard: HashMap<Incarnation, Heard>,
 }
 
@@ -85,43 +114,86 @@
     /// Nothing is heard yet.
     #[must_use]
     pub fn new(own: Incarnation) -> Self {
-        Self { own, demand_per_s: HashMap::new(), heard: HashMap::new() }
+        Self {
+            own,
+            demand_per_s: HashMap::new(),
+            told: HashMap::new(),
+            number: 1,
+            refreshed_at_ms: 0,
+            heard: HashMap::new(),
+        }
     }
 
     /// Ends a window of this entry: `asked` are the task starts that callers
-    /// asked for in it, the refused ones included. Returns the report for the
-    /// other entries.
+    /// asked for in it, the refused ones included. Returns the number of the
+    /// report that is to be told now: see [`Self::report`].
     pub fn close_window(
         &mut self,
         asked: impl IntoIterator<Item = (OrganisationKey, u32)>,
         window_ms: u32,
         now_ms: u64,
-    ) -> UsageReport {
+    ) -> u64 {
+        self.smooth(asked, window_ms);
+        let refresh = now_ms >= self.refreshed_at_ms + REFRESH_MS;
+        if refresh {
+            self.refreshed_at_ms = now_ms;
+        }
+        let next = self.number + 1;
+        for (organisation, starts_per_s) in self.to_tell(refresh) {
+            self.told.insert(organisation, Told { starts_per_s, number: next });
+            self.number = next;
+        }
+        self.hear(&self.report(0), now_ms);
+        self.number
+    }
+
+    fn smooth(&mut self, asked: impl IntoIterator<Item = (OrganisationKey, u32)>, window_ms: u32) {
         self.demand_per_s.values_mut().for_each(|demand| *demand *= 1.0 - NEW_WEIGHT);
         let window_s = f64::from(window_ms.max(1)) / 1_000.0;
         for (organisation, asked) in asked {
             let demand = self.demand_per_s.entry(organisation).or_default();
             *demand += NEW_WEIGHT * f64::from(asked) / window_s;
         }
-        self.demand_per_s.retain(|_, demand| (*demand * window_s).round() >= 1.0);
-        let in_window = |(organisation, demand): (&OrganisationKey, &f64)| {
-            (*organisation, (demand * window_s).round() as u32)
-        };
-        let demand = self.demand_per_s.iter().map(in_window).collect();
-        let report = UsageReport { entry: self.own, window_ms, demand };
-        self.hear(&report, now_ms);
-        report
+        self.demand_per_s.retain(|_, demand| demand.round() >= 1.0);
     }
 
-    /// Takes an entry's report.
-    pub fn hear(&mut self, report: &UsageReport, now_ms: u64) {
-        let window_s = f64::from(report.window_ms.max(1)) / 1_000.0;
-        let per_s = |&(organisation, demand): &(OrganisationKey, u32)| {
-            (organisation, f64::from(demand) / window_s)
-        };
-        let demand_per_s = report.demand.iter().map(per_s).collect();
-        self.heard.insert(report.entry, Heard { at_ms: now_ms, demand_per_s });
+    /// Demands that differ from what was told by much, or at all.
+    fn to_tell(&self, at_all: bool) -> Vec<(OrganisationKey, u32)> {
+        let organisations: HashSet<_> = self.demand_per_s.keys().chain(self.told.keys()).collect();
+        let changed = organisations.into_iter().filter_map(|organisation| {
+            let demand = self.demand_per_s.get(organisation).copied().unwrap_or(0.0);
+            let told = self.told.get(organisation).map_or(0, |told| told.starts_per_s);
+            let now = demand.round() as u32;
+            let differs = if at_all { now != told } else { is_large(f64::from(told), demand) };
+            differs.then_some((*organisation, now))
+        });
+        changed.collect()
+    }
+
+    /// What to tell an entry that holds the report of this number; 0 for one
+    /// that holds none.
+    #[must_use]
+    pub fn report(&self, since: u64) -> UsageReport {
+        // Only a report that gives the changes has to tell of an end.
+        let matters = |told: &Told| told.number > since && (since > 0 || told.starts_per_s > 0);
+        let told = self.told.iter().filter(|(_, told)| matters(told));
+        let starts_per_s = told.map(|(key, told)| (*key, told.starts_per_s)).collect();
+        UsageReport { entry: self.own, number: self.number, since, starts_per_s }
+    }
+
+    /// Takes an entry's report; `false` if it gives the changes to one that is
+    /// not held, so that all must be told.
+    pub fn hear(&mut self, report: &UsageReport, now_ms: u64) -> bool {
         self.heard.retain(|_, it| it.at_ms + FRESH_MS >= now_ms);
+        let mut starts_per_s = match self.heard.remove(&report.entry) {
+            _ if report.since == 0 => HashMap::new(),
+            Some(held) if held.number == report.since => held.starts_per_s,
+            _ => return false,
+        };
+        starts_per_s.extend(report.starts_per_s.iter().copied());
+        let heard = Heard { at_ms: now_ms, number: report.number, starts_per_s };
+        self.heard.insert(report.entry, heard);
+        true
     }
 
     /// Part of the organisation's quota that this entry may use, of 1.
@@ -136,13 +208,13 @@
     ) -> f64 {
         let equal = 1.0 / entries.len().max(1) as f64;
         let fresh = entries.iter().filter_map(|entry| self.fresh(*entry, now_ms));
-        let demands = fresh.map(|it| it.demand_per_s.get(&organisation).copied().unwrap_or(0.0));
+        let demands = fresh.map(|it| it.demand_per_s(organisation));
         let (count, total_per_s) =
             demands.fold((0.0, 0.0), |(count, total), it| (count + 1.0, total + it));
         let Some(own) = self.fresh(self.own, now_ms).filter(|_| total_per_s > 0.0) else {
             return equal;
         };
-        let own_per_s = own.demand_per_s.get(&organisation).copied().unwrap_or(0.0);
+        let own_per_s = own.demand_per_s(organisation);
         let by_demand = count * own_per_s / total_per_s;
         equal * (EQUAL_PART + (1.0 - EQUAL_PART) * by_demand)
     }
@@ -151,3 +223,15 @@
         self.heard.get(&entry).filter(|it| it.at_ms + FRESH_MS >= now_ms)
     }
 }
+
+impl Heard {
+    fn demand_per_s(&self, organisation: OrganisationKey) -> f64 {
+        self.starts_per_s.get(&organisation).copied().map_or(0.0, f64::from)
+    }
+}
+
+/// Whether a demand has changed so much that it is told at once.
+fn is_large(told_per_s: f64, now_per_s: f64) -> bool {
+    let (less, more) = (told_per_s.min(now_per_s), told_per_s.max(now_per_s));
+    more - less >= SMALL_PER_S && more >= less * LARGE_CHANGE
+}
--- a/crates/entry/src/cluster.rs
+++ b/crates/entry/src/cluster.rs
@@ -7,7 +7,6 @@
     crate::{
         admin::{self, Admin},
         callers::Binder,
-        dispatch,
         entry::{Entry, EntryHandle},
         error::EntryError,
         organisations::Organisations,
@@ -133,8 +132,6 @@
             tells.records_since(since)
         }),
         revisions: Box::new(move || lists.load().revisions()),
-        usage: Box::new(|shared| Some(dispatch::report_usage(shared))),
-        on_usage: Box::new(|shared, report| dispatch::hear_usage(shared, &report)),
     }
 }
 
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -18,5 +18,5 @@
     observe::{Observed, Service, answered, observe_until, upstreams_changed},
     pace::pace,
     queue::{Dispatch, enqueue, enqueue_after, pump, pump_until},
-    quota::{Quotas, hear_usage, report_usage},
+    quota::{Quotas, close_usage_window, hear_usage, usage_since},
 };
--- a/crates/entry/src/dispatch/quota.rs
+++ b/crates/entry/src/dispatch/quota.rs
@@ -108,9 +108,9 @@
     }
 }
 
-/// Ends a window: what was asked of this entry in it, for the other entries.
-#[must_use]
-pub fn report_usage(shared: &Shared) -> UsageReport {
+/// Ends a window of demand at this entry. Returns the number of the report that
+/// the other entries are to hold now.
+pub fn close_usage_window(shared: &Shared) -> u64 {
     let now_ms = shared.now_ms();
     let quotas = &shared.dispatch.quotas;
     let asked: Vec<_> = quotas
@@ -118,7 +118,7 @@
         .iter()
         .map(|account| (*account.key(), account.limit.take_asked()))
         .collect();
-    let report = {
+    let number = {
         let mut window = quotas.window.lock();
         let length_ms = now_ms.saturating_sub(window.closed_at_ms);
         window.closed_at_ms = now_ms;
@@ -126,15 +126,23 @@
         window.shares.close_window(asked, length_ms, now_ms)
     };
     quotas.divide(shared);
-    report
+    number
 }
 
-/// Takes another entry's report.
-pub fn hear_usage(shared: &Shared, report: &UsageReport) {
+/// What to tell an entry that holds the report of this number; 0 for none.
+#[must_use]
+pub fn usage_since(shared: &Shared, number: u64) -> UsageReport {
+    shared.dispatch.quotas.window.lock().shares.report(number)
+}
+
+/// Takes another entry's report; `false` if all must be told instead.
+#[must_use]
+pub fn hear_usage(shared: &Shared, report: &UsageReport) -> bool {
     let now_ms = shared.now_ms();
     let mut window = shared.dispatch.quotas.window.lock();
-    if report.entry != window.own {
-        window.shares.hear(report, now_ms);
-        window.heard_at_ms.insert(report.entry, now_ms);
+    if report.entry == window.own {
+        return true;
     }
+    window.heard_at_ms.insert(report.entry, now_ms);
+    window.shares.hear(report, now_ms)
 }
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -34,7 +34,7 @@
     },
     sycamorerail_platform::{Mirror, Platform},
     sycamorerail_wire::{
-        message::{ConfigMark, EntryReplyBody, EntryStatus, TemplateRecord, ToEntry, UsageReport},
+        message::{ConfigMark, EntryReplyBody, EntryStatus, TemplateRecord, ToEntry},
         session::SessionError,
     },
 };
@@ -45,32 +45,17 @@
 /// Revision in force by organisation.
 pub type Revisions = dyn Fn() -> Vec<(String, u64)> + Send + Sync;
 
-/// Demand of the last window, asked for once a window; `None` for none.
-pub type Usage = dyn Fn(&Shared) -> Option<UsageReport> + Send + Sync;
-
-/// Takes a peer's demand.
-pub type OnUsage = dyn Fn(&Arc<Shared>, UsageReport) + Send + Sync;
-
 /// What other parts of the entry tell peers, and take from them.
 pub struct Sources {
     /// See [`RecordsSince`].
     pub templates: Box<RecordsSince>,
     /// See [`Revisions`].
     pub revisions: Box<Revisions>,
-    /// See [`Usage`].
-    pub usage: Box<Usage>,
-    /// See [`OnUsage`].
-    pub on_usage: Box<OnUsage>,
 }
 
 impl Default for Sources {
     fn default() -> Self {
-        Self {
-            templates: Box::new(|_| Vec::new()),
-            revisions: Box::new(Vec::new),
-            usage: Box::new(|_| None),
-            on_usage: Box::new(|_, _| {}),
-        }
+        Self { templates: Box::new(|_| Vec::new()), revisions: Box::new(Vec::new) }
     }
 }
 
--- a/crates/entry/src/peers/serve.rs
+++ b/crates/entry/src/peers/serve.rs
@@ -3,7 +3,7 @@
 use {
     super::{Inner, answers, arrival, sessions},
     crate::{
-        counters,
+        counters, dispatch,
         drain::InFlight,
         jobs::{self, is_home},
         shared::Shared,
@@ -95,8 +95,8 @@
                 EntryReplyBody::Templates((self.sources.templates)(since))
             }
             ToEntry::Usage(report) => {
-                (self.sources.on_usage)(shared, report);
-                EntryReplyBody::Noted
+                let taken = dispatch::hear_usage(shared, &report);
+                if taken { EntryReplyBody::Noted } else { EntryReplyBody::Behind }
             }
             ToEntry::Status => EntryReplyBody::Status(self.own_status(shared)),
             ToEntry::Started { address, incarnation } => {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -288,7 +288,7 @@
         /// What the peer has.
         since: ConfigMark,
     },
-    /// Use of quotas over the last window, by organisation.
+    /// Demand on quotas, by organisation: all of it, or what has changed.
     Usage(UsageReport),
     /// Who are you? Answered with the run and its state.
     Status,
@@ -301,15 +301,18 @@
     },
 }
 
-/// Use of quotas in one window.
+/// Demand on quotas at one entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageReport {
     /// Who reports.
     pub entry: Incarnation,
-    /// Length of the window, in milliseconds.
-    pub window_ms: u32,
-    /// Task starts asked for in the window, by organisation.
-    pub demand: Vec<(OrganisationKey, u32)>,
+    /// The report's number.
+    pub number: u64,
+    /// Number of the report to which this one gives the changes; 0 if it gives
+    /// all there is.
+    pub since: u64,
+    /// Task starts a second asked for, by organisation.
+    pub starts_per_s: Vec<(OrganisationKey, u32)>,
 }
 
 /// One organisation's record as the platform holds it.
@@ -366,6 +369,8 @@
     Templates(Vec<TemplateRecord>),
     /// Taken.
     Noted,
+    /// The report to which changes were given is not held: tell all.
+    Behind,
     /// How the entry stands.
     Status(EntryStatus),
 }
