Bench: floods by one organisation, figures by organisation and by refusal

Cause: the effect of a noisy organisation on a quiet one, and the time in which an overload is refused, could not be measured.

--- a/crates/bench/src/arrivals.rs
+++ b/crates/bench/src/arrivals.rs
@@ -2,7 +2,7 @@
 //! that no submission waits for an earlier answer.
 
 use {
-    crate::scenario::{Bursts, Kind, Scenario},
+    crate::scenario::{Bursts, Flood, Kind, Scenario},
     rand::{Rng, SeedableRng, rngs::SmallRng},
     rand_distr::{Distribution, Exp1},
     serde::{Deserialize, Serialize},
@@ -36,15 +36,41 @@
     pub run_ms: Vec<u32>,
 }
 
-/// Draws all arrivals of warm-up and measured time.
+/// Draws all arrivals of warm-up and measured time. A flood changes none of the
+/// others.
 #[must_use]
 pub fn plan(scenario: &Scenario) -> Vec<Arrival> {
-    let mut rng = SmallRng::seed_from_u64(scenario.seed);
-    let end_us = scenario.end_ms() * US_PER_MS;
-    let rate = Rate::of(scenario);
+    let rng = SmallRng::seed_from_u64(scenario.seed);
+    let base_per_us = submissions_per_s(scenario, scenario.arrivals.load) / US_PER_S;
+    let rate = Rate { base_per_us, bursts: scenario.arrivals.bursts };
+    let mut arrivals = between(scenario, &rate, (0, scenario.end_ms()), rng);
+    if let Some(flood) = scenario.arrivals.flood {
+        arrivals.extend(flood_of(scenario, flood));
+        arrivals.sort_by_key(|arrival| arrival.at_us);
+    }
+    arrivals
+}
+
+fn flood_of(scenario: &Scenario, flood: Flood) -> impl Iterator<Item = Arrival> {
+    let rng = SmallRng::seed_from_u64(!scenario.seed);
+    let base_per_us = submissions_per_s(scenario, flood.load) / US_PER_S;
+    let rate = Rate { base_per_us, bursts: None };
+    let window_ms = (flood.from_ms.into(), flood.until_ms.into());
+    let organisation = flood.organisation;
+    let arrivals = between(scenario, &rate, window_ms, rng).into_iter();
+    arrivals.map(move |arrival| Arrival { organisation, ..arrival })
+}
+
+fn between(
+    scenario: &Scenario,
+    rate: &Rate,
+    (from_ms, until_ms): (u64, u64),
+    mut rng: SmallRng,
+) -> Vec<Arrival> {
+    let (from_us, until_us) = (from_ms * US_PER_MS, until_ms * US_PER_MS);
     let mut arrivals = Vec::new();
-    let mut at_us = rate.next_us(0.0, Exp1.sample(&mut rng));
-    while at_us < end_us as f64 {
+    let mut at_us = rate.next_us(from_us as f64, Exp1.sample(&mut rng));
+    while at_us < until_us as f64 {
         arrivals.push(draw(scenario, at_us as u64, &mut rng));
         at_us = rate.next_us(at_us, Exp1.sample(&mut rng));
     }
@@ -85,13 +111,12 @@
     request_share + (1.0 - request_share) * job_tasks
 }
 
-/// Submissions a second outside bursts, at which the tasks fill the
-/// scenario's share of all slots.
+/// Submissions a second at which the tasks fill this share of all slots.
 #[must_use]
-pub fn submissions_per_s(scenario: &Scenario) -> f64 {
+pub fn submissions_per_s(scenario: &Scenario, load: f64) -> f64 {
     let slots = f64::from(scenario.size().total_slots());
     let task_s = scenario.run_times.mean_ms() / 1_000.0;
-    scenario.arrivals.load * slots / task_s / mean_tasks(scenario)
+    load * slots / task_s / mean_tasks(scenario)
 }
 
 /// Rate of submissions over time, constant between the edges of bursts.
@@ -101,11 +126,6 @@
 }
 
 impl Rate {
-    fn of(scenario: &Scenario) -> Self {
-        let base_per_us = submissions_per_s(scenario) / US_PER_S;
-        Self { base_per_us, bursts: scenario.arrivals.bursts }
-    }
-
     /// When the next submission comes, given its unit exponential draw.
     fn next_us(&self, from_us: f64, draw: f64) -> f64 {
         let (mut at_us, mut left) = (from_us, draw);
--- a/crates/bench/src/commands.rs
+++ b/crates/bench/src/commands.rs
@@ -98,7 +98,8 @@
     let results: Vec<RunResult> = read_all(&options.results)?;
     let groups = report::groups(&results);
     let text = if options.markdown {
-        report::markdown::table(&groups)
+        let details = report::markdown::details(&groups);
+        format!("{}\n{details}", report::markdown::table(&groups))
     } else {
         report::html::page(&groups)
     };
--- a/crates/bench/src/report/markdown.rs
+++ b/crates/bench/src/report/markdown.rs
@@ -1,6 +1,9 @@
 //! Rows of a Markdown table.
 
-use super::{Group, Spread};
+use {
+    super::{Group, Spread},
+    std::fmt::Write,
+};
 
 /// Head of the table.
 #[must_use]
@@ -36,6 +39,46 @@
     text
 }
 
+/// Organisations and refusals of each result that has some: where there are
+/// several organisations, or submissions were refused.
+#[must_use]
+pub fn details(groups: &[Group<'_>]) -> String {
+    let results = || groups.iter().flat_map(|group| &group.results);
+    let mut text = String::new();
+    for result in results().filter(|result| result.organisations.len() > 1) {
+        for (organisation, of) in &result.organisations {
+            let _ = writeln!(
+                text,
+                "{} seed {}: organisation {organisation}: due {}, complete {}, \
+                 response p50 {:.0} p99 {:.0} ms, over run time p50 {:.3} p99 {:.2}",
+                result.scenario.name,
+                result.scenario.seed,
+                of.due,
+                of.measured.count,
+                of.measured.p50,
+                of.measured.p99,
+                of.slowdown.p50,
+                of.slowdown.p99,
+            );
+        }
+    }
+    for result in results() {
+        for (reason, times) in &result.refused {
+            let _ = writeln!(
+                text,
+                "{} seed {}: refused {reason}: {}, answered after p50 {:.1} p99 {:.1} max {:.1} ms",
+                result.scenario.name,
+                result.scenario.seed,
+                times.count,
+                times.p50,
+                times.p99,
+                times.max,
+            );
+        }
+    }
+    text
+}
+
 /// Row of one group.
 #[must_use]
 pub fn row(group: &Group<'_>) -> String {
--- a/crates/bench/src/results.rs
+++ b/crates/bench/src/results.rs
@@ -47,6 +47,12 @@
     pub stretch: Quantiles,
     /// The same, by unit.
     pub units: BTreeMap<Unit, UnitResult>,
+    /// By position of the organisation.
+    #[serde(default)]
+    pub organisations: BTreeMap<u16, OrganisationResult>,
+    /// Time to the answer of those refused under their first id, by reason.
+    #[serde(default)]
+    pub refused: BTreeMap<String, Quantiles>,
     /// Of those decided under their first id: what placement costs, without
     /// the pauses after refusals.
     pub first_id: UnitResult,
@@ -142,6 +148,17 @@
     pub ideal: Quantiles,
 }
 
+/// What became of one organisation's submissions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OrganisationResult {
+    /// All that were due.
+    pub due: u64,
+    /// Response times of complete answers.
+    pub measured: Quantiles,
+    /// Measured over the run times alone, of each complete answer.
+    pub slowdown: Quantiles,
+}
+
 /// Submissions due in one second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Second {
@@ -263,6 +280,47 @@
     quantiles(complete.map(ratio), SCALE)
 }
 
+/// By organisation.
+#[must_use]
+pub fn organisations(pairs: &[Pair<'_>]) -> BTreeMap<u16, OrganisationResult> {
+    let mut by_organisation: BTreeMap<u16, Vec<Pair<'_>>> = BTreeMap::new();
+    for pair in pairs {
+        by_organisation.entry(pair.arrival.organisation).or_default().push(*pair);
+    }
+    let result = |(organisation, pairs): (u16, Vec<Pair<'_>>)| {
+        let due = pairs.len() as u64;
+        let result =
+            OrganisationResult { due, measured: measured(&pairs), slowdown: slowdown(&pairs) };
+        (organisation, result)
+    };
+    by_organisation.into_iter().map(result).collect()
+}
+
+/// Response time over the longest run time of each complete answer.
+fn slowdown(pairs: &[Pair<'_>]) -> Quantiles {
+    const SCALE: f64 = 1_000.0;
+    let complete = pairs.iter().filter(|pair| pair.is_complete());
+    let ratio = |pair: &Pair<'_>| {
+        let run_ms = pair.arrival.run_ms.iter().copied().max().unwrap_or(1);
+        let run_us = f64::from(run_ms) * US_PER_MS;
+        (pair.record.response_us as f64 / run_us * SCALE).round() as u64
+    };
+    quantiles(complete.map(ratio), SCALE)
+}
+
+/// Time to the answer of those refused under their first id, by reason.
+#[must_use]
+pub fn refused(pairs: &[Pair<'_>]) -> BTreeMap<String, Quantiles> {
+    let mut by_reason: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for Pair { record, .. } in pairs {
+        if record.outcome == Outcome::NotRun && record.told.len() == 1 {
+            by_reason.entry(record.reason.clone()).or_default().push(record.response_us);
+        }
+    }
+    let quantiles_of = |(reason, times): (String, Vec<u64>)| (reason, quantiles(times, US_PER_MS));
+    by_reason.into_iter().map(quantiles_of).collect()
+}
+
 /// The same by unit.
 #[must_use]
 pub fn units(pairs: &[Pair<'_>]) -> BTreeMap<Unit, UnitResult> {
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -409,6 +409,8 @@
             ideal: results::ideal(&pairs),
             stretch: results::stretch(&pairs),
             units: results::units(&pairs),
+            organisations: results::organisations(&pairs),
+            refused: results::refused(&pairs),
             first_id: results::first_id(&pairs),
             curve: results::curve(&pairs),
             timeline: results::timeline(&all),
--- a/crates/bench/src/scenario/check.rs
+++ b/crates/bench/src/scenario/check.rs
@@ -1,6 +1,6 @@
 //! Ranges of a scenario's fields.
 
-use super::{Arrivals, Bursts, Client, Fault, FaultStep, FieldError, Scenario};
+use super::{Arrivals, Bursts, Client, Fault, FaultStep, FieldError, Flood, Scenario};
 
 const MAX_JOB_TASKS: u16 = 170;
 const MAX_LOAD: f64 = 20.0;
@@ -14,6 +14,9 @@
     let factor = scenario.declared_run_factor;
     errors.require(in_range(factor, 0.001, 1_000.0), "declared_run_factor", "0.001 to 1000");
     check_arrivals(&scenario.arrivals, &mut errors);
+    if let Some(flood) = &scenario.arrivals.flood {
+        check_flood(flood, scenario.size().organisations, &mut errors);
+    }
     check_run_times(scenario, &mut errors);
     check_sizes(scenario, &mut errors);
     check_client(&scenario.client, &mut errors);
@@ -58,6 +61,15 @@
     errors.require(factor_fits, "arrivals.bursts.factor", "0.01 to 100");
 }
 
+fn check_flood(flood: &Flood, organisations: u16, errors: &mut Errors) {
+    let known = flood.organisation < organisations;
+    errors.require(known, "arrivals.flood.organisation", "below sizes.organisations");
+    let lasts = flood.from_ms < flood.until_ms;
+    errors.require(lasts, "arrivals.flood.until_ms", "above from_ms");
+    let load_fits = flood.load > 0.0 && flood.load <= MAX_LOAD;
+    errors.require(load_fits, "arrivals.flood.load", "above 0, at most 20");
+}
+
 fn check_run_times(scenario: &Scenario, errors: &mut Errors) {
     let times = &scenario.run_times;
     errors.require(times.min_ms > 0, "run_times.min_ms", "at least 1");
--- a/crates/bench/src/scenario/mod.rs
+++ b/crates/bench/src/scenario/mod.rs
@@ -91,6 +91,23 @@
     /// Bursts.
     #[serde(default)]
     pub bursts: Option<Bursts>,
+    /// A flood by one organisation, beside all else.
+    #[serde(default)]
+    pub flood: Option<Flood>,
+}
+
+/// What one organisation submits beside its part of the load.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Flood {
+    /// Position of the organisation, from 0.
+    pub organisation: u16,
+    /// When it begins, from the start of the load.
+    pub from_ms: u32,
+    /// When it ends.
+    pub until_ms: u32,
+    /// Share of all slots that its tasks would fill.
+    pub load: f64,
 }
 
 /// A burst at the end of each period.
--- a/crates/bench/tests/arrival_plan.rs
+++ b/crates/bench/tests/arrival_plan.rs
@@ -42,6 +42,22 @@
     assert!((share - 6.0 / 14.0).abs() < 0.03, "share {share}");
 }
 
+#[test]
+fn flood_adds() {
+    let flood = "{load: 0.5, flood: {organisation: 2, from_ms: 60000, until_ms: 120000, load: 3}}";
+    let with = plan(&scenario(1, flood));
+    let without = plan(&scenario(1, "{load: 0.5}"));
+    assert!(with.is_sorted_by_key(|arrival| arrival.at_us));
+    let added: Vec<_> = with.iter().filter(|arrival| !without.contains(arrival)).collect();
+    assert_eq!(added.len() + without.len(), with.len(), "the others are as without it");
+    assert!(
+        added.iter().all(|a| a.organisation == 2 && (60_000_000..120_000_000).contains(&a.at_us))
+    );
+    let busy_ms: u64 = added.iter().flat_map(|a| &a.run_ms).map(|&ms| u64::from(ms)).sum();
+    let load = busy_ms as f64 / (80.0 * 60_000.0);
+    assert!((load - 3.0).abs() < 0.3, "load {load}");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(16))]
 
