Soak: links between real processes are cut, both ways and one way

Cause: cuts in one direction and between two processes were made only within one process, by seams.

Ruled out: packet filters (no such tools here); cutting the platform's relay (it is not the path of placements).

Change: an entry may advertise another address than it binds (advertised_address), which ids and peers name. The soak tool puts a relay of datagrams before each entry; a cut is of all datagrams or one direction, of all others or of one process.

--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -78,7 +78,8 @@
     /// What an entry starts with.
     #[must_use]
     pub fn new(settings: EntrySettings, endpoint: quinn::Endpoint, seams: Seams) -> Self {
-        let inner_address = endpoint.local_addr().unwrap_or(settings.inner_address);
+        let bound = endpoint.local_addr().unwrap_or(settings.inner_address);
+        let inner_address = settings.advertised_address.unwrap_or(bound);
         let names = Names::default();
         let home = Home::fresh();
         let mut entries = settings.peers.clone();
--- a/crates/entry/tests/admin_site/mod.rs
+++ b/crates/entry/tests/admin_site/mod.rs
@@ -82,6 +82,7 @@
             data_centre: "here".to_owned(),
             http_address: any,
             inner_address: any,
+            advertised_address: None,
             peers: self.entries.iter().map(|entry| entry.entry.inner_address()).collect(),
             platform: PlatformSettings {
                 url: format!("http://{platform}"),
--- a/crates/entry/tests/forward_cluster/mod.rs
+++ b/crates/entry/tests/forward_cluster/mod.rs
@@ -293,6 +293,7 @@
             data_centre: "here".to_owned(),
             http_address: "127.0.0.1:0".parse().unwrap(),
             inner_address,
+            advertised_address: None,
             peers: self.nodes.iter().map(|node| node.entry.inner_address()).collect(),
             platform: PlatformSettings {
                 url: format!("http://{platform}"),
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -202,6 +202,7 @@
         data_centre: "here".to_owned(),
         http_address: "127.0.0.1:0".parse().unwrap(),
         inner_address: "127.0.0.1:0".parse().unwrap(),
+        advertised_address: None,
         peers: Vec::new(),
         platform: platform("http://127.0.0.1:9"),
         keys: KeySettings {
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -71,8 +71,11 @@
     pub data_centre: String,
     /// Address for callers, operators, health and metrics.
     pub http_address: SocketAddr,
-    /// Address of the inner protocol, named in ids.
+    /// Address of the inner protocol.
     pub inner_address: SocketAddr,
+    /// Address of the inner protocol as others dial it and ids name it, where
+    /// it is not the own one.
+    pub advertised_address: Option<SocketAddr>,
     /// Other entries' inner addresses, for a start while the platform is out.
     pub peers: Vec<SocketAddr>,
     /// The platform's service.
@@ -149,6 +152,7 @@
             .field("data_centre", &self.data_centre)
             .field("http_address", &self.http_address)
             .field("inner_address", &self.inner_address)
+            .field("advertised_address", &self.advertised_address)
             .finish_non_exhaustive()
     }
 }
@@ -178,6 +182,7 @@
             data_centre: reader.text("data_centre", NAME),
             http_address: reader.address("http_address"),
             inner_address: reader.dialled_address("inner_address"),
+            advertised_address: reader.optional_dialled_address("advertised_address"),
             peers: reader.addresses("peers"),
             platform: reader.section("platform", PlatformSettings::read),
             keys: reader.section("keys", KeySettings::read),
@@ -199,11 +204,12 @@
             format!("found {} bytes", self.cluster_secret.len()),
             format!("at least {MIN_SECRET_BYTES} bytes, as `sycamorerail keys token` prints them"),
         );
+        let own_address = self.advertised_address.unwrap_or(self.inner_address);
         reader.require(
-            &["peers", "inner_address"],
-            !self.peers.contains(&self.inner_address),
+            &["peers", "inner_address", "advertised_address"],
+            !self.peers.contains(&own_address),
             "peers",
-            format!("found {}, the entry's own", self.inner_address),
+            format!("found {own_address}, the entry's own"),
             "inner addresses of other entries",
         );
     }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -125,6 +125,11 @@
         address
     }
 
+    /// The same, if it is there.
+    pub(crate) fn optional_dialled_address(&self, name: &str) -> Option<SocketAddr> {
+        self.has(name).then(|| self.dialled_address(name))
+    }
+
     /// Reads a list of addresses, each at most once.
     pub(crate) fn addresses(&self, name: &str) -> Vec<SocketAddr> {
         let mut list = Vec::new();
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -4,6 +4,7 @@
 use {
     crate::{
         binaries, http,
+        links::Links,
         operator::{Base, Change, Operator, UpstreamStatus},
         plan::{Organisation, Plan},
         process::{ChildProcess, Told, log_tail},
@@ -35,6 +36,7 @@
     directory: Option<TempDir>,
     binaries: PathBuf,
     layout: Layout,
+    links: Links,
     organisations: Vec<Organisation>,
     operator: Operator,
     client: reqwest::Client,
@@ -95,7 +97,7 @@
     ///
     /// When the binaries are not there, or a process does not get ready.
     pub async fn start_from(plan: &Plan, binaries: PathBuf) -> eyre::Result<Self> {
-        let cluster = Self::lay_out(plan, binaries)?;
+        let cluster = Self::lay_out(plan, binaries).await?;
         let spares = cluster.spares(plan);
         let names = cluster.layout.processes.iter().map(|process| process.name.clone());
         let first: Vec<String> = names.filter(|name| !spares.contains(name)).collect();
@@ -120,15 +122,16 @@
         Ok(cluster)
     }
 
-    fn lay_out(plan: &Plan, binaries: PathBuf) -> eyre::Result<Self> {
+    async fn lay_out(plan: &Plan, binaries: PathBuf) -> eyre::Result<Self> {
         binaries::check(&binaries)?;
         let directory = tempfile::Builder::new().prefix("sycamorerail-").tempdir()?;
-        let layout = plan.lay_out(directory.path())?;
+        let (layout, links) = plan.lay_out(directory.path()).await?;
         Ok(Self {
             operator: Operator::new(&layout.operator_token)?,
             directory: Some(directory),
             binaries,
             layout,
+            links,
             organisations: plan.organisations()?,
             client: http::client()?,
             state: Mutex::default(),
@@ -192,6 +195,12 @@
         &self.client
     }
 
+    /// The links to the entries.
+    #[must_use]
+    pub fn links(&self) -> &Links {
+        &self.links
+    }
+
     /// What was laid out.
     #[must_use]
     pub fn layout(&self) -> &Layout {
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -2,7 +2,9 @@
 //! that as many of them come at a time.
 
 use {
-    crate::{cluster::Cluster, load::Load, random_callers::Signals, standins::order},
+    crate::{
+        cluster::Cluster, links::Direction, load::Load, random_callers::Signals, standins::order,
+    },
     eyre::ensure,
     parking_lot::Mutex,
     rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
@@ -39,6 +41,10 @@
     StopEntry,
     /// Planned stop of an entry once another one has taken its place.
     ReplaceEntry,
+    /// An entry is cut off from all others, both ways or one way.
+    CutEntry,
+    /// An entry is cut off from one other process, both ways or one way.
+    CutPair,
     /// SIGKILL of an agent, which starts again.
     KillAgent,
     /// SIGSTOP of an agent.
@@ -75,6 +81,8 @@
     (Fault::FreezeEntry, 3),
     (Fault::StopEntry, 2),
     (Fault::ReplaceEntry, 2),
+    (Fault::CutEntry, 3),
+    (Fault::CutPair, 4),
     (Fault::KillAgent, 3),
     (Fault::FreezeAgent, 3),
     (Fault::StopAgent, 3),
@@ -187,6 +195,11 @@
             Fault::FreezeEntry | Fault::FreezeAgent => self.freeze(name, any).await?,
             Fault::StopEntry | Fault::StopAgent => self.restart(name, any).await?,
             Fault::ReplaceEntry => self.replace_entry(name).await?,
+            Fault::CutEntry => self.cut(name, None, draw_direction(random), any).await,
+            Fault::CutPair => {
+                let other = self.other_of(name, random);
+                self.cut(name, other.as_deref(), draw_direction(random), any).await;
+            }
             Fault::LeaveUpstream => self.leave(name, any).await?,
             Fault::PlatformRefuses => {
                 let for_ms = Some(long.as_millis() as u32);
@@ -214,6 +227,20 @@
         Some(Taken { faults: self, name })
     }
 
+    /// An agent or another entry, at random.
+    fn other_of(&self, entry: &str, random: &mut SmallRng) -> Option<String> {
+        let mut others = self.cluster().running(Role::Agent);
+        others.extend(self.cluster().running(Role::Entry));
+        others.retain(|other| other != entry);
+        others.choose(random).cloned()
+    }
+
+    async fn cut(&self, entry: &str, other: Option<&str>, way: Direction, length: Duration) {
+        self.cluster().links().cut(entry, other, way);
+        sleep(length).await;
+        self.cluster().links().heal(entry);
+    }
+
     async fn kill(&self, name: &str, away: Duration) -> eyre::Result<()> {
         let began = Instant::now();
         self.cluster().kill(name)?;
@@ -294,15 +321,23 @@
     }
 }
 
+fn draw_direction(random: &mut SmallRng) -> Direction {
+    let all = [Direction::Both, Direction::ToEntry, Direction::FromEntry];
+    all.choose(random).copied().unwrap_or(Direction::Both)
+}
+
 fn order_of<F>(faults: F) -> FaultOrder<F> {
     FaultOrder { faults, refuse: false, for_ms: None }
 }
 
 fn role_of(fault: Fault) -> Role {
     match fault {
-        Fault::KillEntry | Fault::FreezeEntry | Fault::StopEntry | Fault::ReplaceEntry => {
-            Role::Entry
-        }
+        Fault::KillEntry
+        | Fault::FreezeEntry
+        | Fault::StopEntry
+        | Fault::ReplaceEntry
+        | Fault::CutEntry
+        | Fault::CutPair => Role::Entry,
         Fault::KillAgent | Fault::FreezeAgent | Fault::StopAgent => Role::Agent,
         Fault::FreezeUpstream
         | Fault::FailEverything
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod faults;
 pub mod http;
 pub mod ledger;
+pub mod links;
 pub mod load;
 pub mod operator;
 pub mod options;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -2,10 +2,11 @@
 //! deployments.
 
 use {
+    crate::links::Links,
     eyre::{OptionExt, WrapErr},
     rand::Rng,
     serde_json::{Map, Value, json},
-    std::{fs, path::Path},
+    std::{collections::BTreeMap, fs, net::SocketAddr, path::Path},
     sycamorerail_bench::{
         cluster::{Cluster as Layout, Role},
         layout::{self, merge, random_hex, sha256},
@@ -118,16 +119,18 @@
 }
 
 impl Plan {
-    /// Writes settings and keys into a directory.
+    /// Writes settings and keys into a directory, and starts the relays.
     ///
     /// # Errors
     ///
     /// When files cannot be written or ports run out.
-    pub fn lay_out(&self, dir: &Path) -> eyre::Result<Layout> {
+    pub async fn lay_out(&self, dir: &Path) -> eyre::Result<(Layout, Links)> {
         let port_base = rand::rng().random_range(PORT_BASES);
         let layout = layout::lay_out(&self.scenario()?, dir, port_base)?;
-        self.hide_spares(&layout, dir)?;
-        Ok(layout)
+        let entries: Vec<_> = layout.of_role(Role::Entry).map(|entry| entry.name.clone()).collect();
+        let links = Links::start(&entries, inner_addresses(&layout, dir)?).await?;
+        self.put_relays(&layout, &links, dir)?;
+        Ok((layout, links))
     }
 
     fn scenario(&self) -> eyre::Result<Scenario> {
@@ -152,19 +155,21 @@
         Ok(Scenario::parse(&serde_norway::to_string(&scenario)?)?)
     }
 
-    /// Takes the spare entries out of the others' settings.
-    fn hide_spares(&self, layout: &Layout, dir: &Path) -> eyre::Result<()> {
-        let mut known = Vec::new();
-        for entry in layout.of_role(Role::Entry).take(self.entries.into()) {
-            known.push(read_yaml(&dir.join(&entry.settings))?["inner_address"].clone());
-        }
+    /// Has all processes dial the entries' relays. Spare entries are unknown to
+    /// the others.
+    fn put_relays(&self, layout: &Layout, links: &Links, dir: &Path) -> eyre::Result<()> {
+        let first = layout.of_role(Role::Entry).take(self.entries.into());
+        let known: Vec<_> = first.filter_map(|entry| links.address(&entry.name)).collect();
         for (role, field) in [(Role::Entry, "peers"), (Role::Agent, "entries")] {
             for process in layout.of_role(role) {
                 let path = dir.join(&process.settings);
                 let mut settings = read_yaml(&path)?;
-                let own = settings["inner_address"].clone();
-                settings[field] =
-                    known.iter().filter(|address| **address != own).cloned().collect();
+                let own = links.address(&process.name);
+                let others = known.iter().filter(|address| Some(**address) != own);
+                settings[field] = others.map(|address| json!(address)).collect();
+                if let Some(own) = own {
+                    settings["advertised_address"] = json!(own);
+                }
                 write_yaml(&path, &settings)?;
             }
         }
@@ -198,6 +203,17 @@
     }
 }
 
+/// Inner addresses of entries and agents by name.
+fn inner_addresses(layout: &Layout, dir: &Path) -> eyre::Result<BTreeMap<String, SocketAddr>> {
+    let mut addresses = BTreeMap::new();
+    for process in layout.of_role(Role::Entry).chain(layout.of_role(Role::Agent)) {
+        let settings = read_yaml(&dir.join(&process.settings))?;
+        let address = serde_json::from_value(settings["inner_address"].clone())?;
+        addresses.insert(process.name.clone(), address);
+    }
+    Ok(addresses)
+}
+
 fn read_yaml(path: &Path) -> eyre::Result<Value> {
     let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
     serde_norway::from_str(&text).wrap_err_with(|| path.display().to_string())
