Entry: a run of an agent that a later one replaced draws no work

The old run of an agent was killed; its new run did not know entry-3, which took the dead run for alive when the platform was back, though the platform's records showed its replacement. The answer, unknown/agent_unreachable, was true.

Ruled out: telling agents of entries that the platform does not know (membership would have two sources).

Change: an agent that has a later run of the same name in the records is not usable. GET /v1/admin/status names the agent's run; tests wait for the present run to take work, where any run of that name satisfied them before.

--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -28,6 +28,8 @@
 #[derive(Debug, Serialize)]
 struct UpstreamLine {
     agent: String,
+    /// The agent's run.
+    incarnation: String,
     upstream: Option<String>,
     data_centre: String,
     rack: String,
@@ -56,6 +58,7 @@
     let read = |number: &AtomicU32| number.load(Ordering::Acquire);
     UpstreamLine {
         agent: agent.identity.name.clone(),
+        incarnation: agent.identity.incarnation.to_string(),
         upstream: agent.upstream().map(|upstream| upstream.name),
         data_centre: agent.identity.data_centre.clone(),
         rack: agent.identity.rack.clone(),
--- a/crates/entry/src/peers/arrival.rs
+++ b/crates/entry/src/peers/arrival.rs
@@ -92,8 +92,9 @@
     let is_used = |agent: &&Arc<Agent>| agent.is_up() && agent.usable_by() == Some(home);
     let used: HashSet<Incarnation> =
         snapshot.agents.iter().filter(is_used).map(|agent| agent.identity.incarnation).collect();
+    let replaced = members.replaced();
     let mut expected = members.agents.iter().filter(|(_, agent)| !agent.record.retired);
-    expected.all(|(run, _)| used.contains(run) || members.is_replaced(*run))
+    expected.all(|(run, _)| used.contains(run) || replaced.contains(run))
 }
 
 /// Tells the agents connected here that a run of a peer has started.
--- a/crates/entry/src/peers/usable.rs
+++ b/crates/entry/src/peers/usable.rs
@@ -36,9 +36,13 @@
         tell_agents(shared, membership);
         let mut changes = Vec::new();
         let home = membership.current();
+        // A dead run whose end this entry has not noticed draws work for
+        // nothing.
+        let replaced = membership.members().replaced();
         for agent in &shared.upstreams.snapshot().agents {
             let run = agent.identity.incarnation;
-            let usable_by = membership.may_use(home, run).then_some(home);
+            let may_use = membership.may_use(home, run) && !replaced.contains(&run);
+            let usable_by = may_use.then_some(home);
             if usable_by != agent.usable_by() {
                 changes.push((run, usable_by));
             }
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -6,7 +6,7 @@
         record::{self, AgentRecord, EntryRecord, FenceRecord, HomeRecord},
     },
     serde::de::DeserializeOwned,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashMap, HashSet},
     sycamorerail_platform::{KeyValue, table::Table},
     sycamorerail_wire::ids::Incarnation,
 };
@@ -72,6 +72,20 @@
         retired.map(|agent| agent.modified).max().unwrap_or(0)
     }
 
+    /// Agents that were replaced by later runs of the same names.
+    #[must_use]
+    pub fn replaced(&self) -> HashSet<Incarnation> {
+        let mut latest: HashMap<&str, u64> = HashMap::new();
+        for agent in self.agents.values() {
+            let created = latest.entry(&agent.record.agent.name).or_default();
+            *created = agent.created.max(*created);
+        }
+        let is_replaced =
+            |agent: &Recorded<AgentRecord>| agent.created < latest[&*agent.record.agent.name];
+        let replaced = self.agents.iter().filter(|(_, agent)| is_replaced(agent));
+        replaced.map(|(run, _)| *run).collect()
+    }
+
     /// Whether the agent was replaced by a later run of the same name.
     #[must_use]
     pub fn is_replaced(&self, agent: Incarnation) -> bool {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -376,12 +376,14 @@
         .wrap_err_with(|| self.log_tail(name))
     }
 
-    /// Waits until every running entry may place work at an agent.
+    /// Waits until every running entry may place work at the present run of an
+    /// agent.
     ///
     /// # Errors
     ///
     /// When a process ends, or it takes too long.
     pub async fn wait_taking_work(&self, agent: &str) -> eyre::Result<()> {
+        self.wait_live(agent).await?;
         let entries = self.running(Role::Entry);
         self.wait_seen(&entries, agent, "takes work of", UpstreamStatus::takes_work).await
     }
@@ -393,6 +395,7 @@
     ///
     /// When a process ends, or it takes too long.
     pub async fn wait_unregistered(&self, agent: &str, entries: &[&str]) -> eyre::Result<()> {
+        self.wait_live(agent).await?;
         let what = "is not registered at";
         self.wait_seen(entries, agent, what, UpstreamStatus::is_unregistered).await
     }
@@ -404,12 +407,13 @@
         what: &str,
         holds: fn(&UpstreamStatus) -> bool,
     ) -> eyre::Result<()> {
+        let run = http::incarnation(&self.client, self.http(agent)).await?;
         for entry in entries.iter().map(AsRef::as_ref) {
             let address = self.http(entry);
             until(&format!("{agent} {what} {entry}"), || async {
                 self.check_alive()?;
                 let upstreams = self.operator.upstreams(address).await.told().unwrap_or_default();
-                let seen = |one: &UpstreamStatus| one.agent == agent && holds(one);
+                let seen = |one: &UpstreamStatus| one.incarnation == run && holds(one);
                 Ok(upstreams.iter().any(seen).then_some(()))
             })
             .await?;
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -146,3 +146,14 @@
         other => bail!("{path} at {process}: {other:?}"),
     }
 }
+
+/// The run of an agent, as it says itself.
+pub(crate) async fn incarnation(
+    client: &reqwest::Client,
+    agent: SocketAddr,
+) -> eyre::Result<String> {
+    let reply = client.get(format!("http://{agent}/status")).timeout(SIDE_CALL).send().await?;
+    let status: Value = reply.json().await?;
+    let run = status["incarnation"].as_str().map(str::to_owned);
+    run.ok_or_else(|| eyre!("{agent}: no incarnation in {status}"))
+}
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -73,6 +73,8 @@
 pub struct UpstreamStatus {
     /// The agent's name.
     pub agent: String,
+    /// The agent's run.
+    pub incarnation: String,
     connected: bool,
     usable: bool,
     leaving: bool,
--- a/crates/soak/tests/platform_out.rs
+++ b/crates/soak/tests/platform_out.rs
@@ -67,7 +67,7 @@
     cluster.run("agent-1")?;
     // An entry that has not heard the new run takes the old one for alive: what
     // it places there before is truly unknown, and not what this test is about.
-    // No agent knows entry-3 yet, as it could not announce itself.
+    // entry-3 could not announce itself, so a new run does not know it yet.
     cluster.wait_unregistered("agent-1", &["entry-1", "entry-2"]).await?;
     let before = starts_at(cluster, "upstream-1").await?.starts;
     until("work goes on", || async {
