Scripts: conditions by policy, slopes at high rates and by kept answers

Change: decisions.sh conditions (bursts, stragglers, an upstream that fails everything, one killed, waves of cancellations, four policies each); slopes.sh peak (one entry, bench/peak.yaml) and kept.

--- a/scripts/decisions.sh
+++ b/scripts/decisions.sh
@@ -3,25 +3,28 @@
 # faults: the tables of docs/DECISIONS.md.
 #
 #   scripts/decisions.sh policies    four policies, both deployments, calm
+#   scripts/decisions.sh conditions  the same under bursts, stragglers, an upstream
+#                                    that fails everything, one killed, cancellations
 #   scripts/decisions.sh faults      the defaults under bursts and faults
 #   scripts/decisions.sh table       the rows of all results so far
 #
 # Environment:
 #   SEEDS="1 2 3"     one run each
-#   LOADS="0.8 0.95"  shares of all slots, for `policies`
+#   LOADS="0.5 0.8 0.9 0.95"  shares of all slots, for `policies`
 #   LANES=3           runs at a time; each takes about one core
-#   SECONDS_EACH=20   measured time of a run of `policies`
+#   SECONDS_EACH=20   measured time of a run of `policies` and `conditions`
 #   OUT=DIR           results; default bench-results/decisions
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 readonly POLICIES="random two_choices least_wait late_binding"
 readonly DEPLOYMENTS="alpenfunk rangmancha"
+readonly CONDITIONS="burst stragglers black-hole killed wave"
 readonly FAULTS="bursts bad-upstreams cancellations entry-lost planned-stop platform"
-readonly WARM_UP_S=4 FIRST_PORT=22000 PORTS_A_RUN=100 PORT_RANGES=80
+readonly WARM_UP_S=4 FIRST_PORT=12000 PORTS_A_RUN=100 PORT_RANGES=180
 started=0
 seeds=${SEEDS:-1 2 3}
-loads=${LOADS:-0.8 0.95}
+loads=${LOADS:-0.5 0.8 0.9 0.95}
 lanes=${LANES:-3}
 seconds_each=${SECONDS_EACH:-20}
 out=${OUT:-bench-results/decisions}
@@ -38,6 +41,35 @@
     echo "$file"
 }
 
+# A scenario of one condition with one policy. What fails does so from a fifth of
+# the measured time on. A tenth of stragglers adds 40 % to the load.
+write_condition() { # condition deployment policy
+    local file=$out/scenarios/$1-$2-$3.yaml load=0.7 bursts="" faults="" waves=""
+    local from=$((WARM_UP_S * 1000 + seconds_each * 200))
+    local until=$(((WARM_UP_S + seconds_each) * 1000))
+    case $1 in
+        burst) load=0.5 bursts=", bursts: {every_ms: 8000, length_ms: 2000, factor: 3}" ;;
+        stragglers) load=0.5
+            faults="{at_ms: $from, fault: stragglers, target: upstream-*, share: 0.1, factor: 5}" ;;
+        black-hole) faults="{at_ms: $from, fault: upstream_fails_everything, target: upstream-1}" ;;
+        killed) faults="{at_ms: $from, fault: kill, target: agent-3}, {at_ms: $from, fault: kill, target: upstream-3}" ;;
+        wave) waves="{at_ms: $from, share: 0.5}, {at_ms: $((until - 4000)), share: 0.9}" ;;
+    esac
+    cat >"$file" <<YAML
+name: $1-$2
+deployment: $2
+warm_up_ms: $((WARM_UP_S * 1000))
+duration_ms: $((seconds_each * 1000))
+declared_run_factor: 0.33
+arrivals: {load: $load, request_share: 0.5, max_job_tasks: 8$bursts}
+faults: [$faults]
+cancellations: [$waves]
+policy: $3
+overrides: {kind: {placement: {spread: even, policy: $3}}}
+YAML
+    echo "$file"
+}
+
 # Runs one scenario with one seed, and a load unless it is "-".
 run() { # scenario load seed first-port
     local load=$2
@@ -70,6 +102,20 @@
     wait
 }
 
+conditions() {
+    local seed deployment policy condition
+    for seed in $seeds; do
+        for condition in $CONDITIONS; do
+            for deployment in $DEPLOYMENTS; do
+                for policy in $POLICIES; do
+                    in_lane "$(write_condition "$condition" "$deployment" "$policy")" - "$seed"
+                done
+            done
+        done
+    done
+    wait
+}
+
 faults() {
     local seed deployment fault
     for seed in $seeds; do
@@ -89,6 +135,6 @@
 }
 
 case ${1:-} in
-    policies | faults | table) "$1" ;;
-    *) sed -n '2,15s/^# \{0,1\}//p' "$0"; exit 2 ;;
+    policies | conditions | faults | table) "$1" ;;
+    *) sed -n '2,17s/^# \{0,1\}//p' "$0"; exit 2 ;;
 esac
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -1,12 +1,13 @@
 #!/usr/bin/env bash
 # Measures what processes use and send, idle and under load, at several sizes,
-# and fits lines: by agents, entries, organisations (idle), and by starts a
-# second (under load).
+# and fits lines: by agents, entries, organisations (idle), by starts a second
+# (under load; `peak` with one entry at high rates), and by answers kept.
 #
-#   scripts/slopes.sh [agents|entries|organisations|load]...   default: all
+#   scripts/slopes.sh [agents|entries|organisations|load|peak|kept]...   default: all
 #
 # Environment:
 #   AGENTS="10 30 60"  ENTRIES="2 4 6"  ORGANISATIONS="1 20 60"  LOADS="0.1 0.3 0.6"
+#   PEAK_LOADS="0.08 0.16 0.32"  KEPT_S="15 45 90"
 #   WINDOW_MS=20000    length of an idle sample
 #   OUT=DIR            default bench-results/slopes
 #   PORT_BASE=20000    first port tried; give each of several at a time its own
@@ -34,7 +35,7 @@
     shift
     dir=$out/$name.d
     rm -rf "$dir"
-    "$bench" layout --scenario "$root/bench/slopes.yaml" --dir "$dir" \
+    "$bench" layout --scenario "${scenario:-$root/bench/slopes.yaml}" --dir "$dir" \
         --port-base "${PORT_BASE:-20000}" "${options[@]}"
     "$root/scripts/cluster.sh" up "$dir"
     trap '"$root/scripts/cluster.sh" down "$dir"' EXIT
@@ -66,14 +67,40 @@
     "$bench" slopes --by starts_per_s --out "$out/load.json" "${files[@]}" | tee "$out/load.md"
 }
 
-[ $# -gt 0 ] || set -- agents entries organisations load
+# One entry, so that its rate is the cluster's.
+peak() {
+    local files=() load scenario=$root/bench/peak.yaml
+    for load in "$@"; do
+        with_cluster "peak-$load" --load "$load" -- run --build "$build"
+        files+=("$out/peak-$load.json")
+    done
+    echo "## One entry at high rates, by starts_per_s"
+    "$bench" slopes --by starts_per_s --out "$out/peak.json" "${files[@]}" | tee "$out/peak.md"
+}
+
+# The same rate for longer and longer, below the retention.
+kept() {
+    local files=() length_s scenario=$out/kept.yaml
+    for length_s in "$@"; do
+        sed -E "s/^duration_ms: .*/duration_ms: $((length_s * 1000))/" \
+            "$root/bench/slopes.yaml" >"$scenario"
+        with_cluster "kept-$length_s" --load 0.6 -- run --build "$build"
+        files+=("$out/kept-$length_s.json")
+    done
+    echo "## Under load, by kept_answers"
+    "$bench" slopes --by kept_answers --out "$out/kept.json" "${files[@]}" | tee "$out/kept.md"
+}
+
+[ $# -gt 0 ] || set -- agents entries organisations load peak kept
 for part in "$@"; do
     case $part in
         agents) idle agents --upstreams ${AGENTS:-10 30 60} ;;
         entries) idle entries --entries ${ENTRIES:-2 4 6} ;;
         organisations) idle organisations --organisations ${ORGANISATIONS:-1 20 60} ;;
         load) loaded ${LOADS:-0.1 0.3 0.6} ;;
-        *) echo "slopes.sh: $part is none of agents, entries, organisations, load" >&2; exit 2 ;;
+        peak) peak ${PEAK_LOADS:-0.08 0.16 0.32} ;;
+        kept) kept ${KEPT_S:-15 45 90} ;;
+        *) echo "slopes.sh: $part is none of agents, entries, organisations, load, peak, kept" >&2; exit 2 ;;
     esac
 done
 exit
