--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -38,6 +38,19 @@
     Arc::new((shared.seams.forward)(Arc::clone(shared), id, call).await)
 }
 
+async fn submit_unit(
+    shared: &Arc<Shared>,
+    caller: Caller,
+    unit: Unit,
+    id: &str,
+    length: BodyLength,
+    data: Data<'_>,
+) -> Result<Reply, Refusal> {
+    let id = caller.own_id(shared, id)?;
+    let order = read_order(shared, &caller, unit, length, data).await?;
+    Ok(submit(shared, order.submission(id, &caller)).await)
+}
+
 #[put("/v1/jobs/<id>", data = "<data>")]
 pub(super) async fn submit_job(
     shared: &State<Arc<Shared>>,
@@ -46,11 +59,7 @@
     length: BodyLength,
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
-    let caller = caller?;
-    let id = caller.own_id(shared, id)?;
-    let unit = Unit::Job;
-    let order = read_order(shared, &caller, unit, length, data).await?;
-    Ok(submit(shared, order.submission(id, &caller)).await)
+    submit_unit(shared, caller?, Unit::Job, id, length, data).await
 }
 
 #[put("/v1/requests/<id>", data = "<data>")]
@@ -61,11 +70,7 @@
     length: BodyLength,
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
-    let caller = caller?;
-    let id = caller.own_id(shared, id)?;
-    let unit = Unit::Request;
-    let order = read_order(shared, &caller, unit, length, data).await?;
-    Ok(submit(shared, order.submission(id, &caller)).await)
+    submit_unit(shared, caller?, Unit::Request, id, length, data).await
 }
 
 #[get("/v1/jobs/<id>")]
