Gate: a revoke frees what it can before it writes tombstones

Cause: with the memory for records full, a task without a record got no tombstone if it stood before a queued one in the same revoke, though the queued one's payload, freed a moment later, made room. Its home then got no report of it and had to wait or answer unknown.

Ruled out: the test's own reckoning of 'full': it reckons after the revoke, as a caller sees it.

Change: tasks that are held are revoked first.

Before: gate::revoke_frees_first red. After: green.

--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -287,7 +287,10 @@
     /// the memory for records is full; nothing is proved of it.
     pub fn revoke(&mut self, tasks: &[TaskId], now_ms: u64) -> Revoked {
         let mut revoked = Revoked::default();
-        for &task in tasks {
+        // Those held first: what they free is there for tombstones of others.
+        let (held, new): (Vec<TaskId>, Vec<TaskId>) =
+            tasks.iter().partition(|task| self.store.get(task).is_some());
+        for task in held.into_iter().chain(new) {
             self.revoke_one(task, now_ms, &mut revoked);
         }
         let known = tasks.iter().filter_map(|task| self.report(*task));
--- a/crates/decide/tests/gate.rs
+++ b/crates/decide/tests/gate.rs
@@ -288,6 +288,18 @@
     assert_eq!(reported, [task(7), task(8), task(1)]);
 }
 
+/// The payload of a queued task makes room for the tombstone of another.
+#[test]
+fn revoke_frees_first() {
+    let limits = Limits { record_bytes: 3 * RECORD_COST_BYTES + 1, ..LIMITS };
+    let mut gate = gate_with(1, limits);
+    start(&mut gate, 1);
+    assert!(matches!(gate.place(placement(2), 0), Placed::Queued { .. }));
+    let revoked = gate.revoke(&[task(3), task(2)], 0);
+    let reported: Vec<TaskId> = revoked.reports.iter().map(|report| report.task).collect();
+    assert_eq!(reported, [task(3), task(2)]);
+}
+
 #[test]
 fn records_expire() {
     let mut gate = gate(2);
