--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -21,6 +21,9 @@
     records: Mutex<HashMap<String, Record>>,
 }
 
+/// Reason of answers about ids older than the retention.
+const EXPIRED: &str = "expired";
+
 #[derive(Debug)]
 struct Record {
     submission: Submission,
@@ -42,6 +45,10 @@
 }
 
 impl Heard {
+    fn name(&self) -> String {
+        format!("{}/{}", self.outcome.name(), self.reason)
+    }
+
     fn is_whole_and_own(&self, tasks: usize) -> bool {
         let expected = if self.outcome == Outcome::Complete { tasks } else { 0 };
         usize::from(self.results) == expected && self.own_results == self.results
@@ -158,7 +165,12 @@
 
     fn stands_at(&self) -> String {
         match self.settled().or(self.heard.last()) {
-            Some(heard) => format!("{}/{}", heard.outcome.name(), heard.reason),
+            Some(heard) if heard.reason == EXPIRED => {
+                let before = self.heard.iter().rfind(|heard| heard.reason != EXPIRED);
+                let before = before.map_or("no answer".to_owned(), Heard::name);
+                format!("{} after {before}", heard.name())
+            }
+            Some(heard) => heard.name(),
             None => "no_answer".to_owned(),
         }
     }
