Entry: the periodic pass over the queue rests while nothing waits

Cause: a pass every 25 ms whether or not a task waited: 40 wake-ups a second of an idle entry, whose processor time at no agents is 0.57 % of a core.

Change: the loop sleeps until the queue is filled.

--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -30,7 +30,7 @@
         answer::Reason,
         ids::{Incarnation, OrganisationKey},
     },
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// Pause between passes that no reply brought about.
@@ -58,6 +58,8 @@
     queue: Mutex<Queue<Waiting>>,
     drain_rate: Mutex<DrainRate>,
     waiting: AtomicU32,
+    /// Wakes the periodic passes, which rest while nothing waits.
+    filled: Notify,
     /// Upstreams ejected or probed.
     out: AtomicU32,
     /// A thread makes passes.
@@ -78,6 +80,7 @@
             queue: Mutex::new(Queue::new(limits.max_queued_tasks)),
             drain_rate: Mutex::default(),
             waiting: AtomicU32::new(0),
+            filled: Notify::new(),
             out: AtomicU32::new(0),
             pumping: AtomicBool::new(false),
             again: AtomicBool::new(false),
@@ -142,6 +145,7 @@
         let key = queue.push(rank, waiting)?;
         cell.queued.lock().push(key);
         self.note_count(&queue);
+        self.filled.notify_one();
         Ok(())
     }
 
@@ -254,9 +258,15 @@
 /// that can no longer meet their deadline.
 pub async fn pump_until(shared: Arc<Shared>, mut stop: watch::Receiver<bool>) {
     loop {
+        let due = async {
+            if shared.dispatch.waiting() == 0 {
+                shared.dispatch.filled.notified().await;
+            }
+            tokio::time::sleep(PASS_PERIOD).await;
+        };
         tokio::select! {
             _ = stop.wait_for(|&stopped| stopped) => return,
-            () = tokio::time::sleep(PASS_PERIOD) => {}
+            () = due => {}
         }
         give_up_late(&shared);
         pump(&shared);
