Soak: what was told is read before the starts it is held against

Change: answers first; no check while an upstream is leaving, whose last starts are read when it has ended.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -234,6 +234,16 @@
         self.layout.of_role(role).filter(runs).map(|process| process.name.clone()).collect()
     }
 
+    /// Whether a process of the role is on its way to a planned stop.
+    #[must_use]
+    pub fn is_stopping(&self, role: Role) -> bool {
+        let state = self.state.lock();
+        let stops = |process: &Process| {
+            state.running.get(&process.name).is_some_and(|child| child.told == Told::Stop)
+        };
+        self.layout.of_role(role).any(stops)
+    }
+
     /// Names of the processes of a role that don't run.
     #[must_use]
     pub fn idle(&self, role: Role) -> Vec<String> {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -11,7 +11,7 @@
     },
     sycamorerail_bench::{
         client::{Answer, Outcome},
-        verdict::{Starts, Told, Violations, violations},
+        verdict::Told,
     },
 };
 
@@ -149,11 +149,10 @@
         format!("{unit:?} of {} {kind}: {}", payloads.len(), heard.join(", "))
     }
 
-    /// Broken promises.
+    /// What was told of each id so far, to be held against the starts.
     #[must_use]
-    pub fn violations(&self, starts: &Starts) -> Violations {
-        let told: Vec<Told> = self.records.lock().values().map(Record::told).collect();
-        violations(&told, starts)
+    pub fn told(&self) -> Vec<Told> {
+        self.records.lock().values().map(Record::told).collect()
     }
 }
 
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -26,7 +26,7 @@
     sycamorerail_bench::{
         arrivals::Unit,
         client::{Answer, Outcome},
-        verdict::Violations,
+        verdict::{Violations, violations},
     },
     tokio::time::sleep,
 };
@@ -268,9 +268,11 @@
     ///
     /// When an upstream cannot be reached.
     pub async fn violations(&self) -> eyre::Result<Violations> {
+        // Before the starts are read, so that each of those told of is there.
+        let told = self.ledger.told();
         let mut starts = self.starts.lock().await;
         starts.read_all(&self.cluster).await?;
-        Ok(self.ledger.violations(&starts.starts()))
+        Ok(violations(&told, &starts.starts()))
     }
 
     /// Fails on any broken promise or process that misbehaved.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -113,9 +113,14 @@
     let checks = async {
         loop {
             sleep(CHECK_PERIOD).await;
-            // An upstream may be leaving now; the last check has them all.
+            // Of an upstream that is leaving the latest starts are not known
+            // yet; the last check has them all.
+            if load.cluster.is_stopping(Role::Upstream) {
+                continue;
+            }
             if let Ok(violations) = load.violations().await
                 && violations.total() > 0
+                && !load.cluster.is_stopping(Role::Upstream)
             {
                 return violations;
             }
