Entry: a start without the platform waits until all peers have told

Cause: an entry that starts while the platform is out took what its peers told in the first round.

Ruled out: refusing to start until every peer has told: one dead peer would keep all entries down during an outage.

Change: until it has a set, it asks again until all known peers have told, or 4 s have passed since its start.

Before: admin_peers::start_waits_for_newest red with the old condition. After: green.

--- a/crates/entry/src/cluster.rs
+++ b/crates/entry/src/cluster.rs
@@ -26,6 +26,9 @@
 
 /// The platform is given this long before peers are asked.
 const PLATFORM_HEAD_START: Duration = Duration::from_millis(300);
+/// An entry that starts without the platform waits so long for all peers to
+/// tell what they have in force, from its start, in milliseconds.
+const ALL_PEERS_WITHIN_MS: u64 = 4_000;
 /// Pause between looks at whether peers must be asked.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(500);
 /// Longest wait for a page of a peer.
@@ -173,33 +176,46 @@
         let behind = in_force.behind();
         let lags = behind && (was_behind || !in_force.mirror().healthy());
         if !in_force.ready() || lags {
-            let records = records_of_peers(&shared, &in_force, &peers).await;
-            metrics::counter!("sycamorerail_peer_records_total").increment(records.len() as u64);
-            event!(Info, "records_from_peers", records = records.len());
-            in_force.take_from_peer(records);
+            let told = records_of_peers(&shared, &in_force, &peers).await;
+            // The one that has not answered may be the only one with the newest.
+            let enough = told.by_all || shared.now_ms() >= ALL_PEERS_WITHIN_MS;
+            if in_force.ready() || enough {
+                take_from_peers(&in_force, told.records);
+            }
         }
         was_behind = behind;
         sleep(CATCH_UP_PAUSE).await;
     }
 }
 
+fn take_from_peers(in_force: &InForce, records: Vec<TemplateRecord>) {
+    metrics::counter!("sycamorerail_peer_records_total").increment(records.len() as u64);
+    event!(Info, "records_from_peers", records = records.len());
+    in_force.take_from_peer(records);
+}
+
+/// What peers told.
+struct ToldByPeers {
+    records: Vec<TemplateRecord>,
+    /// Every peer known has answered.
+    by_all: bool,
+}
+
 /// All records of all peers that answer, newer than those held.
-async fn records_of_peers(
-    shared: &Shared,
-    in_force: &InForce,
-    peers: &Peers,
-) -> Vec<TemplateRecord> {
+async fn records_of_peers(shared: &Shared, in_force: &InForce, peers: &Peers) -> ToldByPeers {
     // Peers take it as a mark that is in force here, so it must not exceed that.
     let exact = ConfigMark(in_force.mirror().mark());
     let mut since = exact.min(in_force.load().mark);
-    let mut records = Vec::new();
+    let (mut records, mut by_all) = (Vec::new(), true);
     for _ in 0..MAX_PAGES {
-        let pages = peers.templates(shared, since, PAGE_WITHIN).await;
+        let told = peers.templates(shared, since, PAGE_WITHIN).await;
+        by_all &= told.iter().all(Option::is_some);
+        let pages: Vec<_> = told.into_iter().flatten().collect();
         // Each page is whole up to its last mark.
         let last_marks = pages.iter().filter_map(|page| page.last()).map(|last| last.mark);
         let Some(next) = last_marks.min() else { break };
         since = next;
         records.extend(pages.into_iter().flatten());
     }
-    records
+    ToldByPeers { records, by_all }
 }
--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -164,22 +164,19 @@
     }
 
     /// Asks all other entries for organisations' records newer than the mark:
-    /// one page of each that answers.
+    /// one page of each, `None` of one that does not answer.
     pub async fn templates(
         &self,
         shared: &Shared,
         since: ConfigMark,
         within: Duration,
-    ) -> Vec<Vec<TemplateRecord>> {
+    ) -> Vec<Option<Vec<TemplateRecord>>> {
         let addresses = self.inner.others(shared);
         let ask = |address| async move {
             let call = ToEntry::Templates { since };
-            match self.inner.sessions.call(shared, address, &call, within).await {
-                Ok(reply) => match reply.body {
-                    EntryReplyBody::Templates(records) => records,
-                    _ => Vec::new(),
-                },
-                Err(_) => Vec::new(),
+            match self.inner.sessions.call(shared, address, &call, within).await.ok()?.body {
+                EntryReplyBody::Templates(records) => Some(records),
+                _ => None,
             }
         };
         futures::future::join_all(addresses.into_iter().map(ask)).await
--- a/crates/entry/tests/admin_peers.rs
+++ b/crates/entry/tests/admin_peers.rs
@@ -4,7 +4,7 @@
 mod admin_site;
 
 use {
-    admin_site::{Relay, Site, yaml},
+    admin_site::{Relay, Silent, Site, yaml},
     std::time::Duration,
     tokio::time::sleep,
 };
@@ -73,3 +73,36 @@
     assert_eq!(site.put(0, "alpenfunk", 0, &yaml("alpenfunk", 100)).await.status, 200);
     site.until_revision(1, "alpenfunk", 1).await;
 }
+
+/// An entry that has the newest revision and one that missed it, neither of
+/// which can be dialled by what the platform tells. A third one starts without
+/// the platform: the first one answers it later than the other.
+#[tokio::test]
+async fn start_waits_for_newest() {
+    let mut site = Site::start(0).await;
+    let (nowhere, late) = (Silent::bind().await, Silent::bind().await);
+    let direct = site.standin.address();
+    let relay = Relay::start(direct).await;
+    site.add_entry_with(direct, |newest| newest.advertised_address = Some(late.address())).await;
+    site.add_entry_with(relay.address, |lagging| {
+        lagging.advertised_address = Some(nowhere.address());
+        lagging.peers.clear();
+    })
+    .await;
+    for entry in [0, 1] {
+        site.until_ready(entry).await;
+    }
+    assert_eq!(site.put(0, "alpenfunk", 0, &yaml("alpenfunk", 100)).await.status, 200);
+    site.until_revision(1, "alpenfunk", 1).await;
+    relay.cut();
+    assert_eq!(site.put(0, "alpenfunk", 1, &yaml("alpenfunk", 200)).await.status, 200);
+    site.standin.refuse().await.unwrap();
+
+    let peers = vec![site.bound(1), late.address()];
+    site.add_entry_with(direct, |third| third.peers = peers).await;
+    sleep(Duration::from_millis(1_000)).await;
+    late.carry_to(site.bound(0));
+    admin_site::until("a revision is in force", async || site.revision(2, "alpenfunk") > 0).await;
+    assert_eq!(site.revision(2, "alpenfunk"), 2, "it went back by a restart");
+    assert_eq!(site.revision(1, "alpenfunk"), 1, "the other one still lags");
+}
--- a/crates/entry/tests/admin_site/mod.rs
+++ b/crates/entry/tests/admin_site/mod.rs
@@ -16,7 +16,7 @@
     sycamorerail_telemetry::invariant,
     sycamorerail_wire::keys::{PemPair, Role, issue, make_authority},
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::{TcpListener, TcpStream, UdpSocket},
         sync::watch,
         time::{Instant, sleep},
     },
@@ -69,10 +69,24 @@
 
     /// Starts one more entry, which reaches the platform at this address.
     pub async fn add_entry(&mut self, platform: SocketAddr) {
-        let settings = self.settings(platform);
+        self.add_entry_with(platform, |_| {}).await;
+    }
+
+    pub async fn add_entry_with(
+        &mut self,
+        platform: SocketAddr,
+        change: impl FnOnce(&mut EntrySettings),
+    ) {
+        let mut settings = self.settings(platform);
+        change(&mut settings);
         self.entries.push(ClusterEntry::start(settings).await.unwrap());
     }
 
+    /// Where an entry's inner protocol listens, whatever it advertises.
+    pub fn bound(&self, entry: usize) -> SocketAddr {
+        self.entries[entry].entry.shared.endpoint.local_addr().unwrap()
+    }
+
     fn settings(&self, platform: SocketAddr) -> EntrySettings {
         let name = format!("entry-{}", self.entries.len());
         let own = issue(&self.authority, Role::Entry, &name).unwrap();
@@ -242,3 +256,39 @@
         let _ = line.wait_for(|&line| line != Line::Stalled).await;
     }
 }
+
+/// An address at which nobody answers, until it carries datagrams of the one
+/// process that dials it.
+pub struct Silent(UdpSocket);
+
+impl Silent {
+    pub async fn bind() -> Self {
+        Self(UdpSocket::bind("127.0.0.1:0").await.unwrap())
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.local_addr().unwrap()
+    }
+
+    pub fn carry_to(self, to: SocketAddr) {
+        tokio::spawn(async move {
+            let inward = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+            inward.connect(to).await.unwrap();
+            let (mut there, mut back) = (vec![0; 65_536], vec![0; 65_536]);
+            let mut dialler = None;
+            loop {
+                tokio::select! {
+                    Ok((length, from)) = self.0.recv_from(&mut there) => {
+                        dialler = Some(from);
+                        let _ = inward.send(&there[..length]).await;
+                    }
+                    Ok(length) = inward.recv(&mut back) => {
+                        if let Some(dialler) = dialler {
+                            let _ = self.0.send_to(&back[..length], dialler).await;
+                        }
+                    }
+                }
+            }
+        });
+    }
+}
