Placement: both priorities take least_wait

Cause: priority waste took late_binding, by an argument that no run had shown.

Change: least_wait for both; hedging still tells them apart.

--- a/crates/entry/src/dispatch/choose.rs
+++ b/crates/entry/src/dispatch/choose.rs
@@ -8,7 +8,7 @@
         placement::{Ask, Choice, Policy},
         view::{RackKey, UpstreamKey},
     },
-    sycamorerail_settings::template::{PolicyTemplate, Priority},
+    sycamorerail_settings::template::PolicyTemplate,
 };
 
 /// Tasks that may wait at an upstream beyond its slots, to start there without
@@ -22,13 +22,12 @@
 static LEAST_WAIT: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("least_wait"));
 static LATE_BINDING: LazyLock<Option<Policy>> = LazyLock::new(|| Policy::by_name("late_binding"));
 
-/// Where time matters more, a task may wait at an upstream; where wasted
-/// messages do, it waits at the entry. See docs/DECISIONS.md.
+/// One policy serves both priorities: none wasted fewer messages, and it was the
+/// fastest. See docs/DECISIONS.md. They differ in hedging.
 fn policy_name(kind: &Kind) -> PolicyTemplate {
-    match (kind.policy, kind.priority) {
-        (PolicyTemplate::ByPriority, Priority::Time) => PolicyTemplate::LeastWait,
-        (PolicyTemplate::ByPriority, Priority::Waste) => PolicyTemplate::LateBinding,
-        (named, _) => named,
+    match kind.policy {
+        PolicyTemplate::ByPriority => PolicyTemplate::LeastWait,
+        named => named,
     }
 }
 
