Bench: no pause after the last refusal

Cause: after a refusal the bench slept for the time told and then took the response time, also when no further try came: refusals of an overload seemed to take 450 to 920 ms at the median.

Change: it sleeps only before another try.

--- a/crates/bench/src/drive.rs
+++ b/crates/bench/src/drive.rs
@@ -247,9 +247,10 @@
         };
         let give_up = due + Duration::from_millis(u64::from(self.scenario.client.give_up_ms));
         let times = Times { due, give_up };
-        for _ in 0..=self.scenario.client.not_run_retries {
+        for retries_left in (0..=self.scenario.client.not_run_retries).rev() {
             let pause_ms = self.under_new_id(index, times, &mut record).await;
-            if record.outcome != Outcome::NotRun || Instant::now() >= give_up {
+            let over = retries_left == 0 || Instant::now() >= give_up;
+            if record.outcome != Outcome::NotRun || over {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(pause_ms.unwrap_or(NEW_ID_PAUSE_MS))).await;
