Admission: a quarter is added to a forecast wait

Ruled out: counting the mean run time in place of a low percentile (a wrong estimate would refuse every request of a slow kind).

Change: a forecast wait counts a quarter more; the time to come back is that in which the forecast with its margin fits. The two tests that state the rule state the new one.

--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -35,6 +35,10 @@
 /// milliseconds: sooner makes a storm of retries, later leaves slots idle.
 pub const RETRY_AFTER_MS: (u64, u64) = (5, 10_000);
 
+/// Part of a forecast wait that is added to it: one taken and then late has
+/// held its caller and often slots for nothing, which costs more than a refusal.
+const WAIT_MARGIN_PART: u64 = 4;
+
 /// Why a submission is not taken. Nothing of it runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Refusal {
@@ -147,11 +151,14 @@
 /// else is taken.
 pub fn check_deadline(submitted: &Submitted<'_>, forecast: &Forecast) -> Result<(), Refusal> {
     let ahead = submitted.backlog.tasks_ahead();
-    let wait_ms = forecast.wait_ms(ahead, u32::from(submitted.tasks));
+    let forecast_ms = forecast.wait_ms(ahead, u32::from(submitted.tasks));
+    let wait_ms = forecast_ms.saturating_add(forecast_ms / WAIT_MARGIN_PART);
     let end_ms = wait_ms.saturating_add(u64::from(submitted.least_run_ms));
     match end_ms.saturating_sub(u64::from(submitted.deadline_ms)) {
         late_ms if late_ms > 0 && wait_ms > 0 => {
-            Err(Refusal::until(Reason::DeadlineUnreachable, late_ms))
+            // As the forecast shrinks, its margin does.
+            let shrink_ms = late_ms - late_ms / (WAIT_MARGIN_PART + 1);
+            Err(Refusal::until(Reason::DeadlineUnreachable, shrink_ms))
         }
         _ => Ok(()),
     }
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -139,7 +139,8 @@
         }
     }
 
-    /// What is taken can end in time by the forecast, or starts at once.
+    /// What is taken can end in time by the forecast and a quarter more of the
+    /// wait, or starts at once.
     #[test]
     fn deadline_kept(
         running in 0u32..8, tasks in 1u16..=170, deadline_ms in 1u32..3_000,
@@ -150,7 +151,7 @@
         let submitted = Submitted { tasks, deadline_ms, least_run_ms, backlog, ..submitted() };
         let forecast = Forecast::new(&view, &submitted.ask, None, 1, NOW_MS);
         let wait_ms = forecast.wait_ms(class_tasks, tasks.into());
-        let meets = wait_ms + u64::from(least_run_ms) <= deadline_ms.into();
+        let meets = wait_ms + wait_ms / 4 + u64::from(least_run_ms) <= deadline_ms.into();
         match ask_admission(&submitted, &view) {
             Ok(()) => prop_assert!(meets || wait_ms == 0),
             Err(refusal) => {
@@ -210,7 +211,9 @@
     let backlog = Backlog { class_tasks: 149, own_tasks: 149, organisations: 1, more_urgent: 0 };
     let late = Submitted { backlog, ..submitted() };
     let view = view(&[10], 10);
-    assert_eq!(ask_admission(&late, &view), refused(Reason::DeadlineUnreachable, 600));
+    // 1,500 ms, a quarter more, and the run: 975 ms late. In 780 ms the forecast
+    // is 720 ms.
+    assert_eq!(ask_admission(&late, &view), refused(Reason::DeadlineUnreachable, 780));
     let quiet = Backlog { own_tasks: 0, organisations: 2, ..backlog };
     assert_eq!(ask_admission(&Submitted { backlog: quiet, ..late }, &view), Ok(()));
 }
