Placement: an upstream reported full is doubted after a while without a reply due

Cause: load rides on replies. Under saturation an entry that has no placement at an upstream hears nothing of it until the next heartbeat (30 s), believes it full, and leaves all its slots to other entries.

Change: where a full report is older than 250 ms and no reply is due, one slot is taken as free while tasks wait. One task is risked, and its reply tells the load.

--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -57,6 +57,32 @@
     pub mean_run_us: AtomicU64,
 }
 
+/// A report of a full upstream is believed for this long, in milliseconds, while
+/// none can follow. Others get its slots meanwhile; it is some run times of short
+/// tasks.
+pub const BELIEVED_FULL_MS: u64 = 250;
+
+impl Live {
+    /// Takes an upstream that was reported full some time ago for one with a
+    /// free slot, if no reply is due that would tell.
+    ///
+    /// Load rides on replies. Under saturation an entry without a placement at
+    /// an upstream hears nothing of it until the next heartbeat, and would leave
+    /// all its slots to other entries. One task is risked: it starts, waits
+    /// shortly, or is refused, and its reply tells the load.
+    pub fn doubt_full(&self, now_ms: u64) {
+        let heard_at_ms = self.heard_at_ms.load(Ordering::Acquire);
+        let slots = self.slots.load(Ordering::Acquire);
+        let reported = self.running.load(Ordering::Acquire) + self.queued.load(Ordering::Acquire);
+        let is_old = now_ms >= heard_at_ms + BELIEVED_FULL_MS;
+        let none_due = self.outstanding.load(Ordering::Acquire) == 0;
+        if slots > 0 && reported >= slots && is_old && none_due {
+            self.running.store(slots - 1, Ordering::Release);
+            self.queued.store(0, Ordering::Release);
+        }
+    }
+}
+
 /// One upstream.
 #[derive(Clone, Debug)]
 pub struct Row {
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -269,10 +269,18 @@
             () = due => {}
         }
         give_up_late(&shared);
+        doubt_full(&shared);
         pump(&shared);
     }
 }
 
+/// Tasks wait: upstreams reported full some time ago may be so no more.
+fn doubt_full(shared: &Shared) {
+    let now_ms = shared.now_ms();
+    let snapshot = shared.upstreams.snapshot();
+    snapshot.view.rows.iter().for_each(|row| row.live.doubt_full(now_ms));
+}
+
 fn give_up_late(shared: &Arc<Shared>) {
     loop {
         let late = {
