--- a/crates/bench/src/results.rs
+++ b/crates/bench/src/results.rs
@@ -47,9 +47,10 @@
     pub stretch: Quantiles,
     /// The same, by unit.
     pub units: BTreeMap<Unit, UnitResult>,
-    /// By position of the organisation.
+    /// By position of the organisation, as text: files of several kinds are read
+    /// by trial, which takes no numbers for names of fields.
     #[serde(default)]
-    pub organisations: BTreeMap<u16, OrganisationResult>,
+    pub organisations: BTreeMap<String, OrganisationResult>,
     /// Time to the answer of those refused under their first id, by reason.
     #[serde(default)]
     pub refused: BTreeMap<String, Quantiles>,
@@ -282,7 +283,7 @@
 
 /// By organisation.
 #[must_use]
-pub fn organisations(pairs: &[Pair<'_>]) -> BTreeMap<u16, OrganisationResult> {
+pub fn organisations(pairs: &[Pair<'_>]) -> BTreeMap<String, OrganisationResult> {
     let mut by_organisation: BTreeMap<u16, Vec<Pair<'_>>> = BTreeMap::new();
     for pair in pairs {
         by_organisation.entry(pair.arrival.organisation).or_default().push(*pair);
@@ -291,7 +292,7 @@
         let due = pairs.len() as u64;
         let result =
             OrganisationResult { due, measured: measured(&pairs), slowdown: slowdown(&pairs) };
-        (organisation, result)
+        (organisation.to_string(), result)
     };
     by_organisation.into_iter().map(result).collect()
 }
