--- a/crates/decide/src/queue.rs
+++ b/crates/decide/src/queue.rs
@@ -141,12 +141,6 @@
         self.items.is_empty()
     }
 
-    /// Organisations with tasks waiting.
-    #[must_use]
-    pub fn organisations(&self) -> usize {
-        self.held.len()
-    }
-
     /// How many more tasks the organisation may add.
     #[must_use]
     pub fn room_for(&self, organisation: OrganisationKey) -> u32 {
--- a/crates/entry/src/dispatch/choose.rs
+++ b/crates/entry/src/dispatch/choose.rs
@@ -31,12 +31,10 @@
     }
 }
 
-/// Most tasks of the kind that may wait at an upstream beyond its slots: none
-/// while several organisations wait here, as only this queue is fair to them.
-pub(super) fn max_queued(shared: &Shared, kind: &Kind) -> u16 {
+/// Most tasks of the kind that may wait at an upstream beyond its slots.
+pub(super) fn max_queued(kind: &Kind) -> u16 {
     match policy_name(kind) {
         PolicyTemplate::LateBinding => 0,
-        _ if shared.dispatch.is_contended() => 0,
         _ => MAX_QUEUED,
     }
 }
@@ -67,7 +65,7 @@
         avoid: &kind.avoid,
         tried,
         siblings,
-        max_queued: max_queued(shared, kind),
+        max_queued: max_queued(kind),
     }
 }
 
--- a/crates/entry/src/dispatch/place.rs
+++ b/crates/entry/src/dispatch/place.rs
@@ -83,7 +83,7 @@
     let agent = snapshot.agent(key)?;
     let row = snapshot.view.row(key)?;
     agent.begin_placement();
-    if row.free_slots() < -i64::from(max_queued(shared, &cell.kind)) {
+    if row.free_slots() < -i64::from(max_queued(&cell.kind)) {
         agent.end_placement();
         return None;
     }
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -58,8 +58,6 @@
     queue: Mutex<Queue<Waiting>>,
     drain_rate: Mutex<DrainRate>,
     waiting: AtomicU32,
-    /// Tasks of several organisations wait.
-    contended: AtomicBool,
     /// Wakes the periodic passes, which rest while nothing waits.
     filled: Notify,
     /// Upstreams ejected or probed.
@@ -82,7 +80,6 @@
             queue: Mutex::new(Queue::new(limits.max_queued_tasks)),
             drain_rate: Mutex::default(),
             waiting: AtomicU32::new(0),
-            contended: AtomicBool::new(false),
             filled: Notify::new(),
             out: AtomicU32::new(0),
             pumping: AtomicBool::new(false),
@@ -96,11 +93,6 @@
         self.waiting.load(Ordering::Acquire)
     }
 
-    /// Whether tasks of several organisations wait.
-    pub(super) fn is_contended(&self) -> bool {
-        self.contended.load(Ordering::Acquire)
-    }
-
     /// Upstreams ejected or probed.
     #[must_use]
     pub fn out(&self) -> u32 {
@@ -141,7 +133,6 @@
 
     fn note_count(&self, queue: &Queue<Waiting>) {
         self.waiting.store(queue.len(), Ordering::Release);
-        self.contended.store(queue.organisations() > 1, Ordering::Release);
         metrics::gauge!("sycamorerail_queued_tasks").set(queue.len());
     }
 
