--- a/crates/entry/src/peers/answers.rs
+++ b/crates/entry/src/peers/answers.rs
@@ -59,7 +59,7 @@
     Answer::without_results(Outcome::InDoubt, Reason::AgentUnreachable, Step::Fence)
         .at_peer(id.home.to_string())
         .retry_after_ms(RUNNING_RETRY_MS)
-        .with_detail("the home of the job is lost; this entry has just started, and agents are still to dial it")
+        .with_detail("the home of the job is lost; agents are still to dial this entry")
 }
 
 pub(super) fn platform_out(id: &JobId) -> Answer {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -275,6 +275,33 @@
         Ok(violations(&told, &starts.starts()))
     }
 
+    /// Jobs, requests that may and requests that must not be repeated, in equal
+    /// parts, under `count` ids of an entry for each organisation.
+    ///
+    /// # Errors
+    ///
+    /// When ids cannot be reserved.
+    pub async fn mixed(
+        &self,
+        entry: &str,
+        count: u32,
+        request_ms: u64,
+        job_ms: &[u64],
+    ) -> eyre::Result<Vec<Submission>> {
+        let mut all = Vec::new();
+        for organisation in 0..self.cluster.organisations().len() {
+            let ids = self.reserve(organisation, entry, count).await?;
+            for (number, id) in ids.into_iter().enumerate() {
+                all.push(match number % 3 {
+                    0 => self.request(organisation, id, false, request_ms),
+                    1 => self.request(organisation, id, true, request_ms),
+                    _ => self.job(organisation, id, job_ms),
+                });
+            }
+        }
+        Ok(all)
+    }
+
     /// Fails on any broken promise or process that misbehaved.
     ///
     /// # Errors
--- a/crates/soak/tests/agent_killed.rs
+++ b/crates/soak/tests/agent_killed.rs
@@ -34,23 +34,6 @@
     }
 }
 
-/// Jobs of two tasks, requests that may and requests that must not be repeated.
-async fn submissions(load: &Load) -> eyre::Result<Vec<Submission>> {
-    let mut all = Vec::new();
-    for organisation in 0..load.cluster.organisations().len() {
-        for (number, id) in load.reserve(organisation, "entry-1", 9).await?.into_iter().enumerate()
-        {
-            let submission = match number % 3 {
-                0 => load.request(organisation, id, false, 1_500),
-                1 => load.request(organisation, id, true, 1_500),
-                _ => load.job(organisation, id, &[300, 1_500]),
-            };
-            all.push(submission);
-        }
-    }
-    Ok(all)
-}
-
 async fn submit_all(load: &Load, all: &[Submission]) {
     join_all(all.iter().map(|one| load.submit("entry-1", one))).await;
 }
@@ -69,7 +52,7 @@
 }
 
 async fn kill_mid_task(load: Arc<Load>) -> eyre::Result<()> {
-    let all = submissions(&load).await?;
+    let all = load.mixed("entry-1", 9, 1_500, &[300, 1_500]).await?;
     let kill = async {
         wait_starts(&load.cluster, 10).await?;
         ensure!(starts_at(&load.cluster, "upstream-1").await?.running > 0, "nothing was running");
@@ -100,7 +83,7 @@
 /// Frozen for longer than the idle timeout: entries take it for dead, and it
 /// comes back with all it had.
 async fn freeze_mid_task(load: Arc<Load>) -> eyre::Result<()> {
-    let all = submissions(&load).await?;
+    let all = load.mixed("entry-1", 9, 1_500, &[300, 1_500]).await?;
     let freeze = async {
         wait_starts(&load.cluster, 10).await?;
         load.cluster.freeze("agent-1")?;
--- a/crates/soak/tests/links_cut.rs
+++ b/crates/soak/tests/links_cut.rs
@@ -6,7 +6,6 @@
     serde_json::json,
     std::{sync::Arc, time::Duration},
     sycamorerail_soak::{
-        caller::Submission,
         links::Direction,
         load::Load,
         plan::{Plan, fields},
@@ -37,25 +36,10 @@
     }
 }
 
-async fn submissions(load: &Load) -> eyre::Result<Vec<Submission>> {
-    let mut all = Vec::new();
-    for organisation in 0..load.cluster.organisations().len() {
-        for (number, id) in load.reserve(organisation, "entry-1", 9).await?.into_iter().enumerate()
-        {
-            all.push(match number % 3 {
-                0 => load.request(organisation, id, false, 700),
-                1 => load.request(organisation, id, true, 700),
-                _ => load.job(organisation, id, &[100, 700, 1_200]),
-            });
-        }
-    }
-    Ok(all)
-}
-
 /// Callers stay at the home and go to the others at the same time; all must be
 /// told the same in the end.
 async fn cut(load: Arc<Load>, other: Option<&str>, direction: Direction) -> eyre::Result<()> {
-    let all = submissions(&load).await?;
+    let all = load.mixed("entry-1", 9, 700, &[100, 700, 1_200]).await?;
     let at_home = all.iter().map(|one| load.submit("entry-1", one));
     let elsewhere = async {
         wait_starts(&load.cluster, u64::from(SLOTS)).await?;
--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -57,25 +57,16 @@
     "$bench" slopes --by "$by" --out "$out/idle-$by.json" "${files[@]}" | tee "$out/idle-$by.md"
 }
 
+# loaded NAME TITLE LOAD...: runs at several loads, by starts a second.
 loaded() {
-    local files=() load
-    for load in "$@"; do
-        with_cluster "load-$load" --load "$load" -- run --build "$build"
-        files+=("$out/load-$load.json")
-    done
-    echo "## Under load, by starts_per_s"
-    "$bench" slopes --by starts_per_s --out "$out/load.json" "${files[@]}" | tee "$out/load.md"
-}
-
-# One entry, so that its rate is the cluster's.
-peak() {
-    local files=() load scenario=$root/bench/peak.yaml
+    local name=$1 title=$2 files=() load
+    shift 2
     for load in "$@"; do
-        with_cluster "peak-$load" --load "$load" -- run --build "$build"
-        files+=("$out/peak-$load.json")
+        with_cluster "$name-$load" --load "$load" -- run --build "$build"
+        files+=("$out/$name-$load.json")
     done
-    echo "## One entry at high rates, by starts_per_s"
-    "$bench" slopes --by starts_per_s --out "$out/peak.json" "${files[@]}" | tee "$out/peak.md"
+    echo "## $title, by starts_per_s"
+    "$bench" slopes --by starts_per_s --out "$out/$name.json" "${files[@]}" | tee "$out/$name.md"
 }
 
 # The same rate for longer and longer, below the retention.
@@ -97,8 +88,10 @@
         agents) idle agents --upstreams ${AGENTS:-10 30 60} ;;
         entries) idle entries --entries ${ENTRIES:-2 4 6} ;;
         organisations) idle organisations --organisations ${ORGANISATIONS:-1 20 60} ;;
-        load) loaded ${LOADS:-0.1 0.3 0.6} ;;
-        peak) peak ${PEAK_LOADS:-0.08 0.16 0.32} ;;
+        load) loaded load "Under load" ${LOADS:-0.1 0.3 0.6} ;;
+        # One entry, so that its rate is the cluster's.
+        peak) scenario=$root/bench/peak.yaml \
+            loaded peak "One entry at high rates" ${PEAK_LOADS:-0.08 0.16 0.32} ;;
         kept) kept ${KEPT_S:-15 45 90} ;;
         *) echo "slopes.sh: $part is none of agents, entries, organisations, load, peak, kept" >&2; exit 2 ;;
     esac
