Soak: cuts of links last until others have concluded

Cause: a first form of links_cut stayed green under two deliberate breaks (a gate that does not refuse a fenced home; a fence that takes no notice of running tasks): its callers elsewhere were told in_doubt, and settled only after the cut.

Change: they ask until it is decided, while the cut lasts, and tasks run for longer than that takes.

--- a/crates/soak/tests/links_cut.rs
+++ b/crates/soak/tests/links_cut.rs
@@ -5,11 +5,14 @@
     futures::future::join_all,
     serde_json::json,
     std::{sync::Arc, time::Duration},
+    sycamorerail_bench::client::Outcome,
     sycamorerail_soak::{
+        caller::Submission,
         links::Direction,
         load::Load,
         plan::{Plan, fields},
         testing::{wait_starts, with_cluster},
+        wait::until,
     },
     tokio::time::sleep,
 };
@@ -36,22 +39,29 @@
     }
 }
 
+/// Submits through one entry until the answer is not in doubt.
+async fn decide(load: &Load, entry: &str, one: &Submission) -> eyre::Result<()> {
+    until("it is decided", || async {
+        let answer = load.submit(entry, one).await;
+        Ok(answer.filter(|answer| answer.outcome != Outcome::InDoubt).map(drop))
+    })
+    .await
+}
+
 /// Callers stay at the home and go to the others at the same time; all must be
 /// told the same in the end.
 async fn cut(load: Arc<Load>, other: Option<&str>, direction: Direction) -> eyre::Result<()> {
-    let all = load.mixed("entry-1", 9, 700, &[100, 700, 1_200]).await?;
+    let all = load.mixed("entry-1", 9, 2_000, &[100, 2_000, 3_000]).await?;
     let at_home = all.iter().map(|one| load.submit("entry-1", one));
     let elsewhere = async {
         wait_starts(&load.cluster, u64::from(SLOTS)).await?;
         load.cluster.links().cut("entry-1", other, direction);
-        sleep(Duration::from_millis(LOST_AFTER_MS / 2)).await;
-        let asked = all.iter().flat_map(|one| {
-            ["entry-2", "entry-3"].into_iter().map(|entry| load.submit(entry, one))
-        });
-        join_all(asked).await;
+        join_all(all.iter().map(|one| load.submit("entry-2", one))).await;
+        // While the cut lasts: the home is reached, or concluded on without it.
+        let decided = join_all(all.iter().map(|one| decide(&load, "entry-3", one))).await;
         sleep(Duration::from_millis(2 * IDLE_TIMEOUT_MS)).await;
         load.cluster.links().heal("entry-1");
-        Ok::<_, eyre::Report>(())
+        decided.into_iter().collect::<eyre::Result<()>>()
     };
     let (_, cut) = tokio::join!(join_all(at_home), elsewhere);
     cut?;
