Mend: one tally an event, one way to find replaced agents, keyed calls read in one place

A job's tasks were tallied twice for each event, once to see whether it was hopeless and once for the verdict; now once, unless it is given up on. The two keyed calls read their orders each; submit_keyed does.

No behaviour changes.

--- a/crates/decide/src/job.rs
+++ b/crates/decide/src/job.rs
@@ -160,7 +160,6 @@
         let mut actions = Vec::new();
         let mut turn = Turn { now_ms, pace, actions: &mut actions };
         self.take(event, &mut turn);
-        self.stop_if_hopeless(&mut turn);
         self.settle(&mut turn);
         actions
     }
@@ -271,14 +270,12 @@
 
     /// Gives up where nothing awaited can decide a task any more, rather than
     /// at the deadline.
-    fn stop_if_hopeless(&mut self, turn: &mut Turn<'_, '_>) {
-        if self.phase == Phase::Running && self.has_undecidable() {
-            let (reason, peer) = match &self.lost {
-                Some((reason, peer)) => (*reason, Some(Arc::clone(peer))),
-                None => (Reason::AgentUnreachable, None),
-            };
-            self.stop(reason, peer, turn);
-        }
+    fn stop_hopeless(&mut self, turn: &mut Turn<'_, '_>) {
+        let (reason, peer) = match &self.lost {
+            Some((reason, peer)) => (*reason, Some(Arc::clone(peer))),
+            None => (Reason::AgentUnreachable, None),
+        };
+        self.stop(reason, peer, turn);
     }
 
     fn on_not_started(
@@ -460,7 +457,12 @@
     }
 
     fn settle(&mut self, turn: &mut Turn<'_, '_>) {
-        let Some(outcome) = self.verdict(turn.now_ms) else {
+        let mut tally = self.tally();
+        if self.phase == Phase::Running && tally.has_undecidable() {
+            self.stop_hopeless(turn);
+            tally = self.tally();
+        }
+        let Some(outcome) = self.verdict(tally, turn.now_ms) else {
             return;
         };
         match mem::replace(&mut self.phase, Phase::Answered(outcome)) {
--- a/crates/decide/src/job/verdict.rs
+++ b/crates/decide/src/job/verdict.rs
@@ -27,7 +27,7 @@
 
 /// Tasks of a job by standing.
 #[derive(Clone, Copy, Debug, Default)]
-struct Tally {
+pub(super) struct Tally {
     finished: u16,
     failed: u16,
     never: u16,
@@ -36,10 +36,16 @@
     undecidable: u16,
 }
 
+impl Tally {
+    /// Whether some task can't be decided by anything that is awaited.
+    pub(super) fn has_undecidable(&self) -> bool {
+        self.undecidable > 0
+    }
+}
+
 impl Job {
     /// The outcome that can be given now, if any.
-    pub(super) fn verdict(&self, now_ms: u64) -> Option<Outcome> {
-        let tally = self.tally();
+    pub(super) fn verdict(&self, tally: Tally, now_ms: u64) -> Option<Outcome> {
         if tally.failed > 0 {
             return Some(Outcome::Failed);
         }
@@ -66,12 +72,7 @@
         (time_up || tally.pending == 0).then_some(Outcome::Unknown)
     }
 
-    /// Whether some task can't be decided by anything that is awaited.
-    pub(super) fn has_undecidable(&self) -> bool {
-        self.tally().undecidable > 0
-    }
-
-    fn tally(&self) -> Tally {
+    pub(super) fn tally(&self) -> Tally {
         let mut tally = Tally::default();
         for index in 0..self.terms.task_count {
             match self.standing(index) {
--- a/crates/entry/src/callers/keyed.rs
+++ b/crates/entry/src/callers/keyed.rs
@@ -81,9 +81,7 @@
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
     let (caller, key) = (caller?, key?);
-    let unit = Unit::Job;
-    let order = read_order(shared, &caller, unit, length, data).await?;
-    submit_keyed(shared, &caller, key.0, order).await
+    submit_keyed(shared, &caller, key.0, Unit::Job, length, data).await
 }
 
 #[post("/v1/requests", data = "<data>")]
@@ -95,17 +93,18 @@
     data: Data<'_>,
 ) -> Result<Reply, Refusal> {
     let (caller, key) = (caller?, key?);
-    let unit = Unit::Request;
-    let order = read_order(shared, &caller, unit, length, data).await?;
-    submit_keyed(shared, &caller, key.0, order).await
+    submit_keyed(shared, &caller, key.0, Unit::Request, length, data).await
 }
 
 async fn submit_keyed(
     shared: &Arc<Shared>,
     caller: &Caller,
     key: Uuid,
-    order: Order,
+    unit: Unit,
+    length: BodyLength,
+    data: Data<'_>,
 ) -> Result<Reply, Refusal> {
+    let order = read_order(shared, caller, unit, length, data).await?;
     let id = match find_id(shared, caller, key, &order).await {
         Ok(id) => id,
         Err(answer) => {
--- a/crates/membership/src/garbage.rs
+++ b/crates/membership/src/garbage.rs
@@ -123,22 +123,24 @@
 }
 
 fn restored(sight: &Sight<'_>) -> Vec<Change> {
+    let replaced = sight.members.replaced();
     let agents = sight.members.agents.iter().filter(|(_, agent)| agent.record.retired);
     agents
-        .filter(|(key, _)| (sight.connected)(**key) && !sight.members.is_replaced(**key))
+        .filter(|(key, _)| (sight.connected)(**key) && !replaced.contains(key))
         .map(|(key, _)| Change::RestoreAgent(*key))
         .collect()
 }
 
 fn standings(sight: &Sight<'_>) -> Vec<Standing> {
     let members = sight.members;
+    let replaced = members.replaced();
     let mut standings = Vec::new();
     for (&key, agent) in &members.agents {
         if agent.record.retired {
             if all_noted(members, agent.modified) {
                 standings.push(Standing::Noted(key, agent.modified));
             }
-        } else if members.is_replaced(key) {
+        } else if replaced.contains(&key) {
             standings.push(Standing::Replaced(key));
         } else if !(sight.connected)(key) {
             standings.push(Standing::Unheard(key));
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -85,16 +85,6 @@
         let replaced = self.agents.iter().filter(|(_, agent)| is_replaced(agent));
         replaced.map(|(run, _)| *run).collect()
     }
-
-    /// Whether the agent was replaced by a later run of the same name.
-    #[must_use]
-    pub fn is_replaced(&self, agent: Incarnation) -> bool {
-        let Some(own) = self.agents.get(&agent) else { return false };
-        let name = &own.record.agent.name;
-        self.agents
-            .values()
-            .any(|other| other.created > own.created && other.record.agent.name == *name)
-    }
 }
 
 /// A fence holds whatever its value says, and also if a peer told it.
