--- /dev/null
+++ b/crates/agent/src/leased/mod.rs
@@ -0,0 +1,283 @@
+//! An agent beside an upstream that runs tasks under leases.
+//!
+//! [`Leased`] holds the ledger and acts on its decisions; [`lease`] renews the
+//! lease and learns of ends; [`links`] keeps the connections to entries.
+
+mod lease;
+mod links;
+mod port;
+
+pub use port::{Authority, CallError, Renewal, UpstreamPort};
+
+use {
+    crate::clock::Clock,
+    parking_lot::Mutex,
+    rand::Rng,
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    sycamorerail_decide::ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder},
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{ConfigurationCopy, RunEvent, TaskKey, UpstreamLife},
+    },
+    tokio::sync::{Notify, watch},
+};
+
+/// Pause between looks at what is due by time. Waiting tasks are started by
+/// events; only time-outs wait for it.
+const TICK: Duration = Duration::from_millis(25);
+/// Pause between looks at whether a planned stop is complete.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+
+/// What an agent of leased runs needs to know.
+#[derive(Clone, Debug)]
+pub struct LeasedSettings {
+    /// Name, the same over restarts.
+    pub name: String,
+    /// Own data centre.
+    pub data_centre: String,
+    /// Addresses of entries to dial first.
+    pub seeds: Vec<SocketAddr>,
+    /// Figures of the ledger.
+    pub limits: LedgerLimits,
+}
+
+/// An agent of leased runs.
+pub struct Leased {
+    pub(crate) settings: LeasedSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) port: Box<dyn UpstreamPort>,
+    pub(crate) ledger: Mutex<Ledger>,
+    links: links::Links,
+    pub(crate) configuration: Mutex<Option<ConfigurationCopy>>,
+    /// Counts changes that links may have to tell of.
+    pub(crate) changes: watch::Sender<u64>,
+    /// The upstream's life has changed.
+    pub(crate) life_changed: Notify,
+    fence: AtomicU64,
+    draining: AtomicBool,
+}
+
+impl Leased {
+    /// Starts the agent's tasks on the present runtime.
+    #[must_use]
+    pub fn start(settings: LeasedSettings, port: Box<dyn UpstreamPort>) -> Arc<Self> {
+        let leased = Arc::new(Self {
+            ledger: Mutex::new(Ledger::new(settings.limits)),
+            settings,
+            incarnation: Incarnation(rand::rng().random()),
+            clock: Clock::start(),
+            port,
+            links: links::Links::default(),
+            configuration: Mutex::new(None),
+            changes: watch::Sender::new(0),
+            life_changed: Notify::new(),
+            fence: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+        });
+        tokio::spawn(lease::keep(Arc::clone(&leased)));
+        tokio::spawn(tick(Arc::clone(&leased)));
+        links::dial(&leased, &leased.settings.seeds.clone());
+        event!(
+            Info,
+            "agent_started",
+            name = leased.settings.name,
+            incarnation = leased.incarnation,
+            seeds = leased.settings.seeds.len(),
+        );
+        leased
+    }
+
+    /// Dials entries at these addresses too.
+    pub fn dial(self: &Arc<Self>, entries: &[SocketAddr]) {
+        links::dial(self, entries);
+    }
+
+    /// Entries connected now.
+    #[must_use]
+    pub fn connected(&self) -> usize {
+        self.links.connected()
+    }
+
+    /// The upstream announced itself.
+    ///
+    /// An announcement of another life than the one that answers renewals is
+    /// not believed: it was sent before the upstream was replaced, and held up.
+    pub fn announced(self: &Arc<Self>, life: UpstreamLife) {
+        let now_ms = self.clock.now_ms();
+        let mut ledger = self.ledger.lock();
+        let known = ledger.life().map(|known| known.id.clone());
+        if known.as_ref().is_some_and(|id| *id != life.id) && ledger.is_trusted(now_ms) {
+            event!(
+                Info,
+                "announcement_ignored",
+                life = life.id,
+                answers = known.unwrap_or_default()
+            );
+            return;
+        }
+        let (id, leaving, cpu_milli) = (life.id.clone(), life.leaving, life.capacity.cpu_milli);
+        if !ledger.set_upstream(life) {
+            return;
+        }
+        drop(ledger);
+        event!(Info, "upstream_announced", life = id, leaving = leaving, cpu_milli = cpu_milli);
+        self.life_changed.notify_one();
+        self.act();
+    }
+
+    /// The upstream says that it is gone.
+    pub fn withdrawn(self: &Arc<Self>, id: &str) {
+        let mut ledger = self.ledger.lock();
+        if ledger.life().is_none_or(|life| life.id != id) {
+            return;
+        }
+        ledger.lose_upstream();
+        drop(ledger);
+        event!(Info, "upstream_withdrawn", life = id);
+        self.act();
+    }
+
+    /// Begins a planned stop: nothing more is started.
+    pub fn drain(self: &Arc<Self>) {
+        self.draining.store(true, Ordering::Release);
+        self.change(|ledger, _| ledger.drain());
+        event!(Info, "draining", active = self.ledger.lock().active_count());
+    }
+
+    /// Waits until nothing runs and all entries know how it ended.
+    pub async fn drained(&self) {
+        while !self.ledger.lock().is_idle() {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+    }
+
+    /// Does something to the ledger and acts on what it decides.
+    pub(crate) fn change<T>(self: &Arc<Self>, act: impl FnOnce(&mut Ledger, u64) -> T) -> T {
+        let done = act(&mut self.ledger.lock(), self.clock.now_ms());
+        self.act();
+        done
+    }
+
+    /// Sends the orders that are due and has the links tell what changed.
+    pub(crate) fn act(self: &Arc<Self>) {
+        let mut ledger = self.ledger.lock();
+        let now_ms = self.clock.now_ms();
+        let starts: Vec<_> = std::iter::from_fn(|| ledger.next_start(now_ms)).collect();
+        let stops = ledger.stops_due(now_ms);
+        let decided = ledger.take_decided();
+        let authority = ledger.life().map(|life| self.authority(&life.id));
+        drop(ledger);
+        if let Some(authority) = authority {
+            for order in starts {
+                tokio::spawn(start(Arc::clone(self), authority.clone(), order));
+            }
+            for (task, run) in stops {
+                tokio::spawn(stop(Arc::clone(self), authority.clone(), task, run));
+            }
+        }
+        decided.iter().for_each(log_decided);
+        self.changes.send_modify(|changes| *changes += 1);
+    }
+
+    pub(crate) fn authority(&self, life: &str) -> Authority {
+        Authority { life: life.to_owned(), fence: self.fence.load(Ordering::Acquire) }
+    }
+
+    pub(crate) fn raise_fence(&self, fence: u64) {
+        self.fence.fetch_max(fence, Ordering::AcqRel);
+    }
+
+    pub(crate) fn clear_fence(&self) {
+        self.fence.store(0, Ordering::Release);
+    }
+}
+
+async fn start(leased: Arc<Leased>, authority: Authority, order: StartOrder) {
+    let (task, run) = (order.task, order.run);
+    let sent_ms = leased.clock.now_ms();
+    let answer = leased.port.start(authority, order).await;
+    if answer != StartAnswer::Started {
+        let took_ms = leased.clock.now_ms() - sent_ms;
+        event!(
+            Info,
+            "start_refused",
+            task = task,
+            run = run,
+            answer = Debug(answer),
+            took_ms = took_ms
+        );
+    }
+    leased.change(|ledger, now_ms| ledger.start_answered(task, run, answer, now_ms));
+}
+
+async fn stop(leased: Arc<Leased>, authority: Authority, task: TaskKey, run: u32) {
+    match leased.port.stop(authority, task, run).await {
+        Ok(()) => leased.change(|ledger, now_ms| ledger.stop_confirmed(task, run, now_ms)),
+        Err(error) => event!(Info, "stop_failed", task = task, run = run, error = error),
+    }
+}
+
+/// Shows a value by its debug form in a log line.
+struct Debug<T>(T);
+
+impl<T: std::fmt::Debug> std::fmt::Display for Debug<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+fn log_decided(decided: &Decided) {
+    let (name, detail) = match decided.event {
+        RunEvent::Started => ("started", String::new()),
+        RunEvent::Done { run_ms } => ("done", format!("{run_ms}ms")),
+        RunEvent::Failed { run_ms } => ("failed", format!("{run_ms}ms")),
+        RunEvent::Stopped => ("stopped", String::new()),
+        RunEvent::Lost => ("lost", String::new()),
+        RunEvent::NotStarted(why) => ("not_started", why.name().to_owned()),
+    };
+    metrics::counter!("sycamorerail_runs_total", "event" => name, "why" => detail_label(decided))
+        .increment(1);
+    event!(
+        Info,
+        "run",
+        task = decided.task,
+        run = decided.run,
+        outcome = name,
+        detail = detail,
+        entry = decided.owner,
+        taken_cpu_milli = decided.taken.cpu_milli,
+    );
+}
+
+fn detail_label(decided: &Decided) -> &'static str {
+    match decided.event {
+        RunEvent::NotStarted(why) => why.name(),
+        _ => "",
+    }
+}
+
+/// Does what is due by time alone.
+async fn tick(leased: Arc<Leased>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let silent = leased.change(|ledger, now_ms| {
+            ledger.check_lapse(now_ms);
+            ledger.expire(now_ms);
+            ledger.drop_silent_owners(now_ms)
+        });
+        for entry in silent {
+            event!(Warn, "entry_silent", entry = entry);
+        }
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod counters;
 mod entries;
 mod http;
+pub mod leased;
 mod serve;
 mod session;
 mod status;
--- /dev/null
+++ b/crates/decide/src/dispatch/agents.rs
@@ -0,0 +1,196 @@
+//! Agents as an entry sees them: their upstreams, loads, and what was sent to
+//! them that their last report does not show yet.
+
+use {
+    super::types::AgentKey,
+    crate::echo::Echo,
+    std::collections::VecDeque,
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{Room, UpstreamLife, UpstreamLoad},
+    },
+};
+
+/// Run times up to this percentage of the estimates are those of a sound
+/// upstream: estimates are off by up to 40%.
+const SOUND_PERCENT: u32 = 170;
+/// Cost of one percent of failing runs, in milliseconds: at half of all runs an
+/// upstream is avoided unless others would take a second longer.
+const FAILING_COST_MS: u64 = 20;
+/// Run time on an upstream without the preferred label, in percent.
+const REMOTE_PERCENT: u64 = 150;
+
+/// A placement that the agent's last report does not show.
+#[derive(Clone, Copy, Debug)]
+struct Unseen {
+    message: u64,
+    room: Room,
+    work_milli_ms: u64,
+}
+
+/// One agent.
+#[derive(Debug)]
+pub struct AgentView {
+    /// Its own key.
+    pub key: AgentKey,
+    /// Its name, the same over restarts.
+    pub name: String,
+    /// Its present run.
+    pub incarnation: Incarnation,
+    /// It has a connection now.
+    pub connected: bool,
+    /// When it was last heard.
+    pub heard_ms: u64,
+    /// Its upstream, once it told.
+    pub life: Option<UpstreamLife>,
+    /// Its last load.
+    pub load: UpstreamLoad,
+    /// Runs of an earlier run of the agent may go on until this time.
+    pub old_runs_until_ms: Option<u64>,
+    /// What it has heard of us.
+    pub echo: Echo,
+    unseen: VecDeque<Unseen>,
+    unseen_room: Room,
+    unseen_milli_ms: u64,
+}
+
+impl AgentView {
+    /// An agent that just connected.
+    #[must_use]
+    pub fn new(key: AgentKey, name: String, incarnation: Incarnation, now_ms: u64) -> Self {
+        Self {
+            key,
+            name,
+            incarnation,
+            connected: true,
+            heard_ms: now_ms,
+            life: None,
+            load: UpstreamLoad::default(),
+            old_runs_until_ms: None,
+            echo: Echo::new(now_ms),
+            unseen: VecDeque::new(),
+            unseen_room: Room::default(),
+            unseen_milli_ms: 0,
+        }
+    }
+
+    /// Starts anew with a new connection.
+    pub fn reconnect(&mut self, now_ms: u64) {
+        self.connected = true;
+        self.heard_ms = now_ms;
+        self.echo = Echo::new(now_ms);
+        self.load.usable = false;
+        self.unseen.clear();
+        self.unseen_room = Room::default();
+        self.unseen_milli_ms = 0;
+    }
+
+    /// Whether it takes work: connected, heard and hearing, upstream usable.
+    #[must_use]
+    pub fn is_usable(&self, now_ms: u64, suspect_ms: u64) -> bool {
+        let fresh =
+            now_ms < self.heard_ms + suspect_ms && now_ms < self.echo.confirmed_ms() + suspect_ms;
+        self.connected && fresh && self.load.usable && self.life.is_some()
+    }
+
+    /// Takes a report's load, which shows all messages up to `heard`.
+    pub fn set_load(&mut self, load: UpstreamLoad, heard: u64, now_ms: u64) {
+        self.heard_ms = now_ms;
+        self.load = load;
+        self.echo.heard(heard);
+        while let Some(first) = self.unseen.front().filter(|first| first.message <= heard) {
+            self.unseen_room = self.unseen_room.less(&first.room);
+            self.unseen_milli_ms -= first.work_milli_ms;
+            self.unseen.pop_front();
+        }
+    }
+
+    /// Notes that tasks were sent in this message.
+    pub fn sent(&mut self, message: u64, need: &Room, count: u32, run_ms: u32) {
+        let room = Room {
+            cpu_milli: need.cpu_milli.saturating_mul(count),
+            memory_mb: need.memory_mb.saturating_mul(count),
+            accelerators: need.accelerators.saturating_mul(count),
+        };
+        let work_milli_ms = u64::from(room.cpu_milli) * u64::from(run_ms);
+        self.unseen.push_back(Unseen { message, room, work_milli_ms });
+        self.unseen_room = self.unseen_room.plus(&room);
+        self.unseen_milli_ms += work_milli_ms;
+    }
+
+    fn has_label(&self, label: &str) -> bool {
+        self.life.as_ref().is_some_and(|life| life.labels.iter().any(|own| own == label))
+    }
+
+    /// Whether a task could ever run there.
+    #[must_use]
+    pub fn suits(&self, pool: &str, need: &Room, required_label: Option<&str>) -> bool {
+        let Some(life) = &self.life else { return false };
+        life.pool == pool
+            && life.capacity.fits(need)
+            && required_label.is_none_or(|label| self.has_label(label))
+    }
+
+    /// How long a task sent now is expected to take there.
+    #[must_use]
+    pub fn expect(
+        &self,
+        planned: &Planned,
+        need: &Room,
+        run_ms: u32,
+        prefers: Option<&str>,
+    ) -> Expected {
+        let taken = self.load.taken.plus(&self.unseen_room).plus(&planned.room);
+        let free = self.load.capacity.less(&taken);
+        let slowness = u64::from(self.load.slowness_percent);
+        let slowness = if slowness <= SOUND_PERCENT.into() { 100 } else { slowness };
+        let near = prefers.is_none_or(|label| self.has_label(label));
+        let remote = if near { 100 } else { REMOTE_PERCENT };
+        let run_ms = u64::from(run_ms) * slowness * remote / 10_000;
+        let starts_at_once = self.load.waiting == 0 && free.fits(need);
+        let wait_ms =
+            if starts_at_once { 0 } else { self.wait_ms(planned, need, run_ms, slowness) };
+        let failing_ms = u64::from(self.load.failing_percent) * FAILING_COST_MS;
+        Expected { end_ms: wait_ms + run_ms + failing_ms, wait_ms, free_cpu_milli: free.cpu_milli }
+    }
+
+    /// All that waits, and half a run until room comes back, over the whole
+    /// upstream.
+    fn wait_ms(&self, planned: &Planned, need: &Room, run_ms: u64, slowness: u64) -> u64 {
+        let capacity = u64::from(self.load.capacity.cpu_milli.max(1));
+        let until_room = u64::from(need.cpu_milli) * run_ms / 2;
+        let waiting = self.load.waiting_milli_ms + self.unseen_milli_ms + planned.work_milli_ms;
+        (waiting * slowness / 100 + until_room) / capacity + 1
+    }
+}
+
+/// Tasks of the same decision that are meant for an agent already.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Planned {
+    /// What they take.
+    pub room: Room,
+    /// Their work, in thousandths of a core times milliseconds.
+    pub work_milli_ms: u64,
+    /// How many they are.
+    pub count: u16,
+}
+
+impl Planned {
+    /// Adds a task.
+    pub fn add(&mut self, need: &Room, run_ms: u32) {
+        self.room = self.room.plus(need);
+        self.work_milli_ms += u64::from(need.cpu_milli) * u64::from(run_ms);
+        self.count += 1;
+    }
+}
+
+/// What is expected of a task at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Milliseconds until it ends, with a surcharge for failures.
+    pub end_ms: u64,
+    /// Of these, until it starts.
+    pub wait_ms: u64,
+    /// Processor left there, in thousandths of a core.
+    pub free_cpu_milli: u32,
+}
--- /dev/null
+++ b/crates/decide/src/dispatch/job.rs
@@ -0,0 +1,212 @@
+//! One job at its entry: its steps, its tasks, and where each stands.
+
+use {
+    super::types::{AgentKey, JobRequest, StepRequest},
+    sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
+};
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TaskState {
+    /// It is nowhere.
+    Unplaced,
+    /// An agent has it.
+    Placed {
+        /// The agent.
+        agent: AgentKey,
+        /// It was seen to begin.
+        started: bool,
+    },
+    /// It ended well.
+    Done,
+}
+
+/// A task of a job.
+#[derive(Clone, Debug)]
+pub struct Task {
+    /// Where it stands.
+    pub state: TaskState,
+    /// Number of its last start.
+    pub run: u32,
+    /// Ends as failed so far.
+    pub failures: u32,
+    /// The agent that gave it back last.
+    pub avoid: Option<AgentKey>,
+}
+
+/// Why a job is being ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Given up.
+    GivenUp(super::types::GiveUp),
+    /// Answered already; what runs is being stopped.
+    Answered,
+}
+
+/// A job.
+#[derive(Debug)]
+pub struct Job {
+    /// What was handed in.
+    pub request: JobRequest,
+    /// When it must end to be in time.
+    pub objective_ms: u64,
+    /// Tasks by step.
+    pub tasks: Vec<Vec<Task>>,
+    /// Tasks not done, by step.
+    pub open: Vec<u16>,
+    /// A task was started, or may have been.
+    pub may_have_run: bool,
+    /// It is being ended.
+    pub ending: Option<Ending>,
+}
+
+/// What an event means for a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Nothing more to do.
+    Nothing,
+    /// A task must be placed anew.
+    PlaceAgain,
+    /// All tasks are done.
+    Completed,
+    /// A task failed for the last time.
+    Failed,
+}
+
+impl Job {
+    /// A job whose tasks are all unplaced. `work_percent` corrects the estimates
+    /// of run times.
+    #[must_use]
+    pub fn new(request: JobRequest, work_percent: u32) -> Self {
+        let fresh = Task { state: TaskState::Unplaced, run: 0, failures: 0, avoid: None };
+        let tasks = request.steps.iter().map(|step| vec![fresh.clone(); step.count.into()]);
+        let tasks = tasks.collect();
+        let open = request.steps.iter().map(|step| step.count).collect();
+        let chain_ms = longest_chain_ms(&request.steps) * u64::from(work_percent) / 100;
+        let stretched_ms = chain_ms as f64 * request.kind.stretch;
+        let objective_ms =
+            request.arrived_ms + stretched_ms as u64 + u64::from(request.kind.target_ms);
+        Self { request, objective_ms, tasks, open, may_have_run: false, ending: None }
+    }
+
+    /// Whether the steps before this one are done.
+    #[must_use]
+    pub fn is_due(&self, step: usize) -> bool {
+        let after = &self.request.steps[step].after;
+        after.iter().all(|before| self.open.get(usize::from(*before)) == Some(&0))
+    }
+
+    /// Steps whose tasks may be placed and of which some are not.
+    #[must_use]
+    pub fn steps_to_place(&self) -> Vec<usize> {
+        let unplaced = |step: &Vec<Task>| step.iter().any(|task| task.state == TaskState::Unplaced);
+        let steps = (0..self.tasks.len()).filter(|&step| unplaced(&self.tasks[step]));
+        steps.filter(|&step| self.is_due(step)).collect()
+    }
+
+    /// Whether a task is at an agent.
+    #[must_use]
+    pub fn has_placed(&self) -> bool {
+        self.placed().next().is_some()
+    }
+
+    fn placed(&self) -> impl Iterator<Item = AgentKey> {
+        self.tasks.iter().flatten().filter_map(|task| match task.state {
+            TaskState::Placed { agent, .. } => Some(agent),
+            _ => None,
+        })
+    }
+
+    /// Agents that have tasks of it.
+    #[must_use]
+    pub fn agents(&self) -> Vec<AgentKey> {
+        let mut agents: Vec<_> = self.placed().collect();
+        agents.sort_unstable();
+        agents.dedup();
+        agents
+    }
+
+    /// Tasks of a step at an agent.
+    #[must_use]
+    pub fn count_at(&self, step: usize, agent: AgentKey) -> u16 {
+        let here =
+            |task: &&Task| matches!(task.state, TaskState::Placed { agent: at, .. } if at == agent);
+        self.tasks[step].iter().filter(here).count().try_into().unwrap_or(u16::MAX)
+    }
+
+    /// Takes note of what became of a run; `None` if it is not the task's
+    /// present run at that agent.
+    pub fn apply(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        event: RunEvent,
+        from: AgentKey,
+    ) -> Option<Outcome> {
+        let step = usize::from(key.step);
+        let max_attempts = self.request.kind.max_attempts.max(1);
+        let task = self.tasks.get_mut(step)?.get_mut(usize::from(key.index))?;
+        let TaskState::Placed { agent, .. } = task.state else { return None };
+        if agent != from || task.run != run {
+            return None;
+        }
+        let outcome = match event {
+            RunEvent::Started => {
+                task.state = TaskState::Placed { agent, started: true };
+                self.may_have_run = true;
+                return Some(Outcome::Nothing);
+            }
+            RunEvent::Done { .. } => {
+                task.state = TaskState::Done;
+                self.may_have_run = true;
+                self.open[step] -= 1;
+                if self.open.iter().all(|open| *open == 0) {
+                    Outcome::Completed
+                } else if self.open[step] == 0 {
+                    Outcome::PlaceAgain
+                } else {
+                    Outcome::Nothing
+                }
+            }
+            RunEvent::Failed { .. } => {
+                task.state = TaskState::Unplaced;
+                task.avoid = Some(from);
+                task.failures += 1;
+                self.may_have_run = true;
+                if task.failures >= max_attempts { Outcome::Failed } else { Outcome::PlaceAgain }
+            }
+            RunEvent::Stopped | RunEvent::Lost => {
+                task.state = TaskState::Unplaced;
+                task.avoid = Some(from);
+                self.may_have_run = true;
+                Outcome::PlaceAgain
+            }
+            RunEvent::NotStarted(why) => {
+                task.state = TaskState::Unplaced;
+                task.avoid = Some(from);
+                if why == NotStarted::OldRun {
+                    task.run += OLD_RUN_STEP;
+                }
+                Outcome::PlaceAgain
+            }
+        };
+        Some(outcome)
+    }
+}
+
+/// Start numbers passed over when an upstream has seen a higher one: another
+/// entry started the task there for an earlier submission of the same job.
+const OLD_RUN_STEP: u32 = 8;
+
+/// Longest chain of run times over the steps' order, in milliseconds. Steps name
+/// only earlier ones.
+#[must_use]
+pub fn longest_chain_ms(steps: &[StepRequest]) -> u64 {
+    let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+    for step in steps {
+        let before = step.after.iter().filter_map(|&before| ends.get(usize::from(before)));
+        let begin = before.max().copied().unwrap_or(0);
+        ends.push(begin + u64::from(step.run_ms));
+    }
+    ends.into_iter().max().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/decide/src/dispatch/types.rs
@@ -0,0 +1,159 @@
+//! What goes into the dispatch of jobs and what comes out of it.
+
+use {
+    slotmap::new_key_type,
+    std::sync::Arc,
+    sycamorerail_wire::runs::{CallerId, Placement, Room},
+};
+
+new_key_type! {
+    /// A job at its entry.
+    pub struct JobKey;
+    /// An agent as an entry sees it, over all of its connections and runs.
+    pub struct AgentKey;
+}
+
+/// Figures of the dispatch, from the settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DispatchLimits {
+    /// An agent not heard for this long gets no new work.
+    pub suspect_ms: u64,
+    /// An agent not heard for this long has ended all that it ran for us.
+    pub lost_ms: u64,
+    /// Jobs held at once; more are refused.
+    pub max_jobs: usize,
+}
+
+impl Default for DispatchLimits {
+    fn default() -> Self {
+        Self {
+            // Two heartbeats of 250 ms and the time of a slow turn.
+            suspect_ms: 600,
+            // The agent stops our runs after 900 ms of silence; a stop takes
+            // 50 ms and is repeated after 150 ms.
+            lost_ms: 1_500,
+            // At 4 KB a job some 40 MB.
+            max_jobs: 10_000,
+        }
+    }
+}
+
+/// Parameters of a request kind in force.
+#[derive(Clone, Debug, PartialEq)]
+pub struct KindParameters {
+    /// Its name, for logs and counters.
+    pub name: String,
+    /// The pool of upstreams that runs it.
+    pub pool: String,
+    /// Lower goes first.
+    pub priority: u8,
+    /// Ends as failed after which the task's job fails.
+    pub max_attempts: u32,
+    /// A job is in time within this factor of its longest chain of work ...
+    pub stretch: f64,
+    /// ... and this much, in milliseconds.
+    pub target_ms: u32,
+}
+
+/// One step of a job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StepRequest {
+    /// Its tasks.
+    pub count: u16,
+    /// What each takes.
+    pub need: Room,
+    /// Expected run time of each, in milliseconds.
+    pub run_ms: u32,
+    /// Steps that must be done before it, by number.
+    pub after: Vec<u8>,
+    /// A label that the upstream must have.
+    pub required_label: Option<String>,
+    /// A label of upstreams on which it runs faster.
+    pub preferred_label: Option<String>,
+    /// Tasks of the step on one upstream, at most.
+    pub max_per_upstream: Option<u16>,
+}
+
+/// A job as it was handed in.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobRequest {
+    /// The caller's id.
+    pub id: CallerId,
+    /// Parameters of its kind.
+    pub kind: Arc<KindParameters>,
+    /// The caller's text for the upstream.
+    pub spec: String,
+    /// Its steps.
+    pub steps: Vec<StepRequest>,
+    /// When it was handed in.
+    pub arrived_ms: u64,
+    /// When its caller stops waiting.
+    pub deadline_ms: u64,
+}
+
+/// Why a job ended without its result.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum GiveUp {
+    /// It could not end before its caller stops waiting.
+    TooLate,
+    /// Too much waits already.
+    Overload,
+    /// No upstream of its pool is usable.
+    NoUpstream,
+    /// No upstream could ever hold one of its tasks.
+    TooLarge,
+    /// The entry is stopping.
+    Stopping,
+    /// Its caller has left, or cancelled it.
+    Cancelled,
+    /// A job of this id is being ended.
+    Duplicate,
+}
+
+impl GiveUp {
+    /// Label of counters and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::TooLate => "too_late",
+            Self::Overload => "overload",
+            Self::NoUpstream => "no_upstream",
+            Self::TooLarge => "too_large",
+            Self::Stopping => "stopping",
+            Self::Cancelled => "cancelled",
+            Self::Duplicate => "duplicate",
+        }
+    }
+}
+
+/// The answer to a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum JobAnswer {
+    /// All tasks ended well.
+    Completed,
+    /// A task failed for the last time allowed, or can never run.
+    Failed,
+    /// No task of it was started, and none will be.
+    NotRun {
+        /// Why.
+        why: GiveUp,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u32,
+    },
+    /// Some tasks were started; the job was given up.
+    Unknown {
+        /// Why.
+        why: GiveUp,
+    },
+}
+
+/// What the dispatch wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Send tasks to an agent.
+    Place(AgentKey, Placement),
+    /// Have an agent end a job.
+    Stop(AgentKey, CallerId),
+    /// Answer whoever waits for the job.
+    Answer(JobKey, JobAnswer),
+}
--- /dev/null
+++ b/crates/decide/src/ledger/mod.rs
@@ -0,0 +1,708 @@
+//! An agent's ledger of runs under leases: who waits, what runs, and what room
+//! is left on its upstream.
+//!
+//! The agent is the only one that gives orders to its upstream, so the ledger
+//! is the authority on room. Room is taken when a start is ordered and comes
+//! back only when the upstream shows that the run is over: its end is listed, or
+//! a renewal sent after a confirmed stop, or after the order's last moment, does
+//! not list it. A start without an answer keeps its room until then.
+//!
+//! After a restart nothing is known of the runs of the agent before it. They
+//! are stopped first, and nothing is started until none is listed any more.
+
+mod owners;
+mod types;
+
+pub use types::{
+    Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+};
+
+use {
+    owners::Owners,
+    slotmap::{SlotMap, new_key_type},
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{
+            CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife,
+            UpstreamLoad,
+        },
+    },
+};
+
+/// Weight of the newest sample in moving averages, as one part of this many:
+/// some ten runs decide, which an upstream ends in a quarter of a second.
+const AVERAGE_PARTS: u32 = 8;
+/// Part of the lease, in percent, after which an upstream that answered no
+/// renewal gets no new runs and no new lease. Two calls of 250 ms that wait, each
+/// with its time-out, fit into it.
+const TRUSTED_PERCENT: u64 = 80;
+/// The upstream's clock may be this much slower than ours, in percent.
+const CLOCK_DRIFT_PERCENT: u64 = 2;
+/// A share of failures is halved after each such time without news, so that an
+/// upstream that was avoided is tried again.
+const FAILING_HALF_LIFE_MS: u64 = 1_000;
+/// Waiting tasks looked at for one that fits, so that a wide task at the head
+/// does not leave room unused for long.
+const LOOK_AHEAD: usize = 16;
+/// Run time that counts as overdue, in percent of the estimate.
+const OVERDUE_PERCENT: u64 = 250;
+
+new_key_type! {
+    /// A run in the ledger.
+    struct RunKey;
+}
+
+/// Where a run stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Not ordered yet.
+    Waiting,
+    /// Ordered; the answer is awaited, or did not come.
+    Ordered { late_after_clock_ms: u64, unanswered: bool },
+    /// The upstream has confirmed it.
+    Running { since_ms: u64 },
+}
+
+/// A stop that is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stop {
+    /// When it was last sent.
+    sent_ms: Option<u64>,
+    /// When the upstream confirmed it.
+    confirmed_ms: Option<u64>,
+}
+
+/// Order of waiting tasks: those that can be in time first, by the latest
+/// moment at which they must start for that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_late: bool,
+    start_by_ms: u64,
+    priority: u8,
+    arrival: u64,
+}
+
+#[derive(Debug)]
+struct Run {
+    owner: Incarnation,
+    task: TaskKey,
+    number: u32,
+    spec: Arc<str>,
+    need: Room,
+    run_ms: u32,
+    give_up_ms: u64,
+    rank: Rank,
+    phase: Phase,
+    stop: Option<Stop>,
+    told_started: bool,
+}
+
+/// The ledger of one agent.
+#[derive(Debug)]
+pub struct Ledger {
+    limits: LedgerLimits,
+    life: Option<UpstreamLife>,
+    leaving: bool,
+    draining: bool,
+    /// Nothing of an earlier run of the agent is left on the upstream.
+    clean: bool,
+    /// The upstream's clock, and when it was told.
+    clock: Option<(/* clock_ms */ u64, /* at_ms */ u64)>,
+    /// When the last answered renewal was sent.
+    renewed_ms: Option<u64>,
+    acknowledged: u64,
+    runs: SlotMap<RunKey, Run>,
+    by_task: HashMap<TaskKey, RunKey>,
+    waiting: BTreeSet<(Rank, RunKey)>,
+    taken: Room,
+    ordered: usize,
+    arrivals: u64,
+    owners: Owners,
+    leftovers: HashMap<(TaskKey, u32), Stop>,
+    slowness_percent: u32,
+    failing_percent: u32,
+    failing_at_ms: u64,
+    decided: Vec<Decided>,
+}
+
+impl Ledger {
+    /// An empty ledger, without an upstream.
+    #[must_use]
+    pub fn new(limits: LedgerLimits) -> Self {
+        Self {
+            limits,
+            life: None,
+            leaving: false,
+            draining: false,
+            clean: false,
+            clock: None,
+            renewed_ms: None,
+            acknowledged: 0,
+            runs: SlotMap::with_key(),
+            by_task: HashMap::new(),
+            waiting: BTreeSet::new(),
+            taken: Room::default(),
+            ordered: 0,
+            arrivals: 0,
+            owners: Owners::default(),
+            leftovers: HashMap::new(),
+            slowness_percent: 100,
+            failing_percent: 0,
+            failing_at_ms: 0,
+            decided: Vec::new(),
+        }
+    }
+
+    /// The upstream's present life.
+    #[must_use]
+    pub fn life(&self) -> Option<&UpstreamLife> {
+        self.life.as_ref()
+    }
+
+    /// Whether the upstream said that it leaves.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
+    /// Takes note of the upstream's life. Runs on an earlier life are lost.
+    /// Returns whether anything changed.
+    pub fn set_upstream(&mut self, life: UpstreamLife) -> bool {
+        if self.life.as_ref() == Some(&life) {
+            return false;
+        }
+        if self.life.as_ref().is_none_or(|known| known.id != life.id) {
+            self.lose_upstream();
+            self.slowness_percent = 100;
+            self.failing_percent = 0;
+        }
+        self.leaving = life.leaving;
+        self.life = Some(life);
+        if self.leaving {
+            self.drop_waiting(NotStarted::Leaving);
+        }
+        true
+    }
+
+    /// The upstream's life is over: what ran on it is lost.
+    pub fn lose_upstream(&mut self) {
+        self.life = None;
+        self.leaving = false;
+        self.clean = false;
+        self.clock = None;
+        self.renewed_ms = None;
+        self.acknowledged = 0;
+        self.leftovers.clear();
+        self.lose_active();
+        self.drop_waiting(NotStarted::NoUpstream);
+    }
+
+    fn lose_active(&mut self) {
+        for key in self.active() {
+            self.settle(key, RunEvent::Lost);
+        }
+    }
+
+    fn active(&self) -> Vec<RunKey> {
+        let active = self.runs.iter().filter(|(_, run)| run.phase != Phase::Waiting);
+        active.map(|(key, _)| key).collect()
+    }
+
+    /// Starts nothing more; what runs goes on.
+    pub fn drain(&mut self) {
+        self.draining = true;
+        self.drop_waiting(NotStarted::Leaving);
+    }
+
+    /// Whether nothing runs and every report was confirmed.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.runs.is_empty() && self.owners.all_confirmed()
+    }
+
+    /// Runs that began or may have begun and are not over.
+    #[must_use]
+    pub fn active_count(&self) -> usize {
+        self.runs.len() - self.waiting.len()
+    }
+
+    fn drop_waiting(&mut self, why: NotStarted) {
+        let waiting: Vec<_> = self.waiting.iter().map(|&(_, key)| key).collect();
+        for key in waiting {
+            self.settle(key, RunEvent::NotStarted(why));
+        }
+    }
+
+    /// An entry was heard of.
+    pub fn owner_heard(&mut self, owner: Incarnation, now_ms: u64) {
+        self.owners.heard(owner, now_ms);
+    }
+
+    /// Ends what entries that were not heard for long have here; returns them.
+    pub fn drop_silent_owners(&mut self, now_ms: u64) -> Vec<Incarnation> {
+        let silent = self.owners.silent(now_ms, self.limits.owner_silence_ms);
+        for &owner in &silent {
+            self.drop_owner(owner);
+        }
+        silent
+    }
+
+    /// Ends what an entry has here, as its jobs are lost with it.
+    pub fn drop_owner(&mut self, owner: Incarnation) {
+        let mine = self.runs.iter().filter(|(_, run)| run.owner == owner);
+        let keys: Vec<_> = mine.map(|(key, _)| key).collect();
+        for key in keys {
+            self.stop_run(key);
+        }
+        self.owners.remove(owner);
+    }
+
+    /// Runs that an entry has here, for the reconciliation of a new connection.
+    #[must_use]
+    pub fn held(&self, owner: Incarnation) -> Vec<(TaskKey, u32)> {
+        let mine = self.runs.values().filter(|run| run.owner == owner);
+        mine.map(|run| (run.task, run.number)).collect()
+    }
+
+    /// Takes tasks of a job. What is not taken is reported as not started.
+    pub fn place(&mut self, owner: Incarnation, placement: Placement, now_ms: u64) {
+        let spec: Arc<str> = placement.spec.into();
+        let objective_ms = now_ms + u64::from(placement.objective_in_ms);
+        for start in placement.tasks {
+            let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
+            let run = Run {
+                owner,
+                task,
+                number: start.run,
+                spec: Arc::clone(&spec),
+                need: placement.need,
+                run_ms: placement.run_ms,
+                give_up_ms: now_ms + u64::from(placement.give_up_in_ms),
+                rank: Rank {
+                    is_late: false,
+                    start_by_ms: objective_ms.saturating_sub(placement.run_ms.into()),
+                    priority: placement.priority,
+                    arrival: self.arrivals,
+                },
+                phase: Phase::Waiting,
+                stop: None,
+                told_started: false,
+            };
+            self.arrivals += 1;
+            self.take(run);
+        }
+    }
+
+    fn take(&mut self, run: Run) {
+        if let Some(&key) = self.by_task.get(&run.task) {
+            let known = &self.runs[key];
+            if known.owner != run.owner || known.number != run.number {
+                self.report(&run, RunEvent::NotStarted(NotStarted::Refused));
+            }
+            return;
+        }
+        let refusal = match &self.life {
+            None => Some(NotStarted::NoUpstream),
+            Some(_) if self.leaving || self.draining => Some(NotStarted::Leaving),
+            Some(life) if !life.capacity.fits(&run.need) => Some(NotStarted::NoRoom),
+            Some(_) => None,
+        };
+        if let Some(why) = refusal {
+            return self.report(&run, RunEvent::NotStarted(why));
+        }
+        let (task, rank) = (run.task, run.rank);
+        let key = self.runs.insert(run);
+        self.by_task.insert(task, key);
+        self.waiting.insert((rank, key));
+    }
+
+    /// Starts nothing more of an entry's job and stops what runs of it.
+    pub fn stop_job(&mut self, owner: Incarnation, job: CallerId) {
+        let of_job = |run: &Run| run.owner == owner && run.task.job == job;
+        let keys: Vec<_> =
+            self.runs.iter().filter(|(_, run)| of_job(run)).map(|(key, _)| key).collect();
+        for key in keys {
+            self.stop_run(key);
+        }
+    }
+
+    fn stop_run(&mut self, key: RunKey) {
+        let run = &mut self.runs[key];
+        if run.phase == Phase::Waiting {
+            self.settle(key, RunEvent::NotStarted(NotStarted::Withdrawn));
+        } else if run.stop.is_none() {
+            run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
+        }
+    }
+
+    /// The next task to start, if one waits and has room. Room is taken.
+    pub fn next_start(&mut self, now_ms: u64) -> Option<StartOrder> {
+        if !self.may_start(now_ms) {
+            return None;
+        }
+        self.sort_out(now_ms);
+        let life = self.life.as_ref()?;
+        let free = life.capacity.less(&self.taken);
+        let ready = |run: &Run| {
+            free.fits(&run.need)
+                && self.owners.is_fresh(run.owner, now_ms, self.limits.owner_silence_ms)
+        };
+        let mut ahead = self.waiting.iter().take(LOOK_AHEAD);
+        let &(rank, key) = ahead.find(|(_, key)| ready(&self.runs[*key]))?;
+        let late_after_clock_ms = self.clock_ms(now_ms)? + self.limits.start_within_ms;
+        self.waiting.remove(&(rank, key));
+        let run = &mut self.runs[key];
+        run.phase = Phase::Ordered { late_after_clock_ms, unanswered: false };
+        self.taken = self.taken.plus(&run.need);
+        self.ordered += 1;
+        let (task, number, spec) = (run.task, run.number, Arc::clone(&run.spec));
+        Some(StartOrder { task, run: number, spec, late_after_clock_ms })
+    }
+
+    /// Nothing is believed of the upstream unless it answered a renewal lately:
+    /// after a pause of this process its runs may have lapsed.
+    fn may_start(&self, now_ms: u64) -> bool {
+        self.clean
+            && self.is_trusted(now_ms)
+            && !self.leaving
+            && !self.draining
+            && self.ordered < self.limits.max_ordered
+    }
+
+    /// Whether the upstream answered a renewal lately.
+    #[must_use]
+    pub fn is_trusted(&self, now_ms: u64) -> bool {
+        self.renewed_ms.is_some_and(|sent_ms| now_ms < sent_ms + self.trusted_ms())
+    }
+
+    fn trusted_ms(&self) -> u64 {
+        self.limits.lease_ms * TRUSTED_PERCENT / 100
+    }
+
+    /// The lease to ask for, on the upstream's clock. `None` once renewals were
+    /// not answered for a while: an unanswered one may be carried out, and then
+    /// it would never be sure that the lease has lapsed.
+    #[must_use]
+    pub fn lease_until_clock_ms(&self, now_ms: u64) -> Option<u64> {
+        let clock_ms = self.clock_ms(now_ms)?;
+        let may_renew = self.renewed_ms.is_none() || self.is_trusted(now_ms);
+        may_renew.then_some(clock_ms + self.limits.lease_ms)
+    }
+
+    /// Sends back what cannot be in time for anybody, and puts what is late
+    /// behind what is not.
+    fn sort_out(&mut self, now_ms: u64) {
+        while let Some(&(rank, key)) = self.waiting.first() {
+            let run = &mut self.runs[key];
+            if now_ms + u64::from(run.run_ms) > run.give_up_ms {
+                self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
+            } else if !rank.is_late && rank.start_by_ms < now_ms {
+                self.waiting.remove(&(rank, key));
+                run.rank.is_late = true;
+                self.waiting.insert((run.rank, key));
+            } else {
+                return;
+            }
+        }
+    }
+
+    /// Sends back waiting tasks whose time has passed.
+    pub fn expire(&mut self, now_ms: u64) {
+        let too_late = |run: &Run| now_ms + u64::from(run.run_ms) > run.give_up_ms;
+        let expired = self.waiting.iter().filter(|(_, key)| too_late(&self.runs[*key]));
+        let keys: Vec<_> = expired.map(|&(_, key)| key).collect();
+        for key in keys {
+            self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
+        }
+    }
+
+    /// The upstream's clock, as far as it is known.
+    #[must_use]
+    pub fn clock_ms(&self, now_ms: u64) -> Option<u64> {
+        self.clock.map(|(clock_ms, at_ms)| clock_ms + now_ms.saturating_sub(at_ms))
+    }
+
+    /// Takes note of the upstream's answer to a start.
+    pub fn start_answered(&mut self, task: TaskKey, run: u32, answer: StartAnswer, now_ms: u64) {
+        self.ordered = self.ordered.saturating_sub(1);
+        let Some(key) = self.find(task, run) else { return };
+        let Phase::Ordered { late_after_clock_ms, .. } = self.runs[key].phase else { return };
+        match answer {
+            StartAnswer::Started => self.confirm(key, now_ms),
+            StartAnswer::Unanswered => {
+                self.runs[key].phase = Phase::Ordered { late_after_clock_ms, unanswered: true };
+            }
+            StartAnswer::Refused(why) => {
+                if why == StartRefusal::Unhealthy {
+                    self.note_failure(true, now_ms);
+                }
+                self.settle(key, RunEvent::NotStarted(refusal(why)));
+            }
+        }
+    }
+
+    fn find(&self, task: TaskKey, number: u32) -> Option<RunKey> {
+        let key = *self.by_task.get(&task)?;
+        (self.runs[key].number == number).then_some(key)
+    }
+
+    fn confirm(&mut self, key: RunKey, now_ms: u64) {
+        let run = &mut self.runs[key];
+        run.phase = Phase::Running { since_ms: now_ms };
+        if !std::mem::replace(&mut run.told_started, true) {
+            let (owner, task, number) = (run.owner, run.task, run.number);
+            self.push_report(owner, task, number, RunEvent::Started);
+        }
+    }
+
+    /// Stops to be sent now, of runs and of what an earlier agent left.
+    pub fn stops_due(&mut self, now_ms: u64) -> Vec<(TaskKey, u32)> {
+        let again_ms = self.limits.stop_again_ms;
+        let is_due = |stop: &Stop| stop.sent_ms.is_none_or(|sent_ms| now_ms >= sent_ms + again_ms);
+        let mut due = Vec::new();
+        for run in self.runs.values_mut() {
+            if let Some(stop) = run.stop.as_mut().filter(|stop| is_due(stop)) {
+                stop.sent_ms = Some(now_ms);
+                due.push((run.task, run.number));
+            }
+        }
+        for (&run, stop) in &mut self.leftovers {
+            if is_due(stop) {
+                stop.sent_ms = Some(now_ms);
+                due.push(run);
+            }
+        }
+        due
+    }
+
+    /// The upstream confirmed a stop: a start of this run that it has not
+    /// carried out is refused from now on.
+    pub fn stop_confirmed(&mut self, task: TaskKey, run: u32, now_ms: u64) {
+        let Some(key) = self.find(task, run) else { return };
+        if let Some(stop) = &mut self.runs[key].stop {
+            stop.confirmed_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Highest number of an end that was taken note of.
+    #[must_use]
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Takes note of the upstream's answer to a renewal of the lease.
+    pub fn renewed(&mut self, answer: &LeaseAnswer, now_ms: u64) {
+        self.clock = Some((answer.clock_ms, now_ms));
+        self.renewed_ms = Some(answer.sent_ms);
+        for ended in &answer.ended {
+            self.end(ended, now_ms);
+        }
+        for &(task, number) in &answer.running {
+            match self.find(task, number) {
+                Some(key) if matches!(self.runs[key].phase, Phase::Ordered { .. }) => {
+                    self.confirm(key, now_ms);
+                }
+                _ => {}
+            }
+        }
+        self.settle_absent(answer);
+        self.note_leftovers(&answer.running);
+    }
+
+    fn end(&mut self, ended: &Ended, now_ms: u64) {
+        if ended.number <= self.acknowledged {
+            return;
+        }
+        self.acknowledged = ended.number;
+        let Some(key) = self.find(ended.task, ended.run) else { return };
+        let run = &self.runs[key];
+        let ran_ms = match run.phase {
+            Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
+            _ => run.run_ms.into(),
+        };
+        let run_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
+        let estimate_ms = run.run_ms;
+        let event = match ended.kind {
+            EndKind::Done => RunEvent::Done { run_ms },
+            EndKind::Failed => RunEvent::Failed { run_ms },
+            EndKind::Stopped => RunEvent::Stopped,
+            EndKind::Lapsed => RunEvent::Lost,
+        };
+        match ended.kind {
+            EndKind::Done => {
+                self.note_run_time(run_ms, estimate_ms);
+                self.note_failure(false, now_ms);
+            }
+            EndKind::Failed => self.note_failure(true, now_ms),
+            EndKind::Stopped | EndKind::Lapsed => {}
+        }
+        self.settle(key, event);
+    }
+
+    /// Settles runs that the upstream would have listed if they ran.
+    fn settle_absent(&mut self, answer: &LeaseAnswer) {
+        for key in self.active() {
+            let run = &self.runs[key];
+            if answer.running.contains(&(run.task, run.number)) {
+                continue;
+            }
+            let stopped_before =
+                run.stop.and_then(|stop| stop.confirmed_ms).is_some_and(|ms| ms < answer.sent_ms);
+            let event = match run.phase {
+                Phase::Running { since_ms } if since_ms < answer.sent_ms => Some(RunEvent::Lost),
+                Phase::Ordered { .. } if stopped_before => {
+                    Some(RunEvent::NotStarted(NotStarted::Withdrawn))
+                }
+                Phase::Ordered { late_after_clock_ms, unanswered: true }
+                    if answer.clock_ms > late_after_clock_ms =>
+                {
+                    Some(RunEvent::NotStarted(NotStarted::Unanswered))
+                }
+                _ => None,
+            };
+            if let Some(event) = event {
+                self.settle(key, event);
+            }
+        }
+    }
+
+    fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
+        let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
+        let never = Stop { sent_ms: None, confirmed_ms: None };
+        let leftovers: HashMap<_, _> =
+            foreign.map(|run| (*run, self.leftovers.get(run).copied().unwrap_or(never))).collect();
+        self.leftovers = leftovers;
+        self.clean = self.leftovers.is_empty();
+    }
+
+    /// Declares runs lost whose lease has surely lapsed. Their room stays taken
+    /// until the upstream answers again.
+    pub fn check_lapse(&mut self, now_ms: u64) {
+        let Some(renewed_ms) = self.renewed_ms else { return };
+        if !self.is_trusted(now_ms) {
+            // Others may start it meanwhile.
+            self.drop_waiting(NotStarted::NoUpstream);
+        }
+        if now_ms < renewed_ms + self.lapse_ms() {
+            return;
+        }
+        self.lose_active();
+        // What may still be listed is stopped and waited for, as after a restart.
+        self.clean = false;
+        self.renewed_ms = None;
+    }
+
+    /// Time from the last answered renewal after which the lease has surely
+    /// lapsed: unanswered ones were sent until it was trusted no more.
+    fn lapse_ms(&self) -> u64 {
+        let lease_ms = self.limits.lease_ms;
+        self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
+    }
+
+    fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32) {
+        let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
+        self.slowness_percent = average(self.slowness_percent, percent);
+    }
+
+    fn note_failure(&mut self, failed: bool, now_ms: u64) {
+        let past = self.failing_now(now_ms);
+        self.failing_percent = average(past, if failed { 100 } else { 0 });
+        self.failing_at_ms = now_ms;
+    }
+
+    fn failing_now(&self, now_ms: u64) -> u32 {
+        let halvings = now_ms.saturating_sub(self.failing_at_ms) / FAILING_HALF_LIFE_MS;
+        self.failing_percent >> halvings.min(31)
+    }
+
+    /// The load to tell entries of.
+    #[must_use]
+    pub fn load(&self, now_ms: u64) -> UpstreamLoad {
+        let waiting = self.waiting.iter().map(|(_, key)| &self.runs[*key]);
+        let waiting_milli_ms =
+            waiting.map(|run| u64::from(run.need.cpu_milli) * u64::from(run.run_ms)).sum();
+        UpstreamLoad {
+            usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
+            capacity: self.life.as_ref().map(|life| life.capacity).unwrap_or_default(),
+            taken: self.taken,
+            waiting_milli_ms,
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            slowness_percent: self.slowness_now(now_ms),
+            failing_percent: self.failing_now(now_ms),
+        }
+    }
+
+    /// Run times against estimates, counting runs that are overdue by far.
+    fn slowness_now(&self, now_ms: u64) -> u32 {
+        let overdue = self.runs.values().filter_map(|run| match run.phase {
+            Phase::Running { since_ms } => {
+                let elapsed_ms = now_ms.saturating_sub(since_ms);
+                Some(elapsed_ms * 100 / u64::from(run.run_ms.max(1)))
+            }
+            _ => None,
+        });
+        let worst: Vec<_> = overdue.filter(|percent| *percent > OVERDUE_PERCENT).collect();
+        if worst.len() * 2 <= self.active_count() || worst.is_empty() {
+            return self.slowness_percent;
+        }
+        let mean = worst.iter().sum::<u64>() / worst.len() as u64;
+        self.slowness_percent.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
+    }
+
+    /// Takes a run out and reports what became of it.
+    fn settle(&mut self, key: RunKey, event: RunEvent) {
+        let Some(run) = self.runs.remove(key) else { return };
+        self.by_task.remove(&run.task);
+        if run.phase == Phase::Waiting {
+            self.waiting.remove(&(run.rank, key));
+        } else {
+            self.taken = self.taken.less(&run.need);
+        }
+        self.report(&run, event);
+    }
+
+    fn report(&mut self, run: &Run, event: RunEvent) {
+        self.push_report(run.owner, run.task, run.number, event);
+    }
+
+    fn push_report(&mut self, owner: Incarnation, task: TaskKey, run: u32, event: RunEvent) {
+        self.owners.report(owner, task, run, event);
+        self.decided.push(Decided { owner, task, run, event, taken: self.taken });
+    }
+
+    /// Reports to an entry that it has not confirmed.
+    #[must_use]
+    pub fn reports(&self, owner: Incarnation) -> Vec<RunReport> {
+        self.owners.reports(owner)
+    }
+
+    /// An entry has taken note of its reports up to this number.
+    pub fn confirmed(&mut self, owner: Incarnation, number: u64) {
+        self.owners.confirmed(owner, number);
+    }
+
+    /// Decisions since the last call, for the log and the counters.
+    pub fn take_decided(&mut self) -> Vec<Decided> {
+        std::mem::take(&mut self.decided)
+    }
+}
+
+fn refusal(why: StartRefusal) -> NotStarted {
+    match why {
+        StartRefusal::Fenced => NotStarted::NoUpstream,
+        StartRefusal::OldRun => NotStarted::OldRun,
+        StartRefusal::Late => NotStarted::Unanswered,
+        StartRefusal::NoRoom => NotStarted::NoRoom,
+        StartRefusal::Unhealthy => NotStarted::Refused,
+    }
+}
+
+fn average(past: u32, sample: u32) -> u32 {
+    // Rounded towards the sample, so that it is reached.
+    let sum = past * (AVERAGE_PARTS - 1) + sample;
+    if sample > past { sum.div_ceil(AVERAGE_PARTS) } else { sum / AVERAGE_PARTS }
+}
--- /dev/null
+++ b/crates/decide/src/ledger/owners.rs
@@ -0,0 +1,67 @@
+//! Entries that have runs here, and the reports they have not confirmed.
+
+use {
+    std::collections::{HashMap, VecDeque},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{RunEvent, RunReport, TaskKey},
+    },
+};
+
+#[derive(Debug, Default)]
+struct Owner {
+    heard_ms: u64,
+    unconfirmed: VecDeque<RunReport>,
+}
+
+/// All entries that were heard and not dropped.
+#[derive(Debug, Default)]
+pub(super) struct Owners {
+    owners: HashMap<Incarnation, Owner>,
+    /// One count for all, so that an entry that was dropped and comes back does
+    /// not take new reports for old ones.
+    last_number: u64,
+}
+
+impl Owners {
+    pub(super) fn heard(&mut self, owner: Incarnation, now_ms: u64) {
+        let owner = self.owners.entry(owner).or_default();
+        owner.heard_ms = owner.heard_ms.max(now_ms);
+    }
+
+    pub(super) fn silent(&self, now_ms: u64, longest_ms: u64) -> Vec<Incarnation> {
+        let silent = self.owners.iter().filter(|(_, owner)| now_ms >= owner.heard_ms + longest_ms);
+        silent.map(|(owner, _)| *owner).collect()
+    }
+
+    pub(super) fn is_fresh(&self, owner: Incarnation, now_ms: u64, longest_ms: u64) -> bool {
+        self.owners.get(&owner).is_some_and(|owner| now_ms < owner.heard_ms + longest_ms)
+    }
+
+    pub(super) fn remove(&mut self, owner: Incarnation) {
+        self.owners.remove(&owner);
+    }
+
+    /// Adds a report; nobody reads those to an entry that was dropped.
+    pub(super) fn report(&mut self, owner: Incarnation, task: TaskKey, run: u32, event: RunEvent) {
+        let Some(owner) = self.owners.get_mut(&owner) else { return };
+        self.last_number += 1;
+        owner.unconfirmed.push_back(RunReport { number: self.last_number, task, run, event });
+    }
+
+    pub(super) fn reports(&self, owner: Incarnation) -> Vec<RunReport> {
+        let owner = self.owners.get(&owner);
+        owner.map(|owner| owner.unconfirmed.iter().copied().collect()).unwrap_or_default()
+    }
+
+    pub(super) fn confirmed(&mut self, owner: Incarnation, number: u64) {
+        let Some(owner) = self.owners.get_mut(&owner) else { return };
+        while owner.unconfirmed.front().is_some_and(|report| report.number <= number) {
+            owner.unconfirmed.pop_front();
+        }
+    }
+
+    pub(super) fn all_confirmed(&self) -> bool {
+        self.owners.values().all(|owner| owner.unconfirmed.is_empty())
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -3,12 +3,15 @@
 //! the process's monotonic time in milliseconds.
 
 pub mod admission;
+pub mod dispatch;
+pub mod echo;
 pub mod ejection;
 pub mod estimate;
 pub mod fence;
 pub mod gate;
 pub mod hedge;
 pub mod job;
+pub mod ledger;
 pub mod placement;
 pub mod queue;
 pub mod retry;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod names;
 pub mod organisations;
 pub mod peers;
+pub mod runs;
 pub mod seams;
 pub mod shared;
 pub mod upstreams;
--- /dev/null
+++ b/crates/entry/src/runs/links.rs
@@ -0,0 +1,280 @@
+//! Connections of agents to this entry.
+
+use {
+    super::Desk,
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    sycamorerail_decide::dispatch::AgentKey,
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        frames::{self, FrameError, FrameReader, FrameWriter},
+        runs::{FromRunsAgent, RunsHello, ToRunsAgent},
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Notify,
+        time::{sleep, timeout},
+    },
+};
+
+/// Longest wait for an agent's first message.
+const HELLO_WITHIN: Duration = Duration::from_secs(2);
+/// Pause after an accept that failed, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Heartbeat of each link: a one-way cut is seen within three of them.
+const BEAT: Duration = Duration::from_millis(200);
+/// An agent that was not heard for this long is disconnected.
+const SILENCE_MS: u64 = 2_500;
+
+/// Present connections by agent.
+#[derive(Default)]
+pub(super) struct Links(Mutex<HashMap<AgentKey, Arc<Outbox>>>);
+
+impl Links {
+    /// Queues a message; returns whether there is a connection.
+    pub(super) fn send(&self, agent: AgentKey, message: ToRunsAgent) -> bool {
+        let links = self.0.lock();
+        let Some(outbox) = links.get(&agent) else { return false };
+        outbox.push(message);
+        true
+    }
+
+    fn is_present(&self, agent: AgentKey, outbox: &Arc<Outbox>) -> bool {
+        self.0.lock().get(&agent).is_some_and(|present| Arc::ptr_eq(present, outbox))
+    }
+}
+
+/// Messages on their way to an agent over one connection.
+#[derive(Default)]
+struct Outbox {
+    messages: Mutex<Vec<ToRunsAgent>>,
+    filled: Notify,
+    replaced: Notify,
+}
+
+impl Outbox {
+    fn push(&self, message: ToRunsAgent) {
+        self.messages.lock().push(message);
+        self.filled.notify_one();
+    }
+}
+
+/// Takes connections for as long as the entry runs.
+pub(super) async fn accept(desk: Arc<Desk>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                tokio::spawn(serve(Arc::clone(&desk), stream, peer));
+            }
+            Err(error) => {
+                event!(Warn, "accept_failed", error = error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(desk: Arc<Desk>, stream: TcpStream, peer: SocketAddr) {
+    let (mut reader, writer) = frames::split(stream, peer);
+    let first = timeout(HELLO_WITHIN, reader.next::<FromRunsAgent>()).await;
+    let hello = match first {
+        Ok(Ok(FromRunsAgent::Hello(hello))) => hello,
+        Ok(Ok(_)) => return event!(Warn, "hello_missing", peer = peer),
+        Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
+        Err(_) => return event!(Info, "hello_late", peer = peer),
+    };
+    let link = Link::begin(&desk, peer, hello);
+    let error = link.run(reader, writer).await;
+    link.end(&error);
+}
+
+/// One connection of an agent.
+struct Link {
+    desk: Arc<Desk>,
+    peer: SocketAddr,
+    agent: AgentKey,
+    name: String,
+    outbox: Arc<Outbox>,
+    /// Messages heard on this connection.
+    heard: AtomicU64,
+    /// Highest number of a report taken note of.
+    confirmed: AtomicU64,
+    /// Highest revision of the configuration that the agent holds.
+    agent_revision: AtomicU64,
+}
+
+impl Link {
+    fn begin(desk: &Arc<Desk>, peer: SocketAddr, hello: RunsHello) -> Self {
+        let outbox = Arc::new(Outbox::default());
+        let same = hello.entry == Some(desk.incarnation);
+        let held = same.then_some(&*hello.held);
+        let agent = desk.change(|dispatch, now_ms| {
+            if same {
+                // What became of runs goes before what is held no more.
+                dispatch.take_reports(&hello.name, hello.agent, &hello.reports, now_ms);
+            }
+            let agent = dispatch.agent_connected(&hello.name, hello.agent, held, now_ms);
+            dispatch.agent_ready(agent, now_ms);
+            // The present messages of the dispatch belong to this connection.
+            let before = desk.links.0.lock().insert(agent, Arc::clone(&outbox));
+            if let Some(before) = before {
+                before.replaced.notify_one();
+            }
+            let upstream = dispatch.life(agent).cloned();
+            dispatch.message_sent(agent, None, now_ms);
+            outbox.push(ToRunsAgent::Welcome { entry: desk.incarnation, upstream });
+            agent
+        });
+        event!(
+            Info,
+            "agent_connected",
+            agent = hello.name,
+            peer = peer,
+            run = hello.agent,
+            held = hello.held.len()
+        );
+        let confirmed = if same { hello.reports.last().map_or(0, |last| last.number) } else { 0 };
+        Self {
+            desk: Arc::clone(desk),
+            peer,
+            agent,
+            name: hello.name,
+            outbox,
+            heard: AtomicU64::new(1),
+            confirmed: AtomicU64::new(confirmed),
+            agent_revision: AtomicU64::new(hello.configuration),
+        }
+    }
+
+    fn end(&self, error: &FrameError) {
+        let mut links = self.desk.links.0.lock();
+        if links.get(&self.agent).is_some_and(|present| Arc::ptr_eq(present, &self.outbox)) {
+            links.remove(&self.agent);
+            drop(links);
+            self.desk.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
+        }
+        event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
+    }
+
+    async fn run(&self, reader: FrameReader, writer: FrameWriter) -> FrameError {
+        tokio::select! {
+            error = self.read_on(reader) => error,
+            error = self.write_on(writer) => error,
+            () = self.outbox.replaced.notified() => FrameError::Closed(self.peer),
+        }
+    }
+
+    async fn read_on(&self, mut reader: FrameReader) -> FrameError {
+        loop {
+            let next = timeout(Duration::from_millis(SILENCE_MS), reader.next()).await;
+            match next {
+                Ok(Ok(message)) => self.take(message),
+                Ok(Err(error)) => return error,
+                Err(_) => return FrameError::Closed(self.peer),
+            }
+        }
+    }
+
+    fn take(&self, message: FromRunsAgent) {
+        self.heard.fetch_add(1, Ordering::AcqRel);
+        if !self.desk.links.is_present(self.agent, &self.outbox) {
+            return;
+        }
+        match message {
+            FromRunsAgent::Hello(_) => {}
+            FromRunsAgent::Report { heard, reports, load } => {
+                let last = reports.last().map_or(0, |report| report.number);
+                self.confirmed.fetch_max(last, Ordering::AcqRel);
+                self.desk.change(|dispatch, now_ms| {
+                    dispatch.report(self.agent, &reports, load, heard, now_ms);
+                });
+            }
+            FromRunsAgent::Upstream(life) => {
+                event!(
+                    Info,
+                    "upstream_told",
+                    agent = self.name,
+                    life = life.id,
+                    leaving = life.leaving
+                );
+                self.desk.change(|dispatch, _| dispatch.set_life(self.agent, life));
+            }
+            FromRunsAgent::Configuration(copy) => {
+                event!(
+                    Info,
+                    "configuration_from_agent",
+                    agent = self.name,
+                    revision = copy.revision
+                );
+                self.desk.hold_configuration(copy);
+            }
+            FromRunsAgent::Holds { revision } => {
+                self.agent_revision.fetch_max(revision, Ordering::AcqRel);
+            }
+        }
+    }
+
+    async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
+        let mut members = self.desk.members.subscribe();
+        members.mark_changed();
+        let mut beats = tokio::time::interval(BEAT);
+        loop {
+            if let Err(error) = self.write(&mut writer).await {
+                return error;
+            }
+            tokio::select! {
+                () = self.outbox.filled.notified() => {}
+                _ = beats.tick() => self.beat(),
+                _ = members.changed() => {
+                    let known = members.borrow_and_update().clone();
+                    self.tell(ToRunsAgent::Members(known));
+                }
+            }
+        }
+    }
+
+    async fn write(&self, writer: &mut FrameWriter) -> Result<(), FrameError> {
+        let messages = std::mem::take(&mut *self.outbox.messages.lock());
+        if messages.is_empty() {
+            return Ok(());
+        }
+        for message in &messages {
+            writer.push(message)?;
+        }
+        writer.flush().await
+    }
+
+    /// Queues a message in the order in which the dispatch counts them.
+    fn tell(&self, message: ToRunsAgent) {
+        let mut dispatch = self.desk.dispatch.lock();
+        if self.desk.links.is_present(self.agent, &self.outbox) {
+            dispatch.message_sent(self.agent, None, self.desk.clock.now_ms());
+            self.outbox.push(message);
+        }
+    }
+
+    /// Queues a heartbeat, and what the agent or this entry lacks of the
+    /// configuration.
+    fn beat(&self) {
+        let heard = self.heard.load(Ordering::Acquire);
+        let confirmed = self.confirmed.load(Ordering::Acquire);
+        self.tell(ToRunsAgent::Beat { heard, confirmed });
+        let held = self.desk.configuration.borrow().clone();
+        let own = held.as_ref().map_or(0, |held| held.revision);
+        let theirs = self.agent_revision.load(Ordering::Acquire);
+        if theirs > own {
+            self.tell(ToRunsAgent::WantConfiguration);
+        } else if let Some(held) = held.filter(|_| own > theirs) {
+            self.agent_revision.fetch_max(own, Ordering::AcqRel);
+            self.tell(ToRunsAgent::Configuration((*held).clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/runs/mod.rs
@@ -0,0 +1,289 @@
+//! Jobs under their callers' own ids, run by agents of leased runs.
+//!
+//! [`Desk`] takes jobs, answers them and acts on what the dispatch decides;
+//! [`links`] serves the agents' connections.
+
+mod links;
+
+use {
+    crate::clock::Clock,
+    parking_lot::Mutex,
+    rand::Rng,
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    sycamorerail_decide::dispatch::{
+        AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
+    },
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{CallerId, ConfigurationCopy, ToRunsAgent},
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{oneshot, watch},
+    },
+};
+
+/// Pause between looks at what is due by time. Events place tasks; only
+/// time-outs wait for it.
+const TICK: Duration = Duration::from_millis(20);
+/// Agents without a connection for this long are forgotten.
+const FORGET_AGENTS_MS: u64 = 60_000;
+
+/// What a desk needs to know.
+#[derive(Clone, Debug)]
+pub struct DeskSettings {
+    /// Name, the same over restarts.
+    pub name: String,
+    /// Figures of the dispatch.
+    pub limits: DispatchLimits,
+}
+
+/// Takes jobs and answers them.
+pub struct Desk {
+    pub(crate) settings: DeskSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) dispatch: Mutex<Dispatch>,
+    links: links::Links,
+    /// The newest configuration held, to pass on.
+    pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
+    /// Addresses of all entries known.
+    pub(crate) members: watch::Sender<Vec<SocketAddr>>,
+    waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
+}
+
+impl Desk {
+    /// Starts a desk that serves agents on this listener, on the present
+    /// runtime.
+    #[must_use]
+    pub fn start(settings: DeskSettings, listener: TcpListener) -> Arc<Self> {
+        let desk = Arc::new(Self {
+            dispatch: Mutex::new(Dispatch::new(settings.limits)),
+            settings,
+            incarnation: Incarnation(rand::rng().random()),
+            clock: Clock::start(),
+            links: links::Links::default(),
+            configuration: watch::Sender::new(None),
+            members: watch::Sender::new(Vec::new()),
+            waiters: Mutex::new(HashMap::new()),
+        });
+        tokio::spawn(links::accept(Arc::clone(&desk), listener));
+        tokio::spawn(tick(Arc::clone(&desk)));
+        event!(Info, "desk_started", name = desk.settings.name, incarnation = desk.incarnation);
+        desk
+    }
+
+    /// This run of the entry.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Monotonic time in milliseconds, as jobs' times are given.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Agents that take work now.
+    #[must_use]
+    pub fn usable_agents(&self) -> usize {
+        self.dispatch.lock().usable_agents(self.clock.now_ms())
+    }
+
+    /// Jobs held.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.dispatch.lock().job_count()
+    }
+
+    /// Jobs of a kind that have not begun.
+    #[must_use]
+    pub fn pending(&self, kind: &str) -> usize {
+        self.dispatch.lock().pending(kind)
+    }
+
+    /// Whether a job of this id is not over here.
+    #[must_use]
+    pub fn holds(&self, id: CallerId) -> bool {
+        self.dispatch.lock().find(id).is_some()
+    }
+
+    /// Refuses new jobs from now on.
+    pub fn stop_accepting(&self) {
+        self.dispatch.lock().stop_accepting();
+    }
+
+    /// Passes a configuration on to agents, if it is the newest.
+    pub fn hold_configuration(&self, copy: ConfigurationCopy) {
+        self.configuration.send_if_modified(|held| {
+            let newer = held.as_ref().is_none_or(|held| held.revision < copy.revision);
+            if newer {
+                *held = Some(Arc::new(copy));
+            }
+            newer
+        });
+    }
+
+    /// Wakes when a newer configuration is held, from wherever.
+    #[must_use]
+    pub fn configurations(&self) -> watch::Receiver<Option<Arc<ConfigurationCopy>>> {
+        self.configuration.subscribe()
+    }
+
+    /// Tells agents of all entries known.
+    pub fn set_members(&self, members: Vec<SocketAddr>) {
+        self.members.send_if_modified(|known| {
+            let changed = *known != members;
+            *known = members;
+            changed
+        });
+    }
+
+    /// Runs a job and waits for its answer. Dropping the future gives the job
+    /// up: its caller has left.
+    pub async fn run(self: &Arc<Self>, request: JobRequest) -> JobAnswer {
+        let (sender, receiver) = oneshot::channel();
+        let (id, arrived_ms) = (request.id, request.arrived_ms);
+        let kind = request.kind.name.clone();
+        let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
+        let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
+        let submitted = {
+            let mut dispatch = self.dispatch.lock();
+            let submitted = dispatch.submit(request, self.clock.now_ms());
+            if let Ok(key) = submitted {
+                self.waiters.lock().insert(key, sender);
+            }
+            submitted
+        };
+        let answer = match submitted {
+            Ok(key) => {
+                event!(
+                    Info,
+                    "job_accepted",
+                    job = id,
+                    kind = kind,
+                    tasks = tasks,
+                    deadline_in_ms = deadline_in_ms
+                );
+                let leaving = Leaving { desk: self, job: key, id };
+                self.act();
+                let answer = receiver.await;
+                std::mem::forget(leaving);
+                // The sender is dropped only with an answer, or with the job.
+                answer.unwrap_or(JobAnswer::Unknown { why: GiveUp::Cancelled })
+            }
+            Err(answer) => answer,
+        };
+        self.note_answer(id, &kind, answer, self.clock.now_ms() - arrived_ms);
+        answer
+    }
+
+    fn note_answer(&self, id: CallerId, kind: &str, answer: JobAnswer, took_ms: u64) {
+        let (outcome, why) = names(answer);
+        metrics::counter!("sycamorerail_jobs_total", "outcome" => outcome, "why" => why)
+            .increment(1);
+        metrics::histogram!("sycamorerail_job_seconds", "outcome" => outcome)
+            .record(took_ms as f64 / 1_000.0);
+        event!(
+            Info,
+            "job_answered",
+            job = id,
+            kind = kind,
+            outcome = outcome,
+            why = why,
+            took_ms = took_ms
+        );
+    }
+
+    /// Cancels a job here, whoever waits for it. Returns whether there is one.
+    pub fn cancel(self: &Arc<Self>, id: CallerId) -> bool {
+        let mut dispatch = self.dispatch.lock();
+        let Some(key) = dispatch.find(id) else { return false };
+        dispatch.cancel(key);
+        drop(dispatch);
+        event!(Info, "job_cancelled", job = id);
+        self.act();
+        true
+    }
+
+    /// Does something to the dispatch and acts on what it decides.
+    pub(crate) fn change<T>(self: &Arc<Self>, act: impl FnOnce(&mut Dispatch, u64) -> T) -> T {
+        let done = act(&mut self.dispatch.lock(), self.clock.now_ms());
+        self.act();
+        done
+    }
+
+    pub(crate) fn act(&self) {
+        let mut dispatch = self.dispatch.lock();
+        let now_ms = self.clock.now_ms();
+        for command in dispatch.take_commands() {
+            match command {
+                Command::Place(agent, placement) => {
+                    dispatch.message_sent(agent, Some(&placement), now_ms);
+                    self.send(agent, ToRunsAgent::Place(placement));
+                }
+                Command::Stop(agent, job) => {
+                    dispatch.message_sent(agent, None, now_ms);
+                    self.send(agent, ToRunsAgent::Stop(job));
+                }
+                Command::Answer(job, answer) => {
+                    if let Some(waiter) = self.waiters.lock().remove(&job) {
+                        // Its caller may have left.
+                        let _ = waiter.send(answer);
+                    }
+                }
+            }
+        }
+    }
+
+    fn send(&self, agent: AgentKey, message: ToRunsAgent) {
+        if !self.links.send(agent, message) {
+            // Its connection ended: the next one, or its silence, tells what
+            // became of its runs.
+            metrics::counter!("sycamorerail_messages_lost_total").increment(1);
+        }
+    }
+
+    fn left(self: &Arc<Self>, job: JobKey, id: CallerId) {
+        self.waiters.lock().remove(&job);
+        metrics::counter!("sycamorerail_callers_left_total").increment(1);
+        event!(Info, "caller_left", job = id);
+        self.change(|dispatch, _| dispatch.cancel(job));
+    }
+}
+
+/// Gives a job up when its caller's future is dropped.
+struct Leaving<'a> {
+    desk: &'a Arc<Desk>,
+    job: JobKey,
+    id: CallerId,
+}
+
+impl Drop for Leaving<'_> {
+    fn drop(&mut self) {
+        self.desk.left(self.job, self.id);
+    }
+}
+
+fn names(answer: JobAnswer) -> (&'static str, &'static str) {
+    match answer {
+        JobAnswer::Completed => ("completed", ""),
+        JobAnswer::Failed => ("failed", ""),
+        JobAnswer::NotRun { why, .. } => ("not_run", why.name()),
+        JobAnswer::Unknown { why } => ("unknown", why.name()),
+    }
+}
+
+async fn tick(desk: Arc<Desk>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        desk.change(|dispatch, now_ms| {
+            dispatch.tick(now_ms);
+            dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
+        });
+    }
+}
--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -7,19 +7,17 @@
     crate::{
         error::{MembershipError, MembershipStep},
         keys::{self, ENTRIES, FENCED, HOMES},
+        lease_key::{beat_pause, write_key},
         membership::Shared,
         record::{self, HomeRecord},
     },
-    rand::Rng,
     std::time::Duration,
-    sycamorerail_platform::{Expected, LeaseId, PlatformError, Swap},
+    sycamorerail_platform::{Expected, LeaseId, Swap},
     sycamorerail_telemetry::event,
     sycamorerail_wire::ids::Incarnation,
     tokio::time::sleep,
 };
 
-/// A lease is kept alive this many times in its lifetime.
-const BEATS: u32 = 3;
 /// Least pause between two writes of the home's record.
 const HOME_PAUSE_MS: u64 = 1_000;
 
@@ -32,7 +30,7 @@
             Ok(lease) => keep(shared, incarnation, lease).await,
             Err(error) => {
                 event!(Warn, "announcement_failed", error = error);
-                sleep(beat_pause(shared)).await;
+                sleep(beat_pause(shared.config.lease_ms)).await;
             }
         }
         if shared.settled() != incarnation {
@@ -41,36 +39,16 @@
     }
 }
 
-fn beat_pause(shared: &Shared) -> Duration {
-    let most = u64::from(shared.config.lease_ms / BEATS).max(1);
-    Duration::from_millis(rand::rng().random_range(most / 2..=most))
-}
-
 async fn announce(shared: &Shared, own: Incarnation) -> Result<LeaseId, MembershipError> {
-    let step = MembershipStep::Announce;
-    let failed = |error: PlatformError| MembershipError::Platform(step, error);
-    let lease = shared.platform.grant(shared.config.lease_ms).await.map_err(failed)?;
     let key = keys::key(ENTRIES, own);
     let value = record::to_json(&shared.config.own);
-    let mut expected = Expected::Absent;
-    // The second time replaces a record that an earlier lease of this
-    // incarnation still holds.
-    for _ in 0..2 {
-        let written = shared.platform.swap(&key, expected, &value, Some(lease), &[]).await;
-        match written.map_err(failed)? {
-            Swap::Done { .. } => return Ok(lease),
-            Swap::Lost { current } => {
-                expected = current.map_or(Expected::Absent, |kv| Expected::Modified(kv.modified));
-            }
-        }
-    }
-    Err(MembershipError::Contradiction(step))
+    write_key(&shared.platform, &key, &value, shared.config.lease_ms).await
 }
 
 /// Keeps the lease alive until it is lost or the incarnation retires.
 async fn keep(shared: &Shared, incarnation: Incarnation, lease: LeaseId) {
     while shared.settled() == incarnation && !shared.is_leaving() {
-        sleep(beat_pause(shared)).await;
+        sleep(beat_pause(shared.config.lease_ms)).await;
         match shared.platform.keep_alive(lease).await {
             Ok(true) => {}
             Ok(false) => return,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -14,10 +14,12 @@
 pub mod fencing;
 pub mod garbage;
 pub mod keys;
+pub mod lease_key;
 pub mod members;
 pub mod membership;
 pub mod record;
 pub mod register;
+pub mod roster;
 mod sweep;
 
 pub use {
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -4,16 +4,12 @@
     crate::{
         budget::CallBudget,
         error::{Effect, PlatformError, PlatformErrorKind, PlatformStep},
-        json::{
-            Compare, DeleteRequest, End, GrantRequest, Int, KeepAliveRequest, LeaseResponse,
-            Operation, PutRequest, RangeRequest, RangeResponse, Streamed, Text, TxnRequest,
-            TxnResponse,
-        },
+        etcd::EtcdForm,
+        form::{Call, Form, Method, Read, ReadError, Reply},
         value::{Expected, KeyValue, LeaseId, Range, Swap},
     },
     parking_lot::Mutex,
-    reqwest::{Client, ClientBuilder, RequestBuilder},
-    serde::{Serialize, de::DeserializeOwned},
+    reqwest::{Client, ClientBuilder, RequestBuilder, header::CONTENT_TYPE},
     std::{
         sync::{
             Arc,
@@ -23,10 +19,6 @@
     },
 };
 
-const RANGE_PATH: &str = "/v3/kv/range";
-const TXN_PATH: &str = "/v3/kv/txn";
-const GRANT_PATH: &str = "/v3/lease/grant";
-const KEEP_ALIVE_PATH: &str = "/v3/lease/keepalive";
 const FIRST_SERVER_ERROR: u16 = 500;
 const REQUEST_TIMEOUT: u16 = 408;
 
@@ -50,6 +42,7 @@
 #[derive(Debug)]
 struct Shared {
     config: PlatformConfig,
+    form: Arc<dyn Form>,
     reads: Client,
     writes: Client,
     budget: Mutex<CallBudget>,
@@ -58,12 +51,25 @@
 }
 
 impl Platform {
-    /// Prepares the calls; connects to nothing yet.
+    /// Prepares calls in the form of etcd; connects to nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// When the URL is none.
+    pub fn new(config: PlatformConfig) -> Result<Self, PlatformError> {
+        Self::with_form(config, Arc::new(EtcdForm))
+    }
+
+    /// Prepares calls to a service that speaks in this form; connects to
+    /// nothing yet.
     ///
     /// # Errors
     ///
     /// When the URL is none.
-    pub fn new(mut config: PlatformConfig) -> Result<Self, PlatformError> {
+    pub fn with_form(
+        mut config: PlatformConfig,
+        form: Arc<dyn Form>,
+    ) -> Result<Self, PlatformError> {
         config.url.truncate(config.url.trim_end_matches('/').len());
         let refuse = |why: String| PlatformError {
             step: PlatformStep::Setup,
@@ -83,23 +89,22 @@
         let budget = Mutex::new(CallBudget::new(config.call_budget_per_s, 0));
         let waiting_watches = AtomicU32::new(0);
         let started = Instant::now();
-        let shared = Shared { config, reads, writes, budget, waiting_watches, started };
+        let shared = Shared { config, form, reads, writes, budget, waiting_watches, started };
         Ok(Self { shared: Arc::new(shared) })
     }
 
-    /// Reads all keys with the prefix.
+    /// Reads all keys with the prefix, in pages where the service gives them so.
+    /// The mark is that of the first page: what changes later is told again.
     ///
     /// # Errors
     ///
     /// When no whole answer came.
     pub async fn range(&self, prefix: &str) -> Result<Range, PlatformError> {
-        let answer = self.range_of(prefix, false).await?;
-        let items = answer.kvs.into_iter().map(KeyValue::from).collect();
-        Ok(Range { mark: answer.header.revision.0, items })
+        self.pages(prefix, true).await
     }
 
-    /// Reads the keys with the prefix and the revisions of their last change,
-    /// without the values.
+    /// Reads the keys with the prefix and the revisions of their last change;
+    /// the values may be left out.
     ///
     /// # Errors
     ///
@@ -108,19 +113,31 @@
         &self,
         prefix: &str,
     ) -> Result<(/* mark */ u64, Vec<(String, u64)>), PlatformError> {
-        let answer = self.range_of(prefix, true).await?;
-        let outline = answer.kvs.into_iter().map(|kv| (kv.key.0, kv.mod_revision.0)).collect();
-        Ok((answer.header.revision.0, outline))
+        let range = self.pages(prefix, false).await?;
+        Ok((range.mark, range.items.into_iter().map(|kv| (kv.key, kv.modified)).collect()))
     }
 
-    async fn range_of(
-        &self,
-        prefix: &str,
-        keys_only: bool,
-    ) -> Result<RangeResponse, PlatformError> {
-        let range_end = Some(End::of(prefix));
-        let request = RangeRequest { key: first_key(prefix), range_end, keys_only };
-        self.call(PlatformStep::Range, RANGE_PATH, &request).await
+    async fn pages(&self, prefix: &str, with_values: bool) -> Result<Range, PlatformError> {
+        let form = &self.shared.form;
+        let mut range: Option<Range> = None;
+        loop {
+            let last = range.as_ref().and_then(|range| range.items.last());
+            let call = form.range(prefix, last.map(|kv| &*kv.key), with_values);
+            let page =
+                self.call(PlatformStep::Range, &call, |reply| form.read_range(reply)).await?;
+            let has_more = page.has_more && !page.items.is_empty();
+            let read = match range.take() {
+                None => Range { mark: page.mark, items: page.items },
+                Some(mut read) => {
+                    read.items.extend(page.items);
+                    read
+                }
+            };
+            if !has_more {
+                return Ok(read);
+            }
+            range = Some(read);
+        }
     }
 
     /// Reads one key.
@@ -129,9 +146,8 @@
     ///
     /// When no whole answer came.
     pub async fn get(&self, key: &str) -> Result<Option<KeyValue>, PlatformError> {
-        let request = RangeRequest { key: text(key), ..RangeRequest::default() };
-        let answer: RangeResponse = self.call(PlatformStep::Range, RANGE_PATH, &request).await?;
-        Ok(answer.kvs.into_iter().next().map(KeyValue::from))
+        let form = &self.shared.form;
+        self.call(PlatformStep::Range, &form.get(key), |reply| form.read_get(reply)).await
     }
 
     /// Writes a key if it is as expected and no key of `absent` exists.
@@ -148,15 +164,9 @@
         lease: Option<LeaseId>,
         absent: &[&str],
     ) -> Result<Swap, PlatformError> {
-        let own = match expected {
-            Expected::Absent => Compare::absent(key),
-            Expected::Modified(revision) => Compare::modified(key, revision),
-        };
-        let guards = absent.iter().map(|guard| Compare::absent(guard));
-        let compare = std::iter::once(own).chain(guards).collect();
-        let lease = Int(lease.map_or(0, |lease| lease.0));
-        let put = Operation::Put(PutRequest { key: text(key), value: text(value), lease });
-        self.transact(PlatformStep::Swap, key, compare, put).await
+        let form = &self.shared.form;
+        let call = form.swap(key, expected, value, lease, absent);
+        self.call(PlatformStep::Swap, &call, |reply| form.read_swap(key, reply)).await
     }
 
     /// Deletes a key if its last change was at `modified`.
@@ -165,40 +175,19 @@
     ///
     /// As for [`Self::swap`].
     pub async fn delete(&self, key: &str, modified: u64) -> Result<Swap, PlatformError> {
-        let compare = vec![Compare::modified(key, modified)];
-        let delete = Operation::Delete(DeleteRequest { key: text(key) });
-        self.transact(PlatformStep::Delete, key, compare, delete).await
-    }
-
-    async fn transact(
-        &self,
-        step: PlatformStep,
-        key: &str,
-        compare: Vec<Compare>,
-        success: Operation,
-    ) -> Result<Swap, PlatformError> {
-        let read_back = RangeRequest { key: text(key), ..RangeRequest::default() };
-        let failure = vec![Operation::Range(read_back)];
-        let request = TxnRequest { compare, success: vec![success], failure };
-        let answer: TxnResponse = self.call(step, TXN_PATH, &request).await?;
-        if answer.succeeded {
-            return Ok(Swap::Done { mark: answer.header.revision.0 });
-        }
-        let ranges = answer.responses.into_iter().filter_map(|response| response.response_range);
-        let current = ranges.flat_map(|range| range.kvs).next().map(KeyValue::from);
-        Ok(Swap::Lost { current })
+        let form = &self.shared.form;
+        let call = form.delete(key, modified);
+        self.call(PlatformStep::Delete, &call, |reply| form.read_swap(key, reply)).await
     }
 
-    /// Grants a lease. The platform counts in whole seconds: the time is
-    /// rounded up.
+    /// Grants a lease. The time may be rounded up.
     ///
     /// # Errors
     ///
     /// When no whole answer came; a lease granted unheard ends by itself.
     pub async fn grant(&self, ttl_ms: u32) -> Result<LeaseId, PlatformError> {
-        let request = GrantRequest { ttl_s: Int(u64::from(ttl_ms.div_ceil(1_000).max(1))) };
-        let answer: LeaseResponse = self.call(PlatformStep::Grant, GRANT_PATH, &request).await?;
-        Ok(LeaseId(answer.id.0))
+        let form = &self.shared.form;
+        self.call(PlatformStep::Grant, &form.grant(ttl_ms), |reply| form.read_grant(reply)).await
     }
 
     /// Renews a lease; returns whether it is still alive.
@@ -207,10 +196,9 @@
     ///
     /// When no whole answer came; the lease may have been renewed.
     pub async fn keep_alive(&self, lease: LeaseId) -> Result<bool, PlatformError> {
-        let request = KeepAliveRequest { id: Int(lease.0) };
-        let answer: Streamed<LeaseResponse> =
-            self.call(PlatformStep::KeepAlive, KEEP_ALIVE_PATH, &request).await?;
-        Ok(answer.result.ttl_s.0 > 0)
+        let form = &self.shared.form;
+        let call = form.keep_alive(lease);
+        self.call(PlatformStep::KeepAlive, &call, |reply| form.read_keep_alive(reply)).await
     }
 
     /// Base URL of the service.
@@ -219,6 +207,10 @@
         &self.shared.config.url
     }
 
+    pub(crate) fn form(&self) -> &dyn Form {
+        &*self.shared.form
+    }
+
     pub(crate) fn timeout(&self) -> Duration {
         Duration::from_millis(u64::from(self.shared.config.timeout_ms))
     }
@@ -242,39 +234,52 @@
         Err(self.error(step, PlatformErrorKind::Budget))
     }
 
-    pub(crate) fn request(&self, step: PlatformStep, path: &str) -> RequestBuilder {
+    pub(crate) fn request(&self, step: PlatformStep, call: &Call) -> RequestBuilder {
         let once = matches!(step, PlatformStep::Swap | PlatformStep::Delete | PlatformStep::Grant);
         let client = if once { &self.shared.writes } else { &self.shared.reads };
-        client.post(format!("{}{path}", self.shared.config.url))
+        let url = format!("{}{}", self.shared.config.url, call.path);
+        let request = match call.method {
+            Method::Get => client.get(url),
+            Method::Post => client.post(url),
+        };
+        let request = if call.query.is_empty() { request } else { request.query(&call.query) };
+        match &call.body {
+            Some(body) => request.header(CONTENT_TYPE, "application/json").body(body.clone()),
+            None => request,
+        }
     }
 
-    async fn call<A: DeserializeOwned>(
+    async fn call<A>(
         &self,
         step: PlatformStep,
-        path: &str,
-        body: &impl Serialize,
+        call: &Call,
+        read: impl FnOnce(&Reply) -> Read<A>,
     ) -> Result<A, PlatformError> {
-        let answer = self.call_uncounted(step, path, body).await;
+        let answer = self.call_uncounted(step, call, self.timeout(), read).await;
         count(step, answer.as_ref().err());
         answer
     }
 
-    async fn call_uncounted<A: DeserializeOwned>(
+    pub(crate) async fn call_uncounted<A>(
         &self,
         step: PlatformStep,
-        path: &str,
-        body: &impl Serialize,
+        call: &Call,
+        within: Duration,
+        read: impl FnOnce(&Reply) -> Read<A>,
     ) -> Result<A, PlatformError> {
         self.admit(step)?;
-        let sent = self.request(step, path).timeout(self.timeout()).json(body).send().await;
+        let sent = self.request(step, call).timeout(within).send().await;
         let response = sent.map_err(|err| self.failed(step, &err))?;
-        let status = response.status();
-        if !status.is_success() {
-            return Err(self.error(step, PlatformErrorKind::Status(status.as_u16())));
+        let status = response.status().as_u16();
+        let body = response.bytes().await.map_err(|err| self.failed(step, &err))?;
+        read(&Reply { status, body }).map_err(|err| self.unread(step, status, err))
+    }
+
+    pub(crate) fn unread(&self, step: PlatformStep, status: u16, err: ReadError) -> PlatformError {
+        match err {
+            ReadError::Status => self.error(step, PlatformErrorKind::Status(status)),
+            ReadError::Malformed(why) => self.error(step, PlatformErrorKind::Malformed(why)),
         }
-        let answer = response.bytes().await.map_err(|err| self.failed(step, &err))?;
-        serde_json::from_slice(&answer)
-            .map_err(|err| self.error(step, PlatformErrorKind::Malformed(err.to_string())))
     }
 
     pub(crate) fn failed(&self, step: PlatformStep, err: &reqwest::Error) -> PlatformError {
@@ -316,12 +321,3 @@
     };
     if refused || !step.changes() { Effect::None } else { Effect::Open }
 }
-
-fn text(key: &str) -> Text {
-    Text(key.to_owned())
-}
-
-/// The first key of a prefix. The service has no empty key: `\0` is the least.
-pub(crate) fn first_key(prefix: &str) -> Text {
-    text(if prefix.is_empty() { "\0" } else { prefix })
-}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,11 +1,13 @@
 //! Client of the platform's key-value service, and a local mirror of one prefix.
 //!
-//! The service is spoken to in the JSON form of etcd's version 3 API, of which
-//! only range, transaction, lease and watch are used.
+//! What is asked of the service is the same everywhere; how it is said is a
+//! [`form::Form`]. Unless told otherwise that is etcd's version 3 API.
 
 pub mod budget;
 pub mod client;
 pub mod error;
+pub mod etcd;
+pub mod form;
 mod json;
 pub mod mirror;
 pub mod table;
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -1,44 +1,53 @@
-//! One watch: a streamed answer, one JSON object a line.
+//! One watch: a streamed answer, or one long poll after another.
 
 use {
     crate::{
-        client::{Platform, count, first_key},
+        client::{Platform, count},
         error::{PlatformError, PlatformErrorKind, PlatformStep},
-        json::{
-            End, Int, Streamed, WatchCreate, WatchEvent, WatchEventKind, WatchRequest,
-            WatchResponse,
-        },
+        form::{Reply, WatchMode},
         table::Change,
-        value::KeyValue,
     },
+    bytes::Bytes,
     reqwest::Response,
-    std::sync::atomic::Ordering,
+    std::{sync::atomic::Ordering, time::Duration},
 };
 
-const WATCH_PATH: &str = "/v3/watch";
+pub use crate::form::Told;
+
 /// Longest line taken; a value has up to a megabyte, a line several of them.
 const MAX_LINE_BYTES: usize = 64 << 20;
-
-/// What a watch told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Told {
-    /// Whole revisions, in the platform's order.
-    Changes(Vec<Change>),
-    /// Nothing changed in the prefix up to this platform revision.
-    Progress(u64),
-    /// The history asked for is gone; only a full copy helps.
-    Compacted,
-}
+/// Status of a streamed line: that of the answer was checked at its start.
+const OK: u16 = 200;
 
 /// An open watch over a prefix. Counts as a waiting call until dropped.
 #[derive(Debug)]
 pub struct Watch {
     platform: Platform,
+    source: Source,
+}
+
+#[derive(Debug)]
+enum Source {
+    Stream(Stream),
+    LongPoll(LongPoll),
+}
+
+/// Lines of an answer that does not end.
+#[derive(Debug)]
+struct Stream {
     response: Response,
     buffer: Vec<u8>,
     scanned: usize,
 }
 
+/// Where the next long poll goes on.
+#[derive(Debug)]
+struct LongPoll {
+    prefix: String,
+    start: u64,
+    wait: Duration,
+}
+
 impl Drop for Watch {
     fn drop(&mut self) {
         let before = self.platform.waiting_watches().fetch_sub(1, Ordering::Relaxed);
@@ -64,15 +73,22 @@
     }
 
     async fn open_watch(&self, prefix: &str, start: u64) -> Result<Watch, PlatformError> {
+        let source = match self.form().watch_mode() {
+            WatchMode::Stream => Source::Stream(self.open_stream(prefix, start).await?),
+            WatchMode::LongPoll { wait_ms } => {
+                let wait = Duration::from_millis(wait_ms.into());
+                Source::LongPoll(LongPoll { prefix: prefix.to_owned(), start, wait })
+            }
+        };
+        let before = self.waiting_watches().fetch_add(1, Ordering::Relaxed);
+        show_waiting(before + 1);
+        Ok(Watch { platform: self.clone(), source })
+    }
+
+    async fn open_stream(&self, prefix: &str, start: u64) -> Result<Stream, PlatformError> {
         let step = PlatformStep::Watch;
         self.admit(step)?;
-        let create_request = WatchCreate {
-            key: first_key(prefix),
-            range_end: End::of(prefix),
-            start_revision: Int(start),
-            progress_notify: true,
-        };
-        let send = self.request(step, WATCH_PATH).json(&WatchRequest { create_request }).send();
+        let send = self.request(step, &self.form().watch(prefix, start)).send();
         let response = tokio::time::timeout(self.timeout(), send)
             .await
             .map_err(|_| self.error(step, PlatformErrorKind::Timeout))?
@@ -81,9 +97,7 @@
         if !status.is_success() {
             return Err(self.error(step, PlatformErrorKind::Status(status.as_u16())));
         }
-        let before = self.waiting_watches().fetch_add(1, Ordering::Relaxed);
-        show_waiting(before + 1);
-        Ok(Watch { platform: self.clone(), response, buffer: Vec::new(), scanned: 0 })
+        Ok(Stream { response, buffer: Vec::new(), scanned: 0 })
     }
 }
 
@@ -92,15 +106,30 @@
     ///
     /// # Errors
     ///
-    /// When the stream ended or broke.
+    /// When the stream ended or broke, or a long poll failed.
     pub async fn next(&mut self) -> Result<Told, PlatformError> {
+        match &mut self.source {
+            Source::Stream(stream) => stream.next(&self.platform).await,
+            Source::LongPoll(poll) => poll.next(&self.platform).await,
+        }
+    }
+}
+
+impl Stream {
+    async fn next(&mut self, platform: &Platform) -> Result<Told, PlatformError> {
         loop {
             while let Some(line) = self.take_line() {
-                if let Some(told) = self.read(&line)? {
+                if line.trim_ascii().is_empty() {
+                    continue;
+                }
+                let reply = Reply { status: OK, body: Bytes::from(line) };
+                let told = platform.form().read_watch(&reply);
+                let told = told.map_err(|err| platform.unread(PlatformStep::Watch, OK, err))?;
+                if let Some(told) = told {
                     return Ok(told);
                 }
             }
-            self.fill().await?;
+            self.fill(platform).await?;
         }
     }
 
@@ -115,50 +144,46 @@
         Some(std::mem::replace(&mut self.buffer, rest))
     }
 
-    async fn fill(&mut self) -> Result<(), PlatformError> {
+    async fn fill(&mut self, platform: &Platform) -> Result<(), PlatformError> {
+        let step = PlatformStep::Watch;
         let chunk = self.response.chunk().await;
-        match chunk.map_err(|err| self.platform.failed(PlatformStep::Watch, &err))? {
+        match chunk.map_err(|err| platform.failed(step, &err))? {
             Some(bytes) => self.buffer.extend_from_slice(&bytes),
-            None => return Err(self.broken(PlatformErrorKind::Unreachable)),
+            None => return Err(platform.error(step, PlatformErrorKind::Unreachable)),
         }
         if self.buffer.len() > MAX_LINE_BYTES {
-            return Err(self.broken(PlatformErrorKind::Malformed("line too long".to_owned())));
+            let why = PlatformErrorKind::Malformed("line too long".to_owned());
+            return Err(platform.error(step, why));
         }
         Ok(())
     }
+}
 
-    fn read(&self, line: &[u8]) -> Result<Option<Told>, PlatformError> {
-        if line.trim_ascii().is_empty() {
-            return Ok(None);
-        }
-        let streamed: Streamed<WatchResponse> = serde_json::from_slice(line)
-            .map_err(|err| self.broken(PlatformErrorKind::Malformed(err.to_string())))?;
-        let told = streamed.result;
-        if told.compact_revision.0 > 0 {
-            return Ok(Some(Told::Compacted));
-        }
-        if told.canceled {
-            return Err(self.broken(PlatformErrorKind::Unreachable));
-        }
-        if !told.events.is_empty() {
-            return Ok(Some(Told::Changes(told.events.into_iter().map(change).collect())));
+impl LongPoll {
+    async fn next(&mut self, platform: &Platform) -> Result<Told, PlatformError> {
+        let step = PlatformStep::Watch;
+        let form = platform.form();
+        loop {
+            let call = form.watch(&self.prefix, self.start);
+            let within = self.wait + platform.timeout();
+            let read = platform.call_uncounted(step, &call, within, |reply| form.read_watch(reply));
+            let told = read.await;
+            count(step, told.as_ref().err());
+            if let Some(told) = told? {
+                self.start = self.start.max(next_start(&told));
+                return Ok(told);
+            }
         }
-        // The first answer tells the platform's revision, but not that the
-        // history up to it was sent.
-        let progress = !told.created && told.header.revision.0 > 0;
-        Ok(progress.then_some(Told::Progress(told.header.revision.0)))
-    }
-
-    fn broken(&self, kind: PlatformErrorKind) -> PlatformError {
-        self.platform.error(PlatformStep::Watch, kind)
     }
 }
 
-fn change(event: WatchEvent) -> Change {
-    match event.kind {
-        WatchEventKind::Put => Change::Put(KeyValue::from(event.kv)),
-        WatchEventKind::Delete => {
-            Change::Delete { key: event.kv.key.0, revision: event.kv.mod_revision.0 }
+/// Platform revision from which on nothing was told yet.
+fn next_start(told: &Told) -> u64 {
+    match told {
+        Told::Changes(changes) => {
+            changes.iter().map(Change::revision).max().map_or(0, |last| last + 1)
         }
+        Told::Progress(mark) => mark + 1,
+        Told::Compacted => 0,
     }
 }
--- a/crates/telemetry/src/logs.rs
+++ b/crates/telemetry/src/logs.rs
@@ -1,26 +1,48 @@
-//! Logs: one line of key=value pairs an event, on standard error.
+//! Logs: one line of key=value pairs an event, on standard error, or on standard
+//! output through a queue that never makes its writers wait.
 
 use {
+    crate::log_queue::LogQueue,
     log::LevelFilter,
-    simplelog::{ConfigBuilder, WriteLogger},
-    std::{fmt, io},
+    simplelog::{Config, ConfigBuilder, WriteLogger},
+    std::{fmt, io, sync::OnceLock},
 };
 
 /// Longest value written, in characters; the rest is cut.
 const MAX_VALUE_CHARS: usize = 200;
 
+static QUEUE: OnceLock<LogQueue> = OnceLock::new();
+
 /// Sets up logging for the process. A second call changes nothing.
 pub fn init(level: LevelFilter) {
-    let config = ConfigBuilder::new()
+    // Fails only if a logger is set already.
+    let _ = WriteLogger::init(level, config(), io::stderr());
+}
+
+/// Sets up logging to standard output by a thread of its own. Lines for which
+/// the queue has no room are dropped and counted.
+pub fn init_queued(level: LevelFilter) {
+    let queue = QUEUE.get_or_init(LogQueue::start);
+    // Fails only if a logger is set already.
+    let _ = WriteLogger::init(level, config(), queue.clone());
+}
+
+/// Waits until the queue of [`init_queued`] is written.
+pub fn flush() {
+    if let Some(queue) = QUEUE.get() {
+        queue.wait_until_written();
+    }
+}
+
+fn config() -> Config {
+    ConfigBuilder::new()
         .set_time_level(LevelFilter::Off)
         .set_thread_level(LevelFilter::Off)
         .set_target_level(LevelFilter::Off)
         .set_location_level(LevelFilter::Off)
         .set_max_level(LevelFilter::Off)
         .add_filter_allow_str("sycamorerail")
-        .build();
-    // Fails only if a logger is set already.
-    let _ = WriteLogger::init(level, config, io::stderr());
+        .build()
 }
 
 /// Reads a level's name in settings.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,7 +5,9 @@
 
 pub mod answer;
 pub mod codec;
+pub mod frames;
 pub mod ids;
 pub mod keys;
 pub mod message;
+pub mod runs;
 pub mod session;
--- /dev/null
+++ b/crates/wire/src/runs.rs
@@ -0,0 +1,322 @@
+//! Messages between entries and agents for runs under leases: tasks that an
+//! upstream runs only as long as its agent renews their lease.
+//!
+//! An agent dials every entry and keeps one connection to each. Messages go
+//! both ways without waiting for replies; what must not be lost (ends of runs)
+//! is numbered and sent again on the next connection.
+
+use {
+    crate::ids::Incarnation,
+    serde::{Deserialize, Serialize},
+    std::{fmt, net::SocketAddr, str::FromStr},
+};
+
+/// A job's id as its caller chose it: 16 lower-case hexadecimal digits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct CallerId(pub u64);
+
+impl fmt::Display for CallerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// The text is no [`CallerId`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NotCallerId;
+
+impl FromStr for CallerId {
+    type Err = NotCallerId;
+
+    fn from_str(text: &str) -> Result<Self, NotCallerId> {
+        let is_digit = |byte: u8| matches!(byte, b'0'..=b'9' | b'a'..=b'f');
+        if text.len() != 16 || !text.bytes().all(is_digit) {
+            return Err(NotCallerId);
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| NotCallerId)
+    }
+}
+
+/// One task of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskKey {
+    /// Its job.
+    pub job: CallerId,
+    /// Number of its step, from 0.
+    pub step: u8,
+    /// Its number within the step, from 0.
+    pub index: u16,
+}
+
+impl fmt::Display for TaskKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.step, self.index)
+    }
+}
+
+/// What a task takes of an upstream, or what an upstream has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Room {
+    /// Processor, in thousandths of a core.
+    pub cpu_milli: u32,
+    /// Memory, in megabytes.
+    pub memory_mb: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl Room {
+    /// Whether `need` fits.
+    #[must_use]
+    pub fn fits(&self, need: &Self) -> bool {
+        self.cpu_milli >= need.cpu_milli
+            && self.memory_mb >= need.memory_mb
+            && self.accelerators >= need.accelerators
+    }
+
+    /// What is left beside `taken`; nothing where more is taken than there is.
+    #[must_use]
+    pub fn less(&self, taken: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_sub(taken.cpu_milli),
+            memory_mb: self.memory_mb.saturating_sub(taken.memory_mb),
+            accelerators: self.accelerators.saturating_sub(taken.accelerators),
+        }
+    }
+
+    /// Both together.
+    #[must_use]
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+}
+
+/// One start of a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskStart {
+    /// The task's number within its step.
+    pub index: u16,
+    /// Number of the start: 1 for the first, then rising.
+    pub run: u32,
+}
+
+/// Tasks of one step of a job, for one agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Placement {
+    /// The job.
+    pub job: CallerId,
+    /// Number of the step.
+    pub step: u8,
+    /// The caller's text for the upstream.
+    pub spec: String,
+    /// The tasks to start.
+    pub tasks: Vec<TaskStart>,
+    /// What each takes.
+    pub need: Room,
+    /// Expected run time of each, in milliseconds.
+    pub run_ms: u32,
+    /// Lower goes first among tasks that can still be in time.
+    pub priority: u8,
+    /// Milliseconds from sending within which the job is in time.
+    pub objective_in_ms: u32,
+    /// Milliseconds from sending after which nobody waits for the job.
+    pub give_up_in_ms: u32,
+}
+
+/// Why a run did not start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum NotStarted {
+    /// The agent or its upstream is leaving.
+    Leaving,
+    /// It could not end before its caller gives up.
+    TooLate,
+    /// It was withdrawn before it started.
+    Withdrawn,
+    /// The upstream is gone or was not heard of.
+    NoUpstream,
+    /// The upstream has seen this run number or a higher one of the task.
+    OldRun,
+    /// The upstream refused for want of room.
+    NoRoom,
+    /// The upstream answered as unhealthy, or refused the order.
+    Refused,
+    /// The order was not carried out in time; it never will be.
+    Unanswered,
+}
+
+impl NotStarted {
+    /// Label of counters and logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::TooLate => "too_late",
+            Self::Withdrawn => "withdrawn",
+            Self::NoUpstream => "no_upstream",
+            Self::OldRun => "old_run",
+            Self::NoRoom => "no_room",
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// What became of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunEvent {
+    /// It began.
+    Started,
+    /// It ended well, after so many milliseconds.
+    Done {
+        /// Run time as the agent saw it.
+        run_ms: u32,
+    },
+    /// It ended by its own or the upstream's fault.
+    Failed {
+        /// Run time as the agent saw it.
+        run_ms: u32,
+    },
+    /// It was stopped on request.
+    Stopped,
+    /// It began, or may have begun, and surely runs no more; how it ended is
+    /// not known.
+    Lost,
+    /// It never began and never will.
+    NotStarted(NotStarted),
+}
+
+/// A numbered event of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// Rises with each report of an agent's run.
+    pub number: u64,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the start.
+    pub run: u32,
+    /// What happened.
+    pub event: RunEvent,
+}
+
+/// Load of an agent's upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
+    /// It takes new runs: announced, not leaving, nothing of an earlier run of
+    /// the agent is left on it.
+    pub usable: bool,
+    /// What it has in all.
+    pub capacity: Room,
+    /// What runs, or may run, takes.
+    pub taken: Room,
+    /// Work that waits at the agent, in thousandths of a core times
+    /// milliseconds.
+    pub waiting_milli_ms: u64,
+    /// Tasks that wait at the agent.
+    pub waiting: u32,
+    /// Run times against their estimates, in percent: 100 as expected.
+    pub slowness_percent: u32,
+    /// Share of recent runs that ended as failed, in percent.
+    pub failing_percent: u32,
+}
+
+/// A configuration as the platform holds it, passed on between processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationCopy {
+    /// Its revision; a higher one replaces a lower one.
+    pub revision: u64,
+    /// The stored value.
+    pub value: String,
+}
+
+/// An upstream's life as an entry remembers it for an agent that restarts.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLife {
+    /// Name of this life; another life has another name.
+    pub id: String,
+    /// The pool it belongs to.
+    pub pool: String,
+    /// What it has in all.
+    pub capacity: Room,
+    /// Its labels.
+    pub labels: Vec<String>,
+    /// It said that it leaves.
+    pub leaving: bool,
+}
+
+/// First message of an agent on a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunsHello {
+    /// This run of the agent.
+    pub agent: Incarnation,
+    /// Name from the settings, the same over restarts.
+    pub name: String,
+    /// Data centre from the settings.
+    pub data_centre: String,
+    /// The entry incarnation that the agent heard last at this address.
+    pub entry: Option<Incarnation>,
+    /// Runs of that incarnation that the agent holds, with their numbers. Others
+    /// that the entry placed before run no more, if they began at all.
+    pub held: Vec<(TaskKey, u32)>,
+    /// Reports to that incarnation that it has not confirmed.
+    pub reports: Vec<RunReport>,
+    /// Revision of the configuration copy that the agent holds.
+    pub configuration: u64,
+}
+
+/// From an agent to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FromRunsAgent {
+    /// First message of a connection.
+    Hello(RunsHello),
+    /// What became of runs, and the load after it. Also the heartbeat.
+    Report {
+        /// Messages heard from the entry on this connection.
+        heard: u64,
+        /// Reports not sent yet on this connection, in their order.
+        reports: Vec<RunReport>,
+        /// Load of the upstream.
+        load: UpstreamLoad,
+    },
+    /// The upstream's life, when it is known or has changed.
+    Upstream(UpstreamLife),
+    /// The agent holds this configuration, which the entry lacks.
+    Configuration(ConfigurationCopy),
+    /// Highest revision of a configuration that the agent holds.
+    Holds {
+        /// The revision.
+        revision: u64,
+    },
+}
+
+/// From an entry to an agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToRunsAgent {
+    /// First message of a connection, after the agent's.
+    Welcome {
+        /// This run of the entry.
+        entry: Incarnation,
+        /// The upstream's last known life, if the entry knows one.
+        upstream: Option<UpstreamLife>,
+    },
+    /// Addresses of all entries known, for agents to dial.
+    Members(Vec<SocketAddr>),
+    /// Start these tasks.
+    Place(Placement),
+    /// Start nothing more of the job, and stop what runs of it.
+    Stop(CallerId),
+    /// Heartbeat, with what was heard.
+    Beat {
+        /// Messages heard from the agent on this connection.
+        heard: u64,
+        /// All reports up to this number are taken note of.
+        confirmed: u64,
+    },
+    /// A newer configuration than the agent holds.
+    Configuration(ConfigurationCopy),
+    /// The entry holds an older configuration than the agent: send it.
+    WantConfiguration,
+}
