--- /dev/null
+++ b/crates/decide/tests/ledger.rs
@@ -0,0 +1,313 @@
+//! An agent's ledger: room, order, ends, doubt, silence.
+
+use {
+    sycamorerail_decide::ledger::{
+        EndKind, Ended, LeaseAnswer, Ledger, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{CallerId, NotStarted, Placement, Room, RunEvent, TaskKey, TaskStart, UpstreamLife},
+    },
+};
+
+const ENTRY: Incarnation = Incarnation(7);
+const OTHER_ENTRY: Incarnation = Incarnation(8);
+/// The upstream's clock when ours is at 0.
+const CLOCK_MS: u64 = 50_000;
+
+fn life(id: &str) -> UpstreamLife {
+    UpstreamLife {
+        id: id.to_owned(),
+        pool: "desk".to_owned(),
+        capacity: Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn placement(job: u64, count: u16, cpu_milli: u32) -> Placement {
+    Placement {
+        job: CallerId(job),
+        step: 0,
+        spec: "spec".to_owned(),
+        tasks: (0..count).map(|index| TaskStart { index, run: 1 }).collect(),
+        need: Room { cpu_milli, memory_mb: 10, accelerators: 0 },
+        run_ms: 100,
+        priority: 1,
+        objective_in_ms: 400,
+        give_up_in_ms: 2_000,
+    }
+}
+
+fn task(job: u64, index: u16) -> TaskKey {
+    TaskKey { job: CallerId(job), step: 0, index }
+}
+
+fn renew(ledger: &mut Ledger, now_ms: u64, running: &[(TaskKey, u32)], ended: &[Ended]) {
+    let answer = LeaseAnswer {
+        sent_ms: now_ms,
+        clock_ms: CLOCK_MS + now_ms,
+        running: running.to_vec(),
+        ended: ended.to_vec(),
+    };
+    ledger.renewed(&answer, now_ms);
+}
+
+/// A ledger with a clean upstream that answered a renewal at 1 ms.
+fn ready() -> Ledger {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(life("a"));
+    ledger.owner_heard(ENTRY, 1);
+    renew(&mut ledger, 1, &[], &[]);
+    ledger
+}
+
+fn starts(ledger: &mut Ledger, now_ms: u64) -> Vec<StartOrder> {
+    std::iter::from_fn(|| ledger.next_start(now_ms)).collect()
+}
+
+fn events(ledger: &Ledger, entry: Incarnation) -> Vec<(TaskKey, RunEvent)> {
+    ledger.reports(entry).into_iter().map(|report| (report.task, report.event)).collect()
+}
+
+fn ended(number: u64, job: u64, index: u16, kind: EndKind) -> Ended {
+    Ended { number, task: task(job, index), run: 1, kind }
+}
+
+#[test]
+fn room_is_never_exceeded() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 4, 3_000), 2);
+    let first = starts(&mut ledger, 2);
+    assert_eq!(first.len(), 3);
+    assert_eq!(ledger.load(2).taken.cpu_milli, 9_000);
+    for order in &first {
+        ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    }
+    assert!(starts(&mut ledger, 4).is_empty());
+    let running: Vec<_> = first[1..].iter().map(|order| (order.task, 1)).collect();
+    let end = ended(1, 1, first[0].task.index, EndKind::Done);
+    renew(&mut ledger, 60, &running, &[end]);
+    assert_eq!(starts(&mut ledger, 60).len(), 1);
+}
+
+#[test]
+fn a_stopped_run_keeps_its_room_until_its_end_is_listed() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 8_000), 2);
+    ledger.place(ENTRY, placement(2, 1, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    ledger.stop_job(ENTRY, CallerId(1));
+    assert_eq!(ledger.stops_due(4), [(order.task, 1)]);
+    ledger.stop_confirmed(order.task, 1, 5);
+    assert!(starts(&mut ledger, 6).is_empty());
+    renew(&mut ledger, 7, &[(order.task, 1)], &[]);
+    assert!(starts(&mut ledger, 8).is_empty());
+    renew(&mut ledger, 60, &[], &[ended(1, 1, 0, EndKind::Stopped)]);
+    assert_eq!(starts(&mut ledger, 60)[0].task, task(2, 0));
+    assert!(events(&ledger, ENTRY).contains(&(order.task, RunEvent::Stopped)));
+}
+
+#[test]
+fn a_start_without_an_answer_keeps_its_room_until_it_is_too_late() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Unanswered, 200);
+    ledger.place(ENTRY, placement(2, 1, 8_000), 200);
+    renew(&mut ledger, 250, &[], &[]);
+    assert!(starts(&mut ledger, 250).is_empty());
+    assert_eq!(order.late_after_clock_ms, CLOCK_MS + 302);
+    renew(&mut ledger, 304, &[], &[]);
+    assert_eq!(starts(&mut ledger, 304)[0].task, task(2, 0));
+    let never = RunEvent::NotStarted(NotStarted::Unanswered);
+    assert_eq!(events(&ledger, ENTRY)[0], (order.task, never));
+}
+
+#[test]
+fn a_start_without_an_answer_that_is_listed_runs() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Unanswered, 200);
+    renew(&mut ledger, 500, &[(order.task, 1)], &[]);
+    assert_eq!(events(&ledger, ENTRY), [(order.task, RunEvent::Started)]);
+    renew(&mut ledger, 600, &[], &[ended(1, 1, 0, EndKind::Done)]);
+    assert!(matches!(events(&ledger, ENTRY)[1].1, RunEvent::Done { .. }));
+    assert_eq!(ledger.load(600).taken, Room::default());
+}
+
+#[test]
+fn what_an_earlier_agent_left_is_stopped_before_anything_starts() {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(life("a"));
+    ledger.owner_heard(ENTRY, 1);
+    renew(&mut ledger, 1, &[(task(9, 0), 3)], &[]);
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    assert!(starts(&mut ledger, 2).is_empty());
+    assert!(!ledger.load(2).usable);
+    assert_eq!(ledger.stops_due(2), [(task(9, 0), 3)]);
+    assert!(ledger.stops_due(3).is_empty());
+    renew(&mut ledger, 60, &[], &[]);
+    assert!(ledger.load(60).usable);
+    assert_eq!(starts(&mut ledger, 60).len(), 1);
+}
+
+#[test]
+fn nothing_starts_after_a_pause_until_the_upstream_answers() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    ledger.owner_heard(ENTRY, 5_000);
+    assert!(starts(&mut ledger, 5_000).is_empty());
+}
+
+#[test]
+fn a_lapsed_lease_loses_runs_and_hands_waiting_tasks_back() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 2, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    ledger.check_lapse(900);
+    let back = RunEvent::NotStarted(NotStarted::NoUpstream);
+    assert_eq!(events(&ledger, ENTRY)[1], (task(1, 1), back));
+    // The last renewal may have been sent up to 800 ms after the answered one,
+    // for a second of a clock that is 2 % slow.
+    ledger.check_lapse(1 + 800 + 1_020 - 1);
+    assert_eq!(events(&ledger, ENTRY).len(), 2);
+    assert!(ledger.lease_until_clock_ms(1_500).is_none());
+    ledger.check_lapse(1 + 800 + 1_020);
+    assert_eq!(events(&ledger, ENTRY)[2], (order.task, RunEvent::Lost));
+    // The upstream still lists it: it is stopped, and nothing starts meanwhile.
+    renew(&mut ledger, 3_000, &[(order.task, 1)], &[]);
+    ledger.owner_heard(ENTRY, 3_000);
+    ledger.place(ENTRY, placement(2, 1, 1_000), 3_000);
+    assert!(starts(&mut ledger, 3_000).is_empty());
+    assert_eq!(ledger.stops_due(3_000), [(order.task, 1)]);
+}
+
+#[test]
+fn a_silent_entry_loses_its_runs() {
+    let mut ledger = ready();
+    ledger.owner_heard(OTHER_ENTRY, 800);
+    ledger.place(ENTRY, placement(1, 2, 8_000), 2);
+    ledger.place(OTHER_ENTRY, placement(2, 1, 1_000), 800);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    assert!(ledger.drop_silent_owners(900).is_empty());
+    assert_eq!(ledger.drop_silent_owners(901), [ENTRY]);
+    assert_eq!(ledger.stops_due(901), [(order.task, 1)]);
+    assert_eq!(ledger.held(ENTRY), [(order.task, 1)]);
+    assert_eq!(ledger.held(OTHER_ENTRY), [(task(2, 0), 1)]);
+}
+
+#[test]
+fn a_task_of_a_silent_entry_does_not_start() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    renew(&mut ledger, 890, &[], &[]);
+    renew(&mut ledger, 920, &[], &[]);
+    assert!(starts(&mut ledger, 920).is_empty());
+}
+
+#[test]
+fn a_job_in_time_goes_before_a_late_one_and_hopeless_ones_go_back() {
+    let mut ledger = ready();
+    let late = Placement { objective_in_ms: 110, ..placement(1, 1, 8_000) };
+    let hopeless = Placement { objective_in_ms: 100, give_up_in_ms: 105, ..placement(2, 1, 8_000) };
+    ledger.place(ENTRY, late, 2);
+    ledger.place(ENTRY, hopeless, 2);
+    ledger.place(ENTRY, placement(3, 1, 8_000), 2);
+    assert_eq!(starts(&mut ledger, 100)[0].task, task(3, 0));
+    let back = RunEvent::NotStarted(NotStarted::TooLate);
+    assert_eq!(events(&ledger, ENTRY), [(task(2, 0), back)]);
+}
+
+#[test]
+fn a_leaving_upstream_takes_nothing_and_finishes_what_runs() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 2, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    ledger.set_upstream(UpstreamLife { leaving: true, ..life("a") });
+    ledger.place(ENTRY, placement(2, 1, 1_000), 10);
+    let back = RunEvent::NotStarted(NotStarted::Leaving);
+    assert_eq!(events(&ledger, ENTRY)[1..], [(task(1, 1), back), (task(2, 0), back)]);
+    renew(&mut ledger, 110, &[], &[ended(1, 1, 0, EndKind::Done)]);
+    assert!(matches!(events(&ledger, ENTRY)[3].1, RunEvent::Done { .. }));
+}
+
+#[test]
+fn another_life_loses_what_ran_on_the_one_before() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    ledger.set_upstream(life("b"));
+    assert_eq!(events(&ledger, ENTRY)[1], (order.task, RunEvent::Lost));
+    assert!(!ledger.load(4).usable);
+    // Ends are counted anew in each life.
+    ledger.place(ENTRY, placement(2, 1, 8_000), 5);
+    renew(&mut ledger, 6, &[], &[]);
+    assert_eq!(starts(&mut ledger, 6).len(), 1);
+    ledger.start_answered(task(2, 0), 1, StartAnswer::Started, 7);
+    renew(&mut ledger, 110, &[], &[ended(1, 2, 0, EndKind::Done)]);
+    assert_eq!(ledger.acknowledged(), 1);
+}
+
+#[test]
+fn an_end_is_taken_once() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    starts(&mut ledger, 2);
+    ledger.start_answered(task(1, 0), 1, StartAnswer::Started, 3);
+    let end = ended(1, 1, 0, EndKind::Failed);
+    renew(&mut ledger, 50, &[], &[end]);
+    renew(&mut ledger, 60, &[], &[end]);
+    let failed = events(&ledger, ENTRY).into_iter();
+    assert_eq!(failed.filter(|(_, event)| matches!(event, RunEvent::Failed { .. })).count(), 1);
+}
+
+#[test]
+fn reports_are_kept_until_confirmed() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 2, 1_000), 2);
+    starts(&mut ledger, 2);
+    let refused = StartAnswer::Refused(StartRefusal::OldRun);
+    ledger.start_answered(task(1, 0), 1, refused, 3);
+    ledger.start_answered(task(1, 1), 1, StartAnswer::Started, 3);
+    let numbers: Vec<_> = ledger.reports(ENTRY).iter().map(|report| report.number).collect();
+    assert_eq!(numbers, [1, 2]);
+    ledger.confirmed(ENTRY, 1);
+    assert_eq!(ledger.reports(ENTRY)[0].event, RunEvent::Started);
+    assert!(!ledger.is_idle());
+}
+
+#[test]
+fn a_copy_of_a_task_from_another_entry_is_refused() {
+    let mut ledger = ready();
+    ledger.owner_heard(OTHER_ENTRY, 2);
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    ledger.place(OTHER_ENTRY, placement(1, 1, 1_000), 3);
+    let refused = RunEvent::NotStarted(NotStarted::Refused);
+    assert_eq!(events(&ledger, OTHER_ENTRY), [(task(1, 0), refused)]);
+    assert_eq!(starts(&mut ledger, 3).len(), 1);
+}
+
+#[test]
+fn failing_and_slow_runs_show_in_the_load() {
+    let mut ledger = ready();
+    for number in 1..=8 {
+        ledger.place(ENTRY, placement(number, 1, 1_000), number * 300);
+        renew(&mut ledger, number * 300, &[], &[]);
+        ledger.owner_heard(ENTRY, number * 300);
+        assert_eq!(starts(&mut ledger, number * 300).len(), 1);
+        ledger.start_answered(task(number, 0), 1, StartAnswer::Started, number * 300);
+        let kind = if number < 5 { EndKind::Failed } else { EndKind::Done };
+        renew(&mut ledger, number * 300 + 299, &[], &[ended(number, number, 0, kind)]);
+    }
+    let load = ledger.load(2_700);
+    assert!(load.slowness_percent > 150, "{load:?}");
+    assert!(load.failing_percent > 5, "{load:?}");
+    assert_eq!(ledger.load(20_000).failing_percent, 0);
+}
