--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -128,7 +128,8 @@
             return Err(refused(GiveUp::Stopping, RETRY_MS.0 as u32));
         }
         if self.by_id.contains_key(&request.id) {
-            return Err(refused(GiveUp::Duplicate, RETRY_MS.0 as u32));
+            // The first may have run: "not run" would not be true.
+            return Err(JobAnswer::Unknown { why: GiveUp::Duplicate });
         }
         if self.jobs.len() >= self.limits.max_jobs {
             return Err(refused(GiveUp::Overload, NO_UPSTREAM_RETRY_MS));
--- /dev/null
+++ b/crates/decide/tests/dispatch.rs
@@ -0,0 +1,374 @@
+//! Dispatch of jobs at an entry: placement of whole jobs, attempts, refusals,
+//! reconciliation with agents.
+
+use {
+    std::sync::Arc,
+    sycamorerail_decide::dispatch::{
+        AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
+        KindParameters, StepRequest,
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{
+            CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife,
+            UpstreamLoad,
+        },
+    },
+};
+
+const CAPACITY: Room = Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
+
+struct Site {
+    dispatch: Dispatch,
+    now_ms: u64,
+    reports: u64,
+}
+
+fn load(taken_milli: u32) -> UpstreamLoad {
+    UpstreamLoad {
+        usable: true,
+        capacity: CAPACITY,
+        taken: Room { cpu_milli: taken_milli, memory_mb: 0, accelerators: 0 },
+        slowness_percent: 100,
+        ..UpstreamLoad::default()
+    }
+}
+
+fn life(labels: &[&str]) -> UpstreamLife {
+    UpstreamLife {
+        id: "life".to_owned(),
+        pool: "desk".to_owned(),
+        capacity: CAPACITY,
+        labels: labels.iter().map(|&label| label.to_owned()).collect(),
+        leaving: false,
+    }
+}
+
+fn kind() -> Arc<KindParameters> {
+    Arc::new(KindParameters {
+        name: "reach-check".to_owned(),
+        pool: "desk".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.5,
+        target_ms: 60,
+    })
+}
+
+fn step(count: u16) -> StepRequest {
+    StepRequest {
+        count,
+        need: Room { cpu_milli: 3_000, memory_mb: 10, accelerators: 0 },
+        run_ms: 100,
+        ..StepRequest::default()
+    }
+}
+
+fn job(id: u64, steps: Vec<StepRequest>) -> JobRequest {
+    JobRequest {
+        id: CallerId(id),
+        kind: kind(),
+        spec: "spec".to_owned(),
+        steps,
+        arrived_ms: 100,
+        deadline_ms: 2_100,
+    }
+}
+
+fn task(job: u64, step: u8, index: u16) -> TaskKey {
+    TaskKey { job: CallerId(job), step, index }
+}
+
+impl Site {
+    /// An entry at 100 ms with agents whose upstreams have so much taken.
+    fn new(taken_milli: &[u32]) -> (Self, Vec<AgentKey>) {
+        let dispatch = Dispatch::new(DispatchLimits::default());
+        let mut site = Self { dispatch, now_ms: 100, reports: 0 };
+        let agents = taken_milli
+            .iter()
+            .enumerate()
+            .map(|(number, taken)| site.connect(&format!("agent-{number}"), 1, load(*taken)))
+            .collect();
+        (site, agents)
+    }
+
+    fn connect(&mut self, name: &str, run: u64, load: UpstreamLoad) -> AgentKey {
+        let dispatch = &mut self.dispatch;
+        let agent = dispatch.agent_connected(name, Incarnation(run), None, self.now_ms);
+        dispatch.agent_ready(agent, self.now_ms);
+        dispatch.set_life(agent, life(&[]));
+        dispatch.report(agent, &[], load, 0, self.now_ms);
+        agent
+    }
+
+    fn submit(&mut self, request: JobRequest) -> JobKey {
+        self.dispatch.submit(request, self.now_ms).unwrap()
+    }
+
+    fn refuse(&mut self, request: JobRequest) -> JobAnswer {
+        self.dispatch.submit(request, self.now_ms).unwrap_err()
+    }
+
+    fn tell(&mut self, agent: AgentKey, task: TaskKey, run: u32, event: RunEvent) {
+        self.reports += 1;
+        let report = RunReport { number: self.reports, task, run, event };
+        self.dispatch.report(agent, &[report], load(0), 0, self.now_ms);
+    }
+
+    fn placements(&mut self) -> Vec<(AgentKey, Placement)> {
+        let placed =
+            self.dispatch.take_commands().into_iter().filter_map(|command| match command {
+                Command::Place(agent, placement) => Some((agent, placement)),
+                _ => None,
+            });
+        placed.collect()
+    }
+
+    fn answers(&mut self) -> Vec<JobAnswer> {
+        let told = self.dispatch.take_commands().into_iter().filter_map(|command| match command {
+            Command::Answer(_, answer) => Some(answer),
+            _ => None,
+        });
+        told.collect()
+    }
+}
+
+fn done() -> RunEvent {
+    RunEvent::Done { run_ms: 100 }
+}
+
+fn failed() -> RunEvent {
+    RunEvent::Failed { run_ms: 100 }
+}
+
+#[test]
+fn a_job_is_spread_over_free_room() {
+    let (mut site, agents) = Site::new(&[0, 0, 9_000]);
+    site.submit(job(1, vec![step(6)]));
+    let placed = site.placements();
+    let count = |agent| -> usize {
+        let here = placed.iter().filter(|(at, _)| *at == agent);
+        here.map(|(_, placement)| placement.tasks.len()).sum()
+    };
+    assert_eq!([count(agents[0]), count(agents[1]), count(agents[2])], [3, 3, 0]);
+    assert_eq!(placed.len(), 2, "one message for each agent");
+}
+
+#[test]
+fn what_was_sent_counts_until_the_agent_has_heard_it() {
+    let (mut site, agents) = Site::new(&[0, 0]);
+    site.submit(job(1, vec![step(1)]));
+    let (first, placement) = site.placements().remove(0);
+    site.dispatch.message_sent(first, Some(&placement), site.now_ms);
+    site.submit(job(2, vec![step(1)]));
+    let (second, _) = site.placements().remove(0);
+    assert_ne!(first, second);
+    // Heard, and its load shows nothing taken: the task has ended.
+    site.dispatch.report(first, &[], load(0), 1, site.now_ms);
+    site.dispatch.report(second, &[], load(3_000), 0, site.now_ms);
+    site.submit(job(3, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, first);
+    assert!(agents.contains(&first));
+}
+
+#[test]
+fn all_tasks_done_complete_a_job() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(2)]));
+    site.tell(agents[0], task(1, 0, 0), 1, done());
+    assert!(site.answers().is_empty());
+    site.tell(agents[0], task(1, 0, 0), 1, done());
+    assert!(site.answers().is_empty(), "a report told twice counts once");
+    site.tell(agents[0], task(1, 0, 1), 1, done());
+    assert_eq!(site.answers(), [JobAnswer::Completed]);
+    assert_eq!(site.dispatch.job_count(), 0);
+}
+
+#[test]
+fn steps_wait_for_those_before_them() {
+    let (mut site, agents) = Site::new(&[0]);
+    let second = StepRequest { after: vec![0], ..step(1) };
+    site.submit(job(1, vec![step(2), second]));
+    assert_eq!(site.placements().len(), 1);
+    site.tell(agents[0], task(1, 0, 0), 1, done());
+    assert!(site.placements().is_empty());
+    site.tell(agents[0], task(1, 0, 1), 1, done());
+    assert_eq!(site.placements()[0].1.step, 1);
+    site.tell(agents[0], task(1, 1, 0), 1, done());
+    assert_eq!(site.answers(), [JobAnswer::Completed]);
+}
+
+#[test]
+fn a_failed_task_goes_elsewhere_and_fails_its_job_at_the_last_attempt() {
+    let (mut site, _) = Site::new(&[0, 0]);
+    site.submit(job(1, vec![step(1)]));
+    let (first, _) = site.placements().remove(0);
+    site.tell(first, task(1, 0, 0), 1, failed());
+    let (second, placement) = site.placements().remove(0);
+    assert_ne!(first, second);
+    assert_eq!(placement.tasks[0].run, 2);
+    site.tell(first, task(1, 0, 0), 1, failed());
+    assert!(site.answers().is_empty(), "an old run's end does not count");
+    site.tell(second, task(1, 0, 0), 2, failed());
+    assert_eq!(site.answers(), [JobAnswer::Failed]);
+}
+
+#[test]
+fn lost_runs_do_not_count_as_attempts() {
+    let (mut site, _) = Site::new(&[0, 0]);
+    site.submit(job(1, vec![step(1)]));
+    for run in 1..6 {
+        let (agent, _) = site.placements().remove(0);
+        site.tell(agent, task(1, 0, 0), run, RunEvent::Lost);
+    }
+    let (agent, _) = site.placements().remove(0);
+    site.tell(agent, task(1, 0, 0), 6, done());
+    assert_eq!(site.answers(), [JobAnswer::Completed]);
+}
+
+#[test]
+fn not_run_is_said_only_when_no_task_began() {
+    let (mut site, agents) = Site::new(&[0]);
+    let key = site.submit(job(1, vec![step(1)]));
+    site.dispatch.take_commands();
+    site.dispatch.cancel(key);
+    assert_eq!(site.dispatch.take_commands(), [Command::Stop(agents[0], CallerId(1))]);
+    let withdrawn = RunEvent::NotStarted(NotStarted::Withdrawn);
+    site.tell(agents[0], task(1, 0, 0), 1, withdrawn);
+    let answer = site.answers().remove(0);
+    assert!(matches!(answer, JobAnswer::NotRun { why: GiveUp::Cancelled, .. }));
+
+    let key = site.submit(job(2, vec![step(1)]));
+    site.dispatch.cancel(key);
+    site.dispatch.take_commands();
+    site.tell(agents[0], task(2, 0, 0), 1, RunEvent::Started);
+    site.tell(agents[0], task(2, 0, 0), 1, RunEvent::Stopped);
+    assert_eq!(site.answers(), [JobAnswer::Unknown { why: GiveUp::Cancelled }]);
+}
+
+#[test]
+fn a_job_that_cannot_end_in_time_is_refused_at_once() {
+    let (mut site, agents) = Site::new(&[9_000]);
+    let waiting = UpstreamLoad { waiting: 90, waiting_milli_ms: 30_000_000, ..load(9_000) };
+    site.dispatch.report(agents[0], &[], waiting, 0, site.now_ms);
+    let answer = site.refuse(job(1, vec![step(1)]));
+    let JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms } = answer else {
+        panic!("{answer:?}");
+    };
+    assert!((2_500..3_500).contains(&retry_after_ms), "{retry_after_ms}");
+}
+
+#[test]
+fn a_job_that_no_upstream_could_hold_fails_at_once() {
+    let (mut site, _) = Site::new(&[0]);
+    let mut huge = step(1);
+    huge.need.cpu_milli = 11_000;
+    assert_eq!(site.refuse(job(1, vec![huge])), JobAnswer::Failed);
+}
+
+#[test]
+fn a_job_waits_for_an_upstream_as_long_as_it_can_be_in_time() {
+    let (mut site, _) = Site::new(&[]);
+    site.submit(job(1, vec![step(1)]));
+    site.now_ms = 2_000;
+    site.dispatch.tick(site.now_ms);
+    assert!(site.answers().is_empty());
+    site.now_ms = 2_001;
+    site.dispatch.tick(site.now_ms);
+    let answer = site.answers().remove(0);
+    assert!(matches!(answer, JobAnswer::NotRun { why: GiveUp::NoUpstream, .. }));
+}
+
+#[test]
+fn a_silent_agent_gets_nothing_new_and_then_loses_its_runs() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.dispatch.take_commands();
+    site.now_ms = 100 + 700;
+    assert_eq!(site.dispatch.usable_agents(site.now_ms), 0);
+    let other = site.connect("agent-b", 1, load(0));
+    site.now_ms = 100 + 1_499;
+    site.dispatch.tick(site.now_ms);
+    assert!(site.placements().is_empty());
+    site.dispatch.agent_ready(other, site.now_ms);
+    site.dispatch.report(other, &[], load(0), 0, site.now_ms);
+    site.now_ms = 100 + 1_500;
+    site.dispatch.tick(site.now_ms);
+    let (agent, placement) = site.placements().remove(0);
+    assert_eq!((agent, placement.tasks[0].run), (other, 2));
+    assert_ne!(agent, agents[0]);
+}
+
+#[test]
+fn a_new_connection_reconciles_what_the_agent_holds() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(2)]));
+    site.dispatch.take_commands();
+    let held = [(task(1, 0, 0), 1)];
+    let name = "agent-0";
+    site.dispatch.agent_disconnected(agents[0]);
+    site.dispatch.agent_connected(name, Incarnation(1), Some(&held), site.now_ms);
+    site.dispatch.agent_ready(agents[0], site.now_ms);
+    site.dispatch.report(agents[0], &[], load(0), 0, site.now_ms);
+    let (_, placement) = site.placements().remove(0);
+    assert_eq!((placement.tasks[0].index, placement.tasks[0].run), (1, 2));
+}
+
+#[test]
+fn a_restarted_agent_loses_runs_only_when_it_is_clean() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.dispatch.take_commands();
+    site.dispatch.agent_connected("agent-0", Incarnation(2), None, site.now_ms);
+    site.dispatch.agent_ready(agents[0], site.now_ms);
+    let unclean = UpstreamLoad { usable: false, ..load(0) };
+    site.dispatch.report(agents[0], &[], unclean, 0, site.now_ms);
+    assert!(site.placements().is_empty());
+    site.dispatch.report(agents[0], &[], load(0), 0, site.now_ms);
+    assert_eq!(site.placements()[0].1.tasks[0].run, 2);
+}
+
+#[test]
+fn an_upstream_that_has_seen_a_higher_run_gets_one_above_it() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.dispatch.take_commands();
+    let old = RunEvent::NotStarted(NotStarted::OldRun);
+    site.tell(agents[0], task(1, 0, 0), 1, old);
+    assert!(site.placements()[0].1.tasks[0].run > 2);
+}
+
+#[test]
+fn a_copy_of_a_job_in_flight_is_not_taken() {
+    let (mut site, _) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    let answer = site.refuse(job(1, vec![step(1)]));
+    assert_eq!(answer, JobAnswer::Unknown { why: GiveUp::Duplicate });
+}
+
+#[test]
+fn labels_and_counts_by_upstream_bind() {
+    let (mut site, agents) = Site::new(&[0, 0, 0]);
+    site.dispatch.set_life(agents[0], life(&["b"]));
+    site.dispatch.set_life(agents[1], life(&["b"]));
+    let bound =
+        StepRequest { required_label: Some("b".to_owned()), max_per_upstream: Some(2), ..step(5) };
+    site.submit(job(1, vec![bound]));
+    let placed = site.placements();
+    assert_eq!(placed.len(), 2);
+    for (agent, placement) in placed {
+        assert_ne!(agent, agents[2]);
+        assert_eq!(placement.tasks.len(), 2);
+    }
+}
+
+#[test]
+fn failing_and_slow_upstreams_are_avoided() {
+    let (mut site, agents) = Site::new(&[0, 0, 3_000]);
+    let failing = UpstreamLoad { failing_percent: 60, ..load(0) };
+    let slow = UpstreamLoad { slowness_percent: 400, ..load(0) };
+    site.dispatch.report(agents[0], &[], failing, 0, site.now_ms);
+    site.dispatch.report(agents[1], &[], slow, 0, site.now_ms);
+    site.submit(job(1, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, agents[2]);
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -3,6 +3,7 @@
 use {
     super::Desk,
     parking_lot::Mutex,
+    rand::Rng,
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -31,6 +32,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Heartbeat of each link: a one-way cut is seen within three of them.
 const BEAT: Duration = Duration::from_millis(200);
+/// A configuration is sent to an agent after up to so many heartbeats, at random:
+/// meanwhile the agent tells whether another entry sent it. A copy can have more
+/// than 60 KB, and there are as many entries as would send it.
+const COPY_AFTER_BEATS: u32 = 5;
 /// An agent that was not heard for this long is disconnected.
 const SILENCE_MS: u64 = 2_500;
 
@@ -226,13 +231,14 @@
         let mut members = self.desk.members.subscribe();
         members.mark_changed();
         let mut beats = tokio::time::interval(BEAT);
+        let mut wait_beats = 0;
         loop {
             if let Err(error) = self.write(&mut writer).await {
                 return error;
             }
             tokio::select! {
                 () = self.outbox.filled.notified() => {}
-                _ = beats.tick() => self.beat(),
+                _ = beats.tick() => self.beat(&mut wait_beats),
                 _ = members.changed() => {
                     let known = members.borrow_and_update().clone();
                     self.tell(ToRunsAgent::Members(known));
@@ -263,7 +269,7 @@
 
     /// Queues a heartbeat, and what the agent or this entry lacks of the
     /// configuration.
-    fn beat(&self) {
+    fn beat(&self, wait_beats: &mut u32) {
         let heard = self.heard.load(Ordering::Acquire);
         let confirmed = self.confirmed.load(Ordering::Acquire);
         self.tell(ToRunsAgent::Beat { heard, confirmed });
@@ -273,8 +279,16 @@
         if theirs > own {
             self.tell(ToRunsAgent::WantConfiguration);
         } else if let Some(held) = held.filter(|_| own > theirs) {
-            self.agent_revision.fetch_max(own, Ordering::AcqRel);
-            self.tell(ToRunsAgent::Configuration((*held).clone()));
+            if *wait_beats == 0 {
+                *wait_beats = rand::rng().random_range(1..=COPY_AFTER_BEATS);
+            }
+            *wait_beats -= 1;
+            if *wait_beats == 0 {
+                self.agent_revision.fetch_max(own, Ordering::AcqRel);
+                self.tell(ToRunsAgent::Configuration((*held).clone()));
+            }
+        } else {
+            *wait_beats = 0;
         }
     }
 }
