--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -21,6 +21,10 @@
     Done,
 }
 
+/// A result is of use up to so many times the span in which a job is in time:
+/// the users count it as late until then, and as none after.
+const USEFUL_SPANS: u64 = 3;
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -50,6 +54,8 @@
     pub request: JobRequest,
     /// When it must end to be in time.
     pub objective_ms: u64,
+    /// When its result is of no use any more.
+    pub give_up_ms: u64,
     /// Tasks by step.
     pub tasks: Vec<Vec<Task>>,
     /// Tasks not done, by step.
@@ -84,9 +90,11 @@
         let open = request.steps.iter().map(|step| step.count).collect();
         let chain_ms = longest_chain_ms(&request.steps) * u64::from(work_percent) / 100;
         let stretched_ms = chain_ms as f64 * request.kind.stretch;
-        let objective_ms =
-            request.arrived_ms + stretched_ms as u64 + u64::from(request.kind.target_ms);
-        Self { request, objective_ms, tasks, open, may_have_run: false, ending: None }
+        let span_ms = stretched_ms as u64 + u64::from(request.kind.target_ms);
+        let objective_ms = request.arrived_ms + span_ms;
+        let useful_until_ms = request.arrived_ms + span_ms * USEFUL_SPANS;
+        let give_up_ms = request.deadline_ms.min(useful_until_ms);
+        Self { request, objective_ms, give_up_ms, tasks, open, may_have_run: false, ending: None }
     }
 
     /// Whether the steps before this one are done.
