Ledger: among tasks in time the kind's priority goes before the latest start

Cause: tasks of kinds that the operator put first waited behind those of others whose latest start came sooner.

--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -81,8 +81,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     is_late: bool,
-    start_by_ms: u64,
     priority: u8,
+    start_by_ms: u64,
     arrival: u64,
 }
 
