Ledger: slowness fades without news, so that an upstream is tried again

Ruled out: failing share (0 %), missing links (4 of 4), room (0 taken). Change: the excess over the estimate is halved after each second without a run. Test: an_upstream_that_was_slow_is_tried_again.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -33,6 +33,8 @@
 /// Pause between looks at what is due by time. Waiting tasks are started by
 /// events; only time-outs wait for it.
 const TICK: Duration = Duration::from_millis(25);
+/// One line a second tells the load that entries place by.
+const TICKS_PER_LOAD_LINE: u64 = 40;
 /// Pause between looks at whether a planned stop is complete.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
@@ -265,12 +267,29 @@
     }
 }
 
+fn log_load(leased: &Leased) {
+    let load = leased.ledger.lock().load(leased.clock.now_ms());
+    event!(
+        Info,
+        "load",
+        usable = load.usable,
+        taken_cpu_milli = load.taken.cpu_milli,
+        waiting = load.waiting,
+        slowness_percent = load.slowness_percent,
+        failing_percent = load.failing_percent,
+        entries = leased.connected(),
+    );
+}
+
 /// Does what is due by time alone.
 async fn tick(leased: Arc<Leased>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
+    for count in 0_u64.. {
         ticks.tick().await;
+        if count.is_multiple_of(TICKS_PER_LOAD_LINE) {
+            log_load(&leased);
+        }
         let silent = leased.change(|ledger, now_ms| {
             ledger.check_lapse(now_ms);
             ledger.expire(now_ms);
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -42,9 +42,12 @@
 const TRUSTED_PERCENT: u64 = 80;
 /// The upstream's clock may be this much slower than ours, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
-/// A share of failures is halved after each such time without news, so that an
-/// upstream that was avoided is tried again.
-const FAILING_HALF_LIFE_MS: u64 = 1_000;
+/// What is held against an upstream is halved after each such time without news,
+/// so that one that is avoided is tried again: without it an upstream that was
+/// slow for 7 s stayed unused for up to 8 s more.
+const BLAME_HALF_LIFE_MS: u64 = 1_000;
+/// Run times as the estimates say, in percent.
+const SOUND_PERCENT: u32 = 100;
 /// Waiting tasks looked at for one that fits, so that a wide task at the head
 /// does not leave room unused for long.
 const LOOK_AHEAD: usize = 16;
@@ -124,6 +127,7 @@
     owners: Owners,
     leftovers: HashMap<(TaskKey, u32), Stop>,
     slowness_percent: u32,
+    slowness_at_ms: u64,
     failing_percent: u32,
     failing_at_ms: u64,
     decided: Vec<Decided>,
@@ -150,7 +154,8 @@
             arrivals: 0,
             owners: Owners::default(),
             leftovers: HashMap::new(),
-            slowness_percent: 100,
+            slowness_percent: SOUND_PERCENT,
+            slowness_at_ms: 0,
             failing_percent: 0,
             failing_at_ms: 0,
             decided: Vec::new(),
@@ -177,7 +182,7 @@
         }
         if self.life.as_ref().is_none_or(|known| known.id != life.id) {
             self.lose_upstream();
-            self.slowness_percent = 100;
+            self.slowness_percent = SOUND_PERCENT;
             self.failing_percent = 0;
         }
         self.leaving = life.leaving;
@@ -534,7 +539,7 @@
         };
         match ended.kind {
             EndKind::Done => {
-                self.note_run_time(run_ms, estimate_ms);
+                self.note_run_time(run_ms, estimate_ms, now_ms);
                 self.note_failure(false, now_ms);
             }
             EndKind::Failed => self.note_failure(true, now_ms),
@@ -603,9 +608,16 @@
         self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
     }
 
-    fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32) {
+    fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
         let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
-        self.slowness_percent = average(self.slowness_percent, percent);
+        self.slowness_percent = average(self.slowness_faded(now_ms), percent);
+        self.slowness_at_ms = now_ms;
+    }
+
+    fn slowness_faded(&self, now_ms: u64) -> u32 {
+        let halvings = now_ms.saturating_sub(self.slowness_at_ms) / BLAME_HALF_LIFE_MS;
+        let excess = self.slowness_percent.saturating_sub(SOUND_PERCENT) >> halvings.min(31);
+        self.slowness_percent.min(SOUND_PERCENT) + excess
     }
 
     fn note_failure(&mut self, failed: bool, now_ms: u64) {
@@ -615,7 +627,7 @@
     }
 
     fn failing_now(&self, now_ms: u64) -> u32 {
-        let halvings = now_ms.saturating_sub(self.failing_at_ms) / FAILING_HALF_LIFE_MS;
+        let halvings = now_ms.saturating_sub(self.failing_at_ms) / BLAME_HALF_LIFE_MS;
         self.failing_percent >> halvings.min(31)
     }
 
@@ -646,11 +658,12 @@
             _ => None,
         });
         let worst: Vec<_> = overdue.filter(|percent| *percent > OVERDUE_PERCENT).collect();
+        let faded = self.slowness_faded(now_ms);
         if worst.len() * 2 <= self.active_count() || worst.is_empty() {
-            return self.slowness_percent;
+            return faded;
         }
         let mean = worst.iter().sum::<u64>() / worst.len() as u64;
-        self.slowness_percent.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
+        faded.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
     }
 
     /// Takes a run out and reports what became of it.
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -311,3 +311,22 @@
     assert!(load.failing_percent > 5, "{load:?}");
     assert_eq!(ledger.load(20_000).failing_percent, 0);
 }
+
+/// An upstream six times as slow as expected gets nothing; when it is sound again
+/// only its load can bring it work.
+#[test]
+fn an_upstream_that_was_slow_is_tried_again() {
+    let mut ledger = ready();
+    for number in 1..=10 {
+        let now_ms = number * 600;
+        ledger.owner_heard(ENTRY, now_ms);
+        ledger.place(ENTRY, placement(number, 1, 1_000), now_ms);
+        renew(&mut ledger, now_ms, &[], &[]);
+        starts(&mut ledger, now_ms);
+        ledger.start_answered(task(number, 0), 1, StartAnswer::Started, now_ms);
+        renew(&mut ledger, now_ms + 599, &[], &[ended(number, number, 0, EndKind::Done)]);
+    }
+    assert!(ledger.load(6_600).slowness_percent > 350);
+    assert!(ledger.load(6_600 + 2_000).slowness_percent < 250);
+    assert!(ledger.load(6_600 + 4_000).slowness_percent < 150);
+}
