Dispatch: waits are forecast by what is as urgent, and by what is left of runs

The forecast counted less urgent work as ahead, and took the task's own run time for that of what runs. Change: loads tell waiting work by priority, and the work left in what runs.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -7,7 +7,7 @@
     std::collections::VecDeque,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{Room, UpstreamLife, UpstreamLoad},
+        runs::{PRIORITY_CLASSES, Room, UpstreamLife, UpstreamLoad},
     },
 };
 
@@ -133,37 +133,58 @@
 
     /// How long a task sent now is expected to take there.
     #[must_use]
-    pub fn expect(
-        &self,
-        planned: &Planned,
-        need: &Room,
-        run_ms: u32,
-        prefers: Option<&str>,
-    ) -> Expected {
+    pub fn expect(&self, planned: &Planned, asked: &Asked<'_>) -> Expected {
         let taken = self.load.taken.plus(&self.unseen_room).plus(&planned.room);
         let free = self.load.capacity.less(&taken);
         let slowness = u64::from(self.load.slowness_percent);
         let slowness = if slowness <= SOUND_PERCENT.into() { 100 } else { slowness };
-        let near = prefers.is_none_or(|label| self.has_label(label));
+        let near = asked.prefers.is_none_or(|label| self.has_label(label));
         let remote = if near { 100 } else { REMOTE_PERCENT };
-        let run_ms = u64::from(run_ms) * slowness * remote / 10_000;
-        let starts_at_once = self.load.waiting == 0 && free.fits(need);
-        let wait_ms =
-            if starts_at_once { 0 } else { self.wait_ms(planned, need, run_ms, slowness) };
+        let run_ms = u64::from(asked.run_ms) * slowness * remote / 10_000;
+        let ahead_milli_ms = self.ahead_milli_ms(planned, asked.priority);
+        let starts_at_once = ahead_milli_ms == 0 && free.fits(asked.need);
+        let wait_ms = if starts_at_once {
+            0
+        } else {
+            let capacity = u64::from(self.load.capacity.cpu_milli.max(1));
+            (ahead_milli_ms + self.until_room_milli_ms(asked.need)) * slowness / 100 / capacity + 1
+        };
         let failing_ms = u64::from(self.load.failing_percent) * FAILING_COST_MS;
         Expected { end_ms: wait_ms + run_ms + failing_ms, wait_ms, free_cpu_milli: free.cpu_milli }
     }
 
-    /// All that waits, and half a run until room comes back, over the whole
-    /// upstream.
-    fn wait_ms(&self, planned: &Planned, need: &Room, run_ms: u64, slowness: u64) -> u64 {
-        let capacity = u64::from(self.load.capacity.cpu_milli.max(1));
-        let until_room = u64::from(need.cpu_milli) * run_ms / 2;
-        let waiting = self.load.waiting_milli_ms + self.unseen_milli_ms + planned.work_milli_ms;
-        (waiting * slowness / 100 + until_room) / capacity + 1
+    /// Work that goes before a new task of this priority, once the room is taken:
+    /// what waits and is as urgent, and what is on its way and finds no room.
+    fn ahead_milli_ms(&self, planned: &Planned, priority: u8) -> u64 {
+        let classes = usize::from(priority).min(PRIORITY_CLASSES - 1);
+        let waiting: u64 = self.load.waiting_milli_ms[..=classes].iter().sum();
+        let taken = self.load.taken.plus(&self.unseen_room).plus(&planned.room);
+        let coming = self.unseen_milli_ms + planned.work_milli_ms;
+        let is_full = taken.cpu_milli > self.load.capacity.cpu_milli;
+        waiting + if is_full { coming } else { 0 }
+    }
+
+    /// What has to run until a task of this need fits: runs end evenly spread
+    /// over what is left of them.
+    fn until_room_milli_ms(&self, need: &Room) -> u64 {
+        let taken = u64::from(self.load.taken.cpu_milli.max(1));
+        self.load.running_milli_ms * u64::from(need.cpu_milli) / taken
     }
 }
 
+/// A task that asks for room.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// What it takes.
+    pub need: &'a Room,
+    /// Its expected run time, in milliseconds.
+    pub run_ms: u32,
+    /// Lower goes first.
+    pub priority: u8,
+    /// Label of upstreams on which it runs faster.
+    pub prefers: Option<&'a str>,
+}
+
 /// Tasks of the same decision that are meant for an agent already.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Planned {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -13,7 +13,7 @@
 mod types;
 
 pub use {
-    agents::{AgentView, Expected, Planned},
+    agents::{AgentView, Asked, Expected, Planned},
     job::{Job, longest_chain_ms},
     types::{
         AgentKey, Command, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest, KindParameters,
@@ -173,16 +173,22 @@
     }
 
     fn best_expected(&self, job: &Job, step: &StepRequest, now_ms: u64) -> Option<Expected> {
-        let run_ms = self.corrected_ms(job, step);
+        let asked = self.asked(job, step);
         let suitable = self.agents.values().filter(|agent| {
             agent.is_usable(now_ms, self.limits.suspect_ms)
                 && agent.suits(&job.request.kind.pool, &step.need, step.required_label.as_deref())
         });
-        let prefers = step.preferred_label.as_deref();
         let none = Planned::default();
-        suitable
-            .map(|agent| agent.expect(&none, &step.need, run_ms, prefers))
-            .min_by_key(|expected| expected.end_ms)
+        suitable.map(|agent| agent.expect(&none, &asked)).min_by_key(|expected| expected.end_ms)
+    }
+
+    fn asked<'a>(&self, job: &Job, step: &'a StepRequest) -> Asked<'a> {
+        Asked {
+            need: &step.need,
+            run_ms: self.corrected_ms(job, step),
+            priority: job.request.kind.priority,
+            prefers: step.preferred_label.as_deref(),
+        }
     }
 
     fn corrected_ms(&self, job: &Job, step: &StepRequest) -> u32 {
@@ -258,7 +264,7 @@
     fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<(u16, AgentKey)> {
         let Some(job) = self.jobs.get(key) else { return Vec::new() };
         let wanted = &job.request.steps[step];
-        let run_ms = self.corrected_ms(job, wanted);
+        let asked = self.asked(job, wanted);
         let pool = &*job.request.kind.pool;
         let label = wanted.required_label.as_deref();
         let usable = self.agents.values().filter(|agent| {
@@ -278,13 +284,13 @@
             if task.state != TaskState::Unplaced {
                 continue;
             }
-            let best = best_of(&candidates, job, step, run_ms, task.avoid);
+            let best = best_of(&candidates, job, step, &asked, task.avoid);
             let Some((best, expected)) = best else { continue };
             if now_ms + expected.end_ms > job.give_up_ms {
                 continue;
             }
             let (agent, planned) = &mut candidates[best];
-            planned.add(&wanted.need, run_ms);
+            planned.add(asked.need, asked.run_ms);
             chosen.extend(u16::try_from(index).ok().map(|index| (index, agent.key)));
         }
         chosen
@@ -572,11 +578,10 @@
     candidates: &[(&AgentView, Planned)],
     job: &Job,
     step: usize,
-    run_ms: u32,
+    asked: &Asked<'_>,
     avoid: Option<AgentKey>,
 ) -> Option<(usize, Expected)> {
     let wanted = &job.request.steps[step];
-    let prefers = wanted.preferred_label.as_deref();
     let mut best: Option<(usize, Expected)> = None;
     let others = candidates.len() > 1;
     for (place, (agent, planned)) in candidates.iter().enumerate() {
@@ -586,7 +591,7 @@
         if full || (others && avoid == Some(agent.key)) {
             continue;
         }
-        let expected = agent.expect(planned, &wanted.need, run_ms, prefers);
+        let expected = agent.expect(planned, asked);
         let better = best.is_none_or(|(_, known)| is_better(&expected, &known));
         if better {
             best = Some((place, expected));
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -27,8 +27,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife,
-            UpstreamLoad,
+            CallerId, NotStarted, PRIORITY_CLASSES, Placement, Room, RunEvent, RunReport, TaskKey,
+            UpstreamLife, UpstreamLoad,
         },
     },
 };
@@ -634,20 +634,41 @@
     /// The load to tell entries of.
     #[must_use]
     pub fn load(&self, now_ms: u64) -> UpstreamLoad {
-        let waiting = self.waiting.iter().map(|(_, key)| &self.runs[*key]);
-        let waiting_milli_ms =
-            waiting.map(|run| u64::from(run.need.cpu_milli) * u64::from(run.run_ms)).sum();
+        let mut waiting_milli_ms = [0; PRIORITY_CLASSES];
+        for (rank, key) in &self.waiting {
+            let class = if rank.is_late { u8::MAX } else { rank.priority };
+            let class = usize::from(class).min(PRIORITY_CLASSES - 1);
+            let run = &self.runs[*key];
+            waiting_milli_ms[class] += u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
+        }
         UpstreamLoad {
             usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
             capacity: self.life.as_ref().map(|life| life.capacity).unwrap_or_default(),
             taken: self.taken,
             waiting_milli_ms,
+            running_milli_ms: self.running_milli_ms(now_ms),
             waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
             slowness_percent: self.slowness_now(now_ms),
             failing_percent: self.failing_now(now_ms),
         }
     }
 
+    /// Work left in what runs, by the estimates. One that is overdue counts with a
+    /// tenth of its estimate.
+    fn running_milli_ms(&self, now_ms: u64) -> u64 {
+        let active = self.runs.values().filter(|run| run.phase != Phase::Waiting);
+        let left = active.map(|run| {
+            let elapsed_ms = match run.phase {
+                Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
+                _ => 0,
+            };
+            let run_ms = u64::from(run.run_ms);
+            let left_ms = run_ms.saturating_sub(elapsed_ms).max(run_ms / 10);
+            u64::from(run.need.cpu_milli) * left_ms
+        });
+        left.sum()
+    }
+
     /// Run times against estimates, counting runs that are overdue by far.
     fn slowness_now(&self, now_ms: u64) -> u32 {
         let overdue = self.runs.values().filter_map(|run| match run.phase {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -249,7 +249,8 @@
 #[test]
 fn a_job_that_cannot_end_in_time_is_refused_at_once() {
     let (mut site, agents) = Site::new(&[9_000]);
-    let waiting = UpstreamLoad { waiting: 90, waiting_milli_ms: 30_000_000, ..load(9_000) };
+    let waiting =
+        UpstreamLoad { waiting: 90, waiting_milli_ms: [30_000_000, 0, 0, 0], ..load(9_000) };
     site.dispatch.report(agents[0], &[], waiting, 0, site.now_ms);
     let answer = site.refuse(job(1, vec![step(1)]));
     let JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms } = answer else {
@@ -265,7 +266,7 @@
     let (mut site, agents) = Site::new(&[0, 0]);
     let full = |waiting: u32| UpstreamLoad {
         waiting,
-        waiting_milli_ms: u64::from(waiting) * 300_000,
+        waiting_milli_ms: [u64::from(waiting) * 300_000, 0, 0, 0],
         ..load(9_000)
     };
     let mut taken = 0;
@@ -401,3 +402,15 @@
     site.submit(job(1, vec![step(1)]));
     assert_eq!(site.placements()[0].0, agents[2]);
 }
+
+/// The shortest wait is told by what is as urgent, not by all that waits.
+#[test]
+fn an_urgent_task_goes_where_only_less_urgent_ones_wait() {
+    let (mut site, agents) = Site::new(&[9_000, 9_000]);
+    let urgent = UpstreamLoad { waiting: 2, waiting_milli_ms: [600_000, 0, 0, 0], ..load(9_000) };
+    let others = UpstreamLoad { waiting: 9, waiting_milli_ms: [0, 0, 2_700_000, 0], ..load(9_000) };
+    site.dispatch.report(agents[0], &[], urgent, 0, site.now_ms);
+    site.dispatch.report(agents[1], &[], others, 0, site.now_ms);
+    site.submit(job(1, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, agents[1]);
+}
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -202,6 +202,9 @@
     pub event: RunEvent,
 }
 
+/// Priorities that are told apart in [`UpstreamLoad`].
+pub const PRIORITY_CLASSES: usize = 4;
+
 /// Load of an agent's upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamLoad {
@@ -212,9 +215,11 @@
     pub capacity: Room,
     /// What runs, or may run, takes.
     pub taken: Room,
-    /// Work that waits at the agent, in thousandths of a core times
-    /// milliseconds.
-    pub waiting_milli_ms: u64,
+    /// Work that waits at the agent by priority, the last for all that is less
+    /// urgent or late, in thousandths of a core times milliseconds.
+    pub waiting_milli_ms: [u64; PRIORITY_CLASSES],
+    /// What is left of the runs, by their estimates, in the same unit.
+    pub running_milli_ms: u64,
     /// Tasks that wait at the agent.
     pub waiting: u32,
     /// Run times against their estimates, in percent: 100 as expected.
