Dispatch: what has not begun is refused at half a span over its objective

Cause: jobs that no task of had begun stayed at agents until three times their objective, behind all that could be in time, and were then refused: callers heard of it late, and the forecast counted them as work ahead. Change: the time by which a job must end is that of use once a task began, and half a span over the objective before.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -25,6 +25,10 @@
 /// the users count it as late until then, and as none after.
 const USEFUL_SPANS: u64 = 3;
 
+/// Time over its objective, in percent of the span, within which a job that has
+/// not begun must still be able to end.
+const REFUSE_PERCENT: u64 = 50;
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -55,7 +59,9 @@
     /// When it must end to be in time.
     pub objective_ms: u64,
     /// When its result is of no use any more.
-    pub give_up_ms: u64,
+    give_up_ms: u64,
+    /// When it is better refused, if no task of it has begun.
+    refuse_ms: u64,
     /// Tasks by step.
     pub tasks: Vec<Vec<Task>>,
     /// Tasks not done, by step.
@@ -94,7 +100,24 @@
         let objective_ms = request.arrived_ms + span_ms;
         let useful_until_ms = request.arrived_ms + span_ms * USEFUL_SPANS;
         let give_up_ms = request.deadline_ms.min(useful_until_ms);
-        Self { request, objective_ms, give_up_ms, tasks, open, may_have_run: false, ending: None }
+        let refuse_ms = give_up_ms.min(objective_ms + span_ms * REFUSE_PERCENT / 100);
+        Self {
+            request,
+            objective_ms,
+            give_up_ms,
+            refuse_ms,
+            tasks,
+            open,
+            may_have_run: false,
+            ending: None,
+        }
+    }
+
+    /// When it must end: later is of no use, and what has not begun is better
+    /// refused than late, as its room goes to others that are in time.
+    #[must_use]
+    pub fn end_by_ms(&self) -> u64 {
+        if self.may_have_run { self.give_up_ms } else { self.refuse_ms }
     }
 
     /// Whether the steps before this one are done.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -155,7 +155,7 @@
             let Some(expected) = self.best_expected(job, wanted, now_ms) else {
                 continue;
             };
-            if now_ms + expected.end_ms > job.give_up_ms {
+            if now_ms + expected.end_ms > job.end_by_ms() {
                 let retry = expected.wait_ms.clamp(RETRY_MS.0, RETRY_MS.1) as u32;
                 return Err(JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms: retry });
             }
@@ -255,7 +255,7 @@
             run_ms: self.corrected_ms(job, wanted),
             priority: job.request.kind.priority,
             objective_in_ms: left(job.objective_ms),
-            give_up_in_ms: left(job.give_up_ms),
+            give_up_in_ms: left(job.end_by_ms()),
         })
     }
 
@@ -286,7 +286,7 @@
             }
             let best = best_of(&candidates, job, step, &asked, task.avoid);
             let Some((best, expected)) = best else { continue };
-            if now_ms + expected.end_ms > job.give_up_ms {
+            if now_ms + expected.end_ms > job.end_by_ms() {
                 continue;
             }
             let (agent, planned) = &mut candidates[best];
@@ -420,7 +420,7 @@
                 if self.usable_agents(now_ms) == 0 { GiveUp::NoUpstream } else { GiveUp::TooLate };
             self.end(key, Ending::GivenUp(why));
         }
-        let passed = |(_, job): &(JobKey, &Job)| job.ending.is_none() && now_ms >= job.give_up_ms;
+        let passed = |(_, job): &(JobKey, &Job)| job.ending.is_none() && now_ms >= job.end_by_ms();
         let passed: Vec<_> = self.jobs.iter().filter(passed).map(|(key, _)| key).collect();
         for key in passed {
             self.end(key, Ending::GivenUp(GiveUp::TooLate));
@@ -434,7 +434,7 @@
         let steps = job.steps_to_place();
         let longest = steps.iter().map(|&step| self.corrected_ms(job, &job.request.steps[step]));
         let run_ms = u64::from(longest.max().unwrap_or(0));
-        now_ms + run_ms > job.give_up_ms
+        now_ms + run_ms > job.end_by_ms()
     }
 
     fn lose_silent(&mut self, now_ms: u64) {
