Dispatch: tasks that wait are asked back for room elsewhere

Cause: run times are off by 40 % and more, so tasks queue at one upstream while others have room again, and a job waits for its slowest task.

--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -213,6 +213,9 @@
             ToRunsAgent::Stop(job) => {
                 leased.change(|ledger, _| ledger.stop_job(self.entry, job));
             }
+            ToRunsAgent::Withdraw(tasks) => leased.change(|ledger, _| {
+                tasks.into_iter().for_each(|task| ledger.withdraw(self.entry, task));
+            }),
             ToRunsAgent::Beat { heard, confirmed } => {
                 let mut echo = self.echo.lock();
                 echo.heard(heard);
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -118,6 +118,13 @@
         self.unseen_milli_ms += work_milli_ms;
     }
 
+    /// Processor that nothing is known to take, in thousandths of a core.
+    #[must_use]
+    pub fn free_cpu_milli(&self) -> u32 {
+        let taken = self.load.taken.plus(&self.unseen_room);
+        self.load.capacity.less(&taken).cpu_milli
+    }
+
     fn has_label(&self, label: &str) -> bool {
         self.life.as_ref().is_some_and(|life| life.labels.iter().any(|own| own == label))
     }
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -16,6 +16,10 @@
         agent: AgentKey,
         /// It was seen to begin.
         started: bool,
+        /// When it was sent there.
+        since_ms: u64,
+        /// It was asked back.
+        recalled: bool,
     },
     /// It ended well.
     Done,
@@ -177,13 +181,13 @@
         let step = usize::from(key.step);
         let max_attempts = self.request.kind.max_attempts.max(1);
         let task = self.tasks.get_mut(step)?.get_mut(usize::from(key.index))?;
-        let TaskState::Placed { agent, .. } = task.state else { return None };
+        let TaskState::Placed { agent, since_ms, .. } = task.state else { return None };
         if agent != from || task.run != run {
             return None;
         }
         let outcome = match event {
             RunEvent::Started => {
-                task.state = TaskState::Placed { agent, started: true };
+                task.state = TaskState::Placed { agent, started: true, since_ms, recalled: false };
                 self.may_have_run = true;
                 return Some(Outcome::Nothing);
             }
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -45,10 +45,22 @@
 const RETRY_MS: (u64, u64) = (100, 5_000);
 /// Time told where no upstream is usable: agents are back about then.
 const NO_UPSTREAM_RETRY_MS: u32 = 1_000;
+/// A task that has not begun after this much time waits: starts are told within
+/// 5 ms as a rule.
+const RECALL_AFTER_MS: u64 = 15;
 /// Agents with as good an expectation as the best within this are chosen among
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
 
+/// A task that waits at an agent.
+struct Waiting {
+    job: JobKey,
+    task: TaskKey,
+    at: AgentKey,
+    need_milli: u32,
+    end_by_ms: u64,
+}
+
 /// Jobs and agents of one entry.
 #[derive(Debug, Default)]
 pub struct Dispatch {
@@ -222,7 +234,12 @@
         for (index, agent) in &chosen {
             let task = &mut job.tasks[step][usize::from(*index)];
             task.run += 1;
-            task.state = TaskState::Placed { agent: *agent, started: false };
+            task.state = TaskState::Placed {
+                agent: *agent,
+                started: false,
+                since_ms: now_ms,
+                recalled: false,
+            };
             by_agent.entry(*agent).or_default().push(TaskStart { index: *index, run: task.run });
         }
         let all = !job.tasks[step].iter().any(|task| task.state == TaskState::Unplaced);
@@ -315,6 +332,79 @@
             self.apply(agent, report.task, report.run, report.event, now_ms);
         }
         self.place_waiting(now_ms);
+        self.recall_for(agent, now_ms);
+    }
+
+    /// Asks tasks back that wait at other agents, for the room that this one has.
+    ///
+    /// A job waits for its slowest task, and run times are off by 40 %: without it
+    /// some tasks queue at one upstream while others have room again.
+    fn recall_for(&mut self, agent: AgentKey, now_ms: u64) {
+        let Some(view) = self.agents.get(agent) else { return };
+        if !view.is_usable(now_ms, self.limits.suspect_ms) || view.load.waiting > 0 {
+            return;
+        }
+        // The rest is for what comes, here and at other entries.
+        let mut room_milli = view.free_cpu_milli() / 2;
+        let mut waiting = self.waiting_elsewhere(agent, now_ms);
+        waiting.sort_unstable_by_key(|waiting| waiting.end_by_ms);
+        let mut by_agent: HashMap<AgentKey, Vec<TaskKey>> = HashMap::new();
+        for Waiting { job, task, at, need_milli, .. } in waiting {
+            let Some(left) = room_milli.checked_sub(need_milli) else { break };
+            room_milli = left;
+            by_agent.entry(at).or_default().push(task);
+            let Some(job) = self.jobs.get_mut(job) else { continue };
+            let state = &mut job.tasks[usize::from(task.step)][usize::from(task.index)].state;
+            if let TaskState::Placed { recalled, .. } = state {
+                *recalled = true;
+            }
+        }
+        let recalls = by_agent.into_iter().map(|(at, tasks)| Command::Withdraw(at, tasks));
+        self.commands.extend(recalls);
+    }
+
+    /// Tasks that wait at other agents for a while, and could run at this one.
+    fn waiting_elsewhere(&self, agent: AgentKey, now_ms: u64) -> Vec<Waiting> {
+        let others = |at: AgentKey| {
+            at != agent && self.agents.get(at).is_some_and(|view| view.load.waiting > 0)
+        };
+        if !self.agents.keys().any(others) {
+            return Vec::new();
+        }
+        let mut found = Vec::new();
+        for (key, job) in self.jobs.iter().filter(|(_, job)| job.ending.is_none()) {
+            for (step, wanted) in job.request.steps.iter().enumerate() {
+                if !self.agents[agent].suits(
+                    &job.request.kind.pool,
+                    &wanted.need,
+                    wanted.required_label.as_deref(),
+                ) {
+                    continue;
+                }
+                for (index, task) in job.tasks[step].iter().enumerate() {
+                    let TaskState::Placed { agent: at, started: false, since_ms, recalled: false } =
+                        task.state
+                    else {
+                        continue;
+                    };
+                    let (Ok(step), Ok(index)) = (u8::try_from(step), u16::try_from(index)) else {
+                        continue;
+                    };
+                    if others(at) && now_ms >= since_ms + RECALL_AFTER_MS {
+                        let task = TaskKey { job: job.request.id, step, index };
+                        let need_milli = wanted.need.cpu_milli;
+                        found.push(Waiting {
+                            job: key,
+                            task,
+                            at,
+                            need_milli,
+                            end_by_ms: job.objective_ms,
+                        });
+                    }
+                }
+            }
+        }
+        found
     }
 
     fn apply(&mut self, agent: AgentKey, task: TaskKey, run: u32, event: RunEvent, now_ms: u64) {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -3,7 +3,7 @@
 use {
     slotmap::new_key_type,
     std::sync::Arc,
-    sycamorerail_wire::runs::{CallerId, Placement, Room},
+    sycamorerail_wire::runs::{CallerId, Placement, Room, TaskKey},
 };
 
 new_key_type! {
@@ -154,6 +154,8 @@
     Place(AgentKey, Placement),
     /// Have an agent end a job.
     Stop(AgentKey, CallerId),
+    /// Have an agent hand tasks back that wait there.
+    Withdraw(AgentKey, Vec<TaskKey>),
     /// Answer whoever waits for the job.
     Answer(JobKey, JobAnswer),
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -335,6 +335,15 @@
         }
     }
 
+    /// Hands a task back that waits still.
+    pub fn withdraw(&mut self, owner: Incarnation, task: TaskKey) {
+        let Some(&key) = self.by_task.get(&task) else { return };
+        let run = &self.runs[key];
+        if run.owner == owner && run.phase == Phase::Waiting {
+            self.settle(key, RunEvent::NotStarted(NotStarted::Withdrawn));
+        }
+    }
+
     fn stop_run(&mut self, key: RunKey) {
         let run = &mut self.runs[key];
         if run.phase == Phase::Waiting {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -430,3 +430,34 @@
     site.submit(job(1, vec![step(1)]));
     assert_eq!(site.placements()[0].0, agents[1]);
 }
+
+/// Run times are off by 40 %: tasks queue at one upstream while another has room
+/// again. Half of that room is used for what waits elsewhere.
+#[test]
+fn tasks_that_wait_are_asked_back_for_room_elsewhere() {
+    let (mut site, agents) = Site::new(&[0, 9_000]);
+    site.submit(job(1, vec![step(6)]));
+    let placed = site.placements();
+    assert!(
+        placed.iter().any(|(agent, placement)| *agent == agents[0] && placement.tasks.len() > 3)
+    );
+    let waiting = UpstreamLoad { waiting: 3, waiting_milli_ms: [900_000, 0, 0, 0], ..load(9_000) };
+    site.dispatch.report(agents[0], &[], waiting, 9, site.now_ms);
+    site.now_ms += 20;
+    site.dispatch.report(agents[1], &[], load(0), 9, site.now_ms);
+    let recalls: Vec<_> = site.dispatch.take_commands();
+    let [Command::Withdraw(at, tasks)] = &recalls[..] else { panic!("{recalls:?}") };
+    assert_eq!((*at, tasks.len()), (agents[0], 1));
+    let task = tasks[0];
+    site.dispatch.report(agents[1], &[], load(0), 9, site.now_ms);
+    let again = site.dispatch.take_commands();
+    assert!(
+        !again
+            .iter()
+            .any(|command| matches!(command, Command::Withdraw(_, more) if more.contains(&task)))
+    );
+    let back = RunEvent::NotStarted(NotStarted::Withdrawn);
+    let report = RunReport { number: 1, task, run: 1, event: back };
+    site.dispatch.report(agents[0], &[report], waiting, 9, site.now_ms);
+    assert_eq!(site.placements()[0].0, agents[1]);
+}
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -330,3 +330,17 @@
     assert!(ledger.load(6_600 + 2_000).slowness_percent < 250);
     assert!(ledger.load(6_600 + 4_000).slowness_percent < 150);
 }
+
+#[test]
+fn only_a_task_that_waits_is_withdrawn() {
+    let mut ledger = ready();
+    ledger.owner_heard(OTHER_ENTRY, 1);
+    ledger.place(ENTRY, placement(1, 2, 8_000), 2);
+    starts(&mut ledger, 2);
+    ledger.withdraw(ENTRY, task(1, 0));
+    ledger.withdraw(OTHER_ENTRY, task(1, 1));
+    assert_eq!(events(&ledger, ENTRY), []);
+    ledger.withdraw(ENTRY, task(1, 1));
+    let back = RunEvent::NotStarted(NotStarted::Withdrawn);
+    assert_eq!(events(&ledger, ENTRY), [(task(1, 1), back)]);
+}
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -228,6 +228,11 @@
                     dispatch.message_sent(agent, None, now_ms);
                     self.send(agent, ToRunsAgent::Stop(job));
                 }
+                Command::Withdraw(agent, tasks) => {
+                    metrics::counter!("sycamorerail_recalls_total").increment(tasks.len() as u64);
+                    dispatch.message_sent(agent, None, now_ms);
+                    self.send(agent, ToRunsAgent::Withdraw(tasks));
+                }
                 Command::Answer(job, answer) => {
                     if let Some(waiter) = self.waiters.lock().remove(&job) {
                         // Its caller may have left.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -313,6 +313,8 @@
     Place(Placement),
     /// Start nothing more of the job, and stop what runs of it.
     Stop(CallerId),
+    /// Hand these tasks back if they wait still.
+    Withdraw(Vec<TaskKey>),
     /// Heartbeat, with what was heard.
     Beat {
         /// Messages heard from the agent on this connection.
