--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -27,10 +27,14 @@
     },
 };
 
-/// Longest wait for a connection and for the first message on it.
-const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+/// Longest wait for a connection: some fifty times the way there and back between
+/// data centres. A VM without power does not answer at all; after a loss of power
+/// everywhere a wait of 500 ms cost that much of service.
+const CONNECT_WITHIN: Duration = Duration::from_millis(150);
+/// Longest wait for the first message on a connection.
+const WELCOME_WITHIN: Duration = Duration::from_millis(500);
 /// First and longest pause between attempts to dial.
-const REDIAL_MS: (u64, u64) = (50, 500);
+const REDIAL_MS: (u64, u64) = (30, 200);
 /// An address that nobody names any more is let go after failing this long.
 const FORGET_AFTER_MS: u64 = 30_000;
 /// Heartbeat of a link without other messages.
@@ -147,7 +151,7 @@
         let told = hello.reports.last().map_or(0, |report| report.number);
         writer.push(&FromRunsAgent::Hello(hello))?;
         writer.flush().await?;
-        let first = timeout(CONNECT_WITHIN, reader.next::<ToRunsAgent>()).await;
+        let first = timeout(WELCOME_WITHIN, reader.next::<ToRunsAgent>()).await;
         let first = first.map_err(|_| FrameError::Closed(peer))??;
         let ToRunsAgent::Welcome { entry, upstream } = first else {
             return Err(FrameError::Closed(peer));
