--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) changes: watch::Sender<u64>,
     /// The upstream's life has changed.
     pub(crate) life_changed: Notify,
+    /// A renewal is wanted at once, for what it lists.
+    pub(crate) look_now: Notify,
     fence: AtomicU64,
     draining: AtomicBool,
 }
@@ -82,6 +84,7 @@
             configuration: Mutex::new(None),
             changes: watch::Sender::new(0),
             life_changed: Notify::new(),
+            look_now: Notify::new(),
             fence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
         });
@@ -223,7 +226,10 @@
 
 async fn stop(leased: Arc<Leased>, authority: Authority, task: TaskKey, run: u32) {
     match leased.port.stop(authority, task, run).await {
-        Ok(()) => leased.change(|ledger, now_ms| ledger.stop_confirmed(task, run, now_ms)),
+        Ok(()) => {
+            leased.change(|ledger, now_ms| ledger.stop_confirmed(task, run, now_ms));
+            leased.look_now.notify_one();
+        }
         Err(error) => event!(Info, "stop_failed", task = task, run = run, error = error),
     }
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -46,6 +46,9 @@
 /// so that one that is avoided is tried again: without it an upstream that was
 /// slow for 7 s stayed unused for up to 8 s more.
 const BLAME_HALF_LIFE_MS: u64 = 1_000;
+/// An order that the upstream does not list as running this long after it was sent
+/// is doubted: as a rule it is carried out and answered within 2 ms.
+const DOUBT_MS: u64 = 25;
 /// Run times as the estimates say, in percent.
 const SOUND_PERCENT: u32 = 100;
 /// Waiting tasks looked at for one that fits, so that a wide task at the head
@@ -65,7 +68,7 @@
     /// Not ordered yet.
     Waiting,
     /// Ordered; the answer is awaited, or did not come.
-    Ordered { late_after_clock_ms: u64, unanswered: bool },
+    Ordered { since_ms: u64, late_after_clock_ms: u64, unanswered: bool },
     /// The upstream has confirmed it.
     Running { since_ms: u64 },
 }
@@ -370,7 +373,7 @@
         let late_after_clock_ms = self.clock_ms(now_ms)? + self.limits.start_within_ms;
         self.waiting.remove(&(rank, key));
         let run = &mut self.runs[key];
-        run.phase = Phase::Ordered { late_after_clock_ms, unanswered: false };
+        run.phase = Phase::Ordered { since_ms: now_ms, late_after_clock_ms, unanswered: false };
         self.taken = self.taken.plus(&run.need);
         self.ordered += 1;
         let (task, number, spec) = (run.task, run.number, Arc::clone(&run.spec));
@@ -444,11 +447,14 @@
     pub fn start_answered(&mut self, task: TaskKey, run: u32, answer: StartAnswer, now_ms: u64) {
         self.ordered = self.ordered.saturating_sub(1);
         let Some(key) = self.find(task, run) else { return };
-        let Phase::Ordered { late_after_clock_ms, .. } = self.runs[key].phase else { return };
+        let Phase::Ordered { since_ms, late_after_clock_ms, .. } = self.runs[key].phase else {
+            return;
+        };
         match answer {
             StartAnswer::Started => self.confirm(key, now_ms),
             StartAnswer::Unanswered => {
-                self.runs[key].phase = Phase::Ordered { late_after_clock_ms, unanswered: true };
+                let unanswered = true;
+                self.runs[key].phase = Phase::Ordered { since_ms, late_after_clock_ms, unanswered };
             }
             StartAnswer::Refused(why) => {
                 if why == StartRefusal::Unhealthy {
@@ -510,6 +516,10 @@
 
     /// Takes note of the upstream's answer to a renewal of the lease.
     pub fn renewed(&mut self, answer: &LeaseAnswer, now_ms: u64) {
+        if self.renewed_ms.is_some_and(|last_ms| answer.sent_ms < last_ms) {
+            // It was overtaken: what it lists as running may be over.
+            return;
+        }
         self.clock = Some((answer.clock_ms, now_ms));
         self.renewed_ms = Some(answer.sent_ms);
         for ended in &answer.ended {
@@ -524,6 +534,7 @@
             }
         }
         self.settle_absent(answer);
+        self.recall_doubtful(answer);
         self.note_leftovers(&answer.running);
     }
 
@@ -571,7 +582,7 @@
                 Phase::Ordered { .. } if stopped_before => {
                     Some(RunEvent::NotStarted(NotStarted::Withdrawn))
                 }
-                Phase::Ordered { late_after_clock_ms, unanswered: true }
+                Phase::Ordered { late_after_clock_ms, unanswered: true, .. }
                     if answer.clock_ms > late_after_clock_ms =>
                 {
                     Some(RunEvent::NotStarted(NotStarted::Unanswered))
@@ -584,6 +595,18 @@
         }
     }
 
+    /// Has starts stopped that should have been carried out by now and were not:
+    /// once the stop is confirmed they never are, and the task can go elsewhere
+    /// long before the order is too late.
+    fn recall_doubtful(&mut self, answer: &LeaseAnswer) {
+        for run in self.runs.values_mut() {
+            let Phase::Ordered { since_ms, .. } = run.phase else { continue };
+            if run.stop.is_none() && since_ms + DOUBT_MS <= answer.sent_ms {
+                run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
+            }
+        }
+    }
+
     fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
         let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
         let never = Stop { sent_ms: None, confirmed_ms: None };
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -33,7 +33,8 @@
             // With stop and slack below the 1,300 ms after which a caller may
             // hand the job in again at another entry.
             owner_silence_ms: 900,
-            stop_again_ms: 150,
+            // Thirty times the usual answer: one in twenty may be lost.
+            stop_again_ms: 60,
             // Each occupies a connection to the upstream.
             max_ordered: 8,
         }
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -117,6 +117,7 @@
     ledger.start_answered(order.task, 1, StartAnswer::Unanswered, 200);
     ledger.place(ENTRY, placement(2, 1, 8_000), 200);
     renew(&mut ledger, 250, &[], &[]);
+    assert_eq!(ledger.stops_due(250), [(order.task, 1)], "not confirmed in this test");
     assert!(starts(&mut ledger, 250).is_empty());
     assert_eq!(order.late_after_clock_ms, CLOCK_MS + 302);
     renew(&mut ledger, 304, &[], &[]);
@@ -344,3 +345,47 @@
     let back = RunEvent::NotStarted(NotStarted::Withdrawn);
     assert_eq!(events(&ledger, ENTRY), [(task(1, 1), back)]);
 }
+
+#[test]
+fn an_answer_that_was_overtaken_is_left_out() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    starts(&mut ledger, 2);
+    ledger.start_answered(task(1, 0), 1, StartAnswer::Started, 3);
+    renew(&mut ledger, 100, &[], &[ended(1, 1, 0, EndKind::Done)]);
+    let old = LeaseAnswer {
+        sent_ms: 50,
+        clock_ms: CLOCK_MS + 60,
+        running: vec![(task(1, 0), 1)],
+        ended: Vec::new(),
+    };
+    ledger.renewed(&old, 110);
+    assert!(ledger.load(110).usable, "a run that is over is not taken for a leftover");
+    assert!(ledger.stops_due(110).is_empty());
+}
+
+/// One order in twenty is carried out seconds late. A task of 60 ms must not wait
+/// 300 ms until its order is surely too late.
+#[test]
+fn a_start_that_is_not_listed_is_stopped_and_handed_back_soon() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    starts(&mut ledger, 2);
+    renew(&mut ledger, 26, &[], &[]);
+    assert!(ledger.stops_due(26).is_empty());
+    renew(&mut ledger, 27, &[], &[]);
+    assert_eq!(ledger.stops_due(27), [(task(1, 0), 1)]);
+    ledger.stop_confirmed(task(1, 0), 1, 29);
+    renew(&mut ledger, 30, &[], &[]);
+    let back = RunEvent::NotStarted(NotStarted::Withdrawn);
+    assert_eq!(events(&ledger, ENTRY), [(task(1, 0), back)]);
+}
+
+#[test]
+fn a_start_that_is_listed_is_not_stopped() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    starts(&mut ledger, 2);
+    renew(&mut ledger, 40, &[(task(1, 0), 1)], &[]);
+    assert!(ledger.stops_due(40).is_empty());
+}
