--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,6 +3,7 @@
 //! What is asked of the service is the same everywhere; how it is said is a
 //! [`form::Form`]. Unless told otherwise that is etcd's version 3 API.
 
+pub mod backoff;
 pub mod budget;
 pub mod client;
 pub mod error;
--- a/crates/platform/src/mirror/follow.rs
+++ b/crates/platform/src/mirror/follow.rs
@@ -3,37 +3,34 @@
 use {
     super::{jittered, shared::Shared},
     crate::{
+        backoff::Backoff,
         error::PlatformError,
         table::{Applied, Change},
         watch::{Told, Watch},
     },
-    std::sync::{Arc, atomic::Ordering},
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Instant,
+    },
     sycamorerail_telemetry::event,
     tokio::time::sleep,
 };
 
-/// First pause before a broken watch is opened again.
-const BACKOFF_FIRST_MS: u64 = 50;
-/// Longest pause before a broken watch is opened again.
-const BACKOFF_MOST_MS: u64 = 2_000;
-
 /// Follows the prefix by one watch after another as long as the mirror lives.
 pub(super) async fn follow(shared: Arc<Shared>) {
-    let mut backoff_ms = BACKOFF_FIRST_MS;
+    let mut backoff = Backoff::default();
     loop {
-        match follow_once(&shared).await {
-            Ok(()) => backoff_ms = BACKOFF_FIRST_MS,
-            Err(error) => {
-                event!(Debug, "platform_watch_failed", prefix = shared.prefix, error = error);
-            }
+        let began = Instant::now();
+        if let Err(error) = follow_once(&shared).await {
+            event!(Debug, "platform_watch_failed", prefix = shared.prefix, error = error);
         }
         let was_up = shared.watch_up.swap(false, Ordering::AcqRel);
         if was_up {
-            backoff_ms = BACKOFF_FIRST_MS;
             shared.poll_wanted.notify_one();
         }
-        sleep(jittered(backoff_ms)).await;
-        backoff_ms = (backoff_ms * 2).min(BACKOFF_MOST_MS);
+        let up_ms = if was_up { began.elapsed().as_millis() } else { 0 };
+        let pause_ms = backoff.pause_ms(u64::try_from(up_ms).unwrap_or(u64::MAX));
+        sleep(jittered(pause_ms)).await;
     }
 }
 
