Dispatch: a task that is asked back again is left where it is for longer

Change: the time until a waiting task is asked back doubles with each start number. Test: a_task_that_is_asked_back_again_and_again_comes_to_rest.

--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -46,8 +46,11 @@
 /// Time told where no upstream is usable: agents are back about then.
 const NO_UPSTREAM_RETRY_MS: u32 = 1_000;
 /// A task that has not begun after this much time waits: starts are told within
-/// 5 ms as a rule.
+/// 5 ms as a rule. Doubled with each start number, or tasks would go round between
+/// full upstreams, as room is claimed by several entries at once.
 const RECALL_AFTER_MS: u64 = 15;
+/// Doublings of it at most.
+const MAX_DOUBLINGS: u32 = 6;
 /// Agents with as good an expectation as the best within this are chosen among
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
@@ -390,7 +393,9 @@
                     let (Ok(step), Ok(index)) = (u8::try_from(step), u16::try_from(index)) else {
                         continue;
                     };
-                    if others(at) && now_ms >= since_ms + RECALL_AFTER_MS {
+                    let patience_ms =
+                        RECALL_AFTER_MS << task.run.saturating_sub(1).min(MAX_DOUBLINGS);
+                    if others(at) && now_ms >= since_ms + patience_ms {
                         let task = TaskKey { job: job.request.id, step, index };
                         let need_milli = wanted.need.cpu_milli;
                         found.push(Waiting {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -461,3 +461,31 @@
     site.dispatch.report(agents[0], &[report], waiting, 9, site.now_ms);
     assert_eq!(site.placements()[0].0, agents[1]);
 }
+
+/// Several entries claim the same room. A task that was asked back and waits again
+/// is left where it is for twice as long each time.
+#[test]
+fn a_task_that_is_asked_back_again_and_again_comes_to_rest() {
+    let (mut site, agents) = Site::new(&[0, 0]);
+    let waiting = UpstreamLoad { waiting: 3, waiting_milli_ms: [900_000, 0, 0, 0], ..load(9_000) };
+    site.submit(job(1, vec![step(1)]));
+    let (mut at, _) = site.placements().remove(0);
+    let mut recalls = 0;
+    for _ in 0..80 {
+        site.now_ms += 5;
+        let other = if at == agents[0] { agents[1] } else { agents[0] };
+        for agent in [at, other] {
+            site.dispatch.agent_ready(agent, site.now_ms);
+        }
+        site.dispatch.report(at, &[], waiting, 9, site.now_ms);
+        site.dispatch.report(other, &[], load(0), 9, site.now_ms);
+        let commands = site.dispatch.take_commands();
+        if commands.iter().any(|command| matches!(command, Command::Withdraw(..))) {
+            recalls += 1;
+            let back = RunEvent::NotStarted(NotStarted::Withdrawn);
+            site.tell(at, task(1, 0, 0), recalls, back);
+            at = other;
+        }
+    }
+    assert_eq!(recalls, 4, "after 15, 45, 105 and 225 ms of 400");
+}
