Dispatch: failing runs are for comparing upstreams, not for refusing jobs

Change: the surcharge stands apart from the expected end. Test: failures_everywhere_ refuse_nobody, red before.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -156,8 +156,9 @@
             let capacity = u64::from(self.load.capacity.cpu_milli.max(1));
             (ahead_milli_ms + self.until_room_milli_ms(asked.need)) * slowness / 100 / capacity + 1
         };
-        let failing_ms = u64::from(self.load.failing_percent) * FAILING_COST_MS;
-        Expected { end_ms: wait_ms + run_ms + failing_ms, wait_ms, free_cpu_milli: free.cpu_milli }
+        let end_ms = wait_ms + run_ms;
+        let cost_ms = end_ms + u64::from(self.load.failing_percent) * FAILING_COST_MS;
+        Expected { end_ms, cost_ms, wait_ms, free_cpu_milli: free.cpu_milli }
     }
 
     /// Work that goes before a new task of this priority, once the room is taken:
@@ -215,8 +216,11 @@
 /// What is expected of a task at an agent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Expected {
-    /// Milliseconds until it ends, with a surcharge for failures.
+    /// Milliseconds until it ends.
     pub end_ms: u64,
+    /// The same with a surcharge for failing runs, to compare upstreams by. Jobs
+    /// whose tasks fail everywhere raise it everywhere.
+    pub cost_ms: u64,
     /// Of these, until it starts.
     pub wait_ms: u64,
     /// Processor left there, in thousandths of a core.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -696,8 +696,8 @@
 }
 
 fn is_better(one: &Expected, other: &Expected) -> bool {
-    if one.end_ms.abs_diff(other.end_ms) <= SAME_END_MS {
+    if one.cost_ms.abs_diff(other.cost_ms) <= SAME_END_MS {
         return one.free_cpu_milli > other.free_cpu_milli;
     }
-    one.end_ms < other.end_ms
+    one.cost_ms < other.cost_ms
 }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -489,3 +489,16 @@
     }
     assert_eq!(recalls, 4, "after 15, 45, 105 and 225 ms of 400");
 }
+
+/// Jobs that can never be done fail on every upstream. Others are not refused for it.
+#[test]
+fn failures_everywhere_refuse_nobody() {
+    let (mut site, agents) = Site::new(&[0, 0]);
+    for &agent in &agents {
+        let failing = UpstreamLoad { failing_percent: 60, ..load(0) };
+        site.dispatch.report(agent, &[], failing, 0, site.now_ms);
+    }
+    site.submit(job(1, vec![step(4)]));
+    let placed: usize = site.placements().iter().map(|(_, sent)| sent.tasks.len()).sum();
+    assert_eq!(placed, 4);
+}
