--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -14,8 +14,11 @@
 /// Run times up to this percentage of the estimates are those of a sound
 /// upstream: estimates are off by up to 40%.
 const SOUND_PERCENT: u32 = 170;
-/// Cost of one percent of failing runs, in milliseconds: at half of all runs an
-/// upstream is avoided unless others would take a second longer.
+/// Share of failing runs, in percent, that is not held against an upstream: two of
+/// its last eight runs, which jobs that can never be done bring to a sound one.
+const FAILING_BORNE_PERCENT: u32 = 30;
+/// Cost of each percent beyond, in milliseconds: at four of five runs an upstream is
+/// avoided unless others would take a second longer.
 const FAILING_COST_MS: u64 = 20;
 /// Run time on an upstream without the preferred label, in percent.
 const REMOTE_PERCENT: u64 = 150;
@@ -157,7 +160,8 @@
             (ahead_milli_ms + self.until_room_milli_ms(asked.need)) * slowness / 100 / capacity + 1
         };
         let end_ms = wait_ms + run_ms;
-        let cost_ms = end_ms + u64::from(self.load.failing_percent) * FAILING_COST_MS;
+        let blamed = self.load.failing_percent.saturating_sub(FAILING_BORNE_PERCENT);
+        let cost_ms = end_ms + u64::from(blamed) * FAILING_COST_MS;
         Expected { end_ms, cost_ms, wait_ms, free_cpu_milli: free.cpu_milli }
     }
 
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -502,3 +502,16 @@
     let placed: usize = site.placements().iter().map(|(_, sent)| sent.tasks.len()).sum();
     assert_eq!(placed, 4);
 }
+
+/// Two failures of eight runs come from the jobs as well as from the upstream. They
+/// are no reason to queue elsewhere.
+#[test]
+fn a_few_failures_do_not_outweigh_a_queue() {
+    let (mut site, agents) = Site::new(&[0, 9_000]);
+    let some = UpstreamLoad { failing_percent: 25, ..load(0) };
+    let queue = UpstreamLoad { waiting: 3, waiting_milli_ms: [900_000, 0, 0, 0], ..load(9_000) };
+    site.dispatch.report(agents[0], &[], some, 0, site.now_ms);
+    site.dispatch.report(agents[1], &[], queue, 0, site.now_ms);
+    site.submit(job(1, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, agents[0]);
+}
