Ledger: an upstream whose runs stood still or were slow is on trial

Change: it offers a tenth of its room until its runs take their time again; a run that was stopped overdue counts as a run of that time. Test: an_upstream_whose_runs_stood_still_is_on_trial.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -152,7 +152,9 @@
         let remote = if near { 100 } else { REMOTE_PERCENT };
         let run_ms = u64::from(asked.run_ms) * slowness * remote / 10_000;
         let ahead_milli_ms = self.ahead_milli_ms(planned, asked.priority);
-        let starts_at_once = ahead_milli_ms == 0 && free.fits(asked.need);
+        // An upstream on trial offers less room than a task may take.
+        let is_idle = taken.cpu_milli == 0;
+        let starts_at_once = ahead_milli_ms == 0 && (is_idle || free.fits(asked.need));
         let wait_ms = if starts_at_once {
             0
         } else {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -46,6 +46,12 @@
 /// so that one that is avoided is tried again: without it an upstream that was
 /// slow for 7 s stayed unused for up to 8 s more.
 const BLAME_HALF_LIFE_MS: u64 = 1_000;
+/// An upstream whose runs took longer than this, in percent of their estimates, is
+/// on trial until they don't: it offers a small part of its room.
+const TRIAL_PERCENT: u32 = 250;
+/// Part of its room, in percent: one task in ten shows as much as all of them, and
+/// one where all stand still costs one job instead of ten.
+const TRIAL_ROOM_PERCENT: u32 = 10;
 /// An order that the upstream does not list as running this long after it was sent
 /// is doubted: as a rule it is carried out and answered within 2 ms.
 const DOUBT_MS: u64 = 25;
@@ -563,6 +569,10 @@
                 self.note_failure(false, now_ms);
             }
             EndKind::Failed => self.note_failure(true, now_ms),
+            EndKind::Stopped if is_overdue(run_ms, estimate_ms) => {
+                // It would have taken longer still.
+                self.note_run_time(run_ms, estimate_ms, now_ms);
+            }
             EndKind::Stopped | EndKind::Lapsed => {}
         }
         self.settle(key, event);
@@ -675,7 +685,7 @@
         }
         UpstreamLoad {
             usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
-            capacity: self.life.as_ref().map(|life| life.capacity).unwrap_or_default(),
+            capacity: self.offered(),
             taken: self.taken,
             waiting_milli_ms,
             running_milli_ms: self.running_milli_ms(now_ms),
@@ -685,6 +695,16 @@
         }
     }
 
+    /// The room that entries may count on.
+    fn offered(&self) -> Room {
+        let capacity = self.life.as_ref().map(|life| life.capacity).unwrap_or_default();
+        if self.slowness_percent <= TRIAL_PERCENT {
+            return capacity;
+        }
+        let cpu_milli = capacity.cpu_milli * TRIAL_ROOM_PERCENT / 100;
+        Room { cpu_milli, ..capacity }
+    }
+
     /// Work left in what runs, by the estimates. One that is overdue counts with a
     /// tenth of its estimate.
     fn running_milli_ms(&self, now_ms: u64) -> u64 {
@@ -767,6 +787,10 @@
     }
 }
 
+fn is_overdue(run_ms: u32, estimate_ms: u32) -> bool {
+    u64::from(run_ms) * 100 > u64::from(estimate_ms) * OVERDUE_PERCENT
+}
+
 fn average(past: u32, sample: u32) -> u32 {
     // Rounded towards the sample, so that it is reached.
     let sum = past * (AVERAGE_PARTS - 1) + sample;
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -389,3 +389,34 @@
     renew(&mut ledger, 40, &[(task(1, 0), 1)], &[]);
     assert!(ledger.stops_due(40).is_empty());
 }
+
+/// All tasks on an upstream stand still. When they were stopped it offers little
+/// room, until runs show that it is sound.
+#[test]
+fn an_upstream_whose_runs_stood_still_is_on_trial() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 9, 1_000), 2);
+    let orders = starts(&mut ledger, 2);
+    for order in &orders {
+        ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    }
+    let running: Vec<_> = orders.iter().map(|order| (order.task, 1)).collect();
+    renew(&mut ledger, 400, &running, &[]);
+    assert!(ledger.load(400).slowness_percent > 350);
+    ledger.stop_job(ENTRY, CallerId(1));
+    let stopped: Vec<_> = (0..8).map(|n| ended(n + 1, 1, n as u16, EndKind::Stopped)).collect();
+    renew(&mut ledger, 620, &[], &stopped);
+    assert!(ledger.load(4_000).slowness_percent < 150, "what is held against it fades");
+    assert_eq!(ledger.load(4_000).capacity.cpu_milli, 1_000, "but it must show that it is sound");
+    for number in 2..=14 {
+        let now_ms = 4_000 + number * 100;
+        ledger.owner_heard(ENTRY, now_ms);
+        ledger.place(ENTRY, placement(number, 1, 1_000), now_ms);
+        renew(&mut ledger, now_ms, &[], &[]);
+        starts(&mut ledger, now_ms);
+        ledger.start_answered(task(number, 0), 1, StartAnswer::Started, now_ms);
+        let end = ended(number + 10, number, 0, EndKind::Done);
+        renew(&mut ledger, now_ms + 99, &[], &[end]);
+    }
+    assert_eq!(ledger.load(5_500).capacity.cpu_milli, 10_000);
+}
