--- /dev/null
+++ b/crates/decide/src/dispatch/connections.rs
@@ -0,0 +1,179 @@
+//! Agents that connect, report, fall silent and come back.
+
+use {
+    super::{AgentKey, AgentView, Dispatch, job::TaskState},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{Placement, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
+    },
+};
+
+impl Dispatch {
+    /// Agents that take work now.
+    #[must_use]
+    pub fn usable_agents(&self, now_ms: u64) -> usize {
+        let usable = |agent: &&AgentView| agent.is_usable(now_ms, self.limits.suspect_ms);
+        self.agents.values().filter(usable).count()
+    }
+
+    /// Takes a report of an agent.
+    pub fn report(
+        &mut self,
+        agent: AgentKey,
+        reports: &[RunReport],
+        load: UpstreamLoad,
+        heard: u64,
+        now_ms: u64,
+    ) {
+        let Some(view) = self.agents.get_mut(agent) else { return };
+        view.set_load(load, heard, now_ms);
+        if load.usable && view.old_runs_until_ms.take().is_some() {
+            // It says so only when nothing of its earlier run is left.
+            self.lose_runs(agent, |_, _| true, now_ms);
+        }
+        for report in reports {
+            self.apply(agent, report.task, report.run, report.event, now_ms);
+        }
+        self.place_waiting(now_ms);
+        self.recall_for(agent, now_ms);
+    }
+
+    pub(super) fn lose_silent(&mut self, now_ms: u64) {
+        let lost_ms = self.limits.lost_ms;
+        let is_lost = |agent: &&AgentView| {
+            now_ms >= agent.heard_ms + lost_ms
+                || agent.old_runs_until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+        };
+        let lost: Vec<_> = self.agents.values().filter(is_lost).map(|agent| agent.key).collect();
+        for key in lost {
+            if let Some(view) = self.agents.get_mut(key) {
+                view.old_runs_until_ms = None;
+            }
+            self.lose_runs(key, |_, _| true, now_ms);
+        }
+    }
+
+    /// Declares the tasks at an agent lost that `is_lost` picks.
+    pub(super) fn lose_runs(
+        &mut self,
+        agent: AgentKey,
+        is_lost: impl Fn(TaskKey, u32) -> bool,
+        now_ms: u64,
+    ) {
+        let mut lost = Vec::new();
+        for job in self.jobs.values() {
+            for (step, tasks) in job.tasks.iter().enumerate() {
+                for (index, task) in tasks.iter().enumerate() {
+                    let here =
+                        matches!(task.state, TaskState::Placed { agent: at, .. } if at == agent);
+                    let (Ok(step), Ok(index)) = (u8::try_from(step), u16::try_from(index)) else {
+                        continue;
+                    };
+                    let key = TaskKey { job: job.request.id, step, index };
+                    if here && is_lost(key, task.run) {
+                        lost.push((key, task.run));
+                    }
+                }
+            }
+        }
+        for (task, run) in lost {
+            self.apply(agent, task, run, RunEvent::Lost, now_ms);
+        }
+    }
+
+    /// Takes reports that an agent sends again as it connects anew, before what
+    /// it still holds is compared.
+    pub fn take_reports(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        reports: &[RunReport],
+        now_ms: u64,
+    ) {
+        let Some(&key) = self.by_name.get(name) else { return };
+        if self.agents[key].incarnation != incarnation {
+            return;
+        }
+        for report in reports {
+            self.apply(key, report.task, report.run, report.event, now_ms);
+        }
+    }
+
+    /// An agent has connected. `held` are the runs of ours that it still has, if
+    /// it has heard this run of ours before.
+    pub fn agent_connected(
+        &mut self,
+        name: &str,
+        incarnation: Incarnation,
+        held: Option<&[(TaskKey, u32)]>,
+        now_ms: u64,
+    ) -> AgentKey {
+        let Some(&key) = self.by_name.get(name) else {
+            let key = self
+                .agents
+                .insert_with_key(|key| AgentView::new(key, name.to_owned(), incarnation, now_ms));
+            self.by_name.insert(name.to_owned(), key);
+            return key;
+        };
+        let view = &mut self.agents[key];
+        let restarted = view.incarnation != incarnation;
+        view.incarnation = incarnation;
+        if restarted {
+            view.old_runs_until_ms = Some(now_ms + self.limits.lost_ms);
+        } else if let Some(held) = held {
+            self.lose_runs(key, |task, run| !held.contains(&(task, run)), now_ms);
+        }
+        key
+    }
+
+    /// The connection of [`Self::agent_connected`] is in use from now on.
+    pub fn agent_ready(&mut self, key: AgentKey, now_ms: u64) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.reconnect(now_ms);
+        }
+    }
+
+    /// An agent's connection has ended.
+    pub fn agent_disconnected(&mut self, key: AgentKey) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.connected = false;
+        }
+    }
+
+    /// An agent tells its upstream's life.
+    pub fn set_life(&mut self, key: AgentKey, life: UpstreamLife) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.life = Some(life);
+        }
+    }
+
+    /// The last known life of an agent's upstream.
+    #[must_use]
+    pub fn life(&self, key: AgentKey) -> Option<&UpstreamLife> {
+        self.agents.get(key)?.life.as_ref()
+    }
+
+    /// Counts a message to an agent; returns its number.
+    pub fn message_sent(&mut self, key: AgentKey, placed: Option<&Placement>, now_ms: u64) {
+        let Some(view) = self.agents.get_mut(key) else { return };
+        let message = view.echo.sent(now_ms);
+        if let Some(placed) = placed {
+            let count = u32::try_from(placed.tasks.len()).unwrap_or(u32::MAX);
+            view.sent(message, &placed.need, count, placed.run_ms);
+        }
+    }
+
+    /// Forgets agents that are gone for so long that nothing of theirs matters.
+    pub fn forget_agents(&mut self, now_ms: u64, after_ms: u64) {
+        let gone = self
+            .agents
+            .values()
+            .filter(|agent| !agent.connected && now_ms >= agent.heard_ms + after_ms);
+        let gone: Vec<_> = gone.map(|agent| (agent.key, agent.name.clone())).collect();
+        for (key, name) in gone {
+            self.lose_runs(key, |_, _| true, now_ms);
+            self.agents.remove(key);
+            self.by_name.remove(&name);
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/dispatch/place.rs
@@ -0,0 +1,227 @@
+//! Who is turned away, and where tasks go.
+
+use {
+    super::{
+        AgentKey, AgentView, Asked, Command, Dispatch, Expected, GiveUp, Job, JobAnswer, JobKey,
+        Planned, RETRY_MS, SAME_END_MS, StepRequest, job::TaskState,
+    },
+    std::collections::HashMap,
+    sycamorerail_wire::runs::{Placement, TaskStart},
+};
+
+impl Dispatch {
+    /// Whether the job can end before its caller leaves, by what is known.
+    pub(super) fn admit(&self, job: &Job, now_ms: u64) -> Result<(), JobAnswer> {
+        for (step, wanted) in job.request.steps.iter().enumerate() {
+            if self.never_fits(job, wanted) {
+                return Err(JobAnswer::Failed);
+            }
+            if !job.is_due(step) {
+                continue;
+            }
+            let Some(expected) = self.best_expected(job, wanted, now_ms) else {
+                continue;
+            };
+            if now_ms + expected.end_ms > job.end_by_ms() {
+                let retry = expected.wait_ms.clamp(RETRY_MS.0, RETRY_MS.1) as u32;
+                return Err(JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms: retry });
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether upstreams of the pool are known and none could ever hold it.
+    pub(super) fn never_fits(&self, job: &Job, step: &StepRequest) -> bool {
+        let pool = &*job.request.kind.pool;
+        let mut of_pool = self.agents.values().filter_map(|agent| agent.life.as_ref());
+        let known = of_pool.any(|life| life.pool == pool);
+        let fits = |agent: &AgentView| agent.suits(pool, &step.need, None);
+        known && !self.agents.values().any(fits)
+    }
+
+    pub(super) fn best_expected(
+        &self,
+        job: &Job,
+        step: &StepRequest,
+        now_ms: u64,
+    ) -> Option<Expected> {
+        let asked = self.asked(job, step);
+        let suitable = self.agents.values().filter(|agent| {
+            agent.is_usable(now_ms, self.limits.suspect_ms)
+                && agent.suits(&job.request.kind.pool, &step.need, step.required_label.as_deref())
+        });
+        let none = Planned::default();
+        suitable.map(|agent| agent.expect(&none, &asked)).min_by_key(|expected| expected.end_ms)
+    }
+
+    pub(super) fn asked<'a>(&self, job: &Job, step: &'a StepRequest) -> Asked<'a> {
+        Asked {
+            need: &step.need,
+            run_ms: self.corrected_ms(job, step),
+            priority: job.request.kind.priority,
+            prefers: step.preferred_label.as_deref(),
+        }
+    }
+
+    pub(super) fn corrected_ms(&self, job: &Job, step: &StepRequest) -> u32 {
+        let percent = self.work_percent.get(&job.request.kind.name).copied().unwrap_or(100);
+        let corrected = u64::from(step.run_ms) * u64::from(percent) / 100;
+        u32::try_from(corrected).unwrap_or(u32::MAX)
+    }
+
+    /// Places what is unplaced of a job, as far as agents are usable.
+    pub(super) fn place(&mut self, key: JobKey, now_ms: u64) {
+        let Some(job) = self.jobs.get(key) else { return };
+        if job.ending.is_some() {
+            return;
+        }
+        let mut left = false;
+        for step in job.steps_to_place() {
+            left |= !self.place_step(key, step, now_ms);
+        }
+        if left {
+            self.unplaced.insert(key);
+        } else {
+            self.unplaced.remove(&key);
+        }
+    }
+
+    /// Places the tasks of a step; returns whether none is left unplaced.
+    pub(super) fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
+        let chosen = self.choose(key, step, now_ms);
+        let Some(job) = self.jobs.get_mut(key) else { return true };
+        let mut by_agent: HashMap<AgentKey, Vec<TaskStart>> = HashMap::new();
+        for (index, agent) in &chosen {
+            let task = &mut job.tasks[step][usize::from(*index)];
+            task.run += 1;
+            task.state = TaskState::Placed {
+                agent: *agent,
+                started: false,
+                since_ms: now_ms,
+                recalled: false,
+            };
+            by_agent.entry(*agent).or_default().push(TaskStart { index: *index, run: task.run });
+        }
+        let all = !job.tasks[step].iter().any(|task| task.state == TaskState::Unplaced);
+        let placements: Vec<_> = by_agent
+            .into_iter()
+            .map(|(agent, tasks)| (agent, self.placement(key, step, tasks, now_ms)))
+            .collect();
+        for (agent, placement) in placements {
+            self.commands.extend(placement.map(|placement| Command::Place(agent, placement)));
+        }
+        all
+    }
+
+    pub(super) fn placement(
+        &self,
+        key: JobKey,
+        step: usize,
+        tasks: Vec<TaskStart>,
+        now_ms: u64,
+    ) -> Option<Placement> {
+        let job = self.jobs.get(key)?;
+        let wanted = &job.request.steps[step];
+        let left = |at_ms: u64| u32::try_from(at_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
+        Some(Placement {
+            job: job.request.id,
+            step: u8::try_from(step).ok()?,
+            spec: job.request.spec.clone(),
+            tasks,
+            need: wanted.need,
+            run_ms: self.corrected_ms(job, wanted),
+            priority: job.request.kind.priority,
+            objective_in_ms: left(job.objective_ms),
+            give_up_in_ms: left(job.end_by_ms()),
+        })
+    }
+
+    /// An agent for each unplaced task of a step, where one is usable and the
+    /// task can end there before the caller leaves.
+    pub(super) fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<(u16, AgentKey)> {
+        let Some(job) = self.jobs.get(key) else { return Vec::new() };
+        let wanted = &job.request.steps[step];
+        let asked = self.asked(job, wanted);
+        let pool = &*job.request.kind.pool;
+        let label = wanted.required_label.as_deref();
+        let usable = self.agents.values().filter(|agent| {
+            agent.is_usable(now_ms, self.limits.suspect_ms)
+                && agent.suits(pool, &wanted.need, label)
+        });
+        let mut candidates: Vec<(&AgentView, Planned)> =
+            usable.map(|agent| (agent, Planned::default())).collect();
+        if candidates.is_empty() {
+            return Vec::new();
+        }
+        self.turn = self.turn.wrapping_add(1);
+        let turn = self.turn % candidates.len();
+        candidates.rotate_left(turn);
+        let mut chosen = Vec::new();
+        for (index, task) in job.tasks[step].iter().enumerate() {
+            if task.state != TaskState::Unplaced {
+                continue;
+            }
+            let best = best_of(&candidates, job, step, &asked, task.avoid);
+            let Some((best, expected)) = best else { continue };
+            if now_ms + expected.end_ms > job.end_by_ms() {
+                continue;
+            }
+            let (agent, planned) = &mut candidates[best];
+            planned.add(asked.need, asked.run_ms);
+            chosen.extend(u16::try_from(index).ok().map(|index| (index, agent.key)));
+        }
+        chosen
+    }
+
+    /// Tries again to place what is unplaced.
+    pub(super) fn place_waiting(&mut self, now_ms: u64) {
+        for key in self.unplaced.clone() {
+            self.place(key, now_ms);
+        }
+    }
+
+    /// Whether a job with an unplaced task can end no more before its caller
+    /// leaves, even if an upstream took the task now.
+    pub(super) fn is_hopeless(&self, key: JobKey, now_ms: u64) -> bool {
+        let Some(job) = self.jobs.get(key) else { return false };
+        let steps = job.steps_to_place();
+        let longest = steps.iter().map(|&step| self.corrected_ms(job, &job.request.steps[step]));
+        let run_ms = u64::from(longest.max().unwrap_or(0));
+        now_ms + run_ms > job.end_by_ms()
+    }
+}
+
+/// The candidate that ends a task first; among equals the one with most room.
+/// An agent that gave the task back is taken only if there is no other.
+fn best_of(
+    candidates: &[(&AgentView, Planned)],
+    job: &Job,
+    step: usize,
+    asked: &Asked<'_>,
+    avoid: Option<AgentKey>,
+) -> Option<(usize, Expected)> {
+    let wanted = &job.request.steps[step];
+    let mut best: Option<(usize, Expected)> = None;
+    let others = candidates.len() > 1;
+    for (place, (agent, planned)) in candidates.iter().enumerate() {
+        let full = wanted
+            .max_per_upstream
+            .is_some_and(|most| job.count_at(step, agent.key) + planned.count >= most);
+        if full || (others && avoid == Some(agent.key)) {
+            continue;
+        }
+        let expected = agent.expect(planned, asked);
+        let better = best.is_none_or(|(_, known)| is_better(&expected, &known));
+        if better {
+            best = Some((place, expected));
+        }
+    }
+    best
+}
+
+fn is_better(one: &Expected, other: &Expected) -> bool {
+    if one.cost_ms.abs_diff(other.cost_ms) <= SAME_END_MS {
+        return one.free_cpu_milli > other.free_cpu_milli;
+    }
+    one.cost_ms < other.cost_ms
+}
--- /dev/null
+++ b/crates/decide/src/dispatch/recall.rs
@@ -0,0 +1,98 @@
+//! Tasks that wait at one agent while another has room.
+
+use {
+    super::{AgentKey, Command, Dispatch, Job, JobKey, job::TaskState},
+    std::collections::HashMap,
+    sycamorerail_wire::runs::TaskKey,
+};
+
+/// A task that has not begun after this much time waits: starts are told within
+/// 5 ms as a rule. Doubled with each start number, or tasks would go round between
+/// full upstreams, as room is claimed by several entries at once.
+const RECALL_AFTER_MS: u64 = 15;
+/// Doublings of it at most.
+const MAX_DOUBLINGS: u32 = 6;
+
+/// A task that waits at an agent.
+struct Waiting {
+    job: JobKey,
+    task: TaskKey,
+    at: AgentKey,
+    need_milli: u32,
+    end_by_ms: u64,
+}
+
+impl Dispatch {
+    /// Asks tasks back that wait at other agents, for the room that this one has.
+    ///
+    /// A job waits for its slowest task, and run times are off by 40 %: without it
+    /// some tasks queue at one upstream while others have room again.
+    pub(super) fn recall_for(&mut self, agent: AgentKey, now_ms: u64) {
+        let Some(view) = self.agents.get(agent) else { return };
+        if !view.is_usable(now_ms, self.limits.suspect_ms) || view.load.waiting > 0 {
+            return;
+        }
+        // The rest is for what comes, here and at other entries.
+        let mut room_milli = view.free_cpu_milli() / 2;
+        let mut waiting = self.waiting_elsewhere(agent, now_ms);
+        waiting.sort_unstable_by_key(|waiting| waiting.end_by_ms);
+        let mut by_agent: HashMap<AgentKey, Vec<TaskKey>> = HashMap::new();
+        for Waiting { job, task, at, need_milli, .. } in waiting {
+            let Some(left) = room_milli.checked_sub(need_milli) else { break };
+            room_milli = left;
+            by_agent.entry(at).or_default().push(task);
+            let Some(job) = self.jobs.get_mut(job) else { continue };
+            let state = &mut job.tasks[usize::from(task.step)][usize::from(task.index)].state;
+            if let TaskState::Placed { recalled, .. } = state {
+                *recalled = true;
+            }
+        }
+        let recalls = by_agent.into_iter().map(|(at, tasks)| Command::Withdraw(at, tasks));
+        self.commands.extend(recalls);
+    }
+
+    /// Tasks that wait at other agents for a while, and could run at this one.
+    fn waiting_elsewhere(&self, agent: AgentKey, now_ms: u64) -> Vec<Waiting> {
+        let is_queue = |at: AgentKey| {
+            at != agent && self.agents.get(at).is_some_and(|view| view.load.waiting > 0)
+        };
+        if !self.agents.keys().any(is_queue) {
+            return Vec::new();
+        }
+        let view = &self.agents[agent];
+        let mut found = Vec::new();
+        for (key, job) in self.jobs.iter().filter(|(_, job)| job.ending.is_none()) {
+            for (step, wanted) in job.request.steps.iter().enumerate() {
+                let label = wanted.required_label.as_deref();
+                if view.suits(&job.request.kind.pool, &wanted.need, label) {
+                    let waiting = waiting_tasks(key, job, step, now_ms);
+                    found.extend(waiting.filter(|waiting| is_queue(waiting.at)));
+                }
+            }
+        }
+        found
+    }
+}
+
+/// Tasks of a step that an agent has had for long enough without a start.
+fn waiting_tasks(
+    key: JobKey,
+    job: &Job,
+    step: usize,
+    now_ms: u64,
+) -> impl Iterator<Item = Waiting> + '_ {
+    let need_milli = job.request.steps[step].need.cpu_milli;
+    job.tasks[step].iter().enumerate().filter_map(move |(index, task)| {
+        let TaskState::Placed { agent: at, started: false, since_ms, recalled: false } = task.state
+        else {
+            return None;
+        };
+        let patience_ms = RECALL_AFTER_MS << task.run.saturating_sub(1).min(MAX_DOUBLINGS);
+        if now_ms < since_ms + patience_ms {
+            return None;
+        }
+        let (step, index) = (u8::try_from(step).ok()?, u16::try_from(index).ok()?);
+        let task = TaskKey { job: job.request.id, step, index };
+        Some(Waiting { job: key, task, at, need_milli, end_by_ms: job.objective_ms })
+    })
+}
--- /dev/null
+++ b/crates/decide/src/ledger/load.rs
@@ -0,0 +1,125 @@
+//! What entries are told to place by: room, waiting work, and what is held against
+//! the upstream.
+
+use {
+    super::{Ledger, Phase, SOUND_PERCENT},
+    sycamorerail_wire::runs::{PRIORITY_CLASSES, Room, UpstreamLoad},
+};
+
+/// Weight of the newest sample in moving averages, as one part of this many:
+/// some ten runs decide, which an upstream ends in a quarter of a second.
+const AVERAGE_PARTS: u32 = 8;
+/// What is held against an upstream is halved after each such time without news,
+/// so that one that is avoided is tried again: without it an upstream that was
+/// slow for 7 s stayed unused for up to 8 s more.
+const BLAME_HALF_LIFE_MS: u64 = 1_000;
+/// An upstream whose runs took longer than this, in percent of their estimates, is
+/// on trial until they don't: it offers a small part of its room.
+const TRIAL_PERCENT: u32 = 250;
+/// Part of its room, in percent: one task in ten shows as much as all of them, and
+/// one where all stand still costs one job instead of ten.
+const TRIAL_ROOM_PERCENT: u32 = 10;
+/// Run time that counts as overdue, in percent of the estimate.
+const OVERDUE_PERCENT: u64 = 250;
+
+impl Ledger {
+    pub(super) fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
+        let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
+        self.slowness_percent = average(self.slowness_faded(now_ms), percent);
+        self.slowness_at_ms = now_ms;
+    }
+
+    pub(super) fn slowness_faded(&self, now_ms: u64) -> u32 {
+        let halvings = now_ms.saturating_sub(self.slowness_at_ms) / BLAME_HALF_LIFE_MS;
+        let excess = self.slowness_percent.saturating_sub(SOUND_PERCENT) >> halvings.min(31);
+        self.slowness_percent.min(SOUND_PERCENT) + excess
+    }
+
+    pub(super) fn note_failure(&mut self, failed: bool, now_ms: u64) {
+        let past = self.failing_now(now_ms);
+        self.failing_percent = average(past, if failed { 100 } else { 0 });
+        self.failing_at_ms = now_ms;
+    }
+
+    pub(super) fn failing_now(&self, now_ms: u64) -> u32 {
+        let halvings = now_ms.saturating_sub(self.failing_at_ms) / BLAME_HALF_LIFE_MS;
+        self.failing_percent >> halvings.min(31)
+    }
+
+    /// The load to tell entries of.
+    #[must_use]
+    pub fn load(&self, now_ms: u64) -> UpstreamLoad {
+        let mut waiting_milli_ms = [0; PRIORITY_CLASSES];
+        for (rank, key) in &self.waiting {
+            let class = if rank.is_late { u8::MAX } else { rank.priority };
+            let class = usize::from(class).min(PRIORITY_CLASSES - 1);
+            let run = &self.runs[*key];
+            waiting_milli_ms[class] += u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
+        }
+        UpstreamLoad {
+            usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
+            capacity: self.offered(),
+            taken: self.taken,
+            waiting_milli_ms,
+            running_milli_ms: self.running_milli_ms(now_ms),
+            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
+            slowness_percent: self.slowness_now(now_ms),
+            failing_percent: self.failing_now(now_ms),
+        }
+    }
+
+    /// The room that entries may count on.
+    pub(super) fn offered(&self) -> Room {
+        let capacity = self.life.as_ref().map(|life| life.capacity).unwrap_or_default();
+        if self.slowness_percent <= TRIAL_PERCENT {
+            return capacity;
+        }
+        let cpu_milli = capacity.cpu_milli * TRIAL_ROOM_PERCENT / 100;
+        Room { cpu_milli, ..capacity }
+    }
+
+    /// Work left in what runs, by the estimates. One that is overdue counts with a
+    /// tenth of its estimate.
+    pub(super) fn running_milli_ms(&self, now_ms: u64) -> u64 {
+        let active = self.runs.values().filter(|run| run.phase != Phase::Waiting);
+        let left = active.map(|run| {
+            let elapsed_ms = match run.phase {
+                Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
+                _ => 0,
+            };
+            let run_ms = u64::from(run.run_ms);
+            let left_ms = run_ms.saturating_sub(elapsed_ms).max(run_ms / 10);
+            u64::from(run.need.cpu_milli) * left_ms
+        });
+        left.sum()
+    }
+
+    /// Run times against estimates, counting runs that are overdue by far.
+    pub(super) fn slowness_now(&self, now_ms: u64) -> u32 {
+        let overdue = self.runs.values().filter_map(|run| match run.phase {
+            Phase::Running { since_ms } => {
+                let elapsed_ms = now_ms.saturating_sub(since_ms);
+                Some(elapsed_ms * 100 / u64::from(run.run_ms.max(1)))
+            }
+            _ => None,
+        });
+        let worst: Vec<_> = overdue.filter(|percent| *percent > OVERDUE_PERCENT).collect();
+        let faded = self.slowness_faded(now_ms);
+        if worst.len() * 2 <= self.active_count() || worst.is_empty() {
+            return faded;
+        }
+        let mean = worst.iter().sum::<u64>() / worst.len() as u64;
+        faded.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
+    }
+}
+
+/// Whether a run took far longer than estimated.
+pub(super) fn is_overdue(run_ms: u32, estimate_ms: u32) -> bool {
+    u64::from(run_ms) * 100 > u64::from(estimate_ms) * OVERDUE_PERCENT
+}
+
+fn average(past: u32, sample: u32) -> u32 {
+    // Rounded towards the sample, so that it is reached.
+    let sum = past * (AVERAGE_PARTS - 1) + sample;
+    if sample > past { sum.div_ceil(AVERAGE_PARTS) } else { sum / AVERAGE_PARTS }
+}
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -10,7 +10,9 @@
 //! After a restart nothing is known of the runs of the agent before it. They
 //! are stopped first, and nothing is started until none is listed any more.
 
+mod load;
 mod owners;
+mod renewal;
 mod types;
 
 pub use types::{
@@ -26,32 +28,16 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{
-            CallerId, NotStarted, PRIORITY_CLASSES, Placement, Room, RunEvent, RunReport, TaskKey,
-            UpstreamLife, UpstreamLoad,
-        },
+        runs::{CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife},
     },
 };
 
-/// Weight of the newest sample in moving averages, as one part of this many:
-/// some ten runs decide, which an upstream ends in a quarter of a second.
-const AVERAGE_PARTS: u32 = 8;
 /// Part of the lease, in percent, after which an upstream that answered no
 /// renewal gets no new runs and no new lease. Two calls of 250 ms that wait, each
 /// with its time-out, fit into it.
 const TRUSTED_PERCENT: u64 = 80;
 /// The upstream's clock may be this much slower than ours, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
-/// What is held against an upstream is halved after each such time without news,
-/// so that one that is avoided is tried again: without it an upstream that was
-/// slow for 7 s stayed unused for up to 8 s more.
-const BLAME_HALF_LIFE_MS: u64 = 1_000;
-/// An upstream whose runs took longer than this, in percent of their estimates, is
-/// on trial until they don't: it offers a small part of its room.
-const TRIAL_PERCENT: u32 = 250;
-/// Part of its room, in percent: one task in ten shows as much as all of them, and
-/// one where all stand still costs one job instead of ten.
-const TRIAL_ROOM_PERCENT: u32 = 10;
 /// An order that the upstream does not list as running this long after it was sent
 /// is doubted: as a rule it is carried out and answered within 2 ms.
 const DOUBT_MS: u64 = 25;
@@ -60,8 +46,6 @@
 /// Waiting tasks looked at for one that fits, so that a wide task at the head
 /// does not leave room unused for long.
 const LOOK_AHEAD: usize = 16;
-/// Run time that counts as overdue, in percent of the estimate.
-const OVERDUE_PERCENT: u64 = 250;
 
 new_key_type! {
     /// A run in the ledger.
@@ -406,16 +390,6 @@
         self.limits.lease_ms * TRUSTED_PERCENT / 100
     }
 
-    /// The lease to ask for, on the upstream's clock. `None` once renewals were
-    /// not answered for a while: an unanswered one may be carried out, and then
-    /// it would never be sure that the lease has lapsed.
-    #[must_use]
-    pub fn lease_until_clock_ms(&self, now_ms: u64) -> Option<u64> {
-        let clock_ms = self.clock_ms(now_ms)?;
-        let may_renew = self.renewed_ms.is_none() || self.is_trusted(now_ms);
-        may_renew.then_some(clock_ms + self.limits.lease_ms)
-    }
-
     /// Sends back what cannot be in time for anybody, and puts what is late
     /// behind what is not.
     fn sort_out(&mut self, now_ms: u64) {
@@ -505,240 +479,6 @@
         due
     }
 
-    /// The upstream confirmed a stop: a start of this run that it has not
-    /// carried out is refused from now on.
-    pub fn stop_confirmed(&mut self, task: TaskKey, run: u32, now_ms: u64) {
-        let Some(key) = self.find(task, run) else { return };
-        if let Some(stop) = &mut self.runs[key].stop {
-            stop.confirmed_ms.get_or_insert(now_ms);
-        }
-    }
-
-    /// Highest number of an end that was taken note of.
-    #[must_use]
-    pub fn acknowledged(&self) -> u64 {
-        self.acknowledged
-    }
-
-    /// Takes note of the upstream's answer to a renewal of the lease.
-    pub fn renewed(&mut self, answer: &LeaseAnswer, now_ms: u64) {
-        if self.renewed_ms.is_some_and(|last_ms| answer.sent_ms < last_ms) {
-            // It was overtaken: what it lists as running may be over.
-            return;
-        }
-        self.clock = Some((answer.clock_ms, now_ms));
-        self.renewed_ms = Some(answer.sent_ms);
-        for ended in &answer.ended {
-            self.end(ended, now_ms);
-        }
-        for &(task, number) in &answer.running {
-            match self.find(task, number) {
-                Some(key) if matches!(self.runs[key].phase, Phase::Ordered { .. }) => {
-                    self.confirm(key, now_ms);
-                }
-                _ => {}
-            }
-        }
-        self.settle_absent(answer);
-        self.recall_doubtful(answer);
-        self.note_leftovers(&answer.running);
-    }
-
-    fn end(&mut self, ended: &Ended, now_ms: u64) {
-        if ended.number <= self.acknowledged {
-            return;
-        }
-        self.acknowledged = ended.number;
-        let Some(key) = self.find(ended.task, ended.run) else { return };
-        let run = &self.runs[key];
-        let ran_ms = match run.phase {
-            Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
-            _ => run.run_ms.into(),
-        };
-        let run_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
-        let estimate_ms = run.run_ms;
-        let event = match ended.kind {
-            EndKind::Done => RunEvent::Done { run_ms },
-            EndKind::Failed => RunEvent::Failed { run_ms },
-            EndKind::Stopped => RunEvent::Stopped,
-            EndKind::Lapsed => RunEvent::Lost,
-        };
-        match ended.kind {
-            EndKind::Done => {
-                self.note_run_time(run_ms, estimate_ms, now_ms);
-                self.note_failure(false, now_ms);
-            }
-            EndKind::Failed => self.note_failure(true, now_ms),
-            EndKind::Stopped if is_overdue(run_ms, estimate_ms) => {
-                // It would have taken longer still.
-                self.note_run_time(run_ms, estimate_ms, now_ms);
-            }
-            EndKind::Stopped | EndKind::Lapsed => {}
-        }
-        self.settle(key, event);
-    }
-
-    /// Settles runs that the upstream would have listed if they ran.
-    fn settle_absent(&mut self, answer: &LeaseAnswer) {
-        for key in self.active() {
-            let run = &self.runs[key];
-            if answer.running.contains(&(run.task, run.number)) {
-                continue;
-            }
-            let stopped_before =
-                run.stop.and_then(|stop| stop.confirmed_ms).is_some_and(|ms| ms < answer.sent_ms);
-            let event = match run.phase {
-                Phase::Running { since_ms } if since_ms < answer.sent_ms => Some(RunEvent::Lost),
-                Phase::Ordered { .. } if stopped_before => {
-                    Some(RunEvent::NotStarted(NotStarted::Withdrawn))
-                }
-                Phase::Ordered { late_after_clock_ms, unanswered: true, .. }
-                    if answer.clock_ms > late_after_clock_ms =>
-                {
-                    Some(RunEvent::NotStarted(NotStarted::Unanswered))
-                }
-                _ => None,
-            };
-            if let Some(event) = event {
-                self.settle(key, event);
-            }
-        }
-    }
-
-    /// Has starts stopped that should have been carried out by now and were not:
-    /// once the stop is confirmed they never are, and the task can go elsewhere
-    /// long before the order is too late.
-    fn recall_doubtful(&mut self, answer: &LeaseAnswer) {
-        for run in self.runs.values_mut() {
-            let Phase::Ordered { since_ms, .. } = run.phase else { continue };
-            if run.stop.is_none() && since_ms + DOUBT_MS <= answer.sent_ms {
-                run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
-            }
-        }
-    }
-
-    fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
-        let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
-        let never = Stop { sent_ms: None, confirmed_ms: None };
-        let leftovers: HashMap<_, _> =
-            foreign.map(|run| (*run, self.leftovers.get(run).copied().unwrap_or(never))).collect();
-        self.leftovers = leftovers;
-        self.clean = self.leftovers.is_empty();
-    }
-
-    /// Declares runs lost whose lease has surely lapsed. Their room stays taken
-    /// until the upstream answers again.
-    pub fn check_lapse(&mut self, now_ms: u64) {
-        let Some(renewed_ms) = self.renewed_ms else { return };
-        if !self.is_trusted(now_ms) {
-            // Others may start it meanwhile.
-            self.drop_waiting(NotStarted::NoUpstream);
-        }
-        if now_ms < renewed_ms + self.lapse_ms() {
-            return;
-        }
-        self.lose_active();
-        // What may still be listed is stopped and waited for, as after a restart.
-        self.clean = false;
-        self.renewed_ms = None;
-    }
-
-    /// Time from the last answered renewal after which the lease has surely
-    /// lapsed: unanswered ones were sent until it was trusted no more.
-    fn lapse_ms(&self) -> u64 {
-        let lease_ms = self.limits.lease_ms;
-        self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
-    }
-
-    fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
-        let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
-        self.slowness_percent = average(self.slowness_faded(now_ms), percent);
-        self.slowness_at_ms = now_ms;
-    }
-
-    fn slowness_faded(&self, now_ms: u64) -> u32 {
-        let halvings = now_ms.saturating_sub(self.slowness_at_ms) / BLAME_HALF_LIFE_MS;
-        let excess = self.slowness_percent.saturating_sub(SOUND_PERCENT) >> halvings.min(31);
-        self.slowness_percent.min(SOUND_PERCENT) + excess
-    }
-
-    fn note_failure(&mut self, failed: bool, now_ms: u64) {
-        let past = self.failing_now(now_ms);
-        self.failing_percent = average(past, if failed { 100 } else { 0 });
-        self.failing_at_ms = now_ms;
-    }
-
-    fn failing_now(&self, now_ms: u64) -> u32 {
-        let halvings = now_ms.saturating_sub(self.failing_at_ms) / BLAME_HALF_LIFE_MS;
-        self.failing_percent >> halvings.min(31)
-    }
-
-    /// The load to tell entries of.
-    #[must_use]
-    pub fn load(&self, now_ms: u64) -> UpstreamLoad {
-        let mut waiting_milli_ms = [0; PRIORITY_CLASSES];
-        for (rank, key) in &self.waiting {
-            let class = if rank.is_late { u8::MAX } else { rank.priority };
-            let class = usize::from(class).min(PRIORITY_CLASSES - 1);
-            let run = &self.runs[*key];
-            waiting_milli_ms[class] += u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
-        }
-        UpstreamLoad {
-            usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
-            capacity: self.offered(),
-            taken: self.taken,
-            waiting_milli_ms,
-            running_milli_ms: self.running_milli_ms(now_ms),
-            waiting: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
-            slowness_percent: self.slowness_now(now_ms),
-            failing_percent: self.failing_now(now_ms),
-        }
-    }
-
-    /// The room that entries may count on.
-    fn offered(&self) -> Room {
-        let capacity = self.life.as_ref().map(|life| life.capacity).unwrap_or_default();
-        if self.slowness_percent <= TRIAL_PERCENT {
-            return capacity;
-        }
-        let cpu_milli = capacity.cpu_milli * TRIAL_ROOM_PERCENT / 100;
-        Room { cpu_milli, ..capacity }
-    }
-
-    /// Work left in what runs, by the estimates. One that is overdue counts with a
-    /// tenth of its estimate.
-    fn running_milli_ms(&self, now_ms: u64) -> u64 {
-        let active = self.runs.values().filter(|run| run.phase != Phase::Waiting);
-        let left = active.map(|run| {
-            let elapsed_ms = match run.phase {
-                Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
-                _ => 0,
-            };
-            let run_ms = u64::from(run.run_ms);
-            let left_ms = run_ms.saturating_sub(elapsed_ms).max(run_ms / 10);
-            u64::from(run.need.cpu_milli) * left_ms
-        });
-        left.sum()
-    }
-
-    /// Run times against estimates, counting runs that are overdue by far.
-    fn slowness_now(&self, now_ms: u64) -> u32 {
-        let overdue = self.runs.values().filter_map(|run| match run.phase {
-            Phase::Running { since_ms } => {
-                let elapsed_ms = now_ms.saturating_sub(since_ms);
-                Some(elapsed_ms * 100 / u64::from(run.run_ms.max(1)))
-            }
-            _ => None,
-        });
-        let worst: Vec<_> = overdue.filter(|percent| *percent > OVERDUE_PERCENT).collect();
-        let faded = self.slowness_faded(now_ms);
-        if worst.len() * 2 <= self.active_count() || worst.is_empty() {
-            return faded;
-        }
-        let mean = worst.iter().sum::<u64>() / worst.len() as u64;
-        faded.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
-    }
-
     /// Takes a run out and reports what became of it.
     fn settle(&mut self, key: RunKey, event: RunEvent) {
         let Some(run) = self.runs.remove(key) else { return };
@@ -786,13 +526,3 @@
         StartRefusal::Unhealthy => NotStarted::Refused,
     }
 }
-
-fn is_overdue(run_ms: u32, estimate_ms: u32) -> bool {
-    u64::from(run_ms) * 100 > u64::from(estimate_ms) * OVERDUE_PERCENT
-}
-
-fn average(past: u32, sample: u32) -> u32 {
-    // Rounded towards the sample, so that it is reached.
-    let sum = past * (AVERAGE_PARTS - 1) + sample;
-    if sample > past { sum.div_ceil(AVERAGE_PARTS) } else { sum / AVERAGE_PARTS }
-}
--- /dev/null
+++ b/crates/decide/src/ledger/renewal.rs
@@ -0,0 +1,168 @@
+//! What the upstream's answers to renewals of the lease show, and what is sure
+//! when none come.
+
+use {
+    super::{
+        CLOCK_DRIFT_PERCENT, DOUBT_MS, EndKind, Ended, LeaseAnswer, Ledger, Phase, Stop,
+        load::is_overdue,
+    },
+    std::collections::HashMap,
+    sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
+};
+
+impl Ledger {
+    /// The lease to ask for, on the upstream's clock. `None` once renewals were
+    /// not answered for a while: an unanswered one may be carried out, and then
+    /// it would never be sure that the lease has lapsed.
+    #[must_use]
+    pub fn lease_until_clock_ms(&self, now_ms: u64) -> Option<u64> {
+        let clock_ms = self.clock_ms(now_ms)?;
+        let may_renew = self.renewed_ms.is_none() || self.is_trusted(now_ms);
+        may_renew.then_some(clock_ms + self.limits.lease_ms)
+    }
+
+    /// The upstream confirmed a stop: a start of this run that it has not
+    /// carried out is refused from now on.
+    pub fn stop_confirmed(&mut self, task: TaskKey, run: u32, now_ms: u64) {
+        let Some(key) = self.find(task, run) else { return };
+        if let Some(stop) = &mut self.runs[key].stop {
+            stop.confirmed_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Highest number of an end that was taken note of.
+    #[must_use]
+    pub fn acknowledged(&self) -> u64 {
+        self.acknowledged
+    }
+
+    /// Takes note of the upstream's answer to a renewal of the lease.
+    pub fn renewed(&mut self, answer: &LeaseAnswer, now_ms: u64) {
+        if self.renewed_ms.is_some_and(|last_ms| answer.sent_ms < last_ms) {
+            // It was overtaken: what it lists as running may be over.
+            return;
+        }
+        self.clock = Some((answer.clock_ms, now_ms));
+        self.renewed_ms = Some(answer.sent_ms);
+        for ended in &answer.ended {
+            self.end(ended, now_ms);
+        }
+        for &(task, number) in &answer.running {
+            match self.find(task, number) {
+                Some(key) if matches!(self.runs[key].phase, Phase::Ordered { .. }) => {
+                    self.confirm(key, now_ms);
+                }
+                _ => {}
+            }
+        }
+        self.settle_absent(answer);
+        self.recall_doubtful(answer);
+        self.note_leftovers(&answer.running);
+    }
+
+    pub(super) fn end(&mut self, ended: &Ended, now_ms: u64) {
+        if ended.number <= self.acknowledged {
+            return;
+        }
+        self.acknowledged = ended.number;
+        let Some(key) = self.find(ended.task, ended.run) else { return };
+        let run = &self.runs[key];
+        let ran_ms = match run.phase {
+            Phase::Running { since_ms } => now_ms.saturating_sub(since_ms),
+            _ => run.run_ms.into(),
+        };
+        let run_ms = u32::try_from(ran_ms).unwrap_or(u32::MAX);
+        let estimate_ms = run.run_ms;
+        let event = match ended.kind {
+            EndKind::Done => RunEvent::Done { run_ms },
+            EndKind::Failed => RunEvent::Failed { run_ms },
+            EndKind::Stopped => RunEvent::Stopped,
+            EndKind::Lapsed => RunEvent::Lost,
+        };
+        match ended.kind {
+            EndKind::Done => {
+                self.note_run_time(run_ms, estimate_ms, now_ms);
+                self.note_failure(false, now_ms);
+            }
+            EndKind::Failed => self.note_failure(true, now_ms),
+            EndKind::Stopped if is_overdue(run_ms, estimate_ms) => {
+                // It would have taken longer still.
+                self.note_run_time(run_ms, estimate_ms, now_ms);
+            }
+            EndKind::Stopped | EndKind::Lapsed => {}
+        }
+        self.settle(key, event);
+    }
+
+    /// Settles runs that the upstream would have listed if they ran.
+    pub(super) fn settle_absent(&mut self, answer: &LeaseAnswer) {
+        for key in self.active() {
+            let run = &self.runs[key];
+            if answer.running.contains(&(run.task, run.number)) {
+                continue;
+            }
+            let stopped_before =
+                run.stop.and_then(|stop| stop.confirmed_ms).is_some_and(|ms| ms < answer.sent_ms);
+            let event = match run.phase {
+                Phase::Running { since_ms } if since_ms < answer.sent_ms => Some(RunEvent::Lost),
+                Phase::Ordered { .. } if stopped_before => {
+                    Some(RunEvent::NotStarted(NotStarted::Withdrawn))
+                }
+                Phase::Ordered { late_after_clock_ms, unanswered: true, .. }
+                    if answer.clock_ms > late_after_clock_ms =>
+                {
+                    Some(RunEvent::NotStarted(NotStarted::Unanswered))
+                }
+                _ => None,
+            };
+            if let Some(event) = event {
+                self.settle(key, event);
+            }
+        }
+    }
+
+    /// Has starts stopped that should have been carried out by now and were not:
+    /// once the stop is confirmed they never are, and the task can go elsewhere
+    /// long before the order is too late.
+    pub(super) fn recall_doubtful(&mut self, answer: &LeaseAnswer) {
+        for run in self.runs.values_mut() {
+            let Phase::Ordered { since_ms, .. } = run.phase else { continue };
+            if run.stop.is_none() && since_ms + DOUBT_MS <= answer.sent_ms {
+                run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
+            }
+        }
+    }
+
+    pub(super) fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
+        let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
+        let never = Stop { sent_ms: None, confirmed_ms: None };
+        let leftovers: HashMap<_, _> =
+            foreign.map(|run| (*run, self.leftovers.get(run).copied().unwrap_or(never))).collect();
+        self.leftovers = leftovers;
+        self.clean = self.leftovers.is_empty();
+    }
+
+    /// Declares runs lost whose lease has surely lapsed. Their room stays taken
+    /// until the upstream answers again.
+    pub fn check_lapse(&mut self, now_ms: u64) {
+        let Some(renewed_ms) = self.renewed_ms else { return };
+        if !self.is_trusted(now_ms) {
+            // Others may start it meanwhile.
+            self.drop_waiting(NotStarted::NoUpstream);
+        }
+        if now_ms < renewed_ms + self.lapse_ms() {
+            return;
+        }
+        self.lose_active();
+        // What may still be listed is stopped and waited for, as after a restart.
+        self.clean = false;
+        self.renewed_ms = None;
+    }
+
+    /// Time from the last answered renewal after which the lease has surely
+    /// lapsed: unanswered ones were sent until it was trusted no more.
+    pub(super) fn lapse_ms(&self) -> u64 {
+        let lease_ms = self.limits.lease_ms;
+        self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
+    }
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -1,7 +1,7 @@
 //! Connections of agents to this entry.
 
 use {
-    super::Desk,
+    super::JobService,
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -73,11 +73,11 @@
 }
 
 /// Takes connections for as long as the entry runs.
-pub(super) async fn accept(desk: Arc<Desk>, listener: TcpListener) {
+pub(super) async fn accept(service: Arc<JobService>, listener: TcpListener) {
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                tokio::spawn(serve(Arc::clone(&desk), stream, peer));
+                tokio::spawn(serve(Arc::clone(&service), stream, peer));
             }
             Err(error) => {
                 event!(Warn, "accept_failed", error = error);
@@ -87,7 +87,7 @@
     }
 }
 
-async fn serve(desk: Arc<Desk>, stream: TcpStream, peer: SocketAddr) {
+async fn serve(service: Arc<JobService>, stream: TcpStream, peer: SocketAddr) {
     let (mut reader, writer) = frames::split(stream, peer);
     let first = timeout(HELLO_WITHIN, reader.next::<FromRunsAgent>()).await;
     let hello = match first {
@@ -96,14 +96,14 @@
         Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
         Err(_) => return event!(Info, "hello_late", peer = peer),
     };
-    let link = Link::begin(&desk, peer, hello);
+    let link = Link::begin(&service, peer, hello);
     let error = link.run(reader, writer).await;
     link.end(&error);
 }
 
 /// One connection of an agent.
 struct Link {
-    desk: Arc<Desk>,
+    service: Arc<JobService>,
     peer: SocketAddr,
     agent: AgentKey,
     name: String,
@@ -117,11 +117,11 @@
 }
 
 impl Link {
-    fn begin(desk: &Arc<Desk>, peer: SocketAddr, hello: RunsHello) -> Self {
+    fn begin(service: &Arc<JobService>, peer: SocketAddr, hello: RunsHello) -> Self {
         let outbox = Arc::new(Outbox::default());
-        let same = hello.entry == Some(desk.incarnation);
+        let same = hello.entry == Some(service.incarnation);
         let held = same.then_some(&*hello.held);
-        let agent = desk.change(|dispatch, now_ms| {
+        let agent = service.change(|dispatch, now_ms| {
             if same {
                 // What became of runs goes before what is held no more.
                 dispatch.take_reports(&hello.name, hello.agent, &hello.reports, now_ms);
@@ -129,13 +129,13 @@
             let agent = dispatch.agent_connected(&hello.name, hello.agent, held, now_ms);
             dispatch.agent_ready(agent, now_ms);
             // The present messages of the dispatch belong to this connection.
-            let before = desk.links.0.lock().insert(agent, Arc::clone(&outbox));
+            let before = service.links.0.lock().insert(agent, Arc::clone(&outbox));
             if let Some(before) = before {
                 before.replaced.notify_one();
             }
             let upstream = dispatch.life(agent).cloned();
             dispatch.message_sent(agent, None, now_ms);
-            outbox.push(ToRunsAgent::Welcome { entry: desk.incarnation, upstream });
+            outbox.push(ToRunsAgent::Welcome { entry: service.incarnation, upstream });
             agent
         });
         event!(
@@ -148,7 +148,7 @@
         );
         let confirmed = if same { hello.reports.last().map_or(0, |last| last.number) } else { 0 };
         Self {
-            desk: Arc::clone(desk),
+            service: Arc::clone(service),
             peer,
             agent,
             name: hello.name,
@@ -160,11 +160,11 @@
     }
 
     fn end(&self, error: &FrameError) {
-        let mut links = self.desk.links.0.lock();
+        let mut links = self.service.links.0.lock();
         if links.get(&self.agent).is_some_and(|present| Arc::ptr_eq(present, &self.outbox)) {
             links.remove(&self.agent);
             drop(links);
-            self.desk.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
+            self.service.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
         }
         event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
     }
@@ -190,7 +190,7 @@
 
     fn take(&self, message: FromRunsAgent) {
         self.heard.fetch_add(1, Ordering::AcqRel);
-        if !self.desk.links.is_present(self.agent, &self.outbox) {
+        if !self.service.links.is_present(self.agent, &self.outbox) {
             return;
         }
         match message {
@@ -198,7 +198,7 @@
             FromRunsAgent::Report { heard, reports, load } => {
                 let last = reports.last().map_or(0, |report| report.number);
                 self.confirmed.fetch_max(last, Ordering::AcqRel);
-                self.desk.change(|dispatch, now_ms| {
+                self.service.change(|dispatch, now_ms| {
                     dispatch.report(self.agent, &reports, load, heard, now_ms);
                 });
             }
@@ -210,7 +210,7 @@
                     life = life.id,
                     leaving = life.leaving
                 );
-                self.desk.change(|dispatch, _| dispatch.set_life(self.agent, life));
+                self.service.change(|dispatch, _| dispatch.set_life(self.agent, life));
             }
             FromRunsAgent::Configuration(copy) => {
                 event!(
@@ -219,7 +219,7 @@
                     agent = self.name,
                     revision = copy.revision
                 );
-                self.desk.hold_configuration(copy);
+                self.service.hold_configuration(copy);
             }
             FromRunsAgent::Holds { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
@@ -228,7 +228,7 @@
     }
 
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
-        let mut members = self.desk.members.subscribe();
+        let mut members = self.service.members.subscribe();
         members.mark_changed();
         let mut beats = tokio::time::interval(BEAT);
         let mut wait_beats = 0;
@@ -260,9 +260,9 @@
 
     /// Queues a message in the order in which the dispatch counts them.
     fn tell(&self, message: ToRunsAgent) {
-        let mut dispatch = self.desk.dispatch.lock();
-        if self.desk.links.is_present(self.agent, &self.outbox) {
-            dispatch.message_sent(self.agent, None, self.desk.clock.now_ms());
+        let mut dispatch = self.service.dispatch.lock();
+        if self.service.links.is_present(self.agent, &self.outbox) {
+            dispatch.message_sent(self.agent, None, self.service.clock.now_ms());
             self.outbox.push(message);
         }
     }
@@ -273,7 +273,7 @@
         let heard = self.heard.load(Ordering::Acquire);
         let confirmed = self.confirmed.load(Ordering::Acquire);
         self.tell(ToRunsAgent::Beat { heard, confirmed });
-        let held = self.desk.configuration.borrow().clone();
+        let held = self.service.configuration.borrow().clone();
         let own = held.as_ref().map_or(0, |held| held.revision);
         let theirs = self.agent_revision.load(Ordering::Acquire);
         if theirs > own {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -1,6 +1,6 @@
 //! Jobs under their callers' own ids, run by agents of leased runs.
 //!
-//! [`Desk`] takes jobs, answers them and acts on what the dispatch decides;
+//! [`JobService`] takes jobs, answers them and acts on what the dispatch decides;
 //! [`links`] serves the agents' connections.
 
 mod links;
@@ -30,9 +30,9 @@
 /// Agents without a connection for this long are forgotten.
 const FORGET_AGENTS_MS: u64 = 60_000;
 
-/// What a desk needs to know.
+/// What a service needs to know.
 #[derive(Clone, Debug)]
-pub struct DeskSettings {
+pub struct JobServiceSettings {
     /// Name, the same over restarts.
     pub name: String,
     /// Figures of the dispatch.
@@ -40,8 +40,8 @@
 }
 
 /// Takes jobs and answers them.
-pub struct Desk {
-    pub(crate) settings: DeskSettings,
+pub struct JobService {
+    pub(crate) settings: JobServiceSettings,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) dispatch: Mutex<Dispatch>,
@@ -53,12 +53,12 @@
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
 }
 
-impl Desk {
-    /// Starts a desk that serves agents on this listener, on the present
+impl JobService {
+    /// Starts one that serves agents on this listener, on the present
     /// runtime.
     #[must_use]
-    pub fn start(settings: DeskSettings, listener: TcpListener) -> Arc<Self> {
-        let desk = Arc::new(Self {
+    pub fn start(settings: JobServiceSettings, listener: TcpListener) -> Arc<Self> {
+        let service = Arc::new(Self {
             dispatch: Mutex::new(Dispatch::new(settings.limits)),
             settings,
             incarnation: Incarnation(rand::rng().random()),
@@ -68,10 +68,15 @@
             members: watch::Sender::new(Vec::new()),
             waiters: Mutex::new(HashMap::new()),
         });
-        tokio::spawn(links::accept(Arc::clone(&desk), listener));
-        tokio::spawn(tick(Arc::clone(&desk)));
-        event!(Info, "desk_started", name = desk.settings.name, incarnation = desk.incarnation);
-        desk
+        tokio::spawn(links::accept(Arc::clone(&service), listener));
+        tokio::spawn(tick(Arc::clone(&service)));
+        event!(
+            Info,
+            "job_service_started",
+            name = service.settings.name,
+            incarnation = service.incarnation
+        );
+        service
     }
 
     /// This run of the entry.
@@ -167,10 +172,10 @@
                     tasks = tasks,
                     deadline_in_ms = deadline_in_ms
                 );
-                let leaving = Leaving { desk: self, job: key, id };
+                let mut waiting = Waiting { service: self, job: key, id, is_answered: false };
                 self.act();
                 let answer = receiver.await;
-                std::mem::forget(leaving);
+                waiting.is_answered = true;
                 // The sender is dropped only with an answer, or with the job.
                 answer.unwrap_or(JobAnswer::Unknown { why: GiveUp::Cancelled })
             }
@@ -259,16 +264,19 @@
     }
 }
 
-/// Gives a job up when its caller's future is dropped.
-struct Leaving<'a> {
-    desk: &'a Arc<Desk>,
+/// A caller that waits; when it is dropped without an answer its job is given up.
+struct Waiting<'a> {
+    service: &'a Arc<JobService>,
     job: JobKey,
     id: CallerId,
+    is_answered: bool,
 }
 
-impl Drop for Leaving<'_> {
+impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.desk.left(self.job, self.id);
+        if !self.is_answered {
+            self.service.left(self.job, self.id);
+        }
     }
 }
 
@@ -281,12 +289,12 @@
     }
 }
 
-async fn tick(desk: Arc<Desk>) {
+async fn tick(service: Arc<JobService>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        desk.change(|dispatch, now_ms| {
+        service.change(|dispatch, now_ms| {
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
         });
