--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -3,8 +3,8 @@
 
 use {
     super::Leased,
+    crate::clock::jittered,
     parking_lot::Mutex,
-    rand::Rng,
     std::{
         collections::BTreeMap,
         net::SocketAddr,
@@ -42,8 +42,6 @@
 /// Loads without events are told this often at most, for each entry connected:
 /// with four entries an entry hears 25 times a second of each agent.
 const LOAD_PAUSE_MS_PER_ENTRY: u64 = 10;
-/// A link whose messages were not confirmed for this long is made anew.
-const SILENCE_MS: u64 = 900;
 
 /// All links of an agent.
 #[derive(Debug, Default)]
@@ -119,10 +117,6 @@
     forgotten
 }
 
-fn jittered(pause_ms: u64) -> Duration {
-    Duration::from_millis(rand::rng().random_range(pause_ms / 2..=pause_ms))
-}
-
 /// One connection to an entry.
 struct Link {
     leased: Arc<Leased>,
@@ -188,7 +182,8 @@
     async fn fall_silent(&self) {
         loop {
             let confirmed_ms = self.echo.lock().confirmed_ms();
-            let left_ms = (confirmed_ms + SILENCE_MS).saturating_sub(self.leased.clock.now_ms());
+            let silence_ms = self.leased.settings.limits.owner_silence_ms;
+            let left_ms = (confirmed_ms + silence_ms).saturating_sub(self.leased.clock.now_ms());
             if left_ms == 0 {
                 return;
             }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -17,7 +17,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -67,7 +67,6 @@
     /// A renewal is wanted at once, for what it lists.
     pub(crate) look_now: Notify,
     fence: AtomicU64,
-    draining: AtomicBool,
 }
 
 impl Leased {
@@ -86,7 +85,6 @@
             life_changed: Notify::new(),
             look_now: Notify::new(),
             fence: AtomicU64::new(0),
-            draining: AtomicBool::new(false),
         });
         tokio::spawn(lease::keep(Arc::clone(&leased)));
         tokio::spawn(tick(Arc::clone(&leased)));
@@ -153,7 +151,6 @@
 
     /// Begins a planned stop: nothing more is started.
     pub fn drain(self: &Arc<Self>) {
-        self.draining.store(true, Ordering::Release);
         self.change(|ledger, _| ledger.drain());
         event!(Info, "draining", active = self.ledger.lock().active_count());
     }
@@ -217,7 +214,7 @@
             "start_refused",
             task = task,
             run = run,
-            answer = Debug(answer),
+            answer = format!("{answer:?}"),
             took_ms = took_ms
         );
     }
@@ -234,26 +231,17 @@
     }
 }
 
-/// Shows a value by its debug form in a log line.
-struct Debug<T>(T);
-
-impl<T: std::fmt::Debug> std::fmt::Display for Debug<T> {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
 fn log_decided(decided: &Decided) {
-    let (name, detail) = match decided.event {
-        RunEvent::Started => ("started", String::new()),
-        RunEvent::Done { run_ms } => ("done", format!("{run_ms}ms")),
-        RunEvent::Failed { run_ms } => ("failed", format!("{run_ms}ms")),
-        RunEvent::Stopped => ("stopped", String::new()),
-        RunEvent::Lost => ("lost", String::new()),
-        RunEvent::NotStarted(why) => ("not_started", why.name().to_owned()),
+    let ran = |run_ms: u32| format!("{run_ms}ms");
+    let (name, why, detail) = match decided.event {
+        RunEvent::Started => ("started", "", String::new()),
+        RunEvent::Done { run_ms } => ("done", "", ran(run_ms)),
+        RunEvent::Failed { run_ms } => ("failed", "", ran(run_ms)),
+        RunEvent::Stopped => ("stopped", "", String::new()),
+        RunEvent::Lost => ("lost", "", String::new()),
+        RunEvent::NotStarted(why) => ("not_started", why.name(), why.name().to_owned()),
     };
-    metrics::counter!("sycamorerail_runs_total", "event" => name, "why" => detail_label(decided))
-        .increment(1);
+    metrics::counter!("sycamorerail_runs_total", "event" => name, "why" => why).increment(1);
     event!(
         Info,
         "run",
@@ -266,13 +254,6 @@
     );
 }
 
-fn detail_label(decided: &Decided) -> &'static str {
-    match decided.event {
-        RunEvent::NotStarted(why) => why.name(),
-        _ => "",
-    }
-}
-
 fn log_load(leased: &Leased) {
     let load = leased.ledger.lock().load(leased.clock.now_ms());
     event!(
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,10 +1,9 @@
 //! Sessions with entries: dialled by the agent, kept for ever.
 
 use {
-    crate::{core::Core, counters, entries::Entries, serve},
+    crate::{clock::jittered, core::Core, counters, entries::Entries, serve},
     parking_lot::Mutex,
     quinn::{Connection, Endpoint},
-    rand::Rng,
     serde::Serialize,
     std::{
         net::SocketAddr,
@@ -125,8 +124,7 @@
             event!(Info, "entry_forgotten", peer = peer);
             return;
         }
-        let pause_ms = rand::rng().random_range(backoff_ms / 2..=backoff_ms);
-        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        tokio::time::sleep(jittered(backoff_ms)).await;
         backoff_ms = (backoff_ms * 2).min(MAX_BACKOFF_MS);
     }
 }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,7 +1,7 @@
 //! Agents that connect, report, fall silent and come back.
 
 use {
-    super::{AgentKey, AgentView, Dispatch, job::TaskState},
+    super::{AgentKey, AgentView, Dispatch},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{Placement, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
@@ -54,28 +54,9 @@
     }
 
     /// Declares the tasks at an agent lost that `is_lost` picks.
-    pub(super) fn lose_runs(
-        &mut self,
-        agent: AgentKey,
-        is_lost: impl Fn(TaskKey, u32) -> bool,
-        now_ms: u64,
-    ) {
-        let mut lost = Vec::new();
-        for job in self.jobs.values() {
-            for (step, tasks) in job.tasks.iter().enumerate() {
-                for (index, task) in tasks.iter().enumerate() {
-                    let here =
-                        matches!(task.state, TaskState::Placed { agent: at, .. } if at == agent);
-                    let (Ok(step), Ok(index)) = (u8::try_from(step), u16::try_from(index)) else {
-                        continue;
-                    };
-                    let key = TaskKey { job: job.request.id, step, index };
-                    if here && is_lost(key, task.run) {
-                        lost.push((key, task.run));
-                    }
-                }
-            }
-        }
+    fn lose_runs(&mut self, agent: AgentKey, is_lost: impl Fn(TaskKey, u32) -> bool, now_ms: u64) {
+        let here = self.jobs.values().flat_map(|job| job.tasks_at(agent));
+        let lost: Vec<_> = here.filter(|&(task, run)| is_lost(task, run)).collect();
         for (task, run) in lost {
             self.apply(agent, task, run, RunEvent::Lost, now_ms);
         }
@@ -153,7 +134,7 @@
         self.agents.get(key)?.life.as_ref()
     }
 
-    /// Counts a message to an agent; returns its number.
+    /// Counts a message to an agent, and what it places there.
     pub fn message_sent(&mut self, key: AgentKey, placed: Option<&Placement>, now_ms: u64) {
         let Some(view) = self.agents.get_mut(key) else { return };
         let message = view.echo.sent(now_ms);
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -46,6 +46,12 @@
     pub avoid: Option<AgentKey>,
 }
 
+impl Task {
+    fn is_at(&self, agent: AgentKey) -> bool {
+        matches!(self.state, TaskState::Placed { agent: at, .. } if at == agent)
+    }
+}
+
 /// Why a job is being ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -90,16 +96,14 @@
 }
 
 impl Job {
-    /// A job whose tasks are all unplaced. `work_percent` corrects the estimates
-    /// of run times.
+    /// A job whose tasks are all unplaced.
     #[must_use]
-    pub fn new(request: JobRequest, work_percent: u32) -> Self {
+    pub fn new(request: JobRequest) -> Self {
         let fresh = Task { state: TaskState::Unplaced, run: 0, failures: 0, avoid: None };
         let tasks = request.steps.iter().map(|step| vec![fresh.clone(); step.count.into()]);
         let tasks = tasks.collect();
         let open = request.steps.iter().map(|step| step.count).collect();
-        let chain_ms = longest_chain_ms(&request.steps) * u64::from(work_percent) / 100;
-        let stretched_ms = chain_ms as f64 * request.kind.stretch;
+        let stretched_ms = longest_chain_ms(&request.steps) as f64 * request.kind.stretch;
         let span_ms = stretched_ms as u64 + u64::from(request.kind.target_ms);
         let objective_ms = request.arrived_ms + span_ms;
         let useful_until_ms = request.arrived_ms + span_ms * USEFUL_SPANS;
@@ -164,9 +168,23 @@
     /// Tasks of a step at an agent.
     #[must_use]
     pub fn count_at(&self, step: usize, agent: AgentKey) -> u16 {
-        let here =
-            |task: &&Task| matches!(task.state, TaskState::Placed { agent: at, .. } if at == agent);
-        self.tasks[step].iter().filter(here).count().try_into().unwrap_or(u16::MAX)
+        let here = self.tasks[step].iter().filter(|task| task.is_at(agent));
+        here.count().try_into().unwrap_or(u16::MAX)
+    }
+
+    /// Tasks at an agent, with the numbers of their starts.
+    pub fn tasks_at(&self, agent: AgentKey) -> impl Iterator<Item = (TaskKey, u32)> {
+        self.tasks.iter().enumerate().flat_map(move |(step, tasks)| {
+            let here = tasks.iter().enumerate().filter(move |(_, task)| task.is_at(agent));
+            here.filter_map(move |(index, task)| Some((self.key_of(step, index)?, task.run)))
+        })
+    }
+
+    /// The key of a task; `None` beyond the numbers that messages can carry.
+    #[must_use]
+    pub fn key_of(&self, step: usize, index: usize) -> Option<TaskKey> {
+        let (step, index) = (u8::try_from(step).ok()?, u16::try_from(index).ok()?);
+        Some(TaskKey { job: self.request.id, step, index })
     }
 
     /// Takes note of what became of a run; `None` if it is not the task's
@@ -235,8 +253,7 @@
 
 /// Longest chain of run times over the steps' order, in milliseconds. Steps name
 /// only earlier ones.
-#[must_use]
-pub fn longest_chain_ms(steps: &[StepRequest]) -> u64 {
+fn longest_chain_ms(steps: &[StepRequest]) -> u64 {
     let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
     for step in steps {
         let before = step.after.iter().filter_map(|&before| ends.get(usize::from(before)));
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 
 pub use {
     agents::{AgentView, Asked, Expected, Planned},
-    job::{Job, longest_chain_ms},
+    job::Job,
     types::{
         AgentKey, Command, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest, KindParameters,
         StepRequest,
@@ -95,12 +95,6 @@
         self.by_id.get(&id).copied()
     }
 
-    /// A job, for the log.
-    #[must_use]
-    pub fn job(&self, key: JobKey) -> Option<&Job> {
-        self.jobs.get(key)
-    }
-
     /// Refuses new jobs from now on.
     pub fn stop_accepting(&mut self) {
         self.is_stopping = true;
@@ -125,7 +119,7 @@
             return Err(refused(GiveUp::Overload, NO_UPSTREAM_RETRY_MS));
         }
         let id = request.id;
-        let job = Job::new(request, 100);
+        let job = Job::new(request);
         self.admit(&job, now_ms)?;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -31,7 +31,7 @@
     }
 
     /// Whether upstreams of the pool are known and none could ever hold it.
-    pub(super) fn never_fits(&self, job: &Job, step: &StepRequest) -> bool {
+    fn never_fits(&self, job: &Job, step: &StepRequest) -> bool {
         let pool = &*job.request.kind.pool;
         let mut of_pool = self.agents.values().filter_map(|agent| agent.life.as_ref());
         let known = of_pool.any(|life| life.pool == pool);
@@ -39,22 +39,27 @@
         known && !self.agents.values().any(fits)
     }
 
-    pub(super) fn best_expected(
-        &self,
-        job: &Job,
-        step: &StepRequest,
-        now_ms: u64,
-    ) -> Option<Expected> {
+    fn best_expected(&self, job: &Job, step: &StepRequest, now_ms: u64) -> Option<Expected> {
         let asked = self.asked(job, step);
-        let suitable = self.agents.values().filter(|agent| {
+        let none = Planned::default();
+        let expected = self.candidates(job, step, now_ms).map(|agent| agent.expect(&none, &asked));
+        expected.min_by_key(|expected| expected.end_ms)
+    }
+
+    /// Agents that are usable now and could run a task of the step.
+    fn candidates<'a>(
+        &'a self,
+        job: &'a Job,
+        step: &'a StepRequest,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a AgentView> {
+        self.agents.values().filter(move |agent| {
             agent.is_usable(now_ms, self.limits.suspect_ms)
                 && agent.suits(&job.request.kind.pool, &step.need, step.required_label.as_deref())
-        });
-        let none = Planned::default();
-        suitable.map(|agent| agent.expect(&none, &asked)).min_by_key(|expected| expected.end_ms)
+        })
     }
 
-    pub(super) fn asked<'a>(&self, job: &Job, step: &'a StepRequest) -> Asked<'a> {
+    fn asked<'a>(&self, job: &Job, step: &'a StepRequest) -> Asked<'a> {
         Asked {
             need: &step.need,
             run_ms: self.corrected_ms(job, step),
@@ -87,7 +92,7 @@
     }
 
     /// Places the tasks of a step; returns whether none is left unplaced.
-    pub(super) fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
+    fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
         let chosen = self.choose(key, step, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return true };
         let mut by_agent: HashMap<AgentKey, Vec<TaskStart>> = HashMap::new();
@@ -113,7 +118,7 @@
         all
     }
 
-    pub(super) fn placement(
+    fn placement(
         &self,
         key: JobKey,
         step: usize,
@@ -138,24 +143,18 @@
 
     /// An agent for each unplaced task of a step, where one is usable and the
     /// task can end there before the caller leaves.
-    pub(super) fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<(u16, AgentKey)> {
+    fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<(u16, AgentKey)> {
         let Some(job) = self.jobs.get(key) else { return Vec::new() };
         let wanted = &job.request.steps[step];
         let asked = self.asked(job, wanted);
-        let pool = &*job.request.kind.pool;
-        let label = wanted.required_label.as_deref();
-        let usable = self.agents.values().filter(|agent| {
-            agent.is_usable(now_ms, self.limits.suspect_ms)
-                && agent.suits(pool, &wanted.need, label)
-        });
-        let mut candidates: Vec<(&AgentView, Planned)> =
-            usable.map(|agent| (agent, Planned::default())).collect();
+        let candidates = self.candidates(job, wanted, now_ms);
+        let mut candidates: Vec<_> = candidates.map(|agent| (agent, Planned::default())).collect();
         if candidates.is_empty() {
             return Vec::new();
         }
-        self.turn = self.turn.wrapping_add(1);
-        let turn = self.turn % candidates.len();
-        candidates.rotate_left(turn);
+        let turn = self.turn.wrapping_add(1);
+        let first = turn % candidates.len();
+        candidates.rotate_left(first);
         let mut chosen = Vec::new();
         for (index, task) in job.tasks[step].iter().enumerate() {
             if task.state != TaskState::Unplaced {
@@ -170,6 +169,7 @@
             planned.add(asked.need, asked.run_ms);
             chosen.extend(u16::try_from(index).ok().map(|index| (index, agent.key)));
         }
+        self.turn = turn;
         chosen
     }
 
--- a/crates/decide/src/dispatch/recall.rs
+++ b/crates/decide/src/dispatch/recall.rs
@@ -91,8 +91,7 @@
         if now_ms < since_ms + patience_ms {
             return None;
         }
-        let (step, index) = (u8::try_from(step).ok()?, u16::try_from(index).ok()?);
-        let task = TaskKey { job: job.request.id, step, index };
+        let task = job.key_of(step, index)?;
         Some(Waiting { job: key, task, at, need_milli, end_by_ms: job.objective_ms })
     })
 }
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -27,10 +27,10 @@
 impl Default for DispatchLimits {
     fn default() -> Self {
         Self {
-            // Two heartbeats of 250 ms and the time of a slow turn.
+            // A heartbeat each way of 200 ms and the time of a slow turn.
             suspect_ms: 600,
             // The agent stops our runs after 900 ms of silence; a stop takes
-            // 50 ms and is repeated after 150 ms.
+            // 50 ms and is repeated after 60 ms.
             lost_ms: 1_500,
             // At 4 KB a job some 40 MB.
             max_jobs: 10_000,
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -29,7 +29,7 @@
         self.slowness_at_ms = now_ms;
     }
 
-    pub(super) fn slowness_faded(&self, now_ms: u64) -> u32 {
+    fn slowness_faded(&self, now_ms: u64) -> u32 {
         let halvings = now_ms.saturating_sub(self.slowness_at_ms) / BLAME_HALF_LIFE_MS;
         let excess = self.slowness_percent.saturating_sub(SOUND_PERCENT) >> halvings.min(31);
         self.slowness_percent.min(SOUND_PERCENT) + excess
@@ -57,7 +57,7 @@
             waiting_milli_ms[class] += u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
         }
         UpstreamLoad {
-            usable: self.clean && self.is_trusted(now_ms) && !self.leaving && !self.draining,
+            usable: self.clean && self.is_trusted(now_ms) && !self.is_leaving() && !self.draining,
             capacity: self.offered(),
             taken: self.taken,
             waiting_milli_ms,
@@ -69,7 +69,7 @@
     }
 
     /// The room that entries may count on.
-    pub(super) fn offered(&self) -> Room {
+    fn offered(&self) -> Room {
         let capacity = self.life.as_ref().map(|life| life.capacity).unwrap_or_default();
         if self.slowness_percent <= TRIAL_PERCENT {
             return capacity;
@@ -80,7 +80,7 @@
 
     /// Work left in what runs, by the estimates. One that is overdue counts with a
     /// tenth of its estimate.
-    pub(super) fn running_milli_ms(&self, now_ms: u64) -> u64 {
+    fn running_milli_ms(&self, now_ms: u64) -> u64 {
         let active = self.runs.values().filter(|run| run.phase != Phase::Waiting);
         let left = active.map(|run| {
             let elapsed_ms = match run.phase {
@@ -95,7 +95,7 @@
     }
 
     /// Run times against estimates, counting runs that are overdue by far.
-    pub(super) fn slowness_now(&self, now_ms: u64) -> u32 {
+    fn slowness_now(&self, now_ms: u64) -> u32 {
         let overdue = self.runs.values().filter_map(|run| match run.phase {
             Phase::Running { since_ms } => {
                 let elapsed_ms = now_ms.saturating_sub(since_ms);
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -33,8 +33,8 @@
 };
 
 /// Part of the lease, in percent, after which an upstream that answered no
-/// renewal gets no new runs and no new lease. Two calls of 250 ms that wait, each
-/// with its time-out, fit into it.
+/// renewal gets no new runs and no new lease: three calls whose answers are lost fit
+/// into it, each with its time-out.
 const TRUSTED_PERCENT: u64 = 80;
 /// The upstream's clock may be this much slower than ours, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
@@ -102,7 +102,6 @@
 pub struct Ledger {
     limits: LedgerLimits,
     life: Option<UpstreamLife>,
-    leaving: bool,
     draining: bool,
     /// Nothing of an earlier run of the agent is left on the upstream.
     clean: bool,
@@ -133,7 +132,6 @@
         Self {
             limits,
             life: None,
-            leaving: false,
             draining: false,
             clean: false,
             clock: None,
@@ -161,10 +159,8 @@
         self.life.as_ref()
     }
 
-    /// Whether the upstream said that it leaves.
-    #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.leaving
+    fn is_leaving(&self) -> bool {
+        self.life.as_ref().is_some_and(|life| life.leaving)
     }
 
     /// Takes note of the upstream's life. Runs on an earlier life are lost.
@@ -178,9 +174,8 @@
             self.slowness_percent = SOUND_PERCENT;
             self.failing_percent = 0;
         }
-        self.leaving = life.leaving;
         self.life = Some(life);
-        if self.leaving {
+        if self.is_leaving() {
             self.drop_waiting(NotStarted::Leaving);
         }
         true
@@ -189,7 +184,6 @@
     /// The upstream's life is over: what ran on it is lost.
     pub fn lose_upstream(&mut self) {
         self.life = None;
-        self.leaving = false;
         self.clean = false;
         self.clock = None;
         self.renewed_ms = None;
@@ -305,7 +299,7 @@
         }
         let refusal = match &self.life {
             None => Some(NotStarted::NoUpstream),
-            Some(_) if self.leaving || self.draining => Some(NotStarted::Leaving),
+            Some(_) if self.is_leaving() || self.draining => Some(NotStarted::Leaving),
             Some(life) if !life.capacity.fits(&run.need) => Some(NotStarted::NoRoom),
             Some(_) => None,
         };
@@ -375,7 +369,7 @@
     fn may_start(&self, now_ms: u64) -> bool {
         self.clean
             && self.is_trusted(now_ms)
-            && !self.leaving
+            && !self.is_leaving()
             && !self.draining
             && self.ordered < self.limits.max_ordered
     }
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -60,7 +60,7 @@
         self.note_leftovers(&answer.running);
     }
 
-    pub(super) fn end(&mut self, ended: &Ended, now_ms: u64) {
+    fn end(&mut self, ended: &Ended, now_ms: u64) {
         if ended.number <= self.acknowledged {
             return;
         }
@@ -95,7 +95,7 @@
     }
 
     /// Settles runs that the upstream would have listed if they ran.
-    pub(super) fn settle_absent(&mut self, answer: &LeaseAnswer) {
+    fn settle_absent(&mut self, answer: &LeaseAnswer) {
         for key in self.active() {
             let run = &self.runs[key];
             if answer.running.contains(&(run.task, run.number)) {
@@ -124,7 +124,7 @@
     /// Has starts stopped that should have been carried out by now and were not:
     /// once the stop is confirmed they never are, and the task can go elsewhere
     /// long before the order is too late.
-    pub(super) fn recall_doubtful(&mut self, answer: &LeaseAnswer) {
+    fn recall_doubtful(&mut self, answer: &LeaseAnswer) {
         for run in self.runs.values_mut() {
             let Phase::Ordered { since_ms, .. } = run.phase else { continue };
             if run.stop.is_none() && since_ms + DOUBT_MS <= answer.sent_ms {
@@ -133,7 +133,7 @@
         }
     }
 
-    pub(super) fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
+    fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
         let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
         let never = Stop { sent_ms: None, confirmed_ms: None };
         let leftovers: HashMap<_, _> =
@@ -161,7 +161,7 @@
 
     /// Time from the last answered renewal after which the lease has surely
     /// lapsed: unanswered ones were sent until it was trusted no more.
-    pub(super) fn lapse_ms(&self) -> u64 {
+    fn lapse_ms(&self) -> u64 {
         let lease_ms = self.limits.lease_ms;
         self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
     }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -79,12 +79,6 @@
         service
     }
 
-    /// This run of the entry.
-    #[must_use]
-    pub fn incarnation(&self) -> Incarnation {
-        self.incarnation
-    }
-
     /// Monotonic time in milliseconds, as jobs' times are given.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -97,12 +91,6 @@
         self.dispatch.lock().usable_agents(self.clock.now_ms())
     }
 
-    /// Jobs held.
-    #[must_use]
-    pub fn job_count(&self) -> usize {
-        self.dispatch.lock().job_count()
-    }
-
     /// Jobs of a kind that have not begun.
     #[must_use]
     pub fn pending(&self, kind: &str) -> usize {
--- a/crates/membership/src/lease_key.rs
+++ b/crates/membership/src/lease_key.rs
@@ -2,9 +2,8 @@
 
 use {
     crate::error::{MembershipError, MembershipStep},
-    rand::Rng,
     std::time::Duration,
-    sycamorerail_platform::{Expected, LeaseId, Platform, PlatformError, Swap},
+    sycamorerail_platform::{Expected, LeaseId, Platform, PlatformError, Swap, backoff::jittered},
     sycamorerail_telemetry::event,
     tokio::time::sleep,
 };
@@ -15,8 +14,7 @@
 /// Pause between renewals: a sixth to a third of the lease, at random, so that
 /// processes don't act in step.
 pub(crate) fn beat_pause(lease_ms: u32) -> Duration {
-    let most = u64::from(lease_ms / BEATS).max(1);
-    Duration::from_millis(rand::rng().random_range(most / 2..=most))
+    jittered(u64::from(lease_ms / BEATS))
 }
 
 /// Writes a key under a new lease, in place of what an earlier lease of the same
--- a/crates/membership/src/sweep.rs
+++ b/crates/membership/src/sweep.rs
@@ -10,9 +10,8 @@
         membership::{Shared, unix_ms},
         record,
     },
-    rand::Rng,
     std::time::Duration,
-    sycamorerail_platform::{Expected, PlatformError},
+    sycamorerail_platform::{Expected, PlatformError, backoff::jittered},
     sycamorerail_telemetry::event,
     sycamorerail_wire::ids::Incarnation,
     tokio::time::sleep,
@@ -40,8 +39,7 @@
 }
 
 fn sweep_pause(shared: &Shared) -> Duration {
-    let most = u64::from(shared.config.sweep_pause_ms).max(2);
-    Duration::from_millis(rand::rng().random_range(most / 2..=most))
+    jittered(u64::from(shared.config.sweep_pause_ms).max(2))
 }
 
 fn due(shared: &Shared, members: &Members, memory: &mut Memory, times: SweepTimes) -> Vec<Change> {
--- a/crates/platform/src/backoff.rs
+++ b/crates/platform/src/backoff.rs
@@ -1,4 +1,6 @@
-//! Pauses before a watch that failed is opened again.
+//! Pauses before something is done again.
+
+use {rand::Rng, std::time::Duration};
 
 /// First pause.
 const FIRST_MS: u64 = 50;
@@ -32,3 +34,10 @@
         pause_ms
     }
 }
+
+/// Half to all of a pause, at random, so that processes don't act in step.
+#[must_use]
+pub fn jittered(pause_ms: u64) -> Duration {
+    let most_ms = pause_ms.max(1);
+    Duration::from_millis(rand::rng().random_range(most_ms.div_ceil(2)..=most_ms))
+}
--- a/crates/platform/src/mirror/follow.rs
+++ b/crates/platform/src/mirror/follow.rs
@@ -1,9 +1,9 @@
 //! The one watch, opened anew after each break.
 
 use {
-    super::{jittered, shared::Shared},
+    super::shared::Shared,
     crate::{
-        backoff::Backoff,
+        backoff::{Backoff, jittered},
         error::PlatformError,
         table::{Applied, Change},
         watch::{Told, Watch},
--- a/crates/platform/src/mirror/mod.rs
+++ b/crates/platform/src/mirror/mod.rs
@@ -6,12 +6,8 @@
 
 use {
     crate::{client::Platform, error::PlatformError, table::Table, value::KeyValue},
-    rand::Rng,
     shared::Shared,
-    std::{
-        sync::{Arc, atomic::Ordering},
-        time::Duration,
-    },
+    std::sync::{Arc, atomic::Ordering},
     tokio::{sync::watch, task::JoinHandle},
 };
 
@@ -124,9 +120,3 @@
         self.shared.poll_wanted.notify_one();
     }
 }
-
-/// Half to all of the pause, at random, so that processes don't act in step.
-fn jittered(pause_ms: u64) -> Duration {
-    let most = pause_ms.max(1);
-    Duration::from_millis(rand::rng().random_range(most.div_ceil(2)..=most))
-}
--- a/crates/platform/src/mirror/poll.rs
+++ b/crates/platform/src/mirror/poll.rs
@@ -1,7 +1,8 @@
 //! The slow poll behind the watch.
 
 use {
-    super::{jittered, shared::Shared},
+    super::shared::Shared,
+    crate::backoff::jittered,
     std::{
         sync::{Arc, atomic::Ordering},
         time::Duration,
