--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -10,7 +10,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -19,7 +19,10 @@
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
-        runs::{FromRunsAgent, RunReport, RunsHello, ToRunsAgent, UpstreamLife, UpstreamLoad},
+        runs::{
+            FromRunsAgent, RunReport, RunsHello, RunsOpening, ToRunsAgent, UpstreamLife,
+            UpstreamLoad,
+        },
     },
     tokio::{
         sync::watch,
@@ -47,7 +50,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     known: Mutex<BTreeMap<SocketAddr, Known>>,
-    connected: AtomicUsize,
+    /// Entries connected now.
+    present: watch::Sender<Vec<SocketAddr>>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +61,15 @@
 
 impl Links {
     pub(super) fn connected(&self) -> usize {
-        self.connected.load(Ordering::Acquire)
+        self.present.borrow().len()
+    }
+
+    fn add(&self, entry: SocketAddr) {
+        self.present.send_modify(|present| present.push(entry));
+    }
+
+    fn remove(&self, entry: SocketAddr) {
+        self.present.send_modify(|present| present.retain(|known| *known != entry));
     }
 }
 
@@ -85,9 +97,9 @@
                 }
                 last_entry = Some(link.entry);
                 pause_ms = REDIAL_MS.0;
-                leased.links.connected.fetch_add(1, Ordering::AcqRel);
+                leased.links.add(peer);
                 let ended = link.run(reader, writer).await;
-                leased.links.connected.fetch_sub(1, Ordering::AcqRel);
+                leased.links.remove(peer);
                 worked_ms = leased.clock.now_ms();
                 event!(Info, "link_ended", peer = peer, entry = link.entry, error = ended);
             }
@@ -143,7 +155,7 @@
         let (mut reader, mut writer) = frames::connect(peer, CONNECT_WITHIN).await?;
         let hello = hello(leased, last_entry);
         let told = hello.reports.last().map_or(0, |report| report.number);
-        writer.push(&FromRunsAgent::Hello(hello))?;
+        writer.push(&RunsOpening::Agent(hello))?;
         writer.flush().await?;
         let first = timeout(WELCOME_WITHIN, reader.next::<ToRunsAgent>()).await;
         let first = first.map_err(|_| FrameError::Closed(peer))??;
@@ -239,6 +251,7 @@
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
         let mut changes = self.leased.changes.subscribe();
         let mut asked = self.asked.subscribe();
+        let mut present = self.leased.links.present.subscribe();
         let mut told = Told { beat_at: Instant::now(), ..Told::default() };
         loop {
             if let Err(error) = self.write(&mut writer, &mut told, &mut asked).await {
@@ -247,6 +260,7 @@
             tokio::select! {
                 _ = changes.changed() => {}
                 _ = asked.changed() => asked.mark_changed(),
+                _ = present.changed() => {}
                 () = sleep_until(told.next_at()) => {}
             }
         }
@@ -290,6 +304,11 @@
             told.life.clone_from(&life);
             messages.extend(life.map(FromRunsAgent::Upstream));
         }
+        let entries = leased.links.present.borrow().clone();
+        if told.entries != entries {
+            told.entries.clone_from(&entries);
+            messages.push(FromRunsAgent::Entries(entries));
+        }
         let revision = leased.configuration.lock().as_ref().map_or(0, |copy| copy.revision);
         if revision > self.entry_revision.load(Ordering::Acquire) && revision > told.revision {
             told.revision = revision;
@@ -317,6 +336,7 @@
 /// What was told on a connection, and when the next message is due.
 struct Told {
     life: Option<UpstreamLife>,
+    entries: Vec<SocketAddr>,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -327,7 +347,15 @@
 impl Default for Told {
     fn default() -> Self {
         let now = Instant::now();
-        Self { life: None, revision: 0, load: None, load_at: now, load_waits: false, beat_at: now }
+        Self {
+            life: None,
+            entries: Vec::new(),
+            revision: 0,
+            load: None,
+            load_at: now,
+            load_waits: false,
+            beat_at: now,
+        }
     }
 }
 
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -1,7 +1,7 @@
 //! Connections of agents to this entry.
 
 use {
-    super::JobService,
+    super::{JobService, query},
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -17,7 +17,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
-        runs::{FromRunsAgent, RunsHello, ToRunsAgent},
+        runs::{FromRunsAgent, RunsHello, RunsOpening, ToRunsAgent},
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -89,10 +89,12 @@
 
 async fn serve(service: Arc<JobService>, stream: TcpStream, peer: SocketAddr) {
     let (mut reader, writer) = frames::split(stream, peer);
-    let first = timeout(HELLO_WITHIN, reader.next::<FromRunsAgent>()).await;
+    let first = timeout(HELLO_WITHIN, reader.next::<RunsOpening>()).await;
     let hello = match first {
-        Ok(Ok(FromRunsAgent::Hello(hello))) => hello,
-        Ok(Ok(_)) => return event!(Warn, "hello_missing", peer = peer),
+        Ok(Ok(RunsOpening::Agent(hello))) => hello,
+        Ok(Ok(RunsOpening::Entry(query))) => {
+            return query::answer(&service, query, peer, writer).await;
+        }
         Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
         Err(_) => return event!(Info, "hello_late", peer = peer),
     };
@@ -164,6 +166,7 @@
         if links.get(&self.agent).is_some_and(|present| Arc::ptr_eq(present, &self.outbox)) {
             links.remove(&self.agent);
             drop(links);
+            self.service.linked.lock().remove(&self.agent);
             self.service.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
         }
         event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
@@ -194,7 +197,6 @@
             return;
         }
         match message {
-            FromRunsAgent::Hello(_) => {}
             FromRunsAgent::Report { heard, reports, load } => {
                 let last = reports.last().map_or(0, |report| report.number);
                 self.confirmed.fetch_max(last, Ordering::AcqRel);
@@ -212,6 +214,9 @@
                 );
                 self.service.change(|dispatch, _| dispatch.set_life(self.agent, life));
             }
+            FromRunsAgent::Entries(entries) => {
+                self.service.linked.lock().insert(self.agent, entries);
+            }
             FromRunsAgent::Configuration(copy) => {
                 event!(
                     Info,
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -1,9 +1,13 @@
 //! Jobs under their callers' own ids, run by agents of leased runs.
 //!
 //! [`JobService`] takes jobs, answers them and acts on what the dispatch decides;
-//! [`links`] serves the agents' connections.
+//! [`links`] serves the agents' connections, [`query`] asks other entries about
+//! jobs that are not here.
 
 mod links;
+mod query;
+
+pub use query::Held;
 
 use {
     crate::clock::Clock,
@@ -37,6 +41,8 @@
     pub name: String,
     /// Figures of the dispatch.
     pub limits: DispatchLimits,
+    /// Own inner address, as other entries know it.
+    pub own: SocketAddr,
 }
 
 /// Takes jobs and answers them.
@@ -48,8 +54,10 @@
     links: links::Links,
     /// The newest configuration held, to pass on.
     pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
-    /// Addresses of all entries known.
+    /// Inner addresses of all entries known, this one among them.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
+    /// Inner addresses of the entries that each agent is connected to.
+    linked: Mutex<HashMap<AgentKey, Vec<SocketAddr>>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
 }
 
@@ -66,6 +74,7 @@
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
             members: watch::Sender::new(Vec::new()),
+            linked: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
         });
         tokio::spawn(links::accept(Arc::clone(&service), listener));
@@ -98,8 +107,7 @@
     }
 
     /// Whether a job of this id is not over here.
-    #[must_use]
-    pub fn holds(&self, id: CallerId) -> bool {
+    fn holds(&self, id: CallerId) -> bool {
         self.dispatch.lock().find(id).is_some()
     }
 
@@ -191,7 +199,7 @@
     }
 
     /// Cancels a job here, whoever waits for it. Returns whether there is one.
-    pub fn cancel(self: &Arc<Self>, id: CallerId) -> bool {
+    fn cancel(self: &Arc<Self>, id: CallerId) -> bool {
         let mut dispatch = self.dispatch.lock();
         let Some(key) = dispatch.find(id) else { return false };
         dispatch.cancel(key);
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -272,11 +272,35 @@
     pub configuration: u64,
 }
 
+/// First message on a connection to an entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunsOpening {
+    /// An agent connects; the connection stays.
+    Agent(RunsHello),
+    /// Another entry asks about a job; the connection ends with the answer, a
+    /// [`JobFound`].
+    Entry(JobQuery),
+}
+
+/// A question of an entry whose caller names a job that it does not hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobQuery {
+    /// The job.
+    pub job: CallerId,
+    /// Whether to cancel it, beside looking.
+    pub cancel: bool,
+}
+
+/// The answer to a [`JobQuery`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobFound {
+    /// The entry holds the job, and has cancelled it where that was asked.
+    pub found: bool,
+}
+
 /// From an agent to an entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FromRunsAgent {
-    /// First message of a connection.
-    Hello(RunsHello),
     /// What became of runs, and the load after it. Also the heartbeat.
     Report {
         /// Messages heard from the entry on this connection.
@@ -288,6 +312,8 @@
     },
     /// The upstream's life, when it is known or has changed.
     Upstream(UpstreamLife),
+    /// Inner addresses of all entries that the agent is connected to.
+    Entries(Vec<SocketAddr>),
     /// The agent holds this configuration, which the entry lacks.
     Configuration(ConfigurationCopy),
     /// Highest revision of a configuration that the agent holds.
