Mend: the agent's state below, what acts on it above

The import circle around core.rs (call, session, counters, upstream) is gone: the state imports clock, counters, tasks and what was announced; the calls to the upstream come in as a closure.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        call::Caller,
         core::Core,
         entries::Entries,
         http::{self, Server},
@@ -66,7 +67,7 @@
         let endpoint = open(&settings)?;
         let identity = identity(&settings, endpoint.local_addr()?);
         let entries = Arc::new(Entries::new(endpoint.clone(), settings.entries.iter().copied()));
-        let core = Arc::new(Core::new(settings, identity)?);
+        let core = Arc::new(Core::new(settings, identity, Caller::new()?.begin_call()));
         let http = http::start(Arc::clone(&core), Arc::clone(&entries), metrics).await?;
         entries.dial(&core);
         let ticking = tokio::spawn(tick(Arc::clone(&core)));
--- a/crates/agent/src/announcement.rs
+++ b/crates/agent/src/announcement.rs
@@ -1,7 +1,7 @@
 //! What an upstream announces over HTTP, as JSON.
 
 use {
-    crate::upstream::Announced,
+    crate::announced::Announced,
     serde::de::DeserializeOwned,
     serde_json::{Map, Value},
     std::fmt,
--- a/crates/agent/src/call.rs
+++ b/crates/agent/src/call.rs
@@ -5,7 +5,11 @@
 //! only where a reused connection closed under it, and here none is reused.
 
 use {
-    crate::{core::Core, counters, upstream::Announced},
+    crate::{
+        announced::Announced,
+        core::{BeginCall, Core},
+        counters,
+    },
     reqwest::{Client, RequestBuilder, Response, StatusCode, Url, header::CONTENT_TYPE, redirect},
     serde::de::IgnoredAny,
     std::{
@@ -54,13 +58,21 @@
             .build()
             .map(Self)
     }
+
+    /// Runs the tasks that the gate tells to start, with this client.
+    pub(crate) fn begin_call(self) -> BeginCall {
+        let caller = Arc::new(self);
+        Box::new(move |core, start| {
+            tokio::spawn(run(Arc::clone(&caller), core, start)).abort_handle()
+        })
+    }
 }
 
 /// Runs a task that the gate told to start, and records what came of it.
-pub(crate) async fn run(core: Arc<Core>, start: Start) {
+async fn run(caller: Arc<Caller>, core: Arc<Core>, start: Start) {
     let Start { placement, end_by_ms, .. } = start;
     let task = placement.task;
-    let Some(request) = prepare(&core, placement) else {
+    let Some(request) = prepare(&caller, &core, placement) else {
         return core.not_started(task, Reason::Invalid);
     };
     if !core.go(task) {
@@ -80,11 +92,10 @@
     }
 }
 
-fn prepare(core: &Core, placement: Placement) -> Option<RequestBuilder> {
+fn prepare(caller: &Caller, core: &Core, placement: Placement) -> Option<RequestBuilder> {
     let upstream = core.upstream.load_full()?;
     let url = task_url(&upstream, &placement.kind)?;
-    let request = core
-        .caller()
+    let request = caller
         .0
         .post(url)
         .header(TASK_HEADER, placement.task.to_string())
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,14 +1,7 @@
 //! State shared by all threads of an agent, and what is done to it.
 
 use {
-    crate::{
-        call::{self, Caller},
-        clock::Clock,
-        counters,
-        session::Session,
-        tasks::Tasks,
-        upstream::Announced,
-    },
+    crate::{announced::Announced, clock::Clock, counters, tasks::Tasks},
     arc_swap::ArcSwapOption,
     parking_lot::Mutex,
     std::sync::{
@@ -30,7 +23,10 @@
             Placement,
         },
     },
-    tokio::sync::{oneshot, watch},
+    tokio::{
+        sync::{oneshot, watch},
+        task::AbortHandle,
+    },
 };
 
 /// A start this long after the upstream announced leaving breaks I6.
@@ -47,6 +43,9 @@
     },
 }
 
+/// Begins the upstream call of a task that the gate told to start.
+pub(crate) type BeginCall = Box<dyn Fn(Arc<Core>, Start) -> AbortHandle + Send + Sync>;
+
 pub(crate) struct Core {
     pub(crate) settings: AgentSettings,
     pub(crate) identity: AgentIdentity,
@@ -60,7 +59,7 @@
     asked_at_ms: AtomicU64,
     /// When a placement last came, or a reply was last lost.
     active_at_ms: AtomicU64,
-    caller: Caller,
+    begin_call: BeginCall,
     tasks: Mutex<Tasks>,
     config_mark: AtomicU64,
     load_sequence: AtomicU64,
@@ -69,7 +68,11 @@
 }
 
 impl Core {
-    pub(crate) fn new(settings: AgentSettings, identity: AgentIdentity) -> eyre::Result<Self> {
+    pub(crate) fn new(
+        settings: AgentSettings,
+        identity: AgentIdentity,
+        begin_call: BeginCall,
+    ) -> Self {
         let limits = Limits {
             retention_ms: settings.retention_ms.into(),
             kept_result_bytes: settings.kept_result_bytes,
@@ -77,7 +80,7 @@
             max_queued: settings.max_queued.into(),
         };
         let gate = Gate::new(identity.incarnation, limits);
-        Ok(Self {
+        Self {
             settings,
             identity,
             clock: Clock::start(),
@@ -86,13 +89,13 @@
             replies_due: AtomicUsize::new(0),
             asked_at_ms: AtomicU64::new(0),
             active_at_ms: AtomicU64::new(0),
-            caller: Caller::new()?,
+            begin_call,
             tasks: Mutex::new(Tasks::new(gate)),
             config_mark: AtomicU64::new(0),
             load_sequence: AtomicU64::new(0),
             left_at_ms: AtomicU64::new(u64::MAX),
             draining: AtomicBool::new(false),
-        })
+        }
     }
 
     /// Does something to the tasks, then starts those for which slots are free.
@@ -110,24 +113,24 @@
 
     fn begin(self: &Arc<Self>, tasks: &mut Tasks, start: Start) {
         let task = start.placement.task;
-        let call = tokio::spawn(call::run(Arc::clone(self), start));
-        tasks.calling(task, call.abort_handle());
+        let call = (self.begin_call)(Arc::clone(self), start);
+        tasks.calling(task, call);
     }
 
-    /// Decides on a placement that came over `session`.
+    /// Decides on a placement that came over a session.
     ///
-    /// `None` when the session has ended meanwhile: the entry may have placed
+    /// `None` when the session is not current any more: the entry may have placed
     /// the task anew over a later one, which this copy must not follow.
     pub(crate) fn place(
         self: &Arc<Self>,
-        session: &Session,
+        is_current: impl Fn() -> bool,
         placement: Placement,
     ) -> Option<Pending> {
         self.raise_config_mark(placement.config_mark);
         self.note_activity();
         let task = placement.task;
         self.change(|tasks, now_ms| {
-            if !session.is_current() {
+            if !is_current() {
                 return None;
             }
             let placed = tasks.gate.place(placement, now_ms);
@@ -324,8 +327,4 @@
     pub(crate) fn idle_ms(&self) -> u64 {
         self.clock.now_ms().saturating_sub(self.active_at_ms.load(Ordering::Acquire))
     }
-
-    pub(crate) fn caller(&self) -> &Caller {
-        &self.caller
-    }
 }
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -1,7 +1,6 @@
 //! Counters and gauges of an agent.
 
 use {
-    crate::{core::Core, entries::Entries},
     sycamorerail_decide::gate::{Placed, Refusal},
     sycamorerail_wire::{answer::TaskEnd, message::AgentReplyBody},
 };
@@ -71,16 +70,3 @@
 pub(crate) fn session(result: &'static str) {
     metrics::counter!("sycamorerail_agent_sessions_total", "result" => result).increment(1);
 }
-
-/// Sets the gauges.
-pub(crate) fn gauges(core: &Core, entries: &Entries) {
-    let counts = core.counts();
-    let set = |name: &'static str, value: u64| metrics::gauge!(name).set(value as f64);
-    set("sycamorerail_agent_running", counts.running as u64);
-    set("sycamorerail_agent_queued", counts.queued as u64);
-    set("sycamorerail_agent_records", counts.records as u64);
-    set("sycamorerail_agent_record_bytes", counts.record_bytes);
-    set("sycamorerail_agent_kept_result_bytes", counts.kept_result_bytes);
-    set("sycamorerail_agent_fenced", counts.fenced as u64);
-    set("sycamorerail_agent_sessions", entries.connected().len() as u64);
-}
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -8,7 +8,7 @@
 //! that comes after means that it is back.
 
 use {
-    crate::{announcement, core::Core, counters, entries::Entries, status, upstream},
+    crate::{announcement, core::Core, entries::Entries, gauges, status, upstream},
     eyre::WrapErr,
     rocket::{
         Config, Data, Request, Rocket, Shutdown, State, catch, catchers,
@@ -180,7 +180,7 @@
     entries: &State<Arc<Entries>>,
     render: &State<RenderMetrics>,
 ) -> RawText<String> {
-    counters::gauges(core, entries);
+    gauges::set_all(core, entries);
     RawText(render())
 }
 
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod exit;
 pub mod options;
 
+mod announced;
 mod announcement;
 mod call;
 mod clock;
 mod core;
 mod counters;
 mod entries;
+mod gauges;
 mod http;
 pub mod leased;
 mod serve;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -74,13 +74,15 @@
         let core = &self.core;
         counters::request(name(&request));
         match request {
-            ToAgent::Place(placement) => match core.place(&self.session, placement)? {
-                Pending::Now(reply) => Some(reply),
-                Pending::Later(told) => told.await.ok(),
-                Pending::Queued { told, start_within } => {
-                    wait_in_queue(core, told, start_within).await
+            ToAgent::Place(placement) => {
+                match core.place(|| self.session.is_current(), placement)? {
+                    Pending::Now(reply) => Some(reply),
+                    Pending::Later(told) => told.await.ok(),
+                    Pending::Queued { told, start_within } => {
+                        wait_in_queue(core, told, start_within).await
+                    }
                 }
-            },
+            }
             ToAgent::Revoke { tasks } => Some(core.revoke(&tasks)),
             ToAgent::Fence { home, jobs } => {
                 let peer = self.session.peer;
--- a/crates/agent/src/upstream.rs
+++ b/crates/agent/src/upstream.rs
@@ -1,33 +1,15 @@
 //! The upstream beside the agent: announced, renewed, leaving, lapsed.
 
 use {
-    crate::core::Core,
-    std::sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    crate::{announced::Announced, core::Core},
+    std::sync::Arc,
     sycamorerail_decide::gate::UpstreamState,
     sycamorerail_telemetry::event,
-    sycamorerail_wire::message::UpstreamInfo,
 };
 
-/// What the upstream announced.
-#[derive(Debug)]
-pub(crate) struct Announced {
-    pub(crate) info: UpstreamInfo,
-    pub(crate) base_url: reqwest::Url,
-    renewed_at_ms: AtomicU64,
-}
-
-impl Announced {
-    pub(crate) fn new(info: UpstreamInfo, base_url: reqwest::Url) -> Self {
-        Self { info, base_url, renewed_at_ms: AtomicU64::new(0) }
-    }
-}
-
 /// Takes an announcement, or renews the lease of the one in force.
 pub(crate) fn announce(core: &Arc<Core>, announced: Announced) {
-    announced.renewed_at_ms.store(core.clock.now_ms(), Ordering::Release);
+    announced.renew(core.clock.now_ms());
     let state = UpstreamState::Serving { slots: announced.info.slots };
     let before = core.upstream.load_full();
     let same = before.is_some_and(|before| {
@@ -52,9 +34,10 @@
 /// Treats an upstream whose lease has lapsed as leaving.
 pub(crate) fn check_lease(core: &Arc<Core>) {
     let lease_ms = u64::from(core.settings.upstream_lease_ms);
-    let lapsed = core.upstream.load().as_ref().is_some_and(|announced| {
-        core.clock.now_ms() > announced.renewed_at_ms.load(Ordering::Acquire) + lease_ms
-    });
+    let upstream = core.upstream.load();
+    let lapsed = upstream
+        .as_ref()
+        .is_some_and(|announced| core.clock.now_ms() > announced.renewed_at_ms() + lease_ms);
     if lapsed {
         leave(core, "lease_lapsed");
     }
