--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod report;
 pub mod soak;
 pub mod standins;
+pub mod tcp_relay;
 pub mod testing;
 pub mod wait;
 pub mod watcher;
--- /dev/null
+++ b/crates/soak/src/tcp_relay.rs
@@ -0,0 +1,225 @@
+//! A relay before a TCP address, so that connections can be delayed, held up in
+//! one direction, silenced for good, or reset.
+
+use {
+    parking_lot::Mutex,
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{ReadHalf, WriteHalf},
+        },
+        sync::watch,
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
+};
+
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// What happens to bytes on their way.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Passage {
+    /// They pass at once.
+    #[default]
+    Open,
+    /// They pass after so many milliseconds.
+    Delayed(u64),
+    /// Those to the target are held up until it opens again.
+    HeldToTarget,
+    /// Those from the target are held up until it opens again.
+    HeldFromTarget,
+    /// All are held up; new connections are taken and lead nowhere until then.
+    Held,
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    ToTarget,
+    FromTarget,
+}
+
+impl Passage {
+    fn holds(self, way: Way) -> bool {
+        match self {
+            Self::Open | Self::Delayed(_) => false,
+            Self::HeldToTarget => way == Way::ToTarget,
+            Self::HeldFromTarget => way == Way::FromTarget,
+            Self::Held => true,
+        }
+    }
+}
+
+/// What becomes of connections that are open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Carried,
+    Silenced,
+    Reset,
+}
+
+/// A relay; it ends with all its connections when dropped.
+#[derive(Debug)]
+pub struct TcpRelay {
+    address: SocketAddr,
+    passage: watch::Sender<Passage>,
+    open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for TcpRelay {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
+}
+
+impl TcpRelay {
+    /// Listens at an address and carries connections on to another.
+    ///
+    /// # Errors
+    ///
+    /// When the address is taken.
+    pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let passage = watch::Sender::new(Passage::Open);
+        let open = Arc::<Mutex<Vec<_>>>::default();
+        let accepting =
+            tokio::spawn(accept(listener, target, passage.subscribe(), Arc::clone(&open)));
+        Ok(Self { address, passage, open, accepting })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sets what happens to bytes from now on.
+    pub fn set(&self, passage: Passage) {
+        self.passage.send_replace(passage);
+    }
+
+    /// Resets all connections that are open.
+    pub fn reset(&self) {
+        self.decide(Fate::Reset);
+    }
+
+    /// Connections that are open carry nothing any more, without being closed.
+    pub fn silence(&self) {
+        self.decide(Fate::Silenced);
+    }
+
+    fn decide(&self, fate: Fate) {
+        let mut open = self.open.lock();
+        open.retain(|connection| connection.receiver_count() > 0);
+        for connection in open.iter() {
+            connection.send_replace(fate);
+        }
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    target: SocketAddr,
+    passage: watch::Receiver<Passage>,
+    open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        while connections.try_join_next().is_some() {}
+        // Out of descriptors for a moment; the caller's connection waits.
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let fate = watch::Sender::new(Fate::Carried);
+        connections.spawn(carry(stream, target, passage.clone(), fate.subscribe()));
+        let mut open = open.lock();
+        open.retain(|connection| connection.receiver_count() > 0);
+        open.push(fate);
+    }
+}
+
+async fn carry(
+    mut near: TcpStream,
+    target: SocketAddr,
+    mut passage: watch::Receiver<Passage>,
+    mut fate: watch::Receiver<Fate>,
+) {
+    let _ = near.set_nodelay(true);
+    let connected = async {
+        // The sender lives as long as the relay.
+        let _ = passage.wait_for(|passage| *passage != Passage::Held).await;
+        TcpStream::connect(target).await
+    };
+    let far = tokio::select! {
+        far = connected => far,
+        _ = fate.wait_for(|fate| *fate == Fate::Reset) => return reset(&near),
+    };
+    let Ok(mut far) = far else { return reset(&near) };
+    let _ = far.set_nodelay(true);
+    let to = Pump { way: Way::ToTarget, passage: passage.clone(), fate: fate.clone() };
+    let from = Pump { way: Way::FromTarget, passage, fate: fate.clone() };
+    let was_reset = {
+        let (near_reader, near_writer) = near.split();
+        let (far_reader, far_writer) = far.split();
+        let both_ways = async {
+            tokio::join!(to.run(near_reader, far_writer), from.run(far_reader, near_writer))
+        };
+        tokio::select! {
+            _ = both_ways => false,
+            _ = fate.wait_for(|fate| *fate == Fate::Reset) => true,
+        }
+    };
+    if was_reset {
+        reset(&near);
+        reset(&far);
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    // With a linger of zero the end is a reset.
+    let _ = stream.set_zero_linger();
+}
+
+/// Carries bytes one way.
+struct Pump {
+    way: Way,
+    passage: watch::Receiver<Passage>,
+    fate: watch::Receiver<Fate>,
+}
+
+impl Pump {
+    async fn run(mut self, mut reader: ReadHalf<'_>, mut writer: WriteHalf<'_>) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let read = reader.read(&mut buffer).await;
+            self.until_passable().await;
+            let Ok(length) = read else { break };
+            if length == 0 || writer.write_all(&buffer[..length]).await.is_err() {
+                break;
+            }
+        }
+        // The peer may be gone already.
+        let _ = writer.shutdown().await;
+    }
+
+    async fn until_passable(&mut self) {
+        let (way, silenced) = (self.way, *self.fate.borrow() == Fate::Silenced);
+        if silenced {
+            return std::future::pending().await;
+        }
+        let present = *self.passage.borrow();
+        if let Passage::Delayed(ms) = present {
+            sleep(Duration::from_millis(ms)).await;
+        }
+        let opened = self.passage.wait_for(|passage| !passage.holds(way));
+        let _ = opened.await;
+        if *self.fate.borrow() == Fate::Silenced {
+            std::future::pending::<()>().await;
+        }
+    }
+}
