Dispatch: the last tasks of a job first, and a whole-job forecast that learns

By the logs, (a) one short job in ten was given up with 76 % of its tasks done: a task that became late went behind all that was in time and never started; (b) jobs were admitted by the end of one task at the best upstream, so that most refusals came as too_late after 316 ms (median) instead of at once.

--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -224,6 +224,9 @@
             ToRunsAgent::Stop(job) => {
                 leased.change(|ledger, _| ledger.stop_job(self.entry, job));
             }
+            ToRunsAgent::Finish { job, give_up_in_ms } => leased.change(|ledger, now_ms| {
+                ledger.finish_job(self.entry, job, give_up_in_ms, now_ms);
+            }),
             ToRunsAgent::Withdraw(tasks) => leased.change(|ledger, _| {
                 tasks.into_iter().for_each(|task| ledger.withdraw(self.entry, task));
             }),
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -47,6 +47,10 @@
 }
 
 impl Task {
+    fn has_begun(&self) -> bool {
+        matches!(self.state, TaskState::Done | TaskState::Placed { started: true, .. })
+    }
+
     fn is_at(&self, agent: AgentKey) -> bool {
         matches!(self.state, TaskState::Placed { agent: at, .. } if at == agent)
     }
@@ -68,6 +72,8 @@
     pub request: JobRequest,
     /// When it must end to be in time.
     pub objective_ms: u64,
+    /// When its first steps were expected to end as it was taken.
+    pub expected_end_ms: u64,
     /// When its result is of no use any more.
     give_up_ms: u64,
     /// When it is better refused, if no task of it has begun.
@@ -78,6 +84,8 @@
     pub open: Vec<u16>,
     /// A task was started, or may have been.
     pub may_have_run: bool,
+    /// Agents were told to finish it.
+    pub is_finishing: bool,
     /// It is being ended.
     pub ending: Option<Ending>,
 }
@@ -112,11 +120,13 @@
         Self {
             request,
             objective_ms,
+            expected_end_ms: 0,
             give_up_ms,
             refuse_ms,
             tasks,
             open,
             may_have_run: false,
+            is_finishing: false,
             ending: None,
         }
     }
@@ -128,6 +138,18 @@
         if self.may_have_run { self.give_up_ms } else { self.refuse_ms }
     }
 
+    /// Time within which it is in time.
+    #[must_use]
+    pub fn span_ms(&self) -> u64 {
+        self.objective_ms - self.request.arrived_ms
+    }
+
+    /// When it must be expected to end to be taken.
+    #[must_use]
+    pub fn admit_ms(&self) -> u64 {
+        self.objective_ms.min(self.request.deadline_ms)
+    }
+
     /// Whether the steps before this one are done.
     #[must_use]
     pub fn is_due(&self, step: usize) -> bool {
@@ -165,6 +187,27 @@
         agents
     }
 
+    /// Whether at least half of its tasks have begun or are done.
+    #[must_use]
+    pub fn has_mostly_begun(&self) -> bool {
+        let all = self.tasks.iter().map(Vec::len).sum::<usize>();
+        let begun = self.tasks.iter().flatten().filter(|task| task.has_begun()).count();
+        begun * 2 >= all
+    }
+
+    /// Agents that have tasks of it which have not begun.
+    #[must_use]
+    pub fn agents_not_begun(&self) -> Vec<AgentKey> {
+        let waiting = self.tasks.iter().flatten().filter_map(|task| match task.state {
+            TaskState::Placed { agent, started: false, .. } => Some(agent),
+            _ => None,
+        });
+        let mut agents: Vec<_> = waiting.collect();
+        agents.sort_unstable();
+        agents.dedup();
+        agents
+    }
+
     /// Tasks of a step at an agent.
     #[must_use]
     pub fn count_at(&self, step: usize, agent: AgentKey) -> u16 {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod agents;
 mod connections;
 mod job;
+mod kinds;
 mod place;
 mod recall;
 mod types;
@@ -26,6 +27,7 @@
 
 use {
     job::{Ending, Outcome},
+    kinds::KindRecord,
     slotmap::SlotMap,
     std::{
         collections::{BTreeSet, HashMap},
@@ -34,10 +36,6 @@
     sycamorerail_wire::runs::{CallerId, RunEvent, TaskKey},
 };
 
-/// Weight of the newest sample of a kind's run times, as one part of this many.
-const WORK_PARTS: u32 = 32;
-/// Corrections of estimates stay within these bounds, in percent.
-const WORK_PERCENT: (u32, u32) = (50, 300);
 /// Shortest and longest time told to callers that are turned away.
 const RETRY_MS: (u64, u64) = (100, 5_000);
 /// Time told where no upstream is usable: agents are back about then.
@@ -56,8 +54,7 @@
     by_name: HashMap<String, AgentKey>,
     /// Jobs with tasks to place.
     unplaced: BTreeSet<JobKey>,
-    /// Observed run times against estimates in percent, by kind.
-    work_percent: HashMap<String, u32>,
+    kinds: HashMap<String, KindRecord>,
     commands: Vec<Command>,
     /// Rises with each choice, so that equal agents take turns.
     turn: usize,
@@ -95,6 +92,12 @@
         self.by_id.get(&id).copied()
     }
 
+    /// When the first steps of a job were expected to end as it was taken.
+    #[must_use]
+    pub fn expected_end_ms(&self, key: JobKey) -> Option<u64> {
+        Some(self.jobs.get(key)?.expected_end_ms)
+    }
+
     /// Refuses new jobs from now on.
     pub fn stop_accepting(&mut self) {
         self.is_stopping = true;
@@ -119,8 +122,8 @@
             return Err(refused(GiveUp::Overload, NO_UPSTREAM_RETRY_MS));
         }
         let id = request.id;
-        let job = Job::new(request);
-        self.admit(&job, now_ms)?;
+        let mut job = Job::new(request);
+        job.expected_end_ms = self.admit(&job, now_ms)?;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.place(key, now_ms);
@@ -134,7 +137,7 @@
         if let RunEvent::Done { run_ms } = event {
             let estimate_ms = job.request.steps[usize::from(task.step)].run_ms;
             let kind = Arc::clone(&job.request.kind);
-            self.note_run_time(&kind.name, run_ms, estimate_ms);
+            self.kind(&kind.name).ran(run_ms, estimate_ms);
         }
         self.advance(key, outcome, now_ms);
     }
@@ -148,6 +151,7 @@
             Outcome::Nothing => {}
             Outcome::PlaceAgain => self.place(key, now_ms),
             Outcome::Completed => {
+                self.note_end(key, now_ms);
                 self.commands.push(Command::Answer(key, JobAnswer::Completed));
                 self.remove(key);
             }
@@ -158,15 +162,16 @@
         }
     }
 
-    fn note_run_time(&mut self, kind: &str, run_ms: u32, estimate_ms: u32) {
-        let sample = u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1));
-        let sample = sample.clamp(WORK_PERCENT.0.into(), WORK_PERCENT.1.into()) as u32;
-        match self.work_percent.get_mut(kind) {
-            Some(past) => *past = (*past * (WORK_PARTS - 1) + sample) / WORK_PARTS,
-            None => {
-                self.work_percent.insert(kind.to_owned(), 100);
-            }
-        }
+    fn kind(&mut self, name: &str) -> &mut KindRecord {
+        self.kinds.entry(name.to_owned()).or_default()
+    }
+
+    /// Takes note of how a job's end compares with what was forecast.
+    fn note_end(&mut self, key: JobKey, now_ms: u64) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let late_ms = now_ms as i64 - job.expected_end_ms as i64;
+        let (kind, span_ms) = (Arc::clone(&job.request.kind), job.span_ms());
+        self.kind(&kind.name).ended(late_ms, span_ms, now_ms);
     }
 
     /// Ends a job whose caller has left or cancelled it.
@@ -216,16 +221,19 @@
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent(now_ms);
         self.place_waiting(now_ms);
+        self.finish_begun(now_ms);
         let hopeless: Vec<_> =
             self.unplaced.iter().copied().filter(|key| self.is_hopeless(*key, now_ms)).collect();
         for key in hopeless {
             let why =
                 if self.usable_agents(now_ms) == 0 { GiveUp::NoUpstream } else { GiveUp::TooLate };
+            self.note_end(key, now_ms);
             self.end(key, Ending::GivenUp(why));
         }
         let passed = |(_, job): &(JobKey, &Job)| job.ending.is_none() && now_ms >= job.end_by_ms();
         let passed: Vec<_> = self.jobs.iter().filter(passed).map(|(key, _)| key).collect();
         for key in passed {
+            self.note_end(key, now_ms);
             self.end(key, Ending::GivenUp(GiveUp::TooLate));
         }
     }
--- a/crates/decide/src/dispatch/recall.rs
+++ b/crates/decide/src/dispatch/recall.rs
@@ -51,6 +51,21 @@
         self.commands.extend(recalls);
     }
 
+    /// Tells agents to go on with the last tasks of jobs that have mostly begun.
+    pub(super) fn finish_begun(&mut self, now_ms: u64) {
+        let may_finish = |job: &Job| {
+            job.ending.is_none() && job.may_have_run && !job.is_finishing && job.has_mostly_begun()
+        };
+        for job in self.jobs.values_mut().filter(|job| may_finish(job)) {
+            job.is_finishing = true;
+            let left_ms = job.end_by_ms().saturating_sub(now_ms);
+            let give_up_in_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+            let id = job.request.id;
+            let finish = |agent| Command::Finish(agent, id, give_up_in_ms);
+            self.commands.extend(job.agents_not_begun().into_iter().map(finish));
+        }
+    }
+
     /// Tasks that wait at other agents for a while, and could run at this one.
     fn waiting_elsewhere(&self, agent: AgentKey, now_ms: u64) -> Vec<Waiting> {
         let is_queue = |at: AgentKey| {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -156,6 +156,9 @@
     Stop(AgentKey, CallerId),
     /// Have an agent hand tasks back that wait there.
     Withdraw(AgentKey, Vec<TaskKey>),
+    /// Have an agent go on with what waits of a job that has begun; nobody waits for
+    /// it after so many milliseconds.
+    Finish(AgentKey, CallerId, u32),
     /// Answer whoever waits for the job.
     Answer(JobKey, JobAnswer),
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -72,12 +72,17 @@
     confirmed_ms: Option<u64>,
 }
 
-/// Order of waiting tasks: those that can be in time first, by the latest
-/// moment at which they must start for that.
+/// Order of waiting tasks: those that can be in time first, by priority; among equals
+/// those of jobs that have begun, then by the latest moment to start in time.
+///
+/// The last tasks of a job that has begun are never late: without them all its work
+/// is wasted. At 1.8 times the usual load one short job in ten was given up with
+/// three quarters of its tasks done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
     is_late: bool,
     priority: u8,
+    is_beginning: bool,
     start_by_ms: u64,
     arrival: u64,
 }
@@ -276,6 +281,7 @@
                 give_up_ms: now_ms + u64::from(placement.give_up_in_ms),
                 rank: Rank {
                     is_late: false,
+                    is_beginning: !placement.finishing,
                     start_by_ms: objective_ms.saturating_sub(placement.run_ms.into()),
                     priority: placement.priority,
                     arrival: self.arrivals,
@@ -322,6 +328,30 @@
         }
     }
 
+    /// Has what waits of an entry's job go before others of its priority, as most of
+    /// the job has begun.
+    pub fn finish_job(
+        &mut self,
+        owner: Incarnation,
+        job: CallerId,
+        give_up_in_ms: u32,
+        now_ms: u64,
+    ) {
+        let of_job = |key: RunKey| {
+            let run = &self.runs[key];
+            run.owner == owner && run.task.job == job
+        };
+        let waiting: Vec<_> =
+            self.waiting.iter().filter(|(_, key)| of_job(*key)).copied().collect();
+        for (rank, key) in waiting {
+            self.waiting.remove(&(rank, key));
+            let run = &mut self.runs[key];
+            run.give_up_ms = now_ms + u64::from(give_up_in_ms);
+            run.rank = Rank { is_late: false, is_beginning: false, ..rank };
+            self.waiting.insert((run.rank, key));
+        }
+    }
+
     /// Hands a task back that waits still.
     pub fn withdraw(&mut self, owner: Incarnation, task: TaskKey) {
         let Some(&key) = self.by_task.get(&task) else { return };
@@ -391,7 +421,7 @@
             let run = &mut self.runs[key];
             if now_ms + u64::from(run.run_ms) > run.give_up_ms {
                 self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
-            } else if !rank.is_late && rank.start_by_ms < now_ms {
+            } else if rank.is_beginning && !rank.is_late && rank.start_by_ms < now_ms {
                 self.waiting.remove(&(rank, key));
                 run.rank.is_late = true;
                 self.waiting.insert((run.rank, key));
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -36,6 +36,7 @@
         priority: 1,
         objective_in_ms: 400,
         give_up_in_ms: 2_000,
+        finishing: false,
     }
 }
 
@@ -420,3 +421,26 @@
     }
     assert_eq!(ledger.load(5_500).capacity.cpu_milli, 10_000);
 }
+
+#[test]
+fn the_last_tasks_of_a_job_that_has_begun_go_first_of_their_priority_also_when_late() {
+    let mut ledger = ready();
+    let soon = Placement { objective_in_ms: 110, ..placement(1, 1, 8_000) };
+    ledger.place(ENTRY, soon, 2);
+    ledger.place(ENTRY, Placement { priority: 2, ..placement(2, 1, 8_000) }, 2);
+    ledger.place(ENTRY, placement(3, 1, 8_000), 2);
+    ledger.place(ENTRY, Placement { priority: 0, ..placement(4, 1, 8_000) }, 2);
+    ledger.finish_job(ENTRY, CallerId(1), 2_000, 2);
+    ledger.finish_job(ENTRY, CallerId(2), 2_000, 2);
+    let mut order = Vec::new();
+    for number in 1..=4 {
+        let now_ms = 50 + number;
+        renew(&mut ledger, now_ms, &[], &[]);
+        let start = starts(&mut ledger, now_ms).remove(0);
+        ledger.start_answered(start.task, 1, StartAnswer::Started, now_ms);
+        let end = Ended { number, task: start.task, run: 1, kind: EndKind::Done };
+        renew(&mut ledger, now_ms, &[], &[end]);
+        order.push(start.task.job.0);
+    }
+    assert_eq!(order, [4, 1, 3, 2]);
+}
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -302,6 +302,7 @@
             priority: 0,
             objective_in_ms: 1_000,
             give_up_in_ms: 3_000,
+            finishing: false,
         };
         let ledger = &mut self.sites[site].ledger;
         ledger.owner_heard(ENTRY, self.now_ms);
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -150,13 +150,14 @@
         let kind = request.kind.name.clone();
         let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
-        let submitted = {
+        let (submitted, expected_end_ms) = {
             let mut dispatch = self.dispatch.lock();
             let submitted = dispatch.submit(request, self.clock.now_ms());
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
             }
-            submitted
+            let expected_end_ms = submitted.ok().and_then(|key| dispatch.expected_end_ms(key));
+            (submitted, expected_end_ms.unwrap_or_default())
         };
         let answer = match submitted {
             Ok(key) => {
@@ -166,7 +167,8 @@
                     job = id,
                     kind = kind,
                     tasks = tasks,
-                    deadline_in_ms = deadline_in_ms
+                    deadline_in_ms = deadline_in_ms,
+                    expected_in_ms = expected_end_ms.saturating_sub(arrived_ms)
                 );
                 let mut waiting = Waiting { service: self, job: key, id, is_answered: false };
                 self.act();
@@ -234,6 +236,10 @@
                     dispatch.message_sent(agent, None, now_ms);
                     self.send(agent, ToRunsAgent::Withdraw(tasks));
                 }
+                Command::Finish(agent, job, give_up_in_ms) => {
+                    dispatch.message_sent(agent, None, now_ms);
+                    self.send(agent, ToRunsAgent::Finish { job, give_up_in_ms });
+                }
                 Command::Answer(job, answer) => {
                     if let Some(waiter) = self.waiters.lock().remove(&job) {
                         // Its caller may have left.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -125,6 +125,8 @@
     pub objective_in_ms: u32,
     /// Milliseconds from sending after which nobody waits for the job.
     pub give_up_in_ms: u32,
+    /// Most of the job's tasks have begun: these are what it waits for.
+    pub finishing: bool,
 }
 
 /// Why a run did not start.
@@ -341,6 +343,14 @@
     Stop(CallerId),
     /// Hand these tasks back if they wait still.
     Withdraw(Vec<TaskKey>),
+    /// Most tasks of the job have begun: those that wait go before others of their
+    /// priority, also when they are late.
+    Finish {
+        /// The job.
+        job: CallerId,
+        /// Milliseconds from sending after which nobody waits for it.
+        give_up_in_ms: u32,
+    },
     /// Heartbeat, with what was heard.
     Beat {
         /// Messages heard from the agent on this connection.
