--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -20,8 +20,8 @@
     agents::{AgentView, Asked, Expected, Planned},
     job::Job,
     types::{
-        AgentKey, Command, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest, KindParameters,
-        StepRequest,
+        AgentKey, Command, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey, JobRequest,
+        KindParameters, StepRequest,
     },
 };
 
@@ -59,6 +59,7 @@
     /// Rises with each choice, so that equal agents take turns.
     turn: usize,
     is_stopping: bool,
+    last_forecast: Forecast,
 }
 
 impl Dispatch {
@@ -92,10 +93,10 @@
         self.by_id.get(&id).copied()
     }
 
-    /// When the first steps of a job were expected to end as it was taken.
+    /// The forecast by which the last job that was submitted was taken or refused.
     #[must_use]
-    pub fn expected_end_ms(&self, key: JobKey) -> Option<u64> {
-        Some(self.jobs.get(key)?.expected_end_ms)
+    pub fn last_forecast(&self) -> Forecast {
+        self.last_forecast
     }
 
     /// Refuses new jobs from now on.
@@ -123,7 +124,10 @@
         }
         let id = request.id;
         let mut job = Job::new(request);
-        job.expected_end_ms = self.admit(&job, now_ms)?;
+        let forecast = self.forecast(&job, now_ms);
+        self.last_forecast = forecast;
+        self.admit(&job, &forecast)?;
+        job.expected_end_ms = now_ms + forecast.end_in_ms;
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.place(key, now_ms);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
-        AgentKey, AgentView, Asked, Command, Dispatch, Expected, GiveUp, Job, JobAnswer, JobKey,
-        Planned, RETRY_MS, SAME_END_MS, StepRequest, job::TaskState, kinds::KindRecord,
+        AgentKey, AgentView, Asked, Command, Dispatch, Expected, Forecast, GiveUp, Job, JobAnswer,
+        JobKey, Planned, RETRY_MS, SAME_END_MS, StepRequest, job::TaskState, kinds::KindRecord,
     },
     std::collections::HashMap,
     sycamorerail_wire::runs::{Placement, TaskStart},
@@ -19,30 +19,28 @@
 impl Dispatch {
     /// Whether the whole job can be in time, by what is known. One that would be late
     /// is better refused at once than done: its room goes to others that are in time.
-    /// Returns the time by which it is expected to end.
-    pub(super) fn admit(&self, job: &Job, now_ms: u64) -> Result<u64, JobAnswer> {
-        let mut end_ms = now_ms;
-        for (step, wanted) in job.request.steps.iter().enumerate() {
-            if self.never_fits(job, wanted) {
-                return Err(JobAnswer::Failed);
-            }
-            if !job.is_due(step) {
-                continue;
-            }
-            let plan = self.plan(job, step, now_ms);
-            let Some(last) = plan.iter().max_by_key(|planned| planned.expected.end_ms) else {
-                continue;
-            };
-            end_ms = end_ms.max(now_ms + last.expected.end_ms);
-            let waits = last.expected.wait_ms > 0;
-            let late_ms = if waits { self.lateness_ms(job, now_ms) } else { 0 };
-            if end_ms.saturating_add_signed(late_ms) > job.admit_ms() {
-                let wait_ms = last.expected.wait_ms.clamp(RETRY_MS.0, RETRY_MS.1);
-                let retry_after_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
-                return Err(JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms });
-            }
+    pub(super) fn admit(&self, job: &Job, forecast: &Forecast) -> Result<(), JobAnswer> {
+        if job.request.steps.iter().any(|wanted| self.never_fits(job, wanted)) {
+            return Err(JobAnswer::Failed);
+        }
+        if forecast.is_in_time() {
+            return Ok(());
         }
-        Ok(end_ms)
+        let retry_after_ms = forecast.wait_ms.clamp(RETRY_MS.0, RETRY_MS.1);
+        let retry_after_ms = u32::try_from(retry_after_ms).unwrap_or(u32::MAX);
+        Err(JobAnswer::NotRun { why: GiveUp::Overload, retry_after_ms })
+    }
+
+    /// When the tasks that may be placed now will all have ended.
+    pub(super) fn forecast(&self, job: &Job, now_ms: u64) -> Forecast {
+        let steps = job.steps_to_place();
+        let plans = steps.into_iter().flat_map(|step| self.plan(job, step, now_ms));
+        let last = plans.max_by_key(|planned| planned.expected.end_ms);
+        let (end_in_ms, wait_ms) =
+            last.map_or((0, 0), |last| (last.expected.end_ms, last.expected.wait_ms));
+        let late_ms = if wait_ms > 0 { self.lateness_ms(job, now_ms) } else { 0 };
+        let must_end_in_ms = job.admit_ms().saturating_sub(now_ms);
+        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms }
     }
 
     /// How much later than forecast jobs of the kind end now, in milliseconds.
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -147,6 +147,27 @@
     },
 }
 
+/// When a job is expected to end, as it comes. All times in milliseconds from then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Forecast {
+    /// Until its last task ends, by what agents told; 0 where no upstream is usable.
+    pub end_in_ms: u64,
+    /// Of these, until that task starts.
+    pub wait_ms: u64,
+    /// How much later than that jobs of the kind ended lately; 0 where nothing waits.
+    pub late_ms: i64,
+    /// Until it must end to be in time.
+    pub must_end_in_ms: u64,
+}
+
+impl Forecast {
+    /// Whether the job can be in time.
+    #[must_use]
+    pub fn is_in_time(&self) -> bool {
+        self.end_in_ms.saturating_add_signed(self.late_ms) <= self.must_end_in_ms
+    }
+}
+
 /// What the dispatch wants done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -530,9 +530,10 @@
     site.dispatch.report(agents[0], &[], waiting, 0, site.now_ms);
     let answer = site.refuse(job(1, vec![step(4)]));
     assert!(matches!(answer, JobAnswer::NotRun { why: GiveUp::Overload, .. }), "{answer:?}");
-    let key = site.submit(job(2, vec![step(1)]));
+    site.submit(job(2, vec![step(1)]));
     // 900 before it, a third of 450 until its room is there, over ten cores.
-    assert_eq!(site.dispatch.expected_end_ms(key), Some(100 + 106 + 100));
+    let forecast = site.dispatch.last_forecast();
+    assert_eq!((forecast.wait_ms, forecast.end_in_ms, forecast.late_ms), (106, 206, 0));
 }
 
 /// Jobs of a burst end later than forecast, as more urgent ones overtake them: after a
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -15,7 +15,8 @@
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     sycamorerail_decide::dispatch::{
-        AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
+        AgentKey, Command, Dispatch, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey,
+        JobRequest,
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -150,26 +151,18 @@
         let kind = request.kind.name.clone();
         let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
-        let (submitted, expected_end_ms) = {
+        let (submitted, forecast) = {
             let mut dispatch = self.dispatch.lock();
             let submitted = dispatch.submit(request, self.clock.now_ms());
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
             }
-            let expected_end_ms = submitted.ok().and_then(|key| dispatch.expected_end_ms(key));
-            (submitted, expected_end_ms.unwrap_or_default())
+            (submitted, dispatch.last_forecast())
         };
+        let size = JobSize { kind: &kind, tasks, deadline_in_ms };
+        log_admission(submitted.is_ok(), id, size, &forecast);
         let answer = match submitted {
             Ok(key) => {
-                event!(
-                    Info,
-                    "job_accepted",
-                    job = id,
-                    kind = kind,
-                    tasks = tasks,
-                    deadline_in_ms = deadline_in_ms,
-                    expected_in_ms = expected_end_ms.saturating_sub(arrived_ms)
-                );
                 let mut waiting = Waiting { service: self, job: key, id, is_answered: false };
                 self.act();
                 let answer = receiver.await;
@@ -282,6 +275,31 @@
     }
 }
 
+/// Logs a decision on a job with what decided it.
+fn log_admission(accepted: bool, id: CallerId, size: JobSize<'_>, forecast: &Forecast) {
+    event!(
+        Info,
+        "job_admission",
+        job = id,
+        accepted = accepted,
+        kind = size.kind,
+        tasks = size.tasks,
+        deadline_in_ms = size.deadline_in_ms,
+        expected_in_ms = forecast.end_in_ms,
+        wait_ms = forecast.wait_ms,
+        late_ms = forecast.late_ms,
+        must_end_in_ms = forecast.must_end_in_ms,
+    );
+}
+
+/// What the log tells of a job.
+#[derive(Clone, Copy)]
+struct JobSize<'a> {
+    kind: &'a str,
+    tasks: usize,
+    deadline_in_ms: u64,
+}
+
 fn names(answer: JobAnswer) -> (&'static str, &'static str) {
     match answer {
         JobAnswer::Completed => ("completed", ""),
