Dispatch: a refusal without a forecast does not log another job's

Cause: what decided a job is read back after it was submitted. A job that is refused before its forecast (entry stopping, id held already, too many jobs) was logged with the forecast of the job before it: wrong evidence on the operators' page.

The forecast is cleared first. Decisions are as they were; the test a_refusal_without_a_forecast_does_not_tell_that_of_another_job goes with it.

--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -112,6 +112,8 @@
     /// The answer, when the job is turned away: nothing of it runs.
     pub fn submit(&mut self, request: JobRequest, now_ms: u64) -> Result<JobKey, JobAnswer> {
         let refused = |why, retry_after_ms| JobAnswer::NotRun { why, retry_after_ms };
+        // One that is refused without a forecast must not tell that of another job.
+        self.last_forecast = Forecast::default();
         if self.is_stopping {
             return Err(refused(GiveUp::Stopping, RETRY_MS.0 as u32));
         }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -591,3 +591,13 @@
     site.tell(agents[0], task(1, 0, 2), 1, RunEvent::NotStarted(NotStarted::Refused));
     assert!(site.placements()[0].1.finishing);
 }
+
+#[test]
+fn a_refusal_without_a_forecast_does_not_tell_that_of_another_job() {
+    let (mut site, _) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    assert_eq!(site.dispatch.last_forecast().end_in_ms, 100);
+    site.dispatch.stop_accepting();
+    site.refuse(job(2, vec![step(1)]));
+    assert_eq!(site.dispatch.last_forecast().end_in_ms, 0);
+}
