Entries and announcements of another writer name nothing and hide nothing

Cause: one value in the store that is no text made the whole page unreadable, so a single foreign item emptied the roster; an announcement without capacity, or with a state that is not known, was taken with zeros and as ready, and one of the same life with another pool moved the upstream. Ruled out: skipping unreadable messages of the inner protocol. They are counted and their order matters; the link ends and both sides compare what they hold.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -113,17 +113,23 @@
     /// The upstream announced itself.
     ///
     /// An announcement of another life than the one that answers renewals is
-    /// not believed: it was sent before the upstream was replaced, and held up.
+    /// not believed: it was sent before the upstream was replaced, and held up. Nor is
+    /// one that puts a known life into another pool: a life stays in its pool.
     pub fn announced(self: &Arc<Self>, life: UpstreamLife) {
         let now_ms = self.clock.now_ms();
         let mut ledger = self.ledger.lock();
-        let known = ledger.life().map(|known| known.id.clone());
-        if known.as_ref().is_some_and(|id| *id != life.id) && ledger.is_trusted(now_ms) {
+        let contradicts = |known: &&UpstreamLife| {
+            let is_other = known.id != life.id && ledger.is_trusted(now_ms);
+            is_other || (known.id == life.id && known.pool != life.pool)
+        };
+        if let Some(known) = ledger.life().filter(contradicts) {
             event!(
                 Info,
                 "announcement_ignored",
                 life = life.id,
-                answers = known.unwrap_or_default()
+                pool = life.pool,
+                known = known.id,
+                known_pool = known.pool
             );
             return;
         }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -3,8 +3,8 @@
 
 use {
     crate::lease_key::hold_key,
-    std::{net::SocketAddr, time::Duration},
-    sycamorerail_platform::{Mirror, Platform},
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    sycamorerail_platform::{KeyValue, Mirror, Platform},
     sycamorerail_telemetry::event,
     tokio::time::sleep,
 };
@@ -33,10 +33,10 @@
     let mirror = Mirror::start(platform.clone(), PREFIX, POLL_MS);
     tokio::spawn(async move {
         let mut changed = mirror.subscribe();
+        let mut reader = RosterReader::default();
         loop {
             changed.borrow_and_update();
-            let items = mirror.list(PREFIX);
-            let mut entries = addresses(items.iter().map(|item| &*item.value));
+            let mut entries = reader.addresses(&mirror.list(PREFIX));
             if !entries.contains(&own) {
                 entries.push(own);
             }
@@ -54,18 +54,56 @@
     is_alone: impl Fn() -> bool,
     on_found: impl Fn(Vec<SocketAddr>),
 ) {
+    let mut reader = RosterReader::default();
     loop {
         sleep(SEARCH_PAUSE).await;
         if !is_alone() {
             continue;
         }
         match platform.range(PREFIX).await {
-            Ok(range) => on_found(addresses(range.items.iter().map(|item| &*item.value))),
+            Ok(range) => on_found(reader.addresses(&range.items)),
             Err(error) => event!(Info, "roster_unread", error = error),
         }
     }
 }
 
-fn addresses<'a>(values: impl Iterator<Item = &'a str>) -> Vec<SocketAddr> {
-    values.filter_map(|value| value.parse().ok()).collect()
+/// Reads entries' addresses. An item that holds none was written by somebody else: it
+/// is left out, logged once and counted, and the others hold.
+#[derive(Debug, Default)]
+pub struct RosterReader {
+    /// Keys and revisions of such items that the last reading met.
+    refused: BTreeSet<(String, u64)>,
+}
+
+impl RosterReader {
+    /// Addresses in the items of the roster.
+    pub fn addresses(&mut self, items: &[KeyValue]) -> Vec<SocketAddr> {
+        let mut addresses = Vec::with_capacity(items.len());
+        let mut refused = BTreeSet::new();
+        for item in items {
+            match item.value.parse() {
+                Ok(address) => addresses.push(address),
+                Err(error) => {
+                    self.tell_refused(item, &error);
+                    refused.insert((item.key.clone(), item.modified));
+                }
+            }
+        }
+        self.refused = refused;
+        addresses
+    }
+
+    fn tell_refused(&self, item: &KeyValue, error: &std::net::AddrParseError) {
+        if self.refused.contains(&(item.key.clone(), item.modified)) {
+            return;
+        }
+        metrics::counter!("sycamorerail_roster_refused_total").increment(1);
+        event!(
+            Warn,
+            "roster_entry_refused",
+            key = item.key,
+            revision = item.modified,
+            error = error
+        );
+    }
 }
--- a/crates/platform/src/form.rs
+++ b/crates/platform/src/form.rs
@@ -52,6 +52,15 @@
     Malformed(String),
 }
 
+impl fmt::Display for ReadError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Status => f.write_str("the call failed"),
+            Self::Malformed(why) => f.write_str(why),
+        }
+    }
+}
+
 /// An answer that was read.
 pub type Read<T> = Result<T, ReadError>;
 
