A model of the decisions in virtual time: sycamorerail-bench policy

The real dispatch and ledger between drawn jobs and modelled upstreams, with the timing of messages, reports and renewals as the programs have it; tables by kind with spread over seeds, a plot by second, two settings compared, a bound. Maps that dispatch and ledger walk are ordered now: the same seed gave different results, as commands to different agents came in another order each time.

--- a/crates/bench/src/commands.rs
+++ b/crates/bench/src/commands.rs
@@ -4,15 +4,17 @@
     crate::{
         layout,
         options::{
-            Command, LayoutOptions, ReportOptions, RunOptions, SampleOptions, SlopesOptions,
+            Command, LayoutOptions, PolicyOptions, ReportOptions, RunOptions, SampleOptions,
+            SlopesOptions,
         },
+        policy::{self, ModelSettings},
         report,
         results::RunResult,
         run, sample,
         scenario::Scenario,
         slopes,
     },
-    eyre::WrapErr,
+    eyre::{WrapErr, ensure},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         fs,
@@ -58,6 +60,7 @@
         Command::Sample(options) => take_sample(&options),
         Command::Report(options) => make_report(&options),
         Command::Slopes(options) => fit_slopes(&options),
+        Command::Policy(options) => play_policy(&options),
     }
 }
 
@@ -121,6 +124,32 @@
     Ok(Exit::Done)
 }
 
+fn play_policy(options: &PolicyOptions) -> eyre::Result<Exit> {
+    ensure!(options.seeds > 0, "--seeds: must be at least 1");
+    let is_count_right = matches!(options.settings.len(), 1 | 2);
+    ensure!(is_count_right, "settings: name one file, or two to compare");
+    let models = options.settings.iter().map(|path| read_model(path));
+    let models = models.collect::<eyre::Result<Vec<_>>>()?;
+    let played: Vec<_> =
+        models.iter().map(|model| policy::report::play_seeds(model, options.seeds)).collect();
+    for (model, played) in models.iter().zip(&played) {
+        println!("{}", policy::report::markdown(model, played));
+    }
+    if let ([first, second], [one, other]) = (&*models, &*played) {
+        print!("{}", policy::report::compare([&first.name, &second.name], one, other));
+    }
+    if let Some(path) = &options.out {
+        let page = policy::report::html(&models[0], &played[0]);
+        fs::write(path, page).wrap_err_with(|| path.display().to_string())?;
+    }
+    Ok(Exit::Done)
+}
+
+fn read_model(path: &Path) -> eyre::Result<ModelSettings> {
+    let yaml = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    ModelSettings::parse(&yaml).wrap_err_with(|| path.display().to_string())
+}
+
 fn read_all<T: DeserializeOwned>(paths: &[PathBuf]) -> eyre::Result<Vec<T>> {
     let read = |path: &PathBuf| {
         let text = fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ideal;
 pub mod layout;
 pub mod options;
+pub mod policy;
 pub mod pool;
 pub mod report;
 pub mod results;
--- a/crates/bench/src/options.rs
+++ b/crates/bench/src/options.rs
@@ -27,6 +27,8 @@
     Report(ReportOptions),
     /// Fit lines through results.
     Slopes(SlopesOptions),
+    /// Play the decisions in virtual time.
+    Policy(PolicyOptions),
 }
 
 /// Write settings, keys, tokens and templates for a scenario into a directory.
@@ -131,3 +133,20 @@
     #[argh(positional)]
     pub points: Vec<PathBuf>,
 }
+
+/// Play the decisions of entries and agents in virtual time, without processes: what
+/// becomes of a load under faults, by kind and by second. With two settings they are
+/// compared over the same seeds.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "policy")]
+pub struct PolicyOptions {
+    /// seeds to play, from 1 up; default 5
+    #[argh(option, default = "5")]
+    pub seeds: u64,
+    /// write an HTML page with a plot by second to this file
+    #[argh(option)]
+    pub out: Option<PathBuf>,
+    /// settings of one model, or of two to compare, in YAML
+    #[argh(positional)]
+    pub settings: Vec<PathBuf>,
+}
--- /dev/null
+++ b/crates/bench/src/policy/agent.rs
@@ -0,0 +1,210 @@
+//! A modelled agent: the real ledger beside a modelled upstream, with the timing of
+//! renewals and reports as the program has it.
+
+use {
+    super::{
+        clock::{MS, Micros, millis},
+        upstream::Upstream,
+    },
+    sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LedgerLimits, StartOrder},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{FromRunsAgent, Room, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
+    },
+};
+
+/// The name of the one pool.
+pub const POOL: &str = "pool";
+const MEMORY_MB: u32 = u32::MAX;
+/// Heartbeat of a link without other messages.
+const BEAT: Micros = 200 * MS;
+/// Loads without events are told this often at most, for each entry.
+const LOAD_PAUSE_PER_ENTRY: Micros = 10 * MS;
+/// A renewal's answer may wait this long for an end.
+const RENEWAL_WAIT: Micros = 40 * MS;
+/// A renewal whose answer is overdue by this much is followed by another.
+const OVERDUE: Micros = 20 * MS;
+/// Renewals under way at most.
+const MAX_UNDER_WAY: usize = 4;
+/// Ends that come within this are told together.
+const GATHER: Micros = 3 * MS;
+
+/// A renewal that waits at the upstream for an end.
+#[derive(Clone, Copy, Debug)]
+pub struct Renewal {
+    /// Its number.
+    pub number: u64,
+    /// When it was sent.
+    pub sent: Micros,
+    /// Highest end acknowledged by it.
+    pub acknowledged: u64,
+    /// How long it may wait.
+    pub wait: Micros,
+}
+
+/// An agent's link to an entry.
+#[derive(Clone, Debug, Default)]
+struct Link {
+    /// The entry's run, once there is a connection.
+    entry: Option<Incarnation>,
+    heard: u64,
+    told_up_to: u64,
+    load: Option<UpstreamLoad>,
+    load_at: Micros,
+    beat_at: Micros,
+}
+
+/// What an agent wants done.
+#[derive(Debug, Default)]
+pub struct Wanted {
+    /// Starts to send to the upstream.
+    pub starts: Vec<StartOrder>,
+    /// Stops to send to it.
+    pub stops: Vec<(TaskKey, u32)>,
+}
+
+/// One agent with its upstream.
+#[derive(Debug)]
+pub struct ModelAgent {
+    /// The decisions.
+    pub ledger: Ledger,
+    /// What runs its tasks.
+    pub upstream: Upstream,
+    /// Number of the upstream's present life.
+    pub life: u64,
+    /// Renewals that wait at the upstream.
+    pub waiting: Vec<Renewal>,
+    capacity: Room,
+    links: Vec<Link>,
+    renewals: u64,
+    under_way: usize,
+    renew_at: Micros,
+}
+
+impl ModelAgent {
+    /// An agent whose upstream was just announced.
+    pub fn new(cpu_milli: u32, speed: f64, entries: usize) -> Self {
+        let mut agent = Self {
+            ledger: Ledger::new(LedgerLimits::default()),
+            upstream: Upstream::new(speed),
+            life: 0,
+            waiting: Vec::new(),
+            capacity: Room { cpu_milli, memory_mb: MEMORY_MB, accelerators: 0 },
+            links: vec![Link::default(); entries],
+            renewals: 0,
+            under_way: 0,
+            renew_at: 0,
+        };
+        agent.announce();
+        agent
+    }
+
+    /// The upstream announces its present life.
+    pub fn announce(&mut self) {
+        let life = self.life();
+        self.ledger.set_upstream(life);
+    }
+
+    /// The upstream's present life.
+    pub fn life(&self) -> UpstreamLife {
+        UpstreamLife {
+            id: self.life.to_string(),
+            pool: POOL.to_owned(),
+            capacity: self.capacity,
+            labels: Vec::new(),
+            leaving: false,
+        }
+    }
+
+    /// The upstream is lost with all that runs.
+    pub fn lose_upstream(&mut self) {
+        self.life += 1;
+        self.upstream.leave();
+        self.waiting.clear();
+    }
+
+    /// Connects to a run of an entry.
+    pub fn connect(&mut self, entry: usize, run: Incarnation, now: Micros) {
+        let link = &mut self.links[entry];
+        if let Some(before) = link.entry.replace(run).filter(|before| *before != run) {
+            self.ledger.drop_owner(before);
+        }
+        *link = Link { entry: Some(run), heard: 1, beat_at: now, ..Link::default() };
+        self.ledger.owner_heard(run, millis(now));
+    }
+
+    /// The link to this run of an entry counts a message; false where there is none.
+    pub fn hear(&mut self, entry: usize, run: Incarnation) -> bool {
+        let link = &mut self.links[entry];
+        let is_present = link.entry == Some(run);
+        link.heard += u64::from(is_present);
+        is_present
+    }
+
+    /// What is to be done after a change.
+    pub fn wanted(&mut self, now: Micros) -> Wanted {
+        let now_ms = millis(now);
+        let starts = std::iter::from_fn(|| self.ledger.next_start(now_ms)).collect();
+        let stops = self.ledger.stops_due(now_ms);
+        self.ledger.take_decided();
+        Wanted { starts, stops }
+    }
+
+    /// The report that is due to an entry, and when to look again.
+    pub fn report(&mut self, entry: usize, now: Micros) -> (Option<FromRunsAgent>, Micros) {
+        let pause = LOAD_PAUSE_PER_ENTRY * self.links.len() as Micros;
+        let load = self.ledger.load(millis(now));
+        let link = &mut self.links[entry];
+        let Some(run) = link.entry else { return (None, now + BEAT) };
+        let reports = self.ledger.reports(run);
+        let reports: Vec<RunReport> =
+            reports.into_iter().filter(|report| report.number > link.told_up_to).collect();
+        let is_changed = link.load != Some(load);
+        let load_due = is_changed && now >= link.load_at;
+        if reports.is_empty() && !load_due && now < link.beat_at {
+            let next = if is_changed { link.load_at.min(link.beat_at) } else { link.beat_at };
+            return (None, next);
+        }
+        link.told_up_to = reports.last().map_or(link.told_up_to, |report| report.number);
+        link.load = Some(load);
+        link.load_at = now + pause;
+        link.beat_at = now + BEAT;
+        let report = FromRunsAgent::Report { heard: link.heard, reports, load };
+        (Some(report), link.beat_at)
+    }
+
+    /// The renewal that is due, and when the next one is.
+    pub fn renewal_due(&mut self, now: Micros) -> Option<Renewal> {
+        if now < self.renew_at || self.under_way >= MAX_UNDER_WAY {
+            return None;
+        }
+        self.renew_at = now + RENEWAL_WAIT + OVERDUE;
+        Some(self.renewal(RENEWAL_WAIT, now))
+    }
+
+    /// A renewal that is sent at once for what it lists, unless too many are under way.
+    pub fn look_now(&mut self, now: Micros) -> Option<Renewal> {
+        (self.under_way < MAX_UNDER_WAY).then(|| self.renewal(0, now))
+    }
+
+    fn renewal(&mut self, wait: Micros, now: Micros) -> Renewal {
+        self.renewals += 1;
+        self.under_way += 1;
+        let acknowledged = self.ledger.acknowledged();
+        Renewal { number: self.renewals, sent: now, acknowledged, wait }
+    }
+
+    /// When the next renewal is due.
+    pub fn renew_at(&self) -> Micros {
+        self.renew_at
+    }
+
+    /// A renewal was answered, or its answer is waited for no more.
+    pub fn renewed(&mut self, life: u64, answer: Option<LeaseAnswer>, now: Micros) {
+        self.under_way -= 1;
+        let Some(answer) = answer.filter(|_| life == self.life) else { return };
+        let pause = if answer.ended.is_empty() { 0 } else { GATHER };
+        self.renew_at = self.renew_at.min(now + pause);
+        self.ledger.renewed(&answer, millis(now));
+    }
+}
--- /dev/null
+++ b/crates/bench/src/policy/entry.rs
@@ -0,0 +1,113 @@
+//! A modelled entry: the real dispatch, with its jobs by number.
+
+use {
+    super::{
+        agent::POOL,
+        clock::{Micros, millis},
+        jobs::ModelJob,
+        settings::KindSettings,
+    },
+    std::{collections::HashMap, sync::Arc},
+    sycamorerail_decide::dispatch::{
+        AgentKey, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest, KindParameters,
+        StepRequest,
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{CallerId, Room, TaskKey, UpstreamLife},
+    },
+};
+
+const MAX_ATTEMPTS: u32 = 2;
+
+/// One entry.
+#[derive(Debug)]
+pub struct ModelEntry {
+    /// The decisions.
+    pub dispatch: Dispatch,
+    /// Its present run.
+    pub run: Incarnation,
+    /// It is there.
+    pub is_up: bool,
+    /// Agents by number.
+    pub agents: Vec<AgentKey>,
+    /// Highest report of each agent that was taken note of.
+    pub confirmed: Vec<u64>,
+    /// Numbers of the jobs that it holds.
+    pub jobs: HashMap<JobKey, usize>,
+}
+
+impl ModelEntry {
+    /// A fresh run that no agent has connected to.
+    pub fn new(run: u64) -> Self {
+        Self {
+            dispatch: Dispatch::new(DispatchLimits::default()),
+            run: Incarnation(run),
+            is_up: true,
+            agents: Vec::new(),
+            confirmed: Vec::new(),
+            jobs: HashMap::new(),
+        }
+    }
+
+    /// The next agent connects.
+    pub fn connect(&mut self, life: UpstreamLife, now: Micros) {
+        let (name, now_ms) = (self.agents.len().to_string(), millis(now));
+        let agent = self.dispatch.agent_connected(&name, Incarnation(1), None, now_ms);
+        self.dispatch.agent_ready(agent, now_ms);
+        self.dispatch.set_life(agent, life);
+        // The first message of a connection.
+        self.dispatch.message_sent(agent, None, now_ms);
+        self.agents.push(agent);
+        self.confirmed.push(0);
+    }
+
+    /// The number of an agent.
+    pub fn number_of(&self, agent: AgentKey) -> Option<usize> {
+        self.agents.iter().position(|known| *known == agent)
+    }
+
+    /// Hands a job in.
+    pub fn submit(
+        &mut self,
+        number: usize,
+        job: &ModelJob,
+        kind: &Arc<KindParameters>,
+        cpu_milli: u32,
+    ) -> Result<(), JobAnswer> {
+        let step = StepRequest {
+            count: u16::try_from(job.run_micros.len()).unwrap_or(u16::MAX),
+            need: Room { cpu_milli, memory_mb: 0, accelerators: 0 },
+            run_ms: job.estimate_ms,
+            ..StepRequest::default()
+        };
+        let request = JobRequest {
+            id: CallerId(number as u64),
+            kind: Arc::clone(kind),
+            spec: String::new(),
+            steps: vec![step],
+            arrived_ms: millis(job.at),
+            deadline_ms: millis(job.useful_until()),
+        };
+        let key = self.dispatch.submit(request, millis(job.at))?;
+        self.jobs.insert(key, number);
+        Ok(())
+    }
+}
+
+/// A kind as the dispatch knows it.
+pub fn parameters(kind: &KindSettings) -> Arc<KindParameters> {
+    Arc::new(KindParameters {
+        name: kind.name.clone(),
+        pool: POOL.to_owned(),
+        priority: kind.priority,
+        max_attempts: MAX_ATTEMPTS,
+        stretch: kind.stretch,
+        target_ms: kind.target_ms,
+    })
+}
+
+/// The numbers of a task's job and of the task in it.
+pub fn numbers_of(task: TaskKey) -> (usize, usize) {
+    (task.job.0 as usize, usize::from(task.index))
+}
--- /dev/null
+++ b/crates/bench/src/policy/jobs.rs
@@ -0,0 +1,118 @@
+//! The jobs of a model, drawn from its settings and a seed.
+
+use {
+    super::{
+        clock::Micros,
+        settings::{KindSettings, ModelSettings, Spread},
+    },
+    rand::{Rng, SeedableRng, rngs::SmallRng},
+    rand_distr::{Distribution, Exp, LogNormal},
+};
+
+/// Tasks of one job differ by this share, as the standard deviation of the logarithm.
+const UNEVEN: f64 = 0.15;
+const MICROS_PER_S: f64 = 1_000_000.0;
+const MICROS_PER_MS: f64 = 1_000.0;
+/// A late result is of use up to so many times the time in which it is in time.
+const USEFUL_SPANS: u64 = 3;
+
+/// One job, with what only the model knows of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelJob {
+    /// Position of its kind in the settings.
+    pub kind: usize,
+    /// The entry that it comes to.
+    pub entry: usize,
+    /// When it comes.
+    pub at: Micros,
+    /// True run time of each task on an upstream of speed 1, in microseconds.
+    pub run_micros: Vec<u64>,
+    /// What its caller says of each, in milliseconds.
+    pub estimate_ms: u32,
+    /// Time within which it is in time.
+    pub span: Micros,
+}
+
+impl ModelJob {
+    /// Until when it is in time.
+    #[must_use]
+    pub fn in_time_until(&self) -> Micros {
+        self.at + self.span
+    }
+
+    /// Until when a result is of use.
+    #[must_use]
+    pub fn useful_until(&self) -> Micros {
+        self.at + self.span * USEFUL_SPANS
+    }
+
+    /// Work of all tasks, in thousandths of a core times microseconds.
+    #[must_use]
+    pub fn work(&self, kind: &KindSettings) -> u64 {
+        self.run_micros.iter().sum::<u64>() * u64::from(kind.cpu_milli)
+    }
+}
+
+/// All jobs, in the order in which they come.
+#[must_use]
+pub fn draw_jobs(settings: &ModelSettings, seed: u64) -> Vec<ModelJob> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    for kind in 0..settings.kinds.len() {
+        draw_kind(settings, kind, &mut rng, &mut jobs);
+    }
+    jobs.sort_by_key(|job| job.at);
+    jobs
+}
+
+/// Arrivals of one kind: a Poisson process at the highest rate, thinned to the present.
+fn draw_kind(settings: &ModelSettings, kind: usize, rng: &mut SmallRng, jobs: &mut Vec<ModelJob>) {
+    let figures = &settings.kinds[kind];
+    let highest = settings.bursts.iter().map(|burst| burst.factor).fold(1.0, |a, b| a * b.max(1.0));
+    let Ok(gap_s) = Exp::new(figures.per_s * highest) else { return };
+    let end_s = f64::from(settings.seconds);
+    let mut at_s = gap_s.sample(rng);
+    while at_s < end_s {
+        if rng.random::<f64>() < factor_at(settings, &figures.name, at_s) / highest {
+            jobs.push(draw_job(settings, kind, (at_s * MICROS_PER_S) as Micros, rng));
+        }
+        at_s += gap_s.sample(rng);
+    }
+}
+
+/// Times the usual load of a kind at a moment.
+fn factor_at(settings: &ModelSettings, kind: &str, at_s: f64) -> f64 {
+    let bursts = settings.bursts.iter().filter(|burst| {
+        (burst.at_s..burst.at_s + burst.for_s).contains(&at_s)
+            && burst.kind.as_ref().is_none_or(|name| name == kind)
+    });
+    bursts.map(|burst| burst.factor).product()
+}
+
+fn draw_job(settings: &ModelSettings, kind: usize, at: Micros, rng: &mut SmallRng) -> ModelJob {
+    let figures = &settings.kinds[kind];
+    let tasks = draw(&figures.tasks, rng).round().max(1.0) as usize;
+    let base_ms = draw(&figures.run_ms, rng);
+    let uneven = Spread { mean: base_ms, spread: UNEVEN, most: base_ms * 2.0 };
+    let run_micros: Vec<u64> =
+        (0..tasks).map(|_| (draw(&uneven, rng) * MICROS_PER_MS).max(1.0) as u64).collect();
+    let off = settings.estimate_off;
+    let estimate_ms = base_ms * (1.0 + rng.random_range(-off..=off));
+    let longest = run_micros.iter().copied().max().unwrap_or(0) as f64;
+    let span = longest * figures.stretch + f64::from(figures.target_ms) * MICROS_PER_MS;
+    ModelJob {
+        kind,
+        entry: rng.random_range(0..usize::from(settings.entries)),
+        at,
+        run_micros,
+        estimate_ms: estimate_ms.round().max(1.0) as u32,
+        span: span as Micros,
+    }
+}
+
+fn draw(spread: &Spread, rng: &mut SmallRng) -> f64 {
+    let location = spread.mean.ln() - spread.spread * spread.spread / 2.0;
+    // Ranges were checked: the deviation is finite and not negative.
+    let value = LogNormal::new(location, spread.spread).map_or(spread.mean, |law| law.sample(rng));
+    value.min(spread.most)
+}
--- /dev/null
+++ b/crates/bench/src/policy/tally.rs
@@ -0,0 +1,169 @@
+//! What became of the jobs of a model.
+
+use {
+    super::{clock::Micros, jobs::ModelJob, settings::ModelSettings},
+    serde::Serialize,
+};
+
+const MICROS_PER_S: u64 = 1_000_000;
+
+/// How a job ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// Completed within its time.
+    InTime,
+    /// Completed later, while the result was still of use.
+    Late,
+    /// Refused, and none of it ran.
+    Refused,
+    /// Given up or lost after some of it may have run, or completed too late.
+    Failed,
+}
+
+/// How a job ended, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Ended {
+    /// How.
+    pub end: End,
+    /// Microseconds from its arrival.
+    pub after: Micros,
+}
+
+/// Jobs by how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Counts {
+    /// Jobs that came.
+    pub asked: u64,
+    /// Completed in time.
+    pub in_time: u64,
+    /// Completed late.
+    pub late: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Of these, refused while some upstream had room for one of its tasks.
+    pub refused_while_free: u64,
+    /// Failed.
+    pub failed: u64,
+    /// What all were worth to their callers, had they been in time.
+    pub value_asked: f64,
+    /// What was earned of it.
+    pub value_earned: f64,
+    /// Work of jobs that were not completed, in core-seconds.
+    pub wasted_core_s: f64,
+}
+
+impl Counts {
+    /// Share that was completed in time.
+    #[must_use]
+    pub fn in_time_share(&self) -> f64 {
+        share(self.in_time as f64, self.asked as f64)
+    }
+
+    /// Share that was neither in time nor late.
+    #[must_use]
+    pub fn unserved_share(&self) -> f64 {
+        share((self.refused + self.failed) as f64, self.asked as f64)
+    }
+
+    /// Share of the value that was earned.
+    #[must_use]
+    pub fn value_share(&self) -> f64 {
+        share(self.value_earned, self.value_asked)
+    }
+
+    fn add(&mut self, end: End, value: f64, late_value: f64) {
+        self.asked += 1;
+        self.value_asked += value;
+        match end {
+            End::InTime => {
+                self.in_time += 1;
+                self.value_earned += value;
+            }
+            End::Late => {
+                self.late += 1;
+                self.value_earned += late_value;
+            }
+            End::Refused => self.refused += 1,
+            End::Failed => self.failed += 1,
+        }
+    }
+}
+
+fn share(part: f64, whole: f64) -> f64 {
+    if whole > 0.0 { part / whole } else { 0.0 }
+}
+
+/// The result of a model.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct Outcome {
+    /// Of all jobs.
+    pub all: Counts,
+    /// By kind, in the order of the settings.
+    pub by_kind: Vec<Counts>,
+    /// By the second in which jobs came.
+    pub by_second: Vec<Counts>,
+    /// Time of jobs that were completed over their longest task alone on a sound
+    /// upstream, in the order in which they came.
+    pub ratios: Vec<f64>,
+    /// Messages between entries and agents.
+    pub messages: u64,
+    /// Tasks that were asked back.
+    pub recalls: u64,
+}
+
+/// Work that was done for a job, and whether it found an upstream free when refused.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Note {
+    /// Thousandths of a core times microseconds.
+    pub work: u64,
+    /// An upstream had room for one of its tasks as it was refused.
+    pub was_free: bool,
+}
+
+/// Counts how jobs ended.
+#[must_use]
+pub fn count(
+    settings: &ModelSettings,
+    jobs: &[ModelJob],
+    ends: &[Option<Ended>],
+    notes: &[Note],
+) -> Outcome {
+    let mut outcome = Outcome {
+        by_kind: vec![Counts::default(); settings.kinds.len()],
+        by_second: vec![Counts::default(); settings.seconds as usize],
+        ..Outcome::default()
+    };
+    for ((job, ended), note) in jobs.iter().zip(ends).zip(notes) {
+        // What never ended was not served.
+        let ended = ended.unwrap_or(Ended { end: End::Failed, after: job.span });
+        let second = (job.at / MICROS_PER_S) as usize;
+        let kind = &settings.kinds[job.kind];
+        let size = job_size(job, kind.tasks.mean * kind.run_ms.mean);
+        let (value, late_value) = (kind.value * size, kind.late_value * size);
+        let Outcome { all, by_kind, by_second, ratios, .. } = &mut outcome;
+        for counts in [all, &mut by_kind[job.kind], &mut by_second[second]] {
+            counts.add(ended.end, value, late_value);
+            if ended.end == End::Refused {
+                counts.refused_while_free += u64::from(note.was_free);
+            }
+            if matches!(ended.end, End::Refused | End::Failed) {
+                counts.wasted_core_s += note.work as f64 / 1e9;
+            }
+        }
+        if matches!(ended.end, End::InTime | End::Late) {
+            let longest = job.run_micros.iter().copied().max().unwrap_or(1);
+            ratios.push(ended.after as f64 / longest as f64);
+        }
+    }
+    outcome
+}
+
+/// What a job counts beside a mean one: a part for being asked at all, the rest by its
+/// work, as callers with more work have more at stake. Four at most.
+fn job_size(job: &ModelJob, mean_work_ms: f64) -> f64 {
+    const BASE: f64 = 0.3;
+    const MOST: f64 = 4.0;
+    let work_ms = job.run_micros.iter().sum::<u64>() as f64 / 1e3;
+    (BASE + (1.0 - BASE) * work_ms / mean_work_ms).min(MOST)
+}
--- /dev/null
+++ b/crates/bench/tests/policy_model.rs
@@ -0,0 +1,132 @@
+//! The model of the decisions: the same result for the same seed, no job lost from the
+//! count, and what a load without faults must give.
+
+use {
+    proptest::prelude::*,
+    sycamorerail_bench::policy::{
+        Burst, Counts, Fault, FaultKind, KindSettings, ModelSettings, Spread, UpstreamGroup,
+        draw_jobs, most_in_time, play, report,
+    },
+};
+
+fn kind(name: &str, priority: u8, per_s: f64, tasks: f64, run_ms: f64) -> KindSettings {
+    KindSettings {
+        name: name.to_owned(),
+        priority,
+        per_s,
+        tasks: Spread { mean: tasks, spread: 0.4, most: tasks * 4.0 },
+        run_ms: Spread { mean: run_ms, spread: 0.4, most: run_ms * 4.0 },
+        cpu_milli: 1_000,
+        stretch: 1.6,
+        target_ms: 60,
+        value: 1.0,
+        late_value: 0.2,
+    }
+}
+
+/// Two kinds at about this share of four upstreams' room.
+fn site(load: f64) -> ModelSettings {
+    ModelSettings {
+        name: "site".to_owned(),
+        seconds: 6,
+        entries: 2,
+        message_ms: 1.5,
+        call_ms: 0.5,
+        estimate_off: 0.4,
+        upstreams: vec![UpstreamGroup { count: 4, cpu_milli: 10_000, speed: 1.0 }],
+        kinds: vec![
+            kind("urgent", 0, 40.0 * load, 6.0, 80.0),
+            kind("large", 2, 6.0 * load, 4.0, 800.0),
+        ],
+        bursts: Vec::new(),
+        faults: Vec::new(),
+    }
+}
+
+fn is_whole(counts: &Counts) -> bool {
+    counts.in_time + counts.late + counts.refused + counts.failed == counts.asked
+}
+
+#[test]
+fn a_light_load_is_served_in_time() {
+    let outcome = play(&site(0.4), 1);
+    assert!(outcome.all.in_time_share() > 0.99, "{:?}", outcome.all);
+    assert_eq!(outcome.all.refused + outcome.all.failed, 0);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_result() {
+    let mut settings = site(1.3);
+    settings.faults.push(Fault {
+        kind: FaultKind::LateOrders,
+        at_s: 1.0,
+        for_s: 3.0,
+        count: 2,
+        strength: 0.2,
+    });
+    // Whole outcomes are too long to be printed.
+    assert!(play(&settings, 7) == play(&settings, 7));
+    assert!(play(&settings, 7) != play(&settings, 8));
+}
+
+#[test]
+fn a_lost_entry_fails_what_it_held_and_comes_back() {
+    let mut settings = site(0.5);
+    settings.faults.push(Fault {
+        kind: FaultKind::EntryLost,
+        at_s: 2.0,
+        for_s: 1.0,
+        count: 1,
+        strength: 0.0,
+    });
+    let outcome = play(&settings, 3);
+    assert!(outcome.all.failed > 0);
+    assert!(outcome.by_second[5].in_time_share() > 0.99);
+}
+
+#[test]
+fn a_burst_brings_more_jobs_of_its_kind() {
+    let mut settings = site(0.5);
+    let before = draw_jobs(&settings, 1).len();
+    settings.bursts.push(Burst {
+        at_s: 0.0,
+        for_s: 6.0,
+        factor: 3.0,
+        kind: Some("urgent".to_owned()),
+    });
+    let after = draw_jobs(&settings, 1).len();
+    assert!(after as f64 > 2.0 * before as f64, "{before} {after}");
+}
+
+#[test]
+fn a_comparison_tells_the_difference() {
+    let (light, heavy) = (report::play_seeds(&site(0.4), 2), report::play_seeds(&site(1.5), 2));
+    let table = report::compare(["light", "heavy"], &light, &heavy);
+    assert!(table.lines().any(|line| line.starts_with("| in time |") && line.contains("| -0.")));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    #[test]
+    fn every_job_is_counted_once_and_none_beats_the_bound(
+        seed in 0_u64..1_000,
+        load in 0.2_f64..2.0,
+        fault in 0_usize..5,
+        count in 1_u32..3,
+    ) {
+        let kinds = [
+            FaultKind::Slow, FaultKind::Hung, FaultKind::Gone, FaultKind::LateOrders,
+            FaultKind::EntryLost,
+        ];
+        let strength = if kinds[fault] == FaultKind::LateOrders { 0.1 } else { 4.0 };
+        let mut settings = site(load);
+        settings.faults.push(Fault { kind: kinds[fault], at_s: 1.0, for_s: 2.0, count, strength });
+        let outcome = play(&settings, seed);
+        prop_assert!(is_whole(&outcome.all));
+        prop_assert!(outcome.by_kind.iter().all(is_whole));
+        let by_second: u64 = outcome.by_second.iter().map(|counts| counts.asked).sum();
+        prop_assert_eq!(by_second, outcome.all.asked);
+        prop_assert!(outcome.all.in_time <= most_in_time(&settings, &draw_jobs(&settings, seed)));
+    }
+}
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -5,7 +5,7 @@
         AgentKey, AgentView, Asked, Command, Dispatch, Expected, Forecast, GiveUp, Job, JobAnswer,
         JobKey, Planned, RETRY_MS, SAME_END_MS, StepRequest, job::TaskState, kinds::KindRecord,
     },
-    std::collections::HashMap,
+    std::collections::BTreeMap,
     sycamorerail_wire::runs::{Placement, TaskStart},
 };
 
@@ -107,7 +107,7 @@
     fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
         let chosen = self.choose(key, step, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return true };
-        let mut by_agent: HashMap<AgentKey, Vec<TaskStart>> = HashMap::new();
+        let mut by_agent: BTreeMap<AgentKey, Vec<TaskStart>> = BTreeMap::new();
         for PlannedTask { index, agent, .. } in chosen {
             let task = &mut job.tasks[step][usize::from(index)];
             task.run += 1;
--- a/crates/decide/src/dispatch/recall.rs
+++ b/crates/decide/src/dispatch/recall.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{AgentKey, Command, Dispatch, Job, JobKey, job::TaskState},
-    std::collections::HashMap,
+    std::collections::BTreeMap,
     sycamorerail_wire::runs::TaskKey,
 };
 
@@ -36,7 +36,7 @@
         let mut room_milli = view.free_cpu_milli() / 2;
         let mut waiting = self.waiting_elsewhere(agent, now_ms);
         waiting.sort_unstable_by_key(|waiting| waiting.end_by_ms);
-        let mut by_agent: HashMap<AgentKey, Vec<TaskKey>> = HashMap::new();
+        let mut by_agent: BTreeMap<AgentKey, Vec<TaskKey>> = BTreeMap::new();
         for Waiting { job, task, at, need_milli, .. } in waiting {
             let Some(left) = room_milli.checked_sub(need_milli) else { break };
             room_milli = left;
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -23,7 +23,7 @@
     owners::Owners,
     slotmap::{SlotMap, new_key_type},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         sync::Arc,
     },
     sycamorerail_wire::{
@@ -122,7 +122,7 @@
     ordered: usize,
     arrivals: u64,
     owners: Owners,
-    leftovers: HashMap<(TaskKey, u32), Stop>,
+    leftovers: BTreeMap<(TaskKey, u32), Stop>,
     slowness_percent: u32,
     slowness_at_ms: u64,
     failing_percent: u32,
@@ -149,7 +149,7 @@
             ordered: 0,
             arrivals: 0,
             owners: Owners::default(),
-            leftovers: HashMap::new(),
+            leftovers: BTreeMap::new(),
             slowness_percent: SOUND_PERCENT,
             slowness_at_ms: 0,
             failing_percent: 0,
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -1,7 +1,7 @@
 //! Entries that have runs here, and the reports they have not confirmed.
 
 use {
-    std::collections::{HashMap, VecDeque},
+    std::collections::{BTreeMap, VecDeque},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{RunEvent, RunReport, TaskKey},
@@ -17,7 +17,7 @@
 /// All entries that were heard and not dropped.
 #[derive(Debug, Default)]
 pub(super) struct Owners {
-    owners: HashMap<Incarnation, Owner>,
+    owners: BTreeMap<Incarnation, Owner>,
     /// One count for all, so that an entry that was dropped and comes back does
     /// not take new reports for old ones.
     last_number: u64,
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -6,7 +6,7 @@
         CLOCK_DRIFT_PERCENT, DOUBT_MS, EndKind, Ended, LeaseAnswer, Ledger, Phase, Stop,
         load::is_overdue,
     },
-    std::collections::HashMap,
+    std::collections::BTreeMap,
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
 };
 
@@ -136,7 +136,7 @@
     fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
         let foreign = running.iter().filter(|&&(task, run)| self.find(task, run).is_none());
         let never = Stop { sent_ms: None, confirmed_ms: None };
-        let leftovers: HashMap<_, _> =
+        let leftovers: BTreeMap<_, _> =
             foreign.map(|run| (*run, self.leftovers.get(run).copied().unwrap_or(never))).collect();
         self.leftovers = leftovers;
         self.clean = self.leftovers.is_empty();
