--- a/crates/bench/src/policy/report.rs
+++ b/crates/bench/src/policy/report.rs
@@ -63,10 +63,11 @@
     put(
         &mut text,
         format_args!(
-            "\nAt most {:.3} in time by the bound. Time over the longest task alone: p50 {:.2}, \
+            "\nAt most {:.3} in time by the bound. Room used: {:.3}. Time over the longest task alone: p50 {:.2}, \
              p99 {:.2}. Work thrown away: {:.1} core-seconds. Messages a job: {:.1}; tasks asked \
              back a job: {:.3}.\n",
             median(|played| played.bound as f64 / played.outcome.all.asked.max(1) as f64),
+            median(|played| played.outcome.room_used),
             median(|played| quantile(&played.outcome.ratios, 0.5)),
             median(|played| quantile(&played.outcome.ratios, 0.99)),
             median(|played| played.outcome.all.wasted_core_s),
--- a/crates/bench/src/policy/tally.rs
+++ b/crates/bench/src/policy/tally.rs
@@ -106,6 +106,8 @@
     /// Time of jobs that were completed over their longest task alone on a sound
     /// upstream, in the order in which they came.
     pub ratios: Vec<f64>,
+    /// Part of the upstreams' room that runs took during the load.
+    pub room_used: f64,
     /// Messages between entries and agents.
     pub messages: u64,
     /// Tasks that were asked back.
@@ -134,6 +136,7 @@
         by_second: vec![Counts::default(); settings.seconds as usize],
         ..Outcome::default()
     };
+    let mut taken = 0;
     for ((job, ended), note) in jobs.iter().zip(ends).zip(notes) {
         // What never ended was not served.
         let ended = ended.unwrap_or(Ended { end: End::Failed, after: job.span });
@@ -151,11 +154,16 @@
                 counts.wasted_core_s += note.work as f64 / 1e9;
             }
         }
+        taken += note.work;
         if matches!(ended.end, End::InTime | End::Late) {
             let longest = job.run_micros.iter().copied().max().unwrap_or(1);
             ratios.push(ended.after as f64 / longest as f64);
         }
     }
+    let groups = settings.upstreams.iter();
+    let room: u64 = groups.map(|group| u64::from(group.count) * u64::from(group.cpu_milli)).sum();
+    let room = room * u64::from(settings.seconds) * MICROS_PER_S;
+    outcome.room_used = share(taken as f64, room as f64);
     outcome
 }
 
--- a/crates/bench/tests/policy_settings.rs
+++ b/crates/bench/tests/policy_settings.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn the_shipped_settings_are_sound() {
-    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../bench/policy");
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/policy");
     let files = std::fs::read_dir(dir).unwrap().map(|file| file.unwrap().path());
     let parsed = files.map(|path| {
         let text = std::fs::read_to_string(&path).unwrap();
