--- /dev/null
+++ b/crates/membership/src/life_record.rs
@@ -0,0 +1,107 @@
+//! The life of an agent's upstream as the platform keeps it, for the agent's next run.
+//!
+//! Upstreams announce themselves about every 1.5 s. An agent that restarts while every
+//! entry restarts too would have to wait for the next announcement; by the record it
+//! asks the upstream at once. Nothing is believed by it: the upstream answers to no
+//! other life than its own.
+
+use {
+    sycamorerail_platform::{Expected, KeyValue, Platform, PlatformError, Swap, backoff::jittered},
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::runs::UpstreamLife,
+    tokio::{sync::watch, time::sleep},
+};
+
+/// Prefix of the records, followed by the agent's name.
+const PREFIX: &str = "sycamorerail/lives/";
+/// Pause between attempts to read: a sixth of the time between announcements, after
+/// which the record is of no use.
+const READ_PAUSE_MS: u64 = 250;
+/// Pause between attempts to write: nobody waits for it.
+const WRITE_PAUSE_MS: u64 = 2_000;
+
+/// Keeps the record of one agent.
+#[derive(Debug)]
+pub struct LifeRecord {
+    platform: Platform,
+    key: String,
+    /// What the platform holds, as far as it is known, with its revision.
+    stored: Option<(String, u64)>,
+}
+
+impl LifeRecord {
+    /// The record of the agent of this name.
+    #[must_use]
+    pub fn new(platform: Platform, agent: &str) -> Self {
+        Self { platform, key: format!("{PREFIX}{agent}"), stored: None }
+    }
+
+    /// Reads what the run before this one wrote, unless the upstream announces itself
+    /// first; then writes each life that becomes known. Runs until `lives` ends.
+    pub async fn keep(
+        mut self,
+        mut lives: watch::Receiver<Option<UpstreamLife>>,
+        on_read: impl FnOnce(UpstreamLife),
+    ) {
+        let read = tokio::select! {
+            read = self.read() => read,
+            _ = lives.wait_for(Option::is_some) => None,
+        };
+        if let Some(life) = read {
+            event!(Info, "life_recalled", life = life.id, leaving = life.leaving);
+            on_read(life);
+        }
+        while let Ok(life) = lives.wait_for(Option::is_some).await.map(|life| life.clone()) {
+            if let Some(life) = life {
+                self.write(&life).await;
+            }
+            if lives.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// The recorded life; tries until the platform answers.
+    async fn read(&mut self) -> Option<UpstreamLife> {
+        loop {
+            match self.platform.get(&self.key).await {
+                Ok(None) => return None,
+                Ok(Some(item)) => return self.parse(item),
+                Err(error) => event!(Info, "life_unread", key = self.key, error = error),
+            }
+            sleep(jittered(READ_PAUSE_MS)).await;
+        }
+    }
+
+    fn parse(&mut self, item: KeyValue) -> Option<UpstreamLife> {
+        let life = serde_json::from_str(&item.value);
+        if let Err(error) = &life {
+            event!(Warn, "life_unreadable", key = self.key, error = error);
+        }
+        self.stored = Some((item.value, item.modified));
+        life.ok()
+    }
+
+    /// Writes a life unless it is recorded; tries until the platform answers.
+    async fn write(&mut self, life: &UpstreamLife) {
+        let value = serde_json::to_string(life).expect("a plain struct with text keys");
+        while self.stored.as_ref().is_none_or(|(stored, _)| *stored != value) {
+            if let Err(error) = self.swap(&value).await {
+                event!(Info, "life_not_written", key = self.key, error = error);
+                sleep(jittered(WRITE_PAUSE_MS)).await;
+            }
+        }
+    }
+
+    /// One attempt; where another value was found its revision is known for the next.
+    async fn swap(&mut self, value: &str) -> Result<(), PlatformError> {
+        let expected =
+            self.stored.as_ref().map_or(Expected::Absent, |(_, rev)| Expected::Modified(*rev));
+        let swapped = self.platform.swap(&self.key, expected, value, None, &[]).await?;
+        self.stored = match swapped {
+            Swap::Done { mark } => Some((value.to_owned(), mark)),
+            Swap::Lost { current } => current.map(|item| (item.value, item.modified)),
+        };
+        Ok(())
+    }
+}
