After an outage jobs wait for what is about to come, and run late on free upstreams

Held, they were refused as late though upstreams were free, or as overload by what the first one or two usable upstreams could do, while all agents were connected and the others came within 0.7 s. Ruled out: slow links (all open 15 ms after the agents start); fences and leases (5 ms); the retry wave alone.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -42,6 +42,8 @@
     pub incarnation: Incarnation,
     /// It has a connection now.
     pub connected: bool,
+    /// When its present connection was made.
+    pub connected_ms: u64,
     /// When it was last heard.
     pub heard_ms: u64,
     /// Its upstream, once it told.
@@ -66,6 +68,7 @@
             name,
             incarnation,
             connected: true,
+            connected_ms: now_ms,
             heard_ms: now_ms,
             life: None,
             load: UpstreamLoad::default(),
@@ -80,6 +83,7 @@
     /// Starts anew with a new connection.
     pub fn reconnect(&mut self, now_ms: u64) {
         self.connected = true;
+        self.connected_ms = now_ms;
         self.heard_ms = now_ms;
         self.echo = Echo::new(now_ms);
         self.load.usable = false;
@@ -96,6 +100,13 @@
         self.connected && fresh && self.load.usable && self.life.is_some()
     }
 
+    /// Whether it connected lately and its upstream is not usable yet.
+    #[must_use]
+    pub fn is_coming(&self, now_ms: u64, within_ms: u64) -> bool {
+        let is_leaving = self.life.as_ref().is_some_and(|life| life.leaving);
+        self.connected && !self.load.usable && !is_leaving && now_ms < self.connected_ms + within_ms
+    }
+
     /// Takes a report's load, which shows all messages up to `heard`.
     pub fn set_load(&mut self, load: UpstreamLoad, heard: u64, now_ms: u64) {
         self.heard_ms = now_ms;
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,7 +1,7 @@
 //! Agents that connect, report, fall silent and come back.
 
 use {
-    super::{AgentKey, AgentView, Dispatch},
+    super::{AgentKey, AgentView, Dispatch, RECOVERY_MS, RECOVERY_PART},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{Placement, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
@@ -16,6 +16,16 @@
         self.agents.values().filter(usable).count()
     }
 
+    /// Whether many agents have just connected and will be usable soon.
+    ///
+    /// It answers the first second after all programs were killed: what waits for the
+    /// first upstreams then would be refused, and nearly all upstreams come later.
+    pub(super) fn is_recovering(&self, now_ms: u64) -> bool {
+        let is_coming = |agent: &&AgentView| agent.is_coming(now_ms, RECOVERY_MS);
+        let coming = self.agents.values().filter(is_coming).count();
+        coming > 0 && coming * RECOVERY_PART >= self.usable_agents(now_ms)
+    }
+
     /// Takes a report of an agent.
     pub fn report(
         &mut self,
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -138,16 +138,29 @@
         if self.may_have_run { self.give_up_ms } else { self.refuse_ms }
     }
 
+    /// When its result is of no use any more.
+    #[must_use]
+    pub fn give_up_ms(&self) -> u64 {
+        self.give_up_ms
+    }
+
+    /// It is run as long as its result is of use, as its room is nobody else's.
+    pub fn bear_lateness(&mut self) {
+        self.refuse_ms = self.give_up_ms;
+    }
+
     /// Time within which it is in time.
     #[must_use]
     pub fn span_ms(&self) -> u64 {
         self.objective_ms - self.request.arrived_ms
     }
 
-    /// When it must be expected to end to be taken.
+    /// When it must be expected to end to be taken now: within its span, as long as
+    /// its result is of use. One that was held up before, as by an entry's start, is
+    /// judged as if it came now.
     #[must_use]
-    pub fn admit_ms(&self) -> u64 {
-        self.objective_ms.min(self.request.deadline_ms)
+    pub fn admit_ms(&self, now_ms: u64) -> u64 {
+        self.give_up_ms.min(now_ms + self.span_ms())
     }
 
     /// Whether the steps before this one are done.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -44,6 +44,12 @@
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
 
+/// An agent whose upstream is not usable this long after it connected is not counted on:
+/// upstreams announce themselves about every 1.5 s.
+const RECOVERY_MS: u64 = 2_000;
+/// Agents that are to be usable soon matter from this part of the usable ones on.
+const RECOVERY_PART: usize = 4;
+
 /// Jobs and agents of one entry.
 #[derive(Debug, Default)]
 pub struct Dispatch {
@@ -130,6 +136,9 @@
         self.last_forecast = forecast;
         self.admit(&job, &forecast)?;
         job.expected_end_ms = now_ms + forecast.end_in_ms;
+        if job.expected_end_ms > job.objective_ms {
+            job.bear_lateness();
+        }
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
         self.place(key, now_ms);
@@ -236,7 +245,9 @@
             self.note_end(key, now_ms);
             self.end(key, Ending::GivenUp(why));
         }
-        let passed = |(_, job): &(JobKey, &Job)| job.ending.is_none() && now_ms >= job.end_by_ms();
+        let passed = |(_, job): &(JobKey, &Job)| {
+            job.ending.is_none() && now_ms >= self.end_by_ms(job, now_ms)
+        };
         let passed: Vec<_> = self.jobs.iter().filter(passed).map(|(key, _)| key).collect();
         for key in passed {
             self.note_end(key, now_ms);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -23,7 +23,7 @@
         if job.request.steps.iter().any(|wanted| self.never_fits(job, wanted)) {
             return Err(JobAnswer::Failed);
         }
-        if forecast.is_in_time() {
+        if forecast.is_in_time() || forecast.is_late_without_harm() {
             return Ok(());
         }
         let retry_after_ms = forecast.wait_ms.clamp(RETRY_MS.0, RETRY_MS.1);
@@ -39,8 +39,11 @@
         let (end_in_ms, wait_ms) =
             last.map_or((0, 0), |last| (last.expected.end_ms, last.expected.wait_ms));
         let late_ms = if wait_ms > 0 { self.lateness_ms(job, now_ms) } else { 0 };
-        let must_end_in_ms = job.admit_ms().saturating_sub(now_ms);
-        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms }
+        let admit_ms =
+            if self.is_recovering(now_ms) { job.give_up_ms() } else { job.admit_ms(now_ms) };
+        let must_end_in_ms = admit_ms.saturating_sub(now_ms);
+        let of_use_in_ms = job.give_up_ms().saturating_sub(now_ms);
+        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms, of_use_in_ms }
     }
 
     /// How much later than forecast jobs of the kind end now, in milliseconds.
@@ -182,8 +185,14 @@
         self.turn = self.turn.wrapping_add(1);
         let Some(job) = self.jobs.get(key) else { return Vec::new() };
         let mut plan = self.plan(job, step, now_ms);
-        let end_by_ms = job.end_by_ms();
-        plan.retain(|planned| now_ms + planned.expected.end_ms <= end_by_ms);
+        let starts_at_once = plan.iter().all(|planned| planned.expected.wait_ms == 0);
+        let is_late =
+            |end_by_ms| move |planned: &PlannedTask| now_ms + planned.expected.end_ms > end_by_ms;
+        if starts_at_once && plan.iter().any(is_late(job.end_by_ms())) {
+            self.jobs[key].bear_lateness();
+        }
+        let is_too_late = is_late(self.jobs[key].end_by_ms());
+        plan.retain(|planned| !is_too_late(planned));
         plan
     }
 
@@ -201,7 +210,14 @@
         let steps = job.steps_to_place();
         let longest = steps.iter().map(|&step| self.corrected_ms(job, &job.request.steps[step]));
         let run_ms = u64::from(longest.max().unwrap_or(0));
-        now_ms + run_ms > job.end_by_ms()
+        now_ms + run_ms > self.end_by_ms(job, now_ms)
+    }
+
+    /// When a job must end. While no upstream is usable it waits as long as its result
+    /// is of use: it takes nobody's room, and after a restart of everything upstreams
+    /// are back within a second.
+    pub(super) fn end_by_ms(&self, job: &Job, now_ms: u64) -> u64 {
+        if self.usable_agents(now_ms) == 0 { job.give_up_ms() } else { job.end_by_ms() }
     }
 }
 
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -158,6 +158,8 @@
     pub late_ms: i64,
     /// Until it must end to be in time.
     pub must_end_in_ms: u64,
+    /// Until its result is of no use any more.
+    pub of_use_in_ms: u64,
 }
 
 impl Forecast {
@@ -166,6 +168,16 @@
     pub fn is_in_time(&self) -> bool {
         self.end_in_ms.saturating_add_signed(self.late_ms) <= self.must_end_in_ms
     }
+
+    /// Whether a job that cannot be in time is of use to its caller and costs nobody
+    /// else anything: all of it starts at once.
+    ///
+    /// It answers the seconds after an outage, when jobs that waited for it find free
+    /// upstreams.
+    #[must_use]
+    pub fn is_late_without_harm(&self) -> bool {
+        self.wait_ms == 0 && self.end_in_ms <= self.of_use_in_ms
+    }
 }
 
 /// What the dispatch wants done.
