An upstream's life is kept in the store for its agent's next run

Cause: after all programs were killed agents wait up to 0.8 s for the next announcement, as the entries that remembered the lives are gone, too. Ruled out: asking the upstream without its life's name: its answers carry neither name nor room. Change: each agent writes the life when it changes (one call a life) and reads it once as it starts. A life that is over is not believed: the upstream answers to no other than its own.

--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links.rs
@@ -165,7 +165,9 @@
         let now_ms = leased.clock.now_ms();
         leased.change(|ledger, now_ms| ledger.owner_heard(entry, now_ms));
         event!(Info, "link_opened", peer = peer, entry = entry, again = last_entry == Some(entry));
-        remember(leased, upstream);
+        if let Some(life) = upstream {
+            leased.remember(life);
+        }
         let mut echo = Echo::new(now_ms);
         echo.sent(now_ms);
         let told_up_to = AtomicU64::new(if last_entry == Some(entry) { told } else { 0 });
@@ -380,13 +382,3 @@
         configuration: leased.configuration.lock().as_ref().map_or(0, |copy| copy.revision),
     }
 }
-
-/// Uses the upstream's life as an entry remembers it, until the upstream
-/// announces itself: a restarted agent then starts tasks at once.
-fn remember(leased: &Arc<Leased>, upstream: Option<UpstreamLife>) {
-    let Some(life) = upstream else { return };
-    if leased.ledger.lock().life().is_none() {
-        event!(Info, "upstream_remembered", life = life.id, leaving = life.leaving);
-        leased.announced(life);
-    }
-}
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -64,6 +64,8 @@
     pub(crate) changes: watch::Sender<u64>,
     /// The upstream's life has changed.
     pub(crate) life_changed: Notify,
+    /// The last life that was announced.
+    lives: watch::Sender<Option<UpstreamLife>>,
     /// A renewal is wanted at once, for what it lists.
     pub(crate) look_now: Notify,
     fence: AtomicU64,
@@ -83,6 +85,7 @@
             configuration: Mutex::new(None),
             changes: watch::Sender::new(0),
             life_changed: Notify::new(),
+            lives: watch::Sender::new(None),
             look_now: Notify::new(),
             fence: AtomicU64::new(0),
         });
@@ -110,6 +113,12 @@
         self.links.connected()
     }
 
+    /// The last life of the upstream that was announced, as it changes.
+    #[must_use]
+    pub fn lives(&self) -> watch::Receiver<Option<UpstreamLife>> {
+        self.lives.subscribe()
+    }
+
     /// The upstream announced itself.
     ///
     /// An announcement of another life than the one that answers renewals is
@@ -134,15 +143,25 @@
             return;
         }
         let (id, leaving, cpu_milli) = (life.id.clone(), life.leaving, life.capacity.cpu_milli);
-        if !ledger.set_upstream(life) {
+        if !ledger.set_upstream(life.clone()) {
             return;
         }
         drop(ledger);
+        self.lives.send_replace(Some(life));
         event!(Info, "upstream_announced", life = id, leaving = leaving, cpu_milli = cpu_milli);
         self.life_changed.notify_one();
         self.act();
     }
 
+    /// Uses the upstream's life as it was known to an earlier run of this agent, until
+    /// the upstream announces itself: a restarted agent then starts tasks at once.
+    pub fn remember(self: &Arc<Self>, life: UpstreamLife) {
+        if self.ledger.lock().life().is_none() {
+            event!(Info, "upstream_remembered", life = life.id, leaving = life.leaving);
+            self.announced(life);
+        }
+    }
+
     /// The upstream says that it is gone.
     pub fn withdrawn(self: &Arc<Self>, id: &str) {
         let mut ledger = self.ledger.lock();
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod garbage;
 pub mod keys;
 pub mod lease_key;
+pub mod life_record;
 pub mod members;
 pub mod membership;
 pub mod record;
