--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -352,7 +352,7 @@
     site.submit(job(1, vec![step(2)]));
     // Those that are not usable two seconds later are not counted on.
     site.now_ms += 2_000;
-    site.dispatch.report(agents[0], &[], full, 0, site.now_ms);
+    site.connect("agent-0", 1, full);
     let late = JobRequest { arrived_ms: site.now_ms, deadline_ms: 9_000, ..job(9, vec![step(2)]) };
     assert!(matches!(site.refuse(late), JobAnswer::NotRun { why: GiveUp::Overload, .. }));
 }
