Under a lasting overload those that go last are turned away first

Cause: admission by forecasts alone inverts the operator's order. Long and less urgent jobs have the looser objective, so they are always taken and hold the room that short urgent ones need. Change: a job that would have to wait is turned away for kinds that go before it, in twice the share of theirs that was refused or late lately beyond a tenth; kinds as urgent go before it if their jobs are a third as large. Not for 2.5 s after upstreams have connected anew, when broken callers come again once.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -74,6 +74,8 @@
     pub objective_ms: u64,
     /// When its first steps were expected to end as it was taken.
     pub expected_end_ms: u64,
+    /// Not all of its tasks were expected to start at once.
+    pub has_to_wait: bool,
     /// When its result is of no use any more.
     give_up_ms: u64,
     /// When it is better refused, if no task of it has begun.
@@ -121,6 +123,7 @@
             request,
             objective_ms,
             expected_end_ms: 0,
+            has_to_wait: false,
             give_up_ms,
             refuse_ms,
             tasks,
@@ -149,6 +152,15 @@
         self.refuse_ms = self.give_up_ms;
     }
 
+    /// Work of all tasks by their estimates, in thousandths of a core times milliseconds.
+    #[must_use]
+    pub fn work_milli_ms(&self) -> u64 {
+        let of_step = |step: &StepRequest| {
+            u64::from(step.count) * u64::from(step.run_ms) * u64::from(step.need.cpu_milli)
+        };
+        self.request.steps.iter().map(of_step).sum()
+    }
+
     /// Time within which it is in time.
     #[must_use]
     pub fn span_ms(&self) -> u64 {
--- a/crates/decide/src/dispatch/kinds.rs
+++ b/crates/decide/src/dispatch/kinds.rs
@@ -1,5 +1,5 @@
-//! What is learnt of each request kind: run times against estimates, and ends of
-//! jobs against forecasts.
+//! What is learnt of each request kind: run times against estimates, ends of jobs
+//! against forecasts, and how many of its jobs suffer.
 
 /// Weight of the newest sample of run times, as one part of this many.
 const WORK_PARTS: u32 = 32;
@@ -12,9 +12,25 @@
 /// milliseconds: it is of bursts, which last for seconds.
 const LATENESS_HALF_LIFE_MS: f64 = 2_000.0;
 
+/// Weight of the newest job in the share of those that suffer, as one part of this
+/// many: a tenth of a second's jobs of the rarest urgent kind at one of three entries.
+const STRAIN_PARTS: f64 = 10.0;
+/// That share is halved after each such time without news, in milliseconds: room comes
+/// back within one run of the longest kind.
+const STRAIN_HALF_LIFE_MS: f64 = 500.0;
+/// Weight of the newest job in the mean work of a kind, as one part of this many.
+const MEAN_WORK_PARTS: f64 = 16.0;
+
 /// What is learnt of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KindRecord {
+    priority: u8,
+    /// Mean work of a job, in thousandths of a core times milliseconds.
+    work_milli_ms: f64,
+    strain_percent: f64,
+    strain_at_ms: u64,
+    /// Part of a job that is still to be turned away for others.
+    to_shed: f64,
     /// Observed run times against estimates, in percent; none before the first.
     work_percent: Option<u32>,
     lateness_ms: f64,
@@ -44,8 +60,52 @@
     }
 
     fn lateness_at(&self, now_ms: u64) -> f64 {
-        let passed_ms = now_ms.saturating_sub(self.lateness_at_ms) as f64;
-        self.lateness_ms * (-passed_ms / LATENESS_HALF_LIFE_MS).exp2()
+        faded(self.lateness_ms, self.lateness_at_ms, LATENESS_HALF_LIFE_MS, now_ms)
+    }
+
+    /// Takes note of a job that came.
+    pub fn came(&mut self, priority: u8, work_milli_ms: u64) {
+        self.priority = priority;
+        let work_milli_ms = work_milli_ms as f64;
+        let is_first = self.work_milli_ms == 0.0;
+        let parts = if is_first { 1.0 } else { MEAN_WORK_PARTS };
+        self.work_milli_ms += (work_milli_ms - self.work_milli_ms) / parts;
+    }
+
+    /// Lower goes first.
+    #[must_use]
+    pub fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    /// Mean work of a job, in thousandths of a core times milliseconds.
+    #[must_use]
+    pub fn work_milli_ms(&self) -> f64 {
+        self.work_milli_ms
+    }
+
+    /// Share of jobs that were refused or late lately for want of room, in percent.
+    #[must_use]
+    pub fn strain_percent(&self, now_ms: u64) -> f64 {
+        faded(self.strain_percent, self.strain_at_ms, STRAIN_HALF_LIFE_MS, now_ms)
+    }
+
+    /// Takes note of whether a job was refused or late for want of room.
+    pub fn suffered(&mut self, did: bool, now_ms: u64) {
+        let past = self.strain_percent(now_ms);
+        let sample = if did { 100.0 } else { 0.0 };
+        self.strain_percent = past + (sample - past) / STRAIN_PARTS;
+        self.strain_at_ms = now_ms;
+    }
+
+    /// Adds the part of a job that is to be turned away for others; whether one is.
+    pub fn add_to_shed(&mut self, share: f64) -> bool {
+        self.to_shed += share;
+        let is_whole = self.to_shed >= 1.0;
+        if is_whole {
+            self.to_shed -= 1.0;
+        }
+        is_whole
     }
 
     /// Takes note of a job that ended, or was given up, so much later than forecast.
@@ -58,3 +118,9 @@
         self.lateness_at_ms = now_ms;
     }
 }
+
+/// What is left of a value that is halved after each such time.
+fn faded(value: f64, since_ms: u64, half_life_ms: f64, now_ms: u64) -> f64 {
+    let passed_ms = now_ms.saturating_sub(since_ms) as f64;
+    value * (-passed_ms / half_life_ms).exp2()
+}
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod kinds;
 mod place;
 mod recall;
+mod shedding;
 mod types;
 
 pub use {
@@ -40,6 +41,9 @@
 const RETRY_MS: (u64, u64) = (100, 5_000);
 /// Time told where no upstream is usable: agents are back about then.
 const NO_UPSTREAM_RETRY_MS: u32 = 1_000;
+/// Time told where a job is turned away for others: twice the half-life of what is known
+/// of them.
+const SHED_RETRY_MS: u32 = 1_000;
 /// Agents with as good an expectation as the best within this are chosen among
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
@@ -132,9 +136,18 @@
         }
         let id = request.id;
         let mut job = Job::new(request);
+        let kind = Arc::clone(&job.request.kind);
+        self.kind(&kind.name).came(kind.priority, job.work_milli_ms());
         let forecast = self.forecast(&job, now_ms);
         self.last_forecast = forecast;
-        self.admit(&job, &forecast)?;
+        if self.is_shed(&job, forecast.wait_ms, forecast.strain_percent) {
+            return Err(refused(GiveUp::Shed, SHED_RETRY_MS));
+        }
+        if let Err(answer) = self.admit(&job, &forecast) {
+            self.kind(&kind.name).suffered(true, now_ms);
+            return Err(answer);
+        }
+        job.has_to_wait = forecast.wait_ms > 0;
         job.expected_end_ms = now_ms + forecast.end_in_ms;
         if job.expected_end_ms > job.objective_ms {
             job.bear_lateness();
@@ -186,7 +199,10 @@
         let Some(job) = self.jobs.get(key) else { return };
         let late_ms = now_ms as i64 - job.expected_end_ms as i64;
         let (kind, span_ms) = (Arc::clone(&job.request.kind), job.span_ms());
-        self.kind(&kind.name).ended(late_ms, span_ms, now_ms);
+        let suffered = job.has_to_wait && now_ms > job.objective_ms;
+        let record = self.kind(&kind.name);
+        record.ended(late_ms, span_ms, now_ms);
+        record.suffered(suffered, now_ms);
     }
 
     /// Ends a job whose caller has left or cancelled it.
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -43,7 +43,8 @@
             if self.is_recovering(now_ms) { job.give_up_ms() } else { job.admit_ms(now_ms) };
         let must_end_in_ms = admit_ms.saturating_sub(now_ms);
         let of_use_in_ms = job.give_up_ms().saturating_sub(now_ms);
-        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms, of_use_in_ms }
+        let strain_percent = self.strain_percent(job, now_ms);
+        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms, of_use_in_ms, strain_percent }
     }
 
     /// How much later than forecast jobs of the kind end now, in milliseconds.
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -98,6 +98,8 @@
     TooLate,
     /// Too much waits already.
     Overload,
+    /// Others that go before it find no room.
+    Shed,
     /// No upstream of its pool is usable.
     NoUpstream,
     /// No upstream could ever hold one of its tasks.
@@ -117,6 +119,7 @@
         match self {
             Self::TooLate => "too_late",
             Self::Overload => "overload",
+            Self::Shed => "shed",
             Self::NoUpstream => "no_upstream",
             Self::TooLarge => "too_large",
             Self::Stopping => "stopping",
@@ -148,7 +151,7 @@
 }
 
 /// When a job is expected to end, as it comes. All times in milliseconds from then.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Forecast {
     /// Until its last task ends, by what agents told; 0 where no upstream is usable.
     pub end_in_ms: u64,
@@ -160,6 +163,8 @@
     pub must_end_in_ms: u64,
     /// Until its result is of no use any more.
     pub of_use_in_ms: u64,
+    /// Share of jobs that go before it, in percent, refused or late lately.
+    pub strain_percent: f64,
 }
 
 impl Forecast {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -289,6 +289,7 @@
         wait_ms = forecast.wait_ms,
         late_ms = forecast.late_ms,
         must_end_in_ms = forecast.must_end_in_ms,
+        strain_percent = forecast.strain_percent.round(),
     );
 }
 
