--- /dev/null
+++ b/crates/bench/src/policy/world/entries.rs
@@ -0,0 +1,145 @@
+//! Callers and entries of a model.
+
+use {
+    super::{BALANCED_AFTER, BEAT, ENTRY_TICK, Event, Link, World},
+    crate::policy::{
+        agent::ModelAgent,
+        clock::millis,
+        tally::{End, Ended},
+    },
+    sycamorerail_decide::dispatch::{AgentKey, Command, JobAnswer},
+    sycamorerail_wire::runs::{FromRunsAgent, ToRunsAgent},
+};
+
+impl World<'_> {
+    pub(super) fn arrives(&mut self, number: usize) {
+        let job = &self.jobs[number];
+        let Some(entry) = self.entry_for(job.entry) else {
+            return self.ended(number, End::Failed);
+        };
+        let cpu_milli = self.settings.kinds[job.kind].cpu_milli;
+        let submitted = self.entries[entry].submit(number, job, &self.kinds[job.kind], cpu_milli);
+        if submitted.is_err() {
+            let has_room = |agent: &ModelAgent| {
+                let load = agent.ledger.load(millis(self.clock.now()));
+                load.usable && load.capacity.less(&load.taken).cpu_milli >= cpu_milli
+            };
+            self.notes[number].was_free = self.agents.iter().any(has_room);
+            self.ended(number, End::Refused);
+        }
+        self.carry_out(entry);
+    }
+
+    /// The entry that a caller reaches: its own, or another one once it is out.
+    pub(super) fn entry_for(&self, own: usize) -> Option<usize> {
+        if self.entries[own].is_up {
+            return Some(own);
+        }
+        let is_out = self.clock.now() >= self.lost_at[own] + BALANCED_AFTER;
+        let up = self.entries.iter().position(|entry| entry.is_up);
+        up.filter(|_| is_out)
+    }
+
+    pub(super) fn ended(&mut self, job: usize, end: End) {
+        let after = self.clock.now() - self.jobs[job].at;
+        self.ends[job].get_or_insert(Ended { end, after });
+    }
+
+    pub(super) fn answered(&mut self, number: usize, answer: JobAnswer) {
+        let (job, now) = (&self.jobs[number], self.clock.now());
+        let end = match answer {
+            JobAnswer::Completed if now <= job.in_time_until() => End::InTime,
+            JobAnswer::Completed if now <= job.useful_until() => End::Late,
+            JobAnswer::NotRun { .. } => End::Refused,
+            _ => End::Failed,
+        };
+        self.ended(number, end);
+    }
+
+    /// Does what the dispatch of an entry wants.
+    pub(super) fn carry_out(&mut self, entry: usize) {
+        let commands = self.entries[entry].dispatch.take_commands();
+        for command in commands {
+            match command {
+                Command::Place(agent, placement) => {
+                    let now_ms = millis(self.clock.now());
+                    let dispatch = &mut self.entries[entry].dispatch;
+                    dispatch.message_sent(agent, Some(&placement), now_ms);
+                    self.tell_counted(entry, agent, ToRunsAgent::Place(placement));
+                }
+                Command::Stop(agent, job) => self.tell(entry, agent, ToRunsAgent::Stop(job)),
+                Command::Withdraw(agent, tasks) => {
+                    self.recalls += tasks.len() as u64;
+                    self.tell(entry, agent, ToRunsAgent::Withdraw(tasks));
+                }
+                Command::Finish(agent, job, give_up_in_ms) => {
+                    self.tell(entry, agent, ToRunsAgent::Finish { job, give_up_in_ms });
+                }
+                Command::Answer(job, answer) => {
+                    if let Some(number) = self.entries[entry].jobs.remove(&job) {
+                        self.answered(number, answer);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn tell(&mut self, entry: usize, agent: AgentKey, message: ToRunsAgent) {
+        let now_ms = millis(self.clock.now());
+        self.entries[entry].dispatch.message_sent(agent, None, now_ms);
+        self.tell_counted(entry, agent, message);
+    }
+
+    /// Sends a message that the dispatch has counted.
+    pub(super) fn tell_counted(&mut self, entry: usize, agent: AgentKey, message: ToRunsAgent) {
+        let Some(agent) = self.entries[entry].number_of(agent) else { return };
+        let link = Link { entry, run: self.entries[entry].run, agent };
+        self.messages += 1;
+        let delay = self.message_delay();
+        self.clock.after(delay, Event::Tell(link, message));
+    }
+
+    pub(super) fn is_present(&self, link: Link) -> bool {
+        let entry = &self.entries[link.entry];
+        entry.is_up && entry.run == link.run
+    }
+
+    pub(super) fn tick_entry(&mut self, entry: usize) {
+        if self.entries[entry].is_up {
+            self.entries[entry].dispatch.tick(millis(self.clock.now()));
+            self.carry_out(entry);
+        }
+        self.clock.after(ENTRY_TICK, Event::EntryTick(entry));
+    }
+
+    pub(super) fn beat(&mut self, link: Link) {
+        if !self.is_present(link) {
+            return;
+        }
+        let entry = &self.entries[link.entry];
+        let beat = ToRunsAgent::Beat { heard: 0, confirmed: entry.confirmed[link.agent] };
+        let key = entry.agents[link.agent];
+        self.tell(link.entry, key, beat);
+        self.clock.after(BEAT, Event::Beat(link));
+    }
+
+    pub(super) fn reported(&mut self, link: Link, message: FromRunsAgent) {
+        if !self.is_present(link) {
+            return;
+        }
+        let now_ms = millis(self.clock.now());
+        let entry = &mut self.entries[link.entry];
+        let agent = entry.agents[link.agent];
+        match message {
+            FromRunsAgent::Report { heard, reports, load } => {
+                let last = reports.last().map_or(0, |report| report.number);
+                let confirmed = &mut entry.confirmed[link.agent];
+                *confirmed = last.max(*confirmed);
+                entry.dispatch.report(agent, &reports, load, heard, now_ms);
+            }
+            FromRunsAgent::Upstream(life) => entry.dispatch.set_life(agent, life),
+            _ => {}
+        }
+        self.carry_out(link.entry);
+    }
+}
