--- a/crates/bench/tests/policy_model.rs
+++ b/crates/bench/tests/policy_model.rs
@@ -43,6 +43,11 @@
     }
 }
 
+/// A fault of the first ones, from one to three seconds.
+fn fault(kind: FaultKind, count: u32, strength: f64) -> Fault {
+    Fault { kind, at_s: 1.0, for_s: 2.0, count, strength }
+}
+
 fn is_whole(counts: &Counts) -> bool {
     counts.in_time + counts.late + counts.refused + counts.failed == counts.asked
 }
@@ -57,13 +62,7 @@
 #[test]
 fn the_same_seed_gives_the_same_result() {
     let mut settings = site(1.3);
-    settings.faults.push(Fault {
-        kind: FaultKind::LateOrders,
-        at_s: 1.0,
-        for_s: 3.0,
-        count: 2,
-        strength: 0.2,
-    });
+    settings.faults.push(fault(FaultKind::LateOrders, 2, 0.2));
     // Whole outcomes are too long to be printed.
     assert!(play(&settings, 7) == play(&settings, 7));
     assert!(play(&settings, 7) != play(&settings, 8));
@@ -72,13 +71,7 @@
 #[test]
 fn a_lost_entry_fails_what_it_held_and_comes_back() {
     let mut settings = site(0.5);
-    settings.faults.push(Fault {
-        kind: FaultKind::EntryLost,
-        at_s: 2.0,
-        for_s: 1.0,
-        count: 1,
-        strength: 0.0,
-    });
+    settings.faults.push(fault(FaultKind::EntryLost, 1, 0.0));
     let outcome = play(&settings, 3);
     assert!(outcome.all.failed > 0);
     assert!(outcome.by_second[5].in_time_share() > 0.99);
@@ -112,16 +105,16 @@
     fn every_job_is_counted_once_and_none_beats_the_bound(
         seed in 0_u64..1_000,
         load in 0.2_f64..2.0,
-        fault in 0_usize..5,
+        kind in 0_usize..5,
         count in 1_u32..3,
     ) {
         let kinds = [
             FaultKind::Slow, FaultKind::Hung, FaultKind::Gone, FaultKind::LateOrders,
             FaultKind::EntryLost,
         ];
-        let strength = if kinds[fault] == FaultKind::LateOrders { 0.1 } else { 4.0 };
+        let strength = if kinds[kind] == FaultKind::LateOrders { 0.1 } else { 4.0 };
         let mut settings = site(load);
-        settings.faults.push(Fault { kind: kinds[fault], at_s: 1.0, for_s: 2.0, count, strength });
+        settings.faults.push(fault(kinds[kind], count, strength));
         let outcome = play(&settings, seed);
         prop_assert!(is_whole(&outcome.all));
         prop_assert!(outcome.by_kind.iter().all(is_whole));
--- a/crates/decide/src/dispatch/kinds.rs
+++ b/crates/decide/src/dispatch/kinds.rs
@@ -13,7 +13,7 @@
 const LATENESS_HALF_LIFE_MS: f64 = 2_000.0;
 
 /// Weight of the newest job in the share of those that suffer, as one part of this
-/// many: a tenth of a second's jobs of the rarest urgent kind at one of three entries.
+/// many: about as many of an urgent kind come to one of three entries in a second.
 const STRAIN_PARTS: f64 = 10.0;
 /// That share is halved after each such time without news, in milliseconds: room comes
 /// back within one run of the longest kind.
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -174,8 +174,8 @@
         self.end_in_ms.saturating_add_signed(self.late_ms) <= self.must_end_in_ms
     }
 
-    /// Whether a job that cannot be in time is of use to its caller and costs nobody
-    /// else anything: all of it starts at once.
+    /// Whether a job that cannot be in time is of use to its caller and keeps nobody
+    /// waiting: its last task starts at once.
     ///
     /// It answers the seconds after an outage, when jobs that waited for it find free
     /// upstreams.
