Dispatch: whether any upstream is usable is looked at once a tick

Cause: read while reviewing: each job asked all agents, ten thousand jobs times 1,100 agents every 20 ms at full size.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -141,6 +141,14 @@
         if self.may_have_run { self.give_up_ms } else { self.refuse_ms }
     }
 
+    /// When it must end, by whether some upstream is usable. While there is none it waits
+    /// as long as its result is of use: it takes nobody's room, and after a restart of
+    /// everything upstreams are back within a second.
+    #[must_use]
+    pub fn end_by_with_ms(&self, has_upstream: bool) -> u64 {
+        if has_upstream { self.end_by_ms() } else { self.give_up_ms }
+    }
+
     /// When its result is of no use any more.
     #[must_use]
     pub fn give_up_ms(&self) -> u64 {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -253,16 +253,17 @@
         self.lose_silent(now_ms);
         self.place_waiting(now_ms);
         self.finish_begun(now_ms);
-        let hopeless: Vec<_> =
-            self.unplaced.iter().copied().filter(|key| self.is_hopeless(*key, now_ms)).collect();
+        // Looked at once: jobs times agents would be too many.
+        let has_upstream = self.usable_agents(now_ms) > 0;
+        let is_hopeless = |key: &JobKey| self.is_hopeless(*key, has_upstream, now_ms);
+        let hopeless: Vec<_> = self.unplaced.iter().copied().filter(is_hopeless).collect();
         for key in hopeless {
-            let why =
-                if self.usable_agents(now_ms) == 0 { GiveUp::NoUpstream } else { GiveUp::TooLate };
+            let why = if has_upstream { GiveUp::TooLate } else { GiveUp::NoUpstream };
             self.note_end(key, now_ms);
             self.end(key, Ending::GivenUp(why));
         }
         let passed = |(_, job): &(JobKey, &Job)| {
-            job.ending.is_none() && now_ms >= self.end_by_ms(job, now_ms)
+            job.ending.is_none() && now_ms >= job.end_by_with_ms(has_upstream)
         };
         let passed: Vec<_> = self.jobs.iter().filter(passed).map(|(key, _)| key).collect();
         for key in passed {
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -206,19 +206,12 @@
 
     /// Whether a job with an unplaced task can end no more before its caller
     /// leaves, even if an upstream took the task now.
-    pub(super) fn is_hopeless(&self, key: JobKey, now_ms: u64) -> bool {
+    pub(super) fn is_hopeless(&self, key: JobKey, has_upstream: bool, now_ms: u64) -> bool {
         let Some(job) = self.jobs.get(key) else { return false };
         let steps = job.steps_to_place();
         let longest = steps.iter().map(|&step| self.corrected_ms(job, &job.request.steps[step]));
         let run_ms = u64::from(longest.max().unwrap_or(0));
-        now_ms + run_ms > self.end_by_ms(job, now_ms)
-    }
-
-    /// When a job must end. While no upstream is usable it waits as long as its result
-    /// is of use: it takes nobody's room, and after a restart of everything upstreams
-    /// are back within a second.
-    pub(super) fn end_by_ms(&self, job: &Job, now_ms: u64) -> u64 {
-        if self.usable_agents(now_ms) == 0 { job.give_up_ms() } else { job.end_by_ms() }
+        now_ms + run_ms > job.end_by_with_ms(has_upstream)
     }
 }
 
