Tests: work that waits over a restart is at its entry before the agent leaves

Not reproduced on purpose. Change: the agent is stopped once the entry holds all five; all five must still be complete.

--- a/crates/soak/src/testing.rs
+++ b/crates/soak/src/testing.rs
@@ -3,7 +3,7 @@
 use {
     crate::{cluster::Cluster, load::Load, plan::Plan, standins::starts_at, wait::until},
     std::sync::Arc,
-    sycamorerail_bench::cluster::Role,
+    sycamorerail_bench::{cluster::Role, scrape::Series},
     tokio::sync::Mutex,
 };
 
@@ -58,3 +58,18 @@
     })
     .await
 }
+
+/// Waits until an entry holds so many jobs that are not over.
+///
+/// # Errors
+///
+/// When that takes too long.
+pub async fn wait_jobs(cluster: &Cluster, entry: &str, count: u32) -> eyre::Result<()> {
+    let url = format!("http://{}/metrics", cluster.http(entry));
+    until(&format!("{count} jobs at {entry}"), || async {
+        let page = cluster.client().get(&url).send().await?.text().await?;
+        let held = Series::parse(&page).sum("sycamorerail_running_jobs");
+        Ok((held >= f64::from(count)).then_some(()))
+    })
+    .await
+}
