--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,13 +1,19 @@
 //! Agents that connect, report, fall silent and come back.
 
 use {
-    super::{AgentKey, AgentView, Dispatch, RECOVERY_MS, RECOVERY_PART},
+    super::{AgentKey, AgentView, Dispatch},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{Placement, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
     },
 };
 
+/// An agent whose upstream is not usable this long after it connected is not counted on:
+/// upstreams announce themselves about every 1.5 s.
+const RECOVERY_MS: u64 = 2_000;
+/// Agents that are to be usable soon matter from this part of the usable ones on.
+const RECOVERY_PART: usize = 4;
+
 impl Dispatch {
     /// Agents that take work now.
     #[must_use]
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -74,7 +74,7 @@
     pub objective_ms: u64,
     /// When its first steps were expected to end as it was taken.
     pub expected_end_ms: u64,
-    /// Not all of its tasks were expected to start at once.
+    /// Its last task was not expected to start at once.
     pub has_to_wait: bool,
     /// When its result is of no use any more.
     give_up_ms: u64,
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -48,12 +48,6 @@
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
 
-/// An agent whose upstream is not usable this long after it connected is not counted on:
-/// upstreams announce themselves about every 1.5 s.
-const RECOVERY_MS: u64 = 2_000;
-/// Agents that are to be usable soon matter from this part of the usable ones on.
-const RECOVERY_PART: usize = 4;
-
 /// Jobs and agents of one entry.
 #[derive(Debug, Default)]
 pub struct Dispatch {
