--- a/crates/agent/src/leased/links.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -1,12 +1,10 @@
-//! Connections to entries: one each, dialled by the agent, made anew when they
-//! break or fall silent.
+//! One connection to an entry.
 
 use {
-    super::Leased,
-    crate::clock::jittered,
+    super::super::Leased,
     parking_lot::Mutex,
     std::{
-        collections::BTreeMap,
+        fmt,
         net::SocketAddr,
         sync::{
             Arc,
@@ -14,18 +12,18 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::echo::Echo,
+    sycamorerail_decide::{echo::Echo, ledger::is_news},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
-            FromRunsAgent, RunReport, RunsHello, RunsOpening, ToRunsAgent, UpstreamLife,
+            FromRunsAgent, Room, RunReport, RunsHello, RunsOpening, ToRunsAgent, UpstreamLife,
             UpstreamLoad,
         },
     },
     tokio::{
-        sync::watch,
+        sync::{Notify, watch},
         time::{Instant, sleep, sleep_until, timeout},
     },
 };
@@ -36,104 +34,40 @@
 const CONNECT_WITHIN: Duration = Duration::from_millis(150);
 /// Longest wait for the first message on a connection.
 const WELCOME_WITHIN: Duration = Duration::from_millis(500);
-/// First and longest pause between attempts to dial.
-const REDIAL_MS: (u64, u64) = (30, 200);
-/// An address that nobody names any more is let go after failing this long.
-const FORGET_AFTER_MS: u64 = 30_000;
 /// Heartbeat of a link without other messages.
 const BEAT: Duration = Duration::from_millis(200);
-/// Loads without events are told this often at most, for each entry connected:
-/// with four entries an entry hears 25 times a second of each agent.
-const LOAD_PAUSE_MS_PER_ENTRY: u64 = 10;
+/// Loads without events are told this often at most on each link: a start and its end are
+/// told together where the upstream is fast (model, 55 entries, 240 upstreams: 95.6 % of
+/// the most urgent jobs in time, 93 % with 30 ms).
+const LOAD_PAUSE: Duration = Duration::from_millis(10);
 
-/// All links of an agent.
-#[derive(Debug, Default)]
-pub(super) struct Links {
-    known: Mutex<BTreeMap<SocketAddr, Known>>,
-    /// Entries connected now.
-    present: watch::Sender<Vec<SocketAddr>>,
+/// How a connection ended.
+#[derive(Debug)]
+pub(super) enum LinkEnd {
+    /// It broke.
+    Broken(FrameError),
+    /// The entry was not heard, or did not hear us.
+    Silent,
+    /// The agent has let it go, and nothing of the entry was left.
+    LetGo,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    named_ms: u64,
-}
-
-impl Links {
-    pub(super) fn connected(&self) -> usize {
-        self.present.borrow().len()
-    }
-
-    fn add(&self, entry: SocketAddr) {
-        self.present.send_modify(|present| present.push(entry));
-    }
-
-    fn remove(&self, entry: SocketAddr) {
-        self.present.send_modify(|present| present.retain(|known| *known != entry));
-    }
-}
-
-/// Dials addresses that are not dialled yet.
-pub(super) fn dial(leased: &Arc<Leased>, entries: &[SocketAddr]) {
-    let named_ms = leased.clock.now_ms();
-    for &entry in entries {
-        let new = leased.links.known.lock().insert(entry, Known { named_ms }).is_none();
-        if new {
-            tokio::spawn(keep(Arc::clone(leased), entry));
+impl fmt::Display for LinkEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => error.fmt(f),
+            Self::Silent => f.write_str("silent"),
+            Self::LetGo => f.write_str("let go"),
         }
     }
 }
 
-/// Keeps a link to an entry until its address is forgotten.
-async fn keep(leased: Arc<Leased>, peer: SocketAddr) {
-    let mut last_entry = None;
-    let mut worked_ms = leased.clock.now_ms();
-    let mut pause_ms = REDIAL_MS.0;
-    loop {
-        match Link::open(&leased, peer, last_entry).await {
-            Ok((link, reader, writer)) => {
-                if let Some(before) = last_entry.filter(|before| *before != link.entry) {
-                    leased.change(|ledger, _| ledger.drop_owner(before));
-                }
-                last_entry = Some(link.entry);
-                pause_ms = REDIAL_MS.0;
-                leased.links.add(peer);
-                let ended = link.run(reader, writer).await;
-                leased.links.remove(peer);
-                worked_ms = leased.clock.now_ms();
-                event!(Info, "link_ended", peer = peer, entry = link.entry, error = ended);
-            }
-            Err(error) => {
-                event!(Debug, "dial_failed", peer = peer, error = error);
-                if is_forgotten(&leased, peer, worked_ms) {
-                    return;
-                }
-                sleep(jittered(pause_ms)).await;
-                pause_ms = (pause_ms * 2).min(REDIAL_MS.1);
-            }
-        }
-    }
-}
-
-fn is_forgotten(leased: &Leased, peer: SocketAddr, worked_ms: u64) -> bool {
-    if leased.settings.seeds.contains(&peer) {
-        return false;
-    }
-    let mut known = leased.links.known.lock();
-    let named_ms = known.get(&peer).map_or(0, |known| known.named_ms);
-    let forgotten = leased.clock.now_ms() >= worked_ms.max(named_ms) + FORGET_AFTER_MS;
-    if forgotten {
-        known.remove(&peer);
-        event!(Info, "entry_forgotten", peer = peer);
-    }
-    forgotten
-}
-
 /// One connection to an entry.
-struct Link {
+pub(super) struct Link {
     leased: Arc<Leased>,
     peer: SocketAddr,
-    entry: Incarnation,
+    /// The entry's run.
+    pub(super) entry: Incarnation,
     echo: Mutex<Echo>,
     /// Messages heard on this connection.
     heard: AtomicU64,
@@ -143,14 +77,19 @@
     told_up_to: AtomicU64,
     /// Wakes the writer for what the entry asked.
     asked: watch::Sender<u64>,
+    /// Whether the link is to be kept.
+    kept: watch::Receiver<bool>,
+    /// The entry has said that it places nothing more over this connection.
+    unlinked: Notify,
 }
 
 impl Link {
     /// Connects and exchanges the first messages.
-    async fn open(
+    pub(super) async fn open(
         leased: &Arc<Leased>,
         peer: SocketAddr,
         last_entry: Option<Incarnation>,
+        kept: watch::Receiver<bool>,
     ) -> Result<(Self, FrameReader, FrameWriter), FrameError> {
         let (mut reader, mut writer) = frames::connect(peer, CONNECT_WITHIN).await?;
         let hello = hello(leased, last_entry);
@@ -180,16 +119,30 @@
             entry_revision: AtomicU64::new(0),
             told_up_to,
             asked: watch::Sender::new(0),
+            kept,
+            unlinked: Notify::new(),
         };
         Ok((link, reader, writer))
     }
 
     /// Reads and writes until the connection ends or falls silent.
-    async fn run(&self, reader: FrameReader, writer: FrameWriter) -> FrameError {
+    pub(super) async fn run(&self, reader: FrameReader, writer: FrameWriter) -> LinkEnd {
         tokio::select! {
-            error = self.read_on(reader) => error,
-            error = self.write_on(writer) => error,
-            () = self.fall_silent() => FrameError::Closed(self.peer),
+            error = self.read_on(reader) => LinkEnd::Broken(error),
+            error = self.write_on(writer) => LinkEnd::Broken(error),
+            () = self.fall_silent() => LinkEnd::Silent,
+            () = self.let_go() => LinkEnd::LetGo,
+        }
+    }
+
+    /// Waits until the entry places nothing more here and nothing of it is left.
+    async fn let_go(&self) {
+        let mut changes = self.leased.changes.subscribe();
+        self.unlinked.notified().await;
+        while !self.leased.ledger.lock().has_nothing_of(self.entry) {
+            if changes.changed().await.is_err() {
+                return;
+            }
         }
     }
 
@@ -219,7 +172,9 @@
         let leased = &self.leased;
         match message {
             ToRunsAgent::Welcome { .. } => {}
-            ToRunsAgent::Members(entries) => dial(leased, &entries),
+            ToRunsAgent::Members(entries) => {
+                leased.links.told(self.peer, &entries, leased.clock.now_ms());
+            }
             ToRunsAgent::Place(placement) => {
                 leased.change(|ledger, now_ms| ledger.place(self.entry, placement, now_ms));
             }
@@ -232,7 +187,9 @@
             ToRunsAgent::Withdraw(tasks) => leased.change(|ledger, _| {
                 tasks.into_iter().for_each(|task| ledger.withdraw(self.entry, task));
             }),
-            ToRunsAgent::Beat { heard, confirmed } => {
+            ToRunsAgent::Unlinked => self.unlinked.notify_one(),
+            ToRunsAgent::Beat { heard, confirmed, agents, largest } => {
+                leased.links.beat(self.peer, agents, &largest);
                 let mut echo = self.echo.lock();
                 echo.heard(heard);
                 let heard_ms = echo.confirmed_ms();
@@ -256,7 +213,7 @@
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
         let mut changes = self.leased.changes.subscribe();
         let mut asked = self.asked.subscribe();
-        let mut present = self.leased.links.present.subscribe();
+        let mut kept = self.kept.clone();
         let mut told = Told { beat_at: Instant::now(), ..Told::default() };
         loop {
             if let Err(error) = self.write(&mut writer, &mut told, &mut asked).await {
@@ -265,7 +222,7 @@
             tokio::select! {
                 _ = changes.changed() => {}
                 _ = asked.changed() => asked.mark_changed(),
-                _ = present.changed() => {}
+                Ok(()) = kept.changed() => {}
                 () = sleep_until(told.next_at()) => {}
             }
         }
@@ -309,10 +266,9 @@
             told.life.clone_from(&life);
             messages.extend(life.map(FromRunsAgent::Upstream));
         }
-        let entries = leased.links.present.borrow().clone();
-        if told.entries != entries {
-            told.entries.clone_from(&entries);
-            messages.push(FromRunsAgent::Entries(entries));
+        if !told.unlink && !*self.kept.borrow() {
+            told.unlink = true;
+            messages.push(FromRunsAgent::Unlink);
         }
         let revision = leased.configuration.lock().as_ref().map_or(0, |copy| copy.revision);
         if revision > self.entry_revision.load(Ordering::Acquire) && revision > told.revision {
@@ -320,28 +276,56 @@
             messages.push(FromRunsAgent::Holds { revision });
         }
         let now = Instant::now();
-        let load_due = told.load != Some(load) && now >= told.load_at;
+        let is_changed = told.load.is_none_or(|told| is_news(&told, &load));
+        let load_due = is_changed && now >= told.load_at;
         if reports.is_empty() && !load_due && now < told.beat_at {
             // A changed load is told after its pause.
-            told.load_waits = told.load != Some(load);
+            told.load_waits = is_changed;
             return;
         }
+        if now >= told.beat_at {
+            self.tell_cluster(told, messages);
+        }
         let last = reports.last().map_or(told_up_to, |report| report.number);
         self.told_up_to.store(last, Ordering::Release);
-        let pause_ms = LOAD_PAUSE_MS_PER_ENTRY * leased.links.connected() as u64;
         told.load = Some(load);
-        told.load_at = now + Duration::from_millis(pause_ms);
+        told.load_at = now + LOAD_PAUSE;
         told.beat_at = now + BEAT;
         told.load_waits = false;
         let heard = self.heard.load(Ordering::Acquire);
         messages.push(FromRunsAgent::Report { heard, reports, load });
     }
+
+    /// Tells what the agent knows of other entries, where it has changed: with a heartbeat,
+    /// as many change at once when everything starts.
+    fn tell_cluster(&self, told: &mut Told, messages: &mut Vec<FromRunsAgent>) {
+        let cluster = self.leased.links.cluster();
+        if told.cluster.as_ref() == Some(&cluster) {
+            return;
+        }
+        let Cluster { connected, named, largest } = cluster.clone();
+        messages.push(FromRunsAgent::Entries { connected, named });
+        messages.push(FromRunsAgent::Largest(largest));
+        told.cluster = Some(cluster);
+    }
+}
+
+/// What an agent knows of all entries.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Cluster {
+    /// It is connected to them now.
+    pub(super) connected: Vec<SocketAddr>,
+    /// Its entries told it of them.
+    pub(super) named: Vec<SocketAddr>,
+    /// The most of each that an upstream of its pool has.
+    pub(super) largest: Room,
 }
 
 /// What was told on a connection, and when the next message is due.
 struct Told {
     life: Option<UpstreamLife>,
-    entries: Vec<SocketAddr>,
+    cluster: Option<Cluster>,
+    unlink: bool,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -354,7 +338,8 @@
         let now = Instant::now();
         Self {
             life: None,
-            entries: Vec::new(),
+            cluster: None,
+            unlink: false,
             revision: 0,
             load: None,
             load_at: now,
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -21,7 +21,10 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder},
+    sycamorerail_decide::{
+        ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder},
+        links::LinkLimits,
+    },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
@@ -49,6 +52,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Figures of the ledger.
     pub limits: LedgerLimits,
+    /// How many links to entries there are.
+    pub links: LinkLimits,
 }
 
 /// An agent of leased runs.
@@ -77,11 +82,11 @@
     pub fn start(settings: LeasedSettings, port: Box<dyn UpstreamPort>) -> Arc<Self> {
         let leased = Arc::new(Self {
             ledger: Mutex::new(Ledger::new(settings.limits)),
+            links: links::Links::new(settings.links),
             settings,
             incarnation: Incarnation(rand::rng().random()),
             clock: Clock::start(),
             port,
-            links: links::Links::default(),
             configuration: Mutex::new(None),
             changes: watch::Sender::new(0),
             life_changed: Notify::new(),
@@ -91,7 +96,8 @@
         });
         tokio::spawn(lease::keep(Arc::clone(&leased)));
         tokio::spawn(tick(Arc::clone(&leased)));
-        links::dial(&leased, &leased.settings.seeds.clone());
+        leased.dial(&leased.settings.seeds);
+        tokio::spawn(links::keep_chosen(Arc::clone(&leased)));
         event!(
             Info,
             "agent_started",
@@ -102,9 +108,9 @@
         leased
     }
 
-    /// Dials entries at these addresses too.
-    pub fn dial(self: &Arc<Self>, entries: &[SocketAddr]) {
-        links::dial(self, entries);
+    /// Entries may be reached at these addresses too.
+    pub fn dial(&self, entries: &[SocketAddr]) {
+        self.links.learn(entries, self.clock.now_ms());
     }
 
     /// Entries connected now.
--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -6,7 +6,7 @@
         clock::{MS, Micros, millis},
         upstream::Upstream,
     },
-    sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LedgerLimits, StartOrder},
+    sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LedgerLimits, StartOrder, is_news},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{FromRunsAgent, Room, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
@@ -18,8 +18,6 @@
 const MEMORY_MB: u32 = u32::MAX;
 /// Heartbeat of a link without other messages.
 const BEAT: Micros = 200 * MS;
-/// Loads without events are told this often at most, for each entry.
-const LOAD_PAUSE_PER_ENTRY: Micros = 10 * MS;
 /// A renewal's answer may wait this long for an end.
 const RENEWAL_WAIT: Micros = 40 * MS;
 /// A renewal whose answer is overdue by this much is followed by another.
@@ -76,6 +74,8 @@
     pub waiting: Vec<Renewal>,
     capacity: Room,
     links: Vec<Link>,
+    /// Shortest time between two loads told on a link.
+    load_pause: Micros,
     renewals: u64,
     under_way: usize,
     renew_at: Micros,
@@ -83,7 +83,7 @@
 
 impl ModelAgent {
     /// An agent whose upstream was just announced.
-    pub fn new(cpu_milli: u32, speed: f64, entries: usize) -> Self {
+    pub fn new(cpu_milli: u32, speed: f64, entries: usize, load_pause: Micros) -> Self {
         let mut agent = Self {
             ledger: Ledger::new(LedgerLimits::default()),
             upstream: Upstream::new(speed),
@@ -91,6 +91,7 @@
             waiting: Vec::new(),
             capacity: Room { cpu_milli, memory_mb: MEMORY_MB, accelerators: 0 },
             links: vec![Link::default(); entries],
+            load_pause,
             renewals: 0,
             under_way: 0,
             renew_at: 0,
@@ -152,14 +153,13 @@
 
     /// The report that is due to an entry, and when to look again.
     pub fn report(&mut self, entry: usize, now: Micros) -> (Option<FromRunsAgent>, Micros) {
-        let pause = LOAD_PAUSE_PER_ENTRY * self.links.len() as Micros;
         let load = self.ledger.load(millis(now));
         let link = &mut self.links[entry];
         let Some(run) = link.entry else { return (None, now + BEAT) };
         let reports = self.ledger.reports(run);
         let reports: Vec<RunReport> =
             reports.into_iter().filter(|report| report.number > link.told_up_to).collect();
-        let is_changed = link.load != Some(load);
+        let is_changed = link.load.is_none_or(|told| is_news(&told, &load));
         let load_due = is_changed && now >= link.load_at;
         if reports.is_empty() && !load_due && now < link.beat_at {
             let next = if is_changed { link.load_at.min(link.beat_at) } else { link.beat_at };
@@ -167,7 +167,7 @@
         }
         link.told_up_to = reports.last().map_or(link.told_up_to, |report| report.number);
         link.load = Some(load);
-        link.load_at = now + pause;
+        link.load_at = now + self.load_pause;
         link.beat_at = now + BEAT;
         let report = FromRunsAgent::Report { heard: link.heard, reports, load };
         (Some(report), link.beat_at)
--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -7,7 +7,10 @@
         jobs::ModelJob,
         settings::KindSettings,
     },
-    std::{collections::HashMap, sync::Arc},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
     sycamorerail_decide::dispatch::{
         AgentKey, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest, KindParameters,
         StepRequest,
@@ -20,6 +23,15 @@
 
 const MAX_ATTEMPTS: u32 = 2;
 
+/// An agent that is linked to an entry.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkedAgent {
+    /// Its key in the dispatch.
+    pub key: AgentKey,
+    /// Its highest report that was taken note of.
+    pub confirmed: u64,
+}
+
 /// One entry.
 #[derive(Debug)]
 pub struct ModelEntry {
@@ -29,10 +41,8 @@
     pub run: Incarnation,
     /// It is there.
     pub is_up: bool,
-    /// Agents by number.
-    pub agents: Vec<AgentKey>,
-    /// Highest report of each agent that was taken note of.
-    pub confirmed: Vec<u64>,
+    /// Agents that are linked, by number.
+    pub agents: BTreeMap<usize, LinkedAgent>,
     /// Numbers of the jobs that it holds.
     pub jobs: HashMap<JobKey, usize>,
 }
@@ -41,30 +51,28 @@
     /// A fresh run that no agent has connected to.
     pub fn new(run: u64) -> Self {
         Self {
-            dispatch: Dispatch::new(DispatchLimits::default()),
+            dispatch: Dispatch::new(DispatchLimits::default(), Incarnation(run)),
             run: Incarnation(run),
             is_up: true,
-            agents: Vec::new(),
-            confirmed: Vec::new(),
+            agents: BTreeMap::new(),
             jobs: HashMap::new(),
         }
     }
 
-    /// The next agent connects.
-    pub fn connect(&mut self, life: UpstreamLife, now: Micros) {
-        let (name, now_ms) = (self.agents.len().to_string(), millis(now));
+    /// An agent connects.
+    pub fn connect(&mut self, number: usize, life: UpstreamLife, now: Micros) {
+        let (name, now_ms) = (number.to_string(), millis(now));
         let agent = self.dispatch.agent_connected(&name, Incarnation(1), None, now_ms);
         self.dispatch.agent_ready(agent, now_ms);
         self.dispatch.set_life(agent, life);
         // The first message of a connection.
         self.dispatch.message_sent(agent, None, now_ms);
-        self.agents.push(agent);
-        self.confirmed.push(0);
+        self.agents.insert(number, LinkedAgent { key: agent, confirmed: 0 });
     }
 
     /// The number of an agent.
     pub fn number_of(&self, agent: AgentKey) -> Option<usize> {
-        self.agents.iter().position(|known| *known == agent)
+        self.agents.iter().find(|(_, known)| known.key == agent).map(|(number, _)| *number)
     }
 
     /// Hands a job in.
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -20,7 +20,9 @@
 pub use {
     bound::most_in_time,
     jobs::{ModelJob, draw_jobs},
-    settings::{Burst, Fault, FaultKind, KindSettings, ModelSettings, Spread, UpstreamGroup},
+    settings::{
+        Burst, Fault, FaultKind, KindSettings, LinkSettings, ModelSettings, Spread, UpstreamGroup,
+    },
     tally::{Counts, End, Outcome},
     world::play,
 };
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -3,6 +3,7 @@
 use {
     eyre::{WrapErr, ensure},
     serde::{Deserialize, Serialize},
+    sycamorerail_decide::links::LinkLimits,
 };
 
 /// Most entries, upstreams and kinds of a model: they bound its time, not its sense.
@@ -29,6 +30,9 @@
     /// Estimates are off by up to this share, either way.
     #[serde(default = "default_estimate_off")]
     pub estimate_off: f64,
+    /// How many links there are; as in the programs where it is left out.
+    #[serde(default)]
+    pub links: LinkSettings,
     /// Upstreams, by groups that are alike.
     pub upstreams: Vec<UpstreamGroup>,
     /// Kinds of requests.
@@ -41,6 +45,34 @@
     pub faults: Vec<Fault>,
 }
 
+/// How many links there are between agents and entries.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LinkSettings {
+    /// Entries that each agent links to, at least.
+    pub entries_per_agent: u32,
+    /// Agents that an entry has, at least, where there are as many.
+    pub agents_per_entry: u32,
+    /// Shortest time between two loads told on a link, in milliseconds.
+    pub load_pause_ms: u32,
+}
+
+impl Default for LinkSettings {
+    fn default() -> Self {
+        let LinkLimits { entries_per_agent, agents_per_entry } = LinkLimits::default();
+        Self { entries_per_agent, agents_per_entry, load_pause_ms: 10 }
+    }
+}
+
+impl LinkSettings {
+    /// Without the pause.
+    #[must_use]
+    pub fn limits(&self) -> LinkLimits {
+        let Self { entries_per_agent, agents_per_entry, .. } = *self;
+        LinkLimits { entries_per_agent, agents_per_entry }
+    }
+}
+
 /// Upstreams that are alike.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/bench/src/policy/world/entries.rs
+++ b/crates/bench/src/policy/world/entries.rs
@@ -7,7 +7,7 @@
         clock::millis,
         tally::{End, Ended},
     },
-    sycamorerail_decide::dispatch::{AgentKey, Command, JobAnswer},
+    sycamorerail_decide::dispatch::{AgentKey, Command, JobAnswer, PoolSeen},
     sycamorerail_wire::runs::{FromRunsAgent, ToRunsAgent},
 };
 
@@ -117,9 +117,10 @@
             return;
         }
         let entry = &self.entries[link.entry];
-        let beat = ToRunsAgent::Beat { heard: 0, confirmed: entry.confirmed[link.agent] };
-        let key = entry.agents[link.agent];
-        self.tell(link.entry, key, beat);
+        let linked = entry.agents[&link.agent];
+        let PoolSeen { agents, largest } = entry.dispatch.pool_of(linked.key);
+        let beat = ToRunsAgent::Beat { heard: 0, confirmed: linked.confirmed, agents, largest };
+        self.tell(link.entry, linked.key, beat);
         self.clock.after(BEAT, Event::Beat(link));
     }
 
@@ -129,12 +130,12 @@
         }
         let now_ms = millis(self.clock.now());
         let entry = &mut self.entries[link.entry];
-        let agent = entry.agents[link.agent];
+        let Some(linked) = entry.agents.get_mut(&link.agent) else { return };
+        let agent = linked.key;
         match message {
             FromRunsAgent::Report { heard, reports, load } => {
                 let last = reports.last().map_or(0, |report| report.number);
-                let confirmed = &mut entry.confirmed[link.agent];
-                *confirmed = last.max(*confirmed);
+                linked.confirmed = last.max(linked.confirmed);
                 entry.dispatch.report(agent, &reports, load, heard, now_ms);
             }
             FromRunsAgent::Upstream(life) => entry.dispatch.set_life(agent, life),
--- a/crates/bench/src/policy/world/mod.rs
+++ b/crates/bench/src/policy/world/mod.rs
@@ -10,15 +10,16 @@
         clock::{Clock, MS, Micros},
         entry::{ModelEntry, parameters},
         jobs::{ModelJob, draw_jobs},
-        settings::ModelSettings,
+        settings::{ModelSettings, UpstreamGroup},
         tally::{Ended, Note, Outcome, count},
         upstream::EndDue,
     },
     rand::{SeedableRng, rngs::SmallRng},
-    std::sync::Arc,
+    std::{collections::BTreeSet, sync::Arc},
     sycamorerail_decide::{
         dispatch::KindParameters,
         ledger::{LeaseAnswer, StartAnswer, StartOrder},
+        links::{LinkLimits, links_for, preferred},
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -101,6 +102,8 @@
     clock: Clock<Event>,
     entries: Vec<ModelEntry>,
     agents: Vec<ModelAgent>,
+    /// Entries that each agent links to.
+    linked: Vec<BTreeSet<usize>>,
     ends: Vec<Option<Ended>>,
     notes: Vec<Note>,
     /// When each entry that is lost was lost.
@@ -113,17 +116,29 @@
     recalls: u64,
 }
 
+/// The entries that each agent links to, by number.
+fn linked(entries: usize, agents: usize, limits: &LinkLimits) -> Vec<BTreeSet<usize>> {
+    let all: Vec<_> = (0..entries).collect();
+    let count = links_for(entries, agents, limits);
+    let of = |agent: usize| preferred(&agent.to_string(), &all).into_iter().take(count).collect();
+    (0..agents).map(of).collect()
+}
+
 impl<'a> World<'a> {
     fn new(settings: &'a ModelSettings, jobs: &'a [ModelJob], seed: u64) -> Self {
         let entries = usize::from(settings.entries);
         let groups = settings.upstreams.iter();
         let upstreams = groups.flat_map(|group| std::iter::repeat_n(group, group.count as usize));
-        let agents: Vec<_> =
-            upstreams.map(|group| ModelAgent::new(group.cpu_milli, group.speed, entries)).collect();
+        let load_pause = Micros::from(settings.links.load_pause_ms) * MS;
+        let agent = |group: &UpstreamGroup| {
+            ModelAgent::new(group.cpu_milli, group.speed, entries, load_pause)
+        };
+        let agents: Vec<_> = upstreams.map(agent).collect();
         Self {
             settings,
             jobs,
             kinds: settings.kinds.iter().map(parameters).collect(),
+            linked: linked(entries, agents.len(), &settings.links.limits()),
             clock: Clock::default(),
             entries: (0..entries).map(|number| ModelEntry::new(number as u64 + 1)).collect(),
             unanswered: vec![0.0; agents.len()],
@@ -163,9 +178,12 @@
         let now = self.clock.now();
         let run = self.entries[entry].run;
         for agent in 0..self.agents.len() {
+            if !self.linked[agent].contains(&entry) {
+                continue;
+            }
             self.agents[agent].connect(entry, run, now);
             let life = self.agents[agent].life();
-            self.entries[entry].connect(life, now);
+            self.entries[entry].connect(agent, life, now);
             let link = Link { entry, run, agent };
             self.clock.at(now, Event::ReportDue(link));
             self.clock.after(BEAT, Event::Beat(link));
--- a/crates/bench/tests/policy_model.rs
+++ b/crates/bench/tests/policy_model.rs
@@ -4,8 +4,8 @@
 use {
     proptest::prelude::*,
     sycamorerail_bench::policy::{
-        Burst, Counts, Fault, FaultKind, KindSettings, ModelSettings, Spread, UpstreamGroup,
-        draw_jobs, most_in_time, play, report,
+        Burst, Counts, Fault, FaultKind, KindSettings, LinkSettings, ModelSettings, Spread,
+        UpstreamGroup, draw_jobs, most_in_time, play, report,
     },
 };
 
@@ -33,6 +33,7 @@
         message_ms: 1.5,
         call_ms: 0.5,
         estimate_off: 0.4,
+        links: LinkSettings::default(),
         upstreams: vec![UpstreamGroup { count: 4, cpu_milli: 10_000, speed: 1.0 }],
         kinds: vec![
             kind("urgent", 0, 40.0 * load, 6.0, 80.0),
--- a/crates/bench/tests/worst_load.rs
+++ b/crates/bench/tests/worst_load.rs
@@ -5,9 +5,13 @@
 
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=4;
 
-fn outcomes(name: &str) -> Vec<Outcome> {
+fn settings(name: &str) -> ModelSettings {
     let path = format!("{}/../../examples/policy/{name}.yaml", env!("CARGO_MANIFEST_DIR"));
-    let settings = ModelSettings::parse(&std::fs::read_to_string(path).unwrap()).unwrap();
+    ModelSettings::parse(&std::fs::read_to_string(path).unwrap()).unwrap()
+}
+
+fn outcomes(name: &str) -> Vec<Outcome> {
+    let settings = settings(name);
     SEEDS.map(|seed| play(&settings, seed)).collect()
 }
 
@@ -57,3 +61,19 @@
     assert!(mean(&outcomes, |outcome| refused(&outcome.all)) < 0.005);
     assert!(mean(&outcomes, |outcome| outcome.all.in_time_share()) > 0.98);
 }
+
+/// 55 entries before 240 upstreams that are 70 % taken. With a link from each agent to each
+/// entry 60 % of all jobs and 34 % of the most urgent were in time; with links to some
+/// entries and an order of agents of each entry's own, 99 and 97 %.
+#[test]
+fn many_entries_decide_as_well_as_few() {
+    let settings = settings("many-entries");
+    let outcome = play(&settings, 1);
+    assert!(outcome.all.in_time_share() > 0.98, "{:?}", outcome.all);
+    assert!(outcome.by_kind[0].in_time_share() > 0.95, "{:?}", outcome.by_kind[0]);
+    let jobs = outcome.all.asked as f64;
+    assert!(outcome.messages as f64 / jobs < 65.0);
+
+    let few = play(&ModelSettings { entries: 5, ..settings }, 1);
+    assert!(outcome.all.in_time_share() >= few.all.in_time_share() - 0.01);
+}
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -38,10 +38,14 @@
     pub key: AgentKey,
     /// Its name, the same over restarts.
     pub name: String,
+    /// Its place in this entry's own order of agents; lower goes first.
+    pub rank: u64,
     /// Its present run.
     pub incarnation: Incarnation,
     /// It has a connection now.
     pub connected: bool,
+    /// It means to end that connection.
+    pub is_unlinking: bool,
     /// When its present connection was made.
     pub connected_ms: u64,
     /// When it was last heard.
@@ -62,12 +66,20 @@
 impl AgentView {
     /// An agent that just connected.
     #[must_use]
-    pub fn new(key: AgentKey, name: String, incarnation: Incarnation, now_ms: u64) -> Self {
+    pub fn new(
+        key: AgentKey,
+        name: String,
+        rank: u64,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> Self {
         Self {
             key,
             name,
+            rank,
             incarnation,
             connected: true,
+            is_unlinking: false,
             connected_ms: now_ms,
             heard_ms: now_ms,
             life: None,
@@ -83,6 +95,7 @@
     /// Starts anew with a new connection.
     pub fn reconnect(&mut self, now_ms: u64) {
         self.connected = true;
+        self.is_unlinking = false;
         self.connected_ms = now_ms;
         self.heard_ms = now_ms;
         self.echo = Echo::new(now_ms);
@@ -92,19 +105,26 @@
         self.unseen_milli_ms = 0;
     }
 
+    /// Whether it has a connection that is meant to stay.
+    #[must_use]
+    pub fn is_linked(&self) -> bool {
+        self.connected && !self.is_unlinking
+    }
+
     /// Whether it takes work: connected, heard and hearing, upstream usable.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64, suspect_ms: u64) -> bool {
         let fresh =
             now_ms < self.heard_ms + suspect_ms && now_ms < self.echo.confirmed_ms() + suspect_ms;
-        self.connected && fresh && self.load.usable && self.life.is_some()
+        self.is_linked() && fresh && self.load.usable && self.life.is_some()
     }
 
     /// Whether it connected lately and its upstream is not usable yet.
     #[must_use]
     pub fn is_coming(&self, now_ms: u64, within_ms: u64) -> bool {
         let is_leaving = self.life.as_ref().is_some_and(|life| life.leaving);
-        self.connected && !self.load.usable && !is_leaving && now_ms < self.connected_ms + within_ms
+        let is_new = now_ms < self.connected_ms + within_ms;
+        self.is_linked() && !self.load.usable && !is_leaving && is_new
     }
 
     /// Takes a report's load, which shows all messages up to `heard`.
@@ -175,7 +195,8 @@
         let end_ms = wait_ms + run_ms;
         let blamed = self.load.failing_percent.saturating_sub(FAILING_BORNE_PERCENT);
         let cost_ms = end_ms + u64::from(blamed) * FAILING_COST_MS;
-        Expected { end_ms, cost_ms, wait_ms, free_cpu_milli: free.cpu_milli }
+        let room_for = free.cpu_milli / asked.need.cpu_milli.max(1);
+        Expected { end_ms, cost_ms, wait_ms, room_for, planned: planned.count }
     }
 
     /// Work that goes before a new task of this priority, once the room is taken:
@@ -240,6 +261,8 @@
     pub cost_ms: u64,
     /// Of these, until it starts.
     pub wait_ms: u64,
-    /// Processor left there, in thousandths of a core.
-    pub free_cpu_milli: u32,
+    /// Tasks like it for which there is processor left.
+    pub room_for: u32,
+    /// Tasks of the same decision that are meant for it already.
+    pub planned: u16,
 }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,10 +1,11 @@
 //! Agents that connect, report, fall silent and come back.
 
 use {
-    super::{AgentKey, AgentView, Dispatch},
+    super::{AgentKey, AgentView, Dispatch, PoolSeen},
+    crate::rendezvous::weight,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{Placement, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
+        runs::{Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
     },
 };
 
@@ -106,9 +107,10 @@
         now_ms: u64,
     ) -> AgentKey {
         let Some(&key) = self.by_name.get(name) else {
-            let key = self
-                .agents
-                .insert_with_key(|key| AgentView::new(key, name.to_owned(), incarnation, now_ms));
+            let rank = weight(&self.entry.to_string(), name);
+            let key = self.agents.insert_with_key(|key| {
+                AgentView::new(key, name.to_owned(), rank, incarnation, now_ms)
+            });
             self.by_name.insert(name.to_owned(), key);
             return key;
         };
@@ -137,10 +139,41 @@
         }
     }
 
+    /// An agent means to end its connection: nothing more is placed there.
+    pub fn agent_unlinks(&mut self, key: AgentKey) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.is_unlinking = true;
+        }
+    }
+
     /// An agent tells its upstream's life.
     pub fn set_life(&mut self, key: AgentKey, life: UpstreamLife) {
+        let capacity = life.capacity;
         if let Some(view) = self.agents.get_mut(key) {
             view.life = Some(life);
+            self.set_largest(key, capacity);
+        }
+    }
+
+    /// Some upstream of an agent's pool has so much, here or elsewhere.
+    pub fn set_largest(&mut self, key: AgentKey, room: Room) {
+        let life = self.agents.get(key).and_then(|view| view.life.as_ref());
+        let Some(life) = life else { return };
+        let known = self.largest.entry(life.pool.clone()).or_default();
+        *known = known.most(&room);
+    }
+
+    /// What this entry has of an agent's pool.
+    #[must_use]
+    pub fn pool_of(&self, key: AgentKey) -> PoolSeen {
+        let Some(life) = self.life(key) else { return PoolSeen::default() };
+        let is_of_pool = |agent: &&AgentView| {
+            agent.is_linked() && agent.life.as_ref().is_some_and(|other| other.pool == life.pool)
+        };
+        let agents = self.agents.values().filter(is_of_pool).count();
+        PoolSeen {
+            agents: u32::try_from(agents).unwrap_or(u32::MAX),
+            largest: self.largest.get(&life.pool).copied().unwrap_or_default(),
         }
     }
 
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -22,7 +22,7 @@
     job::Job,
     types::{
         AgentKey, Command, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey, JobRequest,
-        KindParameters, StepRequest,
+        KindParameters, PoolSeen, StepRequest,
     },
 };
 
@@ -34,22 +34,33 @@
         collections::{BTreeSet, HashMap},
         sync::Arc,
     },
-    sycamorerail_wire::runs::{CallerId, RunEvent, TaskKey},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{CallerId, Room, RunEvent, TaskKey},
+    },
 };
 
 /// Shortest and longest time told to callers that are turned away.
 const RETRY_MS: (u64, u64) = (100, 5_000);
 /// Time told where no upstream is usable: agents are back about then.
 const NO_UPSTREAM_RETRY_MS: u32 = 1_000;
+/// Time told where only upstreams of other entries could hold a job: its caller's next
+/// try reaches another one.
+const NOT_HERE_RETRY_MS: u32 = 100;
 /// Time told where a job is turned away for others: twice the half-life of what is known
 /// of them.
 const SHED_RETRY_MS: u32 = 1_000;
 /// Agents with as good an expectation as the best within this are chosen among
 /// by free room: it is less than the error of any expectation.
 const SAME_END_MS: u64 = 3;
+/// Among them, those whose free room differs by less than this many tasks are alike, and
+/// the entry's own order decides. Entries that see the same room would all send to the
+/// same agent before it can tell: with five entries and 240 upstreams (model, 70 % of the
+/// room taken) 96.7 % of all jobs are in time by room alone, 99.0 % with classes of three.
+const SAME_ROOM_TASKS: u32 = 3;
 
 /// Jobs and agents of one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Dispatch {
     limits: DispatchLimits,
     jobs: SlotMap<JobKey, Job>,
@@ -59,9 +70,11 @@
     /// Jobs with tasks to place.
     unplaced: BTreeSet<JobKey>,
     kinds: HashMap<String, KindRecord>,
+    /// The most of each that an upstream has, by pool.
+    largest: HashMap<String, Room>,
     commands: Vec<Command>,
-    /// Rises with each choice, so that equal agents take turns.
-    turn: usize,
+    /// This run of the entry, for an order of agents of its own.
+    entry: Incarnation,
     is_stopping: bool,
     last_forecast: Forecast,
 }
@@ -69,8 +82,21 @@
 impl Dispatch {
     /// Without jobs and agents.
     #[must_use]
-    pub fn new(limits: DispatchLimits) -> Self {
-        Self { limits, ..Self::default() }
+    pub fn new(limits: DispatchLimits, entry: Incarnation) -> Self {
+        Self {
+            limits,
+            entry,
+            jobs: SlotMap::default(),
+            by_id: HashMap::new(),
+            agents: SlotMap::default(),
+            by_name: HashMap::new(),
+            unplaced: BTreeSet::new(),
+            kinds: HashMap::new(),
+            largest: HashMap::new(),
+            commands: Vec::new(),
+            is_stopping: false,
+            last_forecast: Forecast::default(),
+        }
     }
 
     /// What is to be done since the last call.
@@ -138,7 +164,11 @@
             return Err(refused(GiveUp::Shed, SHED_RETRY_MS));
         }
         if let Err(answer) = self.admit(&job, &forecast) {
-            self.kind(&kind.name).suffered(true, now_ms);
+            // What fits nowhere, or not here, says nothing about load.
+            let is_for_load = matches!(answer, JobAnswer::NotRun { why: GiveUp::Overload, .. });
+            if is_for_load {
+                self.kind(&kind.name).suffered(true, now_ms);
+            }
             return Err(answer);
         }
         job.has_to_wait = forecast.wait_ms > 0;
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -3,10 +3,11 @@
 use {
     super::{
         AgentKey, AgentView, Asked, Command, Dispatch, Expected, Forecast, GiveUp, Job, JobAnswer,
-        JobKey, Planned, RETRY_MS, SAME_END_MS, StepRequest, job::TaskState, kinds::KindRecord,
+        JobKey, NOT_HERE_RETRY_MS, Planned, RETRY_MS, SAME_END_MS, SAME_ROOM_TASKS, StepRequest,
+        job::TaskState, kinds::KindRecord,
     },
     std::collections::BTreeMap,
-    sycamorerail_wire::runs::{Placement, TaskStart},
+    sycamorerail_wire::runs::{Placement, Room, TaskStart},
 };
 
 /// A task with the agent that is to have it.
@@ -23,6 +24,10 @@
         if job.request.steps.iter().any(|wanted| self.never_fits(job, wanted)) {
             return Err(JobAnswer::Failed);
         }
+        if job.request.steps.iter().any(|wanted| self.fits_only_elsewhere(job, wanted)) {
+            let retry_after_ms = NOT_HERE_RETRY_MS;
+            return Err(JobAnswer::NotRun { why: GiveUp::NotHere, retry_after_ms });
+        }
         if forecast.is_in_time() || forecast.is_late_without_harm() {
             return Ok(());
         }
@@ -52,13 +57,24 @@
         self.kinds.get(&job.request.kind.name).map_or(0, |kind| kind.lateness_ms(now_ms))
     }
 
-    /// Whether upstreams of the pool are known and none could ever hold it.
+    /// Whether upstreams of the pool are known and none could ever hold it, here or
+    /// elsewhere: an entry has links to some of them only.
     fn never_fits(&self, job: &Job, step: &StepRequest) -> bool {
         let pool = &*job.request.kind.pool;
         let mut of_pool = self.agents.values().filter_map(|agent| agent.life.as_ref());
         let known = of_pool.any(|life| life.pool == pool);
         let fits = |agent: &AgentView| agent.suits(pool, &step.need, None);
-        known && !self.agents.values().any(fits)
+        let elsewhere = self.largest.get(pool).is_some_and(|largest| largest.fits(&step.need));
+        known && !elsewhere && !self.agents.values().any(fits)
+    }
+
+    /// Whether there are links to upstreams of the pool, but to none that could hold it.
+    fn fits_only_elsewhere(&self, job: &Job, step: &StepRequest) -> bool {
+        let pool = &*job.request.kind.pool;
+        let linked = || self.agents.values().filter(|agent| agent.is_linked());
+        let label = step.required_label.as_deref();
+        linked().any(|agent| agent.suits(pool, &Room::default(), None))
+            && !linked().any(|agent| agent.suits(pool, &step.need, label))
     }
 
     /// Agents that are usable now and could run a task of the step.
@@ -163,8 +179,7 @@
         if candidates.is_empty() {
             return Vec::new();
         }
-        let first = self.turn % candidates.len();
-        candidates.rotate_left(first);
+        candidates.sort_unstable_by_key(|(agent, _)| agent.rank);
         let mut plan = Vec::new();
         for (index, task) in job.tasks[step].iter().enumerate() {
             if task.state != TaskState::Unplaced {
@@ -183,7 +198,6 @@
 
     /// The part of a plan with which tasks end before nobody waits for the job.
     fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<PlannedTask> {
-        self.turn = self.turn.wrapping_add(1);
         let Some(job) = self.jobs.get(key) else { return Vec::new() };
         let mut plan = self.plan(job, step, now_ms);
         let starts_at_once = plan.iter().all(|planned| planned.expected.wait_ms == 0);
@@ -215,8 +229,8 @@
     }
 }
 
-/// The candidate that ends a task first; among equals the one with most room.
-/// An agent that gave the task back is taken only if there is no other.
+/// The candidate that ends a task first; among equals one of those with most room, the
+/// first in the entry's own order. An agent that gave the task back is taken only if there is no other.
 fn best_of(
     candidates: &[(&AgentView, Planned)],
     job: &Job,
@@ -243,9 +257,17 @@
     best
 }
 
+/// Among those that end a task as early: one with clearly more room, or with as much and
+/// fewer tasks of the same job.
 fn is_better(one: &Expected, other: &Expected) -> bool {
-    if one.cost_ms.abs_diff(other.cost_ms) <= SAME_END_MS {
-        return one.free_cpu_milli > other.free_cpu_milli;
+    if one.cost_ms.abs_diff(other.cost_ms) > SAME_END_MS {
+        return one.cost_ms < other.cost_ms;
     }
-    one.cost_ms < other.cost_ms
+    let (room, other_room) = (room_class(one), room_class(other));
+    room > other_room || (room == other_room && one.planned < other.planned)
+}
+
+/// Upstreams of one class are alike; without any room is a class of its own.
+fn room_class(expected: &Expected) -> u32 {
+    if expected.room_for == 0 { 0 } else { 1 + expected.room_for / SAME_ROOM_TASKS }
 }
--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -57,7 +57,7 @@
     }
 
     fn is_after_outage(&self, now_ms: u64) -> bool {
-        let connected = |agent: &&AgentView| agent.connected;
+        let connected = |agent: &&AgentView| agent.is_linked();
         let is_new = |agent: &&AgentView| now_ms < agent.connected_ms + AFTER_OUTAGE_MS;
         let all = self.agents.values().filter(connected).count();
         let new = self.agents.values().filter(connected).filter(is_new).count();
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -13,6 +13,15 @@
     pub struct AgentKey;
 }
 
+/// What an entry has of one pool of upstreams.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PoolSeen {
+    /// Agents that are linked to it.
+    pub agents: u32,
+    /// The most of each that an upstream of the pool has, here or elsewhere.
+    pub largest: Room,
+}
+
 /// Figures of the dispatch, from the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchLimits {
@@ -102,8 +111,8 @@
     Shed,
     /// No upstream of its pool is usable.
     NoUpstream,
-    /// No upstream could ever hold one of its tasks.
-    TooLarge,
+    /// No upstream that this entry has a link to could hold one of its tasks; others may.
+    NotHere,
     /// The entry is stopping.
     Stopping,
     /// Its caller has left, or cancelled it.
@@ -121,7 +130,7 @@
             Self::Overload => "overload",
             Self::Shed => "shed",
             Self::NoUpstream => "no_upstream",
-            Self::TooLarge => "too_large",
+            Self::NotHere => "not_here",
             Self::Stopping => "stopping",
             Self::Cancelled => "cancelled",
             Self::Duplicate => "duplicate",
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -22,6 +22,26 @@
 /// Run time that counts as overdue, in percent of the estimate.
 const OVERDUE_PERCENT: u64 = 250;
 
+/// Change of what is held against an upstream that is told at once, in percent.
+const BLAME_NEWS_PERCENT: u32 = 20;
+
+/// Whether a load differs from what was told so that entries may choose otherwise. What is
+/// left of runs is less with each millisecond: told for itself, it is a third of all
+/// messages and worth nothing (model, 55 entries, 240 upstreams: 80.7 to 55.4 messages a
+/// job, 99.0 and 98.9 % in time).
+#[must_use]
+pub fn is_news(told: &UpstreamLoad, now: &UpstreamLoad) -> bool {
+    let is_blamed_anew = told.slowness_percent.abs_diff(now.slowness_percent) >= BLAME_NEWS_PERCENT
+        || told.failing_percent.abs_diff(now.failing_percent) >= BLAME_NEWS_PERCENT;
+    let rest = |load: &UpstreamLoad| UpstreamLoad {
+        running_milli_ms: 0,
+        slowness_percent: 0,
+        failing_percent: 0,
+        ..*load
+    };
+    is_blamed_anew || rest(told) != rest(now)
+}
+
 impl Ledger {
     pub(super) fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
         let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -15,8 +15,11 @@
 mod renewal;
 mod types;
 
-pub use types::{
-    Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+pub use {
+    load::is_news,
+    types::{
+        Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+    },
 };
 
 use {
@@ -265,6 +268,13 @@
         mine.map(|run| (run.task, run.number)).collect()
     }
 
+    /// Whether an entry has no run here, and no report that it has not confirmed.
+    #[must_use]
+    pub fn has_nothing_of(&self, owner: Incarnation) -> bool {
+        let has_run = self.runs.values().any(|run| run.owner == owner);
+        !has_run && self.owners.is_confirmed(owner)
+    }
+
     /// Takes tasks of a job. What is not taken is reported as not started.
     pub fn place(&mut self, owner: Incarnation, placement: Placement, now_ms: u64) {
         let spec: Arc<str> = placement.spec.into();
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -61,6 +61,10 @@
         }
     }
 
+    pub(super) fn is_confirmed(&self, owner: Incarnation) -> bool {
+        self.owners.get(&owner).is_none_or(|owner| owner.unconfirmed.is_empty())
+    }
+
     pub(super) fn all_confirmed(&self) -> bool {
         self.owners.values().all(|owner| owner.unconfirmed.is_empty())
     }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -82,7 +82,7 @@
 impl Site {
     /// An entry at 100 ms with agents whose upstreams have so much taken.
     fn new(taken_milli: &[u32]) -> (Self, Vec<AgentKey>) {
-        let dispatch = Dispatch::new(DispatchLimits::default());
+        let dispatch = Dispatch::new(DispatchLimits::default(), Incarnation(1));
         let mut site = Self { dispatch, now_ms: 100, reports: 0 };
         let agents = taken_milli
             .iter()
--- /dev/null
+++ b/crates/decide/tests/ledger_load.rs
@@ -0,0 +1,33 @@
+//! Which changes of an upstream's load are told for themselves.
+
+use {
+    sycamorerail_decide::ledger::is_news,
+    sycamorerail_wire::runs::{Room, UpstreamLoad},
+};
+
+fn load() -> UpstreamLoad {
+    UpstreamLoad {
+        usable: true,
+        taken: Room { cpu_milli: 4_000, ..Room::default() },
+        running_milli_ms: 400_000,
+        slowness_percent: 100,
+        ..UpstreamLoad::default()
+    }
+}
+
+#[test]
+fn time_that_passes_is_no_news() {
+    assert!(!is_news(&load(), &UpstreamLoad { running_milli_ms: 396_000, ..load() }));
+    assert!(!is_news(&load(), &UpstreamLoad { slowness_percent: 110, ..load() }));
+}
+
+#[test]
+fn room_queues_and_trouble_are_news() {
+    let taken = Room { cpu_milli: 5_000, ..Room::default() };
+    assert!(is_news(&load(), &UpstreamLoad { taken, ..load() }));
+    assert!(is_news(&load(), &UpstreamLoad { waiting: 1, ..load() }));
+    assert!(is_news(&load(), &UpstreamLoad { waiting_milli_ms: [0, 1, 0, 0], ..load() }));
+    assert!(is_news(&load(), &UpstreamLoad { usable: false, ..load() }));
+    assert!(is_news(&load(), &UpstreamLoad { slowness_percent: 130, ..load() }));
+    assert!(is_news(&load(), &UpstreamLoad { failing_percent: 25, ..load() }));
+}
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -4,7 +4,7 @@
 use {
     std::sync::Arc,
     sycamorerail_decide::dispatch::{
-        AgentKey, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobRequest, KindParameters,
+        AgentKey, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest, KindParameters,
         StepRequest,
     },
     sycamorerail_wire::{
@@ -25,7 +25,7 @@
 impl Site {
     /// An entry whose only agent connected long ago, its upstream full.
     fn new() -> Self {
-        let mut dispatch = Dispatch::new(DispatchLimits::default());
+        let mut dispatch = Dispatch::new(DispatchLimits::default(), Incarnation(1));
         let agent = dispatch.agent_connected("agent", Incarnation(1), None, 0);
         dispatch.agent_ready(agent, 0);
         dispatch.set_life(
@@ -59,6 +59,18 @@
 
     /// Hands a job in; whether it was turned away for others.
     fn is_shed(&mut self, priority: u8, tasks: u16, run_ms: u32, stretch: f64) -> bool {
+        let submitted = self.submit(priority, tasks, 1_000, run_ms, stretch);
+        matches!(submitted, Err(JobAnswer::NotRun { why: GiveUp::Shed, .. }))
+    }
+
+    fn submit(
+        &mut self,
+        priority: u8,
+        tasks: u16,
+        cpu_milli: u32,
+        run_ms: u32,
+        stretch: f64,
+    ) -> Result<JobKey, JobAnswer> {
         self.jobs += 1;
         let kind = KindParameters {
             name: format!("kind-{priority}-{tasks}"),
@@ -70,7 +82,7 @@
         };
         let step = StepRequest {
             count: tasks,
-            need: Room { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 },
+            need: Room { cpu_milli, memory_mb: 1, accelerators: 0 },
             run_ms,
             ..StepRequest::default()
         };
@@ -84,7 +96,7 @@
         };
         let submitted = self.dispatch.submit(request, self.now_ms);
         self.dispatch.take_commands();
-        matches!(submitted, Err(JobAnswer::NotRun { why: GiveUp::Shed, .. }))
+        submitted
     }
 
     /// Jobs of an urgent kind that are refused, as no wait fits into their time.
@@ -151,3 +163,15 @@
     site.urgent_jobs_suffer();
     assert_eq!(site.shed_of_ten(1, 1), 0);
 }
+
+/// Jobs that no upstream could ever hold say nothing about load: nobody is turned away
+/// for them.
+#[test]
+fn jobs_that_can_never_run_turn_nobody_away() {
+    let mut site = Site::new();
+    for _ in 0..20 {
+        let answer = site.submit(0, 1, CAPACITY.cpu_milli + 1, 50, 1.0);
+        assert_eq!(answer, Err(JobAnswer::Failed));
+    }
+    assert_eq!(site.shed_of_ten(1, 1), 0);
+}
--- /dev/null
+++ b/crates/entry/src/runs/cluster.rs
@@ -0,0 +1,43 @@
+//! Which entries there are, as the roster and the agents tell.
+
+use {
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+    },
+    sycamorerail_decide::dispatch::AgentKey,
+};
+
+/// Entries known, by who told.
+#[derive(Debug, Default)]
+pub(super) struct Cluster {
+    /// Those of the roster.
+    pub(super) roster: Vec<SocketAddr>,
+    /// Those that each agent linked here knows.
+    pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
+}
+
+/// Entries that an agent knows.
+#[derive(Debug)]
+pub(super) struct AgentsEntries {
+    /// It is connected to them.
+    pub(super) connected: Vec<SocketAddr>,
+    /// Its entries told it of them.
+    pub(super) named: Vec<SocketAddr>,
+}
+
+impl Cluster {
+    /// Entries that are surely there, to tell agents of. What agents were told is not
+    /// among them: entries that are gone would be named for ever.
+    pub(super) fn members(&self) -> Vec<SocketAddr> {
+        let connected = self.by_agent.values().flat_map(|entries| &entries.connected);
+        let members: BTreeSet<_> = self.roster.iter().chain(connected).copied().collect();
+        members.into_iter().collect()
+    }
+
+    /// All that may be there.
+    pub(super) fn all(&self) -> BTreeSet<SocketAddr> {
+        let named = self.by_agent.values().flat_map(|entries| &entries.named).copied();
+        self.members().into_iter().chain(named).collect()
+    }
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -13,7 +13,7 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::dispatch::AgentKey,
+    sycamorerail_decide::dispatch::{AgentKey, PoolSeen},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
@@ -166,7 +166,7 @@
         if links.get(&self.agent).is_some_and(|present| Arc::ptr_eq(present, &self.outbox)) {
             links.remove(&self.agent);
             drop(links);
-            self.service.linked.lock().remove(&self.agent);
+            self.service.forget_linked(self.agent);
             self.service.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
         }
         event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
@@ -214,8 +214,16 @@
                 );
                 self.service.change(|dispatch, _| dispatch.set_life(self.agent, life));
             }
-            FromRunsAgent::Entries(entries) => {
-                self.service.linked.lock().insert(self.agent, entries);
+            FromRunsAgent::Entries { connected, named } => {
+                self.service.set_linked(self.agent, connected, named);
+            }
+            FromRunsAgent::Largest(room) => {
+                self.service.change(|dispatch, _| dispatch.set_largest(self.agent, room));
+            }
+            FromRunsAgent::Unlink => {
+                event!(Info, "agent_unlinks", agent = self.name);
+                self.service.change(|dispatch, _| dispatch.agent_unlinks(self.agent));
+                self.tell(ToRunsAgent::Unlinked);
             }
             FromRunsAgent::Configuration(copy) => {
                 event!(
@@ -235,6 +243,7 @@
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
         let mut members = self.service.members.subscribe();
         members.mark_changed();
+        // Members are told with heartbeats: as everything starts each entry is new.
         let mut beats = tokio::time::interval(BEAT);
         let mut wait_beats = 0;
         loop {
@@ -243,10 +252,12 @@
             }
             tokio::select! {
                 () = self.outbox.filled.notified() => {}
-                _ = beats.tick() => self.beat(&mut wait_beats),
-                _ = members.changed() => {
-                    let known = members.borrow_and_update().clone();
-                    self.tell(ToRunsAgent::Members(known));
+                _ = beats.tick() => {
+                    if members.has_changed().unwrap_or(false) {
+                        let known = members.borrow_and_update().clone();
+                        self.tell(ToRunsAgent::Members(known));
+                    }
+                    self.beat(&mut wait_beats);
                 }
             }
         }
@@ -277,7 +288,8 @@
     fn beat(&self, wait_beats: &mut u32) {
         let heard = self.heard.load(Ordering::Acquire);
         let confirmed = self.confirmed.load(Ordering::Acquire);
-        self.tell(ToRunsAgent::Beat { heard, confirmed });
+        let PoolSeen { agents, largest } = self.service.dispatch.lock().pool_of(self.agent);
+        self.tell(ToRunsAgent::Beat { heard, confirmed, agents, largest });
         let held = self.service.configuration.borrow().clone();
         let own = held.as_ref().map_or(0, |held| held.revision);
         let theirs = self.agent_revision.load(Ordering::Acquire);
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -4,6 +4,7 @@
 //! [`links`] serves the agents' connections, [`query`] asks other entries about
 //! jobs that are not here.
 
+mod cluster;
 mod links;
 mod query;
 
@@ -11,6 +12,7 @@
 
 use {
     crate::clock::Clock,
+    cluster::{AgentsEntries, Cluster},
     parking_lot::Mutex,
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
@@ -55,10 +57,10 @@
     links: links::Links,
     /// The newest configuration held, to pass on.
     pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
-    /// Inner addresses of all entries known, this one among them.
+    cluster: Mutex<Cluster>,
+    /// Inner addresses of entries that are surely there, for agents: those of the roster
+    /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
-    /// Inner addresses of the entries that each agent is connected to.
-    linked: Mutex<HashMap<AgentKey, Vec<SocketAddr>>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
 }
 
@@ -67,15 +69,16 @@
     /// runtime.
     #[must_use]
     pub fn start(settings: JobServiceSettings, listener: TcpListener) -> Arc<Self> {
+        let incarnation = Incarnation(rand::rng().random());
         let service = Arc::new(Self {
-            dispatch: Mutex::new(Dispatch::new(settings.limits)),
+            dispatch: Mutex::new(Dispatch::new(settings.limits, incarnation)),
             settings,
-            incarnation: Incarnation(rand::rng().random()),
+            incarnation,
             clock: Clock::start(),
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
             members: watch::Sender::new(Vec::new()),
-            linked: Mutex::default(),
+            cluster: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
         });
         tokio::spawn(links::accept(Arc::clone(&service), listener));
@@ -134,8 +137,25 @@
         self.configuration.subscribe()
     }
 
-    /// Tells agents of all entries known.
+    /// The roster of entries has changed.
     pub fn set_members(&self, members: Vec<SocketAddr>) {
+        self.change_cluster(|cluster| cluster.roster = members);
+    }
+
+    fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<SocketAddr>) {
+        self.change_cluster(|cluster| {
+            cluster.by_agent.insert(agent, AgentsEntries { connected, named });
+        });
+    }
+
+    fn forget_linked(&self, agent: AgentKey) {
+        self.change_cluster(|cluster| drop(cluster.by_agent.remove(&agent)));
+    }
+
+    fn change_cluster(&self, change: impl FnOnce(&mut Cluster)) {
+        let mut cluster = self.cluster.lock();
+        change(&mut cluster);
+        let members = cluster.members();
         self.members.send_if_modified(|known| {
             let changed = *known != members;
             *known = members;
--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -58,11 +58,11 @@
         held
     }
 
-    /// Entries of the roster and those that agents are connected to: an entry that
-    /// has a running job has such an agent, also while the platform is out.
+    /// Entries of the roster, those that agents are connected to and those that the
+    /// agents' other entries know: an entry that has a running job has an agent, also
+    /// while the platform is out.
     fn other_entries(&self) -> BTreeSet<SocketAddr> {
-        let mut entries: BTreeSet<_> = self.members.borrow().iter().copied().collect();
-        entries.extend(self.linked.lock().values().flatten());
+        let mut entries = self.cluster.lock().all();
         entries.remove(&self.settings.own);
         entries
     }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -1,7 +1,7 @@
 //! Messages between entries and agents for runs under leases: tasks that an
 //! upstream runs only as long as its agent renews their lease.
 //!
-//! An agent dials every entry and keeps one connection to each. Messages go
+//! An agent dials entries and keeps one connection to each that it chose. Messages go
 //! both ways without waiting for replies; what must not be lost (ends of runs)
 //! is numbered and sent again on the next connection.
 
@@ -84,6 +84,16 @@
         }
     }
 
+    /// The most of each.
+    #[must_use]
+    pub fn most(&self, other: &Self) -> Self {
+        Self {
+            cpu_milli: self.cpu_milli.max(other.cpu_milli),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Both together.
     #[must_use]
     pub fn plus(&self, other: &Self) -> Self {
@@ -314,8 +324,17 @@
     },
     /// The upstream's life, when it is known or has changed.
     Upstream(UpstreamLife),
-    /// Inner addresses of all entries that the agent is connected to.
-    Entries(Vec<SocketAddr>),
+    /// Inner addresses of entries, as the agent knows them.
+    Entries {
+        /// It is connected to them now.
+        connected: Vec<SocketAddr>,
+        /// Its entries have told it of them.
+        named: Vec<SocketAddr>,
+    },
+    /// The most of each that an upstream of the agent's pool has, as its entries told.
+    Largest(Room),
+    /// The agent means to end this connection: nothing more is to be placed over it.
+    Unlink,
     /// The agent holds this configuration, which the entry lacks.
     Configuration(ConfigurationCopy),
     /// Highest revision of a configuration that the agent holds.
@@ -357,7 +376,14 @@
         heard: u64,
         /// All reports up to this number are taken note of.
         confirmed: u64,
+        /// Agents of the agent's pool that the entry has.
+        agents: u32,
+        /// The most of each that an upstream of that pool has, as the entry knows.
+        largest: Room,
     },
+    /// The answer to [`FromRunsAgent::Unlink`]: no placement follows. The agent ends the
+    /// connection once nothing of the entry is left.
+    Unlinked,
     /// A newer configuration than the agent holds.
     Configuration(ConfigurationCopy),
     /// The entry holds an older configuration than the agent: send it.
