--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -39,7 +39,7 @@
         if self.look(query) {
             return Held::Yes;
         }
-        let others = self.other_entries().into_iter();
+        let others = self.known_entries().into_iter();
         let mut asked: FuturesUnordered<_> =
             others.map(|entry| async move { (entry, ask(entry, query).await) }).collect();
         let mut held = Held::No;
@@ -58,10 +58,11 @@
         held
     }
 
-    /// Entries of the roster, those that agents are connected to and those that the
+    /// Other entries: those of the roster, those that agents are connected to and those that the
     /// agents' other entries know: an entry that has a running job has an agent, also
     /// while the platform is out.
-    fn other_entries(&self) -> BTreeSet<SocketAddr> {
+    #[must_use]
+    pub fn known_entries(&self) -> BTreeSet<SocketAddr> {
         let mut entries = self.cluster.lock().all();
         entries.remove(&self.settings.own);
         entries
