An agent tells entries of other entries also while its load changes all the time

Cause: what an agent knows of other entries was told with the heartbeat, and the heartbeat is put off by each load that is told: under load on every link it never came.

Ruled out: that links were not there (each entry had its agents).

Change: looked at once in the time of a heartbeat, by a time of its own.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -276,6 +276,10 @@
             messages.push(FromRunsAgent::Holds { revision });
         }
         let now = Instant::now();
+        if now >= told.cluster_at {
+            told.cluster_at = now + BEAT;
+            self.tell_cluster(told, messages);
+        }
         let is_changed = told.load.is_none_or(|told| is_news(&told, &load));
         let load_due = is_changed && now >= told.load_at;
         if reports.is_empty() && !load_due && now < told.beat_at {
@@ -283,9 +287,6 @@
             told.load_waits = is_changed;
             return;
         }
-        if now >= told.beat_at {
-            self.tell_cluster(told, messages);
-        }
         let last = reports.last().map_or(told_up_to, |report| report.number);
         self.told_up_to.store(last, Ordering::Release);
         told.load = Some(load);
@@ -296,8 +297,8 @@
         messages.push(FromRunsAgent::Report { heard, reports, load });
     }
 
-    /// Tells what the agent knows of other entries, where it has changed: with a heartbeat,
-    /// as many change at once when everything starts.
+    /// Tells what the agent knows of other entries, where it has changed. Looked at once in
+    /// the time of a heartbeat, as many change at once when everything starts.
     fn tell_cluster(&self, told: &mut Told, messages: &mut Vec<FromRunsAgent>) {
         let cluster = self.leased.links.cluster();
         if told.cluster.as_ref() == Some(&cluster) {
@@ -325,6 +326,7 @@
 struct Told {
     life: Option<UpstreamLife>,
     cluster: Option<Cluster>,
+    cluster_at: Instant,
     unlink: bool,
     revision: u64,
     load: Option<UpstreamLoad>,
@@ -339,6 +341,7 @@
         Self {
             life: None,
             cluster: None,
+            cluster_at: now,
             unlink: false,
             revision: 0,
             load: None,
