--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -65,6 +65,12 @@
 }
 
 impl LinkSettings {
+    fn check(&self) -> eyre::Result<()> {
+        ensure!(self.entries_per_agent > 0, "entries_per_agent: must be at least 1");
+        ensure!(self.agents_per_entry > 0, "agents_per_entry: must be at least 1");
+        check_range("load_pause_ms", self.load_pause_ms.into(), 0.0, 10_000.0)
+    }
+
     /// Without the pause.
     #[must_use]
     pub fn limits(&self) -> LinkLimits {
@@ -201,6 +207,7 @@
         check_range("message_ms", self.message_ms, 0.0, 1_000.0)?;
         check_range("call_ms", self.call_ms, 0.0, 1_000.0)?;
         check_range("estimate_off", self.estimate_off, 0.0, 0.9)?;
+        self.links.check().wrap_err("links")?;
         let upstreams = self.upstream_count();
         ensure!(
             (1..=MAX_UPSTREAMS).contains(&upstreams),
--- a/crates/bench/tests/policy_settings.rs
+++ b/crates/bench/tests/policy_settings.rs
@@ -52,6 +52,9 @@
         error("strength: 4", "strength: 4, count: 9"),
         error("kind: slow", "kind: tired"),
         error("name: site", "named: site"),
+        error("entries: 2", "entries: 2\nlinks: { entries_per_agent: 0 }"),
+        error("entries: 2", "entries: 2\nlinks: { agents_per_entry: 0 }"),
+        error("entries: 2", "entries: 2\nlinks: { load_pause_ms: 10001 }"),
     ];
     insta::assert_snapshot!(errors.join("\n"));
 }
