Mend: figures beside the links are those measured; names of entries gathered once

What entries name was gathered in two places alike. Behaviour as before; tests of links and of decide's links, formatter and the linter of both packages green.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -37,8 +37,8 @@
 /// Heartbeat of a link without other messages.
 const BEAT: Duration = Duration::from_millis(200);
 /// Loads without events are told this often at most on each link: a start and its end are
-/// told together where the upstream is fast (model, 55 entries, 240 upstreams: 95.6 % of
-/// the most urgent jobs in time, 93 % with 30 ms).
+/// told together where the upstream is fast (model, 55 entries, 240 upstreams: 95.7 % of
+/// the most urgent jobs in time, 91.5 % with 30 ms).
 const LOAD_PAUSE: Duration = Duration::from_millis(10);
 
 /// How a connection ended.
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -120,9 +120,8 @@
         let known = self.known.lock();
         let connected = known.entries.iter().filter(|(_, entry)| entry.connected_ms.is_some());
         let connected = connected.map(|(address, _)| *address).collect();
-        let named: BTreeSet<_> =
-            known.entries.values().flat_map(|entry| entry.names.iter().copied()).collect();
-        Cluster { connected, named: named.into_iter().collect(), largest: known.largest }
+        let named = known.named().into_iter().collect();
+        Cluster { connected, named, largest: known.largest }
     }
 
     fn change(&self, peer: SocketAddr, change: impl FnOnce(&mut KnownEntry)) {
@@ -172,10 +171,14 @@
 }
 
 impl Known {
+    /// Entries that others name.
+    fn named(&self) -> BTreeSet<SocketAddr> {
+        self.entries.values().flat_map(|entry| entry.names.iter().copied()).collect()
+    }
+
     /// Forgets entries that nobody names and that cannot be reached.
     fn forget(&mut self, seeds: &[SocketAddr], now_ms: u64) {
-        let named: BTreeSet<_> =
-            self.entries.values().flat_map(|entry| entry.names.iter().copied()).collect();
+        let named = self.named();
         self.entries.retain(|address, entry| {
             let is_old = now_ms >= entry.named_ms + FORGET_AFTER_MS;
             let is_lost = entry.connected_ms.is_none() && !named.contains(address);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -230,7 +230,8 @@
 }
 
 /// The candidate that ends a task first; among equals one of those with most room, the
-/// first in the entry's own order. An agent that gave the task back is taken only if there is no other.
+/// first in the entry's own order. An agent that gave the task back is taken only if there
+/// is no other.
 fn best_of(
     candidates: &[(&AgentView, Planned)],
     job: &Job,
--- a/crates/decide/src/links.rs
+++ b/crates/decide/src/links.rs
@@ -36,8 +36,9 @@
             // With a third of all entries lost at once one agent in 240 has none left, until
             // it has dialled others.
             entries_per_agent: 5,
-            // With 16 an entry refuses jobs while others' upstreams are free, with 43 agents
-            // tell twice as much for nothing (model, 55 entries, 240 upstreams).
+            // Model, 55 entries, 240 upstreams: 18 have 98.8 % of all jobs in time, 24 have
+            // 98.9 %, and 32 have less than 24 (98.0 and 98.3 % with loads each 20 ms) for
+            // more messages.
             agents_per_entry: 24,
         }
     }
