Evacuated data centres get nothing more: nothing is placed, and nothing that waits starts

Cause: nothing read the operators' word on a data centre.

Ruled out: agents that watch the store themselves. A watch for each of 1,100 agents is 220 reads a second, and an agent without the store would know nothing; entries know at once, and each agent has several of them.

Change: a list of evacuated data centres with the store's revision as of which it is true. An entry counts the upstreams there as unusable from the word on; an agent hands back what waits and starts nothing; what runs goes on. Where all upstreams of a pool are evacuated a job is refused at once, with when to come back, and the entry stays ready.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -18,8 +18,8 @@
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
-            FromRunsAgent, Room, RunReport, RunsHello, RunsOpening, ToRunsAgent, UpstreamLife,
-            UpstreamLoad,
+            Evacuations, FromRunsAgent, Room, RunReport, RunsHello, RunsOpening, ToRunsAgent,
+            UpstreamLife, UpstreamLoad,
         },
     },
     tokio::{
@@ -73,6 +73,8 @@
     heard: AtomicU64,
     /// Highest revision of the configuration that the entry is known to hold.
     entry_revision: AtomicU64,
+    /// Evacuations that the entry is known to hold.
+    entry_evacuations: Mutex<Evacuations>,
     /// Reports up to this number were sent on this connection.
     told_up_to: AtomicU64,
     /// Wakes the writer for what the entry asked.
@@ -117,6 +119,7 @@
             echo: Mutex::new(echo),
             heard: AtomicU64::new(1),
             entry_revision: AtomicU64::new(0),
+            entry_evacuations: Mutex::default(),
             told_up_to,
             asked: watch::Sender::new(0),
             kept,
@@ -206,6 +209,10 @@
                     *held = Some(copy);
                 }
             }
+            ToRunsAgent::Evacuations(told) => {
+                self.entry_evacuations.lock().clone_from(&told);
+                leased.hold_evacuations(&told);
+            }
             ToRunsAgent::WantConfiguration => self.asked.send_modify(|asked| *asked += 1),
         }
     }
@@ -275,6 +282,13 @@
             told.revision = revision;
             messages.push(FromRunsAgent::Holds { revision });
         }
+        let held = leased.evacuations.lock();
+        let mut entry_holds = self.entry_evacuations.lock();
+        if held.is_news_to(&entry_holds) {
+            entry_holds.clone_from(&held);
+            messages.push(FromRunsAgent::Evacuations(held.clone()));
+        }
+        drop((held, entry_holds));
         let now = Instant::now();
         if now >= told.cluster_at {
             told.cluster_at = now + BEAT;
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -28,7 +28,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{ConfigurationCopy, RunEvent, TaskKey, UpstreamLife},
+        runs::{ConfigurationCopy, Evacuations, RunEvent, TaskKey, UpstreamLife},
     },
     tokio::sync::{Notify, watch},
 };
@@ -65,6 +65,8 @@
     pub(crate) ledger: Mutex<Ledger>,
     links: links::Links,
     pub(crate) configuration: Mutex<Option<ConfigurationCopy>>,
+    /// Evacuated data centres in force, to pass on.
+    pub(crate) evacuations: Mutex<Evacuations>,
     /// Counts changes that links may have to tell of.
     pub(crate) changes: watch::Sender<u64>,
     /// The upstream's life has changed.
@@ -88,6 +90,7 @@
             clock: Clock::start(),
             port,
             configuration: Mutex::new(None),
+            evacuations: Mutex::default(),
             changes: watch::Sender::new(0),
             life_changed: Notify::new(),
             lives: watch::Sender::new(None),
@@ -180,6 +183,23 @@
         self.act();
     }
 
+    /// Puts evacuations into force that an entry told, unless those held were true later.
+    pub(crate) fn hold_evacuations(self: &Arc<Self>, told: &Evacuations) {
+        if !self.evacuations.lock().update(told) {
+            return;
+        }
+        let is_evacuated = told.contains(&self.settings.data_centre);
+        let changed = self.change(|ledger, _| ledger.set_evacuated(is_evacuated));
+        event!(
+            Info,
+            "evacuations_in_force",
+            revision = told.revision,
+            data_centres = told.data_centres.join(","),
+            own_evacuated = is_evacuated,
+            own_changed = changed,
+        );
+    }
+
     /// Begins a planned stop: nothing more is started.
     pub fn drain(self: &Arc<Self>) {
         self.change(|ledger, _| ledger.drain());
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -38,6 +38,10 @@
     pub key: AgentKey,
     /// Its name, the same over restarts.
     pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// That data centre is evacuated: nothing more is placed there.
+    pub is_evacuated: bool,
     /// Its place in this entry's own order of agents; lower goes first.
     pub rank: u64,
     /// Its present run.
@@ -76,6 +80,8 @@
         Self {
             key,
             name,
+            data_centre: String::new(),
+            is_evacuated: false,
             rank,
             incarnation,
             connected: true,
@@ -114,9 +120,16 @@
     /// Whether it takes work: connected, heard and hearing, upstream usable.
     #[must_use]
     pub fn is_usable(&self, now_ms: u64, suspect_ms: u64) -> bool {
-        let fresh =
-            now_ms < self.heard_ms + suspect_ms && now_ms < self.echo.confirmed_ms() + suspect_ms;
-        self.is_linked() && fresh && self.load.usable && self.life.is_some()
+        self.is_serving()
+            && self.load.usable
+            && now_ms < self.heard_ms + suspect_ms
+            && now_ms < self.echo.confirmed_ms() + suspect_ms
+    }
+
+    /// Whether it has a connection and an upstream that is not evacuated.
+    #[must_use]
+    pub fn is_serving(&self) -> bool {
+        self.is_linked() && self.life.is_some() && !self.is_evacuated
     }
 
     /// Whether it connected lately and its upstream is not usable yet.
@@ -124,7 +137,7 @@
     pub fn is_coming(&self, now_ms: u64, within_ms: u64) -> bool {
         let is_leaving = self.life.as_ref().is_some_and(|life| life.leaving);
         let is_new = now_ms < self.connected_ms + within_ms;
-        self.is_linked() && !self.load.usable && !is_leaving && is_new
+        self.is_linked() && !self.is_evacuated && !self.load.usable && !is_leaving && is_new
     }
 
     /// Takes a report's load, which shows all messages up to `heard`.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 
 mod agents;
 mod connections;
+mod evacuation;
 mod job;
 mod kinds;
 mod place;
@@ -36,7 +37,7 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, Room, RunEvent, TaskKey},
+        runs::{CallerId, Evacuations, Room, RunEvent, TaskKey},
     },
 };
 
@@ -47,6 +48,9 @@
 /// Time told where only upstreams of other entries could hold a job: its caller's next
 /// try reaches another one.
 const NOT_HERE_RETRY_MS: u32 = 100;
+/// Time told where all data centres with upstreams for a job are evacuated: a data centre
+/// is evacuated for seconds at least, and one that is taken back serves at once.
+const EVACUATED_RETRY_MS: u32 = 2_000;
 /// Time told where a job is turned away for others: twice the half-life of what is known
 /// of them.
 const SHED_RETRY_MS: u32 = 1_000;
@@ -72,6 +76,7 @@
     kinds: HashMap<String, KindRecord>,
     /// The most of each that an upstream has, by pool.
     largest: HashMap<String, Room>,
+    evacuations: Evacuations,
     commands: Vec<Command>,
     /// This run of the entry, for an order of agents of its own.
     entry: Incarnation,
@@ -93,6 +98,7 @@
             unplaced: BTreeSet::new(),
             kinds: HashMap::new(),
             largest: HashMap::new(),
+            evacuations: Evacuations::default(),
             commands: Vec::new(),
             is_stopping: false,
             last_forecast: Forecast::default(),
@@ -254,10 +260,14 @@
             return;
         }
         if let Some(Ending::GivenUp(why)) = job.ending {
+            let retry_after_ms = match why {
+                GiveUp::Evacuated => EVACUATED_RETRY_MS,
+                _ => RETRY_MS.0 as u32,
+            };
             let answer = if job.may_have_run {
                 JobAnswer::Unknown { why }
             } else {
-                JobAnswer::NotRun { why, retry_after_ms: RETRY_MS.0 as u32 }
+                JobAnswer::NotRun { why, retry_after_ms }
             };
             self.commands.push(Command::Answer(key, answer));
         }
@@ -275,6 +285,7 @@
     /// and declares lost what silent agents had.
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent(now_ms);
+        self.end_evacuated();
         self.place_waiting(now_ms);
         self.finish_begun(now_ms);
         // Looked at once: jobs times agents would be too many.
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -2,9 +2,9 @@
 
 use {
     super::{
-        AgentKey, AgentView, Asked, Command, Dispatch, Expected, Forecast, GiveUp, Job, JobAnswer,
-        JobKey, NOT_HERE_RETRY_MS, Planned, RETRY_MS, SAME_END_MS, SAME_ROOM_TASKS, StepRequest,
-        job::TaskState, kinds::KindRecord,
+        AgentKey, AgentView, Asked, Command, Dispatch, EVACUATED_RETRY_MS, Expected, Forecast,
+        GiveUp, Job, JobAnswer, JobKey, NOT_HERE_RETRY_MS, Planned, RETRY_MS, SAME_END_MS,
+        SAME_ROOM_TASKS, StepRequest, job::TaskState, kinds::KindRecord,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{Placement, Room, TaskStart},
@@ -24,6 +24,10 @@
         if job.request.steps.iter().any(|wanted| self.never_fits(job, wanted)) {
             return Err(JobAnswer::Failed);
         }
+        if self.is_pool_evacuated(&job.request.kind.pool) {
+            let retry_after_ms = EVACUATED_RETRY_MS;
+            return Err(JobAnswer::NotRun { why: GiveUp::Evacuated, retry_after_ms });
+        }
         if job.request.steps.iter().any(|wanted| self.fits_only_elsewhere(job, wanted)) {
             let retry_after_ms = NOT_HERE_RETRY_MS;
             return Err(JobAnswer::NotRun { why: GiveUp::NotHere, retry_after_ms });
@@ -71,7 +75,7 @@
     /// Whether there are links to upstreams of the pool, but to none that could hold it.
     fn fits_only_elsewhere(&self, job: &Job, step: &StepRequest) -> bool {
         let pool = &*job.request.kind.pool;
-        let linked = || self.agents.values().filter(|agent| agent.is_linked());
+        let linked = || self.agents.values().filter(|agent| agent.is_serving());
         let label = step.required_label.as_deref();
         linked().any(|agent| agent.suits(pool, &Room::default(), None))
             && !linked().any(|agent| agent.suits(pool, &step.need, label))
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -111,6 +111,8 @@
     Shed,
     /// No upstream of its pool is usable.
     NoUpstream,
+    /// All upstreams of its pool are in data centres that are evacuated.
+    Evacuated,
     /// No upstream that this entry has a link to could hold one of its tasks; others may.
     NotHere,
     /// The entry is stopping.
@@ -130,6 +132,7 @@
             Self::Overload => "overload",
             Self::Shed => "shed",
             Self::NoUpstream => "no_upstream",
+            Self::Evacuated => "evacuated",
             Self::NotHere => "not_here",
             Self::Stopping => "stopping",
             Self::Cancelled => "cancelled",
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -77,7 +77,7 @@
             waiting_milli_ms[class] += u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
         }
         UpstreamLoad {
-            usable: self.clean && self.is_trusted(now_ms) && !self.is_leaving() && !self.draining,
+            usable: self.takes_runs(now_ms),
             capacity: self.offered(),
             taken: self.taken,
             waiting_milli_ms,
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -111,6 +111,8 @@
     limits: LedgerLimits,
     life: Option<UpstreamLife>,
     draining: bool,
+    /// The upstream's data centre is evacuated: nothing is started there.
+    is_evacuated: bool,
     /// Nothing of an earlier run of the agent is left on the upstream.
     clean: bool,
     /// The upstream's clock, and when it was told.
@@ -141,6 +143,7 @@
             limits,
             life: None,
             draining: false,
+            is_evacuated: false,
             clean: false,
             clock: None,
             renewed_ms: None,
@@ -218,6 +221,17 @@
         self.drop_waiting(NotStarted::Leaving);
     }
 
+    /// Takes note of whether the upstream's data centre is evacuated. What waits is handed
+    /// back, what runs goes on. Returns whether that has changed.
+    pub fn set_evacuated(&mut self, is_evacuated: bool) -> bool {
+        let changed = self.is_evacuated != is_evacuated;
+        self.is_evacuated = is_evacuated;
+        if is_evacuated {
+            self.drop_waiting(NotStarted::Evacuated);
+        }
+        changed
+    }
+
     /// Whether nothing runs and every report was confirmed.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -316,6 +330,7 @@
         let refusal = match &self.life {
             None => Some(NotStarted::NoUpstream),
             Some(_) if self.is_leaving() || self.draining => Some(NotStarted::Leaving),
+            Some(_) if self.is_evacuated => Some(NotStarted::Evacuated),
             Some(life) if !life.capacity.fits(&run.need) => Some(NotStarted::NoRoom),
             Some(_) => None,
         };
@@ -407,11 +422,16 @@
     /// Nothing is believed of the upstream unless it answered a renewal lately:
     /// after a pause of this process its runs may have lapsed.
     fn may_start(&self, now_ms: u64) -> bool {
+        self.takes_runs(now_ms) && self.ordered < self.limits.max_ordered
+    }
+
+    /// Whether runs may be started on the upstream, as soon as there is room.
+    fn takes_runs(&self, now_ms: u64) -> bool {
         self.clean
             && self.is_trusted(now_ms)
             && !self.is_leaving()
             && !self.draining
-            && self.ordered < self.limits.max_ordered
+            && !self.is_evacuated
     }
 
     /// Whether the upstream answered a renewal lately.
--- /dev/null
+++ b/crates/decide/tests/evacuation.rs
@@ -0,0 +1,275 @@
+//! Evacuated data centres: nothing is placed or started there, what runs goes on, and
+//! admission counts without their room.
+
+use {
+    std::sync::Arc,
+    sycamorerail_decide::{
+        dispatch::{
+            AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
+            KindParameters, StepRequest,
+        },
+        ledger::{EndKind, Ended, LeaseAnswer, Ledger, LedgerLimits, StartAnswer},
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{
+            CallerId, Evacuations, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey,
+            TaskStart, UpstreamLife, UpstreamLoad,
+        },
+    },
+};
+
+const ENTRY: Incarnation = Incarnation(7);
+const CAPACITY: Room = Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
+const NEED: Room = Room { cpu_milli: 4_000, memory_mb: 10, accelerators: 0 };
+const RUN_MS: u32 = 100;
+
+fn evacuations(revision: u64, data_centres: &[&str]) -> Evacuations {
+    let data_centres = data_centres.iter().map(|&name| name.to_owned()).collect();
+    Evacuations { revision, data_centres }
+}
+
+fn life() -> UpstreamLife {
+    UpstreamLife {
+        id: "life".to_owned(),
+        pool: "desk".to_owned(),
+        capacity: CAPACITY,
+        labels: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn job(id: u64, count: u16, now_ms: u64) -> JobRequest {
+    let kind = KindParameters {
+        name: "reach-check".to_owned(),
+        pool: "desk".to_owned(),
+        priority: 0,
+        max_attempts: 2,
+        stretch: 1.6,
+        target_ms: 60,
+    };
+    let step = StepRequest { count, need: NEED, run_ms: RUN_MS, ..StepRequest::default() };
+    JobRequest {
+        id: CallerId(id),
+        kind: Arc::new(kind),
+        spec: "spec".to_owned(),
+        steps: vec![step],
+        arrived_ms: now_ms,
+        deadline_ms: now_ms + 1_500,
+    }
+}
+
+/// An entry at 100 ms with an idle agent in each of these data centres.
+fn site(data_centres: &[&str]) -> (Dispatch, Vec<AgentKey>) {
+    let mut dispatch = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let agents = data_centres.iter().enumerate().map(|(number, data_centre)| {
+        let name = format!("agent-{number}");
+        let agent = dispatch.agent_connected(&name, Incarnation(1), None, 100);
+        dispatch.set_data_centre(agent, data_centre);
+        dispatch.agent_ready(agent, 100);
+        dispatch.set_life(agent, life());
+        report(&mut dispatch, agent, &[], 100);
+        agent
+    });
+    let agents = agents.collect();
+    (dispatch, agents)
+}
+
+fn report(dispatch: &mut Dispatch, agent: AgentKey, reports: &[RunReport], now_ms: u64) {
+    let load = UpstreamLoad {
+        usable: true,
+        capacity: CAPACITY,
+        slowness_percent: 100,
+        ..UpstreamLoad::default()
+    };
+    dispatch.report(agent, reports, load, u64::MAX, now_ms);
+}
+
+fn hand_back(dispatch: &mut Dispatch, agent: AgentKey, placement: &Placement, now_ms: u64) {
+    let event = RunEvent::NotStarted(NotStarted::Evacuated);
+    let reports: Vec<_> = placement
+        .tasks
+        .iter()
+        .map(|start| {
+            let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
+            RunReport { number: u64::from(start.index) + 1, task, run: start.run, event }
+        })
+        .collect();
+    report(dispatch, agent, &reports, now_ms);
+}
+
+fn placements(dispatch: &mut Dispatch) -> Vec<(AgentKey, Placement)> {
+    let placed = dispatch.take_commands().into_iter().filter_map(|command| match command {
+        Command::Place(agent, placement) => Some((agent, placement)),
+        _ => None,
+    });
+    placed.collect()
+}
+
+fn answer(dispatch: &mut Dispatch, job: JobKey) -> Option<JobAnswer> {
+    dispatch.take_commands().into_iter().find_map(|command| match command {
+        Command::Answer(key, answer) if key == job => Some(answer),
+        _ => None,
+    })
+}
+
+#[test]
+fn nothing_is_placed_in_an_evacuated_data_centre() {
+    let (mut dispatch, agents) = site(&["north", "south"]);
+    dispatch.set_evacuations(evacuations(5, &["north"]), 100);
+    dispatch.submit(job(1, 2, 100), 100).unwrap();
+    let placed = placements(&mut dispatch);
+    assert!(placed.iter().all(|(agent, _)| *agent == agents[1]), "{placed:?}");
+    dispatch.set_evacuations(evacuations(6, &[]), 200);
+    report(&mut dispatch, agents[0], &[], 200);
+    report(&mut dispatch, agents[1], &[], 200);
+    dispatch.submit(job(2, 4, 200), 200).unwrap();
+    assert_eq!(placements(&mut dispatch).len(), 2, "taken back, both serve");
+}
+
+#[test]
+fn an_agent_that_comes_later_is_evacuated_too() {
+    let (mut dispatch, agents) = site(&["north"]);
+    dispatch.set_evacuations(evacuations(5, &["south"]), 100);
+    let late = dispatch.agent_connected("late", Incarnation(1), None, 100);
+    dispatch.set_data_centre(late, "south");
+    dispatch.agent_ready(late, 100);
+    dispatch.set_life(late, life());
+    report(&mut dispatch, late, &[], 100);
+    dispatch.submit(job(1, 2, 100), 100).unwrap();
+    let placed = placements(&mut dispatch);
+    assert!(placed.iter().all(|(agent, _)| *agent == agents[0]), "{placed:?}");
+}
+
+#[test]
+fn what_an_agent_hands_back_is_placed_elsewhere_at_once() {
+    let (mut dispatch, agents) = site(&["north", "south"]);
+    dispatch.submit(job(1, 4, 100), 100).unwrap();
+    let placed = placements(&mut dispatch);
+    let (_, north) = placed.iter().find(|(agent, _)| *agent == agents[0]).unwrap();
+    dispatch.set_evacuations(evacuations(5, &["north"]), 110);
+    hand_back(&mut dispatch, agents[0], north, 111);
+    let again = placements(&mut dispatch);
+    assert!(again.iter().all(|(agent, _)| *agent == agents[1]), "{again:?}");
+    let placed_again: usize = again.iter().map(|(_, placement)| placement.tasks.len()).sum();
+    assert_eq!(placed_again, north.tasks.len());
+}
+
+#[test]
+fn admission_counts_without_the_room_before_queues_show_it() {
+    // Four agents hold eight tasks at once; with one of them a third round is too late.
+    let data_centres = ["north", "south", "south", "south"];
+    let (mut dispatch, _) = site(&data_centres);
+    assert!(dispatch.submit(job(1, 8, 100), 100).is_ok());
+    let (mut dispatch, _) = site(&data_centres);
+    dispatch.set_evacuations(evacuations(5, &["south"]), 100);
+    let refused = dispatch.submit(job(1, 8, 100), 100).unwrap_err();
+    assert!(
+        matches!(refused, JobAnswer::NotRun { why: GiveUp::Overload, .. }),
+        "refused at once: {refused:?}"
+    );
+}
+
+#[test]
+fn without_any_data_centre_a_job_is_refused_at_once_with_a_time_to_come_back() {
+    let (mut dispatch, _) = site(&["north", "south"]);
+    dispatch.set_evacuations(evacuations(5, &["north", "south"]), 100);
+    let refused = dispatch.submit(job(1, 1, 100), 100).unwrap_err();
+    let JobAnswer::NotRun { why: GiveUp::Evacuated, retry_after_ms } = refused else {
+        panic!("{refused:?}")
+    };
+    assert!(retry_after_ms >= 1_000);
+    assert!(dispatch.is_all_evacuated());
+}
+
+#[test]
+fn a_job_that_was_handed_back_by_all_is_answered_at_once() {
+    let (mut dispatch, agents) = site(&["north"]);
+    let key = dispatch.submit(job(1, 2, 100), 100).unwrap();
+    let placed = placements(&mut dispatch);
+    dispatch.set_evacuations(evacuations(5, &["north"]), 110);
+    hand_back(&mut dispatch, agents[0], &placed[0].1, 111);
+    dispatch.tick(120);
+    let answer = answer(&mut dispatch, key);
+    assert!(matches!(answer, Some(JobAnswer::NotRun { why: GiveUp::Evacuated, .. })), "{answer:?}");
+}
+
+#[test]
+fn a_list_that_was_true_earlier_is_not_taken() {
+    let mut held = evacuations(7, &["north"]);
+    assert!(!held.update(&evacuations(6, &[])));
+    assert!(!held.update(&evacuations(9, &["north"])), "it says the same");
+    assert!(!held.update(&evacuations(8, &[])), "the same was true later");
+    assert!(held.update(&evacuations(10, &[])));
+    assert_eq!(held, evacuations(10, &[]));
+}
+
+/// A ledger whose upstream runs task 0 of a job of four, of which two have room.
+fn busy_ledger() -> Ledger {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(life());
+    ledger.owner_heard(ENTRY, 1);
+    renew(&mut ledger, 1, &[], &[]);
+    ledger.place(ENTRY, placement(1, 4), 2);
+    let first = ledger.next_start(2).unwrap();
+    ledger.start_answered(first.task, first.run, StartAnswer::Started, 3);
+    ledger
+}
+
+fn placement(job: u64, count: u16) -> Placement {
+    Placement {
+        job: CallerId(job),
+        step: 0,
+        spec: "spec".to_owned(),
+        tasks: (0..count).map(|index| TaskStart { index, run: 1 }).collect(),
+        need: NEED,
+        run_ms: RUN_MS,
+        priority: 1,
+        objective_in_ms: 400,
+        give_up_in_ms: 2_000,
+        finishing: false,
+    }
+}
+
+fn renew(ledger: &mut Ledger, now_ms: u64, running: &[(TaskKey, u32)], ended: &[Ended]) {
+    let answer = LeaseAnswer {
+        sent_ms: now_ms,
+        clock_ms: 50_000 + now_ms,
+        running: running.to_vec(),
+        ended: ended.to_vec(),
+    };
+    ledger.renewed(&answer, now_ms);
+}
+
+fn events(ledger: &Ledger) -> Vec<(u16, RunEvent)> {
+    let reports = ledger.reports(ENTRY).into_iter();
+    reports.map(|report| (report.task.index, report.event)).collect()
+}
+
+#[test]
+fn an_evacuated_agent_hands_back_what_waits_and_lets_the_rest_run() {
+    let mut ledger = busy_ledger();
+    assert!(ledger.set_evacuated(true));
+    let back = RunEvent::NotStarted(NotStarted::Evacuated);
+    let told = events(&ledger);
+    assert_eq!(told, [(0, RunEvent::Started), (1, back), (2, back), (3, back)]);
+    assert!(ledger.stops_due(4).is_empty(), "what runs goes on");
+    let task = TaskKey { job: CallerId(1), step: 0, index: 0 };
+    let done = Ended { number: 1, task, run: 1, kind: EndKind::Done };
+    renew(&mut ledger, 103, &[], &[done]);
+    assert_eq!(events(&ledger).last(), Some(&(0, RunEvent::Done { run_ms: 100 })));
+}
+
+#[test]
+fn an_evacuated_agent_starts_nothing_until_it_is_taken_back() {
+    let mut ledger = busy_ledger();
+    ledger.set_evacuated(true);
+    ledger.place(ENTRY, placement(2, 1), 5);
+    assert!(ledger.next_start(5).is_none());
+    assert!(!ledger.load(5).usable);
+    assert_eq!(events(&ledger).last(), Some(&(0, RunEvent::NotStarted(NotStarted::Evacuated))));
+    assert!(ledger.set_evacuated(false));
+    ledger.place(ENTRY, placement(3, 1), 6);
+    assert!(ledger.load(6).usable);
+    assert_eq!(ledger.next_start(6).unwrap().task.job, CallerId(3));
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -1,7 +1,7 @@
 //! Connections of agents to this entry.
 
 use {
-    super::{JobService, query},
+    super::{JobService, evacuation::AgentsEvacuations, query},
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -116,6 +116,7 @@
     confirmed: AtomicU64,
     /// Highest revision of the configuration that the agent holds.
     agent_revision: AtomicU64,
+    agent_evacuations: AgentsEvacuations,
 }
 
 impl Link {
@@ -129,6 +130,7 @@
                 dispatch.take_reports(&hello.name, hello.agent, &hello.reports, now_ms);
             }
             let agent = dispatch.agent_connected(&hello.name, hello.agent, held, now_ms);
+            dispatch.set_data_centre(agent, &hello.data_centre);
             dispatch.agent_ready(agent, now_ms);
             // The present messages of the dispatch belong to this connection.
             let before = service.links.0.lock().insert(agent, Arc::clone(&outbox));
@@ -158,6 +160,7 @@
             heard: AtomicU64::new(1),
             confirmed: AtomicU64::new(confirmed),
             agent_revision: AtomicU64::new(hello.configuration),
+            agent_evacuations: AgentsEvacuations::default(),
         }
     }
 
@@ -234,6 +237,10 @@
                 );
                 self.service.hold_configuration(copy);
             }
+            FromRunsAgent::Evacuations(told) => {
+                self.agent_evacuations.note(&told);
+                self.service.hold_evacuations(&told);
+            }
             FromRunsAgent::Holds { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
             }
@@ -243,6 +250,7 @@
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
         let mut members = self.service.members.subscribe();
         members.mark_changed();
+        let mut evacuations = self.service.evacuations.subscribe();
         // Members are told with heartbeats: as everything starts each entry is new.
         let mut beats = tokio::time::interval(BEAT);
         let mut wait_beats = 0;
@@ -252,6 +260,7 @@
             }
             tokio::select! {
                 () = self.outbox.filled.notified() => {}
+                Ok(()) = evacuations.changed() => self.tell_evacuations(),
                 _ = beats.tick() => {
                     if members.has_changed().unwrap_or(false) {
                         let known = members.borrow_and_update().clone();
@@ -283,6 +292,14 @@
         }
     }
 
+    /// Queues the evacuations in force, if the agent lacks them.
+    fn tell_evacuations(&self) {
+        let lacking = self.agent_evacuations.lacking(&self.service.evacuations.borrow());
+        if let Some(evacuations) = lacking {
+            self.tell(ToRunsAgent::Evacuations(evacuations));
+        }
+    }
+
     /// Queues a heartbeat, and what the agent or this entry lacks of the
     /// configuration.
     fn beat(&self, wait_beats: &mut u32) {
@@ -290,6 +307,7 @@
         let confirmed = self.confirmed.load(Ordering::Acquire);
         let PoolSeen { agents, largest } = self.service.dispatch.lock().pool_of(self.agent);
         self.tell(ToRunsAgent::Beat { heard, confirmed, agents, largest });
+        self.tell_evacuations();
         let held = self.service.configuration.borrow().clone();
         let own = held.as_ref().map_or(0, |held| held.revision);
         let theirs = self.agent_revision.load(Ordering::Acquire);
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -5,6 +5,7 @@
 //! jobs that are not here.
 
 mod cluster;
+mod evacuation;
 mod links;
 mod query;
 
@@ -23,7 +24,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, ConfigurationCopy, ToRunsAgent},
+        runs::{CallerId, ConfigurationCopy, Evacuations, ToRunsAgent},
     },
     tokio::{
         net::TcpListener,
@@ -57,6 +58,8 @@
     links: links::Links,
     /// The newest configuration held, to pass on.
     pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
+    /// Evacuated data centres in force, to pass on.
+    pub(crate) evacuations: watch::Sender<Evacuations>,
     cluster: Mutex<Cluster>,
     /// Inner addresses of entries that are surely there, for agents: those of the roster
     /// and those that agents are connected to.
@@ -77,6 +80,7 @@
             clock: Clock::start(),
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
+            evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
@@ -104,6 +108,14 @@
         self.dispatch.lock().usable_agents(self.clock.now_ms())
     }
 
+    /// Whether a request is answered here as well as anywhere: some upstream takes work,
+    /// or all data centres are evacuated, which each entry answers alike.
+    #[must_use]
+    pub fn can_answer(&self) -> bool {
+        let dispatch = self.dispatch.lock();
+        dispatch.usable_agents(self.clock.now_ms()) > 0 || dispatch.is_all_evacuated()
+    }
+
     /// Jobs of a kind that have not begun.
     #[must_use]
     pub fn pending(&self, kind: &str) -> usize {
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -144,6 +144,8 @@
 pub enum NotStarted {
     /// The agent or its upstream is leaving.
     Leaving,
+    /// The upstream's data centre is evacuated.
+    Evacuated,
     /// It could not end before its caller gives up.
     TooLate,
     /// It was withdrawn before it started.
@@ -166,6 +168,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Evacuated => "evacuated",
             Self::TooLate => "too_late",
             Self::Withdrawn => "withdrawn",
             Self::NoUpstream => "no_upstream",
@@ -249,6 +252,38 @@
     pub value: String,
 }
 
+/// Data centres whose upstreams get no new runs, by the operators' word.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// The platform's revision as of which the list is known to be true.
+    pub revision: u64,
+    /// Names of the data centres, sorted.
+    pub data_centres: Vec<String>,
+}
+
+impl Evacuations {
+    /// Whether a data centre is evacuated.
+    #[must_use]
+    pub fn contains(&self, data_centre: &str) -> bool {
+        self.data_centres.iter().any(|evacuated| evacuated == data_centre)
+    }
+
+    /// Whether it was true later than the other list, and says something else.
+    #[must_use]
+    pub fn is_news_to(&self, other: &Self) -> bool {
+        self.revision > other.revision && self.data_centres != other.data_centres
+    }
+
+    /// Takes what was true later. Returns whether the list has changed.
+    pub fn update(&mut self, newer: &Self) -> bool {
+        let changed = newer.is_news_to(self);
+        if newer.revision > self.revision {
+            self.clone_from(newer);
+        }
+        changed
+    }
+}
+
 /// An upstream's life as an entry remembers it for an agent that restarts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamLife {
@@ -337,6 +372,8 @@
     Unlink,
     /// The agent holds this configuration, which the entry lacks.
     Configuration(ConfigurationCopy),
+    /// Evacuations as the agent knows them, which the entry lacks.
+    Evacuations(Evacuations),
     /// Highest revision of a configuration that the agent holds.
     Holds {
         /// The revision.
@@ -386,6 +423,8 @@
     Unlinked,
     /// A newer configuration than the agent holds.
     Configuration(ConfigurationCopy),
+    /// Evacuations as the entry knows them, which the agent lacks.
+    Evacuations(Evacuations),
     /// The entry holds an older configuration than the agent: send it.
     WantConfiguration,
 }
