A room that shrinks: what is larger than the whole upstream is handed back at once

Cause: a waiting task that no longer fits at all stayed in the ledger's queue until it was too late; sixteen of them kept everything behind them from being looked at. The record of a life that could not be written held the life as it was before: an agent that restarts after an outage of the store would have believed the larger room.

Ruled out: stopping what runs beyond the new room; it goes on and takes its room until its end is listed, so nothing starts beside it. Answering such a job as failed: the room may grow again, so it is refused as "not here", with when to come back.

Change: the ledger hands such tasks back when it hears of another room; the record of a life writes the newest life at each attempt.

--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -189,9 +189,22 @@
         if self.is_leaving() {
             self.drop_waiting(NotStarted::Leaving);
         }
+        self.drop_too_large();
         true
     }
 
+    /// Hands back what waits and is larger than the whole upstream, whose room may shrink
+    /// and grow as it runs: it would wait in vain, and keep others from being looked at.
+    /// What runs goes on; room comes back as it ends.
+    fn drop_too_large(&mut self) {
+        let Some(capacity) = self.life.as_ref().map(|life| life.capacity) else { return };
+        let is_too_large = |key: &RunKey| !capacity.fits(&self.runs[*key].need);
+        let keys: Vec<_> = self.waiting.iter().map(|&(_, key)| key).filter(is_too_large).collect();
+        for key in keys {
+            self.settle(key, RunEvent::NotStarted(NotStarted::NoRoom));
+        }
+    }
+
     /// The upstream's life is over: what ran on it is lost.
     pub fn lose_upstream(&mut self) {
         self.life = None;
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -444,3 +444,56 @@
     }
     assert_eq!(order, [4, 1, 3, 2]);
 }
+
+fn life_with(cpu_milli: u32) -> UpstreamLife {
+    let capacity = Room { cpu_milli, memory_mb: 1_000, accelerators: 0 };
+    UpstreamLife { capacity, ..life("a") }
+}
+
+#[test]
+fn a_room_that_shrinks_stops_nothing_and_holds_starts_back() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 3, 4_000), 2);
+    let running: Vec<_> = starts(&mut ledger, 2).iter().map(|order| (order.task, 1)).collect();
+    assert_eq!(running.len(), 2);
+    ledger.set_upstream(life_with(4_000));
+    renew(&mut ledger, 50, &running, &[]);
+    assert!(ledger.stops_due(51).is_empty());
+    renew(&mut ledger, 100, &running[1..], &[ended(1, 1, 0, EndKind::Done)]);
+    assert!(starts(&mut ledger, 101).is_empty(), "what still runs takes all there is");
+    renew(&mut ledger, 110, &[], &[ended(2, 1, 1, EndKind::Done)]);
+    assert_eq!(starts(&mut ledger, 111).len(), 1);
+}
+
+#[test]
+fn what_is_being_stopped_still_takes_room_that_has_shrunk() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 2, 4_000), 2);
+    let running: Vec<_> = starts(&mut ledger, 2).iter().map(|order| (order.task, 1)).collect();
+    renew(&mut ledger, 10, &running, &[]);
+    ledger.set_upstream(life_with(8_000));
+    ledger.stop_job(ENTRY, CallerId(1));
+    ledger.place(ENTRY, placement(2, 1, 4_000), 11);
+    assert!(starts(&mut ledger, 11).is_empty());
+    let stopped = [ended(1, 1, 0, EndKind::Stopped), ended(2, 1, 1, EndKind::Stopped)];
+    renew(&mut ledger, 60, &[], &stopped);
+    assert_eq!(starts(&mut ledger, 61).len(), 1);
+}
+
+#[test]
+fn what_no_longer_fits_is_handed_back_and_blocks_nothing() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 9_000), 2);
+    starts(&mut ledger, 2);
+    // More wide tasks than are looked at wait before the small one.
+    ledger.place(ENTRY, placement(2, 20, 6_000), 3);
+    ledger.place(ENTRY, placement(3, 1, 1_000), 4);
+    ledger.set_upstream(life_with(5_000));
+    let back = events(&ledger, ENTRY);
+    let no_room = RunEvent::NotStarted(NotStarted::NoRoom);
+    let handed_back =
+        back.iter().filter(|(task, event)| task.job == CallerId(2) && *event == no_room);
+    assert_eq!(handed_back.count(), 20);
+    renew(&mut ledger, 100, &[], &[ended(1, 1, 0, EndKind::Done)]);
+    assert_eq!(starts(&mut ledger, 101)[0].task, task(3, 0));
+}
--- a/crates/membership/src/life_record.rs
+++ b/crates/membership/src/life_record.rs
@@ -51,11 +51,18 @@
             event!(Info, "life_recalled", life = life.id, leaving = life.leaving);
             on_read(life);
         }
-        while let Ok(life) = lives.wait_for(Option::is_some).await.map(|life| life.clone()) {
-            if let Some(life) = life {
-                self.write(&life).await;
-            }
-            if lives.changed().await.is_err() {
+        loop {
+            let life = lives.borrow_and_update().clone();
+            let is_written = match life {
+                Some(life) => self.try_write(&life).await,
+                None => true,
+            };
+            // Whatever was announced meanwhile is written, and not what it replaced.
+            let changed = tokio::select! {
+                changed = lives.changed() => changed,
+                () = sleep(jittered(WRITE_PAUSE_MS)), if !is_written => Ok(()),
+            };
+            if changed.is_err() {
                 return;
             }
         }
@@ -82,15 +89,19 @@
         life.ok()
     }
 
-    /// Writes a life unless it is recorded; tries until the platform answers.
-    async fn write(&mut self, life: &UpstreamLife) {
+    /// Writes a life unless it is recorded; returns whether it is now.
+    async fn try_write(&mut self, life: &UpstreamLife) -> bool {
         let value = serde_json::to_string(life).expect("a plain struct with text keys");
-        while self.stored.as_ref().is_none_or(|(stored, _)| *stored != value) {
+        let is_stored = |stored: &Option<(String, u64)>| {
+            stored.as_ref().is_some_and(|(stored, _)| *stored == value)
+        };
+        while !is_stored(&self.stored) {
             if let Err(error) = self.swap(&value).await {
                 event!(Info, "life_not_written", key = self.key, error = error);
-                sleep(jittered(WRITE_PAUSE_MS)).await;
+                return false;
             }
         }
+        true
     }
 
     /// One attempt; where another value was found its revision is known for the next.
