Time counts the suspension of a VM; what was decided before it is not carried out after

Cause: everything decided by `Instant`, which stands still while a VM is suspended. An agent that wakes after seconds would start what entries have placed elsewhere, and an entry would place by what it knew of agents before.

Ruled out: one clock for all. The upstream's own clock may have stood still with the VM, so a lease that is counted by the time that went on is not surely over: with it the state machine finds a task that runs twice at once. The lapse counts the steady time.

An order that an agent reads from an entry it has not heard lately is not taken (`stale`); a start that was decided longer ago than it may take is not sent; links end as soon as the ledger drops their entry. The agent's and the entry's two clocks are one.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,7 +1,7 @@
 //! State shared by all threads of an agent, and what is done to it.
 
 use {
-    crate::{announced::Announced, clock::Clock, counters, tasks::Tasks},
+    crate::{announced::Announced, counters, tasks::Tasks},
     arc_swap::ArcSwapOption,
     parking_lot::Mutex,
     std::sync::{
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     std::time::Duration,
+    sycamorerail_clock::Clock,
     sycamorerail_decide::gate::{Counts, Gate, Go, Limits, Placed, Start, UpstreamState},
     sycamorerail_settings::agent::AgentSettings,
     sycamorerail_telemetry::{
--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -149,7 +149,10 @@
         }
     }
 
+    /// Waits until the entry was not heard for long. The agent may notice that first, where
+    /// its VM was suspended: timers have stood still, and what is read now is old.
     async fn fall_silent(&self) {
+        let mut dropped = self.leased.dropped_owners.subscribe();
         loop {
             let confirmed_ms = self.echo.lock().confirmed_ms();
             let silence_ms = self.leased.settings.limits.owner_silence_ms;
@@ -157,7 +160,14 @@
             if left_ms == 0 {
                 return;
             }
-            sleep(Duration::from_millis(left_ms)).await;
+            tokio::select! {
+                () = sleep(Duration::from_millis(left_ms)) => {}
+                Ok(()) = dropped.changed() => {
+                    if dropped.borrow_and_update().contains(&self.entry) {
+                        return;
+                    }
+                }
+            }
         }
     }
 
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -7,7 +7,7 @@
 
 use {
     super::Leased,
-    crate::clock::jittered,
+    crate::pause::jittered,
     link::{Cluster, Link, LinkEnd},
     parking_lot::Mutex,
     std::{
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -10,7 +10,6 @@
 pub use port::{Authority, CallError, Renewal, UpstreamPort};
 
 use {
-    crate::clock::Clock,
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -21,8 +20,9 @@
         },
         time::Duration,
     },
+    sycamorerail_clock::Clock,
     sycamorerail_decide::{
-        ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder},
+        ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder, StartRefusal},
         links::LinkLimits,
     },
     sycamorerail_telemetry::event,
@@ -73,6 +73,8 @@
     pub(crate) life_changed: Notify,
     /// The last life that was announced.
     lives: watch::Sender<Option<UpstreamLife>>,
+    /// Entries that were dropped last, as silent: links to them end.
+    pub(crate) dropped_owners: watch::Sender<Vec<Incarnation>>,
     /// A renewal is wanted at once, for what it lists.
     pub(crate) look_now: Notify,
     fence: AtomicU64,
@@ -82,18 +84,29 @@
     /// Starts the agent's tasks on the present runtime.
     #[must_use]
     pub fn start(settings: LeasedSettings, port: Box<dyn UpstreamPort>) -> Arc<Self> {
+        Self::start_with(settings, port, Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    #[must_use]
+    pub fn start_with(
+        settings: LeasedSettings,
+        port: Box<dyn UpstreamPort>,
+        clock: Clock,
+    ) -> Arc<Self> {
         let leased = Arc::new(Self {
             ledger: Mutex::new(Ledger::new(settings.limits)),
             links: links::Links::new(settings.links),
             settings,
             incarnation: Incarnation(rand::rng().random()),
-            clock: Clock::start(),
+            clock,
             port,
             configuration: Mutex::new(None),
             evacuations: Mutex::default(),
             changes: watch::Sender::new(0),
             life_changed: Notify::new(),
             lives: watch::Sender::new(None),
+            dropped_owners: watch::Sender::new(Vec::new()),
             look_now: Notify::new(),
             fence: AtomicU64::new(0),
         });
@@ -231,7 +244,7 @@
         drop(ledger);
         if let Some(authority) = authority {
             for order in starts {
-                tokio::spawn(start(Arc::clone(self), authority.clone(), order));
+                tokio::spawn(start(Arc::clone(self), authority.clone(), order, now_ms));
             }
             for (task, run) in stops {
                 tokio::spawn(stop(Arc::clone(self), authority.clone(), task, run));
@@ -254,10 +267,17 @@
     }
 }
 
-async fn start(leased: Arc<Leased>, authority: Authority, order: StartOrder) {
+/// Sends an order to start a task. One that was decided before the VM was suspended is not
+/// sent any more: the task may be elsewhere by now.
+async fn start(leased: Arc<Leased>, authority: Authority, order: StartOrder, decided_ms: u64) {
     let (task, run) = (order.task, order.run);
     let sent_ms = leased.clock.now_ms();
-    let answer = leased.port.start(authority, order).await;
+    let is_late = sent_ms > decided_ms + leased.settings.limits.start_within_ms;
+    let answer = if is_late {
+        StartAnswer::Refused(StartRefusal::Late)
+    } else {
+        leased.port.start(authority, order).await
+    };
     if answer != StartAnswer::Started {
         let took_ms = leased.clock.now_ms() - sent_ms;
         event!(
@@ -328,13 +348,18 @@
         if count.is_multiple_of(TICKS_PER_LOAD_LINE) {
             log_load(&leased);
         }
+        let suspended_ms = leased.clock.suspended_ms();
         let silent = leased.change(|ledger, now_ms| {
+            ledger.note_suspended(suspended_ms, now_ms);
             ledger.check_lapse(now_ms);
             ledger.expire(now_ms);
             ledger.drop_silent_owners(now_ms)
         });
-        for entry in silent {
-            event!(Warn, "entry_silent", entry = entry);
+        for entry in &silent {
+            event!(Warn, "entry_silent", entry = entry, suspended_ms = suspended_ms);
+        }
+        if !silent.is_empty() {
+            leased.dropped_owners.send_replace(silent);
         }
     }
 }
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -1,7 +1,7 @@
 //! Sessions with entries: dialled by the agent, kept for ever.
 
 use {
-    crate::{clock::jittered, core::Core, counters, entries::Entries, serve},
+    crate::{core::Core, counters, entries::Entries, pause::jittered, serve},
     parking_lot::Mutex,
     quinn::{Connection, Endpoint},
     serde::Serialize,
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -105,6 +105,16 @@
     told_started: bool,
 }
 
+/// Suspensions of the VM so far.
+#[derive(Clone, Copy, Debug, Default)]
+struct Suspension {
+    /// All together, in milliseconds.
+    total_ms: u64,
+    /// The last one, and when it was noticed.
+    last_ms: u64,
+    noticed_ms: u64,
+}
+
 /// The ledger of one agent.
 #[derive(Debug)]
 pub struct Ledger {
@@ -119,6 +129,9 @@
     clock: Option<(/* clock_ms */ u64, /* at_ms */ u64)>,
     /// When the last answered renewal was sent.
     renewed_ms: Option<u64>,
+    /// When the lease has surely lapsed, counting by that renewal.
+    lapsed_ms: u64,
+    suspension: Suspension,
     acknowledged: u64,
     runs: SlotMap<RunKey, Run>,
     by_task: HashMap<TaskKey, RunKey>,
@@ -147,6 +160,8 @@
             clean: false,
             clock: None,
             renewed_ms: None,
+            lapsed_ms: 0,
+            suspension: Suspension::default(),
             acknowledged: 0,
             runs: SlotMap::with_key(),
             by_task: HashMap::new(),
@@ -303,9 +318,13 @@
     }
 
     /// Takes tasks of a job. What is not taken is reported as not started.
+    ///
+    /// Nothing is taken of an entry that was not heard lately: after a pause of this VM
+    /// orders from before it are read that the entry has placed elsewhere since.
     pub fn place(&mut self, owner: Incarnation, placement: Placement, now_ms: u64) {
         let spec: Arc<str> = placement.spec.into();
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
+        let is_fresh = self.owners.is_fresh(owner, now_ms, self.limits.owner_silence_ms);
         for start in placement.tasks {
             let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
             let run = Run {
@@ -328,11 +347,11 @@
                 told_started: false,
             };
             self.arrivals += 1;
-            self.take(run);
+            self.take(run, is_fresh);
         }
     }
 
-    fn take(&mut self, run: Run) {
+    fn take(&mut self, run: Run, is_fresh: bool) {
         if let Some(&key) = self.by_task.get(&run.task) {
             let known = &self.runs[key];
             if known.owner != run.owner || known.number != run.number {
@@ -342,6 +361,7 @@
         }
         let refusal = match &self.life {
             None => Some(NotStarted::NoUpstream),
+            Some(_) if !is_fresh => Some(NotStarted::Stale),
             Some(_) if self.is_leaving() || self.draining => Some(NotStarted::Leaving),
             Some(_) if self.is_evacuated => Some(NotStarted::Evacuated),
             Some(life) if !life.capacity.fits(&run.need) => Some(NotStarted::NoRoom),
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         CLOCK_DRIFT_PERCENT, DOUBT_MS, EndKind, Ended, LeaseAnswer, Ledger, Phase, Stop,
-        load::is_overdue,
+        Suspension, load::is_overdue,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
@@ -44,6 +44,10 @@
         }
         self.clock = Some((answer.clock_ms, now_ms));
         self.renewed_ms = Some(answer.sent_ms);
+        self.lapsed_ms = answer.sent_ms + self.lapse_ms();
+        if answer.sent_ms < self.suspension.noticed_ms {
+            self.lapsed_ms += self.suspension.last_ms;
+        }
         for ended in &answer.ended {
             self.end(ended, now_ms);
         }
@@ -142,15 +146,30 @@
         self.clean = self.leftovers.is_empty();
     }
 
+    /// Takes note of how long the VM was suspended so far, since the process began.
+    ///
+    /// Entries have not heard it meanwhile, so trust and silence count that time. The
+    /// upstream's clock may have stood still with it, so the lapse of a lease does not.
+    pub fn note_suspended(&mut self, total_ms: u64, now_ms: u64) {
+        let last_ms = total_ms.saturating_sub(self.suspension.total_ms);
+        if last_ms == 0 {
+            return;
+        }
+        self.suspension = Suspension { total_ms, last_ms, noticed_ms: now_ms };
+        self.lapsed_ms += last_ms;
+    }
+
     /// Declares runs lost whose lease has surely lapsed. Their room stays taken
     /// until the upstream answers again.
     pub fn check_lapse(&mut self, now_ms: u64) {
-        let Some(renewed_ms) = self.renewed_ms else { return };
+        if self.renewed_ms.is_none() {
+            return;
+        }
         if !self.is_trusted(now_ms) {
             // Others may start it meanwhile.
             self.drop_waiting(NotStarted::NoUpstream);
         }
-        if now_ms < renewed_ms + self.lapse_ms() {
+        if now_ms < self.lapsed_ms {
             return;
         }
         self.lose_active();
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -497,3 +497,32 @@
     renew(&mut ledger, 100, &[], &[ended(1, 1, 0, EndKind::Done)]);
     assert_eq!(starts(&mut ledger, 101)[0].task, task(3, 0));
 }
+
+#[test]
+fn an_order_of_an_entry_that_was_not_heard_lately_is_not_taken() {
+    let mut ledger = ready();
+    let now_ms = 1 + LedgerLimits::default().owner_silence_ms;
+    renew(&mut ledger, now_ms, &[], &[]);
+    ledger.place(ENTRY, placement(1, 1, 1_000), now_ms);
+    assert_eq!(events(&ledger, ENTRY), [(task(1, 0), RunEvent::NotStarted(NotStarted::Stale))]);
+    ledger.owner_heard(ENTRY, now_ms);
+    assert!(starts(&mut ledger, now_ms).is_empty(), "it may run elsewhere by now");
+    ledger.place(ENTRY, placement(2, 1, 1_000), now_ms);
+    assert_eq!(starts(&mut ledger, now_ms).len(), 1);
+}
+
+#[test]
+fn a_lease_does_not_lapse_while_the_upstreams_clock_may_stand_still() {
+    const SUSPENDED_MS: u64 = 5_000;
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 1, 1_000), 2);
+    let running = [(starts(&mut ledger, 2)[0].task, 1)];
+    renew(&mut ledger, 10, &running, &[]);
+    let woken_ms = 20 + SUSPENDED_MS;
+    ledger.note_suspended(SUSPENDED_MS, woken_ms);
+    ledger.check_lapse(woken_ms);
+    assert_eq!(events(&ledger, ENTRY), [(task(1, 0), RunEvent::Started)]);
+    assert!(!ledger.is_trusted(woken_ms), "nothing starts until it answers");
+    ledger.check_lapse(woken_ms + 1_900);
+    assert_eq!(events(&ledger, ENTRY).last(), Some(&(task(1, 0), RunEvent::Lost)));
+}
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -60,6 +60,12 @@
         site: usize,
         job: u64,
     },
+    /// The VM of a site is suspended; its upstream may be, too.
+    Suspend {
+        site: usize,
+        ms: u64,
+        with_upstream: bool,
+    },
     Wait {
         ms: u64,
     },
@@ -78,6 +84,7 @@
         3 => any().prop_map(Op::LateRenewal),
         6 => (site.clone(), any(), proptest::bool::ANY).prop_map(|(site, run, fails)| Op::End { site, run, fails }),
         1 => site.clone().prop_map(|site| Op::RestartAgent { site }),
+        2 => (site.clone(), 50..4_000_u64, proptest::bool::ANY).prop_map(|(site, ms, with_upstream)| Op::Suspend { site, ms, with_upstream }),
         16 => (site, 0..JOBS).prop_map(|(site, job)| Op::Work { site, job }),
         10 => prop_oneof![4 => 1..120_u64, 3 => 200..900_u64, 1 => 900..2_500_u64].prop_map(|ms| Op::Wait { ms }),
     ]
@@ -96,15 +103,17 @@
     last_end: u64,
     fence: u64,
     lease_until_clock_ms: u64,
-}
-
-fn clock_ms(now_ms: u64) -> u64 {
-    1_000 + now_ms * 98 / 100
+    /// For so long its clock stood still.
+    suspended_ms: u64,
 }
 
 impl Upstream {
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        1_000 + (now_ms - self.suspended_ms) * 98 / 100
+    }
+
     fn lapse(&mut self, now_ms: u64) {
-        if clock_ms(now_ms) > self.lease_until_clock_ms {
+        if self.clock_ms(now_ms) > self.lease_until_clock_ms {
             for (task, (run, _)) in std::mem::take(&mut self.running) {
                 self.list(task, run, EndKind::Lapsed);
             }
@@ -136,7 +145,7 @@
         if self.highest.get(&order.task).is_some_and(|highest| order.run <= *highest) {
             return StartAnswer::Refused(StartRefusal::OldRun);
         }
-        if clock_ms(now_ms) > order.late_after_clock_ms {
+        if self.clock_ms(now_ms) > order.late_after_clock_ms {
             return StartAnswer::Refused(StartRefusal::Late);
         }
         self.lease_until_clock_ms = self.lease_until_clock_ms.max(order.late_after_clock_ms);
@@ -171,13 +180,13 @@
         }
         self.fence = fence;
         if let Some(until) = lease {
-            let until = until.min(clock_ms(now_ms) + 1_000);
+            let until = until.min(self.clock_ms(now_ms) + 1_000);
             self.lease_until_clock_ms = self.lease_until_clock_ms.max(until);
         }
         self.ended.retain(|ended| ended.number > acknowledged);
         Some(LeaseAnswer {
             sent_ms: now_ms,
-            clock_ms: clock_ms(now_ms),
+            clock_ms: self.clock_ms(now_ms),
             running: self.running.iter().map(|(task, (run, _))| (*task, *run)).collect(),
             ended: self.ended.clone(),
         })
@@ -207,6 +216,8 @@
     upstream: Upstream,
     fence: u64,
     agent: u32,
+    /// For so long its VM was suspended since the agent began.
+    suspended_ms: u64,
 }
 
 /// What the entry believes of a task: where it is, and its last start.
@@ -250,8 +261,13 @@
 
 impl World {
     fn new() -> Self {
-        let site =
-            || Site { ledger: new_ledger(), upstream: Upstream::default(), fence: 1, agent: 0 };
+        let site = || Site {
+            ledger: new_ledger(),
+            upstream: Upstream::default(),
+            fence: 1,
+            agent: 0,
+            suspended_ms: 0,
+        };
         Self {
             now_ms: 1,
             sites: (0..SITES).map(|_| site()).collect(),
@@ -273,10 +289,12 @@
             Op::End { site, run, fails } => self.end(site, run, fails),
             Op::RestartAgent { site } => self.restart(site),
             Op::Work { site, job } => self.work(site, job),
+            Op::Suspend { site, ms, with_upstream } => self.suspend(site, ms, with_upstream),
             Op::Wait { ms } => self.now_ms += ms,
         }
         for site in &mut self.sites {
             site.upstream.lapse(self.now_ms);
+            site.ledger.note_suspended(site.suspended_ms, self.now_ms);
             site.ledger.check_lapse(self.now_ms);
             site.ledger.expire(self.now_ms);
         }
@@ -321,6 +339,16 @@
         }
     }
 
+    /// Time passes for all; the suspended VM finds out as it wakes.
+    fn suspend(&mut self, site: usize, ms: u64, with_upstream: bool) {
+        self.now_ms += ms;
+        let site = &mut self.sites[site];
+        site.suspended_ms += ms;
+        if with_upstream {
+            site.upstream.suspended_ms += ms;
+        }
+    }
+
     fn work(&mut self, site: usize, job: u64) {
         self.renew(site, false);
         self.place(task(job), site);
@@ -419,6 +447,7 @@
         site.ledger = new_ledger();
         site.fence += 1;
         site.agent += 1;
+        site.suspended_ms = 0;
         site.upstream.renew(None, site.fence, 0, self.now_ms);
     }
 
--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -7,12 +7,13 @@
         operator::Operator,
         reply::{ChangeBody, Problem, Reply},
     },
-    crate::{clock::Clock, shared::Shared},
+    crate::shared::Shared,
     rocket::{
         Data, State, data::ToByteUnit, delete, get, http::Status, post, put, serde::json::Json,
     },
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
+    sycamorerail_clock::Clock,
     sycamorerail_settings::rules::is_name,
     sycamorerail_templates::{
         Action, Change, ChangeState, Stamp, envelope::MAX_YAML_BYTES, validate::validate,
--- a/crates/entry/src/admin/condition.rs
+++ b/crates/entry/src/admin/condition.rs
@@ -2,12 +2,12 @@
 
 use {
     super::reply::Problem,
-    crate::clock::Clock,
     rocket::{
         Request,
         http::Status,
         request::{FromRequest, Outcome},
     },
+    sycamorerail_clock::Clock,
     sycamorerail_templates::{Base, new_change_id},
     sycamorerail_wire::answer::Reason,
     uuid::Uuid,
--- a/crates/entry/src/callers/binder.rs
+++ b/crates/entry/src/callers/binder.rs
@@ -8,12 +8,13 @@
 //! Leases are shared by all keys of a while: one a key would double the writes.
 
 use {
-    crate::{clock::Clock, shared::Shared},
+    crate::shared::Shared,
     parking_lot::Mutex,
     std::{
         collections::{HashMap, VecDeque},
         sync::Arc,
     },
+    sycamorerail_clock::Clock,
     sycamorerail_platform::{
         Effect, Expected, LeaseId, Platform, PlatformError, PlatformErrorKind, Swap,
         budget::CallBudget,
--- a/crates/entry/src/callers/keyed.rs
+++ b/crates/entry/src/callers/keyed.rs
@@ -9,7 +9,7 @@
         reply::{Refusal, Reply},
         token::Caller,
     },
-    crate::{clock::Clock, counters, dispatch, shared::Shared},
+    crate::{counters, dispatch, shared::Shared},
     rocket::{
         Data, Request, State,
         http::Status,
@@ -17,6 +17,7 @@
         request::{FromRequest, Outcome as GuardOutcome},
     },
     std::sync::Arc,
+    sycamorerail_clock::Clock,
     sycamorerail_wire::{
         answer::{Answer, Outcome, Reason, Step},
         ids::JobId,
--- a/crates/entry/src/jobs/timer.rs
+++ b/crates/entry/src/jobs/timer.rs
@@ -2,8 +2,9 @@
 
 use {
     super::{cell::JobCell, drive::drive},
-    crate::{clock::Clock, shared::Shared},
+    crate::shared::Shared,
     std::{sync::Arc, time::Duration},
+    sycamorerail_clock::Clock,
     sycamorerail_decide::job::Event,
     tokio::sync::watch,
 };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,6 @@
 
 pub mod admin;
 pub mod callers;
-pub mod clock;
 pub mod cluster;
 pub mod counters;
 pub mod dispatch;
--- a/crates/entry/src/peers/answers.rs
+++ b/crates/entry/src/peers/answers.rs
@@ -1,7 +1,8 @@
 //! The answers given for a job whose home is another entry.
 
 use {
-    crate::{clock::Clock, shared::Shared},
+    crate::shared::Shared,
+    sycamorerail_clock::Clock,
     sycamorerail_decide::fence::Conclusion,
     sycamorerail_membership::membership::CLOCK_MARGIN_MS,
     sycamorerail_wire::{
--- a/crates/entry/src/peers/home.rs
+++ b/crates/entry/src/peers/home.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Inner, sessions},
-    crate::{clock::Clock, shared::Shared},
+    crate::shared::Shared,
     dashmap::DashMap,
     parking_lot::Mutex,
     rand::seq::IndexedRandom,
@@ -11,6 +11,7 @@
         sync::{Arc, Weak},
         time::Duration,
     },
+    sycamorerail_clock::Clock,
     sycamorerail_decide::fence::lost::{HomeWatch, Sighting, Standing},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -12,11 +12,11 @@
 pub use query::Held;
 
 use {
-    crate::clock::Clock,
     cluster::{AgentsEntries, Cluster},
     parking_lot::Mutex,
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    sycamorerail_clock::Clock,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey,
         JobRequest,
@@ -72,12 +72,22 @@
     /// runtime.
     #[must_use]
     pub fn start(settings: JobServiceSettings, listener: TcpListener) -> Arc<Self> {
+        Self::start_with(settings, listener, Clock::start())
+    }
+
+    /// The same with a clock of the caller's.
+    #[must_use]
+    pub fn start_with(
+        settings: JobServiceSettings,
+        listener: TcpListener,
+        clock: Clock,
+    ) -> Arc<Self> {
         let incarnation = Incarnation(rand::rng().random());
         let service = Arc::new(Self {
             dispatch: Mutex::new(Dispatch::new(settings.limits, incarnation)),
             settings,
             incarnation,
-            clock: Clock::start(),
+            clock,
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
             evacuations: watch::Sender::default(),
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        clock::Clock, dispatch::Dispatch, drain::Lifecycle, jobs::Table, names::Names,
+        dispatch::Dispatch, drain::Lifecycle, jobs::Table, names::Names,
         organisations::Organisations, seams::Seams, upstreams::Registry,
     },
     arc_swap::ArcSwap,
@@ -14,6 +14,7 @@
             atomic::{AtomicU64, Ordering},
         },
     },
+    sycamorerail_clock::Clock,
     sycamorerail_decide::view::DataCentreKey,
     sycamorerail_settings::entry::EntrySettings,
     sycamorerail_telemetry::event,
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -146,6 +146,9 @@
     Leaving,
     /// The upstream's data centre is evacuated.
     Evacuated,
+    /// The entry had not heard the agent lately as the order came: it may be an old one,
+    /// and the task may be elsewhere by now.
+    Stale,
     /// It could not end before its caller gives up.
     TooLate,
     /// It was withdrawn before it started.
@@ -169,6 +172,7 @@
         match self {
             Self::Leaving => "leaving",
             Self::Evacuated => "evacuated",
+            Self::Stale => "stale",
             Self::TooLate => "too_late",
             Self::Withdrawn => "withdrawn",
             Self::NoUpstream => "no_upstream",
