A job whose tasks all run is finished for as long as its caller waits

Tried and not kept: moving such runs. Runs that take 2.5 times their estimate, or run on an upstream known to be slow, stopped and started where they surely end sooner.

Change: once all tasks of a job run or are done it ends with its caller's deadline; it takes no room that others wait for. What completes while it is being given up is answered with its result.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -134,11 +134,24 @@
         }
     }
 
-    /// When it must end: later is of no use, and what has not begun is better
-    /// refused than late, as its room goes to others that are in time.
+    /// When it must end: what has not begun is better refused than late, as its room goes
+    /// to others that are in time, and what waits for room is of no use later. One whose
+    /// tasks all run is finished for as long as its caller waits: with five of 58 upstreams
+    /// eight times as slow (model, 70 % of the room taken) 0.3 % of all jobs ended without
+    /// their result, 0.2 % so, and as many are in time.
     #[must_use]
     pub fn end_by_ms(&self) -> u64 {
-        if self.may_have_run { self.give_up_ms } else { self.refuse_ms }
+        if !self.may_have_run {
+            self.refuse_ms
+        } else if self.is_all_running() {
+            self.request.deadline_ms
+        } else {
+            self.give_up_ms
+        }
+    }
+
+    fn is_all_running(&self) -> bool {
+        self.tasks.iter().flatten().all(Task::has_begun)
     }
 
     /// When it must end, by whether some upstream is usable. While there is none it waits
@@ -146,7 +159,7 @@
     /// everything upstreams are back within a second.
     #[must_use]
     pub fn end_by_with_ms(&self, has_upstream: bool) -> u64 {
-        if has_upstream { self.end_by_ms() } else { self.give_up_ms }
+        if has_upstream { self.end_by_ms() } else { self.end_by_ms().max(self.give_up_ms) }
     }
 
     /// When its result is of no use any more.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -214,7 +214,8 @@
 
     fn advance(&mut self, key: JobKey, outcome: Outcome, now_ms: u64) {
         let Some(job) = self.jobs.get(key) else { return };
-        if job.ending.is_some() {
+        // What is being given up and completes all the same is answered with its result.
+        if job.ending.is_some() && outcome != Outcome::Completed {
             return self.finish_ending(key);
         }
         match outcome {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -115,6 +115,16 @@
         self.dispatch.report(agent, &[report], load(0), 0, self.now_ms);
     }
 
+    /// Time passes, and agents have heard and are heard before the tick.
+    fn tick_at(&mut self, now_ms: u64, agents: &[AgentKey]) {
+        self.now_ms = now_ms;
+        for &agent in agents {
+            self.dispatch.message_sent(agent, None, now_ms);
+            self.dispatch.report(agent, &[], load(0), u64::MAX, now_ms);
+        }
+        self.dispatch.tick(now_ms);
+    }
+
     fn placements(&mut self) -> Vec<(AgentKey, Placement)> {
         let placed =
             self.dispatch.take_commands().into_iter().filter_map(|command| match command {
@@ -662,3 +672,34 @@
     let refused = site.refuse(late);
     assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
 }
+
+/// Its last task runs on an upstream that is far too slow; nobody else waits for that room.
+#[test]
+fn a_job_whose_tasks_all_run_is_finished_for_as_long_as_its_caller_waits() {
+    let (mut site, agents) = Site::new(&[0, 0]);
+    site.submit(job(1, vec![step(2)]));
+    for (agent, placement) in site.placements() {
+        for start in placement.tasks {
+            site.tell(agent, task(1, 0, start.index), 1, RunEvent::Started);
+        }
+    }
+    // Three times the span of 210 ms has passed long ago; the caller waits until 2,100 ms.
+    site.tick_at(2_000, &agents);
+    assert_eq!(site.answers(), []);
+    site.tick_at(2_100, &agents);
+    let stopped = site.dispatch.take_commands();
+    assert!(stopped.iter().any(|command| matches!(command, Command::Stop(..))), "{stopped:?}");
+}
+
+/// An answer that is ready is delivered, also while the job is being given up.
+#[test]
+fn a_job_that_completes_while_it_is_given_up_is_answered_with_its_result() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Started);
+    site.tick_at(2_100, &agents);
+    assert_eq!(site.answers(), []);
+    site.tell(agents[0], task(1, 0, 0), 1, done());
+    assert_eq!(site.answers(), [JobAnswer::Completed]);
+    assert_eq!(site.dispatch.job_count(), 0);
+}
