A task that crashes upstreams is started three times at most, apart from other suspects

Cause: what was lost with its upstream was placed again without an end. A task that crashes each upstream that starts it took ten others with it each time.

Ruled out: calling its job failed.

Change: a life that ended without a word while a task ran there (another life, or no listener, and it had not said that it leaves) is told as a crash, not as a loss. Tasks under which an upstream crashed go to upstreams without such a task, and an agent runs one of them at a time, whichever entry they come from. After three crashes the job is given up, with the outcome unknown (`crashing`).

Left: the job is never shown as failed, and another entry that gets the same job begins its count anew.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -7,7 +7,7 @@
     },
     futures::{StreamExt, stream::FuturesUnordered},
     std::{sync::Arc, time::Duration},
-    sycamorerail_decide::ledger::LeaseAnswer,
+    sycamorerail_decide::ledger::{LeaseAnswer, LifeEnd},
     sycamorerail_telemetry::event,
     tokio::time::{Instant, sleep_until},
 };
@@ -155,7 +155,7 @@
     event!(Warn, "upstream_lost", life = life, error = error);
     leased.change(|ledger, _| {
         if ledger.life().is_some_and(|known| known.id == life) {
-            ledger.lose_upstream();
+            ledger.lose_upstream(LifeEnd::Crashed);
         }
     });
 }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -22,7 +22,7 @@
     },
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
-        ledger::{Decided, Ledger, LedgerLimits, StartAnswer, StartOrder, StartRefusal},
+        ledger::{Decided, Ledger, LedgerLimits, LifeEnd, StartAnswer, StartOrder, StartRefusal},
         links::LinkLimits,
     },
     sycamorerail_telemetry::event,
@@ -190,7 +190,7 @@
         if ledger.life().is_none_or(|life| life.id != id) {
             return;
         }
-        ledger.lose_upstream();
+        ledger.lose_upstream(LifeEnd::Left);
         drop(ledger);
         event!(Info, "upstream_withdrawn", life = id);
         self.act();
@@ -310,6 +310,7 @@
         RunEvent::Failed { run_ms } => ("failed", "", ran(run_ms)),
         RunEvent::Stopped => ("stopped", "", String::new()),
         RunEvent::Lost => ("lost", "", String::new()),
+        RunEvent::Crashed => ("crashed", "", String::new()),
         RunEvent::NotStarted(why) => ("not_started", why.name(), why.name().to_owned()),
     };
     metrics::counter!("sycamorerail_runs_total", "event" => name, "why" => why).increment(1);
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -33,6 +33,12 @@
 /// not begun must still be able to end.
 const REFUSE_PERCENT: u64 = 50;
 
+/// Upstreams that may crash under one task before its job is given up: a task that brings
+/// it about takes all with it that runs there, each time it is started. Whether it is the
+/// cause is not known, so its job is not called failed; upstreams that crash for other
+/// causes rarely hit one task three times while its caller waits.
+const MAX_CRASHES: u8 = 3;
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -42,6 +48,8 @@
     pub run: u32,
     /// Ends as failed so far.
     pub failures: u32,
+    /// Upstreams that crashed while it ran there.
+    pub crashes: u8,
     /// The agent that gave it back last.
     pub avoid: Option<AgentKey>,
 }
@@ -51,6 +59,21 @@
         matches!(self.state, TaskState::Done | TaskState::Placed { started: true, .. })
     }
 
+    /// Whether an upstream crashed while it ran there.
+    #[must_use]
+    pub fn is_suspect(&self) -> bool {
+        self.crashes > 0
+    }
+
+    /// The agent that has it.
+    #[must_use]
+    pub fn agent(&self) -> Option<AgentKey> {
+        match self.state {
+            TaskState::Placed { agent, .. } => Some(agent),
+            _ => None,
+        }
+    }
+
     fn is_at(&self, agent: AgentKey) -> bool {
         matches!(self.state, TaskState::Placed { agent: at, .. } if at == agent)
     }
@@ -103,13 +126,16 @@
     Completed,
     /// A task failed for the last time.
     Failed,
+    /// Too many upstreams crashed while a task ran there.
+    Crashing,
 }
 
 impl Job {
     /// A job whose tasks are all unplaced.
     #[must_use]
     pub fn new(request: JobRequest) -> Self {
-        let fresh = Task { state: TaskState::Unplaced, run: 0, failures: 0, avoid: None };
+        let fresh =
+            Task { state: TaskState::Unplaced, run: 0, failures: 0, crashes: 0, avoid: None };
         let tasks = request.steps.iter().map(|step| vec![fresh.clone(); step.count.into()]);
         let tasks = tasks.collect();
         let open = request.steps.iter().map(|step| step.count).collect();
@@ -323,6 +349,13 @@
                 self.may_have_run = true;
                 Outcome::PlaceAgain
             }
+            RunEvent::Crashed => {
+                task.state = TaskState::Unplaced;
+                task.avoid = Some(from);
+                task.crashes += 1;
+                self.may_have_run = true;
+                if task.crashes >= MAX_CRASHES { Outcome::Crashing } else { Outcome::PlaceAgain }
+            }
             RunEvent::NotStarted(why) => {
                 task.state = TaskState::Unplaced;
                 task.avoid = Some(from);
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -226,6 +226,7 @@
                 self.commands.push(Command::Answer(key, JobAnswer::Completed));
                 self.remove(key);
             }
+            Outcome::Crashing => self.end(key, Ending::GivenUp(GiveUp::Crashing)),
             Outcome::Failed => {
                 self.commands.push(Command::Answer(key, JobAnswer::Failed));
                 self.end(key, Ending::Answered);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -4,7 +4,9 @@
     super::{
         AgentKey, AgentView, Asked, Command, Dispatch, EVACUATED_RETRY_MS, Expected, Forecast,
         GiveUp, Job, JobAnswer, JobKey, NOT_HERE_RETRY_MS, Planned, RETRY_MS, SAME_END_MS,
-        SAME_ROOM_TASKS, StepRequest, job::TaskState, kinds::KindRecord,
+        SAME_ROOM_TASKS, StepRequest,
+        job::{Task, TaskState},
+        kinds::KindRecord,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{Placement, Room, TaskStart},
@@ -131,18 +133,21 @@
     fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
         let chosen = self.choose(key, step, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return true };
-        let mut by_agent: BTreeMap<AgentKey, Vec<TaskStart>> = BTreeMap::new();
+        let mut by_agent: BTreeMap<(AgentKey, bool), Vec<TaskStart>> = BTreeMap::new();
         for PlannedTask { index, agent, .. } in chosen {
             let task = &mut job.tasks[step][usize::from(index)];
             task.run += 1;
             task.state =
                 TaskState::Placed { agent, started: false, since_ms: now_ms, recalled: false };
-            by_agent.entry(agent).or_default().push(TaskStart { index, run: task.run });
+            let start = TaskStart { index, run: task.run };
+            by_agent.entry((agent, task.is_suspect())).or_default().push(start);
         }
         let all = !job.tasks[step].iter().any(|task| task.state == TaskState::Unplaced);
         let placements: Vec<_> = by_agent
             .into_iter()
-            .map(|(agent, tasks)| (agent, self.placement(key, step, tasks, now_ms)))
+            .map(|((agent, suspect), tasks)| {
+                (agent, self.placement(key, step, tasks, suspect, now_ms))
+            })
             .collect();
         for (agent, placement) in placements {
             self.commands.extend(placement.map(|placement| Command::Place(agent, placement)));
@@ -155,6 +160,7 @@
         key: JobKey,
         step: usize,
         tasks: Vec<TaskStart>,
+        suspect: bool,
         now_ms: u64,
     ) -> Option<Placement> {
         let job = self.jobs.get(key)?;
@@ -171,6 +177,7 @@
             objective_in_ms: left(job.objective_ms),
             give_up_in_ms: left(job.end_by_ms()),
             finishing: job.has_mostly_begun(),
+            suspect,
         })
     }
 
@@ -184,22 +191,37 @@
             return Vec::new();
         }
         candidates.sort_unstable_by_key(|(agent, _)| agent.rank);
+        let mut taken = self.agents_with_suspects(job, step);
         let mut plan = Vec::new();
         for (index, task) in job.tasks[step].iter().enumerate() {
             if task.state != TaskState::Unplaced {
                 continue;
             }
-            let best = best_of(&candidates, job, step, &asked, task.avoid);
+            let kept_free = if task.is_suspect() { &*taken } else { &[] };
+            let best = best_of(&candidates, job, step, &asked, task.avoid, kept_free);
             let (Some((best, expected)), Ok(index)) = (best, u16::try_from(index)) else {
                 continue;
             };
             let (agent, planned) = &mut candidates[best];
             planned.add(asked.need, asked.run_ms);
+            if task.is_suspect() {
+                taken.push(agent.key);
+            }
             plan.push(PlannedTask { index, agent: agent.key, expected });
         }
         plan
     }
 
+    /// Agents that have a task under which an upstream crashed, if the step to be placed has
+    /// such tasks, too.
+    fn agents_with_suspects(&self, job: &Job, step: usize) -> Vec<AgentKey> {
+        if !job.tasks[step].iter().any(Task::is_suspect) {
+            return Vec::new();
+        }
+        let all = self.jobs.values().flat_map(|job| job.tasks.iter().flatten());
+        all.filter(|task| task.is_suspect()).filter_map(Task::agent).collect()
+    }
+
     /// The part of a plan with which tasks end before nobody waits for the job.
     fn choose(&mut self, key: JobKey, step: usize, now_ms: u64) -> Vec<PlannedTask> {
         let Some(job) = self.jobs.get(key) else { return Vec::new() };
@@ -235,13 +257,14 @@
 
 /// The candidate that ends a task first; among equals one of those with most room, the
 /// first in the entry's own order. An agent that gave the task back is taken only if there
-/// is no other.
+/// is no other, those that are kept free of it never.
 fn best_of(
     candidates: &[(&AgentView, Planned)],
     job: &Job,
     step: usize,
     asked: &Asked<'_>,
     avoid: Option<AgentKey>,
+    kept_free: &[AgentKey],
 ) -> Option<(usize, Expected)> {
     let wanted = &job.request.steps[step];
     let mut best: Option<(usize, Expected)> = None;
@@ -250,7 +273,7 @@
         let full = wanted
             .max_per_upstream
             .is_some_and(|most| job.count_at(step, agent.key) + planned.count >= most);
-        if full || (others && avoid == Some(agent.key)) {
+        if full || (others && avoid == Some(agent.key)) || kept_free.contains(&agent.key) {
             continue;
         }
         let expected = agent.expect(planned, asked);
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -117,6 +117,8 @@
     NotHere,
     /// The entry is stopping.
     Stopping,
+    /// Upstreams crashed while one of its tasks ran there, again and again.
+    Crashing,
     /// Its caller has left, or cancelled it.
     Cancelled,
     /// A job of this id is being ended.
@@ -135,6 +137,7 @@
             Self::Evacuated => "evacuated",
             Self::NotHere => "not_here",
             Self::Stopping => "stopping",
+            Self::Crashing => "crashing",
             Self::Cancelled => "cancelled",
             Self::Duplicate => "duplicate",
         }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -18,7 +18,8 @@
 pub use {
     load::is_news,
     types::{
-        Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+        Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, LifeEnd, StartAnswer, StartOrder,
+        StartRefusal,
     },
 };
 
@@ -103,6 +104,8 @@
     phase: Phase,
     stop: Option<Stop>,
     told_started: bool,
+    /// An upstream crashed while it ran there.
+    suspect: bool,
 }
 
 /// Suspensions of the VM so far.
@@ -196,7 +199,7 @@
             return false;
         }
         if self.life.as_ref().is_none_or(|known| known.id != life.id) {
-            self.lose_upstream();
+            self.lose_upstream(LifeEnd::Crashed);
             self.slowness_percent = SOUND_PERCENT;
             self.failing_percent = 0;
         }
@@ -220,21 +223,23 @@
         }
     }
 
-    /// The upstream's life is over: what ran on it is lost.
-    pub fn lose_upstream(&mut self) {
+    /// The upstream's life is over: what ran on it is lost. One that had said that it leaves
+    /// has not crashed.
+    pub fn lose_upstream(&mut self, how: LifeEnd) {
+        let has_crashed = how == LifeEnd::Crashed && !self.is_leaving();
         self.life = None;
         self.clean = false;
         self.clock = None;
         self.renewed_ms = None;
         self.acknowledged = 0;
         self.leftovers.clear();
-        self.lose_active();
+        self.lose_active(if has_crashed { RunEvent::Crashed } else { RunEvent::Lost });
         self.drop_waiting(NotStarted::NoUpstream);
     }
 
-    fn lose_active(&mut self) {
+    fn lose_active(&mut self, event: RunEvent) {
         for key in self.active() {
-            self.settle(key, RunEvent::Lost);
+            self.settle(key, event);
         }
     }
 
@@ -345,6 +350,7 @@
                 phase: Phase::Waiting,
                 stop: None,
                 told_started: false,
+                suspect: placement.suspect,
             };
             self.arrivals += 1;
             self.take(run, is_fresh);
@@ -436,8 +442,10 @@
         self.sort_out(now_ms);
         let life = self.life.as_ref()?;
         let free = life.capacity.less(&self.taken);
+        let has_suspect = self.has_active_suspect();
         let ready = |run: &Run| {
             free.fits(&run.need)
+                && !(run.suspect && has_suspect)
                 && self.owners.is_fresh(run.owner, now_ms, self.limits.owner_silence_ms)
         };
         let mut ahead = self.waiting.iter().take(LOOK_AHEAD);
@@ -452,6 +460,12 @@
         Some(StartOrder { task, run: number, spec, late_after_clock_ms })
     }
 
+    fn has_active_suspect(&self) -> bool {
+        // Looked through only where one waits: nearly never.
+        let waits = self.waiting.iter().take(LOOK_AHEAD).any(|(_, key)| self.runs[*key].suspect);
+        waits && self.runs.values().any(|run| run.suspect && run.phase != Phase::Waiting)
+    }
+
     /// Nothing is believed of the upstream unless it answered a renewal lately:
     /// after a pause of this process its runs may have lapsed.
     fn may_start(&self, now_ms: u64) -> bool {
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -172,7 +172,7 @@
         if now_ms < self.lapsed_ms {
             return;
         }
-        self.lose_active();
+        self.lose_active(RunEvent::Lost);
         // What may still be listed is stopped and waited for, as after a restart.
         self.clean = false;
         self.renewed_ms = None;
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -93,6 +93,15 @@
     Lapsed,
 }
 
+/// How an upstream's life ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LifeEnd {
+    /// It is gone without a word.
+    Crashed,
+    /// It said that it is gone.
+    Left,
+}
+
 /// An end that the upstream lists.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ended {
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -228,6 +228,7 @@
         objective_in_ms: 400,
         give_up_in_ms: 2_000,
         finishing: false,
+        suspect: false,
     }
 }
 
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -321,6 +321,7 @@
             objective_in_ms: 1_000,
             give_up_in_ms: 3_000,
             finishing: false,
+            suspect: false,
         };
         let ledger = &mut self.sites[site].ledger;
         ledger.owner_heard(ENTRY, self.now_ms);
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -137,6 +137,9 @@
     pub give_up_in_ms: u32,
     /// Most of the job's tasks have begun: these are what it waits for.
     pub finishing: bool,
+    /// An upstream crashed while these ran there: not two such tasks run at one upstream,
+    /// so that a next crash tells which one brings it about.
+    pub suspect: bool,
 }
 
 /// Why a run did not start.
@@ -204,6 +207,9 @@
     /// It began, or may have begun, and surely runs no more; how it ended is
     /// not known.
     Lost,
+    /// The same, as its upstream crashed: the life ended without a word while it ran.
+    /// Which of its runs brought that about is not known.
+    Crashed,
     /// It never began and never will.
     NotStarted(NotStarted),
 }
