Tasks run apart from each other after two crashes, not after one

Cause, found in reading: each task of a lost upstream was kept apart from all others like it, so ten tasks of one crashed upstream out of eleven would have waited for each other, though nothing was wrong with them.

Change: a task is kept apart once two upstreams have crashed under it. The crashing one meets at most two others twice, and its third crash hits it alone.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -39,6 +39,11 @@
 /// causes rarely hit one task three times while its caller waits.
 const MAX_CRASHES: u8 = 3;
 
+/// Crashes from which on a task runs apart from others like it. After one crash all that ran
+/// there would have to wait for each other: a lost upstream of ten tasks comes as often as
+/// VMs fail, and few tasks meet it twice.
+const SUSPECT_CRASHES: u8 = 2;
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -59,10 +64,11 @@
         matches!(self.state, TaskState::Done | TaskState::Placed { started: true, .. })
     }
 
-    /// Whether an upstream crashed while it ran there.
+    /// Whether upstreams crashed while it ran there so often that it runs apart from others
+    /// like it.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
-        self.crashes > 0
+        self.crashes >= SUSPECT_CRASHES
     }
 
     /// The agent that has it.
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -212,7 +212,7 @@
         plan
     }
 
-    /// Agents that have a task under which an upstream crashed, if the step to be placed has
+    /// Agents that have a task under which upstreams crashed, if the step to be placed has
     /// such tasks, too.
     fn agents_with_suspects(&self, job: &Job, step: usize) -> Vec<AgentKey> {
         if !job.tasks[step].iter().any(Task::is_suspect) {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -104,7 +104,7 @@
     phase: Phase,
     stop: Option<Stop>,
     told_started: bool,
-    /// An upstream crashed while it ran there.
+    /// Upstreams crashed while it ran there: it runs apart from others like it.
     suspect: bool,
 }
 
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -215,6 +215,25 @@
     assert_eq!(site.answer, Some(JobAnswer::Completed));
 }
 
+/// What ran on a lost upstream is placed at once; only what met two crashes is kept apart.
+#[test]
+fn one_crash_keeps_nothing_waiting_and_two_keep_tasks_apart() {
+    let mut site = Site::new();
+    let crash = |site: &mut Site| {
+        for index in 0..TASKS {
+            site.tell(task(index), RunEvent::Started);
+            site.tell(task(index), RunEvent::Crashed);
+        }
+    };
+    crash(&mut site);
+    assert_eq!(site.placed.len(), usize::from(TASKS));
+    crash(&mut site);
+    let mut places: Vec<_> = site.placed.values().map(|(agent, _)| *agent).collect();
+    places.sort_unstable();
+    places.dedup();
+    assert_eq!(places.len(), usize::from(TASKS), "each at an upstream of its own");
+}
+
 proptest! {
     /// However upstreams crash, no task is started after three crashes, and no job that did
     /// not fail itself is called failed.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -137,8 +137,8 @@
     pub give_up_in_ms: u32,
     /// Most of the job's tasks have begun: these are what it waits for.
     pub finishing: bool,
-    /// An upstream crashed while these ran there: not two such tasks run at one upstream,
-    /// so that a next crash tells which one brings it about.
+    /// Upstreams crashed while these ran there, more than once: not two such tasks run at
+    /// one upstream, so that the next crash hits one of them only.
     pub suspect: bool,
 }
 
