Mend: what entries and agents each wrote of evacuations is one; a task knows its agent

Found in reading: both ends of a link compared and noted evacuations in code of their own; two looks whether all upstreams are evacuated differed by a filter; a task's agent was matched out of its state in three places and handed back in four; the ledger looked through what waits for a suspect before each start, where the start itself asks.

Change: Evacuations::to_tell, are_all_evacuated, Task::agent and give_back serve all of them. Behaviour is as it was; no test was changed.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -292,13 +292,8 @@
             told.revision = revision;
             messages.push(FromRunsAgent::Holds { revision });
         }
-        let held = leased.evacuations.lock();
-        let mut entry_holds = self.entry_evacuations.lock();
-        if held.is_news_to(&entry_holds) {
-            entry_holds.clone_from(&held);
-            messages.push(FromRunsAgent::Evacuations(held.clone()));
-        }
-        drop((held, entry_holds));
+        let lacking = leased.evacuations.lock().to_tell(&mut self.entry_evacuations.lock());
+        messages.extend(lacking.map(FromRunsAgent::Evacuations));
         let now = Instant::now();
         if now >= told.cluster_at {
             told.cluster_at = now + BEAT;
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -41,15 +41,14 @@
     /// Time in milliseconds; it never goes back. Never 0, which stands for "never".
     #[must_use]
     pub fn now_ms(self) -> u64 {
-        let real_ms = read_ms(ClockId::CLOCK_BOOTTIME).saturating_sub(self.start_ms);
-        1 + real_ms + self.made_up_ms()
+        1 + self.real_ms() + self.made_up_ms()
     }
 
     /// For how much of that time the VM was suspended, in milliseconds.
     #[must_use]
     pub fn suspended_ms(self) -> u64 {
         // In this order, so that time between the two is not taken for a suspension.
-        let real_ms = read_ms(ClockId::CLOCK_BOOTTIME).saturating_sub(self.start_ms);
+        let real_ms = self.real_ms();
         let steady_ms = read_ms(ClockId::CLOCK_MONOTONIC).saturating_sub(self.start_steady_ms);
         real_ms.saturating_sub(steady_ms) + self.made_up_ms()
     }
@@ -61,6 +60,10 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn real_ms(self) -> u64 {
+        read_ms(ClockId::CLOCK_BOOTTIME).saturating_sub(self.start_ms)
+    }
+
     fn made_up_ms(self) -> u64 {
         self.made_up.map_or(0, |leaps_ms| leaps_ms.load(Ordering::Acquire))
     }
--- a/crates/decide/src/dispatch/evacuation.rs
+++ b/crates/decide/src/dispatch/evacuation.rs
@@ -28,17 +28,18 @@
 
     /// Whether all upstreams of a pool that this entry has links to are evacuated.
     pub(super) fn is_pool_evacuated(&self, pool: &str) -> bool {
-        let of_pool = |agent: &&AgentView| {
-            agent.is_linked() && agent.life.as_ref().is_some_and(|life| life.pool == pool)
-        };
-        let mut linked = self.agents.values().filter(of_pool).peekable();
-        linked.peek().is_some() && linked.all(|agent| agent.is_evacuated)
+        self.are_all_evacuated(|agent| agent.life.as_ref().is_some_and(|life| life.pool == pool))
     }
 
     /// Whether there are links to upstreams, and all of them are evacuated.
     #[must_use]
     pub fn is_all_evacuated(&self) -> bool {
-        let mut linked = self.agents.values().filter(|agent| agent.is_linked()).peekable();
+        self.are_all_evacuated(|_| true)
+    }
+
+    fn are_all_evacuated(&self, concerns: impl Fn(&AgentView) -> bool) -> bool {
+        let linked = self.agents.values().filter(|agent| agent.is_linked() && concerns(agent));
+        let mut linked = linked.peekable();
         linked.peek().is_some() && linked.all(|agent| agent.is_evacuated)
     }
 
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -71,6 +71,12 @@
         self.crashes >= SUSPECT_CRASHES
     }
 
+    /// An agent has it no more.
+    fn give_back(&mut self, from: AgentKey) {
+        self.state = TaskState::Unplaced;
+        self.avoid = Some(from);
+    }
+
     /// The agent that has it.
     #[must_use]
     pub fn agent(&self) -> Option<AgentKey> {
@@ -81,7 +87,7 @@
     }
 
     fn is_at(&self, agent: AgentKey) -> bool {
-        matches!(self.state, TaskState::Placed { agent: at, .. } if at == agent)
+        self.agent() == Some(agent)
     }
 }
 
@@ -250,10 +256,7 @@
     }
 
     fn placed(&self) -> impl Iterator<Item = AgentKey> {
-        self.tasks.iter().flatten().filter_map(|task| match task.state {
-            TaskState::Placed { agent, .. } => Some(agent),
-            _ => None,
-        })
+        self.tasks.iter().flatten().filter_map(Task::agent)
     }
 
     /// Agents that have tasks of it.
@@ -343,28 +346,24 @@
                 }
             }
             RunEvent::Failed { .. } => {
-                task.state = TaskState::Unplaced;
-                task.avoid = Some(from);
+                task.give_back(from);
                 task.failures += 1;
                 self.may_have_run = true;
                 if task.failures >= max_attempts { Outcome::Failed } else { Outcome::PlaceAgain }
             }
             RunEvent::Stopped | RunEvent::Lost => {
-                task.state = TaskState::Unplaced;
-                task.avoid = Some(from);
+                task.give_back(from);
                 self.may_have_run = true;
                 Outcome::PlaceAgain
             }
             RunEvent::Crashed => {
-                task.state = TaskState::Unplaced;
-                task.avoid = Some(from);
+                task.give_back(from);
                 task.crashes += 1;
                 self.may_have_run = true;
                 if task.crashes >= MAX_CRASHES { Outcome::Crashing } else { Outcome::PlaceAgain }
             }
             RunEvent::NotStarted(why) => {
-                task.state = TaskState::Unplaced;
-                task.avoid = Some(from);
+                task.give_back(from);
                 if why == NotStarted::OldRun {
                     task.run += OLD_RUN_STEP;
                 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -442,10 +442,9 @@
         self.sort_out(now_ms);
         let life = self.life.as_ref()?;
         let free = life.capacity.less(&self.taken);
-        let has_suspect = self.has_active_suspect();
         let ready = |run: &Run| {
             free.fits(&run.need)
-                && !(run.suspect && has_suspect)
+                && !(run.suspect && self.has_active_suspect())
                 && self.owners.is_fresh(run.owner, now_ms, self.limits.owner_silence_ms)
         };
         let mut ahead = self.waiting.iter().take(LOOK_AHEAD);
@@ -461,9 +460,7 @@
     }
 
     fn has_active_suspect(&self) -> bool {
-        // Looked through only where one waits: nearly never.
-        let waits = self.waiting.iter().take(LOOK_AHEAD).any(|(_, key)| self.runs[*key].suspect);
-        waits && self.runs.values().any(|run| run.suspect && run.phase != Phase::Waiting)
+        self.runs.values().any(|run| run.suspect && run.phase != Phase::Waiting)
     }
 
     /// Nothing is believed of the upstream unless it answered a renewal lately:
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -1,7 +1,7 @@
 //! Connections of agents to this entry.
 
 use {
-    super::{JobService, evacuation::AgentsEvacuations, query},
+    super::{JobService, query},
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -17,7 +17,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
-        runs::{FromRunsAgent, RunsHello, RunsOpening, ToRunsAgent},
+        runs::{Evacuations, FromRunsAgent, RunsHello, RunsOpening, ToRunsAgent},
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -116,7 +116,8 @@
     confirmed: AtomicU64,
     /// Highest revision of the configuration that the agent holds.
     agent_revision: AtomicU64,
-    agent_evacuations: AgentsEvacuations,
+    /// Evacuations that the agent is known to hold, so that each list goes over a link once.
+    agent_evacuations: Mutex<Evacuations>,
 }
 
 impl Link {
@@ -160,7 +161,7 @@
             heard: AtomicU64::new(1),
             confirmed: AtomicU64::new(confirmed),
             agent_revision: AtomicU64::new(hello.configuration),
-            agent_evacuations: AgentsEvacuations::default(),
+            agent_evacuations: Mutex::default(),
         }
     }
 
@@ -238,7 +239,7 @@
                 self.service.hold_configuration(copy);
             }
             FromRunsAgent::Evacuations(told) => {
-                self.agent_evacuations.note(&told);
+                self.agent_evacuations.lock().clone_from(&told);
                 self.service.hold_evacuations(&told);
             }
             FromRunsAgent::Holds { revision } => {
@@ -294,7 +295,8 @@
 
     /// Queues the evacuations in force, if the agent lacks them.
     fn tell_evacuations(&self) {
-        let lacking = self.agent_evacuations.lacking(&self.service.evacuations.borrow());
+        let held = &self.service.evacuations;
+        let lacking = held.borrow().to_tell(&mut self.agent_evacuations.lock());
         if let Some(evacuations) = lacking {
             self.tell(ToRunsAgent::Evacuations(evacuations));
         }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -284,6 +284,16 @@
         self.revision > other.revision && self.data_centres != other.data_centres
     }
 
+    /// What a peer is to be told that holds `known`, where it lacks anything; it holds that
+    /// from then on.
+    pub fn to_tell(&self, known: &mut Self) -> Option<Self> {
+        if !self.is_news_to(known) {
+            return None;
+        }
+        known.clone_from(self);
+        Some(self.clone())
+    }
+
     /// Takes what was true later. Returns whether the list has changed.
     pub fn update(&mut self, newer: &Self) -> bool {
         let changed = newer.is_news_to(self);
