An agent that has links looks every 1.5 s whether it is alone, not every 0.1 s

Cause, found in reading: the pause before the first reading of the roster was also that between looks while the agent has links, so each agent woke 10 to 20 times a second for nothing, where it woke once in 1.5 s before.

Change: that pause is the longest one. The first reading after a start is as early as before; an agent that loses its links while it runs looks as late as it did before the roster was read early, and dials the entries that it knows meanwhile.

--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -63,7 +63,8 @@
     loop {
         sleep(jittered(pause_ms)).await;
         if !is_alone() {
-            pause_ms = SEARCH_PAUSE_MS.0;
+            // Nothing to read: it knows entries to dial first, should it lose its links.
+            pause_ms = SEARCH_PAUSE_MS.1;
             continue;
         }
         pause_ms = (pause_ms * 2).min(SEARCH_PAUSE_MS.1);
