--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -52,10 +52,15 @@
         let late_ms = if wait_ms > 0 { self.lateness_ms(job, now_ms) } else { 0 };
         let admit_ms =
             if self.is_recovering(now_ms) { job.give_up_ms() } else { job.admit_ms(now_ms) };
-        let must_end_in_ms = admit_ms.saturating_sub(now_ms);
-        let of_use_in_ms = job.give_up_ms().saturating_sub(now_ms);
-        let strain_percent = self.strain_percent(job, now_ms);
-        Forecast { end_in_ms, wait_ms, late_ms, must_end_in_ms, of_use_in_ms, strain_percent }
+        Forecast {
+            end_in_ms,
+            wait_ms,
+            late_ms,
+            must_end_in_ms: admit_ms.saturating_sub(now_ms),
+            of_use_in_ms: job.give_up_ms().saturating_sub(now_ms),
+            strain_percent: self.strain_percent(job, now_ms),
+            stops_in_ms: self.stops_ms.map(|stops_ms| stops_ms.saturating_sub(now_ms)),
+        }
     }
 
     /// How much later than forecast jobs of the kind end now, in milliseconds.
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -180,6 +180,8 @@
     pub of_use_in_ms: u64,
     /// Share of jobs that go before it, in percent, refused or late lately.
     pub strain_percent: f64,
+    /// Until the entry stops, where that is planned.
+    pub stops_in_ms: Option<u64>,
 }
 
 impl Forecast {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -333,6 +333,7 @@
         late_ms = forecast.late_ms,
         must_end_in_ms = forecast.must_end_in_ms,
         strain_percent = forecast.strain_percent.round(),
+        stops_in_ms = forecast.stops_in_ms.map_or_else(String::new, |left_ms| left_ms.to_string()),
     );
 }
 
