A stopping entry answers every request before it ends

Cause: an entry takes a job that is forecast to end before it stops. Where the forecast was wrong nothing was done about the job: the drain ended at its bound with the request in flight, and the process with it. The class: a bound on time that ends a process and not what it owes. Ruled out: a job taken without any forecast (none of them had a forecast of 0 ms), an answer that was ready and not written (the job's log ends with caller_left), a body that came late. Change: jobs that run on as jobs must have ended are given up: withdrawn or stopped at their agents, answered 503 where nothing began and 504 else, after 150 ms also without the agents' word.

--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -16,11 +16,13 @@
 mod place;
 mod recall;
 mod shedding;
+mod stop;
 mod types;
 
 pub use {
     agents::{AgentView, Asked, Expected, Planned},
     job::Job,
+    stop::STOP_ANSWER_MS,
     types::{
         AgentKey, Command, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey, JobRequest,
         KindParameters, PoolSeen, StepRequest,
@@ -63,10 +65,6 @@
 /// room taken) 96.7 % of all jobs are in time by room alone, 99.0 % with classes of three.
 const SAME_ROOM_TASKS: u32 = 3;
 
-/// A job surely ends within this part, in percent, of the time that is forecast: estimates
-/// are off by 40 %, and what is started anew after a failure takes its time.
-const SURE_END_PERCENT: u64 = 200;
-
 /// Jobs and agents of one entry.
 #[derive(Debug)]
 pub struct Dispatch {
@@ -84,7 +82,7 @@
     commands: Vec<Command>,
     /// This run of the entry, for an order of agents of its own.
     entry: Incarnation,
-    /// When the entry stops, once that is planned.
+    /// When jobs must have ended, once a stop is planned.
     stops_ms: Option<u64>,
     last_forecast: Forecast,
 }
@@ -140,18 +138,6 @@
         self.last_forecast
     }
 
-    /// The entry stops at this time: from now on jobs that cannot surely end by then are
-    /// refused.
-    pub fn stop_by(&mut self, end_ms: u64) {
-        self.stops_ms = Some(end_ms);
-    }
-
-    /// Whether a job may still run as the entry stops.
-    fn is_cut_off(&self, forecast: &Forecast, now_ms: u64) -> bool {
-        let surely_in_ms = forecast.end_in_ms * SURE_END_PERCENT / 100;
-        self.stops_ms.is_some_and(|stops_ms| now_ms + surely_in_ms > stops_ms)
-    }
-
     /// Takes a job, or says why not. A job that is taken is answered by a
     /// [`Command::Answer`].
     ///
@@ -273,12 +259,19 @@
         if job.has_placed() {
             return;
         }
+        self.answer_ended(key);
+    }
+
+    /// Answers a job that is being ended, and forgets it.
+    fn answer_ended(&mut self, key: JobKey) {
+        let Some(job) = self.jobs.get(key) else { return };
         if let Some(Ending::GivenUp(why)) = job.ending {
             let retry_after_ms = match why {
                 GiveUp::Evacuated => EVACUATED_RETRY_MS,
                 _ => RETRY_MS.0 as u32,
             };
-            let answer = if job.may_have_run {
+            // What agents have not told of may have begun.
+            let answer = if job.may_have_run || job.has_placed() {
                 JobAnswer::Unknown { why }
             } else {
                 JobAnswer::NotRun { why, retry_after_ms }
@@ -299,6 +292,7 @@
     /// and declares lost what silent agents had.
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent(now_ms);
+        self.end_for_stop(now_ms);
         self.end_evacuated();
         self.place_waiting(now_ms);
         self.finish_begun(now_ms);
--- /dev/null
+++ b/crates/decide/src/dispatch/stop.rs
@@ -0,0 +1,42 @@
+//! A planned stop of the entry: what is still taken, and what becomes of the rest.
+//!
+//! The process ends at a time that is set, whatever still runs. Callers whose jobs are not
+//! over by then would lose their connections, so each job is ended and answered before.
+
+use super::{Dispatch, Forecast, GiveUp, job::Ending};
+
+/// Jobs that are given up for a stop are answered within this: an upstream takes 50 ms for a
+/// stop and lists its end within 40 ms, the rest is the way to agents and back.
+pub const STOP_ANSWER_MS: u64 = 150;
+/// A job surely ends within this part, in percent, of the time that is forecast: estimates
+/// are off by 40 %, and what is started anew after a failure takes its time.
+const SURE_END_PERCENT: u64 = 200;
+
+impl Dispatch {
+    /// The entry stops: from now on jobs that cannot surely end by this time are refused.
+    /// Those that run longer are given up then, and answered within [`STOP_ANSWER_MS`].
+    pub fn stop_by(&mut self, end_ms: u64) {
+        self.stops_ms = Some(end_ms);
+    }
+
+    /// Whether a job may still run as jobs are given up for the stop.
+    pub(super) fn is_cut_off(&self, forecast: &Forecast, now_ms: u64) -> bool {
+        let surely_in_ms = forecast.end_in_ms * SURE_END_PERCENT / 100;
+        self.stops_ms.is_some_and(|stops_ms| now_ms + surely_in_ms > stops_ms)
+    }
+
+    /// Gives up what still runs as jobs must have ended. Soon after, jobs are answered whose
+    /// runs agents have not confirmed as stopped.
+    pub(super) fn end_for_stop(&mut self, now_ms: u64) {
+        let Some(stops_ms) = self.stops_ms.filter(|stops_ms| now_ms >= *stops_ms) else { return };
+        let open = self.jobs.iter().filter(|(_, job)| job.ending.is_none());
+        let open: Vec<_> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.end(key, Ending::GivenUp(GiveUp::Stopping));
+        }
+        if now_ms >= stops_ms + STOP_ANSWER_MS {
+            let left: Vec<_> = self.jobs.keys().collect();
+            left.into_iter().for_each(|key| self.answer_ended(key));
+        }
+    }
+}
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -5,7 +5,7 @@
     std::sync::Arc,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
-        KindParameters, StepRequest,
+        KindParameters, STOP_ANSWER_MS, StepRequest,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -673,6 +673,55 @@
     assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
 }
 
+/// A job that takes longer than was expected of it must not be left without an answer.
+#[test]
+fn an_entry_that_stops_answers_what_runs_longer_than_expected() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Started);
+    site.dispatch.take_commands();
+    let stops_ms = site.now_ms + 250;
+    site.dispatch.stop_by(stops_ms);
+    site.tick_at(stops_ms - 1, &agents);
+    assert_eq!(site.dispatch.take_commands(), [], "it may end in time");
+    site.tick_at(stops_ms, &agents);
+    let stop = Command::Stop(agents[0], CallerId(1));
+    assert_eq!(site.dispatch.take_commands(), [stop]);
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Stopped);
+    assert_eq!(site.answers(), [JobAnswer::Unknown { why: GiveUp::Stopping }]);
+}
+
+/// An agent that cannot be reached must not hold an answer back beyond the stop.
+#[test]
+fn an_entry_that_stops_answers_without_the_word_of_an_agent() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    let stops_ms = site.now_ms + 250;
+    site.dispatch.stop_by(stops_ms);
+    site.tick_at(stops_ms, &agents);
+    assert_eq!(site.answers(), []);
+    site.tick_at(stops_ms + STOP_ANSWER_MS, &agents);
+    // Whether the task began is not known.
+    assert_eq!(site.answers(), [JobAnswer::Unknown { why: GiveUp::Stopping }]);
+    assert_eq!(site.dispatch.job_count(), 0);
+}
+
+/// Of what only waits nothing has run, and its caller is told so.
+#[test]
+fn an_entry_that_stops_refuses_what_has_not_begun() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.dispatch.stop_by(site.now_ms + 250);
+    site.tick_at(site.now_ms + 250, &agents);
+    let withdrawn = RunEvent::NotStarted(NotStarted::Withdrawn);
+    site.tell(agents[0], task(1, 0, 0), 1, withdrawn);
+    let answers = site.answers();
+    assert!(
+        matches!(answers[..], [JobAnswer::NotRun { why: GiveUp::Stopping, .. }]),
+        "{answers:?}"
+    );
+}
+
 /// Its last task runs on an upstream that is far too slow; nobody else waits for that room.
 #[test]
 fn a_job_whose_tasks_all_run_is_finished_for_as_long_as_its_caller_waits() {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -19,7 +19,7 @@
     sycamorerail_clock::Clock,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, Forecast, GiveUp, JobAnswer, JobKey,
-        JobRequest,
+        JobRequest, STOP_ANSWER_MS,
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -29,6 +29,7 @@
     tokio::{
         net::TcpListener,
         sync::{oneshot, watch},
+        time::{Instant, sleep_until},
     },
 };
 
@@ -37,6 +38,9 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Agents without a connection for this long are forgotten.
 const FORGET_AGENTS_MS: u64 = 60_000;
+/// Jobs that are given up for a planned stop have their answers within this: the decision's
+/// own time and the look at what is due.
+pub const STOP_ANSWER: Duration = Duration::from_millis(STOP_ANSWER_MS).saturating_add(TICK);
 
 /// What a service needs to know.
 #[derive(Clone, Debug)]
@@ -65,6 +69,8 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
+    /// When jobs must have ended, once a stop is planned.
+    stops_at: watch::Sender<Option<Instant>>,
 }
 
 impl JobService {
@@ -94,6 +100,7 @@
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
+            stops_at: watch::Sender::default(),
         });
         tokio::spawn(links::accept(Arc::clone(&service), listener));
         tokio::spawn(tick(Arc::clone(&service)));
@@ -137,10 +144,24 @@
         self.dispatch.lock().find(id).is_some()
     }
 
-    /// Refuses jobs from now on that cannot surely end within so long.
+    /// Refuses jobs from now on that cannot surely end within so long, and gives up those
+    /// that run longer. Every job is answered within [`STOP_ANSWER`] after it.
     pub fn stop_within(&self, left: Duration) {
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         self.dispatch.lock().stop_by(self.clock.now_ms().saturating_add(left_ms));
+        self.stops_at.send_replace(Some(Instant::now() + left));
+    }
+
+    /// Waits until a planned stop has answered all jobs: what is left by then gets no other
+    /// answer.
+    pub async fn stopped(&self) {
+        let mut stops_at = self.stops_at.subscribe();
+        let planned = stops_at.wait_for(Option::is_some).await.ok().and_then(|at| *at);
+        match planned {
+            Some(at) => sleep_until(at + STOP_ANSWER + TICK).await,
+            // The service holds the sender.
+            None => std::future::pending().await,
+        }
     }
 
     /// Passes a configuration on to agents, if it is the newest.
