A stopping entry counts the steps to come, and run times where no upstream is known

What callers would see: a job of several steps, or one that comes while no upstream is usable, is taken by an entry that stops long before it can end, and is given up there. Cause: the bound of a stop was held against the forecast, which is of the first steps only and 0 without an upstream. Change: against the whole chain of run times, where that is longer. Tests: dispatch::an_entry_that_stops_counts_the_steps_to_come and ..._without_upstreams_counts_run_times, both red before.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -220,6 +220,12 @@
         self.request.steps.iter().map(of_step).sum()
     }
 
+    /// Longest chain of run times over its steps, by their estimates.
+    #[must_use]
+    pub fn chain_ms(&self) -> u64 {
+        longest_chain_ms(&self.request.steps)
+    }
+
     /// Time within which it is in time.
     #[must_use]
     pub fn span_ms(&self) -> u64 {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -161,7 +161,7 @@
         self.kind(&kind.name).came(kind.priority, job.work_milli_ms());
         let forecast = self.forecast(&job, now_ms);
         self.last_forecast = forecast;
-        if self.is_cut_off(&forecast, now_ms) {
+        if self.is_cut_off(&job, &forecast, now_ms) {
             return Err(refused(GiveUp::Stopping, RETRY_MS.0 as u32));
         }
         if self.is_shed(&job, forecast.wait_ms, forecast.strain_percent) {
--- a/crates/decide/src/dispatch/stop.rs
+++ b/crates/decide/src/dispatch/stop.rs
@@ -3,7 +3,7 @@
 //! The process ends at a time that is set, whatever still runs. Callers whose jobs are not
 //! over by then would lose their connections, so each job is ended and answered before.
 
-use super::{Dispatch, Forecast, GiveUp, job::Ending};
+use super::{Dispatch, Forecast, GiveUp, Job, job::Ending};
 
 /// Jobs that are given up for a stop are answered within this: an upstream takes 50 ms for a
 /// stop and lists its end within 40 ms, the rest is the way to agents and back.
@@ -20,8 +20,8 @@
     }
 
     /// Whether a job may still run as jobs are given up for the stop.
-    pub(super) fn is_cut_off(&self, forecast: &Forecast, now_ms: u64) -> bool {
-        let surely_in_ms = forecast.end_in_ms * SURE_END_PERCENT / 100;
+    pub(super) fn is_cut_off(&self, job: &Job, forecast: &Forecast, now_ms: u64) -> bool {
+        let surely_in_ms = whole_ms(job, forecast) * SURE_END_PERCENT / 100;
         self.stops_ms.is_some_and(|stops_ms| now_ms + surely_in_ms > stops_ms)
     }
 
@@ -40,3 +40,9 @@
         }
     }
 }
+
+/// How long the whole job is expected to take: the forecast is of what may be placed now, and
+/// is 0 without an upstream.
+fn whole_ms(job: &Job, forecast: &Forecast) -> u64 {
+    forecast.end_in_ms.max(forecast.wait_ms + job.chain_ms())
+}
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -673,6 +673,26 @@
     assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
 }
 
+/// Only the first step is placed, and forecast, as a job comes.
+#[test]
+fn an_entry_that_stops_counts_the_steps_to_come() {
+    let (mut site, _) = Site::new(&[0, 0]);
+    site.dispatch.stop_by(site.now_ms + 300);
+    site.submit(job(1, vec![step(1)]));
+    let then = StepRequest { after: vec![0], ..step(1) };
+    let refused = site.refuse(job(2, vec![step(1), then]));
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+}
+
+/// Without an upstream the forecast is 0, which is not how long the job takes.
+#[test]
+fn an_entry_that_stops_without_upstreams_counts_run_times() {
+    let (mut site, _) = Site::new(&[]);
+    site.dispatch.stop_by(site.now_ms + 150);
+    let refused = site.refuse(job(1, vec![step(1)]));
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+}
+
 /// A job that takes longer than was expected of it must not be left without an answer.
 #[test]
 fn an_entry_that_stops_answers_what_runs_longer_than_expected() {
