A stopping entry learns how long jobs take of what was expected

Cause: "surely ends" meant twice the forecast. A job waits for the slowest of its tasks, whose run times are off by 40 % each. Ways weighed: a wider constant (four times: a job of 900 ms would be refused from 1.9 s after SIGTERM on); what each kind shows. Change: for each kind the part of the forecast within which 95 % of its jobs end, between 1.25 and 4 times, 2.5 times before the first. Test: dispatch::an_entry_that_stops_knows_how_long_jobs_take, red before.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -107,8 +107,12 @@
     pub request: JobRequest,
     /// When it must end to be in time.
     pub objective_ms: u64,
+    /// When it was taken.
+    pub taken_ms: u64,
     /// When its first steps were expected to end as it was taken.
     pub expected_end_ms: u64,
+    /// How long all of its steps were expected to take then.
+    pub expected_whole_ms: u64,
     /// Its last task was not expected to start at once.
     pub has_to_wait: bool,
     /// When its result is of no use any more.
@@ -160,7 +164,9 @@
         Self {
             request,
             objective_ms,
+            taken_ms: 0,
             expected_end_ms: 0,
+            expected_whole_ms: 0,
             has_to_wait: false,
             give_up_ms,
             refuse_ms,
--- a/crates/decide/src/dispatch/kinds.rs
+++ b/crates/decide/src/dispatch/kinds.rs
@@ -21,6 +21,18 @@
 /// Weight of the newest job in the mean work of a kind, as one part of this many.
 const MEAN_WORK_PARTS: f64 = 16.0;
 
+/// Share of jobs that end within what is called sure. A job that is turned away is soon
+/// served by another entry; one that is given up has cost its caller the wait.
+const SURE_SHARE: f64 = 0.95;
+/// What is sure before the first job has ended, in percent of what is expected: a job waits
+/// for the slowest of its tasks, and estimates are off by 40 %.
+const UNLEARNT_SURE_PERCENT: f64 = 250.0;
+/// It stays within these bounds, in percent: beyond them callers of an entry that stops would
+/// be turned away for all of its grace period.
+const SURE_BOUNDS_PERCENT: (f64, f64) = (125.0, 400.0);
+/// Part of itself by which it follows a job at most.
+const SURE_STEP: f64 = 0.05;
+
 /// What is learnt of one kind.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct KindRecord {
@@ -35,6 +47,8 @@
     work_percent: Option<u32>,
     lateness_ms: f64,
     lateness_at_ms: u64,
+    /// Part of what is expected within which jobs surely end; none before the first.
+    sure_percent: Option<f64>,
 }
 
 impl KindRecord {
@@ -52,6 +66,23 @@
         self.work_percent = Some((past * (WORK_PARTS - 1) + sample) / WORK_PARTS);
     }
 
+    /// Part of the expected time within which jobs surely end, in percent.
+    #[must_use]
+    pub fn sure_percent(&self) -> f64 {
+        self.sure_percent.unwrap_or(UNLEARNT_SURE_PERCENT)
+    }
+
+    /// Takes note of how long a job took, in percent of what was expected.
+    ///
+    /// The estimate of a quantile: it rises by more than it falls, and rests where so many
+    /// jobs take longer that both are even.
+    pub fn took(&mut self, percent: f64) {
+        let past = self.sure_percent();
+        let share = if percent > past { SURE_SHARE } else { SURE_SHARE - 1.0 };
+        let (least, most) = SURE_BOUNDS_PERCENT;
+        self.sure_percent = Some((past * (1.0 + SURE_STEP * share)).clamp(least, most));
+    }
+
     /// How much later than forecast jobs end now, in milliseconds; negative when they
     /// end earlier.
     #[must_use]
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -176,7 +176,9 @@
             return Err(answer);
         }
         job.has_to_wait = forecast.wait_ms > 0;
+        job.taken_ms = now_ms;
         job.expected_end_ms = now_ms + forecast.end_in_ms;
+        job.expected_whole_ms = stop::whole_ms(&job, &forecast);
         if job.expected_end_ms > job.objective_ms {
             job.bear_lateness();
         }
@@ -209,6 +211,7 @@
             Outcome::PlaceAgain => self.place(key, now_ms),
             Outcome::Completed => {
                 self.note_end(key, now_ms);
+                self.note_time(key, now_ms);
                 self.commands.push(Command::Answer(key, JobAnswer::Completed));
                 self.remove(key);
             }
@@ -235,6 +238,15 @@
         record.suffered(suffered, now_ms);
     }
 
+    /// Takes note of how long a job that is done took of what was expected.
+    fn note_time(&mut self, key: JobKey, now_ms: u64) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let took_ms = now_ms.saturating_sub(job.taken_ms) as f64;
+        let percent = took_ms * 100.0 / job.expected_whole_ms.max(1) as f64;
+        let kind = Arc::clone(&job.request.kind);
+        self.kind(&kind.name).took(percent);
+    }
+
     /// Ends a job whose caller has left or cancelled it.
     pub fn cancel(&mut self, key: JobKey) {
         if self.jobs.get(key).is_some_and(|job| job.ending.is_none()) {
--- a/crates/decide/src/dispatch/stop.rs
+++ b/crates/decide/src/dispatch/stop.rs
@@ -8,10 +8,6 @@
 /// Jobs that are given up for a stop are answered within this: an upstream takes 50 ms for a
 /// stop and lists its end within 40 ms, the rest is the way to agents and back.
 pub const STOP_ANSWER_MS: u64 = 150;
-/// A job surely ends within this part, in percent, of the time that is forecast: estimates
-/// are off by 40 %, and what is started anew after a failure takes its time.
-const SURE_END_PERCENT: u64 = 200;
-
 impl Dispatch {
     /// The entry stops: from now on jobs that cannot surely end by this time are refused.
     /// Those that run longer are given up then, and answered within [`STOP_ANSWER_MS`].
@@ -21,8 +17,10 @@
 
     /// Whether a job may still run as jobs are given up for the stop.
     pub(super) fn is_cut_off(&self, job: &Job, forecast: &Forecast, now_ms: u64) -> bool {
-        let surely_in_ms = whole_ms(job, forecast) * SURE_END_PERCENT / 100;
-        self.stops_ms.is_some_and(|stops_ms| now_ms + surely_in_ms > stops_ms)
+        let Some(stops_ms) = self.stops_ms else { return false };
+        let kind = self.kinds.get(&job.request.kind.name).copied().unwrap_or_default();
+        let surely_in_ms = whole_ms(job, forecast) as f64 * kind.sure_percent() / 100.0;
+        now_ms + surely_in_ms as u64 > stops_ms
     }
 
     /// Gives up what still runs as jobs must have ended. Soon after, jobs are answered whose
@@ -43,6 +41,6 @@
 
 /// How long the whole job is expected to take: the forecast is of what may be placed now, and
 /// is 0 without an upstream.
-fn whole_ms(job: &Job, forecast: &Forecast) -> u64 {
+pub(super) fn whole_ms(job: &Job, forecast: &Forecast) -> u64 {
     forecast.end_in_ms.max(forecast.wait_ms + job.chain_ms())
 }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -673,6 +673,38 @@
     assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
 }
 
+/// One job after the other takes so many times its forecast of 100 ms.
+fn jobs_take(site: &mut Site, agent: AgentKey, jobs: std::ops::Range<u64>, times: u64) {
+    for id in jobs {
+        site.tick_at(site.now_ms, &[agent]);
+        let (arrived_ms, deadline_ms) = (site.now_ms, site.now_ms + 60_000);
+        site.submit(JobRequest { arrived_ms, deadline_ms, ..job(id, vec![step(1)]) });
+        site.now_ms += 100 * times;
+        // The run itself is as long as expected.
+        site.tell(agent, task(id, 0, 0), 1, done());
+    }
+}
+
+/// Where one job in ten took twice its forecast, jobs were taken that could not end in time.
+#[test]
+fn an_entry_that_stops_knows_how_long_jobs_take() {
+    let (mut site, agents) = Site::new(&[0]);
+    let ask = |site: &mut Site, id, left_ms| {
+        site.dispatch.stop_by(site.now_ms + left_ms);
+        let (arrived_ms, deadline_ms) = (site.now_ms, site.now_ms + 60_000);
+        let request = JobRequest { arrived_ms, deadline_ms, ..job(id, vec![step(1)]) };
+        site.dispatch.submit(request, site.now_ms)
+    };
+    jobs_take(&mut site, agents[0], 0..40, 3);
+    let refused = ask(&mut site, 1_000, 290).unwrap_err();
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+    assert!(ask(&mut site, 1_001, 400).is_ok());
+    // Stops are not planned any more, and jobs are as quick as expected.
+    site.dispatch.stop_by(u64::MAX);
+    jobs_take(&mut site, agents[0], 2_000..2_400, 1);
+    assert!(ask(&mut site, 3_000, 160).is_ok());
+}
+
 /// Only the first step is placed, and forecast, as a job comes.
 #[test]
 fn an_entry_that_stops_counts_the_steps_to_come() {
