--- a/crates/soak/src/tcp_relay.rs
+++ b/crates/soak/src/tcp_relay.rs
@@ -3,7 +3,12 @@
 
 use {
     parking_lot::Mutex,
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{
@@ -52,6 +57,34 @@
     }
 }
 
+/// What happens to bytes of all connections, and of those of single peers.
+#[derive(Clone, Debug, Default)]
+struct Passages {
+    all: Passage,
+    /// By a text that a peer's first bytes contain, as its name.
+    peers: Vec<(String, Passage)>,
+}
+
+impl Passages {
+    fn holds(&self, way: Way, opening: &[u8]) -> bool {
+        self.all.holds(way) || self.peer(opening).is_some_and(|passage| passage.holds(way))
+    }
+
+    fn delay_ms(&self, opening: &[u8]) -> Option<u64> {
+        let delay = |passage| match passage {
+            Passage::Delayed(ms) => Some(ms),
+            _ => None,
+        };
+        delay(self.all).or_else(|| self.peer(opening).and_then(delay))
+    }
+
+    fn peer(&self, opening: &[u8]) -> Option<Passage> {
+        let is_of =
+            |name: &String| opening.windows(name.len()).any(|window| window == name.as_bytes());
+        self.peers.iter().find(|(name, _)| is_of(name)).map(|(_, passage)| *passage)
+    }
+}
+
 /// What becomes of connections that are open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
@@ -64,7 +97,7 @@
 #[derive(Debug)]
 pub struct TcpRelay {
     address: SocketAddr,
-    passage: watch::Sender<Passage>,
+    passages: watch::Sender<Passages>,
     open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
     accepting: JoinHandle<()>,
 }
@@ -84,11 +117,11 @@
     pub async fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let passage = watch::Sender::new(Passage::Open);
+        let passages = watch::Sender::new(Passages::default());
         let open = Arc::<Mutex<Vec<_>>>::default();
         let accepting =
-            tokio::spawn(accept(listener, target, passage.subscribe(), Arc::clone(&open)));
-        Ok(Self { address, passage, open, accepting })
+            tokio::spawn(accept(listener, target, passages.subscribe(), Arc::clone(&open)));
+        Ok(Self { address, passages, open, accepting })
     }
 
     /// Where it listens.
@@ -99,7 +132,17 @@
 
     /// Sets what happens to bytes from now on.
     pub fn set(&self, passage: Passage) {
-        self.passage.send_replace(passage);
+        self.passages.send_modify(|passages| passages.all = passage);
+    }
+
+    /// The same for connections of one peer: those whose first bytes contain its name.
+    pub fn set_for(&self, peer: &str, passage: Passage) {
+        self.passages.send_modify(|passages| {
+            passages.peers.retain(|(name, _)| name != peer);
+            if passage != Passage::Open {
+                passages.peers.push((peer.to_owned(), passage));
+            }
+        });
     }
 
     /// Resets all connections that are open.
@@ -124,7 +167,7 @@
 async fn accept(
     listener: TcpListener,
     target: SocketAddr,
-    passage: watch::Receiver<Passage>,
+    passages: watch::Receiver<Passages>,
     open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
 ) {
     let mut connections = JoinSet::new();
@@ -136,7 +179,7 @@
             continue;
         };
         let fate = watch::Sender::new(Fate::Carried);
-        connections.spawn(carry(stream, target, passage.clone(), fate.subscribe()));
+        connections.spawn(carry(stream, target, passages.clone(), fate.subscribe()));
         let mut open = open.lock();
         open.retain(|connection| connection.receiver_count() > 0);
         open.push(fate);
@@ -146,13 +189,13 @@
 async fn carry(
     mut near: TcpStream,
     target: SocketAddr,
-    mut passage: watch::Receiver<Passage>,
+    mut passages: watch::Receiver<Passages>,
     mut fate: watch::Receiver<Fate>,
 ) {
     let _ = near.set_nodelay(true);
     let connected = async {
         // The sender lives as long as the relay.
-        let _ = passage.wait_for(|passage| *passage != Passage::Held).await;
+        let _ = passages.wait_for(|passages| passages.all != Passage::Held).await;
         TcpStream::connect(target).await
     };
     let far = tokio::select! {
@@ -161,8 +204,14 @@
     };
     let Ok(mut far) = far else { return reset(&near) };
     let _ = far.set_nodelay(true);
-    let to = Pump { way: Way::ToTarget, passage: passage.clone(), fate: fate.clone() };
-    let from = Pump { way: Way::FromTarget, passage, fate: fate.clone() };
+    let opening = Arc::<OnceLock<Vec<u8>>>::default();
+    let to = Pump {
+        way: Way::ToTarget,
+        passages: passages.clone(),
+        fate: fate.clone(),
+        opening: Arc::clone(&opening),
+    };
+    let from = Pump { way: Way::FromTarget, passages, fate: fate.clone(), opening };
     let was_reset = {
         let (near_reader, near_writer) = near.split();
         let (far_reader, far_writer) = far.split();
@@ -188,8 +237,10 @@
 /// Carries bytes one way.
 struct Pump {
     way: Way,
-    passage: watch::Receiver<Passage>,
+    passages: watch::Receiver<Passages>,
     fate: watch::Receiver<Fate>,
+    /// First bytes to the target.
+    opening: Arc<OnceLock<Vec<u8>>>,
 }
 
 impl Pump {
@@ -197,6 +248,10 @@
         let mut buffer = vec![0; BUFFER_BYTES];
         loop {
             let read = reader.read(&mut buffer).await;
+            if self.way == Way::ToTarget {
+                let length = read.as_ref().map_or(0, |length| *length);
+                self.opening.get_or_init(|| buffer[..length].to_vec());
+            }
             self.until_passable().await;
             let Ok(length) = read else { break };
             if length == 0 || writer.write_all(&buffer[..length]).await.is_err() {
@@ -212,11 +267,12 @@
         if silenced {
             return std::future::pending().await;
         }
-        let present = *self.passage.borrow();
-        if let Passage::Delayed(ms) = present {
+        let opening = self.opening.get().map_or(&[][..], Vec::as_slice);
+        let delay_ms = self.passages.borrow().delay_ms(opening);
+        if let Some(ms) = delay_ms {
             sleep(Duration::from_millis(ms)).await;
         }
-        let opened = self.passage.wait_for(|passage| !passage.holds(way));
+        let opened = self.passages.wait_for(|passages| !passages.holds(way, opening));
         let _ = opened.await;
         if *self.fate.borrow() == Fate::Silenced {
             std::future::pending::<()>().await;
