A draining entry answers its callers before the bound cuts them

What callers would see: a job that still runs as drain_ms passes loses its caller's connection, and the entry ends with 3 (DrainCut, invariant I7). Settings files can't set drain_ms below the longest deadline, so there it takes a bound of just that deadline; embedded and test settings can. Change: 0.4 s before the bound, jobs that run on are given up with the reason draining: revoked at their agents and answered failed or not_run by what agents report, after 0.2 s unknown. Ruled out here, not mended: a body that comes slowly, a call that waits for another entry, and jobs of a fenced run, which wait for their deadline, can still be cut at the bound. Before: drains::callers_at_the_bound_are_answered and _without_an_agent both ended with exit status 86 (a broken invariant).

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -2,7 +2,10 @@
 //! flight is finished and answered, then the process ends.
 
 use {
-    crate::shared::Shared,
+    crate::{
+        jobs::{self, REPORT_WAIT_MS},
+        shared::Shared,
+    },
     std::{
         sync::{
             Arc,
@@ -10,13 +13,18 @@
         },
         time::Duration,
     },
+    sycamorerail_decide::job::Event,
     sycamorerail_telemetry::event,
+    sycamorerail_wire::answer::Reason,
     tokio::sync::Notify,
 };
 
 /// Time given to balancers to see that readiness fails, before the listener
 /// closes, where nothing else takes longer.
 const NOTICE: Duration = Duration::from_millis(500);
+/// Kept of the drain's bound for the answers to jobs that run on: agents' reports of what
+/// is revoked, in milliseconds, and the way to the callers.
+const LAST_ANSWERS_MS: u64 = REPORT_WAIT_MS as u64 + 200;
 /// Longest pause between looks at what is in flight.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -132,27 +140,51 @@
 }
 
 /// Waits until nothing is in flight, at most for the bound of the settings.
-/// Returns the time left of it.
-pub async fn finish(shared: &Shared) -> Duration {
-    let bound = Duration::from_millis(shared.settings.limits.drain_ms.into());
-    let notice = NOTICE.min(bound);
-    tokio::time::sleep(notice).await;
-    wait_idle(shared, bound - notice).await
+/// Jobs that run on shortly before it are given up, so that their callers are
+/// answered. Returns the time left of it.
+pub async fn finish(shared: &Arc<Shared>) -> Duration {
+    let bound_ms = u64::from(shared.settings.limits.drain_ms);
+    let end_ms = shared.now_ms() + bound_ms;
+    let give_up_ms = end_ms - LAST_ANSWERS_MS.min(bound_ms);
+    tokio::time::sleep(NOTICE.min(left(shared, give_up_ms))).await;
+    wait_idle(shared, give_up_ms).await;
+    give_up_jobs(shared).await;
+    wait_idle(shared, end_ms).await;
+    left(shared, end_ms)
+}
+
+/// Ends what still runs. Jobs of which agents do not report in time are
+/// answered without their word.
+async fn give_up_jobs(shared: &Arc<Shared>) {
+    let running = shared.jobs.all_running();
+    if running.is_empty() {
+        return;
+    }
+    event!(Warn, "jobs_given_up", jobs = running.len(), why = Reason::Draining.name());
+    for cell in &running {
+        jobs::drive(shared, cell, Event::GiveUp(Reason::Draining));
+    }
+    wait_idle(shared, shared.now_ms() + u64::from(REPORT_WAIT_MS)).await;
+    for cell in &running {
+        jobs::drive(shared, cell, Event::Tick);
+    }
 }
 
 /// Takes no call of other entries any more, and waits until those taken have
 /// their replies, for a bounded time. The HTTP listener is closed by then.
 pub async fn close(shared: &Shared, within: Duration) {
     shared.lifecycle.close();
-    wait_idle(shared, within).await;
+    let within_ms = u64::try_from(within.as_millis()).unwrap_or(u64::MAX);
+    wait_idle(shared, shared.now_ms().saturating_add(within_ms)).await;
 }
 
-/// Waits until nothing is in flight. Returns the time left.
-async fn wait_idle(shared: &Shared, within: Duration) -> Duration {
-    let until_ms = shared.now_ms() + u64::try_from(within.as_millis()).unwrap_or(u64::MAX);
+async fn wait_idle(shared: &Shared, until_ms: u64) {
     while in_flight(shared) && shared.now_ms() < until_ms {
         let _ = tokio::time::timeout(LOOK_PERIOD, shared.lifecycle.changed.notified()).await;
     }
+}
+
+fn left(shared: &Shared, until_ms: u64) -> Duration {
     Duration::from_millis(until_ms.saturating_sub(shared.now_ms()))
 }
 
--- a/crates/entry/src/jobs/cell.rs
+++ b/crates/entry/src/jobs/cell.rs
@@ -24,7 +24,7 @@
 };
 
 /// Longest wait for reports of revoked tasks, in milliseconds.
-const REPORT_WAIT_MS: u32 = 200;
+pub const REPORT_WAIT_MS: u32 = 200;
 /// What a caller is told where coming back makes sense, in milliseconds.
 const RETRY_AFTER_MS: u32 = 500;
 
--- a/crates/entry/src/jobs/mod.rs
+++ b/crates/entry/src/jobs/mod.rs
@@ -10,7 +10,7 @@
 
 pub use {
     accept::{Accepted, Refused, accept, cancel, fetch, is_home, submit},
-    cell::JobCell,
+    cell::{JobCell, REPORT_WAIT_MS},
     drive::{drive, fence_all},
     table::{JobKey, SubmissionSize, Table},
     timer::sweep_until,
--- a/crates/entry/src/jobs/table.rs
+++ b/crates/entry/src/jobs/table.rs
@@ -164,11 +164,21 @@
         });
     }
 
+    /// All jobs that have no answer.
+    #[must_use]
+    pub fn all_running(&self) -> Vec<Arc<JobCell>> {
+        self.running_where(|_| true)
+    }
+
     /// All jobs of a run that have no answer.
     #[must_use]
     pub fn running_of(&self, incarnation: Incarnation) -> Vec<Arc<JobCell>> {
-        let of_run = self.records.iter().filter(|record| record.key().incarnation == incarnation);
-        of_run
+        self.running_where(|key| key.incarnation == incarnation)
+    }
+
+    fn running_where(&self, wanted: impl Fn(&JobKey) -> bool) -> Vec<Arc<JobCell>> {
+        let found = self.records.iter().filter(|record| wanted(record.key()));
+        found
             .filter_map(|record| match record.value() {
                 Record::Running(cell) => Some(Arc::clone(cell)),
                 Record::Answered { .. } => None,
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -56,3 +56,52 @@
     let refused = world.second_at(address).await.expect_err("two entries at one address");
     assert!(refused.to_string().starts_with(&format!("HTTP at {address}")), "{refused}");
 }
+
+/// Jobs that outlive the bound of a drain must not end with their callers' connections cut.
+#[tokio::test]
+async fn callers_at_the_bound_are_answered() {
+    let world = World::with_limits(|limits| limits.drain_ms = 1_500).await;
+    let agent = world.agent_with("a", 2).await;
+    let address = world.entry.http_address();
+    let (started, unstarted) = (world.id().await, world.id().await);
+    let submit = |id: &str, order: &str| {
+        let body = json!({ "kind": "once", "tasks": [{ "do": order }] });
+        let (http, path) = (world.http.clone(), format!("/v1/jobs/{id}"));
+        tokio::spawn(async move {
+            send(&http, address, Method::PUT, &path, "alpenfunk", Some(&body)).await
+        })
+    };
+    let submitted = (submit(&started, "hang"), submit(&unstarted, "refuse"));
+    agent.started(1).await;
+    world.fetch_until(&unstarted, "in_doubt").await;
+    let World { entry, .. } = world;
+    let drained = tokio::time::timeout(PATIENCE, entry.drain()).await;
+    drained.expect("the drain did not end").expect("the drain cut something");
+    let (started, unstarted) = (submitted.0.await.unwrap(), submitted.1.await.unwrap());
+    assert_eq!(started.verdict(), (502, "failed", "draining"));
+    assert_eq!(unstarted.verdict(), (503, "not_run", "draining"));
+}
+
+/// The agent of a job that outlives the bound may be silent; its caller is told what is known.
+#[tokio::test]
+async fn callers_at_the_bound_are_answered_without_an_agent() {
+    let world = World::with_limits(|limits| limits.drain_ms = 1_500).await;
+    let agent = world.agent_with("a", 1).await;
+    let address = world.entry.http_address();
+    let id = world.id().await;
+    let submitted = tokio::spawn({
+        let http = world.http.clone();
+        async move {
+            let body = json!({ "kind": "once", "tasks": [{ "do": "hang" }] });
+            let path = format!("/v1/jobs/{id}");
+            send(&http, address, Method::PUT, &path, "alpenfunk", Some(&body)).await
+        }
+    });
+    agent.started(1).await;
+    agent.disconnect();
+    let World { entry, .. } = world;
+    let drained = tokio::time::timeout(PATIENCE, entry.drain()).await;
+    drained.expect("the drain did not end").expect("the drain cut something");
+    let answer = submitted.await.unwrap();
+    assert_eq!((answer.status, answer.text("outcome")), (500, "unknown"));
+}
