--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -5,7 +5,7 @@
     std::sync::Arc,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
-        KindParameters, StepRequest,
+        KindParameters, STOP_ANSWER_MS, StepRequest,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -673,6 +673,107 @@
     assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
 }
 
+/// One job after the other takes so many times its forecast of 100 ms.
+fn jobs_take(site: &mut Site, agent: AgentKey, jobs: std::ops::Range<u64>, times: u64) {
+    for id in jobs {
+        site.tick_at(site.now_ms, &[agent]);
+        let (arrived_ms, deadline_ms) = (site.now_ms, site.now_ms + 60_000);
+        site.submit(JobRequest { arrived_ms, deadline_ms, ..job(id, vec![step(1)]) });
+        site.now_ms += 100 * times;
+        // The run itself is as long as expected.
+        site.tell(agent, task(id, 0, 0), 1, done());
+    }
+}
+
+/// Where one job in ten took twice its forecast, jobs were taken that could not end in time.
+#[test]
+fn an_entry_that_stops_knows_how_long_jobs_take() {
+    let (mut site, agents) = Site::new(&[0]);
+    let ask = |site: &mut Site, id, left_ms| {
+        site.dispatch.stop_by(site.now_ms + left_ms);
+        let (arrived_ms, deadline_ms) = (site.now_ms, site.now_ms + 60_000);
+        let request = JobRequest { arrived_ms, deadline_ms, ..job(id, vec![step(1)]) };
+        site.dispatch.submit(request, site.now_ms)
+    };
+    jobs_take(&mut site, agents[0], 0..40, 3);
+    let refused = ask(&mut site, 1_000, 290).unwrap_err();
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+    assert!(ask(&mut site, 1_001, 400).is_ok());
+    // Stops are not planned any more, and jobs are as quick as expected.
+    site.dispatch.stop_by(u64::MAX);
+    jobs_take(&mut site, agents[0], 2_000..2_400, 1);
+    assert!(ask(&mut site, 3_000, 160).is_ok());
+}
+
+/// Only the first step is placed, and forecast, as a job comes.
+#[test]
+fn an_entry_that_stops_counts_the_steps_to_come() {
+    let (mut site, _) = Site::new(&[0, 0]);
+    site.dispatch.stop_by(site.now_ms + 300);
+    site.submit(job(1, vec![step(1)]));
+    let then = StepRequest { after: vec![0], ..step(1) };
+    let refused = site.refuse(job(2, vec![step(1), then]));
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+}
+
+/// Without an upstream the forecast is 0, which is not how long the job takes.
+#[test]
+fn an_entry_that_stops_without_upstreams_counts_run_times() {
+    let (mut site, _) = Site::new(&[]);
+    site.dispatch.stop_by(site.now_ms + 150);
+    let refused = site.refuse(job(1, vec![step(1)]));
+    assert!(matches!(refused, JobAnswer::NotRun { why: GiveUp::Stopping, .. }), "{refused:?}");
+}
+
+/// A job that takes longer than was expected of it must not be left without an answer.
+#[test]
+fn an_entry_that_stops_answers_what_runs_longer_than_expected() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Started);
+    site.dispatch.take_commands();
+    let stops_ms = site.now_ms + 250;
+    site.dispatch.stop_by(stops_ms);
+    site.tick_at(stops_ms - 1, &agents);
+    assert_eq!(site.dispatch.take_commands(), [], "it may end in time");
+    site.tick_at(stops_ms, &agents);
+    let stop = Command::Stop(agents[0], CallerId(1));
+    assert_eq!(site.dispatch.take_commands(), [stop]);
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Stopped);
+    assert_eq!(site.answers(), [JobAnswer::Unknown { why: GiveUp::Stopping }]);
+}
+
+/// An agent that cannot be reached must not hold an answer back beyond the stop.
+#[test]
+fn an_entry_that_stops_answers_without_the_word_of_an_agent() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    let stops_ms = site.now_ms + 250;
+    site.dispatch.stop_by(stops_ms);
+    site.tick_at(stops_ms, &agents);
+    assert_eq!(site.answers(), []);
+    site.tick_at(stops_ms + STOP_ANSWER_MS, &agents);
+    // Whether the task began is not known.
+    assert_eq!(site.answers(), [JobAnswer::Unknown { why: GiveUp::Stopping }]);
+    assert_eq!(site.dispatch.job_count(), 0);
+}
+
+/// Of what only waits nothing has run, and its caller is told so.
+#[test]
+fn an_entry_that_stops_refuses_what_has_not_begun() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    site.dispatch.stop_by(site.now_ms + 250);
+    site.tick_at(site.now_ms + 250, &agents);
+    let withdrawn = RunEvent::NotStarted(NotStarted::Withdrawn);
+    site.tell(agents[0], task(1, 0, 0), 1, withdrawn);
+    let answers = site.answers();
+    assert!(
+        matches!(answers[..], [JobAnswer::NotRun { why: GiveUp::Stopping, .. }]),
+        "{answers:?}"
+    );
+}
+
 /// Its last task runs on an upstream that is far too slow; nobody else waits for that room.
 #[test]
 fn a_job_whose_tasks_all_run_is_finished_for_as_long_as_its_caller_waits() {
