Gate, placement and admission know evacuated data centres

Callers saw: nothing yet; the project's own interface had no word for a data centre that is to get nothing more (only leased runs had).

The gate drops what is queued and refuses what comes (reason evacuated, not for good), whatever the upstream's life; what runs goes on. Policies, probes of ejected upstreams, forecast and admission leave such upstreams out. Where all that could serve are evacuated, admission refuses with 503 evacuated and the time to come back that leased runs tell (one constant, 2 s).

Tests: gate (2 new), gate_machine with evacuations at any moment, admission (2 new). Each fails with its part broken: placements taken (gate 2 tests, gate_machine), queue kept (gate, gate_machine), view without the flag (admission 2 tests).

--- a/crates/decide/src/admission/mod.rs
+++ b/crates/decide/src/admission/mod.rs
@@ -18,12 +18,14 @@
 
 use {
     crate::{
+        dispatch::EVACUATED_RETRY_MS,
         placement::{Ask, spread::SpreadRule},
         queue::Backlog,
         view::{Row, View},
     },
     forecast::Forecast,
     limit::OrganisationLimit,
+    std::sync::atomic::Ordering,
     sycamorerail_wire::answer::Reason,
 };
 
@@ -112,19 +114,36 @@
 ///
 /// # Errors
 ///
-/// `NoUpstream` or `NeverPlaceable`.
+/// `NoUpstream`, `Evacuated` or `NeverPlaceable`.
 pub fn check_placeable(submitted: &Submitted<'_>, view: &View, now_ms: u64) -> Result<(), Refusal> {
     let ask = &submitted.ask;
     let rule = SpreadRule::new(view, ask);
-    let could_go_to = |row: &&Row| row.could_hold(ask.kind, ask.size_bytes) && !rule.forbids(row);
-    let mut could_hold = view.rows.iter().filter(could_go_to).peekable();
+    let mut could_hold = view.rows.iter().filter(|row| could_go_to(row, ask, &rule)).peekable();
     if !view.rows.is_empty() && could_hold.peek().is_none() {
         return Err(Refusal::for_good(Reason::NeverPlaceable));
     }
-    if !could_hold.any(|row| row.takes_work(now_ms)) {
-        return Err(Refusal::until(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS));
+    if could_hold.any(|row| row.takes_work(now_ms)) {
+        return Ok(());
     }
-    Ok(())
+    if is_evacuated(ask, view) {
+        return Err(Refusal::until(Reason::Evacuated, EVACUATED_RETRY_MS.into()));
+    }
+    Err(Refusal::until(Reason::NoUpstream, NO_UPSTREAM_RETRY_AFTER_MS))
+}
+
+/// Whether some upstream could serve that is not leaving, and all of these are in
+/// evacuated data centres.
+#[must_use]
+pub fn is_evacuated(ask: &Ask<'_>, view: &View) -> bool {
+    let rule = SpreadRule::new(view, ask);
+    let stays =
+        |row: &&Row| could_go_to(row, ask, &rule) && !row.live.leaving.load(Ordering::Acquire);
+    let mut staying = view.rows.iter().filter(stays).peekable();
+    staying.peek().is_some() && staying.all(|row| row.live.evacuated.load(Ordering::Acquire))
+}
+
+fn could_go_to(row: &Row, ask: &Ask<'_>, rule: &SpreadRule<'_>) -> bool {
+    row.could_hold(ask.kind, ask.size_bytes) && !rule.forbids(row)
 }
 
 /// Whether the waiting queue has room for those tasks that find no slot.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -50,7 +50,7 @@
 const NOT_HERE_RETRY_MS: u32 = 100;
 /// Time told where all data centres with upstreams for a job are evacuated: a data centre
 /// is evacuated for seconds at least, and one that is taken back serves at once.
-const EVACUATED_RETRY_MS: u32 = 2_000;
+pub(crate) const EVACUATED_RETRY_MS: u32 = 2_000;
 /// Time told where a job is turned away for others: twice the half-life of what is known
 /// of them.
 const SHED_RETRY_MS: u32 = 1_000;
--- a/crates/decide/src/gate.rs
+++ b/crates/decide/src/gate.rs
@@ -74,6 +74,7 @@
     limits: Limits,
     upstream: UpstreamState,
     draining: bool,
+    evacuated: bool,
     fences: Fences,
     store: Store,
     queue: Queue,
@@ -90,6 +91,7 @@
             limits,
             upstream: UpstreamState::Absent,
             draining: false,
+            evacuated: false,
             fences: Fences::default(),
             store: Store::default(),
             queue: Queue::default(),
@@ -125,6 +127,7 @@
             _ if placement.end_within_ms == 0 => (Reason::DeadlinePassed, false),
             UpstreamState::Absent => (Reason::NoUpstream, false),
             UpstreamState::Leaving => (Reason::Leaving, false),
+            _ if self.evacuated => (Reason::Evacuated, false),
             _ if !self.has_memory_for(placement) => (Reason::MemoryFull, false),
             _ if !self.has_place_for(placement) => (Reason::AgentFull, false),
             UpstreamState::Serving { .. } => return None,
@@ -363,6 +366,13 @@
         }
     }
 
+    /// Takes note of whether the upstream's data centre is evacuated. Queued tasks
+    /// are dropped then; running ones go on.
+    pub fn set_evacuated(&mut self, evacuated: bool) -> Vec<Settled> {
+        self.evacuated = evacuated;
+        if evacuated { self.drop_all_queued(Reason::Evacuated, false) } else { Vec::new() }
+    }
+
     /// Takes nothing new from now on, and drops what is queued.
     pub fn drain(&mut self) -> Vec<Settled> {
         self.draining = true;
--- a/crates/decide/src/job/verdict.rs
+++ b/crates/decide/src/job/verdict.rs
@@ -178,7 +178,9 @@
         Reason::Fenced | Reason::HomeLost => Step::Fence,
         Reason::AgentLost => Step::Start,
         Reason::UpstreamBroken | Reason::UpstreamTimeout | Reason::ResultDropped => Step::Run,
-        Reason::NeverPlaceable | Reason::NoUpstream | Reason::Overloaded => Step::Admit,
+        Reason::NeverPlaceable | Reason::NoUpstream | Reason::Overloaded | Reason::Evacuated => {
+            Step::Admit
+        }
         _ => Step::Place,
     }
 }
--- a/crates/decide/src/view.rs
+++ b/crates/decide/src/view.rs
@@ -48,6 +48,8 @@
     pub heard_at_ms: AtomicU64,
     /// It announced leaving; no new work goes there.
     pub leaving: AtomicBool,
+    /// Its data centre is evacuated; no new work goes there.
+    pub evacuated: AtomicBool,
     /// Ejected until this time in monotonic milliseconds; 0 when serving.
     pub ejected_until_ms: AtomicU64,
     /// Most placements of this entry at once while the upstream returns from
@@ -112,6 +114,7 @@
     pub fn takes_work(&self, now_ms: u64) -> bool {
         let return_window = self.live.return_window.load(Ordering::Acquire);
         !self.live.leaving.load(Ordering::Acquire)
+            && !self.live.evacuated.load(Ordering::Acquire)
             && self.live.ejected_until_ms.load(Ordering::Acquire) <= now_ms
             && (return_window == 0 || self.live.outstanding.load(Ordering::Acquire) < return_window)
     }
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -196,6 +196,29 @@
     assert_eq!(ask_admission(&submitted(), &view), none);
 }
 
+#[test]
+fn evacuated_counts_for_nothing() {
+    let view = view(&[1, 1], 0);
+    view.rows[0].live.evacuated.store(true, Relaxed);
+    assert_eq!(ask_admission(&submitted(), &view), Ok(()));
+    let forecast = Forecast::new(&view, &submitted().ask, None, 1, NOW_MS);
+    assert_eq!(forecast.free_slots, 1);
+    view.rows[1].live.ejected_until_ms.store(NOW_MS + 1, Relaxed);
+    assert_eq!(ask_admission(&submitted(), &view), refused(Reason::NoUpstream, 1_000));
+}
+
+#[test]
+fn all_evacuated() {
+    let view = view(&[1, 1], 0);
+    view.rows[0].live.evacuated.store(true, Relaxed);
+    view.rows[1].live.evacuated.store(true, Relaxed);
+    assert_eq!(ask_admission(&submitted(), &view), refused(Reason::Evacuated, 2_000));
+    view.rows[1].live.leaving.store(true, Relaxed);
+    assert_eq!(ask_admission(&submitted(), &view), refused(Reason::Evacuated, 2_000));
+    view.rows[0].live.leaving.store(true, Relaxed);
+    assert_eq!(ask_admission(&submitted(), &view), refused(Reason::NoUpstream, 1_000));
+}
+
 #[test]
 fn full_queue() {
     let job = Submitted { tasks: 100, queue_room: 50, ..submitted() };
--- a/crates/decide/tests/gate.rs
+++ b/crates/decide/tests/gate.rs
@@ -244,6 +244,30 @@
     start(&mut gate, 3);
 }
 
+#[test]
+fn evacuated_starts_nothing() {
+    let mut gate = gate(1);
+    start(&mut gate, 1);
+    gate.place(placement(2), 0);
+    let dropped = gate.set_evacuated(true);
+    assert_eq!(not_started(dropped[0].reply.clone()), (Reason::Evacuated, false));
+    assert_eq!(refused(gate.place(placement(3), 0)), (Reason::Evacuated, false));
+    assert!(gate.ended(task(1), finished("1"), 1, 1).is_some(), "what runs goes on");
+    assert_eq!(gate.take_next(1, &mut Vec::new()), None);
+    assert!(gate.set_evacuated(true).is_empty());
+    gate.set_evacuated(false);
+    start(&mut gate, 3);
+}
+
+#[test]
+fn evacuated_over_upstreams_life() {
+    let mut gate = gate(1);
+    gate.set_evacuated(true);
+    gate.set_upstream(UpstreamState::Absent);
+    gate.set_upstream(UpstreamState::Serving { slots: 2 });
+    assert_eq!(refused(gate.place(placement(1), 0)), (Reason::Evacuated, false));
+}
+
 #[test]
 fn drain_drops() {
     let mut gate = gate(1);
--- a/crates/decide/tests/gate_machine.rs
+++ b/crates/decide/tests/gate_machine.rs
@@ -44,6 +44,7 @@
     Break(Index),
     Unreachable(Index),
     Upstream(UpstreamState),
+    Evacuated(bool),
     Wait { ms: u64 },
     Drain,
 }
@@ -77,6 +78,7 @@
         2 => any().prop_map(Op::Break),
         3 => any().prop_map(Op::Unreachable),
         2 => upstream.prop_map(Op::Upstream),
+        1 => proptest::bool::ANY.prop_map(Op::Evacuated),
         6 => (1..1_000_u64).prop_map(|ms| Op::Wait { ms }),
         1 => Just(Op::Drain),
     ]
@@ -102,6 +104,7 @@
     gate: Gate,
     now_ms: u64,
     draining: bool,
+    evacuated: bool,
     tasks: Vec<TaskId>,
     /// On their way, with the time of sending.
     sent: Vec<(u64, Message)>,
@@ -125,6 +128,7 @@
             gate,
             now_ms: 0,
             draining: false,
+            evacuated: false,
             tasks: all_tasks(),
             sent: Vec::new(),
             running: Vec::new(),
@@ -167,6 +171,11 @@
                 let settled = self.gate.set_upstream(state);
                 self.hear_all(settled);
             }
+            Op::Evacuated(evacuated) => {
+                self.evacuated = evacuated;
+                let settled = self.gate.set_evacuated(evacuated);
+                self.hear_all(settled);
+            }
             Op::Wait { ms } => self.wait(ms),
             Op::Drain => {
                 self.draining = true;
@@ -235,10 +244,14 @@
         let task = placement.task;
         match self.gate.place(placement, self.now_ms) {
             Placed::Start(_) => {
+                assert!(!self.evacuated, "started in an evacuated data centre");
                 self.waited_for.insert(task);
                 self.running.push((task, false));
             }
-            Placed::Queued { .. } => assert!(self.waited_for.insert(task)),
+            Placed::Queued { .. } => {
+                assert!(!self.evacuated, "queued in an evacuated data centre");
+                assert!(self.waited_for.insert(task));
+            }
             Placed::Joined => assert!(self.waited_for.contains(&task)),
             Placed::Known(reply) => self.hear(task, reply),
             Placed::Refused(refusal) => self.hear(task, refusal.reply()),
@@ -322,6 +335,7 @@
         let mut settled = Vec::new();
         while let Some(start) = self.gate.take_next(self.now_ms, &mut settled) {
             assert!(!self.draining, "started while draining");
+            assert!(!self.evacuated, "started from the queue while evacuated");
             self.running.push((start.placement.task, false));
         }
         self.hear_all(settled);
--- a/crates/entry/src/callers/status.rs
+++ b/crates/entry/src/callers/status.rs
@@ -54,6 +54,7 @@
         | Reason::PlatformBudget
         | Reason::Draining
         | Reason::NoUpstream
+        | Reason::Evacuated
         | Reason::DeadlineUnreachable => Status::ServiceUnavailable,
         _ => Status::Accepted,
     }
--- a/crates/entry/src/dispatch/probe.rs
+++ b/crates/entry/src/dispatch/probe.rs
@@ -24,7 +24,9 @@
         let row = snapshot.view.row(key);
         let may_use = snapshot.may_use(key, cell.id.incarnation) && !avoid.contains(&key);
         let serves = row.is_some_and(|row| {
-            row.could_hold(cell.kind.key, size_bytes) && !row.live.leaving.load(Ordering::Acquire)
+            row.could_hold(cell.kind.key, size_bytes)
+                && !row.live.leaving.load(Ordering::Acquire)
+                && !row.live.evacuated.load(Ordering::Acquire)
         });
         may_use && serves
     })
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -145,6 +145,8 @@
     Hedged = "hedged",
     /// The retry budget is used up.
     RetryBudget = "retry_budget",
+    /// The upstream's data centre is evacuated, or all that could serve are.
+    Evacuated = "evacuated",
 }
 
 impl fmt::Display for Reason {
