Operators evacuate data centres in the project's own interface

Callers and operators saw: only the prepared platform's adapter knew evacuations; in the product's own interface a data centre could not be emptied.

- Store: one record a data centre, /sycamorerail/evacuations/NAME, changed by compare-and-swap and never deleted, so that a swap whose answer was lost can never take effect after a later word (membership::evacuation).
The same word again changes nothing; an opposite one that came in between is told (412).
- Entries read it from the one mirror that they have, before they put templates in force; tell their agents at once (ToAgent::Evacuations, four tries) and in the welcome; agents tell entries that lack it 200 ms later in a hello, so that entries without the store follow.
Lists are compared by the store's revision.
- Entries place nothing there (flag in the view, set under the registry's lock), agents drop what is queued and refuse what comes, what runs goes on.
Where all is evacuated, what waits as a whole is answered evacuated; jobs that have begun wait as long as their callers do.
- API: PUT, DELETE, GET /v1/admin/evacuations; status shows them with the upstreams that still run something, asked at that moment.
A data centre that no entry or agent on record is in gets 422 naming data_centre, unless unknown=true.

Ruled out: deleting the key on restore (a late copy of the first swap expects no key and would evacuate again); telling peers the store's mark as for templates (an entry cut off from the store would ask its peers for templates all along).

Tests: membership evacuation (6, with lost answers, six operators racing), entry evacuations (8) and admin_evacuations (11: two operators with opposite words, the store refusing, slow and losing answers, an entry cut off from the store, one that starts meanwhile).

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -1,7 +1,7 @@
 //! State shared by all threads of an agent, and what is done to it.
 
 use {
-    crate::{announced::Announced, counters, tasks::Tasks},
+    crate::{announced::Announced, counters, evacuation, tasks::Tasks},
     arc_swap::ArcSwapOption,
     parking_lot::Mutex,
     std::sync::{
@@ -23,6 +23,7 @@
             AgentHello, AgentIdentity, AgentReply, AgentReplyBody, ConfigMark, EntryWelcome, Load,
             Placement,
         },
+        runs::Evacuations,
     },
     tokio::{
         sync::{oneshot, watch},
@@ -54,6 +55,8 @@
     pub(crate) upstream: ArcSwapOption<Announced>,
     /// Grows with each change that the entries must be told of.
     pub(crate) changes: watch::Sender<u64>,
+    /// Evacuated data centres in force, to pass on.
+    pub(crate) evacuations: watch::Sender<Evacuations>,
     /// Streams whose request was read and whose reply is not delivered.
     pub(crate) replies_due: AtomicUsize,
     /// When an entry was last asked for the list of entries.
@@ -87,6 +90,7 @@
             clock: Clock::start(),
             upstream: ArcSwapOption::empty(),
             changes: watch::Sender::new(0),
+            evacuations: watch::Sender::default(),
             replies_due: AtomicUsize::new(0),
             asked_at_ms: AtomicU64::new(0),
             active_at_ms: AtomicU64::new(0),
@@ -219,6 +223,21 @@
         self.tell_entries();
     }
 
+    /// Puts evacuations into force that an entry told, unless those held were true later.
+    pub(crate) fn hold_evacuations(self: &Arc<Self>, told: &Evacuations) {
+        if !self.evacuations.send_if_modified(|held| held.update(told)) {
+            return;
+        }
+        let own_evacuated = self.change(|tasks, _| {
+            // Of two that come at once the later one holds.
+            let evacuated = self.evacuations.borrow().contains(&self.identity.data_centre);
+            let settled = tasks.gate.set_evacuated(evacuated);
+            tasks.tell_all(settled);
+            evacuated
+        });
+        evacuation::log_in_force(told, own_evacuated);
+    }
+
     /// Makes every session say hello again at once.
     pub(crate) fn tell_entries(&self) {
         self.changes.send_modify(|changes| *changes += 1);
@@ -270,6 +289,7 @@
             upstream: self.upstream.load().as_ref().map(|announced| announced.info.clone()),
             load: self.load(),
             config_mark: self.config_mark(),
+            evacuations: self.evacuations.borrow().clone(),
         }
     }
 
@@ -294,6 +314,9 @@
     /// this returns.
     pub(crate) fn welcomed(self: &Arc<Self>, welcome: &EntryWelcome) {
         self.raise_config_mark(welcome.config_mark);
+        if let Some(told) = &welcome.evacuations {
+            self.hold_evacuations(told);
+        }
         for &home in welcome.members.iter().flat_map(|members| &members.fenced) {
             if !self.tasks.lock().gate.is_fenced(home) {
                 event!(Info, "home_fenced", home = home);
--- /dev/null
+++ b/crates/agent/src/evacuation.rs
@@ -0,0 +1,14 @@
+//! Evacuated data centres, as they are in force at this agent.
+
+use {sycamorerail_telemetry::event, sycamorerail_wire::runs::Evacuations};
+
+/// Logs evacuations that have come into force.
+pub(crate) fn log_in_force(evacuations: &Evacuations, own_evacuated: bool) {
+    event!(
+        Info,
+        "evacuations_in_force",
+        revision = evacuations.revision,
+        data_centres = evacuations.data_centres.join(","),
+        own_evacuated = own_evacuated,
+    );
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -11,6 +11,7 @@
 mod core;
 mod counters;
 mod entries;
+mod evacuation;
 mod gauges;
 mod http;
 pub mod leased;
--- a/crates/agent/src/serve.rs
+++ b/crates/agent/src/serve.rs
@@ -95,6 +95,10 @@
                 self.entries.started(core, address, incarnation);
                 Some(AgentReplyBody::Noted)
             }
+            ToAgent::Evacuations(told) => {
+                self.session.take_evacuations(core, &told);
+                Some(AgentReplyBody::Noted)
+            }
         }
     }
 }
@@ -130,6 +134,7 @@
         ToAgent::Fence { .. } => "fence",
         ToAgent::Probe => "probe",
         ToAgent::EntryStarted { .. } => "entry_started",
+        ToAgent::Evacuations(_) => "evacuations",
     }
 }
 
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -19,6 +19,7 @@
         ids::Incarnation,
         keys::Role,
         message::{EntryWelcome, FromAgent, MemberList},
+        runs::Evacuations,
         session::{self, SessionError},
     },
     tokio::sync::watch,
@@ -26,6 +27,9 @@
 
 const CONNECT_WITHIN: Duration = Duration::from_secs(3);
 const HELLO_WITHIN: Duration = Duration::from_secs(5);
+/// An entry is told of evacuations once it has had this long to tell of them itself:
+/// most entries hear of them from the platform.
+const TELL_EVACUATIONS_AFTER: Duration = Duration::from_millis(200);
 const FIRST_BACKOFF_MS: u64 = 50;
 const MAX_BACKOFF_MS: u64 = 3_000;
 
@@ -37,6 +41,8 @@
     current: AtomicBool,
     sent_at_ms: AtomicU64,
     told_change: AtomicU64,
+    /// Evacuations that the entry is known to hold.
+    entry_evacuations: Mutex<Evacuations>,
     /// The entries that this one listed last.
     listed: Mutex<Vec<SocketAddr>>,
     counted_sent_bytes: AtomicU64,
@@ -52,6 +58,7 @@
             current: AtomicBool::new(true),
             sent_at_ms: AtomicU64::new(now_ms),
             told_change: AtomicU64::new(0),
+            entry_evacuations: Mutex::default(),
             listed: Mutex::default(),
             counted_sent_bytes: AtomicU64::new(0),
             counted_received_bytes: AtomicU64::new(0),
@@ -94,6 +101,25 @@
         entries.listed(core, &listed);
     }
 
+    /// Takes evacuations that the entry told of.
+    pub(crate) fn take_evacuations(&self, core: &Arc<Core>, told: &Evacuations) {
+        self.entry_holds([Some(told)]);
+        core.hold_evacuations(told);
+    }
+
+    /// Notes evacuations that the entry told or was told.
+    fn entry_holds<const N: usize>(&self, evacuations: [Option<&Evacuations>; N]) {
+        let mut held = self.entry_evacuations.lock();
+        for newer in evacuations.into_iter().flatten() {
+            held.update(newer);
+        }
+    }
+
+    /// Whether the entry lacks evacuations that are in force here.
+    fn lacks_evacuations(&self, core: &Core) -> bool {
+        core.evacuations.borrow().is_news_to(&self.entry_evacuations.lock())
+    }
+
     /// Notes that the entry was sent the agent's load.
     pub(crate) fn sent(&self, now_ms: u64) {
         self.sent_at_ms.fetch_max(now_ms, Ordering::AcqRel);
@@ -140,9 +166,10 @@
     session::allow_streams(&connection, session::PLACEMENT_STREAMS);
     let changes = core.changes.subscribe();
     let change = *changes.borrow();
-    let welcome = say_hello(core, &connection).await?;
+    let (told, welcome) = say_hello(core, &connection).await?;
     core.welcomed(&welcome);
     let session = Arc::new(Session::new(connection, welcome.incarnation, core.clock.now_ms()));
+    session.entry_holds([Some(&told), welcome.evacuations.as_ref()]);
     session.told_change.store(change, Ordering::Release);
     entries.open(&session);
     session.take_members(core, entries, welcome.members);
@@ -171,9 +198,10 @@
         let told = tokio::select! {
             _ = changes.changed() => {
                 let change = *changes.borrow_and_update();
-                let told = say_hello(core, &session.connection).await;
+                let told = greet(core, session).await;
                 told.inspect(|_| session.told_change.store(change, Ordering::Release))
             }
+            () = evacuations_due(core, session) => greet(core, session).await,
             () = beat_due(core, session) => beat(core, &session.connection).await,
         };
         session.count_packets();
@@ -181,6 +209,7 @@
             Ok(welcome) => {
                 session.sent(core.clock.now_ms());
                 core.welcomed(&welcome);
+                session.entry_holds([welcome.evacuations.as_ref()]);
                 session.take_members(core, entries, welcome.members);
             }
             Err(err) => return err,
@@ -204,8 +233,38 @@
     }
 }
 
-async fn say_hello(core: &Core, connection: &Connection) -> Result<EntryWelcome, SessionError> {
-    tell(core, connection, "hello", &FromAgent::Hello(core.hello())).await
+/// Waits until the entry is to be told of evacuations.
+async fn evacuations_due(core: &Core, session: &Session) {
+    let mut changes = core.evacuations.subscribe();
+    loop {
+        while !session.lacks_evacuations(core) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+        tokio::time::sleep(TELL_EVACUATIONS_AFTER).await;
+        if session.lacks_evacuations(core) {
+            return;
+        }
+    }
+}
+
+/// Says hello again.
+async fn greet(core: &Core, session: &Session) -> Result<EntryWelcome, SessionError> {
+    let (told, welcome) = say_hello(core, &session.connection).await?;
+    session.entry_holds([Some(&told)]);
+    Ok(welcome)
+}
+
+/// Returns the evacuations that the hello told, too.
+async fn say_hello(
+    core: &Core,
+    connection: &Connection,
+) -> Result<(Evacuations, EntryWelcome), SessionError> {
+    let hello = core.hello();
+    let told = hello.evacuations.clone();
+    let welcome = tell(core, connection, "hello", &FromAgent::Hello(hello)).await?;
+    Ok((told, welcome))
 }
 
 async fn beat(core: &Core, connection: &Connection) -> Result<EntryWelcome, SessionError> {
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -73,6 +73,7 @@
             members: Some(MemberList::default()),
             config_mark: ConfigMark(0),
             draining: false,
+            evacuations: None,
         };
         let heard = Arc::new(Heard {
             hellos: Mutex::default(),
--- a/crates/decide/src/job/verdict.rs
+++ b/crates/decide/src/job/verdict.rs
@@ -121,6 +121,13 @@
         tally.finished + tally.failed + tally.started_without_end
     }
 
+    /// Whether all of it waits at the entry: nothing has started, or was sent and may.
+    #[must_use]
+    pub fn waits_whole(&self) -> bool {
+        let waits = |state| matches!(state, State::Waiting | State::Never);
+        self.phase == Phase::Running && self.attempts.iter().all(|attempt| waits(attempt.state))
+    }
+
     /// Whether it is proven that no task started or ever will.
     #[must_use]
     pub fn no_start_possible(&self) -> bool {
--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -5,7 +5,7 @@
         Admin,
         condition::Condition,
         operator::Operator,
-        reply::{ChangeBody, Problem, Reply},
+        reply::{ChangeBody, INVALID_TEMPLATE, Problem, Reply},
     },
     crate::shared::Shared,
     rocket::{
@@ -103,7 +103,7 @@
 ) -> Result<Reply, Problem> {
     operator?;
     let yaml = read_yaml(data).await?;
-    validate(name, &yaml).map_err(|errors| Problem::of_fields(errors.errors))?;
+    validate(name, &yaml).map_err(|errors| Problem::of_fields(INVALID_TEMPLATE, errors.errors))?;
     Ok(Reply::json(&Valid { organisation: name.to_owned(), valid: true }))
 }
 
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod condition;
 mod drain;
+mod evacuation;
 mod operator;
 mod read;
 mod reply;
@@ -13,6 +14,7 @@
     crate::{organisations::TokenHash, peers::Peers},
     rocket::{Build, Rocket, routes},
     std::{collections::HashMap, sync::Arc},
+    sycamorerail_platform::Platform,
     sycamorerail_settings::entry::TokenSettings,
     sycamorerail_templates::{InForce, Publisher},
 };
@@ -23,6 +25,7 @@
     operators: HashMap<TokenHash, String>,
     in_force: InForce,
     publisher: Publisher,
+    platform: Platform,
     peers: Peers,
 }
 
@@ -33,6 +36,7 @@
         operators: &[TokenSettings],
         in_force: InForce,
         publisher: Publisher,
+        platform: Platform,
         peers: Peers,
     ) -> Self {
         let hashed = |operator: &TokenSettings| {
@@ -40,7 +44,7 @@
             Some((hash, operator.name.clone()))
         };
         let operators = operators.iter().filter_map(hashed).collect();
-        Self { operators, in_force, publisher, peers }
+        Self { operators, in_force, publisher, platform, peers }
     }
 }
 
@@ -50,10 +54,12 @@
     let changes =
         routes![change::put, change::delete, change::rollback, change::check, change::look_up,];
     let reads = routes![read::list, read::current, read::history, read::revision];
+    let evacuations = routes![evacuation::list, evacuation::evacuate, evacuation::restore];
     let others = routes![rollout::rollout, status::status, drain::drain];
     rocket
         .manage(admin)
         .mount("/v1/admin", changes)
         .mount("/v1/admin", reads)
+        .mount("/v1/admin", evacuations)
         .mount("/v1/admin", others)
 }
--- a/crates/entry/src/admin/reply.rs
+++ b/crates/entry/src/admin/reply.rs
@@ -9,6 +9,7 @@
     },
     serde::Serialize,
     std::io::Cursor,
+    sycamorerail_membership::evacuation::{self, Standing, WordError},
     sycamorerail_platform::{PlatformError, PlatformErrorKind},
     sycamorerail_settings::FieldError,
     sycamorerail_templates::{Accepted, ChangeError, Stamp, Winner},
@@ -19,6 +20,7 @@
 const RETRY_AFTER: &str = "Retry-After";
 const ETAG: &str = "ETag";
 const MS_A_SECOND: u64 = 1_000;
+pub(super) const INVALID_TEMPLATE: &str = "the template is not valid";
 const NO_ORGANISATION: &str = "no such organisation";
 
 /// A body with the revision it stands for.
@@ -138,9 +140,8 @@
         Self::new(Status::NotFound, Reason::NotFound, detail)
     }
 
-    /// The template has errors.
-    pub(super) fn of_fields(errors: Vec<FieldError>) -> Self {
-        let detail = "the template is not valid";
+    /// Fields of what was sent are wrong.
+    pub(super) fn of_fields(detail: &str, errors: Vec<FieldError>) -> Self {
         let mut problem = Self::new(Status::UnprocessableEntity, Reason::Invalid, detail);
         problem.body.errors = Some(errors);
         problem
@@ -161,6 +162,15 @@
         problem
     }
 
+    fn opposite_word(standing: &Standing) -> Self {
+        let record = &standing.record;
+        let state = if record.evacuated { "evacuated" } else { "taken back" };
+        let detail = format!("{state} by {} meanwhile", record.changed_by);
+        let mut problem = Self::new(Status::PreconditionFailed, Reason::Conflict, detail);
+        problem.body.revision = Some(standing.revision);
+        problem
+    }
+
     fn platform_out(outcome: Outcome, error: Option<&PlatformError>, retry_after_ms: u64) -> Self {
         let reason = match error.map(|error| &error.kind) {
             Some(PlatformErrorKind::Budget) => Reason::PlatformBudget,
@@ -191,7 +201,7 @@
         let detail = error.to_string();
         match error {
             ChangeError::Conflict(winner) => Self::conflict(winner),
-            ChangeError::Invalid(errors) => Self::of_fields(errors.errors),
+            ChangeError::Invalid(errors) => Self::of_fields(INVALID_TEMPLATE, errors.errors),
             ChangeError::NoOrganisation | ChangeError::NoRevision(_) => Self::not_found(detail),
             ChangeError::TooLarge(_) => {
                 Self::new(Status::PayloadTooLarge, Reason::TooLarge, detail)
@@ -209,6 +219,21 @@
     }
 }
 
+impl From<WordError> for Problem {
+    fn from(error: WordError) -> Self {
+        let retry_after_ms = evacuation::RETRY_AFTER_MS;
+        match error {
+            WordError::Conflict(standing) => Self::opposite_word(&standing),
+            WordError::NotRun(error) => {
+                Self::platform_out(Outcome::NotRun, Some(&error), retry_after_ms)
+            }
+            WordError::InDoubt(error) => {
+                Self::platform_out(Outcome::InDoubt, Some(&error), retry_after_ms)
+            }
+        }
+    }
+}
+
 impl<'r> Responder<'r, 'static> for Problem {
     fn respond_to(self, _request: &'r Request<'_>) -> RocketResult<'static> {
         let body = serde_json::to_vec(&*self.body).map_err(|_| Status::InternalServerError)?;
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Admin,
+        Admin, evacuation,
         operator::Operator,
         reply::{Problem, Reply},
         rollout::{self, Rollout},
@@ -20,6 +20,7 @@
 struct StatusBody {
     #[serde(flatten)]
     rollout: Rollout,
+    evacuations: Vec<evacuation::EvacuationLine>,
     upstreams: Vec<UpstreamLine>,
     jobs: JobsLine,
 }
@@ -37,6 +38,8 @@
     /// The platform's record allows its use.
     usable: bool,
     leaving: bool,
+    /// Its data centre is evacuated.
+    evacuated: bool,
     ejected: bool,
     slots: u32,
     running: u32,
@@ -65,6 +68,7 @@
         connected: agent.is_up(),
         usable: agent.usable_by().is_some(),
         leaving: live.leaving.load(Ordering::Acquire),
+        evacuated: live.evacuated.load(Ordering::Acquire),
         ejected: live.ejected_until_ms.load(Ordering::Acquire) > now_ms,
         slots: read(&live.slots),
         running: read(&live.running),
@@ -81,6 +85,7 @@
 ) -> Result<Reply, Problem> {
     operator?;
     let rollout = rollout::collect(admin, shared).await;
+    let evacuations = evacuation::lines(admin, shared).await;
     let (snapshot, now_ms) = (shared.upstreams.snapshot(), shared.now_ms());
     let upstreams = snapshot.agents.iter().map(|agent| upstream_line(agent, now_ms)).collect();
     let jobs = JobsLine {
@@ -88,5 +93,5 @@
         record_bytes: shared.jobs.record_bytes(),
         kept_answer_bytes: shared.jobs.kept_answer_bytes(),
     };
-    Ok(Reply::json(&StatusBody { rollout, upstreams, jobs }))
+    Ok(Reply::json(&StatusBody { rollout, evacuations, upstreams, jobs }))
 }
--- a/crates/entry/src/cluster.rs
+++ b/crates/entry/src/cluster.rs
@@ -15,7 +15,10 @@
         shared::Shared,
     },
     std::{sync::Arc, time::Duration},
-    sycamorerail_membership::keys::ROOT,
+    sycamorerail_membership::{
+        evacuation::{self, UnreadableLog},
+        keys::ROOT,
+    },
     sycamorerail_platform::{Mirror, Platform, PlatformConfig},
     sycamorerail_settings::entry::{EntrySettings, PlatformSettings},
     sycamorerail_telemetry::event,
@@ -52,7 +55,7 @@
 }
 
 #[derive(Debug)]
-struct Tasks([JoinHandle<()>; 2]);
+struct Tasks([JoinHandle<()>; 3]);
 
 impl Drop for Tasks {
     fn drop(&mut self) {
@@ -81,8 +84,13 @@
         let in_force = InForce::start(mirror.clone());
         let publisher = Publisher::new(platform.clone(), in_force.clone(), SETTLE_MS);
         let peers = Peers::new(sources(&in_force));
-        let admin =
-            Admin::new(&settings.operators, in_force.clone(), publisher.clone(), peers.clone());
+        let admin = Admin::new(
+            &settings.operators,
+            in_force.clone(),
+            publisher.clone(),
+            platform.clone(),
+            peers.clone(),
+        );
         let binder = Binder::new(
             platform.clone(),
             settings.platform.key_budget_per_s,
@@ -92,8 +100,9 @@
         let seams = seams(peers.seams(base), &in_force, Arc::new(admin));
         let entry = Entry::start_with(settings, seams).await?;
         let shared = &entry.shared;
-        peers.attach(shared, platform, mirror);
+        peers.attach(shared, platform, mirror.clone());
         let tasks = Tasks([
+            tokio::spawn(follow_evacuations(Arc::clone(shared), mirror)),
             tokio::spawn(put_in_force(Arc::clone(shared), in_force.clone())),
             tokio::spawn(catch_up(Arc::clone(shared), in_force.clone(), peers.clone())),
         ]);
@@ -147,11 +156,28 @@
     }
 }
 
+/// Puts evacuations in force as the platform shows them.
+async fn follow_evacuations(shared: Arc<Shared>, mirror: Mirror) {
+    let mut changed = mirror.subscribe();
+    let mut unreadable = UnreadableLog::default();
+    loop {
+        changed.borrow_and_update();
+        let copy = mirror.snapshot();
+        shared.hold_evacuations(&evacuation::in_force(&copy));
+        unreadable.look(&copy);
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Puts each new set in force on the path of requests.
 async fn put_in_force(shared: Arc<Shared>, in_force: InForce) {
     let mut changed = in_force.subscribe();
     loop {
         if in_force.ready() {
+            let copy = in_force.mirror().snapshot();
+            shared.hold_evacuations(&evacuation::in_force(&copy));
             shared.set_organisations(compile(&shared, &in_force.load()));
         }
         if changed.changed().await.is_err() {
--- a/crates/entry/src/counters.rs
+++ b/crates/entry/src/counters.rs
@@ -46,6 +46,8 @@
     Fence,
     /// The start of a peer told to an agent: wasted.
     EntryStarted,
+    /// Evacuated data centres told to an agent: wasted.
+    Evacuations,
 }
 
 impl Message {
@@ -62,6 +64,7 @@
             Self::Forward => "forward",
             Self::Fence => "fence",
             Self::EntryStarted => "entry_started",
+            Self::Evacuations => "evacuations",
         }
     }
 }
--- a/crates/entry/src/dispatch/mod.rs
+++ b/crates/entry/src/dispatch/mod.rs
@@ -17,6 +17,6 @@
     kinds::{KindNumbers, numbers as kind_numbers},
     observe::{Observed, Service, answered, observe_until, upstreams_changed},
     pace::pace,
-    queue::{Dispatch, enqueue, enqueue_after, pump, pump_until},
+    queue::{Dispatch, enqueue, enqueue_after, evacuations_changed, pump, pump_until},
     quota::{Quotas, close_usage_window, hear_usage, usage_since},
 };
--- a/crates/entry/src/dispatch/queue.rs
+++ b/crates/entry/src/dispatch/queue.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{
+        choose::ask,
         kinds::{Kinds, numbers},
         place::{Tried, try_place},
         quota::Quotas,
@@ -19,7 +20,7 @@
         time::Duration,
     },
     sycamorerail_decide::{
-        admission::forecast::DrainRate,
+        admission::{forecast::DrainRate, is_evacuated},
         ejection::Ejections,
         estimate::Estimates,
         job::{Event, TaskKey},
@@ -269,6 +270,7 @@
             () = due => {}
         }
         give_up_late(&shared);
+        give_up_evacuated(&shared);
         doubt_full(&shared);
         pump(&shared);
     }
@@ -281,6 +283,40 @@
     snapshot.view.rows.iter().for_each(|row| row.live.doubt_full(now_ms));
 }
 
+/// Data centres were evacuated or taken back.
+pub fn evacuations_changed(shared: &Arc<Shared>) {
+    shared.dispatch.kinds.forget();
+    give_up_evacuated(shared);
+    pump(shared);
+}
+
+/// Gives up jobs that wait as a whole while all that could serve them are in evacuated
+/// data centres. Those that have begun go on as long as their callers wait.
+fn give_up_evacuated(shared: &Arc<Shared>) {
+    if shared.evacuations.borrow().data_centres.is_empty() {
+        return;
+    }
+    let snapshot = shared.upstreams.snapshot();
+    let is_nowhere = |cell: &JobCell| {
+        let ask = ask(shared, &cell.kind, &numbers(shared, &cell.kind), &[], &[]);
+        is_evacuated(&ask, &snapshot.view)
+    };
+    loop {
+        let given_up = {
+            let mut queue = shared.dispatch.queue.lock();
+            let given_up = queue.take(usize::MAX, |_, waiting| {
+                is_nowhere(&waiting.cell) && waiting.cell.state.lock().waits_whole()
+            });
+            shared.dispatch.note_count(&queue);
+            given_up
+        };
+        let Some((_, waiting)) = given_up else { return };
+        if waiting.cell.state.lock().wants(waiting.task) {
+            drive(shared, &waiting.cell, Event::GiveUp(Reason::Evacuated));
+        }
+    }
+}
+
 fn give_up_late(shared: &Arc<Shared>) {
     loop {
         let late = {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod drain;
 pub mod entry;
 pub mod error;
+pub mod evacuation;
 pub mod health;
 pub mod jobs;
 pub mod names;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -21,7 +21,9 @@
     sycamorerail_wire::{
         ids::{IdKey, Incarnation, JobId, OrganisationKey},
         message::{ConfigMark, MemberList},
+        runs::Evacuations,
     },
+    tokio::sync::watch,
 };
 
 /// The run under which ids are minted, and their count.
@@ -62,6 +64,8 @@
     /// Entries and fenced runs, as told to agents. Whoever knows them stores a
     /// new list.
     pub members: ArcSwap<MemberList>,
+    /// Evacuated data centres. Change by [`Shared::hold_evacuations`].
+    pub evacuations: watch::Sender<Evacuations>,
     /// Jobs of this home.
     pub jobs: Table,
     /// Upstreams known.
@@ -94,6 +98,7 @@
             names,
             organisations: ArcSwap::default(),
             members: ArcSwap::from_pointee(MemberList { entries, fenced: Vec::new() }),
+            evacuations: watch::Sender::default(),
             jobs: Table::new(&settings.limits),
             upstreams: Registry::default(),
             dispatch: Dispatch::new(&settings.limits, home.incarnation),
--- a/crates/entry/src/upstreams/accept.rs
+++ b/crates/entry/src/upstreams/accept.rs
@@ -13,6 +13,7 @@
         answer::Reason,
         keys::Role,
         message::{EntryWelcome, FromAgent, MemberList},
+        runs::Evacuations,
         session::{self, SessionError},
     },
     tokio::sync::watch,
@@ -58,6 +59,8 @@
     agent: Option<Arc<Agent>>,
     /// The members last told.
     told: Option<Arc<MemberList>>,
+    /// Evacuations that the agent is known to hold.
+    evacuations: Evacuations,
 }
 
 async fn serve_agent(shared: &Arc<Shared>, connection: quinn::Connection) {
@@ -86,12 +89,13 @@
     let (mut send, mut recv) = connection.accept_bi().await.map_err(broken)?;
     let message: FromAgent = session::read_request(peer, &mut recv).await?;
     counters::message(Message::Beat, Reason::Done);
-    take(shared, connection, &mut heard.agent, message)
+    take(shared, connection, heard, message)
         .ok_or_else(|| SessionError::Broken(peer, "run is gone or said no hello".to_owned()))?;
     dispatch::pump(shared);
     let members = shared.members.load_full();
     let told = heard.told.as_ref().is_some_and(|told| Arc::ptr_eq(told, &members));
-    let welcome = welcome(shared, (!told).then_some(&*members));
+    let evacuations = shared.evacuations.borrow().to_tell(&mut heard.evacuations);
+    let welcome = welcome(shared, (!told).then_some(&*members), evacuations);
     // A reply that is lost ends the session, and the next one begins anew.
     heard.told = Some(members);
     session::write_reply(peer, &mut send, &welcome).await
@@ -100,27 +104,34 @@
 fn take(
     shared: &Arc<Shared>,
     connection: &quinn::Connection,
-    agent: &mut Option<Arc<Agent>>,
+    heard: &mut Heard,
     message: FromAgent,
 ) -> Option<()> {
     match message {
         FromAgent::Hello(hello) => {
             shared.note_config_mark(hello.config_mark);
-            *agent = Some(shared.upstreams.hello(shared, connection, hello)?);
+            heard.evacuations.update(&hello.evacuations);
+            shared.hold_evacuations(&hello.evacuations);
+            heard.agent = Some(shared.upstreams.hello(shared, connection, hello)?);
         }
         FromAgent::Beat { load, config_mark } => {
             shared.note_config_mark(config_mark);
-            agent.as_ref()?.take_load(load, shared.now_ms());
+            heard.agent.as_ref()?.take_load(load, shared.now_ms());
         }
     }
     Some(())
 }
 
-fn welcome(shared: &Shared, news: Option<&MemberList>) -> EntryWelcome {
+fn welcome(
+    shared: &Shared,
+    news: Option<&MemberList>,
+    evacuations: Option<Evacuations>,
+) -> EntryWelcome {
     EntryWelcome {
         incarnation: shared.incarnation(),
         members: news.cloned(),
         config_mark: shared.config_mark(),
         draining: shared.lifecycle.is_draining(),
+        evacuations,
     }
 }
--- a/crates/entry/src/upstreams/agent.rs
+++ b/crates/entry/src/upstreams/agent.rs
@@ -12,6 +12,7 @@
     sycamorerail_wire::{
         ids::Incarnation,
         message::{AgentIdentity, Load, UpstreamInfo},
+        runs::Evacuations,
     },
     tokio::sync::watch,
 };
@@ -72,6 +73,12 @@
         self.usable_by.store(run.map_or(NO_RUN, |run| run.0), Ordering::Release);
     }
 
+    /// Takes note of whether its data centre is evacuated.
+    pub(super) fn mark_evacuated(&self, evacuations: &Evacuations) {
+        let evacuated = evacuations.contains(&self.identity.data_centre);
+        self.live.evacuated.store(evacuated, Ordering::Release);
+    }
+
     /// Its upstream, if one has announced itself.
     #[must_use]
     pub fn upstream(&self) -> Option<UpstreamInfo> {
--- a/crates/entry/src/upstreams/mod.rs
+++ b/crates/entry/src/upstreams/mod.rs
@@ -10,6 +10,12 @@
 mod snapshot;
 
 pub use {
-    accept::accept_until, agent::Agent, link::Link, probe::probe_until, registry::Registry,
-    revoke::revoke, send::send, snapshot::Snapshot,
+    accept::accept_until,
+    agent::Agent,
+    link::Link,
+    probe::{ask_load, probe_until},
+    registry::Registry,
+    revoke::revoke,
+    send::send,
+    snapshot::Snapshot,
 };
--- a/crates/entry/src/upstreams/probe.rs
+++ b/crates/entry/src/upstreams/probe.rs
@@ -13,8 +13,8 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         answer::Reason,
-        message::{AgentReply, ToAgent},
-        session,
+        message::{AgentReply, Load, ToAgent},
+        session::{self, SessionError},
     },
     tokio::sync::watch,
 };
@@ -45,16 +45,28 @@
 }
 
 async fn probe(shared: Arc<Shared>, agent: Arc<Agent>) {
-    if let Some(connection) = agent.connection() {
-        counters::message(Message::Probe, Reason::Running);
-        let within = Duration::from_millis(shared.settings.limits.probe_after_ms.into());
-        match session::call::<_, AgentReply>(&connection, &ToAgent::Probe, within).await {
-            Ok(reply) => agent.take_load(reply.load, shared.now_ms()),
-            Err(err) => {
-                event!(Warn, "probe_failed", agent = agent.peer, cause = err);
-                connection.close(0u32.into(), b"probe failed");
-            }
-        }
+    if let Some(connection) = agent.connection()
+        && let Err(err) = ask(&shared, &agent, &connection).await
+    {
+        event!(Warn, "probe_failed", agent = agent.peer, cause = err);
+        connection.close(0u32.into(), b"probe failed");
     }
     agent.probing.store(false, Ordering::Release);
 }
+
+/// Asks an agent for its load; `None` if it does not answer within `probe_after_ms`.
+pub async fn ask_load(shared: &Shared, agent: &Agent) -> Option<Load> {
+    ask(shared, agent, &agent.connection()?).await.ok()
+}
+
+async fn ask(
+    shared: &Shared,
+    agent: &Agent,
+    connection: &quinn::Connection,
+) -> Result<Load, SessionError> {
+    counters::message(Message::Probe, Reason::Running);
+    let within = Duration::from_millis(shared.settings.limits.probe_after_ms.into());
+    let reply: AgentReply = session::call(connection, &ToAgent::Probe, within).await?;
+    agent.take_load(reply.load, shared.now_ms());
+    Ok(reply.load)
+}
--- a/crates/entry/src/upstreams/registry.rs
+++ b/crates/entry/src/upstreams/registry.rs
@@ -11,7 +11,8 @@
     },
     sycamorerail_decide::view::{KindKey, UpstreamKey},
     sycamorerail_telemetry::event,
-    sycamorerail_wire::{ids::Incarnation, message::AgentHello},
+    sycamorerail_wire::{ids::Incarnation, message::AgentHello, runs::Evacuations},
+    tokio::sync::watch,
 };
 
 /// A run not connected for this long without open placements is forgotten.
@@ -77,6 +78,7 @@
         let key = UpstreamKey(agents.next_key);
         agents.next_key += 1;
         let agent = Arc::new(Agent::new(key, identity.clone(), &shared.names));
+        agent.mark_evacuated(&shared.evacuations.borrow());
         agents.by_name.insert(identity.name.clone(), Arc::clone(&agent));
         event!(Info, "agent_added", agent = agent.peer, run = identity.incarnation);
         Some(agent)
@@ -110,6 +112,14 @@
         self.rebuild(shared);
     }
 
+    /// Marks the agents of evacuated data centres, as held now: the lock orders this
+    /// with other changes and with agents that are added.
+    pub(crate) fn mark_evacuated(&self, evacuations: &watch::Sender<Evacuations>) {
+        let agents = self.agents.lock();
+        let held = evacuations.borrow();
+        agents.by_name.values().for_each(|agent| agent.mark_evacuated(&held));
+    }
+
     /// Forgets runs that are away for long.
     pub fn forget_lost(&self, shared: &Shared) {
         let now_ms = shared.now_ms();
--- a/crates/entry/tests/admin_site/mod.rs
+++ b/crates/entry/tests/admin_site/mod.rs
@@ -30,7 +30,7 @@
 pub struct Site {
     pub standin: PlatformStandin,
     pub entries: Vec<ClusterEntry>,
-    authority: PemPair,
+    pub authority: PemPair,
     http: Client,
 }
 
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -17,6 +17,7 @@
             AgentHello, AgentIdentity, AgentReply, AgentReplyBody, ConfigMark, EntryWelcome,
             FromAgent, Load, Placement, ToAgent, UpstreamInfo,
         },
+        runs::Evacuations,
         session::{self, SessionTiming},
     },
     tokio::sync::watch,
@@ -29,6 +30,10 @@
     messages: Vec<String>,
     sequence: u64,
     running: u16,
+    /// Sent with each hello.
+    evacuations: Evacuations,
+    /// What entries told of evacuations.
+    told: Vec<Evacuations>,
 }
 
 #[derive(Clone)]
@@ -105,6 +110,7 @@
             }),
             load: self.load(),
             config_mark: ConfigMark(0),
+            evacuations: self.state.lock().evacuations.clone(),
         }
     }
 
@@ -147,6 +153,10 @@
             ToAgent::Fence { .. } => AgentReplyBody::Fenced(Vec::new()),
             ToAgent::Probe => AgentReplyBody::Probed,
             ToAgent::EntryStarted { .. } => AgentReplyBody::Noted,
+            ToAgent::Evacuations(told) => {
+                self.state.lock().told.push(told);
+                AgentReplyBody::Noted
+            }
         }
     }
 
@@ -246,6 +256,16 @@
         AgentReplyBody::Revoked(reports)
     }
 
+    /// Tells entries of these evacuations at its next hello.
+    pub fn hold_evacuations(&self, evacuations: Evacuations) {
+        self.state.lock().evacuations = evacuations;
+    }
+
+    /// What entries told of evacuations, other than in a welcome.
+    pub fn told_evacuations(&self) -> Vec<Evacuations> {
+        self.state.lock().told.clone()
+    }
+
     /// Tasks started here, in order.
     pub fn starts(&self) -> Vec<TaskId> {
         self.state.lock().starts.clone()
--- a/crates/entry/tests/support/fleet.rs
+++ b/crates/entry/tests/support/fleet.rs
@@ -2,11 +2,11 @@
 
 use {
     super::{PATIENCE, World},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     sycamorerail_agent::agent::Agent,
     sycamorerail_settings::{agent::AgentSettings, keys::KeySettings},
     sycamorerail_standin::upstream::{StartReport, UpstreamStandin, UpstreamStandinConfig},
-    sycamorerail_wire::keys::{Role, issue},
+    sycamorerail_wire::keys::{PemPair, Role, issue},
 };
 
 pub struct Member {
@@ -21,9 +21,17 @@
 impl Fleet {
     /// Starts agents and waits until the entry knows them all.
     pub async fn start(world: &World, count: usize, slots: u16) -> Self {
+        Self::start_in(world, &vec!["here"; count], slots).await
+    }
+
+    /// The same, with an agent in each of these data centres.
+    pub async fn start_in(world: &World, data_centres: &[&str], slots: u16) -> Self {
+        let count = data_centres.len();
         let mut members = Vec::new();
-        for number in 0..count {
-            members.push(start_member(world, number, slots).await);
+        for (number, data_centre) in data_centres.iter().enumerate() {
+            let entries = vec![world.entry.inner_address()];
+            let settings = agent_settings(&world.authority, entries, number, data_centre);
+            members.push(start_member(settings, slots).await);
         }
         let known = async {
             while world.entry.shared.upstreams.snapshot().view.rows.len() < count {
@@ -69,17 +77,22 @@
     }
 }
 
-async fn start_member(world: &World, number: usize, slots: u16) -> Member {
-    let own = issue(&world.authority, Role::Agent, "agent").unwrap();
-    let settings = AgentSettings {
+pub fn agent_settings(
+    authority: &PemPair,
+    entries: Vec<SocketAddr>,
+    number: usize,
+    data_centre: &str,
+) -> AgentSettings {
+    let own = issue(authority, Role::Agent, "agent").unwrap();
+    AgentSettings {
         name: format!("agent-{number}"),
-        data_centre: "here".to_owned(),
+        data_centre: data_centre.to_owned(),
         rack: format!("r{number}"),
         http_address: "127.0.0.1:0".parse().unwrap(),
         inner_address: "127.0.0.1:0".parse().unwrap(),
-        entries: vec![world.entry.inner_address()],
+        entries,
         keys: KeySettings {
-            authority_pem: world.authority.certificate_pem.clone(),
+            authority_pem: authority.certificate_pem.clone(),
             certificate_pem: own.certificate_pem,
             private_key_pem: own.key_pem,
         },
@@ -93,7 +106,10 @@
         drain_ms: 60_000,
         log_level: "info".to_owned(),
         fatal_invariants: true,
-    };
+    }
+}
+
+pub async fn start_member(settings: AgentSettings, slots: u16) -> Member {
     let agent = Agent::start(settings, Box::new(String::new)).await.unwrap();
     let agent_url = format!("http://{}", agent.http_address());
     let config = UpstreamStandinConfig { agent_url, slots, announce_ms: 50, ..Default::default() };
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -34,7 +34,10 @@
     uuid::{NoContext, Timestamp, Uuid},
 };
 
-pub use {agent::FakeAgent, fleet::Fleet};
+pub use {
+    agent::FakeAgent,
+    fleet::{Fleet, Member, agent_settings, start_member},
+};
 
 /// Longest wait for a condition.
 pub const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/membership/src/keys.rs
+++ b/crates/membership/src/keys.rs
@@ -13,6 +13,9 @@
 /// Incarnations of entries that are fenced for good.
 pub const FENCED: &str = "/sycamorerail/fenced/";
 
+/// Data centres that were ever evacuated, by name.
+pub const EVACUATIONS: &str = "/sycamorerail/evacuations/";
+
 /// Key of an incarnation under one of the prefixes.
 #[must_use]
 pub fn key(prefix: &str, incarnation: Incarnation) -> String {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod announce;
 pub mod error;
+pub mod evacuation;
 pub mod fencing;
 pub mod garbage;
 pub mod keys;
@@ -28,5 +29,5 @@
     fencing::FencedRoster,
     members::Members,
     membership::{Hooks, Membership, MembershipConfig},
-    record::{AgentRecord, EntryRecord, FenceRecord, HomeRecord},
+    record::{AgentRecord, EntryRecord, EvacuationRecord, FenceRecord, HomeRecord},
 };
--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -54,6 +54,19 @@
     pub silent: bool,
 }
 
+/// An operator's word on a data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationRecord {
+    /// It gets no new work; else it was taken back.
+    pub evacuated: bool,
+    /// Identity of the call that said so.
+    pub change_id: String,
+    /// Operator.
+    pub changed_by: String,
+    /// When, by the clock of the entry that wrote it.
+    pub changed_unix_ms: u64,
+}
+
 /// Writes a record's value.
 #[must_use]
 pub fn to_json(record: &impl Serialize) -> String {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,6 +7,7 @@
     crate::{
         answer::{Answer, Payload, Reason, TaskEnd, TaskReport},
         ids::{ContentHash, Incarnation, JobId, OrganisationKey, TaskId},
+        runs::Evacuations,
     },
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
@@ -72,6 +73,8 @@
     pub load: Load,
     /// Highest configuration mark the agent has seen on replies.
     pub config_mark: ConfigMark,
+    /// Evacuated data centres as the agent knows them.
+    pub evacuations: Evacuations,
 }
 
 /// What an entry answers to [`AgentHello`] and [`FromAgent::Beat`].
@@ -85,6 +88,9 @@
     pub config_mark: ConfigMark,
     /// The entry is stopping: keep the connection, expect no new work.
     pub draining: bool,
+    /// Evacuated data centres as the entry knows them, unless the agent holds them by
+    /// what was said on this connection.
+    pub evacuations: Option<Evacuations>,
 }
 
 /// Members that an entry tells agents of.
@@ -168,6 +174,8 @@
         /// The run.
         incarnation: Incarnation,
     },
+    /// Evacuated data centres as the entry knows them, when they have changed.
+    Evacuations(Evacuations),
 }
 
 /// From an agent, in reply to [`ToAgent`].
