Leased runs: of two evacuation lists that come at once the later one holds

Callers would see: starts in an evacuated data centre for as long as no further word comes. Two lists told by two peers at once were kept in their order, but put into force after the lock was let go: an older one could come last into the dispatch of an entry, or the ledger of an agent.

Both read the list that is held under the lock of what they change.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -10,6 +10,7 @@
 pub use port::{Authority, CallError, Renewal, UpstreamPort};
 
 use {
+    crate::evacuation,
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -201,16 +202,13 @@
         if !self.evacuations.lock().update(told) {
             return;
         }
-        let is_evacuated = told.contains(&self.settings.data_centre);
-        let changed = self.change(|ledger, _| ledger.set_evacuated(is_evacuated));
-        event!(
-            Info,
-            "evacuations_in_force",
-            revision = told.revision,
-            data_centres = told.data_centres.join(","),
-            own_evacuated = is_evacuated,
-            own_changed = changed,
-        );
+        let is_evacuated = self.change(|ledger, _| {
+            // Of two that come at once the later one holds.
+            let is_evacuated = self.evacuations.lock().contains(&self.settings.data_centre);
+            ledger.set_evacuated(is_evacuated);
+            is_evacuated
+        });
+        evacuation::log_in_force(told, is_evacuated);
     }
 
     /// Begins a planned stop: nothing more is started.
--- a/crates/entry/src/runs/evacuation.rs
+++ b/crates/entry/src/runs/evacuation.rs
@@ -1,27 +1,18 @@
-//! Evacuated data centres, as they are in force at this entry.
+//! Evacuated data centres, as leased runs heed them.
 
-use {
-    super::JobService, std::sync::Arc, sycamorerail_telemetry::event,
-    sycamorerail_wire::runs::Evacuations,
-};
+use {super::JobService, crate::evacuation, std::sync::Arc, sycamorerail_wire::runs::Evacuations};
 
 impl JobService {
     /// Puts evacuations into force and passes them on to agents, unless those held were
     /// true later. Returns whether the list has changed.
     pub fn hold_evacuations(self: &Arc<Self>, told: &Evacuations) -> bool {
-        let changed = self.evacuations.send_if_modified(|held| held.update(told));
-        if !changed {
+        if !evacuation::hold(&self.evacuations, told) {
             return false;
         }
-        event!(
-            Info,
-            "evacuations_in_force",
-            revision = told.revision,
-            data_centres = told.data_centres.join(","),
-        );
-        metrics::gauge!("sycamorerail_evacuated_data_centres").set(told.data_centres.len() as f64);
-        let told = told.clone();
-        self.change(|dispatch, now_ms| dispatch.set_evacuations(told, now_ms));
+        // Of two that come at once the later one holds.
+        self.change(|dispatch, now_ms| {
+            dispatch.set_evacuations(self.evacuations.borrow().clone(), now_ms);
+        });
         true
     }
 }
