Command line: evacuate, restore, and what status shows of them

Operators saw: no command for a data centre that is to be emptied.

A conflict without a publisher now tells its detail.

--- a/crates/cli/src/api.rs
+++ b/crates/cli/src/api.rs
@@ -81,6 +81,21 @@
     pub(crate) published_by: String,
 }
 
+/// A word on a data centre that stands.
+#[derive(Debug, Deserialize)]
+pub(crate) struct EvacuationBody {
+    /// The data centre.
+    pub(crate) data_centre: String,
+    /// It gets no new work.
+    pub(crate) evacuated: bool,
+    /// This call changed it.
+    pub(crate) changed: bool,
+    /// Platform revision since which it stands; 0 if it never was evacuated.
+    pub(crate) revision: u64,
+    /// Who changed it last.
+    pub(crate) changed_by: String,
+}
+
 /// Refusal of a change because another was first.
 #[derive(Debug, Deserialize)]
 pub(crate) struct ConflictBody {
@@ -90,6 +105,9 @@
     /// Who published it.
     #[serde(default)]
     pub(crate) published_by: Option<String>,
+    /// More for a person.
+    #[serde(default)]
+    pub(crate) detail: Option<String>,
 }
 
 /// Refusal of a template or body, by field.
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 mod delete;
 mod diff;
 mod drain;
+mod evacuate;
 mod fetch;
 mod history;
 mod keys;
@@ -35,6 +36,8 @@
         Command::Delete(options) => delete::run(options, config).await,
         Command::Organisations(_) => organisations::run(config).await,
         Command::Rollout(_) => rollout::run(config).await,
+        Command::Evacuate(options) => evacuate::evacuate(options, config).await,
+        Command::Restore(options) => evacuate::restore(options, config).await,
         Command::Status(_) => status::run(config).await,
         Command::Submit(options) => submit::run(options, config).await,
         Command::Fetch(options) => fetch::run(options, config).await,
@@ -45,11 +48,20 @@
 
 /// Path of an organisation's template, if the name can be one.
 fn organisation_path(name: &str) -> Result<String, CliError> {
+    Ok(format!("/v1/admin/organisations/{}", named("organisation", name)?))
+}
+
+/// Path of an operator's word on a data centre, if the name can be one.
+fn data_centre_path(name: &str, unknown: bool) -> Result<String, CliError> {
+    let query = if unknown { "?unknown=true" } else { "" };
+    Ok(format!("/v1/admin/evacuations/{}{query}", named("data_centre", name)?))
+}
+
+fn named<'a>(field: &str, name: &'a str) -> Result<&'a str, CliError> {
     if is_name(name) {
-        return Ok(format!("/v1/admin/organisations/{name}"));
+        return Ok(name);
     }
-    let text = format!("organisation: found {name:?}; allowed: 1 to 64 of a-z 0-9 _ -");
-    Err(CliError::Usage(text))
+    Err(CliError::Usage(format!("{field}: found {name:?}; allowed: 1 to 64 of a-z 0-9 _ -")))
 }
 
 /// Path of a job or request, if the text can be an id. Ids are opaque here:
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -103,7 +103,11 @@
     Organisations(Organisations),
     /// Shows the revisions in force.
     Rollout(Rollout),
-    /// Shows entries and upstreams.
+    /// Evacuates a data centre.
+    Evacuate(Evacuate),
+    /// Takes a data centre back.
+    Restore(Restore),
+    /// Shows entries, upstreams and evacuations.
     Status(Status),
     /// Submits a job or request.
     Submit(Submit),
@@ -333,7 +337,40 @@
 #[argh(subcommand, name = "rollout", example = "{command_name}")]
 pub(crate) struct Rollout {}
 
-/// Shows an entry's view of entries, agents and upstreams.
+/// Evacuates a data centre: its upstreams get nothing more, what waits there is run
+/// elsewhere, and what runs goes on. Says nothing new if it is evacuated already.
+#[derive(Debug, FromArgs)]
+#[argh(
+    subcommand,
+    name = "evacuate",
+    note = "`status` shows whether upstreams there still run something.",
+    example = "{command_name} north"
+)]
+pub(crate) struct Evacuate {
+    /// data centre, as in the settings of entries and agents
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+
+    /// also if no entry or agent on record is in it
+    #[argh(switch)]
+    pub(crate) unknown: bool,
+}
+
+/// Takes an evacuated data centre back. Says nothing new if it is not evacuated.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "restore", example = "{command_name} north")]
+pub(crate) struct Restore {
+    /// data centre, as in the settings of entries and agents
+    #[argh(positional)]
+    pub(crate) data_centre: String,
+
+    /// also if no entry or agent on record is in it
+    #[argh(switch)]
+    pub(crate) unknown: bool,
+}
+
+/// Shows an entry's view of entries, agents and upstreams, and the evacuated data centres
+/// with the upstreams there that still run something.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "status", example = "{command_name}")]
 pub(crate) struct Status {}
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -93,9 +93,12 @@
 
 fn conflict(reply: &Reply) -> String {
     match reply.body::<ConflictBody>() {
-        Ok(ConflictBody { revision: Some(revision), published_by: Some(by) }) => {
+        Ok(ConflictBody { revision: Some(revision), published_by: Some(by), .. }) => {
             format!("revision {revision}, published by {by}, is in force")
         }
+        Ok(ConflictBody { revision: Some(revision), detail: Some(detail), .. }) => {
+            format!("revision {revision}: {detail}")
+        }
         Ok(ConflictBody { revision: Some(revision), .. }) => {
             format!("revision {revision} is in force")
         }
