--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -263,7 +263,7 @@
 ) -> Result<(Evacuations, EntryWelcome), SessionError> {
     let hello = core.hello();
     let told = hello.evacuations.clone();
-    let welcome = tell(core, connection, "hello", &FromAgent::Hello(hello)).await?;
+    let welcome = tell(core, connection, "hello", &FromAgent::Hello(Box::new(hello))).await?;
     Ok((told, welcome))
 }
 
--- a/crates/agent/tests/support/mod.rs
+++ b/crates/agent/tests/support/mod.rs
@@ -165,7 +165,7 @@
         let _ = session::write_reply(peer, &mut send, &welcome).await;
         match said {
             FromAgent::Hello(hello) => {
-                heard.hellos.lock().push(hello);
+                heard.hellos.lock().push(*hello);
                 *heard.connection.lock() = Some(connection.clone());
             }
             FromAgent::Beat { .. } => drop(heard.beats.fetch_add(1, Ordering::AcqRel)),
--- a/crates/entry/src/admin/evacuation.rs
+++ b/crates/entry/src/admin/evacuation.rs
@@ -65,9 +65,7 @@
     name: &str,
     unknown: Option<bool>,
 ) -> Result<Reply, Problem> {
-    let operator = operator?;
-    check_name(admin, shared, name, unknown)?;
-    say(admin, name, true, operator).await
+    say(admin, shared, operator?, (name, unknown), true).await
 }
 
 #[delete("/evacuations/<name>?<unknown>")]
@@ -78,9 +76,7 @@
     name: &str,
     unknown: Option<bool>,
 ) -> Result<Reply, Problem> {
-    let operator = operator?;
-    check_name(admin, shared, name, unknown)?;
-    say(admin, name, false, operator).await
+    say(admin, shared, operator?, (name, unknown), false).await
 }
 
 #[get("/evacuations")]
@@ -95,10 +91,12 @@
 
 async fn say(
     admin: &Admin,
-    name: &str,
-    evacuated: bool,
+    shared: &Shared,
     operator: Operator,
+    (name, unknown): (&str, Option<bool>),
+    evacuated: bool,
 ) -> Result<Reply, Problem> {
+    check_name(admin, shared, name, unknown)?;
     let now_unix_ms = Clock::unix_ms();
     let word = EvacuationRecord {
         evacuated,
--- a/crates/entry/src/upstreams/accept.rs
+++ b/crates/entry/src/upstreams/accept.rs
@@ -112,7 +112,7 @@
             shared.note_config_mark(hello.config_mark);
             heard.evacuations.update(&hello.evacuations);
             shared.hold_evacuations(&hello.evacuations);
-            heard.agent = Some(shared.upstreams.hello(shared, connection, hello)?);
+            heard.agent = Some(shared.upstreams.hello(shared, connection, *hello)?);
         }
         FromAgent::Beat { load, config_mark } => {
             shared.note_config_mark(config_mark);
--- a/crates/entry/tests/support/agent.rs
+++ b/crates/entry/tests/support/agent.rs
@@ -83,7 +83,7 @@
     }
 
     async fn say_hello(&self, connection: &quinn::Connection) -> EntryWelcome {
-        let hello = FromAgent::Hello(self.hello());
+        let hello = FromAgent::Hello(Box::new(self.hello()));
         session::call(connection, &hello, PATIENCE).await.unwrap()
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -107,7 +107,7 @@
 pub enum FromAgent {
     /// First message of a connection, and again when the upstream changes:
     /// announced, changed, leaving or gone.
-    Hello(AgentHello),
+    Hello(Box<AgentHello>),
     /// Heartbeat of an idle pair.
     Beat {
         /// Load now.
