An upstream that starts again under its id is another life

What callers would see: after a restart under the same id, results of the new life were passed over as known ends, so tasks ran up to seven times; a new room was not heard of for as long as the old life had lived; a task that crashes upstreams was never given up; a late DELETE of the old life ended what the new one ran.

Cause: a life was its id everywhere: sequence numbers, acknowledged ends, the clock, fences, the record, crash evidence.

`ledger::lives` decides which life is present: an answer to a call that was sent after the present life was known shows another; an announcement or withdrawal against a life that answers is settled by asking. What surely ran in the old life ends at once; an order that the next life may have carried out waits for the first answer to a call with a new fence, and is adopted if it runs there. The fence (`ledger::order_fence`) is start + clock + 1, never falls under an id, and doubles on repeated refusals.

Ruled out: believing the greater start (the time of day may go back); waiting with all tasks for the new fence (those that a list of the old life shows cannot start again).

Changed tests: `LifeId::named` and the answer's life and fence where structs are built, the id within `LifeId` in foreign_writers; no assertion is weaker.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -3,12 +3,13 @@
 use {
     super::{
         Leased,
-        port::{CallError, Renewal},
+        port::{Authority, CallError, Renewal},
     },
     futures::{StreamExt, stream::FuturesUnordered},
     std::{sync::Arc, time::Duration},
     sycamorerail_decide::ledger::{LeaseAnswer, LifeEnd},
     sycamorerail_telemetry::event,
+    sycamorerail_wire::runs::LifeId,
     tokio::time::{Instant, sleep_until},
 };
 
@@ -31,7 +32,7 @@
 /// Keeps the lease for as long as the agent runs.
 pub(super) async fn keep(leased: Arc<Leased>) {
     loop {
-        let life = leased.ledger.lock().life().map(|life| life.id.clone());
+        let life = leased.ledger.lock().present().cloned();
         match life {
             Some(life) => keep_life(&leased, &life).await,
             None => leased.life_changed.notified().await,
@@ -39,13 +40,12 @@
     }
 }
 
-/// Keeps the lease of one life until it ends or another is announced.
-async fn keep_life(leased: &Arc<Leased>, life: &str) {
-    leased.clear_fence();
+/// Keeps the lease of one life until it ends or another is present.
+async fn keep_life(leased: &Arc<Leased>, life: &LifeId) {
     let mut keeping = Keeping { leased, life, unheard: 0 };
     let mut under_way = FuturesUnordered::new();
     let mut next_at = Instant::now();
-    while leased.ledger.lock().life().is_some_and(|known| known.id == life) {
+    while leased.ledger.lock().present() == Some(life) {
         let may_send = under_way.len() < MAX_UNDER_WAY;
         tokio::select! {
             Some(renewed) = under_way.next() => match keeping.take(renewed) {
@@ -75,45 +75,78 @@
 struct Renewed {
     sent_ms: u64,
     fence: u64,
+    /// The fence was taken for the life that was asked.
+    is_fenced: bool,
     answer: Result<LeaseAnswer, CallError>,
 }
 
 struct Keeping<'a> {
     leased: &'a Arc<Leased>,
-    life: &'a str,
+    life: &'a LifeId,
     /// Calls in a row that found no listener.
     unheard: u32,
 }
 
 impl Keeping<'_> {
     fn take(&mut self, renewed: Renewed) -> Next {
-        let Self { leased, life, .. } = *self;
         match renewed.answer {
-            Ok(answer) if renewed.fence == 0 => {
-                fence_off(leased, life, answer.clock_ms);
-                Next::After(Duration::ZERO)
-            }
             Ok(mut answer) => {
                 answer.sent_ms = renewed.sent_ms;
-                self.unheard = 0;
-                let had_ends = !answer.ended.is_empty();
-                leased.change(|ledger, now_ms| ledger.renewed(&answer, now_ms));
-                Next::After(if had_ends { GATHER } else { Duration::ZERO })
+                answer.fence = renewed.fence;
+                self.answered(&answer, renewed.is_fenced)
             }
             Err(CallError::Fenced { clock_ms }) => {
-                fence_off(leased, life, clock_ms);
+                self.leased.change(|ledger, _| ledger.fence_refused(renewed.fence, clock_ms));
+                self.log_fence(renewed.fence);
                 Next::After(Duration::ZERO)
             }
             Err(error) => self.failed(&error),
         }
     }
 
+    fn answered(&mut self, answer: &LeaseAnswer, is_fenced: bool) -> Next {
+        let Self { leased, life, .. } = *self;
+        self.unheard = 0;
+        leased.change(|ledger, now_ms| {
+            if is_fenced {
+                ledger.renewed(answer, now_ms);
+            } else {
+                ledger.fence_off(answer, now_ms);
+            }
+        });
+        if answer.life != *life {
+            self.log_other(&answer.life);
+        }
+        self.log_fence(answer.fence);
+        let had_ends = is_fenced && !answer.ended.is_empty();
+        Next::After(if had_ends { GATHER } else { Duration::ZERO })
+    }
+
+    /// Another life answered: the next one, or an earlier one late.
+    fn log_other(&self, answered: &LifeId) {
+        let is_present = self.leased.ledger.lock().present() == Some(answered);
+        if is_present {
+            metrics::counter!("sycamorerail_upstream_restarts_total").increment(1);
+            event!(Warn, "upstream_restarted", life = answered, before = self.life);
+        } else {
+            event!(Info, "answer_ignored", life = answered, known = self.life);
+        }
+    }
+
+    fn log_fence(&self, before: u64) {
+        let ledger = self.leased.ledger.lock();
+        if ledger.fence() > before {
+            let life = ledger.present().unwrap_or(self.life);
+            event!(Info, "fence_taken", life = life, fence = ledger.fence());
+        }
+    }
+
     fn failed(&mut self, error: &CallError) -> Next {
         let Self { leased, life, .. } = *self;
         event!(Info, "renewal_failed", life = life, error = error, unheard = self.unheard);
         self.unheard = if *error == CallError::NoListener { self.unheard + 1 } else { 0 };
-        if *error == CallError::OtherLife || self.unheard >= GONE_AFTER {
-            lose(leased, life, error);
+        if let Some(how) = self.end_shown_by(error) {
+            lose(leased, life, error, how);
             return Next::Never;
         }
         match error {
@@ -122,14 +155,29 @@
             _ => Next::After(RETRY),
         }
     }
+
+    /// How the life has ended, if a failed call shows that it has.
+    fn end_shown_by(&self, error: &CallError) -> Option<LifeEnd> {
+        match error {
+            CallError::OtherLife => Some(LifeEnd::Replaced),
+            CallError::NoListener if self.leased.ledger.lock().is_withdrawn() => {
+                Some(LifeEnd::Left)
+            }
+            CallError::NoListener if self.unheard >= GONE_AFTER => Some(LifeEnd::Crashed),
+            _ => None,
+        }
+    }
 }
 
-async fn renew(leased: &Leased, life: &str, wait_ms: u32) -> Renewed {
-    let authority = leased.authority(life);
-    let fence = authority.fence;
+async fn renew(leased: &Leased, life: &LifeId, wait_ms: u32) -> Renewed {
     let sent_ms = leased.clock.now_ms();
-    let renewal = renewal(leased, fence > 0, wait_ms, sent_ms);
-    Renewed { sent_ms, fence, answer: leased.port.renew(authority, renewal).await }
+    let (authority, is_fenced) = {
+        let ledger = leased.ledger.lock();
+        (Authority { life: life.clone(), fence: ledger.fence() }, ledger.is_fenced())
+    };
+    let fence = authority.fence;
+    let renewal = renewal(leased, is_fenced, wait_ms, sent_ms);
+    Renewed { sent_ms, fence, is_fenced, answer: leased.port.renew(authority, renewal).await }
 }
 
 fn renewal(leased: &Leased, is_fenced: bool, wait_ms: u32, now_ms: u64) -> Renewal {
@@ -144,18 +192,11 @@
     }
 }
 
-/// Takes a fence higher than any before on this life: the upstream's own clock,
-/// which only rises and which an earlier run of the agent read earlier.
-fn fence_off(leased: &Leased, life: &str, clock_ms: u64) {
-    leased.raise_fence(clock_ms + 1);
-    event!(Info, "fence_taken", life = life, fence = clock_ms + 1);
-}
-
-fn lose(leased: &Arc<Leased>, life: &str, error: &CallError) {
+fn lose(leased: &Arc<Leased>, life: &LifeId, error: &CallError, how: LifeEnd) {
     event!(Warn, "upstream_lost", life = life, error = error);
     leased.change(|ledger, _| {
-        if ledger.life().is_some_and(|known| known.id == life) {
-            ledger.lose_upstream(LifeEnd::Crashed);
+        if ledger.present() == Some(life) {
+            ledger.lose_upstream(how);
         }
     });
 }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -12,17 +12,13 @@
 use {
     parking_lot::Mutex,
     rand::Rng,
-    std::{
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
-    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
-        ledger::{Decided, Ledger, LedgerLimits, LifeEnd, StartAnswer, StartOrder, StartRefusal},
+        ledger::{
+            Announced, Decided, Ledger, LedgerLimits, StartAnswer, StartOrder, StartRefusal,
+            Withdrawn,
+        },
         links::LinkLimits,
     },
     sycamorerail_telemetry::event,
@@ -77,7 +73,6 @@
     pub(crate) dropped_owners: watch::Sender<Vec<Incarnation>>,
     /// A renewal is wanted at once, for what it lists.
     pub(crate) look_now: Notify,
-    fence: AtomicU64,
 }
 
 impl Leased {
@@ -108,7 +103,6 @@
             lives: watch::Sender::new(None),
             dropped_owners: watch::Sender::new(Vec::new()),
             look_now: Notify::new(),
-            fence: AtomicU64::new(0),
         });
         tokio::spawn(lease::keep(Arc::clone(&leased)));
         tokio::spawn(tick(Arc::clone(&leased)));
@@ -143,36 +137,31 @@
 
     /// The upstream announced itself.
     ///
-    /// An announcement of another life than the one that answers renewals is
-    /// not believed: it was sent before the upstream was replaced, and held up. Nor is
-    /// one that puts a known life into another pool: a life stays in its pool.
+    /// An announcement of another life than the one that answers renewals is not believed
+    /// until an answer shows that life: it may have been sent by an earlier one, and held up.
+    /// Nor is one that puts a known life into another pool: a life stays in its pool.
     pub fn announced(self: &Arc<Self>, life: UpstreamLife) {
-        let now_ms = self.clock.now_ms();
-        let mut ledger = self.ledger.lock();
-        let contradicts = |known: &&UpstreamLife| {
-            let is_other = known.id != life.id && ledger.is_trusted(now_ms);
-            is_other || (known.id == life.id && known.pool != life.pool)
-        };
-        if let Some(known) = ledger.life().filter(contradicts) {
-            event!(
-                Info,
-                "announcement_ignored",
-                life = life.id,
-                pool = life.pool,
-                known = known.id,
-                known_pool = known.pool
-            );
-            return;
-        }
-        let (id, leaving, cpu_milli) = (life.id.clone(), life.leaving, life.capacity.cpu_milli);
-        if !ledger.set_upstream(life.clone()) {
-            return;
+        let (id, pool, leaving) = (life.id.clone(), life.pool.clone(), life.leaving);
+        let cpu_milli = life.capacity.cpu_milli;
+        match self.change(|ledger, now_ms| ledger.announced(life, now_ms)) {
+            Announced::Known => {}
+            Announced::Believed => {
+                event!(
+                    Info,
+                    "upstream_announced",
+                    life = id,
+                    leaving = leaving,
+                    cpu_milli = cpu_milli
+                );
+                self.life_changed.notify_one();
+            }
+            Announced::Doubted => {
+                metrics::counter!("sycamorerail_announcements_doubted_total").increment(1);
+                event!(Info, "announcement_doubted", life = id);
+                self.look_now.notify_one();
+            }
+            Announced::Ignored => event!(Info, "announcement_ignored", life = id, pool = pool),
         }
-        drop(ledger);
-        self.lives.send_replace(Some(life));
-        event!(Info, "upstream_announced", life = id, leaving = leaving, cpu_milli = cpu_milli);
-        self.life_changed.notify_one();
-        self.act();
     }
 
     /// Uses the upstream's life as it was known to an earlier run of this agent, until
@@ -185,15 +174,17 @@
     }
 
     /// The upstream says that it is gone.
+    ///
+    /// As long as it answers that is not believed: an earlier life may have said so.
     pub fn withdrawn(self: &Arc<Self>, id: &str) {
-        let mut ledger = self.ledger.lock();
-        if ledger.life().is_none_or(|life| life.id != id) {
-            return;
+        match self.change(|ledger, now_ms| ledger.withdrawn(id, now_ms)) {
+            Withdrawn::Believed => event!(Info, "upstream_withdrawn", life = id),
+            Withdrawn::Doubted => {
+                event!(Info, "withdrawal_doubted", life = id);
+                self.look_now.notify_one();
+            }
+            Withdrawn::Ignored => {}
         }
-        ledger.lose_upstream(LifeEnd::Left);
-        drop(ledger);
-        event!(Info, "upstream_withdrawn", life = id);
-        self.act();
     }
 
     /// Puts evacuations into force that an entry told, unless those held were true later.
@@ -240,7 +231,9 @@
         let starts: Vec<_> = std::iter::from_fn(|| ledger.next_start(now_ms)).collect();
         let stops = ledger.stops_due(now_ms);
         let decided = ledger.take_decided();
-        let authority = ledger.life().map(|life| self.authority(&life.id));
+        let authority =
+            ledger.present().map(|life| Authority { life: life.clone(), fence: ledger.fence() });
+        self.tell_life(&ledger);
         drop(ledger);
         if let Some(authority) = authority {
             for order in starts {
@@ -254,16 +247,16 @@
         self.changes.send_modify(|changes| *changes += 1);
     }
 
-    pub(crate) fn authority(&self, life: &str) -> Authority {
-        Authority { life: life.to_owned(), fence: self.fence.load(Ordering::Acquire) }
-    }
-
-    pub(crate) fn raise_fence(&self, fence: u64) {
-        self.fence.fetch_max(fence, Ordering::AcqRel);
-    }
-
-    pub(crate) fn clear_fence(&self) {
-        self.fence.store(0, Ordering::Release);
+    /// Passes on what the present life announced.
+    fn tell_life(&self, ledger: &Ledger) {
+        let Some(life) = ledger.life() else { return };
+        self.lives.send_if_modified(|told| {
+            let is_news = told.as_ref() != Some(life);
+            if is_news {
+                *told = Some(life.clone());
+            }
+            is_news
+        });
     }
 }
 
--- a/crates/agent/src/leased/port.rs
+++ b/crates/agent/src/leased/port.rs
@@ -4,14 +4,14 @@
     futures::future::BoxFuture,
     std::fmt,
     sycamorerail_decide::ledger::{LeaseAnswer, StartAnswer, StartOrder},
-    sycamorerail_wire::runs::TaskKey,
+    sycamorerail_wire::runs::{LifeId, TaskKey},
 };
 
 /// On whose behalf a call is made.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Authority {
     /// The upstream's life for which the call is meant.
-    pub life: String,
+    pub life: LifeId,
     /// The upstream does nothing for a lower number than the highest it saw.
     pub fence: u64,
 }
@@ -30,7 +30,7 @@
 /// Why a call to the upstream brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallError {
-    /// Another life of the upstream answered.
+    /// An upstream of another id answered.
     OtherLife,
     /// A higher fence was seen.
     Fenced {
@@ -41,6 +41,8 @@
     NoListener,
     /// No whole answer came in time.
     Unanswered(String),
+    /// The connection ended before the answer.
+    Broken(String),
     /// The answer was none that is expected.
     Unexpected(String),
 }
@@ -48,10 +50,11 @@
 impl fmt::Display for CallError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::OtherLife => f.write_str("another life of the upstream answered"),
+            Self::OtherLife => f.write_str("an upstream of another id answered"),
             Self::Fenced { clock_ms } => write!(f, "fenced at its clock {clock_ms} ms"),
             Self::NoListener => f.write_str("nobody listens"),
             Self::Unanswered(why) => write!(f, "no answer: {why}"),
+            Self::Broken(why) => write!(f, "connection broken: {why}"),
             Self::Unexpected(why) => write!(f, "unexpected answer: {why}"),
         }
     }
--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -9,7 +9,7 @@
     sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LedgerLimits, StartOrder, is_news},
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{FromRunsAgent, Room, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
+        runs::{FromRunsAgent, LifeId, Room, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
     },
 };
 
@@ -109,7 +109,7 @@
     /// The upstream's present life.
     pub fn life(&self) -> UpstreamLife {
         UpstreamLife {
-            id: self.life.to_string(),
+            id: LifeId::named(&self.life.to_string()),
             pool: POOL.to_owned(),
             capacity: self.capacity,
             labels: Vec::new(),
@@ -202,7 +202,8 @@
     /// A renewal was answered, or its answer is waited for no more.
     pub fn renewed(&mut self, life: u64, answer: Option<LeaseAnswer>, now: Micros) {
         self.under_way -= 1;
-        let Some(answer) = answer.filter(|_| life == self.life) else { return };
+        let Some(mut answer) = answer.filter(|_| life == self.life) else { return };
+        answer.life = self.ledger.present().cloned().unwrap_or_default();
         let pause = if answer.ended.is_empty() { 0 } else { GATHER };
         self.renew_at = self.renew_at.min(now + pause);
         self.ledger.renewed(&answer, millis(now));
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -10,7 +10,9 @@
 //! After a restart nothing is known of the runs of the agent before it. They
 //! are stopped first, and nothing is started until none is listed any more.
 
+mod lives;
 mod load;
+mod order_fence;
 mod owners;
 mod renewal;
 mod types;
@@ -18,12 +20,13 @@
 pub use {
     load::is_news,
     types::{
-        Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, LifeEnd, StartAnswer, StartOrder,
-        StartRefusal,
+        Announced, Decided, EndKind, Ended, LeaseAnswer, LedgerLimits, LifeEnd, StartAnswer,
+        StartOrder, StartRefusal, Withdrawn,
     },
 };
 
 use {
+    order_fence::OrderFence,
     owners::Owners,
     slotmap::{SlotMap, new_key_type},
     std::{
@@ -32,7 +35,10 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife},
+        runs::{
+            CallerId, LifeId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey,
+            UpstreamLife,
+        },
     },
 };
 
@@ -63,6 +69,8 @@
     Waiting,
     /// Ordered; the answer is awaited, or did not come.
     Ordered { since_ms: u64, late_after_clock_ms: u64, unanswered: bool },
+    /// Ordered of a life that ended since: the next one may have carried it out, or will.
+    Orphaned { has_crashed: bool },
     /// The upstream has confirmed it.
     Running { since_ms: u64 },
 }
@@ -122,7 +130,17 @@
 #[derive(Debug)]
 pub struct Ledger {
     limits: LedgerLimits,
+    /// The life that calls are meant for.
+    present: Option<LifeId>,
+    /// Answers to calls sent until then may be older than the present life.
+    present_since_ms: u64,
+    /// What the present life announced.
     life: Option<UpstreamLife>,
+    /// Another life that was announced while the present one answered, and when.
+    doubted: Option<(UpstreamLife, /* since_ms */ u64)>,
+    /// When the present life's id was withdrawn, until an answer shows that it is there.
+    withdrawn_ms: Option<u64>,
+    order_fence: OrderFence,
     draining: bool,
     /// The upstream's data centre is evacuated: nothing is started there.
     is_evacuated: bool,
@@ -157,7 +175,12 @@
     pub fn new(limits: LedgerLimits) -> Self {
         Self {
             limits,
+            present: None,
+            present_since_ms: 0,
             life: None,
+            doubted: None,
+            withdrawn_ms: None,
+            order_fence: OrderFence::default(),
             draining: false,
             is_evacuated: false,
             clean: false,
@@ -182,35 +205,6 @@
         }
     }
 
-    /// The upstream's present life.
-    #[must_use]
-    pub fn life(&self) -> Option<&UpstreamLife> {
-        self.life.as_ref()
-    }
-
-    fn is_leaving(&self) -> bool {
-        self.life.as_ref().is_some_and(|life| life.leaving)
-    }
-
-    /// Takes note of the upstream's life. Runs on an earlier life are lost.
-    /// Returns whether anything changed.
-    pub fn set_upstream(&mut self, life: UpstreamLife) -> bool {
-        if self.life.as_ref() == Some(&life) {
-            return false;
-        }
-        if self.life.as_ref().is_none_or(|known| known.id != life.id) {
-            self.lose_upstream(LifeEnd::Crashed);
-            self.slowness_percent = SOUND_PERCENT;
-            self.failing_percent = 0;
-        }
-        self.life = Some(life);
-        if self.is_leaving() {
-            self.drop_waiting(NotStarted::Leaving);
-        }
-        self.drop_too_large();
-        true
-    }
-
     /// Hands back what waits and is larger than the whole upstream, whose room may shrink
     /// and grow as it runs: it would wait in vain, and keep others from being looked at.
     /// What runs goes on; room comes back as it ends.
@@ -223,20 +217,6 @@
         }
     }
 
-    /// The upstream's life is over: what ran on it is lost. One that had said that it leaves
-    /// has not crashed.
-    pub fn lose_upstream(&mut self, how: LifeEnd) {
-        let has_crashed = how == LifeEnd::Crashed && !self.is_leaving();
-        self.life = None;
-        self.clean = false;
-        self.clock = None;
-        self.renewed_ms = None;
-        self.acknowledged = 0;
-        self.leftovers.clear();
-        self.lose_active(if has_crashed { RunEvent::Crashed } else { RunEvent::Lost });
-        self.drop_waiting(NotStarted::NoUpstream);
-    }
-
     fn lose_active(&mut self, event: RunEvent) {
         for key in self.active() {
             self.settle(key, event);
@@ -476,6 +456,7 @@
             && !self.is_leaving()
             && !self.draining
             && !self.is_evacuated
+            && !self.is_withdrawn()
     }
 
     /// Whether the upstream answered a renewal lately.
@@ -525,21 +506,20 @@
     pub fn start_answered(&mut self, task: TaskKey, run: u32, answer: StartAnswer, now_ms: u64) {
         self.ordered = self.ordered.saturating_sub(1);
         let Some(key) = self.find(task, run) else { return };
-        let Phase::Ordered { since_ms, late_after_clock_ms, .. } = self.runs[key].phase else {
-            return;
-        };
-        match answer {
-            StartAnswer::Started => self.confirm(key, now_ms),
-            StartAnswer::Unanswered => {
+        match (answer, self.runs[key].phase) {
+            // Which life carried an orphaned order out is not known.
+            (StartAnswer::Started, Phase::Ordered { .. }) => self.confirm(key, now_ms),
+            (StartAnswer::Unanswered, Phase::Ordered { since_ms, late_after_clock_ms, .. }) => {
                 let unanswered = true;
                 self.runs[key].phase = Phase::Ordered { since_ms, late_after_clock_ms, unanswered };
             }
-            StartAnswer::Refused(why) => {
+            (StartAnswer::Refused(why), Phase::Ordered { .. } | Phase::Orphaned { .. }) => {
                 if why == StartRefusal::Unhealthy {
                     self.note_failure(true, now_ms);
                 }
                 self.settle(key, RunEvent::NotStarted(refusal(why)));
             }
+            _ => {}
         }
     }
 
--- /dev/null
+++ b/crates/decide/src/ledger/order_fence.rs
@@ -0,0 +1,63 @@
+//! The number by which an upstream tells its agent's orders from older ones.
+
+use sycamorerail_wire::runs::LifeId;
+
+/// Doublings at most: with the time of day in milliseconds as a base the number stays below
+/// 2^53, up to which all readers of JSON are exact.
+const MAX_DOUBLINGS: u32 = 11;
+
+/// The fence of an agent's orders. An upstream does nothing for a lower number than the
+/// highest that it saw in its present life.
+///
+/// It is made of the start and the clock of the life that is asked, so that it is higher
+/// than that of an earlier agent, and mostly that of an earlier life. It never falls
+/// where the id stays: orders for an earlier life may reach the next one.
+#[derive(Debug, Default)]
+pub(super) struct OrderFence {
+    number: u64,
+    taken_at: Option<LifeId>,
+    /// In a row.
+    refusals: u32,
+}
+
+impl OrderFence {
+    pub(super) fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// The life for which it was last taken.
+    pub(super) fn taken_at(&self) -> Option<&LifeId> {
+        self.taken_at.as_ref()
+    }
+
+    /// Takes a number for a life that was never ordered anything by this agent.
+    pub(super) fn take(&mut self, life: &LifeId, clock_ms: u64) {
+        self.raise(fresh(life, clock_ms));
+        self.taken_at = Some(life.clone());
+        self.refusals = 0;
+    }
+
+    /// An order with this number was refused. A second refusal in a row means that a fresh
+    /// number is not enough: an earlier life began at a later time of day.
+    pub(super) fn refused(&mut self, number: u64, life: &LifeId, clock_ms: u64) {
+        if number < self.number {
+            return;
+        }
+        let doublings = self.refusals.min(MAX_DOUBLINGS);
+        self.refusals += 1;
+        self.raise(fresh(life, clock_ms).saturating_mul(1 << doublings));
+        self.taken_at = Some(life.clone());
+    }
+
+    pub(super) fn accepted(&mut self) {
+        self.refusals = 0;
+    }
+
+    fn raise(&mut self, number: u64) {
+        self.number = number.max(self.number.saturating_add(1));
+    }
+}
+
+fn fresh(life: &LifeId, clock_ms: u64) -> u64 {
+    life.started_unix_ms.unwrap_or(0).saturating_add(clock_ms).saturating_add(1)
+}
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -3,8 +3,8 @@
 
 use {
     super::{
-        CLOCK_DRIFT_PERCENT, DOUBT_MS, EndKind, Ended, LeaseAnswer, Ledger, Phase, Stop,
-        Suspension, load::is_overdue,
+        CLOCK_DRIFT_PERCENT, DOUBT_MS, EndKind, Ended, LeaseAnswer, Ledger, LifeEnd, Phase, Stop,
+        Suspension, lives::orphan_end, load::is_overdue,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
@@ -42,18 +42,27 @@
             // It was overtaken: what it lists as running may be over.
             return;
         }
-        self.clock = Some((answer.clock_ms, now_ms));
-        self.renewed_ms = Some(answer.sent_ms);
-        self.lapsed_ms = answer.sent_ms + self.lapse_ms();
-        if answer.sent_ms < self.suspension.noticed_ms {
-            self.lapsed_ms += self.suspension.last_ms;
+        if self.present.as_ref() != Some(&answer.life) {
+            return self.answered_by_other(answer, now_ms);
         }
+        self.drop_doubts(answer);
+        if answer.fence < self.fence() {
+            // Orders with the fence of that call may still be carried out after it.
+            return;
+        }
+        self.order_fence.accepted();
+        self.note_answer(answer, now_ms);
         for ended in &answer.ended {
             self.end(ended, now_ms);
         }
         for &(task, number) in &answer.running {
             match self.find(task, number) {
-                Some(key) if matches!(self.runs[key].phase, Phase::Ordered { .. }) => {
+                Some(key)
+                    if matches!(
+                        self.runs[key].phase,
+                        Phase::Ordered { .. } | Phase::Orphaned { .. }
+                    ) =>
+                {
                     self.confirm(key, now_ms);
                 }
                 _ => {}
@@ -64,6 +73,17 @@
         self.note_leftovers(&answer.running);
     }
 
+    /// Takes note of the clock that an answer of the present life tells, and of when its
+    /// lease lapses.
+    pub(super) fn note_answer(&mut self, answer: &LeaseAnswer, now_ms: u64) {
+        self.clock = Some((answer.clock_ms, now_ms));
+        self.renewed_ms = Some(answer.sent_ms);
+        self.lapsed_ms = answer.sent_ms + self.lapse_ms();
+        if answer.sent_ms < self.suspension.noticed_ms {
+            self.lapsed_ms += self.suspension.last_ms;
+        }
+    }
+
     fn end(&mut self, ended: &Ended, now_ms: u64) {
         if ended.number <= self.acknowledged {
             return;
@@ -117,7 +137,7 @@
                 {
                     Some(RunEvent::NotStarted(NotStarted::Unanswered))
                 }
-                _ => None,
+                phase => orphan_end(phase),
             };
             if let Some(event) = event {
                 self.settle(key, event);
@@ -162,6 +182,9 @@
     /// Declares runs lost whose lease has surely lapsed. Their room stays taken
     /// until the upstream answers again.
     pub fn check_lapse(&mut self, now_ms: u64) {
+        if now_ms >= self.lapsed_ms {
+            self.lose_orphans();
+        }
         if self.renewed_ms.is_none() {
             return;
         }
@@ -176,6 +199,9 @@
         // What may still be listed is stopped and waited for, as after a restart.
         self.clean = false;
         self.renewed_ms = None;
+        if self.is_withdrawn() {
+            self.lose_upstream(LifeEnd::Left);
+        }
     }
 
     /// Time from the last answered renewal after which the lease has surely
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -4,7 +4,7 @@
     std::sync::Arc,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{Room, TaskKey},
+        runs::{LifeId, Room, TaskKey},
     },
 };
 
@@ -100,6 +100,32 @@
     Crashed,
     /// It said that it is gone.
     Left,
+    /// An upstream of another id answers in its place.
+    Replaced,
+}
+
+/// What becomes of an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Announced {
+    /// It says nothing new.
+    Known,
+    /// It is believed.
+    Believed,
+    /// The life that answers calls is another one: the next answer decides.
+    Doubted,
+    /// It is ignored, as it puts a known life into another pool.
+    Ignored,
+}
+
+/// What becomes of a withdrawal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Withdrawn {
+    /// The upstream is gone.
+    Believed,
+    /// It may be an earlier life's: the next answer decides, and nothing starts until then.
+    Doubted,
+    /// It names another upstream.
+    Ignored,
 }
 
 /// An end that the upstream lists.
@@ -118,6 +144,10 @@
 /// An upstream's answer to a renewal of the lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct LeaseAnswer {
+    /// The life that answered.
+    pub life: LifeId,
+    /// Fence of the renewal.
+    pub fence: u64,
     /// When the renewal was sent.
     pub sent_ms: u64,
     /// The upstream's clock, in milliseconds.
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -14,8 +14,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, Placement, Room, RunEvent, RunReport, TaskKey, TaskStart, UpstreamLife,
-            UpstreamLoad,
+            CallerId, LifeId, Placement, Room, RunEvent, RunReport, TaskKey, TaskStart,
+            UpstreamLife, UpstreamLoad,
         },
     },
 };
@@ -29,7 +29,7 @@
 const MOST_CRASHES: u32 = 3;
 
 fn life(id: &str, leaving: bool) -> UpstreamLife {
-    let (id, pool) = (id.to_owned(), "desk".to_owned());
+    let (id, pool) = (LifeId::named(id), "desk".to_owned());
     UpstreamLife { id, pool, capacity: CAPACITY, labels: Vec::new(), leaving }
 }
 
@@ -42,7 +42,12 @@
     let mut ledger = Ledger::new(LedgerLimits::default());
     ledger.set_upstream(life("a", false));
     ledger.owner_heard(ENTRY, 1);
-    let answer = LeaseAnswer { sent_ms: 1, clock_ms: 50_001, ..LeaseAnswer::default() };
+    let answer = LeaseAnswer {
+        life: LifeId::named("a"),
+        sent_ms: 1,
+        clock_ms: 50_001,
+        ..LeaseAnswer::default()
+    };
     ledger.renewed(&answer, 1);
     let placement = Placement {
         job: CallerId(1),
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -10,8 +10,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife,
-            UpstreamLoad,
+            CallerId, LifeId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey,
+            UpstreamLife, UpstreamLoad,
         },
     },
 };
@@ -36,7 +36,7 @@
 
 fn life(labels: &[&str]) -> UpstreamLife {
     UpstreamLife {
-        id: "life".to_owned(),
+        id: LifeId::named("life"),
         pool: "desk".to_owned(),
         capacity: CAPACITY,
         labels: labels.iter().map(|&label| label.to_owned()).collect(),
--- a/crates/decide/tests/dispatch_links.rs
+++ b/crates/decide/tests/dispatch_links.rs
@@ -9,7 +9,7 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, Room, UpstreamLife, UpstreamLoad},
+        runs::{CallerId, LifeId, Room, UpstreamLife, UpstreamLoad},
     },
 };
 
@@ -25,7 +25,7 @@
         let agent = dispatch.agent_connected(&name, Incarnation(1), None, NOW_MS);
         dispatch.agent_ready(agent, NOW_MS);
         let life = UpstreamLife {
-            id: name,
+            id: LifeId::named(&name),
             pool: "desk".to_owned(),
             capacity: CAPACITY,
             labels: Vec::new(),
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -13,8 +13,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, Evacuations, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey,
-            TaskStart, UpstreamLife, UpstreamLoad,
+            CallerId, Evacuations, LifeId, NotStarted, Placement, Room, RunEvent, RunReport,
+            TaskKey, TaskStart, UpstreamLife, UpstreamLoad,
         },
     },
 };
@@ -31,7 +31,7 @@
 
 fn life() -> UpstreamLife {
     UpstreamLife {
-        id: "life".to_owned(),
+        id: LifeId::named("life"),
         pool: "desk".to_owned(),
         capacity: CAPACITY,
         labels: Vec::new(),
@@ -234,6 +234,8 @@
 
 fn renew(ledger: &mut Ledger, now_ms: u64, running: &[(TaskKey, u32)], ended: &[Ended]) {
     let answer = LeaseAnswer {
+        life: life().id,
+        fence: 0,
         sent_ms: now_ms,
         clock_ms: 50_000 + now_ms,
         running: running.to_vec(),
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -6,7 +6,10 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, NotStarted, Placement, Room, RunEvent, TaskKey, TaskStart, UpstreamLife},
+        runs::{
+            CallerId, LifeId, NotStarted, Placement, Room, RunEvent, TaskKey, TaskStart,
+            UpstreamLife,
+        },
     },
 };
 
@@ -17,7 +20,7 @@
 
 fn life(id: &str) -> UpstreamLife {
     UpstreamLife {
-        id: id.to_owned(),
+        id: LifeId::named(id),
         pool: "desk".to_owned(),
         capacity: Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 },
         labels: Vec::new(),
@@ -47,6 +50,8 @@
 
 fn renew(ledger: &mut Ledger, now_ms: u64, running: &[(TaskKey, u32)], ended: &[Ended]) {
     let answer = LeaseAnswer {
+        life: ledger.present().cloned().unwrap_or_default(),
+        fence: 0,
         sent_ms: now_ms,
         clock_ms: CLOCK_MS + now_ms,
         running: running.to_vec(),
@@ -356,6 +361,8 @@
     ledger.start_answered(task(1, 0), 1, StartAnswer::Started, 3);
     renew(&mut ledger, 100, &[], &[ended(1, 1, 0, EndKind::Done)]);
     let old = LeaseAnswer {
+        life: LifeId::named("a"),
+        fence: 0,
         sent_ms: 50,
         clock_ms: CLOCK_MS + 60,
         running: vec![(task(1, 0), 1)],
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -10,7 +10,7 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, Placement, Room, RunEvent, TaskKey, TaskStart, UpstreamLife},
+        runs::{CallerId, LifeId, Placement, Room, RunEvent, TaskKey, TaskStart, UpstreamLife},
     },
 };
 
@@ -185,6 +185,8 @@
         }
         self.ended.retain(|ended| ended.number > acknowledged);
         Some(LeaseAnswer {
+            life: life().id,
+            fence,
             sent_ms: now_ms,
             clock_ms: self.clock_ms(now_ms),
             running: self.running.iter().map(|(task, (run, _))| (*task, *run)).collect(),
@@ -237,7 +239,7 @@
 
 fn life() -> UpstreamLife {
     UpstreamLife {
-        id: "a".to_owned(),
+        id: LifeId::named("a"),
         pool: "desk".to_owned(),
         capacity: Room { cpu_milli: CAPACITY_MILLI, memory_mb: 0, accelerators: 0 },
         labels: Vec::new(),
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -9,7 +9,7 @@
     },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerId, Room, UpstreamLife, UpstreamLoad},
+        runs::{CallerId, LifeId, Room, UpstreamLife, UpstreamLoad},
     },
 };
 
@@ -31,7 +31,7 @@
         dispatch.set_life(
             agent,
             UpstreamLife {
-                id: "life".to_owned(),
+                id: LifeId::named("life"),
                 pool: "desk".to_owned(),
                 capacity: CAPACITY,
                 labels: Vec::new(),
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -304,11 +304,39 @@
     }
 }
 
+/// Identity of one life of an upstream. An upstream that starts again may keep its id;
+/// its start then tells the lives apart.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LifeId {
+    /// The upstream's id.
+    pub id: String,
+    /// When it started, in Unix milliseconds by the clock of its VM, which may go back:
+    /// a later life may have a lower one. `None` where the upstream does not tell.
+    pub started_unix_ms: Option<u64>,
+}
+
+impl LifeId {
+    /// The life of an upstream that does not tell when it started.
+    #[must_use]
+    pub fn named(id: &str) -> Self {
+        Self { id: id.to_owned(), started_unix_ms: None }
+    }
+}
+
+impl fmt::Display for LifeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.started_unix_ms {
+            Some(started_unix_ms) => write!(f, "{}@{started_unix_ms}", self.id),
+            None => f.write_str(&self.id),
+        }
+    }
+}
+
 /// An upstream's life as an entry remembers it for an agent that restarts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamLife {
-    /// Name of this life; another life has another name.
-    pub id: String,
+    /// Which life it is.
+    pub id: LifeId,
     /// The pool it belongs to.
     pub pool: String,
     /// What it has in all.
