--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -42,7 +42,7 @@
 
 /// Keeps the lease of one life until it ends or another is present.
 async fn keep_life(leased: &Arc<Leased>, life: &LifeId) {
-    let mut keeping = Keeping { leased, life, unheard: 0 };
+    let mut keeping = Keeping { leased, life, unheard: 0, wait_ms: WAIT_MS };
     let mut under_way = FuturesUnordered::new();
     let mut next_at = Instant::now();
     while leased.ledger.lock().present() == Some(life) {
@@ -54,7 +54,7 @@
                 Next::Never => return,
             },
             () = sleep_until(next_at), if may_send => {
-                under_way.push(renew(leased, life, WAIT_MS));
+                under_way.push(renew(leased, life, keeping.wait_ms));
                 next_at = Instant::now() + Duration::from_millis(WAIT_MS.into()) + OVERDUE;
             }
             () = leased.look_now.notified(), if may_send => {
@@ -85,6 +85,9 @@
     life: &'a LifeId,
     /// Calls in a row that found no listener.
     unheard: u32,
+    /// How long the next answer may wait for an end: not at all after a call that failed, as
+    /// another life may be there.
+    wait_ms: u32,
 }
 
 impl Keeping<'_> {
@@ -107,6 +110,7 @@
     fn answered(&mut self, answer: &LeaseAnswer, is_fenced: bool) -> Next {
         let Self { leased, life, .. } = *self;
         self.unheard = 0;
+        self.wait_ms = WAIT_MS;
         leased.change(|ledger, now_ms| {
             if is_fenced {
                 ledger.renewed(answer, now_ms);
@@ -143,6 +147,7 @@
 
     fn failed(&mut self, error: &CallError) -> Next {
         let Self { leased, life, .. } = *self;
+        self.wait_ms = 0;
         event!(Info, "renewal_failed", life = life, error = error, unheard = self.unheard);
         self.unheard = if *error == CallError::NoListener { self.unheard + 1 } else { 0 };
         if let Some(how) = self.end_shown_by(error) {
--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -277,7 +277,7 @@
         let reports: Vec<RunReport> =
             reports.into_iter().filter(|report| report.number > told_up_to).collect();
         let load = ledger.load(leased.clock.now_ms());
-        let life = ledger.life().cloned();
+        let life = ledger.proven_life().cloned();
         drop(ledger);
         if life.is_some() && told.life != life {
             told.life.clone_from(&life);
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -247,9 +247,9 @@
         self.changes.send_modify(|changes| *changes += 1);
     }
 
-    /// Passes on what the present life announced.
+    /// Has what the present life announced recorded.
     fn tell_life(&self, ledger: &Ledger) {
-        let Some(life) = ledger.life() else { return };
+        let Some(life) = ledger.proven_life() else { return };
         self.lives.send_if_modified(|told| {
             let is_news = told.as_ref() != Some(life);
             if is_news {
--- a/crates/decide/src/ledger/lives.rs
+++ b/crates/decide/src/ledger/lives.rs
@@ -24,6 +24,13 @@
         self.present.as_ref()
     }
 
+    /// What the present life announced, once it has answered: what the next run of the
+    /// agent is to know, so that its fence is above the orders of this one.
+    #[must_use]
+    pub fn proven_life(&self) -> Option<&UpstreamLife> {
+        self.life().filter(|_| self.is_fenced())
+    }
+
     pub(super) fn is_leaving(&self) -> bool {
         self.life.as_ref().is_some_and(|life| life.leaving)
     }
@@ -63,13 +70,14 @@
         if self.present.is_some() {
             self.lose_upstream(LifeEnd::Crashed);
         }
-        if self.order_fence.taken_at().is_none_or(|before| before.id != life.id) {
+        if self.order_fence.taken_at().is_some_and(|before| before.id != life.id) {
             // Orders for another id are not carried out here.
             self.lose_orphans();
             self.order_fence = OrderFence::default();
         }
         self.slowness_percent = SOUND_PERCENT;
         self.failing_percent = 0;
+        self.order_fence.learn(life);
         self.present = Some(life.clone());
     }
 
--- a/crates/decide/src/ledger/order_fence.rs
+++ b/crates/decide/src/ledger/order_fence.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 pub(super) struct OrderFence {
     number: u64,
+    /// Latest start among the lives known under the id.
+    latest_start_unix_ms: u64,
     taken_at: Option<LifeId>,
     /// In a row.
     refusals: u32,
@@ -30,8 +32,21 @@
         self.taken_at.as_ref()
     }
 
+    /// A life under the id is known, perhaps from an earlier agent.
+    pub(super) fn learn(&mut self, life: &LifeId) {
+        let start_unix_ms = life.started_unix_ms.unwrap_or(0);
+        self.latest_start_unix_ms = self.latest_start_unix_ms.max(start_unix_ms);
+    }
+
     /// Takes a number for a life that was never ordered anything by this agent.
+    ///
+    /// Where the time of day has gone back, an earlier agent's number may be higher than a
+    /// fresh one, by no more than the earlier life lasted: the double is above it.
     pub(super) fn take(&mut self, life: &LifeId, clock_ms: u64) {
+        let has_gone_back = life.started_unix_ms.unwrap_or(0) < self.latest_start_unix_ms;
+        if has_gone_back && self.number == 0 {
+            self.raise(self.latest_start_unix_ms.saturating_mul(2));
+        }
         self.raise(fresh(life, clock_ms));
         self.taken_at = Some(life.clone());
         self.refusals = 0;
--- a/crates/decide/tests/ledger_lives.rs
+++ b/crates/decide/tests/ledger_lives.rs
@@ -309,3 +309,16 @@
     }
     assert_eq!(ledger.fence(), FIRST + CLOCK_MS + 11);
 }
+
+/// The time of day went back, and the agent started anew after the upstream: late orders of
+/// the agent before it had a higher fence and were carried out.
+#[test]
+fn a_recorded_life_keeps_late_orders_of_an_earlier_agent_off() {
+    let earlier = ready();
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(life(id(FIRST)));
+    let answer = answer(&ledger, id(FIRST - 100_000), 10);
+    ledger.fence_off(&answer, 11);
+    assert!(ledger.is_fenced());
+    assert!(ledger.fence() > earlier.fence());
+}
