The first renewal to a life of an upstream does not wait for an end

What callers would see: a task whose order the next life may have carried out waited up to 40 ms more for its next run. Cause: once the clock is known a renewal waits for an end, also the one that settles orders of the life before. Change: the first one does not.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -42,7 +42,7 @@
 
 /// Keeps the lease of one life until it ends or another is present.
 async fn keep_life(leased: &Arc<Leased>, life: &LifeId) {
-    let mut keeping = Keeping { leased, life, unheard: 0, wait_ms: WAIT_MS };
+    let mut keeping = Keeping { leased, life, unheard: 0, wait_ms: 0 };
     let mut under_way = FuturesUnordered::new();
     let mut next_at = Instant::now();
     while leased.ledger.lock().present() == Some(life) {
@@ -85,8 +85,8 @@
     life: &'a LifeId,
     /// Calls in a row that found no listener.
     unheard: u32,
-    /// How long the next answer may wait for an end: not at all after a call that failed, as
-    /// another life may be there.
+    /// How long the next answer may wait for an end: not at all for the first one and after a
+    /// call that failed, as it may show another life.
     wait_ms: u32,
 }
 
