An upstream that tells its start in part of its messages is known by its id in the others

What would happen: announcements with a start and lists of runs without one, or the other way, would be of two lives, each ending the other for as long as both come. Change: a message without a start is of the present life, if the id is the same. Test: ledger_lives::an_announcement_without_a_start_is_of_the_present_life, which does not pass without the change: the announcement is doubted.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -96,6 +96,7 @@
             Ok(mut answer) => {
                 answer.sent_ms = renewed.sent_ms;
                 answer.fence = renewed.fence;
+                answer.life = answer.life.or_present(Some(self.life));
                 self.answered(&answer, renewed.is_fenced)
             }
             Err(CallError::Fenced { clock_ms }) => {
--- a/crates/decide/src/ledger/lives.rs
+++ b/crates/decide/src/ledger/lives.rs
@@ -36,7 +36,8 @@
     }
 
     /// Takes note of an announcement.
-    pub fn announced(&mut self, life: UpstreamLife, now_ms: u64) -> Announced {
+    pub fn announced(&mut self, mut life: UpstreamLife, now_ms: u64) -> Announced {
+        life.id = life.id.or_present(self.present());
         if self.present.as_ref() != Some(&life.id) && self.renewed_ms.is_some() {
             self.doubted = Some((life, now_ms));
             return Announced::Doubted;
--- a/crates/decide/tests/ledger_lives.rs
+++ b/crates/decide/tests/ledger_lives.rs
@@ -65,6 +65,16 @@
     ledger
 }
 
+/// An upstream that tells its start in its answers only would be doubted for ever.
+#[test]
+fn an_announcement_without_a_start_is_of_the_present_life() {
+    let mut ledger = ready();
+    let told = UpstreamLife { leaving: true, ..life(LifeId::named("a")) };
+    assert_eq!(ledger.announced(told, 3), Announced::Believed);
+    assert_eq!(ledger.present(), Some(&id(FIRST)));
+    assert!(ledger.life().unwrap().leaving);
+}
+
 /// The same with a task that was ordered at 10 ms.
 fn ordered() -> Ledger {
     let mut ledger = ready();
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -321,6 +321,14 @@
     pub fn named(id: &str) -> Self {
         Self { id: id.to_owned(), started_unix_ms: None }
     }
+
+    /// The present life, if this one has its id and does not tell a start: without one
+    /// lives are told apart by their ids alone.
+    #[must_use]
+    pub fn or_present(self, present: Option<&Self>) -> Self {
+        let is_present = |present: &&Self| self.started_unix_ms.is_none() && present.id == self.id;
+        present.filter(is_present).cloned().unwrap_or(self)
+    }
 }
 
 impl fmt::Display for LifeId {
