A life that has not announced itself is not usable

What callers would see: after a restart under the same id a task was placed back at the agent up to five times and handed back as no_upstream, 20 to 30 ms later than under a new id. Cause: once the next life had answered with the new fence the load said usable, though what the life is was not announced. Change: usable only with an announcement.

--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -452,6 +452,7 @@
     /// Whether runs may be started on the upstream, as soon as there is room.
     fn takes_runs(&self, now_ms: u64) -> bool {
         self.clean
+            && self.life.is_some()
             && self.is_trusted(now_ms)
             && !self.is_leaving()
             && !self.draining
--- a/crates/decide/tests/ledger_lives.rs
+++ b/crates/decide/tests/ledger_lives.rs
@@ -322,3 +322,14 @@
     assert!(ledger.is_fenced());
     assert!(ledger.fence() > earlier.fence());
 }
+
+/// Entries placed tasks at an upstream that was usable by its load and handed them back.
+#[test]
+fn a_life_that_has_not_announced_itself_is_not_usable() {
+    let mut ledger = running();
+    renew(&mut ledger, id(SECOND), 30);
+    renew(&mut ledger, id(SECOND), 40);
+    assert!(!ledger.load(41).usable);
+    ledger.announced(life(id(SECOND)), 50);
+    assert!(ledger.load(51).usable);
+}
