A call that may meet the next life of an upstream acknowledges no ends

What callers would see: results of tasks that a restarted upstream had run are lost, and the tasks run again. Cause: a start that was under way reaches the next life and ends there; the renewal that then finds the restart carries the old life's acknowledged number, by which the new life forgets its first ends untold. Change: the first call to a life and one after a failed call acknowledge nothing.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -42,7 +42,7 @@
 
 /// Keeps the lease of one life until it ends or another is present.
 async fn keep_life(leased: &Arc<Leased>, life: &LifeId) {
-    let mut keeping = Keeping { leased, life, unheard: 0, wait_ms: 0 };
+    let mut keeping = Keeping { leased, life, unheard: 0, is_sure: false };
     let mut under_way = FuturesUnordered::new();
     let mut next_at = Instant::now();
     while leased.ledger.lock().present() == Some(life) {
@@ -54,11 +54,12 @@
                 Next::Never => return,
             },
             () = sleep_until(next_at), if may_send => {
-                under_way.push(renew(leased, life, keeping.wait_ms));
+                let wait_ms = if keeping.is_sure { WAIT_MS } else { 0 };
+                under_way.push(renew(leased, life, wait_ms, keeping.is_sure));
                 next_at = Instant::now() + Duration::from_millis(WAIT_MS.into()) + OVERDUE;
             }
             () = leased.look_now.notified(), if may_send => {
-                under_way.push(renew(leased, life, 0));
+                under_way.push(renew(leased, life, 0, keeping.is_sure));
             }
         }
     }
@@ -85,9 +86,9 @@
     life: &'a LifeId,
     /// Calls in a row that found no listener.
     unheard: u32,
-    /// How long the next answer may wait for an end: not at all for the first one and after a
-    /// call that failed, as it may show another life.
-    wait_ms: u32,
+    /// The last call was answered. Else another life may answer the next one: it is not to
+    /// wait for an end, nor to forget its first ends as those of this life that were told.
+    is_sure: bool,
 }
 
 impl Keeping<'_> {
@@ -111,7 +112,7 @@
     fn answered(&mut self, answer: &LeaseAnswer, is_fenced: bool) -> Next {
         let Self { leased, life, .. } = *self;
         self.unheard = 0;
-        self.wait_ms = WAIT_MS;
+        self.is_sure = true;
         leased.change(|ledger, now_ms| {
             if is_fenced {
                 ledger.renewed(answer, now_ms);
@@ -148,7 +149,7 @@
 
     fn failed(&mut self, error: &CallError) -> Next {
         let Self { leased, life, .. } = *self;
-        self.wait_ms = 0;
+        self.is_sure = false;
         event!(Info, "renewal_failed", life = life, error = error, unheard = self.unheard);
         self.unheard = if *error == CallError::NoListener { self.unheard + 1 } else { 0 };
         if let Some(how) = self.end_shown_by(error) {
@@ -175,14 +176,17 @@
     }
 }
 
-async fn renew(leased: &Leased, life: &LifeId, wait_ms: u32) -> Renewed {
+async fn renew(leased: &Leased, life: &LifeId, wait_ms: u32, acknowledges: bool) -> Renewed {
     let sent_ms = leased.clock.now_ms();
     let (authority, is_fenced) = {
         let ledger = leased.ledger.lock();
         (Authority { life: life.clone(), fence: ledger.fence() }, ledger.is_fenced())
     };
     let fence = authority.fence;
-    let renewal = renewal(leased, is_fenced, wait_ms, sent_ms);
+    let mut renewal = renewal(leased, is_fenced, wait_ms, sent_ms);
+    if !acknowledges {
+        renewal.acknowledged = 0;
+    }
     Renewed { sent_ms, fence, is_fenced, answer: leased.port.renew(authority, renewal).await }
 }
 
