The end of a run is told that comes while its entry connects again

What callers would see: a job is held until its deadline and ends as unknown, although all that ran of it is over. Cause: an agent that has not heard an entry for long drops it and keeps no reports for it. Its hello on the next connection lists the runs that it is still stopping; one that ends between the hello and the welcome is told to nobody, and the entry goes on believing that it is held. Change: with the welcome the agent reports as lost what the hello listed and is not there.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -96,6 +96,7 @@
         let (mut reader, mut writer) = frames::connect(peer, CONNECT_WITHIN).await?;
         let hello = hello(leased, last_entry);
         let told = hello.reports.last().map_or(0, |report| report.number);
+        let held = hello.held.clone();
         writer.push(&RunsOpening::Agent(hello))?;
         writer.flush().await?;
         let first = timeout(WELCOME_WITHIN, reader.next::<ToRunsAgent>()).await;
@@ -104,7 +105,12 @@
             return Err(FrameError::Closed(peer));
         };
         let now_ms = leased.clock.now_ms();
-        leased.change(|ledger, now_ms| ledger.owner_heard(entry, now_ms));
+        leased.change(|ledger, now_ms| {
+            ledger.owner_heard(entry, now_ms);
+            if last_entry == Some(entry) {
+                ledger.report_gone(entry, &held);
+            }
+        });
         event!(Info, "link_opened", peer = peer, entry = entry, again = last_entry == Some(entry));
         if let Some(life) = upstream {
             leased.remember(life);
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -295,6 +295,16 @@
         mine.map(|run| (run.task, run.number)).collect()
     }
 
+    /// Reports runs that are over although an entry was told that they are held: they ended
+    /// after that, while the entry counted as silent and nothing was kept for it.
+    pub fn report_gone(&mut self, owner: Incarnation, held: &[(TaskKey, u32)]) {
+        for &(task, run) in held {
+            if self.find(task, run).is_none() && !self.owners.has_report(owner, task, run) {
+                self.push_report(owner, task, run, RunEvent::Lost);
+            }
+        }
+    }
+
     /// Whether an entry has no run here, and no report that it has not confirmed.
     #[must_use]
     pub fn has_nothing_of(&self, owner: Incarnation) -> bool {
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -54,6 +54,11 @@
         owner.map(|owner| owner.unconfirmed.iter().copied().collect()).unwrap_or_default()
     }
 
+    pub(super) fn has_report(&self, owner: Incarnation, task: TaskKey, run: u32) -> bool {
+        let is_of = |report: &RunReport| report.task == task && report.run == run;
+        self.owners.get(&owner).is_some_and(|owner| owner.unconfirmed.iter().any(is_of))
+    }
+
     pub(super) fn confirmed(&mut self, owner: Incarnation, number: u64) {
         let Some(owner) = self.owners.get_mut(&owner) else { return };
         while owner.unconfirmed.front().is_some_and(|report| report.number <= number) {
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -547,3 +547,23 @@
     renew(&mut ledger, 100, &running[1..], &[ended(1, 1, 0, EndKind::Done)]);
     assert_eq!(starts(&mut ledger, 101)[0].task, task(1, 1));
 }
+
+/// The end of a run was told to nobody when it came while its entry counted as silent, after
+/// the entry had been told that the run is held.
+#[test]
+fn what_ends_while_its_entry_connects_again_is_told() {
+    let mut ledger = ready();
+    ledger.place(ENTRY, placement(1, 2, 2_000), 2);
+    for order in starts(&mut ledger, 2) {
+        ledger.start_answered(order.task, 1, StartAnswer::Started, 3);
+    }
+    ledger.drop_owner(ENTRY);
+    let held = ledger.held(ENTRY);
+    assert_eq!(held.len(), 2);
+    renew(&mut ledger, 60, &[(task(1, 1), 1)], &[ended(1, 1, 0, EndKind::Stopped)]);
+    ledger.owner_heard(ENTRY, 61);
+    ledger.report_gone(ENTRY, &held);
+    assert_eq!(events(&ledger, ENTRY), [(task(1, 0), RunEvent::Lost)]);
+    ledger.report_gone(ENTRY, &held);
+    assert_eq!(events(&ledger, ENTRY).len(), 1, "told once");
+}
