A connection of an agent that begins as another ends stays

What callers would see: an entry goes without one of its agents for good, although they are linked: it places nothing there, and with one agent refuses all. Cause: an ending connection was looked up and removed, and only then, under another lock, its agent noted as disconnected. One that began between the two was noted as ended with it. On one thread, as the programs run, nothing comes between; on several it does. Change: both in one step, under the lock under which connections begin.

--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -52,6 +52,16 @@
         true
     }
 
+    /// Forgets a connection if it is the present one; returns whether it was.
+    fn end(&self, agent: AgentKey, outbox: &Arc<Outbox>) -> bool {
+        let mut links = self.0.lock();
+        let is_present = links.get(&agent).is_some_and(|present| Arc::ptr_eq(present, outbox));
+        if is_present {
+            links.remove(&agent);
+        }
+        is_present
+    }
+
     fn is_present(&self, agent: AgentKey, outbox: &Arc<Outbox>) -> bool {
         self.0.lock().get(&agent).is_some_and(|present| Arc::ptr_eq(present, outbox))
     }
@@ -166,13 +176,14 @@
     }
 
     fn end(&self, error: &FrameError) {
-        let mut links = self.service.links.0.lock();
-        if links.get(&self.agent).is_some_and(|present| Arc::ptr_eq(present, &self.outbox)) {
-            links.remove(&self.agent);
-            drop(links);
-            self.service.forget_linked(self.agent);
-            self.service.change(|dispatch, _| dispatch.agent_disconnected(self.agent));
-        }
+        // Under the dispatch's lock, as a connection begins: one that begins meanwhile would
+        // count as ended with this one.
+        self.service.change(|dispatch, _| {
+            if self.service.links.end(self.agent, &self.outbox) {
+                self.service.forget_linked(self.agent);
+                dispatch.agent_disconnected(self.agent);
+            }
+        });
         event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
     }
 
