The next run of an agent knows the highest fence of all lives under an id

What callers would see: a task beyond an upstream's room, or twice at once: an upstream starts again twice under its id, its time of day goes back, and its agent starts again. Cause: a fence never falls where the id stays, but the next run of the agent was told the last life only, and computed the fence from that life's start. Orders of the life before it have a higher one: that run kept it above lives that began later. Ruled out: a wider guess than twice the last known start (it knows nothing of lives before); a counter in the store before each first order (nothing starts while the store is out). Change: UpstreamLife carries the highest fence to the record and the entries. The record is read also where the upstream announces itself first: the fence it tells is overtaken then. A record of the earlier form lacks it and is read. A number that readers of JSON would round is not believed.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -167,8 +167,14 @@
 
     /// Uses the upstream's life as it was known to an earlier run of this agent, until
     /// the upstream announces itself: a restarted agent then starts tasks at once.
+    ///
+    /// Later too: late orders of the earlier run are below the fence from then on.
     pub fn remember(self: &Arc<Self>, life: UpstreamLife) {
-        if self.ledger.lock().life().is_none() {
+        let is_unknown = self.change(|ledger, _| {
+            ledger.recall_fence(&life);
+            ledger.life().is_none()
+        });
+        if is_unknown {
             event!(Info, "upstream_remembered", life = life.id, leaving = life.leaving);
             self.announced(life);
         }
--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -110,6 +110,7 @@
     pub fn life(&self) -> UpstreamLife {
         UpstreamLife {
             id: LifeId::named(&self.life.to_string()),
+            order_fence: 0,
             pool: POOL.to_owned(),
             capacity: self.capacity,
             labels: Vec::new(),
--- a/crates/decide/src/ledger/lives.rs
+++ b/crates/decide/src/ledger/lives.rs
@@ -25,7 +25,7 @@
     }
 
     /// What the present life announced, once it has answered: what the next run of the
-    /// agent is to know, so that its fence is above the orders of this one.
+    /// agent is to know, with the fence that it has to be above.
     #[must_use]
     pub fn proven_life(&self) -> Option<&UpstreamLife> {
         self.life().filter(|_| self.is_fenced())
@@ -51,13 +51,15 @@
 
     /// Takes note of the upstream's life. Runs on an earlier life are lost.
     /// Returns whether anything changed.
-    pub fn set_upstream(&mut self, life: UpstreamLife) -> bool {
-        if self.life.as_ref() == Some(&life) {
-            return false;
-        }
+    pub fn set_upstream(&mut self, mut life: UpstreamLife) -> bool {
         if self.present.as_ref() != Some(&life.id) {
             self.begin(&life.id);
         }
+        self.recall_fence(&life);
+        life.order_fence = self.fence();
+        if self.life.as_ref() == Some(&life) {
+            return false;
+        }
         self.life = Some(life);
         if self.is_leaving() {
             self.drop_waiting(NotStarted::Leaving);
@@ -199,6 +201,7 @@
         if !self.is_fenced() {
             self.present_since_ms = now_ms;
             self.order_fence.take(&answer.life, answer.clock_ms);
+            self.note_fence();
         }
     }
 
@@ -206,6 +209,22 @@
     pub fn fence_refused(&mut self, fence: u64, clock_ms: u64) {
         if let Some(present) = &self.present {
             self.order_fence.refused(fence, present, clock_ms);
+            self.note_fence();
+        }
+    }
+
+    /// Takes note of the fence that earlier runs of the agent had under the upstream's id,
+    /// as it is known by the life that they knew last.
+    pub fn recall_fence(&mut self, known: &UpstreamLife) {
+        if self.present.as_ref().is_none_or(|present| present.id == known.id.id) {
+            self.order_fence.recall(&known.id, known.order_fence);
+            self.note_fence();
+        }
+    }
+
+    fn note_fence(&mut self) {
+        if let Some(life) = &mut self.life {
+            life.order_fence = self.order_fence.number();
         }
     }
 }
--- a/crates/decide/src/ledger/order_fence.rs
+++ b/crates/decide/src/ledger/order_fence.rs
@@ -2,8 +2,10 @@
 
 use sycamorerail_wire::runs::LifeId;
 
+/// All readers of JSON are exact up to this number.
+const MAX_NUMBER: u64 = 1 << 53;
 /// Doublings at most: with the time of day in milliseconds as a base the number stays below
-/// 2^53, up to which all readers of JSON are exact.
+/// [`MAX_NUMBER`].
 const MAX_DOUBLINGS: u32 = 11;
 
 /// The fence of an agent's orders. An upstream does nothing for a lower number than the
@@ -38,13 +40,22 @@
         self.latest_start_unix_ms = self.latest_start_unix_ms.max(start_unix_ms);
     }
 
+    /// This number was in use under the id. Unless it is this run's own, an earlier run of
+    /// the agent had it: orders from now on are above it.
+    pub(super) fn recall(&mut self, life: &LifeId, number: u64) {
+        self.learn(life);
+        if number > self.number && number < MAX_NUMBER {
+            self.number = if self.taken_at.is_some() { number + 1 } else { number };
+        }
+    }
+
     /// Takes a number for a life that was never ordered anything by this agent.
     ///
     /// Where the time of day has gone back, an earlier agent's number may be higher than a
     /// fresh one, by no more than the earlier life lasted: the double is above it.
     pub(super) fn take(&mut self, life: &LifeId, clock_ms: u64) {
         let has_gone_back = life.started_unix_ms.unwrap_or(0) < self.latest_start_unix_ms;
-        if has_gone_back && self.number == 0 {
+        if has_gone_back && self.taken_at.is_none() {
             self.raise(self.latest_start_unix_ms.saturating_mul(2));
         }
         self.raise(fresh(life, clock_ms));
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -30,7 +30,7 @@
 
 fn life(id: &str, leaving: bool) -> UpstreamLife {
     let (id, pool) = (LifeId::named(id), "desk".to_owned());
-    UpstreamLife { id, pool, capacity: CAPACITY, labels: Vec::new(), leaving }
+    UpstreamLife { id, order_fence: 0, pool, capacity: CAPACITY, labels: Vec::new(), leaving }
 }
 
 fn task(index: u16) -> TaskKey {
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -37,6 +37,7 @@
 fn life(labels: &[&str]) -> UpstreamLife {
     UpstreamLife {
         id: LifeId::named("life"),
+        order_fence: 0,
         pool: "desk".to_owned(),
         capacity: CAPACITY,
         labels: labels.iter().map(|&label| label.to_owned()).collect(),
--- a/crates/decide/tests/dispatch_links.rs
+++ b/crates/decide/tests/dispatch_links.rs
@@ -26,6 +26,7 @@
         dispatch.agent_ready(agent, NOW_MS);
         let life = UpstreamLife {
             id: LifeId::named(&name),
+            order_fence: 0,
             pool: "desk".to_owned(),
             capacity: CAPACITY,
             labels: Vec::new(),
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -32,6 +32,7 @@
 fn life() -> UpstreamLife {
     UpstreamLife {
         id: LifeId::named("life"),
+        order_fence: 0,
         pool: "desk".to_owned(),
         capacity: CAPACITY,
         labels: Vec::new(),
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -21,6 +21,7 @@
 fn life(id: &str) -> UpstreamLife {
     UpstreamLife {
         id: LifeId::named(id),
+        order_fence: 0,
         pool: "desk".to_owned(),
         capacity: Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 },
         labels: Vec::new(),
--- a/crates/decide/tests/ledger_lives.rs
+++ b/crates/decide/tests/ledger_lives.rs
@@ -31,6 +31,7 @@
 fn life(id: LifeId) -> UpstreamLife {
     UpstreamLife {
         id,
+        order_fence: 0,
         pool: "desk".to_owned(),
         capacity: Room { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 },
         labels: Vec::new(),
@@ -143,7 +144,8 @@
         assert_eq!(events(&ledger), [RunEvent::Started]);
         renew(&mut ledger, id(answers), 31);
         assert_eq!(ledger.present(), Some(&id(answers)));
-        assert_eq!(ledger.life(), Some(&life(id(answers))));
+        let known = UpstreamLife { order_fence: ledger.fence(), ..life(id(answers)) };
+        assert_eq!(ledger.life(), Some(&known));
     }
 }
 
@@ -333,6 +335,52 @@
     assert!(ledger.fence() > earlier.fence());
 }
 
+/// Only the last life was known to the next run of the agent, and orders of the one before had
+/// a higher fence.
+#[test]
+fn the_fence_of_all_lives_is_known_to_the_next_run_of_the_agent() {
+    let mut earlier = ready();
+    renew(&mut earlier, id(0), 10);
+    earlier.announced(life(id(0)), 11);
+    let known = earlier.proven_life().unwrap();
+    assert_eq!((&known.id, known.order_fence), (&id(0), earlier.fence()));
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.announced(known.clone(), 0);
+    let answer = answer(&ledger, id(FIRST - 100_000), 10);
+    ledger.fence_off(&answer, 11);
+    assert!(ledger.is_fenced());
+    assert!(ledger.fence() > earlier.fence());
+}
+
+/// The upstream announced itself before the record was read.
+#[test]
+fn a_fence_that_is_known_late_is_overtaken() {
+    let mut ledger = ready();
+    let above = ledger.fence() + 1_000;
+    ledger.recall_fence(&UpstreamLife { order_fence: above, ..life(id(SECOND)) });
+    assert!(ledger.fence() > above);
+    assert_eq!(ledger.proven_life().unwrap().order_fence, ledger.fence());
+}
+
+/// Each new connection to an entry that tells what this run told it would raise the fence, and
+/// each raise would be told again.
+#[test]
+fn its_own_fence_does_not_raise_the_fence() {
+    let mut ledger = ready();
+    let told = ledger.proven_life().unwrap().clone();
+    ledger.recall_fence(&told);
+    assert_eq!(ledger.fence(), told.order_fence);
+}
+
+/// A record that others wrote would have left no number above it.
+#[test]
+fn a_fence_that_readers_of_json_would_round_is_not_believed() {
+    let mut ledger = ready();
+    let before = ledger.fence();
+    ledger.recall_fence(&UpstreamLife { order_fence: u64::MAX, ..life(id(FIRST)) });
+    assert_eq!(ledger.fence(), before);
+}
+
 /// Entries placed tasks at an upstream that was usable by its load and handed them back.
 #[test]
 fn a_life_that_has_not_announced_itself_is_not_usable() {
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -359,6 +359,7 @@
 fn life(started_unix_ms: u64) -> UpstreamLife {
     UpstreamLife {
         id: LifeId { id: "a".to_owned(), started_unix_ms: Some(started_unix_ms) },
+        order_fence: 0,
         pool: "desk".to_owned(),
         capacity: Room { cpu_milli: CAPACITY_MILLI, memory_mb: 0, accelerators: 0 },
         labels: Vec::new(),
@@ -687,3 +688,22 @@
         }
     }
 }
+
+/// The agent's next run knew the last life only, whose fence was no measure of the one before
+/// it: a late order was carried out beyond the room.
+#[test]
+fn two_restarts_with_the_time_of_day_gone_back_and_a_new_agent() {
+    let restarted =
+        |started_unix_ms| Op::RestartUpstream { site: 0, started_unix_ms, is_noticed: false };
+    let mut world = World::new();
+    world.run(restarted(0));
+    world.run(Op::Work { site: 0, job: 2 });
+    world.run(Op::Renew { site: 0, lose_answer: false });
+    world.run(restarted(STARTED_UNIX_MS - 100_000));
+    world.run(Op::Order { site: 0 });
+    let late = world.calls.remove(0);
+    world.run(Op::RestartAgent { site: 0 });
+    world.run(Op::Work { site: 0, job: 1 });
+    world.deliver(late, false);
+    world.check();
+}
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -32,6 +32,7 @@
             agent,
             UpstreamLife {
                 id: LifeId::named("life"),
+                order_fence: 0,
                 pool: "desk".to_owned(),
                 capacity: CAPACITY,
                 labels: Vec::new(),
--- a/crates/membership/src/life_record.rs
+++ b/crates/membership/src/life_record.rs
@@ -3,7 +3,8 @@
 //! Upstreams announce themselves about every 1.5 s. An agent that restarts while every
 //! entry restarts too would have to wait for the next announcement; by the record it
 //! asks the upstream at once. Nothing is believed by it: the upstream answers to no
-//! other life than its own.
+//! other life than its own. It tells the highest fence of the agent's orders, too, which
+//! late ones may still have.
 
 use {
     sycamorerail_platform::{Expected, KeyValue, Platform, PlatformError, Swap, backoff::jittered},
@@ -17,7 +18,7 @@
 /// Pause between attempts to read: a sixth of the time between announcements, after
 /// which the record is of no use.
 const READ_PAUSE_MS: u64 = 250;
-/// Pause between attempts to write: nobody waits for it.
+/// Pause between attempts to write, and to read once nobody waits for it.
 const WRITE_PAUSE_MS: u64 = 2_000;
 
 /// Keeps the record of one agent.
@@ -36,18 +37,14 @@
         Self { platform, key: format!("{PREFIX}{agent}"), stored: None }
     }
 
-    /// Reads what the run before this one wrote, unless the upstream announces itself
-    /// first; then writes each life that becomes known. Runs until `lives` ends.
+    /// Reads what the run before this one wrote, then writes each life that becomes known.
+    /// Runs until `lives` ends.
     pub async fn keep(
         mut self,
         mut lives: watch::Receiver<Option<UpstreamLife>>,
         on_read: impl FnOnce(UpstreamLife),
     ) {
-        let read = tokio::select! {
-            read = self.read() => read,
-            _ = lives.wait_for(Option::is_some) => None,
-        };
-        if let Some(life) = read {
+        if let Some(life) = self.read(&lives).await {
             event!(Info, "life_recalled", life = life.id, leaving = life.leaving);
             on_read(life);
         }
@@ -69,14 +66,20 @@
     }
 
     /// The recorded life; tries until the platform answers.
-    async fn read(&mut self) -> Option<UpstreamLife> {
+    async fn read(
+        &mut self,
+        lives: &watch::Receiver<Option<UpstreamLife>>,
+    ) -> Option<UpstreamLife> {
         loop {
             match self.platform.get(&self.key).await {
                 Ok(None) => return None,
                 Ok(Some(item)) => return self.parse(item),
                 Err(error) => event!(Info, "life_unread", key = self.key, error = error),
             }
-            sleep(jittered(READ_PAUSE_MS)).await;
+            // Once the upstream has announced itself, only the fence is of use.
+            let is_announced = lives.borrow().is_some();
+            let pause_ms = if is_announced { WRITE_PAUSE_MS } else { READ_PAUSE_MS };
+            sleep(jittered(pause_ms)).await;
         }
     }
 
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -345,6 +345,10 @@
 pub struct UpstreamLife {
     /// Which life it is.
     pub id: LifeId,
+    /// Highest fence that orders under the id had so far, as far as it is known. Upstreams
+    /// do not announce it; records of the earlier form lack it.
+    #[serde(default)]
+    pub order_fence: u64,
     /// The pool it belongs to.
     pub pool: String,
     /// What it has in all.
