A renewal beside one that is overdue acknowledges no ends

What callers would see: results of tasks that a restarted upstream had run are lost, and the tasks run again. Cause: ends were acknowledged by each call while the last one that came back was answered, also by the calls that are sent because that one's successor is overdue. A life that began meanwhile carries them out, and forgets its first ends untold. Ruled out: a standstill (no lapse: the runs count as crashed); the fence. Change: each answer lets one call acknowledge. What is left: that one call may be carried out late, by the next life. renewals::one_call_acknowledges_ends_after_an_answer: before 5, 5, 5, 5, 5, after 5, 5, 0, 0, 0.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -42,7 +42,7 @@
 
 /// Keeps the lease of one life until it ends or another is present.
 async fn keep_life(leased: &Arc<Leased>, life: &LifeId) {
-    let mut keeping = Keeping { leased, life, unheard: 0, is_sure: false };
+    let mut keeping = Keeping { leased, life, unheard: 0, is_sure: false, is_heard: false };
     let mut under_way = FuturesUnordered::new();
     let mut next_at = Instant::now();
     while leased.ledger.lock().present() == Some(life) {
@@ -55,11 +55,11 @@
             },
             () = sleep_until(next_at), if may_send => {
                 let wait_ms = if keeping.is_sure { WAIT_MS } else { 0 };
-                under_way.push(renew(leased, life, wait_ms, keeping.is_sure));
+                under_way.push(renew(leased, life, wait_ms, keeping.may_acknowledge()));
                 next_at = Instant::now() + Duration::from_millis(WAIT_MS.into()) + OVERDUE;
             }
             () = leased.look_now.notified(), if may_send => {
-                under_way.push(renew(leased, life, 0, keeping.is_sure));
+                under_way.push(renew(leased, life, 0, keeping.may_acknowledge()));
             }
         }
     }
@@ -86,12 +86,21 @@
     life: &'a LifeId,
     /// Calls in a row that found no listener.
     unheard: u32,
-    /// The last call was answered. Else another life may answer the next one: it is not to
-    /// wait for an end, nor to forget its first ends as those of this life that were told.
+    /// The last call was answered. Else another life may answer the next one, which is not to
+    /// wait for an end.
     is_sure: bool,
+    /// A call was answered since the last one was sent.
+    is_heard: bool,
 }
 
 impl Keeping<'_> {
+    /// Whether the call that is sent now acknowledges ends. If another life carries it out,
+    /// that forgets its first ends as those of this life that were told: so one call at most
+    /// for each answer.
+    fn may_acknowledge(&mut self) -> bool {
+        std::mem::take(&mut self.is_heard)
+    }
+
     fn take(&mut self, renewed: Renewed) -> Next {
         match renewed.answer {
             Ok(mut answer) => {
@@ -113,6 +122,7 @@
         let Self { leased, life, .. } = *self;
         self.unheard = 0;
         self.is_sure = true;
+        self.is_heard = true;
         leased.change(|ledger, now_ms| {
             if is_fenced {
                 ledger.renewed(answer, now_ms);
@@ -150,6 +160,7 @@
     fn failed(&mut self, error: &CallError) -> Next {
         let Self { leased, life, .. } = *self;
         self.is_sure = false;
+        self.is_heard = false;
         event!(Info, "renewal_failed", life = life, error = error, unheard = self.unheard);
         self.unheard = if *error == CallError::NoListener { self.unheard + 1 } else { 0 };
         if let Some(how) = self.end_shown_by(error) {
--- /dev/null
+++ b/crates/agent/tests/renewals.rs
@@ -0,0 +1,86 @@
+//! Renewals of the lease of an upstream that has stopped answering.
+
+use {
+    futures::future::{BoxFuture, FutureExt, pending, ready},
+    parking_lot::Mutex,
+    std::{sync::Arc, time::Duration},
+    sycamorerail_agent::leased::{
+        Authority, CallError, Leased, LeasedSettings, Renewal, UpstreamPort,
+    },
+    sycamorerail_decide::{
+        ledger::{EndKind, Ended, LeaseAnswer, LedgerLimits, StartAnswer, StartOrder},
+        links::LinkLimits,
+    },
+    sycamorerail_wire::runs::{CallerId, LifeId, Room, TaskKey, UpstreamLife},
+    tokio::time::{sleep, timeout},
+};
+
+/// Far longer than anything should take on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
+/// The number of the end that is told.
+const END: u64 = 5;
+/// Calls that are answered: for the fence, with the end, and without.
+const ANSWERED: usize = 3;
+/// Calls that wait for an answer at once.
+const UNANSWERED: usize = 4;
+
+/// An upstream that tells of an end and then answers no more.
+#[derive(Clone, Debug, Default)]
+struct FallsSilent(Arc<Mutex<Vec<u64>>>);
+
+impl UpstreamPort for FallsSilent {
+    fn start(&self, _: Authority, _: StartOrder) -> BoxFuture<'_, StartAnswer> {
+        ready(StartAnswer::Unanswered).boxed()
+    }
+
+    fn stop(&self, _: Authority, _: TaskKey, _: u32) -> BoxFuture<'_, Result<(), CallError>> {
+        ready(Ok(())).boxed()
+    }
+
+    fn renew(
+        &self,
+        authority: Authority,
+        renewal: Renewal,
+    ) -> BoxFuture<'_, Result<LeaseAnswer, CallError>> {
+        let mut acknowledged = self.0.lock();
+        acknowledged.push(renewal.acknowledged);
+        if acknowledged.len() > ANSWERED {
+            return pending().boxed();
+        }
+        let task = TaskKey { job: CallerId(1), step: 0, index: 0 };
+        let end = Ended { number: END, task, run: 1, kind: EndKind::Done };
+        let ended = if acknowledged.len() == 2 { vec![end] } else { Vec::new() };
+        let answer =
+            LeaseAnswer { life: authority.life, clock_ms: 1_000, ended, ..LeaseAnswer::default() };
+        ready(Ok(answer)).boxed()
+    }
+}
+
+/// Another life may answer by then: it forgot its first ends, and their tasks ran again.
+#[tokio::test]
+async fn one_call_acknowledges_ends_after_an_answer() {
+    let upstream = FallsSilent::default();
+    let settings = LeasedSettings {
+        name: "agent".to_owned(),
+        data_centre: "hall".to_owned(),
+        seeds: Vec::new(),
+        limits: LedgerLimits::default(),
+        links: LinkLimits::default(),
+    };
+    let agent = Leased::start(settings, Box::new(upstream.clone()));
+    agent.announced(UpstreamLife {
+        id: LifeId::named("life"),
+        order_fence: 0,
+        pool: "desk".to_owned(),
+        capacity: Room { cpu_milli: 8_000, memory_mb: 100, accelerators: 0 },
+        labels: Vec::new(),
+        leaving: false,
+    });
+    let all_sent = async {
+        while upstream.0.lock().len() < ANSWERED + UNANSWERED {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, all_sent).await.unwrap();
+    assert_eq!(upstream.0.lock()[ANSWERED - 1..], [END, END, 0, 0, 0]);
+}
