The end of a planned stop is one time, on the clock that counts suspensions

Callers saw: nothing so far. After a suspension of the VM over the end of a stop, jobs were answered at once, while bodies that came slowly waited for the time of the suspension again, up to 5.7 s, beyond the grace period.

Cause: the end was kept twice: by the dispatch in milliseconds of the clock that counts suspensions, and by the job service as an Instant, which does not count them.

Change: the dispatch alone knows the end; the look at what is due tells those that wait beside the jobs once it has answered the last of them. So the answers of jobs always come first, and the extra wait of one look is gone.

--- a/crates/decide/src/dispatch/stop.rs
+++ b/crates/decide/src/dispatch/stop.rs
@@ -15,6 +15,12 @@
         self.stops_ms = Some(end_ms);
     }
 
+    /// Whether all jobs are answered for the stop, as of the last look at what is due.
+    #[must_use]
+    pub fn is_stopped(&self, now_ms: u64) -> bool {
+        self.stops_ms.is_some_and(|stops_ms| now_ms >= stops_ms.saturating_add(STOP_ANSWER_MS))
+    }
+
     /// Whether a job may still run as jobs are given up for the stop.
     pub(super) fn is_cut_off(&self, job: &Job, forecast: &Forecast, now_ms: u64) -> bool {
         let Some(stops_ms) = self.stops_ms else { return false };
@@ -26,13 +32,15 @@
     /// Gives up what still runs as jobs must have ended. Soon after, jobs are answered whose
     /// runs agents have not confirmed as stopped.
     pub(super) fn end_for_stop(&mut self, now_ms: u64) {
-        let Some(stops_ms) = self.stops_ms.filter(|stops_ms| now_ms >= *stops_ms) else { return };
+        if self.stops_ms.is_none_or(|stops_ms| now_ms < stops_ms) {
+            return;
+        }
         let open = self.jobs.iter().filter(|(_, job)| job.ending.is_none());
         let open: Vec<_> = open.map(|(key, _)| key).collect();
         for key in open {
             self.end(key, Ending::GivenUp(GiveUp::Stopping));
         }
-        if now_ms >= stops_ms + STOP_ANSWER_MS {
+        if self.is_stopped(now_ms) {
             let left: Vec<_> = self.jobs.keys().collect();
             left.into_iter().for_each(|key| self.answer_ended(key));
         }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -29,7 +29,6 @@
     tokio::{
         net::TcpListener,
         sync::{oneshot, watch},
-        time::{Instant, sleep_until},
     },
 };
 
@@ -69,8 +68,8 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
-    /// When jobs must have ended, once a stop is planned.
-    stops_at: watch::Sender<Option<Instant>>,
+    /// Whether a planned stop has answered all jobs.
+    stopped: watch::Sender<bool>,
 }
 
 impl JobService {
@@ -100,7 +99,7 @@
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
-            stops_at: watch::Sender::default(),
+            stopped: watch::Sender::default(),
         });
         tokio::spawn(links::accept(Arc::clone(&service), listener));
         tokio::spawn(tick(Arc::clone(&service)));
@@ -149,19 +148,13 @@
     pub fn stop_within(&self, left: Duration) {
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         self.dispatch.lock().stop_by(self.clock.now_ms().saturating_add(left_ms));
-        self.stops_at.send_replace(Some(Instant::now() + left));
     }
 
     /// Waits until a planned stop has answered all jobs: what is left by then gets no other
     /// answer.
     pub async fn stopped(&self) {
-        let mut stops_at = self.stops_at.subscribe();
-        let planned = stops_at.wait_for(Option::is_some).await.ok().and_then(|at| *at);
-        match planned {
-            Some(at) => sleep_until(at + STOP_ANSWER + TICK).await,
-            // The service holds the sender.
-            None => std::future::pending().await,
-        }
+        // The service holds the sender.
+        let _ = self.stopped.subscribe().wait_for(|stopped| *stopped).await;
     }
 
     /// Passes a configuration on to agents, if it is the newest.
@@ -380,9 +373,12 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        service.change(|dispatch, now_ms| {
+        let stopped = service.change(|dispatch, now_ms| {
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
+            dispatch.is_stopped(now_ms)
         });
+        // After the answers that are due with it.
+        service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
     }
 }
