A slow body is answered before the bound of a drain

Callers saw, in the project's own interface: a submission whose body came slowly ended with its connection cut at the bound of a planned stop, without an answer.

Cause: only jobs are given up before the bound; a request that still reads its body has none.

Change: once jobs are given up, whatever else requests wait for is given up, too: a body that is not there is refused with 503 `draining` and a time to come back. What is there by then goes first. The reservation of ids reads its body the same way.

Evidence: the test ended the process by the invariant of drains before (exit status 86), and gets its 503 now. What Rocket waits for before it hands over a request, the first 14 bytes of the body, is not reached by this: such a request is neither counted nor answered.

--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -2,6 +2,7 @@
 
 use {
     super::reply::Refusal,
+    crate::drain::Lifecycle,
     rocket::{
         Data, Request,
         data::ByteUnit,
@@ -27,12 +28,16 @@
     }
 }
 
+/// When to come back to a balancer after an entry was found draining, in milliseconds.
+const DRAINING_RETRY_MS: u64 = 100;
+
 /// Reads a JSON body of at most `max_bytes`.
 ///
 /// # Errors
 ///
-/// When it is too large or not what is expected.
+/// When it is too large, not what is expected, or not there as a planned stop ends.
 pub async fn read_json<T: DeserializeOwned>(
+    lifecycle: &Lifecycle,
     data: Data<'_>,
     length: BodyLength,
     max_bytes: u64,
@@ -44,10 +49,19 @@
     if length.0.is_some_and(|declared| declared > max_bytes) {
         return Err(too_large());
     }
-    let read = data.open(ByteUnit::Byte(max_bytes)).into_bytes().await;
+    let reading = data.open(ByteUnit::Byte(max_bytes)).into_bytes();
+    let Some(read) = lifecycle.before_end(reading).await else {
+        return Err(draining("stopping; the body did not come in time, and nothing was done"));
+    };
     let bytes = read.map_err(|err| Refusal::invalid(format!("the body broke off: {err}")))?;
     if !bytes.is_complete() {
         return Err(too_large());
     }
     serde_json::from_slice(&bytes).map_err(|err| Refusal::invalid(format!("body: {err}")))
 }
+
+/// Refuses what a draining entry does not take; another one may.
+pub(super) fn draining(detail: &str) -> Refusal {
+    Refusal::new(Status::ServiceUnavailable, Reason::Draining, detail)
+        .retry_after_ms(DRAINING_RETRY_MS)
+}
--- a/crates/entry/src/callers/ids.rs
+++ b/crates/entry/src/callers/ids.rs
@@ -2,20 +2,16 @@
 
 use {
     super::{
-        body::{BodyLength, read_json},
+        body::{BodyLength, draining, read_json},
         reply::Refusal,
         token::Caller,
     },
     crate::shared::Shared,
-    rocket::{Data, State, http::Status, post, serde::json::Json},
+    rocket::{Data, State, post, serde::json::Json},
     serde::{Deserialize, Serialize},
     std::sync::Arc,
-    sycamorerail_wire::answer::Reason,
 };
 
-/// When to come back to a balancer after an entry was found draining.
-const DRAINING_RETRY_MS: u64 = 100;
-
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct Reserve {
@@ -36,14 +32,13 @@
 ) -> Result<Json<Reserved>, Refusal> {
     let organisation = caller?.organisation;
     let limits = &shared.settings.limits;
-    let asked: Reserve = read_json(data, length, limits.max_body_bytes).await?;
+    let asked: Reserve = read_json(&shared.lifecycle, data, length, limits.max_body_bytes).await?;
     if !(1..=limits.max_reserved_ids).contains(&asked.count) {
         let most = limits.max_reserved_ids;
         return Err(Refusal::invalid(format!("count: allowed are 1 to {most}")));
     }
     if shared.lifecycle.is_draining() {
-        let refusal = Refusal::new(Status::ServiceUnavailable, Reason::Draining, "stopping");
-        return Err(refusal.retry_after_ms(DRAINING_RETRY_MS));
+        return Err(draining("stopping"));
     }
     let ids = shared.mint(organisation.key, asked.count);
     Ok(Json(Reserved { ids: ids.iter().map(ToString::to_string).collect() }))
--- a/crates/entry/src/callers/order.rs
+++ b/crates/entry/src/callers/order.rs
@@ -29,10 +29,12 @@
     length: BodyLength,
     data: Data<'_>,
 ) -> Result<Order, Refusal> {
-    let max_bytes = shared.settings.limits.max_body_bytes;
+    let (lifecycle, max_bytes) = (&shared.lifecycle, shared.settings.limits.max_body_bytes);
     let order = match unit {
-        Unit::Job => read_json::<JobBody>(data, length, max_bytes).await?.order()?,
-        Unit::Request => read_json::<RequestBody>(data, length, max_bytes).await?.order()?,
+        Unit::Job => read_json::<JobBody>(lifecycle, data, length, max_bytes).await?.order()?,
+        Unit::Request => {
+            read_json::<RequestBody>(lifecycle, data, length, max_bytes).await?.order()?
+        }
     };
     order.of_caller(caller)
 }
--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -16,7 +16,7 @@
     sycamorerail_decide::job::Event,
     sycamorerail_telemetry::event,
     sycamorerail_wire::answer::Reason,
-    tokio::sync::Notify,
+    tokio::sync::{Notify, watch},
 };
 
 /// Time given to balancers to see that readiness fails, before the listener
@@ -38,6 +38,8 @@
     drain_asked: Notify,
     changed: Notify,
     requests: AtomicU32,
+    /// Whether the last answers are due.
+    ending: watch::Sender<bool>,
 }
 
 impl Lifecycle {
@@ -98,6 +100,18 @@
         self.closing.store(true, Ordering::SeqCst);
     }
 
+    /// Waits for something that a request needs; `None` if it is not there as the last
+    /// answers of a planned stop are due.
+    pub async fn before_end<T>(&self, wanted: impl Future<Output = T>) -> Option<T> {
+        let mut ending = self.ending.subscribe();
+        tokio::select! {
+            biased;
+            had = wanted => Some(had),
+            // The sender lives as long as `self`.
+            _ = ending.wait_for(|&ending| ending) => None,
+        }
+    }
+
     /// Callers without a response.
     #[must_use]
     pub fn requests(&self) -> u32 {
@@ -140,8 +154,8 @@
 }
 
 /// Waits until nothing is in flight, at most for the bound of the settings.
-/// Jobs that run on shortly before it are given up, so that their callers are
-/// answered. Returns the time left of it.
+/// Jobs that run on shortly before it are given up, and whatever else a request
+/// waits for, so that all callers are answered. Returns the time left of it.
 pub async fn finish(shared: &Arc<Shared>) -> Duration {
     let bound_ms = u64::from(shared.settings.limits.drain_ms);
     let end_ms = shared.now_ms() + bound_ms;
@@ -149,6 +163,7 @@
     tokio::time::sleep(NOTICE.min(left(shared, give_up_ms))).await;
     wait_idle(shared, give_up_ms).await;
     give_up_jobs(shared).await;
+    shared.lifecycle.ending.send_replace(true);
     wait_idle(shared, end_ms).await;
     left(shared, end_ms)
 }
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -5,10 +5,33 @@
 use {
     reqwest::Method,
     serde_json::json,
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     support::{PATIENCE, World, send},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
+/// Bound of a drain that passes within a test, in milliseconds.
+const BOUND_MS: u32 = 1_500;
+
+/// Drains, and expects that nothing is cut.
+async fn drain(world: World) {
+    let drained = tokio::time::timeout(PATIENCE, world.entry.drain()).await;
+    drained.expect("the drain did not end").expect("the drain cut something");
+}
+
+/// Waits until so many requests are in flight.
+async fn in_flight(world: &World, count: u32) {
+    let begun = async {
+        while world.entry.shared.lifecycle.requests() < count {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, begun).await.expect("no request came");
+}
+
 #[tokio::test]
 async fn cuts_nothing() {
     let world = World::start().await;
@@ -105,3 +128,27 @@
     let answer = submitted.await.unwrap();
     assert_eq!((answer.status, answer.text("outcome")), (500, "unknown"));
 }
+
+/// A body that comes slowly must not end with its connection cut.
+#[tokio::test]
+async fn a_slow_body_at_the_bound_is_answered() {
+    let world = World::with_limits(|limits| limits.drain_ms = BOUND_MS).await;
+    let mut slow = begin_job(world.entry.http_address(), &world.id().await).await;
+    in_flight(&world, 1).await;
+    drain(world).await;
+    let mut answer = String::new();
+    slow.read_to_string(&mut answer).await.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    assert!(answer.contains("\"draining\""), "{answer}");
+}
+
+/// Sends a submission without the end of its body.
+async fn begin_job(address: SocketAddr, id: &str) -> TcpStream {
+    let mut connection = TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "PUT /v1/jobs/{id} HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer alpenfunk\r\n\
+         Content-Length: 100\r\n\r\n{{\"kind\":\"once\",\"tasks\":["
+    );
+    connection.write_all(head.as_bytes()).await.unwrap();
+    connection
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -88,7 +88,7 @@
         Self::with_seams(limits, Seams::default()).await
     }
 
-    async fn with_seams(limits: LimitSettings, seams: Seams) -> Self {
+    pub async fn with_seams(limits: LimitSettings, seams: Seams) -> Self {
         invariant::set_fatal(true);
         let authority = make_authority("test").unwrap();
         let entry = Entry::start_with(settings(&authority, limits), seams).await.unwrap();
