A call to another entry is answered before the bound of a drain

Callers saw, in the project's own interface: a call on a job whose home is another entry, and did not answer, ended with its connection cut at the bound of a planned stop.

Cause: such a call runs no job here, so giving up jobs does not reach it.

Change: it is given up with what else requests wait for, and answered 503, `in_doubt` with the reason `draining`: the home may have taken it, and the same call to another entry tells.

Evidence: the test ended the process by the invariant of drains before (exit status 86), and gets its answer now.

--- a/crates/entry/src/callers/jobs.rs
+++ b/crates/entry/src/callers/jobs.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        body::BodyLength,
+        body::{BodyLength, DRAINING_RETRY_MS},
         order::read_order,
         reply::{Refusal, Reply},
         token::Caller,
@@ -14,6 +14,7 @@
     rocket::{Data, State, delete, get, put},
     std::sync::Arc,
     sycamorerail_wire::{
+        answer::{Answer, Outcome, Reason, Step},
         ids::JobId,
         message::{Submission, ToEntry, Unit},
     },
@@ -30,12 +31,18 @@
     Reply { id: Some(id), answer }
 }
 
-async fn forward(
-    shared: &Arc<Shared>,
-    id: JobId,
-    call: ToEntry,
-) -> Arc<sycamorerail_wire::answer::Answer> {
-    Arc::new((shared.seams.forward)(Arc::clone(shared), id, call).await)
+async fn forward(shared: &Arc<Shared>, id: JobId, call: ToEntry) -> Arc<Answer> {
+    let forwarding = (shared.seams.forward)(Arc::clone(shared), id, call);
+    let answer = shared.lifecycle.before_end(forwarding).await;
+    Arc::new(answer.unwrap_or_else(|| home_unheard(&id)))
+}
+
+/// The home may have taken the call.
+fn home_unheard(id: &JobId) -> Answer {
+    Answer::without_results(Outcome::InDoubt, Reason::Draining, Step::Forward)
+        .at_peer(id.home.to_string())
+        .retry_after_ms(DRAINING_RETRY_MS)
+        .with_detail("stopping; the home of the job has not answered: send the same again")
 }
 
 async fn submit_unit(
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -3,19 +3,33 @@
 mod support;
 
 use {
+    futures::FutureExt,
     reqwest::Method,
     serde_json::json,
     std::{net::SocketAddr, time::Duration},
-    support::{PATIENCE, World, send},
+    support::{Got, PATIENCE, World, send},
+    sycamorerail_entry::seams::Seams,
+    sycamorerail_settings::entry::LimitSettings,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
+        task::JoinHandle,
     },
 };
 
 /// Bound of a drain that passes within a test, in milliseconds.
 const BOUND_MS: u32 = 1_500;
 
+/// Submits a job beside the test.
+fn submit(world: &World, id: &str, order: &str) -> JoinHandle<Got> {
+    let body = json!({ "kind": "once", "tasks": [{ "do": order }] });
+    let (http, address) = (world.http.clone(), world.entry.http_address());
+    let path = format!("/v1/jobs/{id}");
+    tokio::spawn(
+        async move { send(&http, address, Method::PUT, &path, "alpenfunk", Some(&body)).await },
+    )
+}
+
 /// Drains, and expects that nothing is cut.
 async fn drain(world: World) {
     let drained = tokio::time::timeout(PATIENCE, world.entry.drain()).await;
@@ -152,3 +166,16 @@
     connection.write_all(head.as_bytes()).await.unwrap();
     connection
 }
+
+/// A call that waits for the home of its job must not end with its connection cut.
+#[tokio::test]
+async fn a_call_to_another_entry_at_the_bound_is_answered() {
+    let home = World::start().await;
+    let forward = Box::new(|_, _, _| std::future::pending().boxed());
+    let limits = LimitSettings { drain_ms: BOUND_MS, ..LimitSettings::default() };
+    let world = World::with_seams(limits, Seams { forward, ..Seams::default() }).await;
+    let submitted = submit(&world, &home.id().await, "ok");
+    in_flight(&world, 1).await;
+    drain(world).await;
+    assert_eq!(submitted.await.unwrap().verdict(), (503, "in_doubt", "draining"));
+}
