Callers of a fenced run's jobs are answered before the bound of a drain

Callers saw, in the project's own interface: a job of a run that was fenced while it ran, and still ran at the bound of a planned stop, ended with its caller's connection cut.

Cause: what runs of a fenced run may finish until its deadline, so giving it up changes nothing, and the drain counted it as its own.

Change: a caller that waits for a job as the last answers are due is told `in_doubt` with the reason `draining`. That holds for calls of other entries, too. Jobs of a fenced run without a caller are not waited for: other entries conclude on them from what agents tell.

Evidence: the test ended the process by the invariant of drains before (exit status 86), and gets its answer now.

--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -204,5 +204,5 @@
 }
 
 fn in_flight(shared: &Shared) -> bool {
-    shared.jobs.running() > 0 || shared.lifecycle.requests() > 0
+    shared.jobs.undecided() > 0 || shared.lifecycle.requests() > 0
 }
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -134,7 +134,7 @@
         let closed = tokio::time::timeout(bound, server.wait_for(Option::is_some)).await.is_ok();
         // Other entries' calls come over sessions, which still stand.
         drain::close(&shared, left).await;
-        let (jobs, requests) = (shared.jobs.running(), shared.lifecycle.requests());
+        let (jobs, requests) = (shared.jobs.undecided(), shared.lifecycle.requests());
         self.stop.send_replace(true);
         shared.endpoint.close(0u32.into(), b"stopped");
         let _ = tokio::time::timeout(CLOSE_PAUSE, shared.endpoint.wait_idle()).await;
--- a/crates/entry/src/jobs/accept.rs
+++ b/crates/entry/src/jobs/accept.rs
@@ -79,11 +79,17 @@
 /// cancel the job.
 pub async fn submit(shared: &Arc<Shared>, submission: Submission) -> Arc<Answer> {
     match accept(shared, submission) {
-        Accepted::Running(cell) => cell.answered().await,
+        Accepted::Running(cell) => answered(shared, &cell).await,
         Accepted::Answered(answer) => answer,
     }
 }
 
+/// Waits for a job's answer. What a planned stop leaves without one goes on.
+async fn answered(shared: &Shared, cell: &JobCell) -> Arc<Answer> {
+    let answer = shared.lifecycle.before_end(cell.answered()).await;
+    answer.unwrap_or_else(|| Arc::new(left_running()))
+}
+
 /// Takes a submission: starts it, joins it, or answers it.
 pub fn accept(shared: &Arc<Shared>, submission: Submission) -> Accepted {
     if let Err(answer) = check_submission(&submission) {
@@ -187,7 +193,7 @@
     match shared.jobs.burn(id, Reason::Cancelled) {
         Ok(Found::Record(Record::Running(cell))) => {
             drive(shared, &cell, Event::Cancel);
-            cell.answered().await
+            answered(shared, &cell).await
         }
         Ok(Found::Record(Record::Answered { answer, .. })) => answer,
         Ok(other) => Arc::new(without_record(&other)),
@@ -202,6 +208,12 @@
         .retry_after_ms(retry_ms.clamp(FETCH_RETRY_MS.0, FETCH_RETRY_MS.1))
 }
 
+fn left_running() -> Answer {
+    Answer::without_results(Outcome::InDoubt, Reason::Draining, Step::Run)
+        .retry_after_ms(FETCH_RETRY_MS.1)
+        .with_detail("stopping; what runs of the job goes on, and other entries tell its end")
+}
+
 fn without_record(found: &Found) -> Answer {
     match found {
         Found::Expired => expired(),
--- a/crates/entry/src/jobs/table.rs
+++ b/crates/entry/src/jobs/table.rs
@@ -135,6 +135,18 @@
         self.running.load(Ordering::Acquire)
     }
 
+    /// Jobs without an answer that are for this process to decide. What is left of a fenced
+    /// run is concluded on by other entries.
+    #[must_use]
+    pub fn undecided(&self) -> u32 {
+        let retired = self.retired.load();
+        if retired.is_empty() {
+            return self.running();
+        }
+        let undecided = self.running_where(|key| !retired.contains(&key.incarnation));
+        u32::try_from(undecided.len()).unwrap_or(u32::MAX)
+    }
+
     /// Bytes of records, refused ids included.
     #[must_use]
     pub fn record_bytes(&self) -> u64 {
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -179,3 +179,16 @@
     drain(world).await;
     assert_eq!(submitted.await.unwrap().verdict(), (503, "in_doubt", "draining"));
 }
+
+/// Jobs of a fenced run go on without their entry; their callers are told so.
+#[tokio::test]
+async fn jobs_of_a_fenced_run_at_the_bound_are_answered() {
+    let world = World::with_limits(|limits| limits.drain_ms = BOUND_MS).await;
+    let agent = world.agent_with("a", 1).await;
+    let submitted = submit(&world, &world.id().await, "hang");
+    agent.started(1).await;
+    let shared = &world.entry.shared;
+    shared.retire(shared.incarnation());
+    drain(world).await;
+    assert_eq!(submitted.await.unwrap().verdict(), (503, "in_doubt", "draining"));
+}
