--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -183,21 +183,19 @@
         (Authority { life: life.clone(), fence: ledger.fence() }, ledger.is_fenced())
     };
     let fence = authority.fence;
-    let mut renewal = renewal(leased, is_fenced, wait_ms, sent_ms);
-    if !acknowledges {
-        renewal.acknowledged = 0;
-    }
+    let renewal = if is_fenced {
+        renewal(leased, wait_ms, acknowledges, sent_ms)
+    } else {
+        Renewal { lease_until_clock_ms: None, acknowledged: 0, wait_ms: 0 }
+    };
     Renewed { sent_ms, fence, is_fenced, answer: leased.port.renew(authority, renewal).await }
 }
 
-fn renewal(leased: &Leased, is_fenced: bool, wait_ms: u32, now_ms: u64) -> Renewal {
+fn renewal(leased: &Leased, wait_ms: u32, acknowledges: bool, now_ms: u64) -> Renewal {
     let ledger = leased.ledger.lock();
-    if !is_fenced {
-        return Renewal { lease_until_clock_ms: None, acknowledged: 0, wait_ms: 0 };
-    }
     Renewal {
         lease_until_clock_ms: ledger.lease_until_clock_ms(now_ms),
-        acknowledged: ledger.acknowledged(),
+        acknowledged: if acknowledges { ledger.acknowledged() } else { 0 },
         wait_ms: if ledger.clock_ms(now_ms).is_some() { wait_ms } else { 0 },
     }
 }
