A key that waits for the platform is answered before the bound of a drain

Callers saw, in the project's own interface: a submission under an own key, taken before a planned stop, ended with its connection cut at the bound if the platform did not answer by then.

Cause: binding a key takes up to nine calls of the platform, and no job is given up for it.

Change: it is given up with what else requests wait for, and answered 503, `in_doubt` with the reason `draining`: this call started nothing, and the key stays good.

--- a/crates/entry/src/callers/keyed.rs
+++ b/crates/entry/src/callers/keyed.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         binder::{BindError, MAX_AHEAD_MS},
-        body::BodyLength,
+        body::{BodyLength, DRAINING_RETRY_MS},
         jobs::submit,
         order::{Order, read_order},
         reply::{Refusal, Reply},
@@ -138,7 +138,11 @@
         return Err(in_doubt(Reason::Draining, BUDGET_RETRY_MS));
     }
     would_admit(shared, caller, order)?;
-    binder.bind(shared, organisation, key).await.map_err(|err| match err {
+    let binding = shared.lifecycle.before_end(binder.bind(shared, organisation, key)).await;
+    let Some(bound) = binding else {
+        return Err(in_doubt(Reason::Draining, DRAINING_RETRY_MS));
+    };
+    bound.map_err(|err| match err {
         BindError::Budget => in_doubt(Reason::PlatformBudget, BUDGET_RETRY_MS),
         BindError::Platform(err) => {
             in_doubt(Reason::PlatformOut, PLATFORM_RETRY_MS).at_peer(err.peer)
--- a/crates/entry/tests/drains.rs
+++ b/crates/entry/tests/drains.rs
@@ -5,11 +5,13 @@
 use {
     futures::FutureExt,
     reqwest::Method,
-    serde_json::json,
+    serde_json::{Value, json},
     std::{net::SocketAddr, time::Duration},
-    support::{Got, PATIENCE, World, send},
-    sycamorerail_entry::seams::Seams,
+    support::{Got, PATIENCE, World, key_of_age, send},
+    sycamorerail_entry::{callers::Binder, seams::Seams},
+    sycamorerail_platform::{Platform, PlatformConfig},
     sycamorerail_settings::entry::LimitSettings,
+    sycamorerail_standin::platform::{PlatformFaults, PlatformStandin, PlatformStandinConfig},
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::TcpStream,
@@ -192,3 +194,28 @@
     drain(world).await;
     assert_eq!(submitted.await.unwrap().verdict(), (503, "in_doubt", "draining"));
 }
+
+/// A key that the platform is slow to bind must not end with its caller's connection cut.
+#[tokio::test]
+async fn a_key_at_the_bound_is_answered() {
+    let standin = PlatformStandin::start(PlatformStandinConfig::default()).await.unwrap();
+    standin.set_faults(PlatformFaults { hang: true, ..PlatformFaults::default() }).await.unwrap();
+    // Calls outlast the drain.
+    let config = PlatformConfig { url: standin.url(), timeout_ms: 20_000, call_budget_per_s: 100 };
+    let platform = Platform::new(config).unwrap();
+    let limits = LimitSettings { drain_ms: BOUND_MS, ..LimitSettings::default() };
+    let binder = Some(Binder::new(platform, 100, limits.retention_ms));
+    let world = World::with_seams(limits, Seams { binder, ..Seams::default() }).await;
+    let _agent = world.agent("a").await;
+    let url = format!("http://{}/v1/jobs", world.entry.http_address());
+    let request = world.http.post(url).header("Idempotency-Key", key_of_age(0));
+    let request = request.header("Authorization", "Bearer alpenfunk");
+    let body = json!({ "kind": "once", "tasks": [{ "do": "ok" }] });
+    let submitted = tokio::spawn(request.body(body.to_string()).send());
+    in_flight(&world, 1).await;
+    drain(world).await;
+    let answer = submitted.await.unwrap().unwrap();
+    assert_eq!(answer.status().as_u16(), 503);
+    let answer: Value = serde_json::from_str(&answer.text().await.unwrap()).unwrap();
+    assert_eq!((&answer["outcome"], &answer["reason"]), (&"in_doubt".into(), &"draining".into()));
+}
