Operators' changes are answered before the bound of a drain

Operators saw: a change whose template came slowly, or which the platform was slow to take, ended with its connection cut at the bound of a planned stop of its entry.

Cause: no job is given up for it, and nothing else ended its wait.

Change: it is given up with what else requests wait for. A body that is not there is answered 503, `not_run`; a change or a word on an evacuation that the platform has not answered, 503, `in_doubt`; both with the reason `draining`, and a change with its `change_id`, by which another entry tells what became of it. It goes on by itself, as for an operator who hangs up.

Evidence: both tests ended the process by the invariant of drains before (exit status 86), and get their answers now. A word on an evacuation has no test of its own.

--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -8,9 +8,7 @@
         reply::{ChangeBody, INVALID_TEMPLATE, Problem, Reply},
     },
     crate::shared::Shared,
-    rocket::{
-        Data, State, data::ToByteUnit, delete, get, http::Status, post, put, serde::json::Json,
-    },
+    rocket::{Data, State, data::ToByteUnit, delete, get, http::Status, post, put},
     serde::{Deserialize, Serialize},
     std::{sync::Arc, time::Duration},
     sycamorerail_clock::Clock,
@@ -18,7 +16,10 @@
     sycamorerail_templates::{
         Action, Change, ChangeState, Stamp, envelope::MAX_YAML_BYTES, validate::validate,
     },
-    sycamorerail_wire::{answer::Reason, message::ConfigMark},
+    sycamorerail_wire::{
+        answer::{Outcome, Reason},
+        message::ConfigMark,
+    },
     uuid::Uuid,
 };
 
@@ -65,7 +66,7 @@
     data: Data<'_>,
 ) -> Result<Reply, Problem> {
     let (operator, condition) = (operator?, condition?);
-    let yaml = read_yaml(data).await?;
+    let yaml = read_text(shared, data).await?;
     publish(admin, shared, name, condition, Action::Put(yaml), operator).await
 }
 
@@ -81,28 +82,30 @@
     publish(admin, shared, name, condition, Action::Delete, operator).await
 }
 
-#[post("/organisations/<name>/rollback", data = "<body>")]
+#[post("/organisations/<name>/rollback", data = "<data>")]
 pub(super) async fn rollback(
     admin: &State<Arc<Admin>>,
     shared: &State<Arc<Shared>>,
     operator: Result<Operator, Problem>,
     condition: Result<Condition, Problem>,
     name: &str,
-    body: Result<Json<Rollback>, rocket::serde::json::Error<'_>>,
+    data: Data<'_>,
 ) -> Result<Reply, Problem> {
     let (operator, condition) = (operator?, condition?);
-    let body = body.map_err(|err| Problem::invalid(format!("body: {err}")))?;
-    publish(admin, shared, name, condition, Action::Rollback(body.to), operator).await
+    let body: Result<Rollback, _> = serde_json::from_str(&read_text(shared, data).await?);
+    let Rollback { to } = body.map_err(|err| Problem::invalid(format!("body: {err}")))?;
+    publish(admin, shared, name, condition, Action::Rollback(to), operator).await
 }
 
 #[post("/organisations/<name>/check", data = "<data>")]
 pub(super) async fn check(
+    shared: &State<Arc<Shared>>,
     operator: Result<Operator, Problem>,
     name: &str,
     data: Data<'_>,
 ) -> Result<Reply, Problem> {
     operator?;
-    let yaml = read_yaml(data).await?;
+    let yaml = read_text(shared, data).await?;
     validate(name, &yaml).map_err(|errors| Problem::of_fields(INVALID_TEMPLATE, errors.errors))?;
     Ok(Reply::json(&Valid { organisation: name.to_owned(), valid: true }))
 }
@@ -167,7 +170,11 @@
     let change = Change { organisation: name.to_owned(), base: condition.base, action, stamp };
     // On its own, so that an operator who hangs up does not leave it half done.
     let publisher = admin.publisher.clone();
-    let published = tokio::spawn(async move { publisher.publish(&change).await }).await;
+    let publishing = tokio::spawn(async move { publisher.publish(&change).await });
+    let Some(published) = shared.lifecycle.before_end(publishing).await else {
+        let detail = "stopping; the platform has not answered, and the change may take effect";
+        return Err(Problem::draining(Outcome::InDoubt, detail).of_change(condition.change_id));
+    };
     let accepted = published.map_err(|err| {
         Problem::new(Status::InternalServerError, Reason::Invalid, err.to_string())
     })??;
@@ -183,8 +190,11 @@
     tokio::spawn(async move { admin.peers.templates(&shared, mark, TELL_WITHIN).await });
 }
 
-async fn read_yaml(data: Data<'_>) -> Result<String, Problem> {
-    let read = data.open(MAX_YAML_BYTES.bytes()).into_bytes().await;
+async fn read_text(shared: &Shared, data: Data<'_>) -> Result<String, Problem> {
+    let reading = data.open(MAX_YAML_BYTES.bytes()).into_bytes();
+    let Some(read) = shared.lifecycle.before_end(reading).await else {
+        return Err(Problem::draining(Outcome::NotRun, "stopping; the body did not come in time"));
+    };
     let bytes = read.map_err(|err| Problem::invalid(format!("the body broke off: {err}")))?;
     if !bytes.is_complete() {
         let detail = format!("the template may have {MAX_YAML_BYTES} bytes at most");
--- a/crates/entry/src/admin/evacuation.rs
+++ b/crates/entry/src/admin/evacuation.rs
@@ -20,7 +20,7 @@
     },
     sycamorerail_settings::{FieldError, rules::is_name},
     sycamorerail_templates::new_change_id,
-    sycamorerail_wire::answer::Reason,
+    sycamorerail_wire::answer::{Outcome, Reason},
 };
 
 /// A word that was taken, or that stood already.
@@ -106,8 +106,11 @@
     };
     let (platform, data_centre) = (admin.platform.clone(), name.to_owned());
     // On its own, so that an operator who hangs up does not leave it half done.
-    let said =
-        tokio::spawn(async move { evacuation::say(&platform, &data_centre, &word).await }).await;
+    let saying = tokio::spawn(async move { evacuation::say(&platform, &data_centre, &word).await });
+    let Some(said) = shared.lifecycle.before_end(saying).await else {
+        let detail = "stopping; the platform has not answered, and the word may take effect";
+        return Err(Problem::draining(Outcome::InDoubt, detail));
+    };
     let said = said.map_err(|err| {
         Problem::new(Status::InternalServerError, Reason::Invalid, err.to_string())
     })?;
--- a/crates/entry/src/admin/reply.rs
+++ b/crates/entry/src/admin/reply.rs
@@ -1,7 +1,7 @@
 //! What operators read: JSON, YAML, and what went wrong.
 
 use {
-    crate::counters,
+    crate::{callers::DRAINING_RETRY_MS, counters},
     rocket::{
         Request, Response,
         http::{ContentType, Status},
@@ -135,6 +135,20 @@
         Self::new(Status::BadRequest, Reason::Invalid, detail)
     }
 
+    /// It is not done as the entry stops; another one may do it.
+    pub(super) fn draining(outcome: Outcome, detail: &str) -> Self {
+        let mut problem = Self::new(Status::ServiceUnavailable, Reason::Draining, detail);
+        problem.body.outcome = Some(outcome);
+        problem.body.retry_after_ms = Some(DRAINING_RETRY_MS);
+        problem
+    }
+
+    /// Names the change that is in doubt.
+    pub(super) fn of_change(mut self, change_id: Uuid) -> Self {
+        self.body.in_doubt = Some(change_id);
+        self
+    }
+
     /// There is no such thing.
     pub(super) fn not_found(detail: impl Into<String>) -> Self {
         Self::new(Status::NotFound, Reason::NotFound, detail)
--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -29,7 +29,7 @@
 }
 
 /// When to come back to a balancer after an entry was found draining, in milliseconds.
-pub(super) const DRAINING_RETRY_MS: u64 = 100;
+pub const DRAINING_RETRY_MS: u64 = 100;
 
 /// Reads a JSON body of at most `max_bytes`.
 ///
--- a/crates/entry/src/callers/mod.rs
+++ b/crates/entry/src/callers/mod.rs
@@ -14,7 +14,7 @@
 
 pub use {
     binder::{BindError, Binder},
-    body::{BodyLength, read_json},
+    body::{BodyLength, DRAINING_RETRY_MS, read_json},
     reply::{Refusal, Reply},
 };
 
--- a/crates/entry/tests/admin.rs
+++ b/crates/entry/tests/admin.rs
@@ -4,8 +4,13 @@
 
 use {
     admin_site::{CALLER, OPERATOR, Site, until, yaml},
-    serde_json::json,
+    serde_json::{Value, json},
+    sycamorerail_entry::cluster::ClusterEntry,
     sycamorerail_standin::platform::PlatformFaults,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 const ALPENFUNK: &str = "/v1/admin/organisations/alpenfunk";
@@ -205,7 +210,7 @@
     until("all entries have it", async || {
         let got = site.get(0, "/v1/admin/rollout").await;
         let entries = got.body["entries"].as_array().unwrap();
-        let has = |entry: &serde_json::Value| entry["revisions"]["alpenfunk"] == 1;
+        let has = |entry: &Value| entry["revisions"]["alpenfunk"] == 1;
         entries.len() == 3 && entries.iter().all(has)
     })
     .await;
@@ -228,3 +233,61 @@
     entry.stopping().await;
     entry.drain().await.unwrap();
 }
+
+/// An entry whose drain ends before a call of the platform does.
+async fn impatient(site: &mut Site) -> ClusterEntry {
+    let platform = site.standin.address();
+    site.add_entry_with(platform, |settings| {
+        settings.limits.drain_ms = 1_500;
+        settings.platform.timeout_ms = 20_000;
+    })
+    .await;
+    site.until_ready(0).await;
+    site.entries.remove(0)
+}
+
+/// Sends a change, of which only part may come, and drains; returns status and body.
+async fn change_at_the_bound(
+    entry: ClusterEntry,
+    content_length: usize,
+    body: &str,
+) -> (u16, Value) {
+    let address = entry.entry.http_address();
+    let mut connection = TcpStream::connect(address).await.unwrap();
+    let request = format!(
+        "{PUT} HTTP/1.1\r\nHost: {address}\r\nAuthorization: Bearer {OPERATOR}\r\n\
+         If-None-Match: *\r\nConnection: close\r\nContent-Length: {content_length}\r\n\r\n{body}"
+    );
+    connection.write_all(request.as_bytes()).await.unwrap();
+    until("it is in flight", async || entry.entry.shared.lifecycle.requests() == 1).await;
+    entry.entry.drain().await.unwrap();
+    let mut answer = String::new();
+    connection.read_to_string(&mut answer).await.unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").expect("an answer");
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, serde_json::from_str(body).unwrap())
+}
+
+/// A template that comes slowly must not end with its connection cut.
+#[tokio::test]
+async fn a_slow_change_at_the_bound_is_answered() {
+    let mut site = Site::start(0).await;
+    let entry = impatient(&mut site).await;
+    let (status, body) = change_at_the_bound(entry, 100, "organisation: alpenfunk").await;
+    assert_eq!((status, &body["outcome"]), (503, &json!("not_run")), "{body}");
+    assert_eq!(body["reason"], "draining");
+}
+
+/// A change that the platform is slow to take must not end with its connection cut.
+#[tokio::test]
+async fn a_change_at_the_bound_is_answered() {
+    let mut site = Site::start(0).await;
+    let entry = impatient(&mut site).await;
+    let hang = PlatformFaults { hang: true, ..PlatformFaults::default() };
+    site.standin.set_faults(hang).await.unwrap();
+    let yaml = yaml("alpenfunk", 100);
+    let (status, body) = change_at_the_bound(entry, yaml.len(), &yaml).await;
+    assert_eq!((status, &body["outcome"]), (503, &json!("in_doubt")), "{body}");
+    assert_eq!(body["reason"], "draining");
+    assert!(body["change_id"].is_string(), "{body}");
+}
