Model: only a job that failed is counted as failed

Seen: in a mix at 95 % of the room 1.2 % of the wide jobs ended `failed` in the report although nothing failed. Cause: the model's count, not the decisions. It put every end that is neither completed in use nor "not run" under `failed`: jobs given up half done, whose callers the product tells `unknown` with `too_late`, and jobs of lost entries.

Ruled out: the dispatch answers Failed only after a task's last attempt or where no upstream could ever hold it; neither happened. What a submission answers was counted as refused whatever it was; it is now counted like every other answer.

Change: given up, lost and failed are counted apart and told in columns of their own; share served is as before. The test of a lost entry asked for failed > 0; it asks for lost > 0 and failed = 0 now.

--- a/crates/bench/src/policy/report.rs
+++ b/crates/bench/src/policy/report.rs
@@ -34,11 +34,13 @@
 /// A figure of counts, with its name and how it is written.
 type Figure = (&'static str, fn(&Counts) -> f64);
 
-const FIGURES: [Figure; 6] = [
+const FIGURES: [Figure; 8] = [
     ("in time", Counts::in_time_share),
     ("late", |counts| part(counts.late, counts)),
     ("refused", |counts| part(counts.refused, counts)),
     ("refused while free", |counts| part(counts.refused_while_free, counts)),
+    ("given up", |counts| part(counts.given_up, counts)),
+    ("lost", |counts| part(counts.lost, counts)),
     ("failed", |counts| part(counts.failed, counts)),
     ("value", Counts::value_share),
 ];
--- a/crates/bench/src/policy/tally.rs
+++ b/crates/bench/src/policy/tally.rs
@@ -17,7 +17,11 @@
     Late,
     /// Refused, and none of it ran.
     Refused,
-    /// Given up or lost after some of it may have run, or completed too late.
+    /// Given up after some of it may have run, or completed when it was of no use any more.
+    GivenUp,
+    /// Lost with its entry, without an entry to go to, or never answered.
+    Lost,
+    /// Its entry answered that it failed.
     Failed,
 }
 
@@ -43,7 +47,11 @@
     pub refused: u64,
     /// Of these, refused while some upstream had room for one of its tasks.
     pub refused_while_free: u64,
-    /// Failed.
+    /// Given up after some of it may have run, or of no use as it was completed.
+    pub given_up: u64,
+    /// Without an answer, as with a lost entry.
+    pub lost: u64,
+    /// Failed by its entry's word.
     pub failed: u64,
     /// What all were worth to their callers, had they been in time.
     pub value_asked: f64,
@@ -63,7 +71,7 @@
     /// Share that was neither in time nor late.
     #[must_use]
     pub fn unserved_share(&self) -> f64 {
-        share((self.refused + self.failed) as f64, self.asked as f64)
+        share((self.refused + self.given_up + self.lost + self.failed) as f64, self.asked as f64)
     }
 
     /// Share of the value that was earned.
@@ -85,6 +93,8 @@
                 self.value_earned += late_value;
             }
             End::Refused => self.refused += 1,
+            End::GivenUp => self.given_up += 1,
+            End::Lost => self.lost += 1,
             End::Failed => self.failed += 1,
         }
     }
@@ -139,7 +149,7 @@
     let mut taken = 0;
     for ((job, ended), note) in jobs.iter().zip(ends).zip(notes) {
         // What never ended was not served.
-        let ended = ended.unwrap_or(Ended { end: End::Failed, after: job.span });
+        let ended = ended.unwrap_or(Ended { end: End::Lost, after: job.span });
         let second = (job.at / MICROS_PER_S) as usize;
         let kind = &settings.kinds[job.kind];
         let size = job_size(job, kind.tasks.mean * kind.run_ms.mean);
@@ -150,7 +160,7 @@
             if ended.end == End::Refused {
                 counts.refused_while_free += u64::from(note.was_free);
             }
-            if matches!(ended.end, End::Refused | End::Failed) {
+            if !matches!(ended.end, End::InTime | End::Late) {
                 counts.wasted_core_s += note.work as f64 / 1e9;
             }
         }
--- a/crates/bench/src/policy/world/entries.rs
+++ b/crates/bench/src/policy/world/entries.rs
@@ -15,17 +15,17 @@
     pub(super) fn arrives(&mut self, number: usize) {
         let job = &self.jobs[number];
         let Some(entry) = self.entry_for(job.entry) else {
-            return self.ended(number, End::Failed);
+            return self.ended(number, End::Lost);
         };
         let cpu_milli = self.settings.kinds[job.kind].cpu_milli;
         let submitted = self.entries[entry].submit(number, job, &self.kinds[job.kind], cpu_milli);
-        if submitted.is_err() {
+        if let Err(answer) = submitted {
             let has_room = |agent: &ModelAgent| {
                 let load = agent.ledger.load(millis(self.clock.now()));
                 load.usable && load.capacity.less(&load.taken).cpu_milli >= cpu_milli
             };
             self.notes[number].was_free = self.agents.iter().any(has_room);
-            self.ended(number, End::Refused);
+            self.answered(number, answer);
         }
         self.carry_out(entry);
     }
@@ -51,7 +51,8 @@
             JobAnswer::Completed if now <= job.in_time_until() => End::InTime,
             JobAnswer::Completed if now <= job.useful_until() => End::Late,
             JobAnswer::NotRun { .. } => End::Refused,
-            _ => End::Failed,
+            JobAnswer::Completed | JobAnswer::Unknown { .. } => End::GivenUp,
+            JobAnswer::Failed => End::Failed,
         };
         self.ended(number, end);
     }
--- a/crates/bench/src/policy/world/faults.rs
+++ b/crates/bench/src/policy/world/faults.rs
@@ -64,6 +64,6 @@
         self.lost_at[entry] = self.clock.now();
         let mut lost: Vec<_> = self.entries[entry].jobs.drain().map(|(_, job)| job).collect();
         lost.sort_unstable();
-        lost.into_iter().for_each(|job| self.ended(job, End::Failed));
+        lost.into_iter().for_each(|job| self.ended(job, End::Lost));
     }
 }
--- a/crates/bench/tests/policy_model.rs
+++ b/crates/bench/tests/policy_model.rs
@@ -50,14 +50,16 @@
 }
 
 fn is_whole(counts: &Counts) -> bool {
-    counts.in_time + counts.late + counts.refused + counts.failed == counts.asked
+    let served = counts.in_time + counts.late;
+    let unserved = counts.refused + counts.given_up + counts.lost + counts.failed;
+    served + unserved == counts.asked
 }
 
 #[test]
 fn a_light_load_is_served_in_time() {
     let outcome = play(&site(0.4), 1);
     assert!(outcome.all.in_time_share() > 0.99, "{:?}", outcome.all);
-    assert_eq!(outcome.all.refused + outcome.all.failed, 0);
+    assert_eq!(outcome.all.unserved_share(), 0.0);
 }
 
 #[test]
@@ -70,14 +72,25 @@
 }
 
 #[test]
-fn a_lost_entry_fails_what_it_held_and_comes_back() {
+fn a_lost_entry_loses_what_it_held_and_comes_back() {
     let mut settings = site(0.5);
     settings.faults.push(fault(FaultKind::EntryLost, 1, 0.0));
     let outcome = play(&settings, 3);
-    assert!(outcome.all.failed > 0);
+    assert!(outcome.all.lost > 0);
+    assert_eq!(outcome.all.failed, 0);
     assert!(outcome.by_second[5].in_time_share() > 0.99);
 }
 
+/// Its entry says that nobody knows what became of it, not that it failed.
+#[test]
+fn a_job_that_is_given_up_half_done_has_not_failed() {
+    let mut settings = site(0.8);
+    settings.faults.push(fault(FaultKind::Hung, 2, 0.0));
+    let outcome = play(&settings, 5);
+    assert!(outcome.all.given_up > 0, "{:?}", outcome.all);
+    assert_eq!(outcome.all.failed + outcome.all.lost, 0, "{:?}", outcome.all);
+}
+
 #[test]
 fn a_burst_brings_more_jobs_of_its_kind() {
     let mut settings = site(0.5);
--- a/crates/bench/tests/worst_load.rs
+++ b/crates/bench/tests/worst_load.rs
@@ -77,3 +77,11 @@
     let few = play(&ModelSettings { entries: 5, ..settings }, 1);
     assert!(outcome.all.in_time_share() >= few.all.in_time_share() - 0.01);
 }
+
+/// Wide jobs at 95 % of the room, without a fault: what was given up half done was counted as
+/// failed.
+#[test]
+fn no_job_fails_without_a_fault() {
+    let outcome = play(&settings("wide-jobs"), 1);
+    assert_eq!(outcome.all.failed + outcome.all.lost, 0, "{:?}", outcome.all);
+}
