Fail a job whose task crashed three upstreams

Callers saw 504 "crashing" for a job whose task crashes each upstream that starts it, though it can never be done: they were told that its outcome is unknown, and some hand it in again.

The dispatch now keeps the crashes that ended runs (agent, time) for a minute, of 4,096 tasks at most. A job that is given up after three is judged 250 ms after the last one: failed, if at each of them at most two other upstreams crashed within 500 ms that ran nothing of the job; else unknown, as before. The bound of three stays: after two, jobs beside the task would fail with it; from then on suspects run apart.

With MAX_OTHERS out of force the last one fails at its first case. The tests' agents now tell what they have taken and are heard as time passes.

Not covered: two such jobs at once can fail a job that ran beside both; an upstream that crashes idle is no evidence of a loss for other causes.

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -34,9 +34,8 @@
 const REFUSE_PERCENT: u64 = 50;
 
 /// Upstreams that may crash under one task before its job is given up: a task that brings
-/// it about takes all with it that runs there, each time it is started. Whether it is the
-/// cause is not known, so its job is not called failed; upstreams that crash for other
-/// causes rarely hit one task three times while its caller waits.
+/// it about takes all with it that runs there, each time it is started. Two would hit jobs
+/// that ran beside it twice; from then on they run apart from it.
 const MAX_CRASHES: u8 = 3;
 
 /// Crashes from which on a task runs apart from others like it. After one crash all that ran
@@ -71,6 +70,10 @@
         self.crashes >= SUSPECT_CRASHES
     }
 
+    fn is_crashing(&self) -> bool {
+        self.crashes >= MAX_CRASHES
+    }
+
     /// An agent has it no more.
     fn give_back(&mut self, from: AgentKey) {
         self.state = TaskState::Unplaced;
@@ -129,6 +132,8 @@
     pub is_finishing: bool,
     /// It is being ended.
     pub ending: Option<Ending>,
+    /// It is given up for crashes, and not answered until then.
+    pub judged_ms: Option<u64>,
 }
 
 /// What an event means for a job.
@@ -175,6 +180,7 @@
             may_have_run: false,
             is_finishing: false,
             ending: None,
+            judged_ms: None,
         }
     }
 
@@ -316,6 +322,23 @@
         })
     }
 
+    /// Keys of all tasks.
+    pub fn keys(&self) -> impl Iterator<Item = TaskKey> {
+        self.tasks.iter().enumerate().flat_map(move |(step, tasks)| {
+            (0..tasks.len()).filter_map(move |index| self.key_of(step, index))
+        })
+    }
+
+    fn task(&self, key: TaskKey) -> Option<&Task> {
+        self.tasks.get(usize::from(key.step))?.get(usize::from(key.index))
+    }
+
+    /// Whether too many upstreams crashed while a task of it ran there.
+    #[must_use]
+    pub fn is_crashing(&self, task: TaskKey) -> bool {
+        self.task(task).is_some_and(Task::is_crashing)
+    }
+
     /// The key of a task; `None` beyond the numbers that messages can carry.
     #[must_use]
     pub fn key_of(&self, step: usize, index: usize) -> Option<TaskKey> {
@@ -372,7 +395,7 @@
                 task.give_back(from);
                 task.crashes += 1;
                 self.may_have_run = true;
-                if task.crashes >= MAX_CRASHES { Outcome::Crashing } else { Outcome::PlaceAgain }
+                if task.is_crashing() { Outcome::Crashing } else { Outcome::PlaceAgain }
             }
             RunEvent::NotStarted(why) => {
                 task.give_back(from);
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 
 mod agents;
 mod connections;
+mod crashes;
 mod evacuation;
 mod job;
 mod kinds;
@@ -30,6 +31,7 @@
 };
 
 use {
+    crashes::Crashes,
     job::{Ending, Outcome},
     kinds::KindRecord,
     slotmap::SlotMap,
@@ -79,6 +81,8 @@
     /// The most of each that an upstream has, by pool.
     largest: HashMap<String, Room>,
     evacuations: Evacuations,
+    /// Crashes of upstreams, by the task that ran there.
+    crashes: Crashes,
     commands: Vec<Command>,
     /// This run of the entry, for an order of agents of its own.
     entry: Incarnation,
@@ -102,6 +106,7 @@
             kinds: HashMap::new(),
             largest: HashMap::new(),
             evacuations: Evacuations::default(),
+            crashes: Crashes::default(),
             commands: Vec::new(),
             stops_ms: None,
             last_forecast: Forecast::default(),
@@ -197,6 +202,9 @@
             let kind = Arc::clone(&job.request.kind);
             self.kind(&kind.name).ran(run_ms, estimate_ms);
         }
+        if event == RunEvent::Crashed {
+            self.crash_ended_run(task, agent, now_ms);
+        }
         self.advance(key, outcome, now_ms);
     }
 
@@ -215,7 +223,7 @@
                 self.commands.push(Command::Answer(key, JobAnswer::Completed));
                 self.remove(key);
             }
-            Outcome::Crashing => self.end(key, Ending::GivenUp(GiveUp::Crashing)),
+            Outcome::Crashing => self.give_up_crashing(key, now_ms),
             Outcome::Failed => {
                 self.commands.push(Command::Answer(key, JobAnswer::Failed));
                 self.end(key, Ending::Answered);
@@ -268,7 +276,7 @@
 
     fn finish_ending(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get(key) else { return };
-        if job.has_placed() {
+        if job.has_placed() || job.judged_ms.is_some() {
             return;
         }
         self.answer_ended(key);
@@ -283,7 +291,9 @@
                 _ => RETRY_MS.0 as u32,
             };
             // What agents have not told of may have begun.
-            let answer = if job.may_have_run || job.has_placed() {
+            let answer = if why == GiveUp::Crashing {
+                self.crash_answer(job)
+            } else if job.may_have_run || job.has_placed() {
                 JobAnswer::Unknown { why }
             } else {
                 JobAnswer::NotRun { why, retry_after_ms }
@@ -304,6 +314,7 @@
     /// and declares lost what silent agents had.
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent(now_ms);
+        self.judge_crashing(now_ms);
         self.end_for_stop(now_ms);
         self.end_evacuated();
         self.place_waiting(now_ms);
