Count crashes of a task over the deaths of entries

A job that crashed three upstreams and was handed in again at another entry, or at the same one after its restart, got three fresh starts there: entries counted crashes of their own runs only.

Agents now keep under which tasks their upstream crashed (512 notes, a minute), whoever had placed them, and tell each entry that they link to, before anything can be placed there: all on a new link, news before the reports of such ends. An entry counts by agent, so a crash that is told and reported counts once; it refuses a job whose task met three crashes, ends a copy that runs, and keeps apart what met two. What it hears of suspects it passes to all agents, which tell other entries: the first agent to link is then enough. News alone is passed on, and suspects alone, so that a loss of many upstreams is not multiplied.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -229,6 +229,9 @@
                 self.entry_evacuations.lock().clone_from(&told);
                 leased.hold_evacuations(&told);
             }
+            ToRunsAgent::Crashes(told) => leased.change(|ledger, now_ms| {
+                ledger.crashes_told(&told, leased.incarnation, now_ms);
+            }),
             ToRunsAgent::WantConfiguration => self.asked.send_modify(|asked| *asked += 1),
         }
     }
@@ -284,7 +287,13 @@
             reports.into_iter().filter(|report| report.number > told_up_to).collect();
         let load = ledger.load(leased.clock.now_ms());
         let life = ledger.proven_life().cloned();
+        let now_ms = leased.clock.now_ms();
+        let (crashes, last_crash) = ledger.crashes_after(told.crash, leased.incarnation, now_ms);
         drop(ledger);
+        told.crash = last_crash;
+        if !crashes.is_empty() {
+            messages.push(FromRunsAgent::Crashes(crashes));
+        }
         if life.is_some() && told.life != life {
             told.life.clone_from(&life);
             messages.extend(life.map(FromRunsAgent::Upstream));
@@ -353,6 +362,8 @@
     cluster: Option<Cluster>,
     cluster_at: Instant,
     unlink: bool,
+    /// Number of the last crash.
+    crash: u64,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -368,6 +379,7 @@
             cluster: None,
             cluster_at: now,
             unlink: false,
+            crash: 0,
             revision: 0,
             load: None,
             load_at: now,
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -41,7 +41,7 @@
 /// Crashes from which on a task runs apart from others like it. After one crash all that ran
 /// there would have to wait for each other: a lost upstream of ten tasks comes as often as
 /// VMs fail, and few tasks meet it twice.
-const SUSPECT_CRASHES: u8 = 2;
+pub(super) const SUSPECT_CRASHES: u8 = 2;
 
 /// A task of a job.
 #[derive(Clone, Debug)]
@@ -52,8 +52,10 @@
     pub run: u32,
     /// Ends as failed so far.
     pub failures: u32,
-    /// Upstreams that crashed while it ran there.
+    /// Upstreams that crashed while it ran there, by what became of its runs.
     pub crashes: u8,
+    /// The same by what agents told, who know of runs for other entries too.
+    pub crashes_told: u8,
     /// The agent that gave it back last.
     pub avoid: Option<AgentKey>,
 }
@@ -67,11 +69,15 @@
     /// like it.
     #[must_use]
     pub fn is_suspect(&self) -> bool {
-        self.crashes >= SUSPECT_CRASHES
+        self.all_crashes() >= SUSPECT_CRASHES
     }
 
     fn is_crashing(&self) -> bool {
-        self.crashes >= MAX_CRASHES
+        self.all_crashes() >= MAX_CRASHES
+    }
+
+    fn all_crashes(&self) -> u8 {
+        self.crashes.max(self.crashes_told)
     }
 
     /// An agent has it no more.
@@ -155,8 +161,14 @@
     /// A job whose tasks are all unplaced.
     #[must_use]
     pub fn new(request: JobRequest) -> Self {
-        let fresh =
-            Task { state: TaskState::Unplaced, run: 0, failures: 0, crashes: 0, avoid: None };
+        let fresh = Task {
+            state: TaskState::Unplaced,
+            run: 0,
+            failures: 0,
+            crashes: 0,
+            crashes_told: 0,
+            avoid: None,
+        };
         let tasks = request.steps.iter().map(|step| vec![fresh.clone(); step.count.into()]);
         let tasks = tasks.collect();
         let open = request.steps.iter().map(|step| step.count).collect();
@@ -339,6 +351,20 @@
         self.task(task).is_some_and(Task::is_crashing)
     }
 
+    /// Upstreams that crashed while runs of a task that this job started were there.
+    #[must_use]
+    pub fn crashes_here(&self, task: TaskKey) -> Option<u8> {
+        self.task(task).map(|task| task.crashes)
+    }
+
+    /// So many crashes of upstreams are known under a task.
+    pub fn crashes_told(&mut self, key: TaskKey, crashes: u8) {
+        let step = self.tasks.get_mut(usize::from(key.step));
+        if let Some(task) = step.and_then(|step| step.get_mut(usize::from(key.index))) {
+            task.crashes_told = crashes;
+        }
+    }
+
     /// The key of a task; `None` beyond the numbers that messages can carry.
     #[must_use]
     pub fn key_of(&self, step: usize, index: usize) -> Option<TaskKey> {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -162,6 +162,9 @@
         }
         let id = request.id;
         let mut job = Job::new(request);
+        if let Some(answer) = self.recall_crashes(&mut job, now_ms) {
+            return Err(answer);
+        }
         let kind = Arc::clone(&job.request.kind);
         self.kind(&kind.name).came(kind.priority, job.work_milli_ms());
         let forecast = self.forecast(&job, now_ms);
@@ -203,7 +206,7 @@
             self.kind(&kind.name).ran(run_ms, estimate_ms);
         }
         if event == RunEvent::Crashed {
-            self.crash_ended_run(task, agent, now_ms);
+            self.crash_ended_run(key, task, agent, now_ms);
         }
         self.advance(key, outcome, now_ms);
     }
@@ -292,7 +295,7 @@
             };
             // What agents have not told of may have begun.
             let answer = if why == GiveUp::Crashing {
-                self.crash_answer(job)
+                self.crash_answer(job, job.judged_ms.is_none())
             } else if job.may_have_run || job.has_placed() {
                 JobAnswer::Unknown { why }
             } else {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -10,6 +10,7 @@
 //! After a restart nothing is known of the runs of the agent before it. They
 //! are stopped first, and nothing is started until none is listed any more.
 
+mod crash_log;
 mod lives;
 mod load;
 mod order_fence;
@@ -26,6 +27,7 @@
 };
 
 use {
+    crash_log::CrashLog,
     order_fence::OrderFence,
     owners::Owners,
     slotmap::{SlotMap, new_key_type},
@@ -36,8 +38,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, LifeId, NotStarted, Placement, Room, RunEvent, RunReport, TaskKey,
-            UpstreamLife,
+            CallerId, LifeId, NotStarted, Placement, Room, RunEvent, RunReport, TaskCrashes,
+            TaskKey, UpstreamLife,
         },
     },
 };
@@ -166,6 +168,7 @@
     slowness_at_ms: u64,
     failing_percent: u32,
     failing_at_ms: u64,
+    crash_log: CrashLog,
     decided: Vec<Decided>,
 }
 
@@ -201,6 +204,7 @@
             slowness_at_ms: 0,
             failing_percent: 0,
             failing_at_ms: 0,
+            crash_log: CrashLog::default(),
             decided: Vec::new(),
         }
     }
@@ -497,8 +501,9 @@
         }
     }
 
-    /// Sends back waiting tasks whose time has passed.
+    /// Sends back waiting tasks whose time has passed, and forgets crashes of long ago.
     pub fn expire(&mut self, now_ms: u64) {
+        self.crash_log.expire(now_ms);
         let too_late = |run: &Run| now_ms + u64::from(run.run_ms) > run.give_up_ms;
         let expired = self.waiting.iter().filter(|(_, key)| too_late(&self.runs[*key]));
         let keys: Vec<_> = expired.map(|&(_, key)| key).collect();
@@ -585,6 +590,9 @@
     }
 
     fn push_report(&mut self, owner: Incarnation, task: TaskKey, run: u32, event: RunEvent) {
+        if event == RunEvent::Crashed {
+            self.crash_log.note(task);
+        }
         self.owners.report(owner, task, run, event);
         self.decided.push(Decided { owner, task, run, event, taken: self.taken });
     }
@@ -595,6 +603,24 @@
         self.owners.reports(owner)
     }
 
+    /// Tasks under which upstreams crashed, noted since the note of this number, and the
+    /// number of the last note. They are told to all entries, as of this run of the agent.
+    #[must_use]
+    pub fn crashes_after(
+        &self,
+        number: u64,
+        own: Incarnation,
+        now_ms: u64,
+    ) -> (Vec<TaskCrashes>, u64) {
+        (self.crash_log.after(number, own, now_ms), self.crash_log.last())
+    }
+
+    /// An entry tells of tasks under which upstreams of other agents crashed.
+    pub fn crashes_told(&mut self, told: &[TaskCrashes], own: Incarnation, now_ms: u64) {
+        let of_others = told.iter().filter(|told| told.agent != own);
+        of_others.for_each(|told| self.crash_log.learn(told, now_ms));
+    }
+
     /// An entry has taken note of its reports up to this number.
     pub fn confirmed(&mut self, owner: Incarnation, number: u64) {
         self.owners.confirmed(owner, number);
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -9,7 +9,7 @@
     },
     sycamorerail_decide::{
         dispatch::{
-            AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest,
+            AgentKey, Command, Dispatch, DispatchLimits, GiveUp, JobAnswer, JobKey, JobRequest,
             KindParameters, StepRequest,
         },
         ledger::{LeaseAnswer, Ledger, LedgerLimits, LifeEnd, StartAnswer},
@@ -17,8 +17,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerId, LifeId, Placement, Room, RunEvent, RunReport, TaskKey, TaskStart,
-            UpstreamLife, UpstreamLoad,
+            CallerId, LifeId, Placement, Room, RunEvent, RunReport, TaskCrashes, TaskKey,
+            TaskStart, UpstreamLife, UpstreamLoad,
         },
     },
 };
@@ -108,6 +108,40 @@
     assert_eq!(last_event(&ledger), RunEvent::Lost);
 }
 
+/// An entry that so many agents have connected to.
+fn entry_with(agents: usize, now_ms: u64) -> (Dispatch, Vec<AgentKey>) {
+    let mut dispatch = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let agents = (0..agents).map(|number| {
+        let name = format!("agent-{number}");
+        let agent = dispatch.agent_connected(&name, Incarnation(number as u64), None, now_ms);
+        dispatch.agent_ready(agent, now_ms);
+        dispatch.set_life(agent, life(&name, false));
+        agent
+    });
+    let agents = agents.collect();
+    (dispatch, agents)
+}
+
+fn request(id: CallerId, count: u16, now_ms: u64) -> JobRequest {
+    let kind = KindParameters {
+        name: "reach-check".to_owned(),
+        pool: "desk".to_owned(),
+        priority: 0,
+        max_attempts: 4,
+        stretch: 1.6,
+        target_ms: 60,
+    };
+    let step = StepRequest { count, need: NEED, run_ms: 5_000, ..StepRequest::default() };
+    JobRequest {
+        id,
+        kind: Arc::new(kind),
+        spec: "spec".to_owned(),
+        steps: vec![step],
+        arrived_ms: now_ms,
+        deadline_ms: now_ms + 20_000,
+    }
+}
+
 /// An entry with jobs and idle agents, and what its agents have.
 struct Site {
     dispatch: Dispatch,
@@ -117,6 +151,8 @@
     starts: HashMap<TaskKey, u32>,
     crashes: HashMap<TaskKey, u32>,
     begun: HashSet<(TaskKey, u32)>,
+    /// Crashes by agent and task, with the time of the last one.
+    at_agents: HashMap<(AgentKey, TaskKey), (u8, u64)>,
     down: HashSet<AgentKey>,
     reports: u64,
     jobs: HashMap<JobKey, CallerId>,
@@ -125,15 +161,7 @@
 
 impl Site {
     fn new(agents: usize) -> Self {
-        let mut dispatch = Dispatch::new(DispatchLimits::default(), ENTRY);
-        let agents = (0..agents).map(|number| {
-            let name = format!("agent-{number}");
-            let agent = dispatch.agent_connected(&name, Incarnation(number as u64), None, 100);
-            dispatch.agent_ready(agent, 100);
-            dispatch.set_life(agent, life(&name, false));
-            agent
-        });
-        let agents = agents.collect();
+        let (dispatch, agents) = entry_with(agents, 100);
         let mut site = Self {
             dispatch,
             now_ms: 100,
@@ -142,6 +170,7 @@
             starts: HashMap::new(),
             crashes: HashMap::new(),
             begun: HashSet::new(),
+            at_agents: HashMap::new(),
             down: HashSet::new(),
             reports: 0,
             jobs: HashMap::new(),
@@ -159,25 +188,10 @@
     }
 
     fn submit(&mut self, id: CallerId, count: u16) {
-        let kind = KindParameters {
-            name: "reach-check".to_owned(),
-            pool: "desk".to_owned(),
-            priority: 0,
-            max_attempts: 4,
-            stretch: 1.6,
-            target_ms: 60,
-        };
-        let step = StepRequest { count, need: NEED, run_ms: 5_000, ..StepRequest::default() };
-        let request = JobRequest {
-            id,
-            kind: Arc::new(kind),
-            spec: "spec".to_owned(),
-            steps: vec![step],
-            arrived_ms: self.now_ms,
-            deadline_ms: self.now_ms + 20_000,
-        };
-        let key = self.dispatch.submit(request, self.now_ms).unwrap();
-        self.jobs.insert(key, id);
+        match self.dispatch.submit(request(id, count, self.now_ms), self.now_ms) {
+            Ok(key) => drop(self.jobs.insert(key, id)),
+            Err(answer) => drop(self.answers.insert(id, answer)),
+        }
         self.act();
     }
 
@@ -251,6 +265,40 @@
         self.act();
     }
 
+    /// The upstream of the task's agent crashes while nothing else of interest runs there,
+    /// and the agent tells all entries before it reports.
+    fn crash_told(&mut self, task: TaskKey) {
+        let Some(&(agent, _)) = self.placed.get(&task) else { return };
+        let known = self.at_agents.entry((agent, task)).or_default();
+        *known = (known.0 + 1, self.now_ms);
+        let crashes = known.0;
+        let told = TaskCrashes { agent: self.run_of(agent), task, crashes, ago_ms: 0 };
+        self.dispatch.crashes_told(&[told], self.now_ms);
+        self.tell(task, RunEvent::Crashed);
+    }
+
+    fn run_of(&self, agent: AgentKey) -> Incarnation {
+        Incarnation(self.agents.iter().position(|known| *known == agent).unwrap() as u64)
+    }
+
+    /// The entry dies, and another one takes its place that agents tell what they know.
+    fn replace_entry(&mut self) {
+        let (dispatch, agents) = entry_with(self.agents.len(), self.now_ms);
+        assert_eq!(agents, self.agents);
+        self.dispatch = dispatch;
+        self.placed.clear();
+        self.jobs.clear();
+        self.begun.clear();
+        self.pass(10);
+        for (&(agent, task), &(crashes, at_ms)) in &self.at_agents {
+            let ago_ms = u32::try_from(self.now_ms - at_ms).unwrap();
+            self.dispatch.crashes_told(
+                &[TaskCrashes { agent: self.run_of(agent), task, crashes, ago_ms }],
+                self.now_ms,
+            );
+        }
+    }
+
     fn answer(&self) -> Option<JobAnswer> {
         self.answers.get(&JOB).copied()
     }
@@ -270,7 +318,8 @@
                 }
                 Command::Stop(_, job) => self.stop(job),
                 Command::Answer(key, answer) => {
-                    self.answers.insert(self.jobs[&key], answer);
+                    let id = self.jobs.remove(&key).unwrap();
+                    self.answers.insert(id, answer);
                 }
                 _ => {}
             }
@@ -297,6 +346,104 @@
     assert_eq!(site.answer(), Some(JobAnswer::Failed));
 }
 
+#[test]
+fn a_crash_that_is_told_and_reported_counts_once() {
+    let mut site = Site::with_job();
+    site.crash_told(task(0));
+    site.crash_told(task(0));
+    site.pass(JUDGED_MS);
+    assert_eq!(site.answer(), None);
+    site.crash_told(task(0));
+    site.pass(JUDGED_MS);
+    assert_eq!(site.answer(), Some(JobAnswer::Failed));
+}
+
+#[test]
+fn a_job_that_crashed_three_upstreams_is_refused_by_another_entry() {
+    let mut site = Site::with_job();
+    (0..MOST_CRASHES).for_each(|_| site.crash_told(task(0)));
+    site.replace_entry();
+    site.submit(JOB, TASKS);
+    assert_eq!(site.answer(), Some(JobAnswer::Unknown { why: GiveUp::Crashing }), "not judged yet");
+    site.pass(JUDGED_MS);
+    site.submit(JOB, TASKS);
+    assert_eq!(site.answer(), Some(JobAnswer::Failed));
+    assert!(site.placed.is_empty());
+}
+
+/// The clock of an entry that has just started counts from its start: a crash before that
+/// seemed to be of now, and its job was not called failed.
+#[test]
+fn a_crash_before_the_entry_started_keeps_its_age() {
+    let (mut dispatch, _) = entry_with(3, 10);
+    for run in 0..3 {
+        let told =
+            TaskCrashes { agent: Incarnation(run), task: task(0), crashes: 1, ago_ms: 5_000 };
+        dispatch.crashes_told(&[told], 10);
+    }
+    assert_eq!(dispatch.submit(request(JOB, 1, 10), 10), Err(JobAnswer::Failed));
+}
+
+/// A caller's copy runs here while the first one crashes upstreams for another entry.
+#[test]
+fn a_copy_is_given_up_by_what_agents_tell() {
+    let mut site = Site::with_job();
+    site.start_all();
+    for run in 0..3 {
+        let told = TaskCrashes { agent: Incarnation(run), task: task(0), crashes: 1, ago_ms: 0 };
+        site.dispatch.crashes_told(&[told], site.now_ms);
+    }
+    site.act();
+    site.pass(JUDGED_MS);
+    assert_eq!(site.answer(), Some(JobAnswer::Failed));
+}
+
+/// An entry that has just started was handed a job before all agents had told it.
+#[test]
+fn one_agent_is_enough_to_tell_of_a_suspect() {
+    let mut first = entry_with(3, 100).0;
+    let told = |run| TaskCrashes { agent: Incarnation(run), task: task(0), crashes: 1, ago_ms: 0 };
+    assert_eq!(first.crashes_told(&[told(0)], 100), [], "one crash makes no suspect");
+    let mut of_suspects = first.crashes_told(&[told(1)], 100);
+    of_suspects.extend(first.crashes_told(&[told(2)], 100));
+    let mut agent = Ledger::new(LedgerLimits::default());
+    agent.crashes_told(&of_suspects, Incarnation(9), 100);
+    let (known, _) = agent.crashes_after(0, Incarnation(9), 600);
+    let mut next = entry_with(3, 600).0;
+    next.crashes_told(&known, 600);
+    assert_eq!(next.submit(request(JOB, 1, 600), 600), Err(JobAnswer::Failed));
+    assert_eq!(first.crashes_told(&known, 600), [], "what goes round comes to rest");
+}
+
+#[test]
+fn the_log_of_crashes_is_bounded_in_time() {
+    let own = Incarnation(5);
+    let mut ledger = running();
+    ledger.lose_upstream(LifeEnd::Crashed);
+    ledger.expire(10);
+    let (told, last) = ledger.crashes_after(0, own, 40);
+    assert_eq!(told, [TaskCrashes { agent: own, task: task(0), crashes: 1, ago_ms: 30 }]);
+    assert_eq!(ledger.crashes_after(last, own, 40), (vec![], last));
+    ledger.crashes_told(&told, own, 40);
+    assert_eq!(ledger.crashes_after(last, own, 40), (vec![], last), "its own");
+    ledger.expire(59_000);
+    assert_eq!(ledger.crashes_after(0, own, 59_000).0.len(), 1);
+    ledger.expire(61_000);
+    assert_eq!(ledger.crashes_after(0, own, 61_000).0, []);
+}
+
+#[test]
+fn the_log_of_crashes_is_bounded_in_number() {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    for index in 0..1_000 {
+        let told = TaskCrashes { agent: Incarnation(1), task: task(index), crashes: 2, ago_ms: 0 };
+        ledger.crashes_told(&[told], Incarnation(5), 100);
+    }
+    let (kept, last) = ledger.crashes_after(0, Incarnation(5), 100);
+    assert_eq!((kept.len(), last), (512, 1_000));
+    assert_eq!(kept.last().unwrap().task, task(999));
+}
+
 #[test]
 fn losses_for_other_causes_count_for_nothing() {
     let mut site = Site::with_job();
@@ -348,6 +495,34 @@
         }
     }
 
+    /// However often entries die and the job is handed in again, no task is started after
+    /// three crashes, and one that crashed three upstreams fails its job.
+    #[test]
+    fn crashes_count_over_the_deaths_of_entries(
+        deaths in vec((any::<bool>(), 0..300_u64), 1..12),
+    ) {
+        let mut site = Site::new(5);
+        for (dies, wait_ms) in deaths {
+            if dies {
+                site.replace_entry();
+            }
+            if site.jobs.is_empty() {
+                site.submit(JOB, 1);
+            }
+            site.start_all();
+            site.crash_told(task(0));
+            site.pass(wait_ms);
+        }
+        let crashes = site.crashes.get(&task(0)).copied().unwrap_or(0);
+        prop_assert!(crashes <= MOST_CRASHES);
+        if crashes == MOST_CRASHES {
+            site.replace_entry();
+            site.pass(JUDGED_MS);
+            site.submit(JOB, 1);
+            prop_assert_eq!(site.answer(), Some(JobAnswer::Failed));
+        }
+    }
+
     /// Jobs beside one that crashes its upstreams run on, however many there are and
     /// whenever the crashes come.
     #[test]
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -13,11 +13,11 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::dispatch::{AgentKey, PoolSeen},
+    sycamorerail_decide::dispatch::{AgentKey, Dispatch, PoolSeen},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
-        runs::{Evacuations, FromRunsAgent, RunsHello, RunsOpening, ToRunsAgent},
+        runs::{Evacuations, FromRunsAgent, RunsHello, RunsOpening, TaskCrashes, ToRunsAgent},
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -52,6 +52,14 @@
         true
     }
 
+    /// Queues a message on all connections.
+    fn tell_all(&self, dispatch: &mut Dispatch, message: &ToRunsAgent, now_ms: u64) {
+        for (&agent, outbox) in &*self.0.lock() {
+            dispatch.message_sent(agent, None, now_ms);
+            outbox.push(message.clone());
+        }
+    }
+
     /// Forgets a connection if it is the present one; returns whether it was.
     fn end(&self, agent: AgentKey, outbox: &Arc<Outbox>) -> bool {
         let mut links = self.0.lock();
@@ -256,9 +264,22 @@
             FromRunsAgent::Holds { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
             }
+            FromRunsAgent::Crashes(told) => self.take_crashes(&told),
         }
     }
 
+    /// Takes note of crashes, and has all agents tell other entries of suspects.
+    fn take_crashes(&self, told: &[TaskCrashes]) {
+        event!(Info, "crashes_told", agent = self.name, tasks = told.len());
+        let service = &self.service;
+        service.change(|dispatch, now_ms| {
+            let suspects = dispatch.crashes_told(told, now_ms);
+            if !suspects.is_empty() {
+                service.links.tell_all(dispatch, &ToRunsAgent::Crashes(suspects), now_ms);
+            }
+        });
+    }
+
     async fn write_on(&self, mut writer: FrameWriter) -> FrameError {
         let mut members = self.service.members.subscribe();
         members.mark_changed();
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -227,6 +227,19 @@
     pub event: RunEvent,
 }
 
+/// Crashes of an agent's upstream while a task ran there, whoever had placed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrashes {
+    /// The run of the agent.
+    pub agent: Incarnation,
+    /// The task.
+    pub task: TaskKey,
+    /// How many.
+    pub crashes: u8,
+    /// How long ago the last one was, in milliseconds.
+    pub ago_ms: u32,
+}
+
 /// Priorities that are told apart in [`UpstreamLoad`].
 pub const PRIORITY_CLASSES: usize = 4;
 
@@ -435,6 +448,9 @@
         /// The revision.
         revision: u64,
     },
+    /// Tasks under which the upstream crashed, and suspects that other entries told of, as
+    /// this one was not told yet. Reports of such ends follow.
+    Crashes(Vec<TaskCrashes>),
 }
 
 /// From an entry to an agent.
@@ -483,4 +499,7 @@
     Evacuations(Evacuations),
     /// The entry holds an older configuration than the agent: send it.
     WantConfiguration,
+    /// Tasks under which upstreams of several agents crashed: to be told to other entries,
+    /// which may be handed their jobs in again.
+    Crashes(Vec<TaskCrashes>),
 }
