Spare upstreams that say that they are slow after their start

`cold_left_ms` of an announcement was not read: an upstream that had just started got as much as the others, until its slow runs showed in what agents tell.

The adapter reads it (absent is 0; anything but a whole number is refused with the field named, and what is known of the upstream holds). The ledger keeps it for the life that said so, 5 s at most an announcement; the agent tells its entries, which add half a task's run time to what they compare upstreams by. Admission is untouched: nothing is refused for it, and where all upstreams are cold all are alike. Without a value, or with 0, nothing is told and nothing changes.

Ruled out: less room offered, as for upstreams on trial; after a loss of power all upstreams are cold, and nine of ten jobs would be refused. There was no other slow start to share.

The adapter's cold test failed in two runs before: the entry's log line came before the change that it tells of (a job in the milliseconds between); it follows it now.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -41,6 +41,10 @@
 /// the most urgent jobs in time, 91.5 % with 30 ms).
 const LOAD_PAUSE: Duration = Duration::from_millis(10);
 
+/// Change of the time until which the upstream is slow that is told: announcements that say
+/// the same arrive a little earlier or later.
+const COLD_NEWS_MS: u64 = 250;
+
 /// How a connection ended.
 #[derive(Debug)]
 pub(super) enum LinkEnd {
@@ -289,6 +293,7 @@
         let life = ledger.proven_life().cloned();
         let now_ms = leased.clock.now_ms();
         let (crashes, last_crash) = ledger.crashes_after(told.crash, leased.incarnation, now_ms);
+        let cold_until_ms = ledger.cold_until_ms(now_ms);
         drop(ledger);
         told.crash = last_crash;
         if !crashes.is_empty() {
@@ -298,6 +303,12 @@
             told.life.clone_from(&life);
             messages.extend(life.map(FromRunsAgent::Upstream));
         }
+        if told.is_cold_news(cold_until_ms) {
+            told.cold_until_ms = cold_until_ms;
+            let left_ms = cold_until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
+            let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+            messages.push(FromRunsAgent::Cold { left_ms });
+        }
         if !told.unlink && !*self.kept.borrow() {
             told.unlink = true;
             messages.push(FromRunsAgent::Unlink);
@@ -364,6 +375,7 @@
     unlink: bool,
     /// Number of the last crash.
     crash: u64,
+    cold_until_ms: Option<u64>,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -380,6 +392,7 @@
             cluster_at: now,
             unlink: false,
             crash: 0,
+            cold_until_ms: None,
             revision: 0,
             load: None,
             load_at: now,
@@ -390,6 +403,14 @@
 }
 
 impl Told {
+    fn is_cold_news(&self, until_ms: Option<u64>) -> bool {
+        match (self.cold_until_ms, until_ms) {
+            (None, None) => false,
+            (Some(told_ms), Some(until_ms)) => told_ms.abs_diff(until_ms) > COLD_NEWS_MS,
+            _ => true,
+        }
+    }
+
     fn next_at(&self) -> Instant {
         if self.load_waits { self.load_at.min(self.beat_at) } else { self.beat_at }
     }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -25,7 +25,7 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{ConfigurationCopy, Evacuations, RunEvent, TaskKey, UpstreamLife},
+        runs::{ConfigurationCopy, Evacuations, LifeId, RunEvent, TaskKey, UpstreamLife},
     },
     tokio::sync::{Notify, watch},
 };
@@ -165,6 +165,11 @@
         }
     }
 
+    /// A life of the upstream announced that it is slow for so many milliseconds more.
+    pub fn announced_cold(self: &Arc<Self>, life: LifeId, left_ms: u64) {
+        self.change(|ledger, now_ms| ledger.announced_cold(life, left_ms, now_ms));
+    }
+
     /// Uses the upstream's life as it was known to an earlier run of this agent, until
     /// the upstream announces itself: a restarted agent then starts tasks at once.
     pub fn remember(self: &Arc<Self>, life: UpstreamLife) {
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -20,6 +20,10 @@
 /// Cost of each percent beyond, in milliseconds: at four of five runs an upstream is
 /// avoided unless others would take a second longer.
 const FAILING_COST_MS: u64 = 20;
+/// Surcharge for an upstream that says it is slow after its start, in percent of a task's
+/// run time: it gets what others would keep waiting longer than that, and no job is refused
+/// for it. How slow it is nobody tells; what it has run shows that soon.
+const COLD_COST_PERCENT: u64 = 50;
 /// Run time on an upstream without the preferred label, in percent.
 const REMOTE_PERCENT: u64 = 150;
 
@@ -60,6 +64,8 @@
     pub load: UpstreamLoad,
     /// Runs of an earlier run of the agent may go on until this time.
     pub old_runs_until_ms: Option<u64>,
+    /// Its upstream says that it is slow until then.
+    pub cold_until_ms: Option<u64>,
     /// What it has heard of us.
     pub echo: Echo,
     unseen: VecDeque<Unseen>,
@@ -91,6 +97,7 @@
             life: None,
             load: UpstreamLoad::default(),
             old_runs_until_ms: None,
+            cold_until_ms: None,
             echo: Echo::new(now_ms),
             unseen: VecDeque::new(),
             unseen_room: Room::default(),
@@ -106,6 +113,7 @@
         self.heard_ms = now_ms;
         self.echo = Echo::new(now_ms);
         self.load.usable = false;
+        self.cold_until_ms = None;
         self.unseen.clear();
         self.unseen_room = Room::default();
         self.unseen_milli_ms = 0;
@@ -207,11 +215,19 @@
         };
         let end_ms = wait_ms + run_ms;
         let blamed = self.load.failing_percent.saturating_sub(FAILING_BORNE_PERCENT);
-        let cost_ms = end_ms + u64::from(blamed) * FAILING_COST_MS;
+        let cost_ms =
+            end_ms + u64::from(blamed) * FAILING_COST_MS + self.cold_cost_ms(asked.run_ms);
         let room_for = free.cpu_milli / asked.need.cpu_milli.max(1);
         Expected { end_ms, cost_ms, wait_ms, room_for, planned: planned.count }
     }
 
+    fn cold_cost_ms(&self, run_ms: u32) -> u64 {
+        if self.cold_until_ms.is_none() {
+            return 0;
+        }
+        u64::from(run_ms) * COLD_COST_PERCENT / 100
+    }
+
     /// Work that goes before a new task of this priority, once the room is taken:
     /// what waits and is as urgent, and what is on its way and finds no room.
     fn ahead_milli_ms(&self, planned: &Planned, priority: u8) -> u64 {
@@ -269,8 +285,8 @@
 pub struct Expected {
     /// Milliseconds until it ends.
     pub end_ms: u64,
-    /// The same with a surcharge for failing runs, to compare upstreams by. Jobs
-    /// whose tasks fail everywhere raise it everywhere.
+    /// The same with surcharges for failing runs and for a slow start, to compare upstreams
+    /// by. Jobs whose tasks fail everywhere raise it everywhere.
     pub cost_ms: u64,
     /// Of these, until it starts.
     pub wait_ms: u64,
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -155,6 +155,20 @@
         }
     }
 
+    /// An agent's upstream is slow after its start for so much longer; 0 where it is not.
+    pub fn set_cold(&mut self, key: AgentKey, left_ms: u32, now_ms: u64) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.cold_until_ms = (left_ms > 0).then(|| now_ms + u64::from(left_ms));
+        }
+    }
+
+    /// Takes note of upstreams that are as fast as others by now.
+    pub(super) fn warm_up(&mut self, now_ms: u64) {
+        for view in self.agents.values_mut() {
+            view.cold_until_ms.take_if(|until_ms| now_ms >= *until_ms);
+        }
+    }
+
     /// Some upstream of an agent's pool has so much, here or elsewhere.
     pub fn set_largest(&mut self, key: AgentKey, room: Room) {
         let life = self.agents.get(key).and_then(|view| view.life.as_ref());
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -317,6 +317,7 @@
     /// and declares lost what silent agents had.
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent(now_ms);
+        self.warm_up(now_ms);
         self.judge_crashing(now_ms);
         self.end_for_stop(now_ms);
         self.end_evacuated();
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -10,6 +10,7 @@
 //! After a restart nothing is known of the runs of the agent before it. They
 //! are stopped first, and nothing is started until none is listed any more.
 
+mod cold;
 mod crash_log;
 mod lives;
 mod load;
@@ -27,6 +28,7 @@
 };
 
 use {
+    cold::Cold,
     crash_log::CrashLog,
     order_fence::OrderFence,
     owners::Owners,
@@ -169,6 +171,7 @@
     failing_percent: u32,
     failing_at_ms: u64,
     crash_log: CrashLog,
+    cold: Option<Cold>,
     decided: Vec<Decided>,
 }
 
@@ -205,6 +208,7 @@
             failing_percent: 0,
             failing_at_ms: 0,
             crash_log: CrashLog::default(),
+            cold: None,
             decided: Vec::new(),
         }
     }
--- /dev/null
+++ b/crates/decide/tests/cold.rs
@@ -0,0 +1,61 @@
+//! Upstreams that say how long they are slow after their start.
+
+use {
+    sycamorerail_decide::ledger::{Ledger, LedgerLimits},
+    sycamorerail_wire::runs::{LifeId, Room, UpstreamLife},
+};
+
+fn life(id: &LifeId) -> UpstreamLife {
+    let capacity = Room { cpu_milli: 32_000, memory_mb: 1_000, accelerators: 0 };
+    let pool = "desk".to_owned();
+    UpstreamLife { id: id.clone(), pool, capacity, labels: Vec::new(), leaving: false }
+}
+
+fn started(started_unix_ms: u64) -> LifeId {
+    LifeId { id: "a".to_owned(), started_unix_ms: Some(started_unix_ms) }
+}
+
+fn ledger() -> Ledger {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(life(&started(1)));
+    ledger
+}
+
+#[test]
+fn a_life_is_cold_for_as_long_as_it_said_last() {
+    let mut ledger = ledger();
+    assert_eq!(ledger.cold_until_ms(100), None);
+    ledger.announced_cold(started(1), 3_000, 100);
+    assert_eq!(ledger.cold_until_ms(3_099), Some(3_100));
+    assert_eq!(ledger.cold_until_ms(3_100), None);
+    ledger.announced_cold(started(1), 1_500, 1_600);
+    assert_eq!(ledger.cold_until_ms(1_600), Some(3_100));
+    ledger.announced_cold(started(1), 0, 1_700);
+    assert_eq!(ledger.cold_until_ms(1_700), None);
+}
+
+#[test]
+fn one_announcement_counts_for_a_few_seconds_at_most() {
+    let mut ledger = ledger();
+    ledger.announced_cold(started(1), u64::MAX, 100);
+    assert_eq!(ledger.cold_until_ms(100), Some(5_100));
+}
+
+/// The next life may announce itself before it answers.
+#[test]
+fn what_a_life_said_counts_for_that_life() {
+    let mut ledger = ledger();
+    ledger.announced_cold(started(2), 3_000, 100);
+    assert_eq!(ledger.cold_until_ms(100), None);
+    ledger.set_upstream(life(&started(2)));
+    assert_eq!(ledger.cold_until_ms(200), Some(3_100));
+    ledger.announced_cold(started(1), 0, 300);
+    assert_eq!(ledger.cold_until_ms(300), Some(3_100), "said by an earlier life");
+}
+
+#[test]
+fn a_life_that_does_not_tell_its_start_is_known_by_its_id() {
+    let mut ledger = ledger();
+    ledger.announced_cold(LifeId::named("a"), 3_000, 100);
+    assert_eq!(ledger.cold_until_ms(100), Some(3_100));
+}
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -463,6 +463,44 @@
     assert_eq!(site.placements()[0].0, agents[2]);
 }
 
+/// An upstream that was slow after its start got as much as the others.
+#[test]
+fn a_cold_upstream_gets_what_others_would_keep_waiting() {
+    let (mut site, agents) = Site::new(&[0, 6_000]);
+    site.dispatch.set_cold(agents[0], 3_000, site.now_ms);
+    site.submit(job(1, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, agents[1]);
+    let full = UpstreamLoad { waiting_milli_ms: [10_000_000, 0, 0, 0], ..load(10_000) };
+    site.dispatch.report(agents[1], &[], full, 0, site.now_ms);
+    site.submit(job(2, vec![step(1)]));
+    assert_eq!(site.placements()[0].0, agents[0]);
+}
+
+#[test]
+fn an_upstream_is_as_good_as_others_once_it_is_warm() {
+    let placed_at = |until_warm: &dyn Fn(&mut Site, AgentKey, &[AgentKey])| {
+        let (mut site, agents) = Site::new(&[0, 0]);
+        site.dispatch.set_cold(agents[0], 500, site.now_ms);
+        until_warm(&mut site, agents[0], &agents);
+        let full = load(9_000);
+        site.dispatch.report(agents[1], &[], full, u64::MAX, site.now_ms);
+        site.submit(job(1, vec![step(1)]));
+        site.placements()[0].0 == agents[0]
+    };
+    assert!(placed_at(&|site, _, agents| site.tick_at(600, agents)));
+    assert!(placed_at(&|site, cold, _| site.dispatch.set_cold(cold, 0, site.now_ms)));
+}
+
+/// Where all upstreams are cold, as after a loss of power, jobs are taken as ever.
+#[test]
+fn cold_upstreams_refuse_nobody() {
+    let (mut site, agents) = Site::new(&[0, 0]);
+    agents.iter().for_each(|&agent| site.dispatch.set_cold(agent, 3_000, site.now_ms));
+    site.submit(job(1, vec![step(6)]));
+    let placed: usize = site.placements().iter().map(|(_, placed)| placed.tasks.len()).sum();
+    assert_eq!(placed, 6);
+}
+
 /// A job of which a task began is finished as long as its result is of use.
 #[test]
 fn a_job_that_began_is_finished_late() {
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -264,10 +264,16 @@
             FromRunsAgent::Holds { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
             }
+            FromRunsAgent::Cold { left_ms } => self.take_cold(left_ms),
             FromRunsAgent::Crashes(told) => self.take_crashes(&told),
         }
     }
 
+    fn take_cold(&self, left_ms: u32) {
+        self.service.change(|dispatch, now_ms| dispatch.set_cold(self.agent, left_ms, now_ms));
+        event!(Info, "upstream_cold", agent = self.name, left_ms = left_ms);
+    }
+
     /// Takes note of crashes, and has all agents tell other entries of suspects.
     fn take_crashes(&self, told: &[TaskCrashes]) {
         event!(Info, "crashes_told", agent = self.name, tasks = told.len());
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -451,6 +451,11 @@
     /// Tasks under which the upstream crashed, and suspects that other entries told of, as
     /// this one was not told yet. Reports of such ends follow.
     Crashes(Vec<TaskCrashes>),
+    /// The upstream says that it is slow after its start, or not any more.
+    Cold {
+        /// Milliseconds from sending until it is as fast as others; 0 now.
+        left_ms: u32,
+    },
 }
 
 /// From an entry to an agent.
