--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -41,6 +41,10 @@
 /// the most urgent jobs in time, 91.5 % with 30 ms).
 const LOAD_PAUSE: Duration = Duration::from_millis(10);
 
+/// Change of the time until which the upstream is slow that is told: announcements that say
+/// the same arrive a little earlier or later.
+const COLD_NEWS_MS: u64 = 250;
+
 /// How a connection ended.
 #[derive(Debug)]
 pub(super) enum LinkEnd {
@@ -229,6 +233,9 @@
                 self.entry_evacuations.lock().clone_from(&told);
                 leased.hold_evacuations(&told);
             }
+            ToRunsAgent::Crashes(told) => leased.change(|ledger, now_ms| {
+                ledger.crashes_told(&told, leased.incarnation, now_ms);
+            }),
             ToRunsAgent::WantConfiguration => self.asked.send_modify(|asked| *asked += 1),
         }
     }
@@ -284,11 +291,24 @@
             reports.into_iter().filter(|report| report.number > told_up_to).collect();
         let load = ledger.load(leased.clock.now_ms());
         let life = ledger.proven_life().cloned();
+        let now_ms = leased.clock.now_ms();
+        let (crashes, last_crash) = ledger.crashes_after(told.crash, leased.incarnation, now_ms);
+        let cold_until_ms = ledger.cold_until_ms(now_ms);
         drop(ledger);
+        told.crash = last_crash;
+        if !crashes.is_empty() {
+            messages.push(FromRunsAgent::Crashes(crashes));
+        }
         if life.is_some() && told.life != life {
             told.life.clone_from(&life);
             messages.extend(life.map(FromRunsAgent::Upstream));
         }
+        if told.is_cold_news(cold_until_ms) {
+            told.cold_until_ms = cold_until_ms;
+            let left_ms = cold_until_ms.map_or(0, |until_ms| until_ms.saturating_sub(now_ms));
+            let left_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+            messages.push(FromRunsAgent::Cold { left_ms });
+        }
         if !told.unlink && !*self.kept.borrow() {
             told.unlink = true;
             messages.push(FromRunsAgent::Unlink);
@@ -353,6 +373,9 @@
     cluster: Option<Cluster>,
     cluster_at: Instant,
     unlink: bool,
+    /// Number of the last crash.
+    crash: u64,
+    cold_until_ms: Option<u64>,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -368,6 +391,8 @@
             cluster: None,
             cluster_at: now,
             unlink: false,
+            crash: 0,
+            cold_until_ms: None,
             revision: 0,
             load: None,
             load_at: now,
@@ -378,6 +403,14 @@
 }
 
 impl Told {
+    fn is_cold_news(&self, until_ms: Option<u64>) -> bool {
+        match (self.cold_until_ms, until_ms) {
+            (None, None) => false,
+            (Some(told_ms), Some(until_ms)) => told_ms.abs_diff(until_ms) > COLD_NEWS_MS,
+            _ => true,
+        }
+    }
+
     fn next_at(&self) -> Instant {
         if self.load_waits { self.load_at.min(self.beat_at) } else { self.beat_at }
     }
