Dispatch: a task that agents refuse again and again rests 50 ms

Callers saw: nothing wrong in their answers, but a copy of a job at another entry, whose task its only agent holds for the first entry, was placed there about 600 times a second until the first run ended.

Cause: a task that an agent refuses is placed again at once, at the same agent where there is no other. The agent refuses what it holds for another entry within a millisecond.

Evidence: real programs, two entries and one agent, a copy 20 ms after the first: 1,781 refusals in 5.2 s in the agent's log, run number 1,601 at the end. Model: 250 placements in 250 ms.

Change: the first refusal goes on at once, as another agent may take the task; from the second in a row on it rests 50 ms, as after refusals by an unhealthy upstream. A start ends the row.

After: six placements in 250 ms (decide `dispatch::a_task_that_is_refused_again_and_again_rests`, red without the change).

--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -44,6 +44,13 @@
 /// VMs fail, and few tasks meet it twice.
 const SUSPECT_CRASHES: u8 = 2;
 
+/// Refusals in a row after which a task rests: the first one sends it to another agent.
+const REFUSALS_AT_ONCE: u32 = 2;
+
+/// A task that agents refuse again and again rests this long, in milliseconds: one that runs
+/// for another entry, or upstreams that refuse all, would be asked a thousand times a second.
+const REST_MS: u64 = 50;
+
 /// A task of a job.
 #[derive(Clone, Debug)]
 pub struct Task {
@@ -57,6 +64,10 @@
     pub crashes: u8,
     /// The agent that gave it back last.
     pub avoid: Option<AgentKey>,
+    /// Refusals by agents since it last began.
+    refusals: u32,
+    /// It is placed nowhere until then.
+    rests_until_ms: u64,
 }
 
 impl Task {
@@ -64,6 +75,19 @@
         matches!(self.state, TaskState::Done | TaskState::Placed { started: true, .. })
     }
 
+    /// Whether it is to be placed.
+    #[must_use]
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        self.state == TaskState::Unplaced && now_ms >= self.rests_until_ms
+    }
+
+    fn refused(&mut self, now_ms: u64) {
+        self.refusals += 1;
+        if self.refusals >= REFUSALS_AT_ONCE {
+            self.rests_until_ms = now_ms + REST_MS;
+        }
+    }
+
     /// Whether upstreams crashed while it ran there so often that it runs apart from others
     /// like it.
     #[must_use]
@@ -150,8 +174,15 @@
     /// A job whose tasks are all unplaced.
     #[must_use]
     pub fn new(request: JobRequest) -> Self {
-        let fresh =
-            Task { state: TaskState::Unplaced, run: 0, failures: 0, crashes: 0, avoid: None };
+        let fresh = Task {
+            state: TaskState::Unplaced,
+            run: 0,
+            failures: 0,
+            crashes: 0,
+            avoid: None,
+            refusals: 0,
+            rests_until_ms: 0,
+        };
         let tasks = request.steps.iter().map(|step| vec![fresh.clone(); step.count.into()]);
         let tasks = tasks.collect();
         let open = request.steps.iter().map(|step| step.count).collect();
@@ -331,6 +362,7 @@
         run: u32,
         event: RunEvent,
         from: AgentKey,
+        now_ms: u64,
     ) -> Option<Outcome> {
         let step = usize::from(key.step);
         let max_attempts = self.request.kind.max_attempts.max(1);
@@ -342,6 +374,7 @@
         let outcome = match event {
             RunEvent::Started => {
                 task.state = TaskState::Placed { agent, started: true, since_ms, recalled: false };
+                task.refusals = 0;
                 self.may_have_run = true;
                 return Some(Outcome::Nothing);
             }
@@ -376,8 +409,10 @@
             }
             RunEvent::NotStarted(why) => {
                 task.give_back(from);
-                if why == NotStarted::OldRun {
-                    task.run += OLD_RUN_STEP;
+                match why {
+                    NotStarted::OldRun => task.run += OLD_RUN_STEP,
+                    NotStarted::Refused => task.refused(now_ms),
+                    _ => {}
                 }
                 Outcome::PlaceAgain
             }
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -191,7 +191,7 @@
     fn apply(&mut self, agent: AgentKey, task: TaskKey, run: u32, event: RunEvent, now_ms: u64) {
         let Some(&key) = self.by_id.get(&task.job) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
-        let Some(outcome) = job.apply(task, run, event, agent) else { return };
+        let Some(outcome) = job.apply(task, run, event, agent, now_ms) else { return };
         if let RunEvent::Done { run_ms } = event {
             let estimate_ms = job.request.steps[usize::from(task.step)].run_ms;
             let kind = Arc::clone(&job.request.kind);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -199,7 +199,7 @@
         let mut taken = self.agents_with_suspects(job, step);
         let mut plan = Vec::new();
         for (index, task) in job.tasks[step].iter().enumerate() {
-            if task.state != TaskState::Unplaced {
+            if !task.is_due(now_ms) {
                 continue;
             }
             let kept_free = if task.is_suspect() { &*taken } else { &[] };
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -651,6 +651,23 @@
     assert!(site.placements()[0].1.finishing);
 }
 
+/// A copy of a job that ran for another entry was placed at its agent every millisecond.
+#[test]
+fn a_task_that_is_refused_again_and_again_rests() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(1)]));
+    let refused = RunEvent::NotStarted(NotStarted::Refused);
+    let mut placed = Vec::new();
+    for now_ms in 100..350 {
+        site.tick_at(now_ms, &agents);
+        for (agent, placement) in site.placements() {
+            placed.push(now_ms);
+            site.tell(agent, task(1, 0, 0), placement.tasks[0].run, refused);
+        }
+    }
+    assert_eq!(placed, [100, 101, 151, 201, 251, 301]);
+}
+
 #[test]
 fn a_refusal_without_a_forecast_does_not_tell_that_of_another_job() {
     let (mut site, _) = Site::new(&[0]);
