--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,7 +5,8 @@
 #   scripts/soak.sh FIRST_SEED [COUNT]   default: 50 seeds
 #
 # Environment:
-#   PLANS="promises_hold_under_random_faults planned_stops_lose_nothing"
+#   PLANS="promises_hold_under_random_faults planned_stops_lose_nothing
+#          promises_hold_while_agents_know_little"
 #   SOAK_SECONDS=15  SOAK_ENTRIES, SOAK_AGENTS, SOAK_LANES as for the test
 #   OUT=DIR            default bench-results/soak
 set -euo pipefail
@@ -14,7 +15,11 @@
 first=${1:?first seed}
 count=${2:-50}
 out=${OUT:-bench-results/soak}
-read -ra plans <<< "${PLANS:-promises_hold_under_random_faults planned_stops_lose_nothing}"
+plans=(promises_hold_under_random_faults planned_stops_lose_nothing
+    promises_hold_while_agents_know_little)
+if [ -n "${PLANS:-}" ]; then
+    read -ra plans <<< "$PLANS"
+fi
 export SOAK_SECONDS=${SOAK_SECONDS:-15} RUST_BACKTRACE=0
 mkdir -p "$out"
 cargo test -p sycamorerail-adapter --test soak --locked --no-run
