--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -134,6 +134,16 @@
         send(call, SIDE_CALL).await.and_then(|(status, body)| Reply::Told(change(status, &body)))
     }
 
+    /// Evacuates a data centre, or takes it back.
+    pub async fn say(&self, entry: SocketAddr, data_centre: &str, evacuated: bool) -> Reply<()> {
+        let method = if evacuated { Method::PUT } else { Method::DELETE };
+        let call = self.call(method, entry, &format!("evacuations/{data_centre}"));
+        send(call, SIDE_CALL).await.and_then(|(status, body)| match status {
+            StatusCode::OK => Reply::Told(()),
+            _ => refused(status, &body),
+        })
+    }
+
     /// What is in force by entry, as one entry sees it.
     pub async fn rollout(&self, entry: SocketAddr) -> Reply<Rollout> {
         let call = self.call(Method::GET, entry, "rollout");
