--- a/crates/decide/tests/cold.rs
+++ b/crates/decide/tests/cold.rs
@@ -8,7 +8,8 @@
 fn life(id: &LifeId) -> UpstreamLife {
     let capacity = Room { cpu_milli: 32_000, memory_mb: 1_000, accelerators: 0 };
     let pool = "desk".to_owned();
-    UpstreamLife { id: id.clone(), pool, capacity, labels: Vec::new(), leaving: false }
+    let (id, labels) = (id.clone(), Vec::new());
+    UpstreamLife { id, order_fence: 0, pool, capacity, labels, leaving: false }
 }
 
 fn started(started_unix_ms: u64) -> LifeId {
