Tests: a stop that is lost with its connection is not sent again (known red)

A caller was told `unknown`, sent a copy 1.3 s later at another entry, and two tasks of its job ran twice at once: the first ones ran to their end, 7 s, though their job had been given up after 3 s.

Cause: an entry sends a stop once, over the present connection. Where that one is dead the agent notices after 0.9 s, connects again within 5 ms and tells that it holds the runs; it is heard again before it takes the entry for silent, and the entry compares what is held with what it has placed, but does not ask whether the job is over. Nothing stops the runs any more.

--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -668,6 +668,28 @@
     assert_eq!(placed, [100, 101, 151, 201, 251, 301]);
 }
 
+/// A stop was lost with its connection: the task ran on beside a copy of its job.
+#[test]
+fn what_is_over_is_stopped_again_on_a_new_connection() {
+    let (mut site, agents) = Site::new(&[0]);
+    let held = [(task(1, 0, 0), 1)];
+    let key = site.submit(job(1, vec![step(1)]));
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Started);
+    let connect = |site: &mut Site| {
+        site.dispatch.take_commands();
+        site.dispatch.agent_disconnected(agents[0]);
+        site.dispatch.agent_connected("agent-0", Incarnation(1), Some(&held), site.now_ms);
+        site.dispatch.agent_ready(agents[0], site.now_ms);
+        site.dispatch.take_commands()
+    };
+    let stop = Command::Stop(agents[0], CallerId(1));
+    assert_eq!(connect(&mut site), [], "it is not over");
+    site.dispatch.cancel(key);
+    assert_eq!(connect(&mut site), std::slice::from_ref(&stop), "it is being ended");
+    site.tell(agents[0], task(1, 0, 0), 1, RunEvent::Lost);
+    assert_eq!(connect(&mut site), [stop], "it was answered");
+}
+
 #[test]
 fn a_refusal_without_a_forecast_does_not_tell_that_of_another_job() {
     let (mut site, _) = Site::new(&[0]);
