Dispatch: what is over is stopped again as its agent connects anew

Callers saw: told unknown, a caller sent a copy 1.3 s later at another entry, and two tasks ran twice at once: the first ones ran on for 7 s, though their job had been given up after 3 s.

Cause: a stop is sent once, over the present connection. Where that one is dead the agent connects again after 0.9 s and tells what it holds; the entry compared that with what it had placed and did not ask whether the job is over.

Change: as an agent connects, jobs of which it holds runs and that are over, or being ended, are stopped there. A job that is open under the same id is left alone.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,11 +1,14 @@
 //! Agents that connect, report, fall silent and come back.
 
 use {
-    super::{AgentKey, AgentView, Dispatch, PoolSeen},
+    super::{AgentKey, AgentView, Command, Dispatch, PoolSeen},
     crate::rendezvous::weight,
+    std::collections::BTreeSet,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad},
+        runs::{
+            CallerId, Placement, Room, RunEvent, RunReport, TaskKey, UpstreamLife, UpstreamLoad,
+        },
     },
 };
 
@@ -121,10 +124,24 @@
             view.old_runs_until_ms = Some(now_ms + self.limits.lost_ms);
         } else if let Some(held) = held {
             self.lose_runs(key, |task, run| !held.contains(&(task, run)), now_ms);
+            self.stop_what_is_over(key, held);
         }
         key
     }
 
+    /// Stops what an agent holds of jobs that are over or being ended: a stop is lost with
+    /// the connection that carried it.
+    fn stop_what_is_over(&mut self, agent: AgentKey, held: &[(TaskKey, u32)]) {
+        let jobs: BTreeSet<_> = held.iter().map(|(task, _)| task.job).collect();
+        let is_open = |job: &CallerId| {
+            let job = self.find(*job).and_then(|key| self.jobs.get(key));
+            job.is_some_and(|job| job.ending.is_none())
+        };
+        let over = jobs.into_iter().filter(|job| !is_open(job));
+        let stops: Vec<_> = over.map(|job| Command::Stop(agent, job)).collect();
+        self.commands.extend(stops);
+    }
+
     /// The connection of [`Self::agent_connected`] is in use from now on.
     pub fn agent_ready(&mut self, key: AgentKey, now_ms: u64) {
         if let Some(view) = self.agents.get_mut(key) {
