Crashes: one conversion of their times, one length for which they count; nothing is looked up where none are known

Agents and entries converted ages to times and back each for itself, and kept a constant each. Each job that came made a list of its tasks to look for crashes although none were known.

--- a/crates/decide/src/dispatch/crashes.rs
+++ b/crates/decide/src/dispatch/crashes.rs
@@ -6,6 +6,7 @@
         AgentKey, Dispatch, GiveUp, Job, JobAnswer, JobKey,
         job::{Ending, SUSPECT_CRASHES},
     },
+    crate::ledger::CRASHES_KEPT_MS,
     std::collections::{HashMap, HashSet},
     sycamorerail_wire::{
         ids::Incarnation,
@@ -16,8 +17,6 @@
 /// Tasks of which crashes are known, at most; those that crashed last. All that runs on 240
 /// upstreams of ten tasks each fits, in less than 1 MB.
 const MAX_TASKS: usize = 4_096;
-/// Crashes count for so long: callers whose entry died hand a job in again within seconds.
-const KEPT_MS: i64 = 60_000;
 /// Crashes of upstreams within so long of each other may have one cause.
 const TOGETHER_MS: u64 = 500;
 /// Other upstreams that crash about then, at most, where the task is the likely cause: a
@@ -71,7 +70,7 @@
     }
 
     fn expire(&mut self, now_ms: u64) {
-        self.0.retain(|_, known| (now_ms as i64) < last_ms(known) + KEPT_MS);
+        self.0.retain(|_, known| (now_ms as i64) < last_ms(known) + CRASHES_KEPT_MS);
     }
 
     fn of(&self, task: TaskKey) -> impl Iterator<Item = &AtAgent> {
@@ -81,8 +80,7 @@
     /// What is known of a task, to be told.
     fn told_of(&self, task: TaskKey, now_ms: u64) -> impl Iterator<Item = TaskCrashes> {
         self.of(task).map(move |&AtAgent { agent, count, last_ms }| {
-            let ago_ms = u32::try_from((now_ms as i64 - last_ms).max(0)).unwrap_or(u32::MAX);
-            TaskCrashes { agent, task, crashes: count, ago_ms }
+            TaskCrashes::until(last_ms, (agent, task, count), now_ms)
         })
     }
 
@@ -119,9 +117,10 @@
     /// Returns what is new of suspects, for all agents: they tell it to other entries.
     pub fn crashes_told(&mut self, told: &[TaskCrashes], now_ms: u64) -> Vec<TaskCrashes> {
         let mut suspects = Vec::new();
-        for &TaskCrashes { agent, task, crashes, ago_ms } in told {
-            let last_ms = now_ms as i64 - i64::from(ago_ms);
-            let is_news = self.crashes.learn(task, AtAgent { agent, count: crashes, last_ms });
+        for told in told {
+            let &TaskCrashes { agent, task, crashes: count, .. } = told;
+            let last_ms = told.last_ms(now_ms);
+            let is_news = self.crashes.learn(task, AtAgent { agent, count, last_ms });
             if is_news && self.crashes.count(task) >= SUSPECT_CRASHES {
                 suspects.extend(self.crashes.told_of(task, now_ms));
             }
@@ -157,6 +156,9 @@
     /// What is known of a job's tasks as it comes; its answer, if one of them has crashed too
     /// many upstreams already.
     pub(super) fn recall_crashes(&self, job: &mut Job, now_ms: u64) -> Option<JobAnswer> {
+        if self.crashes.0.is_empty() {
+            return None;
+        }
         let keys: Vec<_> = job.keys().collect();
         for &task in &keys {
             job.crashes_told(task, self.crashes.count(task));
--- a/crates/decide/src/dispatch/stop.rs
+++ b/crates/decide/src/dispatch/stop.rs
@@ -8,6 +8,7 @@
 /// Jobs that are given up for a stop are answered within this: an upstream takes 50 ms for a
 /// stop and lists its end within 40 ms, the rest is the way to agents and back.
 pub const STOP_ANSWER_MS: u64 = 150;
+
 impl Dispatch {
     /// The entry stops: from now on jobs that cannot surely end by this time are refused.
     /// Those that run longer are given up then, and answered within [`STOP_ANSWER_MS`].
--- a/crates/decide/src/ledger/crash_log.rs
+++ b/crates/decide/src/ledger/crash_log.rs
@@ -12,9 +12,8 @@
 /// Tasks that are remembered, at most; those that were noted last. All that an upstream runs
 /// at once fits many times.
 const MAX_TASKS: usize = 512;
-/// They are remembered for so long: callers whose entry died hand a job in again within
-/// seconds.
-const KEPT_MS: u64 = 60_000;
+/// Crashes count for so long: callers whose entry died hand a job in again within seconds.
+pub(crate) const CRASHES_KEPT_MS: i64 = 60_000;
 
 #[derive(Clone, Copy, Debug)]
 struct Noted {
@@ -44,9 +43,9 @@
 
     /// An entry told of a crash elsewhere.
     pub(super) fn learn(&mut self, told: &TaskCrashes, now_ms: u64) {
-        let &TaskCrashes { agent, task, crashes, ago_ms } = told;
+        let &TaskCrashes { agent, task, crashes, .. } = told;
         if crashes > self.known(Some(agent), task) {
-            self.replace(Some(agent), task, crashes, Some(now_ms as i64 - i64::from(ago_ms)));
+            self.replace(Some(agent), task, crashes, Some(told.last_ms(now_ms)));
         }
     }
 
@@ -76,7 +75,7 @@
         for noted in &mut self.noted {
             noted.at_ms.get_or_insert(now_ms);
         }
-        self.noted.retain(|noted| noted.at_ms.is_none_or(|at_ms| now_ms < at_ms + KEPT_MS as i64));
+        self.noted.retain(|noted| noted.at_ms.is_none_or(|at_ms| now_ms < at_ms + CRASHES_KEPT_MS));
     }
 
     /// Notes above this number, as those of this run of the agent.
@@ -86,9 +85,8 @@
         }
         let newer = self.noted.iter().filter(|noted| noted.number > number);
         let told = newer.map(|&Noted { agent, task, crashes, at_ms, .. }| {
-            let ago_ms = at_ms.map_or(0, |at_ms| now_ms as i64 - at_ms);
-            let ago_ms = u32::try_from(ago_ms.max(0)).unwrap_or(u32::MAX);
-            TaskCrashes { agent: agent.unwrap_or(own), task, crashes, ago_ms }
+            let last_ms = at_ms.unwrap_or(now_ms as i64);
+            TaskCrashes::until(last_ms, (agent.unwrap_or(own), task, crashes), now_ms)
         });
         told.collect()
     }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -27,6 +27,8 @@
     },
 };
 
+pub(crate) use crash_log::CRASHES_KEPT_MS;
+
 use {
     cold::Cold,
     crash_log::CrashLog,
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -240,6 +240,25 @@
     pub ago_ms: u32,
 }
 
+impl TaskCrashes {
+    /// So many crashes, the last of them at this time of the own clock.
+    #[must_use]
+    pub fn until(
+        last_ms: i64,
+        (agent, task, crashes): (Incarnation, TaskKey, u8),
+        now_ms: u64,
+    ) -> Self {
+        let ago_ms = u32::try_from((now_ms as i64 - last_ms).max(0)).unwrap_or(u32::MAX);
+        Self { agent, task, crashes, ago_ms }
+    }
+
+    /// When the last one was by the own clock, maybe before that began.
+    #[must_use]
+    pub fn last_ms(&self, now_ms: u64) -> i64 {
+        now_ms as i64 - i64::from(self.ago_ms)
+    }
+}
+
 /// Priorities that are told apart in [`UpstreamLoad`].
 pub const PRIORITY_CLASSES: usize = 4;
 
