--- a/crates/entry/src/admin/change.rs
+++ b/crates/entry/src/admin/change.rs
@@ -4,6 +4,7 @@
     super::{
         Admin,
         condition::Condition,
+        on_its_own,
         operator::Operator,
         reply::{ChangeBody, INVALID_TEMPLATE, Problem, Reply},
     },
@@ -168,16 +169,11 @@
         published_unix_ms: Clock::unix_ms(),
     };
     let change = Change { organisation: name.to_owned(), base: condition.base, action, stamp };
-    // On its own, so that an operator who hangs up does not leave it half done.
     let publisher = admin.publisher.clone();
-    let publishing = tokio::spawn(async move { publisher.publish(&change).await });
-    let Some(published) = shared.lifecycle.before_end(publishing).await else {
-        let detail = "stopping; the platform has not answered, and the change may take effect";
-        return Err(Problem::draining(Outcome::InDoubt, detail).of_change(condition.change_id));
-    };
-    let accepted = published.map_err(|err| {
-        Problem::new(Status::InternalServerError, Reason::Invalid, err.to_string())
-    })??;
+    let publishing = async move { publisher.publish(&change).await };
+    let detail = "stopping; the platform has not answered, and the change may take effect";
+    let doubt = Problem::draining(Outcome::InDoubt, detail).of_change(condition.change_id);
+    let accepted = on_its_own(shared, publishing, doubt).await??;
     tell_peers(admin, shared, accepted.mark);
     let revision = accepted.revision;
     Ok(Reply::json(&ChangeBody::from(accepted)).of_revision(revision))
--- a/crates/entry/src/admin/evacuation.rs
+++ b/crates/entry/src/admin/evacuation.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Admin,
+        Admin, on_its_own,
         operator::Operator,
         reply::{Problem, Reply},
     },
@@ -10,7 +10,7 @@
         shared::Shared,
         upstreams::{self, Agent},
     },
-    rocket::{State, delete, get, http::Status, put},
+    rocket::{State, delete, get, put},
     serde::Serialize,
     std::{collections::BTreeSet, sync::Arc},
     sycamorerail_clock::Clock,
@@ -20,7 +20,7 @@
     },
     sycamorerail_settings::{FieldError, rules::is_name},
     sycamorerail_templates::new_change_id,
-    sycamorerail_wire::answer::{Outcome, Reason},
+    sycamorerail_wire::answer::Outcome,
 };
 
 /// A word that was taken, or that stood already.
@@ -105,15 +105,9 @@
         changed_unix_ms: now_unix_ms,
     };
     let (platform, data_centre) = (admin.platform.clone(), name.to_owned());
-    // On its own, so that an operator who hangs up does not leave it half done.
-    let saying = tokio::spawn(async move { evacuation::say(&platform, &data_centre, &word).await });
-    let Some(said) = shared.lifecycle.before_end(saying).await else {
-        let detail = "stopping; the platform has not answered, and the word may take effect";
-        return Err(Problem::draining(Outcome::InDoubt, detail));
-    };
-    let said = said.map_err(|err| {
-        Problem::new(Status::InternalServerError, Reason::Invalid, err.to_string())
-    })?;
+    let saying = async move { evacuation::say(&platform, &data_centre, &word).await };
+    let detail = "stopping; the platform has not answered, and the word may take effect";
+    let said = on_its_own(shared, saying, Problem::draining(Outcome::InDoubt, detail)).await?;
     admin.in_force.mirror().poke();
     let Standing { record, revision, changed } = said?;
     Ok(Reply::json(&Said { data_centre: name.to_owned(), changed, revision, record }))
--- a/crates/entry/src/admin/mod.rs
+++ b/crates/entry/src/admin/mod.rs
@@ -11,12 +11,14 @@
 mod status;
 
 use {
-    crate::{organisations::TokenHash, peers::Peers},
-    rocket::{Build, Rocket, routes},
+    crate::{organisations::TokenHash, peers::Peers, shared::Shared},
+    reply::Problem,
+    rocket::{Build, Rocket, http::Status, routes},
     std::{collections::HashMap, sync::Arc},
     sycamorerail_platform::Platform,
     sycamorerail_settings::entry::TokenSettings,
     sycamorerail_templates::{InForce, Publisher},
+    sycamorerail_wire::answer::Reason,
 };
 
 /// What the administration needs.
@@ -48,6 +50,17 @@
     }
 }
 
+/// Makes a change on a task of its own, so that an operator who hangs up does not leave it
+/// half done. `doubt` is the answer if it is not done as a planned stop ends.
+async fn on_its_own<T: Send + 'static>(
+    shared: &Shared,
+    change: impl Future<Output = T> + Send + 'static,
+    doubt: Problem,
+) -> Result<T, Problem> {
+    let made = shared.lifecycle.before_end(tokio::spawn(change)).await.ok_or(doubt)?;
+    made.map_err(|err| Problem::new(Status::InternalServerError, Reason::Invalid, err.to_string()))
+}
+
 /// Adds the administration to an entry's HTTP server.
 #[must_use]
 pub fn mount(rocket: Rocket<Build>, admin: Arc<Admin>) -> Rocket<Build> {
