--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -7,7 +7,7 @@
     },
     futures::{StreamExt, stream::FuturesUnordered},
     std::{sync::Arc, time::Duration},
-    sycamorerail_decide::ledger::{LeaseAnswer, LifeEnd},
+    sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LifeEnd},
     sycamorerail_telemetry::event,
     sycamorerail_wire::runs::LifeId,
     tokio::time::{Instant, sleep_until},
@@ -189,21 +189,20 @@
 
 async fn renew(leased: &Leased, life: &LifeId, wait_ms: u32, acknowledges: bool) -> Renewed {
     let sent_ms = leased.clock.now_ms();
-    let (authority, is_fenced) = {
+    let (fence, is_fenced, renewal) = {
         let ledger = leased.ledger.lock();
-        (Authority { life: life.clone(), fence: ledger.fence() }, ledger.is_fenced())
-    };
-    let fence = authority.fence;
-    let renewal = if is_fenced {
-        renewal(leased, wait_ms, acknowledges, sent_ms)
-    } else {
-        Renewal { lease_until_clock_ms: None, acknowledged: 0, wait_ms: 0 }
+        let renewal = if ledger.is_fenced() {
+            renewal(&ledger, wait_ms, acknowledges, sent_ms)
+        } else {
+            Renewal { lease_until_clock_ms: None, acknowledged: 0, wait_ms: 0 }
+        };
+        (ledger.fence(), ledger.is_fenced(), renewal)
     };
+    let authority = Authority { life: life.clone(), fence };
     Renewed { sent_ms, fence, is_fenced, answer: leased.port.renew(authority, renewal).await }
 }
 
-fn renewal(leased: &Leased, wait_ms: u32, acknowledges: bool, now_ms: u64) -> Renewal {
-    let ledger = leased.ledger.lock();
+fn renewal(ledger: &Ledger, wait_ms: u32, acknowledges: bool, now_ms: u64) -> Renewal {
     Renewal {
         lease_until_clock_ms: ledger.lease_until_clock_ms(now_ms),
         acknowledged: if acknowledges { ledger.acknowledged() } else { 0 },
--- a/crates/entry/src/jobs/table.rs
+++ b/crates/entry/src/jobs/table.rs
@@ -144,7 +144,7 @@
             return self.running();
         }
         let undecided = self.running_where(|key| !retired.contains(&key.incarnation));
-        u32::try_from(undecided.len()).unwrap_or(u32::MAX)
+        u32::try_from(undecided.count()).unwrap_or(u32::MAX)
     }
 
     /// Bytes of records, refused ids included.
@@ -179,23 +179,24 @@
     /// All jobs that have no answer.
     #[must_use]
     pub fn all_running(&self) -> Vec<Arc<JobCell>> {
-        self.running_where(|_| true)
+        self.running_where(|_| true).collect()
     }
 
     /// All jobs of a run that have no answer.
     #[must_use]
     pub fn running_of(&self, incarnation: Incarnation) -> Vec<Arc<JobCell>> {
-        self.running_where(|key| key.incarnation == incarnation)
+        self.running_where(|key| key.incarnation == incarnation).collect()
     }
 
-    fn running_where(&self, wanted: impl Fn(&JobKey) -> bool) -> Vec<Arc<JobCell>> {
-        let found = self.records.iter().filter(|record| wanted(record.key()));
-        found
-            .filter_map(|record| match record.value() {
-                Record::Running(cell) => Some(Arc::clone(cell)),
-                Record::Answered { .. } => None,
-            })
-            .collect()
+    fn running_where(
+        &self,
+        wanted: impl Fn(&JobKey) -> bool,
+    ) -> impl Iterator<Item = Arc<JobCell>> {
+        let found = self.records.iter().filter(move |record| wanted(record.key()));
+        found.filter_map(|record| match record.value() {
+            Record::Running(cell) => Some(Arc::clone(cell)),
+            Record::Answered { .. } => None,
+        })
     }
 
     pub(super) fn find(&self, id: &JobId) -> Found {
