Entries count copies of the configuration and log that an agent holds a later one

The collected logs and metrics of the incident could not tell copies from agents apart from answers of the store, nor that an entry knew of a revision that it lacked. Counters of requests and of copied bytes, each way; one event a revision. No change of what is sent.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -315,7 +315,7 @@
             sent.unlink_sent = true;
             messages.push(FromRunsAgent::Unlink);
         }
-        let revision = agent.configuration.lock().as_ref().map_or(0, |copy| copy.revision);
+        let revision = agent.configuration_revision();
         if revision > self.entry_revision.load(Ordering::Acquire) && revision > sent.revision {
             sent.revision = revision;
             messages.push(FromRunsAgent::ConfigurationRevision { revision });
@@ -427,6 +427,6 @@
         last_heard_entry: last_entry,
         held_runs: last_entry.map(|entry| ledger.held_runs(entry)).unwrap_or_default(),
         unconfirmed_reports: last_entry.map(|entry| ledger.reports(entry)).unwrap_or_default(),
-        configuration_revision: agent.configuration.lock().as_ref().map_or(0, |copy| copy.revision),
+        configuration_revision: agent.configuration_revision(),
     }
 }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -132,6 +132,12 @@
         self.links.connected()
     }
 
+    /// Returns the revision of the configuration that the agent holds, or 0 if it holds none.
+    #[must_use]
+    pub fn configuration_revision(&self) -> u64 {
+        self.configuration.lock().as_ref().map_or(0, |copy| copy.revision)
+    }
+
     /// Returns a receiver of the last announced instance that has answered a renewal.
     #[must_use]
     pub fn subscribe_instance(&self) -> watch::Receiver<Option<UpstreamInstance>> {
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -174,6 +174,7 @@
             run = hello.agent,
             held = hello.held_runs.len()
         );
+        service.note_known_revision(&hello.name, hello.configuration_revision);
         let confirmed =
             if same { hello.unconfirmed_reports.last().map_or(0, |last| last.number) } else { 0 };
         Self {
@@ -262,6 +263,7 @@
                     agent = self.name,
                     revision = copy.revision
                 );
+                count_copied("received", copy.value.len());
                 self.service.hold_configuration(copy);
             }
             FromRunsAgent::Evacuations(told) => {
@@ -270,6 +272,7 @@
             }
             FromRunsAgent::ConfigurationRevision { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
+                self.service.note_known_revision(&self.name, revision);
             }
             FromRunsAgent::Cold { left_ms } => self.take_cold(left_ms),
             FromRunsAgent::Crashes(told) => self.take_crashes(&told),
@@ -359,6 +362,7 @@
         let own = held.as_ref().map_or(0, |held| held.revision);
         let theirs = self.agent_revision.load(Ordering::Acquire);
         if theirs > own {
+            metrics::counter!("sycamorerail_configuration_requests_total").increment(1);
             self.tell(ToRunsAgent::RequestConfiguration);
         } else if let Some(held) = held.filter(|_| own > theirs) {
             if *wait_beats == 0 {
@@ -367,6 +371,7 @@
             *wait_beats -= 1;
             if *wait_beats == 0 {
                 self.agent_revision.fetch_max(own, Ordering::AcqRel);
+                count_copied("sent", held.value.len());
                 self.tell(ToRunsAgent::Configuration((*held).clone()));
             }
         } else {
@@ -374,3 +379,9 @@
         }
     }
 }
+
+/// Counts bytes of configurations that agents were sent or have sent.
+fn count_copied(way: &'static str, bytes: usize) {
+    metrics::counter!("sycamorerail_configuration_copied_bytes_total", "way" => way)
+        .increment(bytes as u64);
+}
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -15,7 +15,15 @@
     cluster::{AgentsEntries, Cluster},
     parking_lot::Mutex,
     rand::Rng,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     sycamorerail_clock::Clock,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
@@ -61,6 +69,8 @@
     links: links::Links,
     /// The newest configuration held, to pass on.
     pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
+    /// Highest revision of the configuration that agents were heard to hold.
+    known_revision: AtomicU64,
     /// Evacuated data centres in force, to pass on.
     pub(crate) evacuations: watch::Sender<Evacuations>,
     cluster: Mutex<Cluster>,
@@ -95,6 +105,7 @@
             clock,
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
+            known_revision: AtomicU64::new(0),
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
@@ -168,6 +179,15 @@
         });
     }
 
+    /// Logs that an agent holds a newer configuration than this entry, once a revision.
+    fn note_known_revision(&self, agent: &str, revision: u64) {
+        let held = self.configuration.borrow().as_ref().map_or(0, |held| held.revision);
+        let known = self.known_revision.fetch_max(revision, Ordering::AcqRel);
+        if revision > known.max(held) {
+            event!(Info, "configuration_behind", agent = agent, revision = revision, held = held);
+        }
+    }
+
     /// Wakes when a newer configuration is held, from wherever.
     #[must_use]
     pub fn configurations(&self) -> watch::Receiver<Option<Arc<ConfigurationCopy>>> {
