--- a/crates/soak/src/tcp_relay.rs
+++ b/crates/soak/src/tcp_relay.rs
@@ -1,5 +1,5 @@
 //! A relay before a TCP address, so that connections can be delayed, held up in
-//! one direction, silenced for good, or reset.
+//! one direction, slowed down together, silenced for good, or reset.
 
 use {
     parking_lot::Mutex,
@@ -17,7 +17,7 @@
         },
         sync::watch,
         task::{JoinHandle, JoinSet},
-        time::sleep,
+        time::{Instant, sleep, sleep_until},
     },
 };
 
@@ -85,6 +85,28 @@
     }
 }
 
+/// A link that all connections share, each way by itself.
+#[derive(Debug, Default)]
+struct SharedLink {
+    /// Bytes that pass a second; none for as many as come.
+    bytes_per_s: Option<u32>,
+    /// When the bytes before have passed, to the target and from it.
+    free_at: [Option<Instant>; 2],
+}
+
+impl SharedLink {
+    /// Takes the next place of so many bytes; returns when they have passed.
+    fn pass(&mut self, way: Way, bytes: usize) -> Option<Instant> {
+        let bytes_per_s = f64::from(self.bytes_per_s?);
+        let free_at = &mut self.free_at[way as usize];
+        let now = Instant::now();
+        let begins = free_at.map_or(now, |free_at| free_at.max(now));
+        let ends = begins + Duration::from_secs_f64(bytes as f64 / bytes_per_s);
+        *free_at = Some(ends);
+        Some(ends)
+    }
+}
+
 /// What becomes of connections that are open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fate {
@@ -98,6 +120,7 @@
 pub struct TcpRelay {
     address: SocketAddr,
     passages: watch::Sender<Passages>,
+    link: Arc<Mutex<SharedLink>>,
     open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
     accepting: JoinHandle<()>,
 }
@@ -118,10 +141,11 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let passages = watch::Sender::new(Passages::default());
+        let link = Arc::<Mutex<SharedLink>>::default();
         let open = Arc::<Mutex<Vec<_>>>::default();
-        let accepting =
-            tokio::spawn(accept(listener, target, passages.subscribe(), Arc::clone(&open)));
-        Ok(Self { address, passages, open, accepting })
+        let carrier = Carrier { target, passages: passages.subscribe(), link: Arc::clone(&link) };
+        let accepting = tokio::spawn(accept(listener, carrier, Arc::clone(&open)));
+        Ok(Self { address, passages, link, open, accepting })
     }
 
     /// Where it listens.
@@ -145,6 +169,11 @@
         });
     }
 
+    /// Lets so many bytes a second pass each way, of all connections together.
+    pub fn limit(&self, bytes_per_s: u32) {
+        self.link.lock().bytes_per_s = Some(bytes_per_s);
+    }
+
     /// Resets all connections that are open.
     pub fn reset(&self) {
         self.decide(Fate::Reset);
@@ -164,10 +193,17 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
+/// What each connection is carried by.
+#[derive(Clone)]
+struct Carrier {
     target: SocketAddr,
     passages: watch::Receiver<Passages>,
+    link: Arc<Mutex<SharedLink>>,
+}
+
+async fn accept(
+    listener: TcpListener,
+    carrier: Carrier,
     open: Arc<Mutex<Vec<watch::Sender<Fate>>>>,
 ) {
     let mut connections = JoinSet::new();
@@ -179,19 +215,15 @@
             continue;
         };
         let fate = watch::Sender::new(Fate::Carried);
-        connections.spawn(carry(stream, target, passages.clone(), fate.subscribe()));
+        connections.spawn(carry(stream, carrier.clone(), fate.subscribe()));
         let mut open = open.lock();
         open.retain(|connection| connection.receiver_count() > 0);
         open.push(fate);
     }
 }
 
-async fn carry(
-    mut near: TcpStream,
-    target: SocketAddr,
-    mut passages: watch::Receiver<Passages>,
-    mut fate: watch::Receiver<Fate>,
-) {
+async fn carry(mut near: TcpStream, carrier: Carrier, mut fate: watch::Receiver<Fate>) {
+    let Carrier { target, mut passages, link } = carrier;
     let _ = near.set_nodelay(true);
     let connected = async {
         // The sender lives as long as the relay.
@@ -208,10 +240,11 @@
     let to = Pump {
         way: Way::ToTarget,
         passages: passages.clone(),
+        link: Arc::clone(&link),
         fate: fate.clone(),
         opening: Arc::clone(&opening),
     };
-    let from = Pump { way: Way::FromTarget, passages, fate: fate.clone(), opening };
+    let from = Pump { way: Way::FromTarget, passages, link, fate: fate.clone(), opening };
     let was_reset = {
         let (near_reader, near_writer) = near.split();
         let (far_reader, far_writer) = far.split();
@@ -238,6 +271,7 @@
 struct Pump {
     way: Way,
     passages: watch::Receiver<Passages>,
+    link: Arc<Mutex<SharedLink>>,
     fate: watch::Receiver<Fate>,
     /// First bytes to the target.
     opening: Arc<OnceLock<Vec<u8>>>,
@@ -254,6 +288,10 @@
             }
             self.until_passable().await;
             let Ok(length) = read else { break };
+            let passed_at = self.link.lock().pass(self.way, length);
+            if let Some(passed_at) = passed_at {
+                sleep_until(passed_at).await;
+            }
             if length == 0 || writer.write_all(&buffer[..length]).await.is_err() {
                 break;
             }
