Configurations pass between entries and agents in parts, one at a time

What callers saw: an entry served dropped request kinds, and refused added ones with 404, up to 16 s after the version that changed them was acknowledged; most other requests to it were late or lost. Other entries behind narrow links lost links and jobs for 2 to 4 s at each change.

Cause: an entry that lacked a revision asked all agents that had it for the whole copy, five times a second, and an entry that had it sent the whole to all agents that lacked it. A copy of 850 KB was one message, and heartbeats waited behind it. On a link of 25 Mbit/s with some 25 agents no copy was through within the 0.9 s after which a link counts as silent; it ended, the next one began anew, and calls to the store timed out beside it. The state fed itself.

Ruled out: calls to the store that time out by themselves and processor time (entries with the same link, share and polls were well), an older copy in place of a newer one (revisions are compared, no log has one that falls).

Now the receiver requests parts of 16 KB, one at a time, from one peer. Parts of a revision are the same wherever they come from, so what has arrived outlives its link. Agents pause between parts for four times as long as the last one took; entries give the store a start of 0.5 s. A property holds it against peers that restart, take over revisions and lose answers.

Messages are added last in their enums; those of the version before are still read. An agent of that version ends its link on the new ones, so agents are updated before entries.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -12,14 +12,14 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::{ack_tracker::AckTracker, ledger::is_significant_change},
+    sycamorerail_decide::{ack_tracker::AckTracker, copies, ledger::is_significant_change},
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
-            Evacuations, FromRunsAgent, Resources, RunReport, RunsFirstMessage, RunsHello,
-            ToRunsAgent, UpstreamInstance, UpstreamLoad,
+            CopyPart, Evacuations, FromRunsAgent, Resources, RunReport, RunsFirstMessage,
+            RunsHello, ToRunsAgent, UpstreamInstance, UpstreamLoad,
         },
     },
     tokio::{
@@ -80,8 +80,10 @@
     entry_evacuations: Mutex<Evacuations>,
     /// Number of the last report sent on this connection.
     reported_up_to: AtomicU64,
-    /// Counts the entry's requests for the configuration; wakes the writer.
-    config_requests: watch::Sender<u64>,
+    /// Replies about the configuration that wait for the writer.
+    replies: Mutex<Vec<FromRunsAgent>>,
+    /// Wakes the writer for a reply or the next request about the configuration.
+    copies_changed: Notify,
     /// Whether the agent keeps the link.
     kept: watch::Receiver<bool>,
     /// The entry has confirmed that it places nothing more over this connection.
@@ -131,7 +133,8 @@
             entry_revision: AtomicU64::new(0),
             entry_evacuations: Mutex::default(),
             reported_up_to,
-            config_requests: watch::Sender::new(0),
+            replies: Mutex::default(),
+            copies_changed: Notify::new(),
             kept,
             unlinked: Notify::new(),
         };
@@ -225,11 +228,18 @@
             }
             ToRunsAgent::Configuration(copy) => {
                 self.entry_revision.fetch_max(copy.revision, Ordering::AcqRel);
-                let mut held = agent.configuration.lock();
-                if held.as_ref().is_none_or(|held| held.revision < copy.revision) {
-                    event!(Info, "configuration_held", revision = copy.revision);
-                    *held = Some(copy);
-                }
+                agent.hold_configuration(copy);
+            }
+            ToRunsAgent::ConfigurationRevision { revision } => self.add_copy_source(revision),
+            ToRunsAgent::ConfigurationPart(part) => self.take_part(&part),
+            ToRunsAgent::RequestConfigurationPart(request) => {
+                let held = agent.configuration.lock();
+                let part = held.as_ref().map(|copy| copies::part(copy, request));
+                self.reply(part.map(FromRunsAgent::ConfigurationPart));
+            }
+            ToRunsAgent::RequestConfiguration => {
+                let held = agent.configuration.lock().clone();
+                self.reply(held.map(FromRunsAgent::Configuration));
             }
             ToRunsAgent::Evacuations(received) => {
                 self.entry_evacuations.lock().clone_from(&received);
@@ -238,41 +248,67 @@
             ToRunsAgent::Crashes(received) => agent.update_ledger(|ledger, now_ms| {
                 ledger.learn_crashes(&received, agent.incarnation, now_ms);
             }),
-            ToRunsAgent::RequestConfiguration => self.config_requests.send_modify(|n| *n += 1),
         }
     }
 
+    /// Takes note of the configuration that the entry holds, to fetch it if it is newer.
+    fn add_copy_source(&self, revision: u64) {
+        self.entry_revision.fetch_max(revision, Ordering::AcqRel);
+        self.agent.copies.lock().add_source(self.entry, revision, self.agent.clock.now_ms());
+        self.copies_changed.notify_one();
+    }
+
+    fn take_part(&self, part: &CopyPart) {
+        let now_ms = self.agent.clock.now_ms();
+        let complete = self.agent.copies.lock().handle_part(self.entry, part, now_ms);
+        if let Some(copy) = complete {
+            self.agent.hold_configuration(copy);
+        }
+        self.copies_changed.notify_one();
+    }
+
+    fn reply(&self, reply: Option<FromRunsAgent>) {
+        self.replies.lock().extend(reply);
+        self.copies_changed.notify_one();
+    }
+
     async fn write_messages(&self, mut writer: FrameWriter) -> FrameError {
         let mut changes = self.agent.changes.subscribe();
-        let mut config_requests = self.config_requests.subscribe();
         let mut kept = self.kept.clone();
         let mut sent = SentState { heartbeat_at: Instant::now(), ..SentState::default() };
         loop {
-            if let Err(error) = self.write_due(&mut writer, &mut sent, &mut config_requests).await {
+            if let Err(error) = self.write_due(&mut writer, &mut sent).await {
                 return error;
             }
             tokio::select! {
                 _ = changes.changed() => {}
-                _ = config_requests.changed() => config_requests.mark_changed(),
+                () = self.copies_changed.notified() => {}
                 Ok(()) = kept.changed() => {}
-                () = sleep_until(sent.next_at()) => {}
+                () = sleep_until(self.next_at(&sent)) => {}
             }
         }
     }
 
+    /// Returns when the writer has something to send if nothing changes.
+    fn next_at(&self, sent: &SentState) -> Instant {
+        let request_ms = self.agent.copies.lock().next_request_ms(self.entry);
+        let wait = |request_ms: u64| {
+            Duration::from_millis(request_ms.saturating_sub(self.agent.clock.now_ms()))
+        };
+        let request_at = request_ms.map(|request_ms| Instant::now() + wait(request_ms));
+        request_at.map_or(sent.next_at(), |request_at| request_at.min(sent.next_at()))
+    }
+
     async fn write_due(
         &self,
         writer: &mut FrameWriter,
         sent: &mut SentState,
-        config_requests: &mut watch::Receiver<u64>,
     ) -> Result<(), FrameError> {
         let mut messages = Vec::new();
         self.collect_due(sent, &mut messages);
-        if config_requests.has_changed().unwrap_or(false) {
-            config_requests.mark_unchanged();
-            let copy = self.agent.configuration.lock().clone();
-            messages.extend(copy.map(FromRunsAgent::Configuration));
-        }
+        messages.append(&mut self.replies.lock());
+        let request = self.agent.copies.lock().request(self.entry, self.agent.clock.now_ms());
+        messages.extend(request.map(FromRunsAgent::RequestConfigurationPart));
         if messages.is_empty() {
             return Ok(());
         }
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -274,6 +274,7 @@
                 agent.links.connected_to(peer, link.entry, agent.clock.now_ms());
                 let end = link.run(reader, writer).await;
                 agent.links.disconnected_from(peer, agent.clock.now_ms());
+                agent.copies.lock().remove_source(link.entry);
                 if matches!(end, LinkEnd::Released) {
                     agent.update_ledger(|ledger, _| ledger.drop_owner(link.entry));
                 }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -16,6 +16,7 @@
     std::{net::SocketAddr, sync::Arc, time::Duration},
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
+        copies::{CopyFetch, FetchLimits},
         ledger::{
             AnnouncementOutcome, Ledger, LedgerLimits, RunDecision, StartAnswer, StartOrder,
             StartRefusal, WithdrawalOutcome,
@@ -37,6 +38,11 @@
 /// Interval between checks whether a planned stop is complete.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// How a newer configuration is fetched from entries. Many agents fetch it at the same time, and
+/// the pauses leave most of an entry's link to its jobs.
+const COPY_LIMITS: FetchLimits =
+    FetchLimits { part_timeout_ms: 1_000, head_start_ms: 0, pause_factor: 4 };
+
 /// Settings of an agent for leased runs.
 #[derive(Clone, Debug)]
 pub struct LeasedAgentSettings {
@@ -61,6 +67,8 @@
     pub(crate) ledger: Mutex<Ledger>,
     links: links::Links,
     pub(crate) configuration: Mutex<Option<ConfigurationCopy>>,
+    /// Transfer of a newer configuration from entries.
+    pub(crate) copies: Mutex<CopyFetch<Incarnation>>,
     /// Evacuations in force, which the agent passes on to entries.
     pub(crate) evacuations: Mutex<Evacuations>,
     /// Counts changes that links may have to send to entries.
@@ -100,6 +108,7 @@
             clock,
             upstream_client,
             configuration: Mutex::new(None),
+            copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: Mutex::default(),
             changes: watch::Sender::new(0),
             instance_changed: Notify::new(),
@@ -138,6 +147,16 @@
         self.configuration.lock().as_ref().map_or(0, |copy| copy.revision)
     }
 
+    /// Holds a configuration for entries that lack it, unless a later one is held.
+    pub(crate) fn hold_configuration(&self, copy: ConfigurationCopy) {
+        self.copies.lock().set_held(copy.revision);
+        let mut held = self.configuration.lock();
+        if held.as_ref().is_none_or(|held| held.revision < copy.revision) {
+            event!(Info, "configuration_held", revision = copy.revision);
+            *held = Some(copy);
+        }
+    }
+
     /// Returns a receiver of the last announced instance that has answered a renewal.
     #[must_use]
     pub fn subscribe_instance(&self) -> watch::Receiver<Option<UpstreamInstance>> {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod ack_tracker;
 pub mod admission;
+pub mod copies;
 pub mod dispatch;
 pub mod ejection;
 pub mod estimate;
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -3,7 +3,6 @@
 use {
     super::{JobService, query},
     parking_lot::Mutex,
-    rand::Rng,
     std::{
         collections::HashMap,
         net::SocketAddr,
@@ -13,11 +12,17 @@
         },
         time::Duration,
     },
-    sycamorerail_decide::dispatch::{AgentKey, Dispatch, PoolView},
+    sycamorerail_decide::{
+        copies,
+        dispatch::{AgentKey, Dispatch, PoolView},
+    },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
-        runs::{Evacuations, FromRunsAgent, RunsFirstMessage, RunsHello, TaskCrashes, ToRunsAgent},
+        runs::{
+            ConfigurationCopy, CopyPart, CopyPartRequest, Evacuations, FromRunsAgent,
+            RunsFirstMessage, RunsHello, TaskCrashes, ToRunsAgent,
+        },
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -32,10 +37,6 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Heartbeat of each link: a one-way cut is seen within three of them.
 const BEAT: Duration = Duration::from_millis(200);
-/// A configuration is sent to an agent after up to so many heartbeats, at random:
-/// meanwhile the agent tells whether another entry sent it. A copy can have more
-/// than 60 KB, and there are as many entries as would send it.
-const COPY_AFTER_BEATS: u32 = 5;
 /// An agent that was not heard for this long is disconnected.
 const SILENCE_MS: u64 = 2_500;
 
@@ -132,7 +133,7 @@
     heard: AtomicU64,
     /// Highest number of a report taken note of.
     confirmed: AtomicU64,
-    /// Highest revision of the configuration that the agent holds.
+    /// Highest revision of the configuration that the agent holds or was told of.
     agent_revision: AtomicU64,
     /// Evacuations that the agent is known to hold, so that each list goes over a link once.
     agent_evacuations: Mutex<Evacuations>,
@@ -174,9 +175,11 @@
             run = hello.agent,
             held = hello.held_runs.len()
         );
-        service.note_known_revision(&hello.name, hello.configuration_revision);
         let confirmed =
             if same { hello.unconfirmed_reports.last().map_or(0, |last| last.number) } else { 0 };
+        // What was requested on the connection before is lost with it.
+        service.copies.lock().remove_source(agent);
+        service.add_copy_source(agent, &hello.name, hello.configuration_revision);
         Self {
             service: Arc::clone(service),
             peer,
@@ -196,6 +199,7 @@
         self.service.change(|dispatch, _| {
             if self.service.links.end(self.agent, &self.outbox) {
                 self.service.forget_linked(self.agent);
+                self.service.copies.lock().remove_source(self.agent);
                 dispatch.agent_disconnected(self.agent);
             }
         });
@@ -257,14 +261,12 @@
                 self.tell(ToRunsAgent::Unlinked);
             }
             FromRunsAgent::Configuration(copy) => {
-                event!(
-                    Info,
-                    "configuration_from_agent",
-                    agent = self.name,
-                    revision = copy.revision
-                );
                 count_copied("received", copy.value.len());
-                self.service.hold_configuration(copy);
+                self.hold_configuration(copy);
+            }
+            FromRunsAgent::ConfigurationPart(part) => self.take_configuration_part(&part),
+            FromRunsAgent::RequestConfigurationPart(request) => {
+                self.tell_configuration_part(request);
             }
             FromRunsAgent::Evacuations(told) => {
                 self.agent_evacuations.lock().clone_from(&told);
@@ -272,7 +274,7 @@
             }
             FromRunsAgent::ConfigurationRevision { revision } => {
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
-                self.service.note_known_revision(&self.name, revision);
+                self.service.add_copy_source(self.agent, &self.name, revision);
             }
             FromRunsAgent::Cold { left_ms } => self.take_cold(left_ms),
             FromRunsAgent::Crashes(told) => self.take_crashes(&told),
@@ -302,7 +304,6 @@
         let mut evacuations = self.service.evacuations.subscribe();
         // Members are told with heartbeats: as everything starts each entry is new.
         let mut beats = tokio::time::interval(BEAT);
-        let mut wait_beats = 0;
         loop {
             if let Err(error) = self.write(&mut writer).await {
                 return error;
@@ -315,7 +316,7 @@
                         let known = members.borrow_and_update().clone();
                         self.tell(ToRunsAgent::Members(known));
                     }
-                    self.beat(&mut wait_beats);
+                    self.beat();
                 }
             }
         }
@@ -350,37 +351,63 @@
         }
     }
 
-    /// Queues a heartbeat, and what the agent or this entry lacks of the
+    /// Queues a heartbeat, and what the agent lacks of the evacuations or this entry of the
     /// configuration.
-    fn beat(&self, wait_beats: &mut u32) {
+    fn beat(&self) {
         let heard = self.heard.load(Ordering::Acquire);
         let confirmed = self.confirmed.load(Ordering::Acquire);
         let PoolView { agents, largest } = self.service.dispatch.lock().pool_view(self.agent);
         self.tell(ToRunsAgent::Heartbeat { heard, confirmed, agents, largest });
         self.tell_evacuations();
-        let held = self.service.configuration.borrow().clone();
-        let own = held.as_ref().map_or(0, |held| held.revision);
-        let theirs = self.agent_revision.load(Ordering::Acquire);
-        if theirs > own {
+        self.tell_configuration_revision();
+        self.request_configuration_part();
+    }
+
+    fn hold_configuration(&self, copy: ConfigurationCopy) {
+        let revision = copy.revision;
+        event!(Info, "configuration_from_agent", agent = self.name, revision = revision);
+        self.service.hold_configuration(copy);
+    }
+
+    /// Tells the agent which configuration this entry holds, if it is newer than the agent's.
+    fn tell_configuration_revision(&self) {
+        let held = self.service.configuration.borrow().as_ref().map_or(0, |held| held.revision);
+        if held > self.agent_revision.fetch_max(held, Ordering::AcqRel) {
+            self.tell(ToRunsAgent::ConfigurationRevision { revision: held });
+        }
+    }
+
+    /// Asks the agent for the next part of a newer configuration, if it is the agent's turn.
+    fn request_configuration_part(&self) {
+        let now_ms = self.service.now_ms();
+        let request = self.service.copies.lock().request(self.agent, now_ms);
+        if let Some(request) = request {
             metrics::counter!("sycamorerail_configuration_requests_total").increment(1);
-            self.tell(ToRunsAgent::RequestConfiguration);
-        } else if let Some(held) = held.filter(|_| own > theirs) {
-            if *wait_beats == 0 {
-                *wait_beats = rand::rng().random_range(1..=COPY_AFTER_BEATS);
-            }
-            *wait_beats -= 1;
-            if *wait_beats == 0 {
-                self.agent_revision.fetch_max(own, Ordering::AcqRel);
-                count_copied("sent", held.value.len());
-                self.tell(ToRunsAgent::Configuration((*held).clone()));
-            }
-        } else {
-            *wait_beats = 0;
+            self.tell(ToRunsAgent::RequestConfigurationPart(request));
+        }
+    }
+
+    fn take_configuration_part(&self, part: &CopyPart) {
+        count_copied("received", part.text.len());
+        let now_ms = self.service.now_ms();
+        let complete = self.service.copies.lock().handle_part(self.agent, part, now_ms);
+        if let Some(copy) = complete {
+            self.hold_configuration(copy);
+        }
+        self.request_configuration_part();
+    }
+
+    fn tell_configuration_part(&self, request: CopyPartRequest) {
+        let held = self.service.configuration.borrow().clone();
+        if let Some(held) = held {
+            let part = copies::part(&held, request);
+            count_copied("sent", part.text.len());
+            self.tell(ToRunsAgent::ConfigurationPart(part));
         }
     }
 }
 
-/// Counts bytes of configurations that agents were sent or have sent.
+/// Counts bytes of configurations that went to agents or came from them.
 fn count_copied(way: &'static str, bytes: usize) {
     metrics::counter!("sycamorerail_configuration_copied_bytes_total", "way" => way)
         .increment(bytes as u64);
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -15,19 +15,14 @@
     cluster::{AgentsEntries, Cluster},
     parking_lot::Mutex,
     rand::Rng,
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
-    },
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     sycamorerail_clock::Clock,
-    sycamorerail_decide::dispatch::{
-        AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
-        NoResultReason, STOP_ANSWER_MS,
+    sycamorerail_decide::{
+        copies::{CopyFetch, FetchLimits},
+        dispatch::{
+            AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey,
+            JobRequest, NoResultReason, STOP_ANSWER_MS,
+        },
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -43,6 +38,10 @@
 /// Pause between looks at what is due by time. Events place tasks; only
 /// time-outs wait for it.
 const TICK: Duration = Duration::from_millis(20);
+/// How a newer configuration is fetched from agents. The platform mostly brings it sooner, and
+/// requests are served without pause as long as it does not.
+const COPY_LIMITS: FetchLimits =
+    FetchLimits { part_timeout_ms: 1_000, head_start_ms: 500, pause_factor: 0 };
 /// Agents without a connection for this long are forgotten.
 const FORGET_AGENTS_MS: u64 = 60_000;
 /// Jobs that are given up for a planned stop have their answers within this: the decision's
@@ -69,8 +68,8 @@
     links: links::Links,
     /// The newest configuration held, to pass on.
     pub(crate) configuration: watch::Sender<Option<Arc<ConfigurationCopy>>>,
-    /// Highest revision of the configuration that agents were heard to hold.
-    known_revision: AtomicU64,
+    /// Transfer of a newer configuration from agents.
+    copies: Mutex<CopyFetch<AgentKey>>,
     /// Evacuated data centres in force, to pass on.
     pub(crate) evacuations: watch::Sender<Evacuations>,
     cluster: Mutex<Cluster>,
@@ -105,7 +104,7 @@
             clock,
             links: links::Links::default(),
             configuration: watch::Sender::new(None),
-            known_revision: AtomicU64::new(0),
+            copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
@@ -170,6 +169,7 @@
 
     /// Passes a configuration on to agents, if it is the newest.
     pub fn hold_configuration(&self, copy: ConfigurationCopy) {
+        self.copies.lock().set_held(copy.revision);
         self.configuration.send_if_modified(|held| {
             let newer = held.as_ref().is_none_or(|held| held.revision < copy.revision);
             if newer {
@@ -179,12 +179,10 @@
         });
     }
 
-    /// Logs that an agent holds a newer configuration than this entry, once a revision.
-    fn note_known_revision(&self, agent: &str, revision: u64) {
-        let held = self.configuration.borrow().as_ref().map_or(0, |held| held.revision);
-        let known = self.known_revision.fetch_max(revision, Ordering::AcqRel);
-        if revision > known.max(held) {
-            event!(Info, "configuration_behind", agent = agent, revision = revision, held = held);
+    /// Takes note of the configuration that an agent holds, to fetch it if it is newer.
+    fn add_copy_source(&self, agent: AgentKey, name: &str, revision: u64) {
+        if self.copies.lock().add_source(agent, revision, self.clock.now_ms()) {
+            event!(Info, "configuration_behind", agent = name, revision = revision);
         }
     }
 
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -298,6 +298,28 @@
     pub value: String,
 }
 
+/// Requests a part of a [`ConfigurationCopy`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyPartRequest {
+    /// Revision of the copy.
+    pub revision: u64,
+    /// Bytes of the copy's value before the part.
+    pub offset: u32,
+}
+
+/// A part of the sender's [`ConfigurationCopy`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CopyPart {
+    /// Revision of the copy, which may be another one than requested.
+    pub revision: u64,
+    /// Size of the copy's whole value, in bytes.
+    pub total_bytes: u32,
+    /// Bytes of the value before the part.
+    pub offset: u32,
+    /// The part.
+    pub text: String,
+}
+
 /// Data centres that operators have evacuated: their upstreams get no new runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
@@ -469,7 +491,7 @@
     LargestCapacity(Resources),
     /// The agent is about to close this connection: the entry must place nothing more on it.
     Unlink,
-    /// A newer configuration than the entry holds.
+    /// A newer configuration than the entry holds. Only agents of earlier versions send it.
     Configuration(ConfigurationCopy),
     /// Evacuations as the agent knows them, newer than those of the entry.
     Evacuations(Evacuations),
@@ -486,6 +508,10 @@
         /// Time until it reaches full speed, in milliseconds from sending; 0 if it has.
         left_ms: u32,
     },
+    /// The agent asks for a part of the entry's configuration.
+    RequestConfigurationPart(CopyPartRequest),
+    /// Reply to [`ToRunsAgent::RequestConfigurationPart`].
+    ConfigurationPart(CopyPart),
 }
 
 /// Messages about leased runs from an entry to an agent.
@@ -529,13 +555,23 @@
     /// Reply to [`FromRunsAgent::Unlink`]: no placement follows. The agent closes the
     /// connection once it holds no run of the entry.
     Unlinked,
-    /// A newer configuration than the agent holds.
+    /// A newer configuration than the agent holds. Only entries of earlier versions send it.
     Configuration(ConfigurationCopy),
     /// Evacuations as the entry knows them, newer than those of the agent.
     Evacuations(Evacuations),
-    /// The entry holds an older configuration than the agent and asks for the agent's.
+    /// The entry holds an older configuration than the agent and asks for the agent's. Only
+    /// entries of earlier versions send it.
     RequestConfiguration,
     /// Tasks that ran when upstreams of several agents crashed. The agent passes them on to
     /// its other entries, where callers may submit the jobs again.
     Crashes(Vec<TaskCrashes>),
+    /// Revision of the configuration that the entry holds.
+    ConfigurationRevision {
+        /// The revision.
+        revision: u64,
+    },
+    /// The entry asks for a part of the agent's configuration.
+    RequestConfigurationPart(CopyPartRequest),
+    /// Reply to [`FromRunsAgent::RequestConfigurationPart`].
+    ConfigurationPart(CopyPart),
 }
