Answers of the platform are read for as long as they go on arriving

A call to the platform had to be answered in full within its timeout, 1 s. A configuration of a megabyte is 1.4 MB in the store's form, which a link of 10 Mbit/s carries in 1.1 s: each poll would time out and be made again. In the incident polls timed out beside copies from agents, 10 to 23 of them in 15 s, with none answered; that it would happen without these was not seen.

The timeout now holds until an answer begins and between its bytes; an answer takes at most twelve times as long.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -8,8 +8,9 @@
         form::{Call, Form, Method, Read, ReadError, Reply},
         value::{Expected, KeyValue, LeaseId, Range, Swap},
     },
+    bytes::Bytes,
     parking_lot::Mutex,
-    reqwest::{Client, ClientBuilder, RequestBuilder, header::CONTENT_TYPE},
+    reqwest::{Client, ClientBuilder, RequestBuilder, Response, header::CONTENT_TYPE},
     std::{
         sync::{
             Arc,
@@ -17,17 +18,21 @@
         },
         time::{Duration, Instant},
     },
+    tokio::time::timeout,
 };
 
 const FIRST_SERVER_ERROR: u16 = 500;
 const REQUEST_TIMEOUT: u16 = 408;
+/// Longest time that an answer takes to arrive, as a multiple of the timeout: a megabyte, as
+/// Base64, over a link of 1 Mbit/s.
+const MAX_BODY_TIMEOUTS: u32 = 12;
 
 /// How the service is reached.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PlatformConfig {
     /// Base URL, such as `http://10.0.0.1:2379`.
     pub url: String,
-    /// Longest wait for an answer.
+    /// Longest wait for an answer to begin, and for its next bytes.
     pub timeout_ms: u32,
     /// Most calls a second of this process; a waiting watch counts as one.
     pub call_budget_per_s: u32,
@@ -268,13 +273,33 @@
         read: impl FnOnce(&Reply) -> Read<A>,
     ) -> Result<A, PlatformError> {
         self.admit(step)?;
-        let sent = self.request(step, call).timeout(within).send().await;
-        let response = sent.map_err(|err| self.failed(step, &err))?;
+        let sent = timeout(within, self.request(step, call).send()).await;
+        let response = sent.map_err(|_| self.error(step, PlatformErrorKind::Timeout))?;
+        let response = response.map_err(|err| self.failed(step, &err))?;
         let status = response.status().as_u16();
-        let body = response.bytes().await.map_err(|err| self.failed(step, &err))?;
+        let body = timeout(self.timeout() * MAX_BODY_TIMEOUTS, self.body(step, response)).await;
+        let body = body.map_err(|_| self.error(step, PlatformErrorKind::Timeout))??;
         read(&Reply { status, body }).map_err(|err| self.unread(step, status, err))
     }
 
+    /// Reads a body for as long as it goes on arriving: over a narrow link a large one takes
+    /// longer than the timeout, and would again at the next attempt.
+    async fn body(
+        &self,
+        step: PlatformStep,
+        mut response: Response,
+    ) -> Result<Bytes, PlatformError> {
+        let mut body = Vec::new();
+        loop {
+            let chunk = timeout(self.timeout(), response.chunk()).await;
+            let chunk = chunk.map_err(|_| self.error(step, PlatformErrorKind::Timeout))?;
+            match chunk.map_err(|err| self.failed(step, &err))? {
+                Some(bytes) => body.extend_from_slice(&bytes),
+                None => return Ok(body.into()),
+            }
+        }
+    }
+
     pub(crate) fn unread(&self, step: PlatformStep, status: u16, err: ReadError) -> PlatformError {
         match err {
             ReadError::Status => self.error(step, PlatformErrorKind::Status(status)),
