--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -38,8 +38,8 @@
 /// Pause between looks at what is due by time. Events place tasks; only
 /// time-outs wait for it.
 const TICK: Duration = Duration::from_millis(20);
-/// How a newer configuration is fetched from agents. The platform mostly brings it sooner, and
-/// requests are served without pause as long as it does not.
+/// How a newer configuration is fetched from agents: without pauses, once the platform has had
+/// time to bring it.
 const COPY_LIMITS: FetchLimits =
     FetchLimits { part_timeout_ms: 1_000, head_start_ms: 500, pause_factor: 0 };
 /// Agents without a connection for this long are forgotten.
