--- a/crates/decide/tests/copies.rs
+++ b/crates/decide/tests/copies.rs
@@ -10,10 +10,12 @@
     FetchLimits { part_timeout_ms: 1_000, head_start_ms: 500, pause_factor: 0 };
 const PEERS: usize = 4;
 
-/// A copy of so many parts whose text differs by revision; no part ends where a character does.
+/// A copy of about so many parts whose text differs by revision. Its characters have two bytes
+/// and begin at odd offsets, so that the ends of parts fall within them.
 fn copy(revision: u64, parts: usize) -> ConfigurationCopy {
-    let text = (0..).map(|number| format!("{revision}é{number:07} "));
-    let value: String = text.take(parts * MAX_PART_BYTES / 12).collect();
+    let character = char::from_u32(0x100 + u32::try_from(revision).unwrap()).unwrap();
+    let rest = std::iter::repeat_n(character, parts * MAX_PART_BYTES / 2);
+    let value = std::iter::once('-').chain(rest).collect();
     ConfigurationCopy { revision, value }
 }
 
@@ -42,6 +44,16 @@
     assert_eq!(requests, [CopyPartRequest { revision: 7, offset: 0 }]);
 }
 
+#[test]
+fn parts_end_between_characters() {
+    let held = copy(7, 3);
+    let request = CopyPartRequest { revision: 7, offset: 0 };
+    assert_eq!(part(&held, request).text.len(), MAX_PART_BYTES - 1);
+    let mut fetch = CopyFetch::new(LIMITS);
+    fetch.add_source(0, 7, 0);
+    assert_eq!(fetch_from(&mut fetch, 0, &held, 0), Some(held));
+}
+
 #[test]
 fn a_copy_goes_on_with_another_peer_where_a_lost_one_left_off() {
     let held = copy(7, 5);
