Model: a bound that holds

Cause: most_in_time took jobs second by second, smallest first, and gave room of the next seconds to large jobs of this one. That is a plan, no bound: other plans have more jobs in time.

Change: Moore's algorithm over windows of 1, 2, 4 ... seconds, each with all room from its start; the least of them.

--- a/crates/bench/src/policy/bound.rs
+++ b/crates/bench/src/policy/bound.rs
@@ -1,55 +1,83 @@
 //! A bound that no decision can pass: how many jobs could be in time.
 
-use super::{jobs::ModelJob, settings::ModelSettings};
+use {
+    super::{
+        jobs::ModelJob,
+        settings::{FaultKind, ModelSettings},
+    },
+    std::collections::BinaryHeap,
+};
 
 const MICROS_PER_S: f64 = 1_000_000.0;
 
-/// Jobs in time if all upstreams were one, work flowed into it without gaps, its end
-/// was known beforehand, and only the largest jobs were turned away.
+/// Jobs in time if all upstreams were one, work flowed into it without gaps, and all jobs were
+/// known beforehand.
 ///
-/// Faults are left out but for `gone` and `hung`, which take room away. Work that does
-/// not fit into its second may be done as long as its own job is in time.
+/// Faults are left out but for `gone` and `hung`, which take room away. For each length of
+/// window, the jobs of a window may use all room from its start, whatever those of others take;
+/// the least of these bounds holds.
 #[must_use]
 pub fn most_in_time(settings: &ModelSettings, jobs: &[ModelJob]) -> u64 {
-    let mut by_second: Vec<Vec<Demand>> = vec![Vec::new(); settings.seconds as usize];
+    let seconds = u64::from(settings.seconds);
+    let lengths = (0..).map(|power| 1 << power).take_while(|&window_s| window_s < seconds);
+    let bounds =
+        lengths.chain([seconds]).map(|window_s| bound_by_windows(settings, jobs, window_s));
+    bounds.min().unwrap_or(0)
+}
+
+fn bound_by_windows(settings: &ModelSettings, jobs: &[ModelJob], window_s: u64) -> u64 {
+    let of_second = |job: &ModelJob| (job.at as f64 / MICROS_PER_S) as u64;
+    let mut windows: Vec<Vec<&ModelJob>> = Vec::new();
     for job in jobs {
-        let core_s = job.work(&settings.kinds[job.kind]) as f64 / 1e9;
-        let span_s = job.span as f64 / MICROS_PER_S;
-        by_second[(job.at as f64 / MICROS_PER_S) as usize].push(Demand { core_s, span_s });
-    }
-    let mut in_time = 0;
-    let mut backlog_core_s = 0.0;
-    for (second, demands) in by_second.iter_mut().enumerate() {
-        demands.sort_by(|one, other| one.core_s.total_cmp(&other.core_s));
-        let room = room_cores(settings, second as f64 + 0.5);
-        for demand in demands.iter() {
-            if backlog_core_s + demand.core_s <= room * (1.0 + demand.span_s) {
-                backlog_core_s += demand.core_s;
-                in_time += 1;
-            }
+        let window = (of_second(job) / window_s) as usize;
+        if windows.len() <= window {
+            windows.resize(window + 1, Vec::new());
         }
-        backlog_core_s = f64::max(0.0, backlog_core_s - room);
+        windows[window].push(job);
     }
-    in_time
+    let starts_s = (0..).map(|window| window * window_s);
+    starts_s.zip(windows).map(|(start_s, jobs)| most_in_window(settings, jobs, start_s)).sum()
 }
 
-/// What one job asks for.
-#[derive(Clone, Copy)]
-struct Demand {
-    core_s: f64,
-    span_s: f64,
+/// Moore's algorithm: by deadline, and the largest job goes whenever the work is too much. It is
+/// optimal for jobs that could all start at once.
+fn most_in_window(settings: &ModelSettings, mut jobs: Vec<&ModelJob>, start_s: u64) -> u64 {
+    jobs.sort_by_key(|job| job.in_time_until());
+    let mut taken = BinaryHeap::new();
+    let mut work = 0;
+    for job in jobs {
+        let job_work = job.work(&settings.kinds[job.kind]);
+        work += job_work;
+        taken.push(job_work);
+        let until_s = job.in_time_until() as f64 / MICROS_PER_S;
+        if work as f64 > room_work(settings, start_s as f64, until_s) {
+            work -= taken.pop().unwrap_or(0);
+        }
+    }
+    taken.len() as u64
 }
 
-/// Work that all upstreams do in a second, in core-seconds at speed 1.
-fn room_cores(settings: &ModelSettings, at_s: f64) -> f64 {
-    use super::settings::FaultKind::{Gone, Hung};
-    let away = settings.faults.iter().filter(|fault| {
-        matches!(fault.kind, Gone | Hung) && (fault.at_s..fault.at_s + fault.for_s).contains(&at_s)
+/// Work that all upstreams do between two moments, in thousandths of a core times microseconds at
+/// speed 1.
+fn room_work(settings: &ModelSettings, from_s: f64, until_s: f64) -> f64 {
+    let groups = settings.upstreams.iter();
+    let upstreams = groups.flat_map(|group| {
+        let rate = f64::from(group.cpu_milli) * group.speed;
+        std::iter::repeat_n(rate, group.count as usize)
     });
-    let first = away.map(|fault| fault.count).max().unwrap_or(0) as usize;
-    let all = settings.upstreams.iter().flat_map(|group| {
-        let cores = f64::from(group.cpu_milli) / 1e3 * group.speed;
-        std::iter::repeat_n(cores, group.count as usize)
+    let work = |(upstream, rate): (usize, f64)| {
+        rate * (until_s - from_s - longest_away_s(settings, upstream, from_s, until_s))
+    };
+    upstreams.enumerate().map(work).sum::<f64>() * MICROS_PER_S
+}
+
+/// How long one fault at least takes an upstream away in this time, in seconds. Faults may
+/// overlap, so that of all of them is not known to be longer.
+fn longest_away_s(settings: &ModelSettings, upstream: usize, from_s: f64, until_s: f64) -> f64 {
+    let faults = settings.faults.iter().filter(|fault| {
+        matches!(fault.kind, FaultKind::Gone | FaultKind::Hung) && upstream < fault.count as usize
     });
-    all.skip(first).sum()
+    let away_s =
+        faults.map(|fault| (fault.at_s + fault.for_s).min(until_s) - fault.at_s.max(from_s));
+    away_s.fold(0.0, f64::max)
 }
