Upstreams of unequal speed: speed is learned by upstream, and being on time goes before speed

Cause: run times up to 170 % of the estimates counted as normal and longer ones in full, and entries corrected estimates by the runs of all upstreams together. Where a quarter of the upstreams is faster than the others (the site's speeds are factors of the run time: 0.55, 1.2, 1.2, 1.2) the correction fell, and ordinary upstreams came to 152 to 182 %, on both sides of the limit.

Change: an agent learns the usual run time of its upstream (geometric mean of 128 runs, kept over instances) apart from slow spells, which pass, and reports both as one figure. Entries compare upstreams with the middle one of the pool, take 80 to 125 % as the same, and correct estimates by runs at that speed only. A task that is on time with a fifth of its run time to spare goes by room; otherwise by the end, as before. The agent hands back as too late by its own speed.

--- a/crates/bench/tests/worst_load.rs
+++ b/crates/bench/tests/worst_load.rs
@@ -85,3 +85,15 @@
     let outcome = play(&settings("wide-jobs"), 1);
     assert_eq!(outcome.all.failed + outcome.all.lost, 0, "{:?}", outcome.all);
 }
+
+/// Three quarters of the room taken, a quarter of the upstreams at half the speed or at twice the
+/// speed of the others.
+#[test]
+fn upstreams_of_unequal_speed_serve_as_much_as_equal_ones() {
+    for name in ["unequal-burst", "fast-quarter"] {
+        let outcome = play(&settings(name), 1);
+        assert!(outcome.all.in_time_share() > 0.97, "{name} {:?}", outcome.all);
+        assert!(outcome.by_kind[1].in_time_share() > 0.97, "{name} {:?}", outcome.by_kind[1]);
+        assert!(outcome.all.unserved_share() < 0.02, "{name} {:?}", outcome.all);
+    }
+}
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -4,16 +4,13 @@
 use {
     super::types::AgentKey,
     crate::ack_tracker::AckTracker,
-    std::collections::VecDeque,
+    std::{collections::VecDeque, ops::RangeInclusive},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{PRIORITY_CLASSES, Resources, UpstreamInstance, UpstreamLoad},
     },
 };
 
-/// Measured run times up to this percentage of the estimates count as normal: estimates are off
-/// by up to 40 %.
-const MAX_NORMAL_SLOWNESS_PERCENT: u32 = 170;
 /// Percentage of failed runs that is tolerated: two of an upstream's last eight runs. Jobs that
 /// can never succeed cause as many on a healthy upstream.
 const TOLERATED_FAILING_PERCENT: u32 = 30;
@@ -24,6 +21,12 @@
 /// wait longer than this elsewhere, and no job is refused for it. Upstreams don't report how slow
 /// they are; their measured run times show it soon.
 const COLD_START_COST_PERCENT: u64 = 50;
+/// Run times in this range of percentages of those at the middle upstream count as the same: the
+/// averages are off by several percent, and by them all entries would prefer the same upstream.
+const SIMILAR_PERCENT: RangeInclusive<u32> = 80..=125;
+/// Time that must be left until the objective for a task to count as on time, in percent of its
+/// run time.
+const MIN_SLACK_PERCENT: u64 = 20;
 /// Run time on an upstream without the preferred label, in percent of the estimate.
 const WITHOUT_PREFERRED_LABEL_PERCENT: u64 = 150;
 
@@ -202,8 +205,7 @@
     pub fn estimate(&self, planned: &PlannedTasks, demand: &TaskDemand<'_>) -> TaskEstimate {
         let taken = self.load.taken.plus(&self.unreported_resources).plus(&planned.room);
         let free = self.load.capacity.minus(&taken);
-        let slowness = u64::from(self.load.slowness_percent);
-        let slowness = if slowness <= MAX_NORMAL_SLOWNESS_PERCENT.into() { 100 } else { slowness };
+        let slowness = u64::from(self.slowness_percent(demand.middle_slowness_percent));
         let has_preferred_label = demand.preferred_label.is_none_or(|label| self.has_label(label));
         let label_percent = if has_preferred_label { 100 } else { WITHOUT_PREFERRED_LABEL_PERCENT };
         let run_ms = u64::from(demand.run_ms) * slowness * label_percent / 10_000;
@@ -227,7 +229,24 @@
             + u64::from(excess_failing_percent) * FAILING_COST_PER_PERCENT_MS
             + self.cold_start_cost_ms(demand.run_ms);
         let room_for_tasks = free.cpu_milli / demand.need.cpu_milli.max(1);
-        TaskEstimate { end_ms, cost_ms, wait_ms, room_for_tasks, planned: planned.count }
+        let min_slack_ms = run_ms * MIN_SLACK_PERCENT / 100;
+        let is_in_time =
+            wait_ms == 0 && cost_ms == end_ms && end_ms + min_slack_ms <= demand.objective_in_ms;
+        TaskEstimate {
+            end_ms,
+            cost_ms,
+            wait_ms,
+            room_for_tasks,
+            planned: planned.count,
+            is_in_time,
+        }
+    }
+
+    /// Run times here in percent of those at the middle upstream; 100 if they are similar.
+    #[must_use]
+    pub fn slowness_percent(&self, middle_slowness_percent: u32) -> u32 {
+        let percent = self.load.slowness_percent * 100 / middle_slowness_percent.max(1);
+        if SIMILAR_PERCENT.contains(&percent) { 100 } else { percent }
     }
 
     fn cold_start_cost_ms(&self, run_ms: u32) -> u64 {
@@ -261,8 +280,12 @@
 pub struct TaskDemand<'a> {
     /// Resources that the task takes.
     pub need: &'a Resources,
-    /// Expected run time, in milliseconds.
+    /// Expected run time on an upstream of middle speed, in milliseconds.
     pub run_ms: u32,
+    /// Run times on that upstream, in percent of the estimates.
+    pub middle_slowness_percent: u32,
+    /// Time until the task must end for its job to be on time, in milliseconds.
+    pub objective_in_ms: u64,
     /// Priority class; lower goes first.
     pub priority: u8,
     /// Label of upstreams on which the task runs faster.
@@ -303,4 +326,7 @@
     pub room_for_tasks: u32,
     /// Tasks that the current decision has already assigned to the agent.
     pub planned: u16,
+    /// Whether the task starts at once and its job will be on time, even if it takes somewhat
+    /// longer than expected.
+    pub is_in_time: bool,
 }
--- a/crates/decide/src/dispatch/kinds.rs
+++ b/crates/decide/src/dispatch/kinds.rs
@@ -1,10 +1,13 @@
 //! Statistics of each request kind: run times relative to estimates, ends of jobs relative to
 //! forecasts, and the share of jobs that are refused or late.
 
-/// The newest run time counts for one part in this many.
-const RUN_TIME_PARTS: u32 = 32;
+/// The newest run time counts for one part in this many. Tasks of a job share the error of their
+/// estimate, so that this is the mean of some twenty jobs.
+const RUN_TIME_PARTS: f64 = 128.0;
+/// Runs that the assumption of correct estimates counts for.
+const ASSUMED_RUNS: f64 = 16.0;
 /// Bounds of the correction of estimates, in percent.
-const RUN_TIME_BOUNDS_PERCENT: (u32, u32) = (50, 300);
+const RUN_TIME_BOUNDS_PERCENT: (f64, f64) = (50.0, 300.0);
 /// The newest lateness counts for one part in this many: an entry sees 16 jobs of the rarest kind
 /// in about 3 s of a burst.
 const LATENESS_PARTS: f64 = 16.0;
@@ -43,7 +46,9 @@
     /// Fraction of a job that is still to be shed.
     shed_fraction: f64,
     /// Observed run times relative to estimates, in percent; `None` before the first run.
-    run_time_percent: Option<u32>,
+    run_time_percent: Option<f64>,
+    /// Number of runs in it.
+    runs: f64,
     lateness_ms: f64,
     lateness_at_ms: u64,
     /// Quantile of job durations, in percent of the expected duration; `None` before the first
@@ -55,16 +60,18 @@
     /// Run times relative to estimates, in percent.
     #[must_use]
     pub fn run_time_percent(&self) -> u32 {
-        self.run_time_percent.unwrap_or(100)
+        self.run_time_percent.unwrap_or(100.0).round() as u32
     }
 
-    /// Records the run time of a task.
+    /// Records the run time of a task on an upstream of middle speed.
     pub fn record_run_time(&mut self, run_ms: u32, estimate_ms: u32) {
-        let sample = u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1));
-        let sample =
-            sample.clamp(RUN_TIME_BOUNDS_PERCENT.0.into(), RUN_TIME_BOUNDS_PERCENT.1.into()) as u32;
-        let past = self.run_time_percent();
-        self.run_time_percent = Some((past * (RUN_TIME_PARTS - 1) + sample) / RUN_TIME_PARTS);
+        let (least, most) = RUN_TIME_BOUNDS_PERCENT;
+        let percent = f64::from(run_ms) * 100.0 / f64::from(estimate_ms.max(1));
+        let sample = percent.clamp(least, most);
+        self.runs += 1.0;
+        let past = self.run_time_percent.unwrap_or(100.0);
+        let parts = (self.runs + ASSUMED_RUNS).min(RUN_TIME_PARTS);
+        self.run_time_percent = Some(past + (sample - past) / parts);
     }
 
     /// Share of the expected duration within which most jobs end, in percent.
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -208,7 +208,9 @@
         if let RunEvent::Done { run_ms } = event {
             let estimate_ms = job.request.steps[usize::from(task.step)].run_ms;
             let kind = Arc::clone(&job.request.kind);
-            self.kind_record(&kind.name).record_run_time(run_ms, estimate_ms);
+            if self.is_of_middle_speed(agent, &kind.pool) {
+                self.kind_record(&kind.name).record_run_time(run_ms, estimate_ms);
+            }
         }
         if event == RunEvent::Crashed {
             self.record_crash_of_run(key, task, agent, now_ms);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -106,15 +106,38 @@
         })
     }
 
-    fn demand_of<'a>(&self, job: &Job, step: &'a StepRequest) -> TaskDemand<'a> {
+    fn demand_of<'a>(&self, job: &Job, step: &'a StepRequest, now_ms: u64) -> TaskDemand<'a> {
         TaskDemand {
             need: &step.need,
             run_ms: self.corrected_run_ms(job, step),
+            middle_slowness_percent: self.middle_slowness_percent(&job.request.kind.pool),
+            objective_in_ms: job.objective_ms.saturating_sub(now_ms),
             priority: job.request.kind.priority,
             preferred_label: step.preferred_label.as_deref(),
         }
     }
 
+    /// Run times at the upstream of middle speed in a pool, in percent of the estimates. Run times
+    /// elsewhere are expected relative to them.
+    fn middle_slowness_percent(&self, pool: &str) -> u32 {
+        let in_pool = |agent: &&AgentView| {
+            agent.is_serving() && agent.can_run(pool, &Resources::default(), None)
+        };
+        let agents = self.agents.values().filter(in_pool);
+        let mut all: Vec<_> = agents.map(|agent| agent.load.slowness_percent).collect();
+        let middle = all.len() / 2;
+        if all.is_empty() { 100 } else { *all.select_nth_unstable(middle).1 }
+    }
+
+    /// Whether run times at an agent's upstream are about those at the middle one of its pool.
+    ///
+    /// Estimates are corrected by such runs only: with those of all upstreams, an error of a
+    /// correction and one of the slowness that agents measure by it could grow together.
+    pub(super) fn is_of_middle_speed(&self, agent: AgentKey, pool: &str) -> bool {
+        let middle_percent = self.middle_slowness_percent(pool);
+        self.agents.get(agent).is_some_and(|agent| agent.slowness_percent(middle_percent) == 100)
+    }
+
     pub(super) fn corrected_run_ms(&self, job: &Job, step: &StepRequest) -> u32 {
         let kind = self.kinds.get(&job.request.kind.name);
         let percent = kind.map_or(100, KindRecord::run_time_percent);
@@ -194,13 +217,13 @@
     /// Chooses an agent for each unplaced task of a step, where one is usable.
     fn plan_step(&self, job: &Job, step: usize, now_ms: u64) -> Vec<PlannedTask> {
         let step_request = &job.request.steps[step];
-        let demand = self.demand_of(job, step_request);
         let candidates = self.candidates(job, step_request, now_ms);
         let mut candidates: Vec<_> =
             candidates.map(|agent| (agent, PlannedTasks::default())).collect();
         if candidates.is_empty() {
             return Vec::new();
         }
+        let demand = self.demand_of(job, step_request, now_ms);
         candidates.sort_unstable_by_key(|(agent, _)| agent.rank);
         let mut suspect_agents = self.agents_with_suspects(job, step);
         let mut plan = Vec::new();
@@ -296,10 +319,16 @@
     best
 }
 
-/// Whether an estimate is better: clearly lower cost, else clearly more room, else fewer tasks of
-/// the same job.
+/// Whether an estimate is better: on time, else clearly lower cost; among those on time or at the
+/// same cost clearly more room, else fewer tasks of the same job.
+///
+/// Where a task is on time anyway, a faster upstream is no better: its room is left to tasks that
+/// are on time there only.
 fn is_better(one: &TaskEstimate, other: &TaskEstimate) -> bool {
-    if one.cost_ms.abs_diff(other.cost_ms) > EQUAL_COST_MS {
+    if one.is_in_time != other.is_in_time {
+        return one.is_in_time;
+    }
+    if !one.is_in_time && one.cost_ms.abs_diff(other.cost_ms) > EQUAL_COST_MS {
         return one.cost_ms < other.cost_ms;
     }
     let (room, other_room) = (room_class(one), room_class(other));
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -6,8 +6,8 @@
 
 use {
     super::{
-        AnnouncementOutcome, InstanceEnd, LeaseAnswer, Ledger, NORMAL_SLOWNESS_PERCENT, Phase,
-        RunKey, WithdrawalOutcome, order_fence::OrderFence,
+        AnnouncementOutcome, InstanceEnd, LeaseAnswer, Ledger, Phase, RunKey, WithdrawalOutcome,
+        order_fence::OrderFence,
     },
     sycamorerail_wire::runs::{InstanceId, NotStarted, RunEvent, UpstreamInstance},
 };
@@ -90,7 +90,7 @@
             self.settle_orphans();
             self.order_fence = OrderFence::default();
         }
-        self.slowness_percent = NORMAL_SLOWNESS_PERCENT;
+        self.run_times = self.run_times.of_next_instance();
         self.failing_percent = 0;
         self.order_fence.note_instance(instance);
         self.current_instance = Some(instance.clone());
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -2,23 +2,22 @@
 //! slow or failing runs.
 
 use {
-    super::{Ledger, NORMAL_SLOWNESS_PERCENT, Phase},
+    super::{Ledger, Phase},
     sycamorerail_wire::runs::{PRIORITY_CLASSES, Resources, UpstreamLoad},
 };
 
 /// Divisor of the moving averages: the newest sample weighs one part in this many. The average
 /// then reflects about ten runs, which an upstream ends within a quarter of a second.
 const AVERAGE_DIVISOR: u32 = 8;
-/// Half-life of the penalties for slowness and failures while no new runs end. Without the
-/// decay, an upstream that was slow for 7 s stayed unused for up to 8 s more.
-const PENALTY_HALF_LIFE_MS: u64 = 1_000;
-/// Run time, in percent of the estimate, above which an upstream is on trial: it offers only a
+/// Half-life of the penalty for failures while no new runs end.
+const FAILING_HALF_LIFE_MS: u64 = 1_000;
+/// Run time, in percent of the usual one, above which an upstream is on trial: it offers only a
 /// small part of its capacity until its runs are faster again.
 const TRIAL_PERCENT: u32 = 250;
 /// Capacity that an upstream on trial offers, in percent. One task in ten shows as much as all
 /// of them, and if the upstream hangs, it costs one job instead of ten.
 const TRIAL_CAPACITY_PERCENT: u32 = 10;
-/// Run time, in percent of the estimate, above which a run is overdue.
+/// Run time, in percent of the usual one, above which a run is overdue.
 const OVERDUE_PERCENT: u64 = 250;
 
 /// Change of a penalty, in percentage points, that is reported at once.
@@ -44,19 +43,6 @@
 }
 
 impl Ledger {
-    pub(super) fn note_run_time(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
-        let percent = (u64::from(run_ms) * 100 / u64::from(estimate_ms.max(1))).min(1_000) as u32;
-        self.slowness_percent = moving_average(self.decayed_slowness(now_ms), percent);
-        self.slowness_at_ms = now_ms;
-    }
-
-    fn decayed_slowness(&self, now_ms: u64) -> u32 {
-        let halvings = now_ms.saturating_sub(self.slowness_at_ms) / PENALTY_HALF_LIFE_MS;
-        let excess =
-            self.slowness_percent.saturating_sub(NORMAL_SLOWNESS_PERCENT) >> halvings.min(31);
-        self.slowness_percent.min(NORMAL_SLOWNESS_PERCENT) + excess
-    }
-
     pub(super) fn note_failure(&mut self, failed: bool, now_ms: u64) {
         let past = self.current_failing(now_ms);
         self.failing_percent = moving_average(past, if failed { 100 } else { 0 });
@@ -64,7 +50,7 @@
     }
 
     pub(super) fn current_failing(&self, now_ms: u64) -> u32 {
-        let halvings = now_ms.saturating_sub(self.failing_at_ms) / PENALTY_HALF_LIFE_MS;
+        let halvings = now_ms.saturating_sub(self.failing_at_ms) / FAILING_HALF_LIFE_MS;
         self.failing_percent >> halvings.min(31)
     }
 
@@ -94,7 +80,7 @@
     fn offered_capacity(&self) -> Resources {
         let capacity =
             self.announced_instance.as_ref().map(|instance| instance.capacity).unwrap_or_default();
-        if self.slowness_percent <= TRIAL_PERCENT {
+        if !self.run_times.exceed_usual(TRIAL_PERCENT) {
             return capacity;
         }
         let cpu_milli = capacity.cpu_milli * TRIAL_CAPACITY_PERCENT / 100;
@@ -117,9 +103,10 @@
         left.sum()
     }
 
-    /// Returns the run times in percent of the estimates, including runs that are far overdue
-    /// and still active.
+    /// Returns the expected run times in percent of the estimates, including runs that are far
+    /// overdue and still active.
     fn current_slowness(&self, now_ms: u64) -> u32 {
+        let overdue_percent = u64::from(self.run_times.usual_percent()) * OVERDUE_PERCENT / 100;
         let overdue = self.runs.values().filter_map(|run| match run.phase {
             Phase::Running { since_ms } => {
                 let elapsed_ms = now_ms.saturating_sub(since_ms);
@@ -127,19 +114,20 @@
             }
             _ => None,
         });
-        let far_overdue: Vec<_> = overdue.filter(|percent| *percent > OVERDUE_PERCENT).collect();
-        let decayed = self.decayed_slowness(now_ms);
+        let far_overdue: Vec<_> = overdue.filter(|percent| *percent > overdue_percent).collect();
+        let expected = self.run_times.expected_percent(now_ms);
         if far_overdue.len() * 2 <= self.active_count() || far_overdue.is_empty() {
-            return decayed;
+            return expected;
         }
         let mean = far_overdue.iter().sum::<u64>() / far_overdue.len() as u64;
-        decayed.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
+        expected.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
     }
-}
 
-/// Whether a run took far longer than estimated.
-pub(super) fn is_overdue(run_ms: u32, estimate_ms: u32) -> bool {
-    u64::from(run_ms) * 100 > u64::from(estimate_ms) * OVERDUE_PERCENT
+    /// Whether a run took far longer than usual.
+    pub(super) fn is_overdue(&self, run_ms: u32, estimate_ms: u32) -> bool {
+        let usual_ms = u64::from(estimate_ms) * u64::from(self.run_times.usual_percent()) / 100;
+        u64::from(run_ms) * 100 > usual_ms * OVERDUE_PERCENT
+    }
 }
 
 fn moving_average(past: u32, sample: u32) -> u32 {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -17,6 +17,7 @@
 mod order_fence;
 mod owners;
 mod renewal;
+mod run_times;
 mod types;
 
 pub use {
@@ -34,6 +35,7 @@
     crash_log::CrashLog,
     order_fence::OrderFence,
     owners::Owners,
+    run_times::RunTimes,
     slotmap::{SlotMap, new_key_type},
     std::{
         collections::{BTreeMap, BTreeSet, HashMap},
@@ -56,8 +58,6 @@
 /// An ordered run that the upstream does not list this long after the order was sent is
 /// stopped. An order is usually carried out and answered within 2 ms.
 const START_CONFIRM_WITHIN_MS: u64 = 25;
-/// Slowness of an upstream whose run times match the estimates, in percent.
-const NORMAL_SLOWNESS_PERCENT: u32 = 100;
 /// Number of waiting tasks examined for one that fits, so that a large task at the head of the
 /// queue does not leave capacity unused for long.
 const MAX_TASKS_EXAMINED: usize = 16;
@@ -169,8 +169,7 @@
     next_arrival: u64,
     owners: Owners,
     leftovers: BTreeMap<(TaskKey, u32), Stop>,
-    slowness_percent: u32,
-    slowness_at_ms: u64,
+    run_times: RunTimes,
     failing_percent: u32,
     failing_at_ms: u64,
     crash_log: CrashLog,
@@ -206,8 +205,7 @@
             next_arrival: 0,
             owners: Owners::default(),
             leftovers: BTreeMap::new(),
-            slowness_percent: NORMAL_SLOWNESS_PERCENT,
-            slowness_at_ms: 0,
+            run_times: RunTimes::default(),
             failing_percent: 0,
             failing_at_ms: 0,
             crash_log: CrashLog::default(),
@@ -335,6 +333,8 @@
         let spec: Arc<str> = placement.spec.into();
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
         let is_fresh = self.owners.is_fresh(owner, now_ms, self.limits.owner_timeout_ms);
+        let usual_ms =
+            u64::from(placement.run_ms) * u64::from(self.run_times.usual_percent()) / 100;
         for start in placement.tasks {
             let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
             let run = Run {
@@ -348,7 +348,7 @@
                 rank: Rank {
                     is_late: false,
                     is_job_mostly_waiting: !placement.job_mostly_started,
-                    start_by_ms: objective_ms.saturating_sub(placement.run_ms.into()),
+                    start_by_ms: objective_ms.saturating_sub(usual_ms),
                     priority: placement.priority,
                     arrival: self.next_arrival,
                 },
@@ -495,12 +495,12 @@
         self.limits.lease_ms * TRUSTED_LEASE_PERCENT / 100
     }
 
-    /// Hands back tasks at the head of the queue that cannot end in time anywhere, and moves
-    /// late tasks behind those that can be in time.
+    /// Hands back tasks at the head of the queue that cannot end in time here, and moves late
+    /// tasks behind those that can be in time.
     fn reorder_waiting(&mut self, now_ms: u64) {
         while let Some(&(rank, key)) = self.waiting.first() {
             let run = &mut self.runs[key];
-            if now_ms + u64::from(run.run_ms) > run.give_up_ms {
+            if now_ms + self.run_times.usual_ms(run.run_ms) > run.give_up_ms {
                 self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
             } else if rank.is_job_mostly_waiting && !rank.is_late && rank.start_by_ms < now_ms {
                 self.waiting.remove(&(rank, key));
@@ -515,7 +515,7 @@
     /// Hands back waiting tasks whose time has passed, and drops old crash records.
     pub fn drop_expired(&mut self, now_ms: u64) {
         self.crash_log.expire(now_ms);
-        let too_late = |run: &Run| now_ms + u64::from(run.run_ms) > run.give_up_ms;
+        let too_late = |run: &Run| now_ms + self.run_times.usual_ms(run.run_ms) > run.give_up_ms;
         let expired = self.waiting.iter().filter(|(_, key)| too_late(&self.runs[*key]));
         let keys: Vec<_> = expired.map(|&(_, key)| key).collect();
         for key in keys {
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -4,7 +4,7 @@
 use {
     super::{
         CLOCK_DRIFT_PERCENT, EndKind, InstanceEnd, LeaseAnswer, Ledger, Phase, RunEnd,
-        START_CONFIRM_WITHIN_MS, Stop, Suspension, instances::orphan_end, load::is_overdue,
+        START_CONFIRM_WITHIN_MS, Stop, Suspension, instances::orphan_end,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
@@ -104,13 +104,13 @@
         };
         match ended.kind {
             EndKind::Done => {
-                self.note_run_time(run_ms, estimate_ms, now_ms);
+                self.run_times.record(run_ms, estimate_ms, now_ms);
                 self.note_failure(false, now_ms);
             }
             EndKind::Failed => self.note_failure(true, now_ms),
-            EndKind::Stopped if is_overdue(run_ms, estimate_ms) => {
+            EndKind::Stopped if self.is_overdue(run_ms, estimate_ms) => {
                 // It would have taken longer still.
-                self.note_run_time(run_ms, estimate_ms, now_ms);
+                self.run_times.record(run_ms, estimate_ms, now_ms);
             }
             EndKind::Stopped | EndKind::Lapsed => {}
         }
