Run times: an upstream is slow by its estimates as well, not by its own short runs alone

Where one kind's estimates are far too long the usual run time is short, and runs of other kinds that take just as long as estimated looked slow. Run times had no lower bound either (1 ms of 2 s, as in the tests' warm-up).

Change: a sound upstream takes the longer of both; too late goes by the shorter. Test other_kinds_bear_no_estimates_that_are_too_long.

--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -11,14 +11,14 @@
 const AVERAGE_DIVISOR: u32 = 8;
 /// Half-life of the penalty for failures while no new runs end.
 const FAILING_HALF_LIFE_MS: u64 = 1_000;
-/// Run time, in percent of the usual one, above which an upstream is on trial: it offers only a
+/// Run time, in percent of that of a sound upstream, above which an upstream is on trial: it offers only a
 /// small part of its capacity until its runs are faster again.
 const TRIAL_PERCENT: u32 = 250;
 /// Capacity that an upstream on trial offers, in percent. One task in ten shows as much as all
 /// of them, and if the upstream hangs, it costs one job instead of ten.
 const TRIAL_CAPACITY_PERCENT: u32 = 10;
-/// Run time, in percent of the usual one, above which a run is overdue.
-const OVERDUE_PERCENT: u64 = 250;
+/// Run time, in percent of that on a sound upstream, above which a run is overdue.
+const OVERDUE_PERCENT: u32 = 250;
 
 /// Change of a penalty, in percentage points, that is reported at once.
 const PENALTY_CHANGE_PERCENT: u32 = 20;
@@ -80,7 +80,7 @@
     fn offered_capacity(&self) -> Resources {
         let capacity =
             self.announced_instance.as_ref().map(|instance| instance.capacity).unwrap_or_default();
-        if !self.run_times.exceed_usual(TRIAL_PERCENT) {
+        if !self.run_times.exceed(TRIAL_PERCENT) {
             return capacity;
         }
         let cpu_milli = capacity.cpu_milli * TRIAL_CAPACITY_PERCENT / 100;
@@ -106,7 +106,7 @@
     /// Returns the expected run times in percent of the estimates, including runs that are far
     /// overdue and still active.
     fn current_slowness(&self, now_ms: u64) -> u32 {
-        let overdue_percent = u64::from(self.run_times.usual_percent()) * OVERDUE_PERCENT / 100;
+        let overdue_percent = self.run_times.longest_sound_percent(OVERDUE_PERCENT) as u64;
         let overdue = self.runs.values().filter_map(|run| match run.phase {
             Phase::Running { since_ms } => {
                 let elapsed_ms = now_ms.saturating_sub(since_ms);
@@ -125,8 +125,8 @@
 
     /// Whether a run took far longer than usual.
     pub(super) fn is_overdue(&self, run_ms: u32, estimate_ms: u32) -> bool {
-        let usual_ms = u64::from(estimate_ms) * u64::from(self.run_times.usual_percent()) / 100;
-        u64::from(run_ms) * 100 > usual_ms * OVERDUE_PERCENT
+        let overdue_percent = self.run_times.longest_sound_percent(OVERDUE_PERCENT);
+        f64::from(run_ms) * 100.0 > f64::from(estimate_ms) * overdue_percent
     }
 }
 
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -333,8 +333,7 @@
         let spec: Arc<str> = placement.spec.into();
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
         let is_fresh = self.owners.is_fresh(owner, now_ms, self.limits.owner_timeout_ms);
-        let usual_ms =
-            u64::from(placement.run_ms) * u64::from(self.run_times.usual_percent()) / 100;
+        let shortest_ms = self.run_times.shortest_ms(placement.run_ms);
         for start in placement.tasks {
             let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
             let run = Run {
@@ -348,7 +347,7 @@
                 rank: Rank {
                     is_late: false,
                     is_job_mostly_waiting: !placement.job_mostly_started,
-                    start_by_ms: objective_ms.saturating_sub(usual_ms),
+                    start_by_ms: objective_ms.saturating_sub(shortest_ms),
                     priority: placement.priority,
                     arrival: self.next_arrival,
                 },
@@ -500,7 +499,7 @@
     fn reorder_waiting(&mut self, now_ms: u64) {
         while let Some(&(rank, key)) = self.waiting.first() {
             let run = &mut self.runs[key];
-            if now_ms + self.run_times.usual_ms(run.run_ms) > run.give_up_ms {
+            if now_ms + self.run_times.shortest_ms(run.run_ms) > run.give_up_ms {
                 self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
             } else if rank.is_job_mostly_waiting && !rank.is_late && rank.start_by_ms < now_ms {
                 self.waiting.remove(&(rank, key));
@@ -515,7 +514,7 @@
     /// Hands back waiting tasks whose time has passed, and drops old crash records.
     pub fn drop_expired(&mut self, now_ms: u64) {
         self.crash_log.expire(now_ms);
-        let too_late = |run: &Run| now_ms + self.run_times.usual_ms(run.run_ms) > run.give_up_ms;
+        let too_late = |run: &Run| now_ms + self.run_times.shortest_ms(run.run_ms) > run.give_up_ms;
         let expired = self.waiting.iter().filter(|(_, key)| too_late(&self.runs[*key]));
         let keys: Vec<_> = expired.map(|&(_, key)| key).collect();
         for key in keys {
--- a/crates/decide/src/ledger/run_times.rs
+++ b/crates/decide/src/ledger/run_times.rs
@@ -3,8 +3,8 @@
 
 /// Run time of an upstream that is as fast as the estimates assume, in percent of the estimate.
 const NORMAL_PERCENT: f64 = 100.0;
-/// Longest run time that counts, in percent of the estimate.
-const MAX_PERCENT: f64 = 1_000.0;
+/// Bounds of a run time that counts, in percent of the estimate.
+const RUN_TIME_BOUNDS_PERCENT: (f64, f64) = (10.0, 1_000.0);
 /// The newest run counts for one part in this many in the recent run time, which then reflects
 /// about ten runs.
 const RECENT_PARTS: f64 = 8.0;
@@ -62,8 +62,9 @@
 
     /// Records the run time of a task.
     pub(super) fn record(&mut self, run_ms: u32, estimate_ms: u32, now_ms: u64) {
-        let percent = f64::from(run_ms.max(1)) * 100.0 / f64::from(estimate_ms.max(1));
-        let percent = percent.min(MAX_PERCENT);
+        let (least, most) = RUN_TIME_BOUNDS_PERCENT;
+        let percent = f64::from(run_ms) * 100.0 / f64::from(estimate_ms.max(1));
+        let percent = percent.clamp(least, most);
         let past = self.decayed_percent(now_ms);
         self.recent_percent = past + (percent - past) / RECENT_PARTS;
         self.recent_at_ms = now_ms;
@@ -86,7 +87,7 @@
     /// Recent run times above this are a slow spell.
     fn spell_percent(&self) -> f64 {
         let is_known = self.usual_runs >= KNOWN_RUNS;
-        if is_known { self.usual_percent * SPELL_FACTOR } else { UNKNOWN_SPELL_PERCENT }
+        if is_known { self.sound_percent() * SPELL_FACTOR } else { UNKNOWN_SPELL_PERCENT }
     }
 
     fn decayed_percent(&self, now_ms: u64) -> f64 {
@@ -95,27 +96,33 @@
         self.recent_percent - excess + excess * (-(halvings as f64)).exp2()
     }
 
-    /// Usual run time in percent of the estimates.
-    pub(super) fn usual_percent(&self) -> u32 {
-        self.usual_percent.round() as u32
+    /// Run time of a sound upstream in percent of the estimates: the usual one or the estimate,
+    /// whichever is longer. The usual one may be short because a kind's estimates are too long.
+    fn sound_percent(&self) -> f64 {
+        self.usual_percent.max(NORMAL_PERCENT)
     }
 
-    /// Usual run time of a task with this estimate, in milliseconds.
-    pub(super) fn usual_ms(&self, estimate_ms: u32) -> u64 {
-        u64::from(estimate_ms) * u64::from(self.usual_percent()) / 100
+    /// Shortest time that a task with this estimate is expected to take, in milliseconds.
+    pub(super) fn shortest_ms(&self, estimate_ms: u32) -> u64 {
+        (f64::from(estimate_ms) * self.usual_percent.min(NORMAL_PERCENT) / 100.0) as u64
     }
 
     /// Expected run time in percent of the estimates.
     pub(super) fn expected_percent(&self, now_ms: u64) -> u32 {
         let recent_percent = self.decayed_percent(now_ms);
-        if recent_percent > self.usual_percent * SPELL_FACTOR {
+        if recent_percent > self.sound_percent() * SPELL_FACTOR {
             return recent_percent.round() as u32;
         }
-        self.usual_percent()
+        self.usual_percent.round() as u32
+    }
+
+    /// Whether the last runs took longer than this percentage of those of a sound upstream.
+    pub(super) fn exceed(&self, percent: u32) -> bool {
+        self.recent_percent > self.longest_sound_percent(percent)
     }
 
-    /// Whether the last runs took longer than this percentage of the usual run time.
-    pub(super) fn exceed_usual(&self, percent: u32) -> bool {
-        self.recent_percent * 100.0 > self.usual_percent * f64::from(percent)
+    /// Run time that is this percentage of that of a sound upstream, in percent of the estimates.
+    pub(super) fn longest_sound_percent(&self, percent: u32) -> f64 {
+        self.sound_percent() * f64::from(percent) / 100.0
     }
 }
--- a/crates/decide/tests/run_times.rs
+++ b/crates/decide/tests/run_times.rs
@@ -137,6 +137,22 @@
     assert!((250..=330).contains(&agent.slowness_percent(10_000)));
 }
 
+/// A kind whose estimates are far too long must not make runs that take as long as estimated look
+/// slow, or their tasks too late.
+#[test]
+fn other_kinds_bear_no_estimates_that_are_too_long() {
+    let mut agent = Agent::new();
+    agent.run(200, 5);
+    agent.run(10, 100);
+    assert!(agent.slowness_percent(0) <= 100);
+    assert_eq!(agent.ledger.load(agent.now_ms).capacity, CAPACITY);
+    let task = agent.place(10_000);
+    agent.renew(&[]);
+    assert!(agent.ledger.next_start(agent.now_ms).is_some());
+    agent.ledger.handle_start_answer(task, 1, StartAnswer::Started, agent.now_ms);
+    assert!(agent.slowness_percent(100) <= 100, "not overdue");
+}
+
 /// The next instance usually runs on the same VM, and shows soon where it does not.
 #[test]
 fn the_next_instance_starts_with_the_known_speed() {
