--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -22,15 +22,15 @@
 pub const POOL: &str = "pool";
 const MEMORY_MB: u32 = u32::MAX;
 /// Heartbeat of a link without other messages.
-const BEAT: Micros = 200 * MS;
-/// A renewal's answer may wait this long for an end.
+const HEARTBEAT_INTERVAL: Micros = 200 * MS;
+/// How long the upstream may delay its answer to a renewal to wait for an end.
 const RENEWAL_WAIT: Micros = 40 * MS;
-/// A renewal whose answer is overdue by this much is followed by another.
-const OVERDUE: Micros = 20 * MS;
-/// Renewals under way at most.
-const MAX_UNDER_WAY: usize = 4;
-/// Ends that come within this are told together.
-const GATHER: Micros = 3 * MS;
+/// Once an answer is overdue by this much, another renewal is sent.
+const ANSWER_OVERDUE: Micros = 20 * MS;
+/// Most renewals in flight at once.
+const MAX_IN_FLIGHT: usize = 4;
+/// Pause after an answer with ends, so that one answer reports further ends together.
+const END_BATCH_PAUSE: Micros = 3 * MS;
 
 /// A renewal that waits at the upstream for an end.
 #[derive(Clone, Copy, Debug)]
@@ -51,18 +51,18 @@
     /// The entry's run, once there is a connection.
     entry: Option<Incarnation>,
     heard: u64,
-    told_up_to: u64,
+    reported_up_to: u64,
     load: Option<UpstreamLoad>,
-    load_at: Micros,
-    beat_at: Micros,
+    next_load_at: Micros,
+    heartbeat_at: Micros,
 }
 
-/// What an agent wants done.
+/// Orders of an agent to its upstream.
 #[derive(Debug, Default)]
-pub struct Wanted {
-    /// Starts to send to the upstream.
+pub struct Orders {
+    /// Starts to send.
     pub starts: Vec<StartOrder>,
-    /// Stops to send to it.
+    /// Stops to send.
     pub stops: Vec<(TaskKey, u32)>,
 }
 
@@ -79,10 +79,10 @@
     pub waiting: Vec<Renewal>,
     capacity: Resources,
     links: Vec<Link>,
-    /// Shortest time between two loads told on a link.
+    /// Shortest time between two loads reported on a link.
     load_pause: Micros,
     renewals: u64,
-    under_way: usize,
+    in_flight: usize,
     renew_at: Micros,
     /// Number of the scheduled renewal; an earlier one was replaced.
     renewal_turn: u64,
@@ -100,7 +100,7 @@
             links: vec![Link::default(); entries],
             load_pause,
             renewals: 0,
-            under_way: 0,
+            in_flight: 0,
             renew_at: 0,
             renewal_turn: 0,
         };
@@ -139,66 +139,71 @@
         if let Some(before) = link.entry.replace(run).filter(|before| *before != run) {
             self.ledger.drop_owner(before);
         }
-        *link = Link { entry: Some(run), heard: 1, beat_at: now, ..Link::default() };
+        *link = Link { entry: Some(run), heard: 1, heartbeat_at: now, ..Link::default() };
         self.ledger.note_owner_contact(run, millis(now));
     }
 
-    /// The link to this run of an entry counts a message; false where there is none.
-    pub fn hear(&mut self, entry: usize, run: Incarnation) -> bool {
+    /// Counts a message from an entry. Returns false if there is no link to this run of it.
+    pub fn count_message(&mut self, entry: usize, run: Incarnation) -> bool {
         let link = &mut self.links[entry];
         let is_present = link.entry == Some(run);
         link.heard += u64::from(is_present);
         is_present
     }
 
-    /// What is to be done after a change.
-    pub fn wanted(&mut self, now: Micros) -> Wanted {
+    /// Returns the orders that are due.
+    pub fn take_orders(&mut self, now: Micros) -> Orders {
         let now_ms = millis(now);
         let starts = std::iter::from_fn(|| self.ledger.next_start(now_ms)).collect();
         let stops = self.ledger.stops_due(now_ms);
         self.ledger.take_decisions();
-        Wanted { starts, stops }
+        Orders { starts, stops }
     }
 
-    /// The report that is due to an entry, and when to look again.
+    /// Returns the report that is due to an entry, if any, and when the next one may be.
     pub fn report(&mut self, entry: usize, now: Micros) -> (Option<FromRunsAgent>, Micros) {
         let load = self.ledger.load(millis(now));
         let link = &mut self.links[entry];
-        let Some(run) = link.entry else { return (None, now + BEAT) };
+        let Some(run) = link.entry else { return (None, now + HEARTBEAT_INTERVAL) };
         let reports = self.ledger.reports(run);
         let reports: Vec<RunReport> =
-            reports.into_iter().filter(|report| report.number > link.told_up_to).collect();
+            reports.into_iter().filter(|report| report.number > link.reported_up_to).collect();
         let is_changed = link.load.is_none_or(|told| is_significant_change(&told, &load));
-        let load_due = is_changed && now >= link.load_at;
-        if reports.is_empty() && !load_due && now < link.beat_at {
-            let next = if is_changed { link.load_at.min(link.beat_at) } else { link.beat_at };
+        let load_due = is_changed && now >= link.next_load_at;
+        if reports.is_empty() && !load_due && now < link.heartbeat_at {
+            let next = if is_changed {
+                link.next_load_at.min(link.heartbeat_at)
+            } else {
+                link.heartbeat_at
+            };
             return (None, next);
         }
-        link.told_up_to = reports.last().map_or(link.told_up_to, |report| report.number);
+        link.reported_up_to = reports.last().map_or(link.reported_up_to, |report| report.number);
         link.load = Some(load);
-        link.load_at = now + self.load_pause;
-        link.beat_at = now + BEAT;
+        link.next_load_at = now + self.load_pause;
+        link.heartbeat_at = now + HEARTBEAT_INTERVAL;
         let report = FromRunsAgent::Report { heard: link.heard, reports, load };
-        (Some(report), link.beat_at)
+        (Some(report), link.heartbeat_at)
     }
 
-    /// The renewal that is due, and when the next one is.
+    /// Returns the renewal that is due, if any.
     pub fn renewal_due(&mut self, now: Micros) -> Option<Renewal> {
-        if now < self.renew_at || self.under_way >= MAX_UNDER_WAY {
+        if now < self.renew_at || self.in_flight >= MAX_IN_FLIGHT {
             return None;
         }
-        self.renew_at = now + RENEWAL_WAIT + OVERDUE;
+        self.renew_at = now + RENEWAL_WAIT + ANSWER_OVERDUE;
         Some(self.renewal(RENEWAL_WAIT, now))
     }
 
-    /// A renewal that is sent at once for what it lists, unless too many are under way.
-    pub fn look_now(&mut self, now: Micros) -> Option<Renewal> {
-        (self.under_way < MAX_UNDER_WAY).then(|| self.renewal(0, now))
+    /// Returns a renewal that is not scheduled, unless too many are in flight. Its answer lists the
+    /// runs at once.
+    pub fn renew_now(&mut self, now: Micros) -> Option<Renewal> {
+        (self.in_flight < MAX_IN_FLIGHT).then(|| self.renewal(0, now))
     }
 
     fn renewal(&mut self, wait: Micros, now: Micros) -> Renewal {
         self.renewals += 1;
-        self.under_way += 1;
+        self.in_flight += 1;
         let acknowledged = self.ledger.last_acknowledged_end();
         Renewal { number: self.renewals, sent: now, acknowledged, wait }
     }
@@ -220,13 +225,13 @@
         self.renewal_turn == turn
     }
 
-    /// A renewal was answered, or its answer is waited for no more. Returns whether the next one
+    /// Handles the answer to a renewal, or its timeout. Returns whether the next one
     /// is due earlier than scheduled.
     pub fn renewed(&mut self, life: u64, answer: Option<LeaseAnswer>, now: Micros) -> bool {
-        self.under_way -= 1;
+        self.in_flight -= 1;
         let Some(mut answer) = answer.filter(|_| life == self.life) else { return false };
         answer.instance = self.ledger.current_instance().cloned().unwrap_or_default();
-        let pause = if answer.ended.is_empty() { 0 } else { GATHER };
+        let pause = if answer.ended.is_empty() { 0 } else { END_BATCH_PAUSE };
         let is_earlier = now + pause < self.renew_at;
         self.renew_at = self.renew_at.min(now + pause);
         self.ledger.handle_renewal_answer(&answer, millis(now));
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -7,7 +7,7 @@
 };
 
 /// Most entries, upstreams and kinds of a model: they bound its time, not its sense.
-const MAX_ENTRIES: u16 = 128;
+const MAX_ENTRIES: u16 = 512;
 const MAX_UPSTREAMS: u32 = 2_000;
 const MAX_KINDS: usize = 64;
 
--- a/crates/bench/src/policy/world/agents.rs
+++ b/crates/bench/src/policy/world/agents.rs
@@ -1,7 +1,7 @@
 //! Agents and upstreams of a model.
 
 use {
-    super::{AGENT_TICK, ANSWER_WITHIN, Event, Link, World},
+    super::{AGENT_TICK, ANSWER_TIMEOUT, Event, Link, World},
     crate::policy::{
         agent::Renewal,
         clock::{MS, Micros, millis},
@@ -24,10 +24,10 @@
         self.clock.after(AGENT_TICK, Event::AgentTick(agent));
     }
 
-    pub(super) fn told(&mut self, link: Link, message: ToRunsAgent) {
+    pub(super) fn deliver(&mut self, link: Link, message: ToRunsAgent) {
         let now_ms = millis(self.clock.now());
         let agent = &mut self.agents[link.agent];
-        if !agent.hear(link.entry, link.run) {
+        if !agent.count_message(link.entry, link.run) {
             return;
         }
         let ledger = &mut agent.ledger;
@@ -52,12 +52,12 @@
     /// Sends what an agent wants after a change, and reports it.
     pub(super) fn act(&mut self, agent: usize) {
         let (now, delay) = (self.clock.now(), self.call_delay());
-        let wanted = self.agents[agent].wanted(now);
+        let orders = self.agents[agent].take_orders(now);
         let life = self.agents[agent].life;
-        for order in wanted.starts {
+        for order in orders.starts {
             self.clock.after(delay, Event::Order { agent, life, order });
         }
-        for (task, run) in wanted.stops {
+        for (task, run) in orders.stops {
             self.clock.after(delay, Event::Stop { agent, life, task, run });
         }
         for entry in 0..self.entries.len() {
@@ -95,7 +95,7 @@
         if life != self.agents[agent].life || self.is_lost(agent) {
             let answer = StartAnswer::Unanswered;
             let event = Event::Ordered { agent, life, task, run, answer };
-            return self.clock.after(ANSWER_WITHIN, event);
+            return self.clock.after(ANSWER_TIMEOUT, event);
         }
         let (job, index) = numbers_of(task);
         let work = self.jobs[job].run_micros[index];
@@ -146,8 +146,8 @@
         }
         let now = self.clock.now();
         self.agents[agent].ledger.handle_stop_confirmation(task, run, millis(now));
-        let look = self.agents[agent].look_now(now);
-        self.send_renewal(agent, look);
+        let renewal = self.agents[agent].renew_now(now);
+        self.send_renewal(agent, renewal);
         self.act(agent);
     }
 
@@ -181,7 +181,7 @@
 
     pub(super) fn renew(&mut self, agent: usize, life: u64, renewal: Renewal) {
         if life != self.agents[agent].life || self.is_lost(agent) {
-            let delay = ANSWER_WITHIN + renewal.wait;
+            let delay = ANSWER_TIMEOUT + renewal.wait;
             return self.clock.after(delay, Event::Renewed { agent, life, answer: None });
         }
         let has_ends = self.agents[agent].upstream.has_ends(renewal.acknowledged);
--- a/crates/bench/src/policy/world/entries.rs
+++ b/crates/bench/src/policy/world/entries.rs
@@ -1,7 +1,7 @@
 //! Callers and entries of a model.
 
 use {
-    super::{BALANCED_AFTER, BEAT, ENTRY_TICK, Event, Link, World},
+    super::{BALANCED_AFTER, ENTRY_TICK, Event, HEARTBEAT_INTERVAL, Link, World},
     crate::policy::{
         agent::ModelAgent,
         clock::millis,
@@ -97,7 +97,7 @@
         let link = Link { entry, run: self.entries[entry].run, agent };
         self.messages += 1;
         let delay = self.message_delay();
-        self.clock.after(delay, Event::Tell(link, message));
+        self.clock.after(delay, Event::Deliver(link, message));
     }
 
     pub(super) fn is_present(&self, link: Link) -> bool {
@@ -113,17 +113,17 @@
         self.clock.after(ENTRY_TICK, Event::EntryTick(entry));
     }
 
-    pub(super) fn beat(&mut self, link: Link) {
+    pub(super) fn heartbeat(&mut self, link: Link) {
         if !self.is_present(link) {
             return;
         }
         let entry = &self.entries[link.entry];
         let linked = entry.agents[&link.agent];
         let PoolView { agents, largest } = entry.dispatch.pool_view(linked.key);
-        let beat =
+        let heartbeat =
             ToRunsAgent::Heartbeat { heard: 0, confirmed: linked.confirmed, agents, largest };
-        self.tell(link.entry, linked.key, beat);
-        self.clock.after(BEAT, Event::Beat(link));
+        self.tell(link.entry, linked.key, heartbeat);
+        self.clock.after(HEARTBEAT_INTERVAL, Event::Heartbeat(link));
     }
 
     pub(super) fn reported(&mut self, link: Link, message: FromRunsAgent) {
--- a/crates/bench/src/policy/world/faults.rs
+++ b/crates/bench/src/policy/world/faults.rs
@@ -1,7 +1,7 @@
 //! Faults of a model.
 
 use {
-    super::{ANNOUNCED_AFTER, ANSWER_WITHIN, Event, World},
+    super::{ANNOUNCED_AFTER, ANSWER_TIMEOUT, Event, World},
     crate::policy::{
         entry::ModelEntry,
         settings::{Fault, FaultKind},
@@ -55,7 +55,7 @@
         let waiting = self.agents[agent].waiting.len();
         self.agents[agent].lose_upstream();
         for _ in 0..waiting {
-            self.clock.after(ANSWER_WITHIN, Event::Renewed { agent, life, answer: None });
+            self.clock.after(ANSWER_TIMEOUT, Event::Renewed { agent, life, answer: None });
         }
     }
 
--- a/crates/bench/src/policy/world/mod.rs
+++ b/crates/bench/src/policy/world/mod.rs
@@ -35,9 +35,9 @@
 const ENTRY_TICK: Micros = 20 * MS;
 const AGENT_TICK: Micros = 25 * MS;
 /// Heartbeat of an entry to an agent.
-const BEAT: Micros = 200 * MS;
-/// A call to an upstream without an answer is given up after this.
-const ANSWER_WITHIN: Micros = 200 * MS;
+const HEARTBEAT_INTERVAL: Micros = 200 * MS;
+/// Timeout of a call to an upstream.
+const ANSWER_TIMEOUT: Micros = 200 * MS;
 /// An upstream that is back announces itself within this.
 const ANNOUNCED_AFTER: Micros = 700 * MS;
 /// The balancer takes an entry that is lost out after this; callers then reach others.
@@ -57,8 +57,8 @@
     Arrives(usize),
     EntryTick(usize),
     AgentTick(usize),
-    Beat(Link),
-    Tell(Link, ToRunsAgent),
+    Heartbeat(Link),
+    Deliver(Link, ToRunsAgent),
     Report(Link, FromRunsAgent),
     ReportDue(Link),
     Order { agent: usize, life: u64, order: StartOrder },
@@ -187,7 +187,7 @@
             self.entries[entry].connect(agent, life, now);
             let link = Link { entry, run, agent };
             self.clock.at(now, Event::ReportDue(link));
-            self.clock.after(BEAT, Event::Beat(link));
+            self.clock.after(HEARTBEAT_INTERVAL, Event::Heartbeat(link));
         }
     }
 
@@ -196,8 +196,8 @@
             Event::Arrives(job) => self.arrives(job),
             Event::EntryTick(entry) => self.tick_entry(entry),
             Event::AgentTick(agent) => self.tick_agent(agent),
-            Event::Beat(link) => self.beat(link),
-            Event::Tell(link, message) => self.told(link, message),
+            Event::Heartbeat(link) => self.heartbeat(link),
+            Event::Deliver(link, message) => self.deliver(link, message),
             Event::Report(link, message) => self.reported(link, message),
             Event::ReportDue(link) => self.report(link),
             Event::Order { agent, life, order } => self.ordered(agent, life, &order),
