--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -131,8 +131,8 @@
 
     /// Whether run times at an agent's upstream are about those at the middle one of its pool.
     ///
-    /// Estimates are corrected by such runs only: with those of all upstreams, an error of a
-    /// correction and one of the slowness that agents measure by it could grow together.
+    /// Estimates are corrected by such runs only. Agents measure slowness against corrected
+    /// estimates, so that otherwise an error of the one would increase that of the other.
     pub(super) fn is_of_middle_speed(&self, agent: AgentKey, pool: &str) -> bool {
         let middle_percent = self.middle_slowness_percent(pool);
         self.agents.get(agent).is_some_and(|agent| agent.slowness_percent(middle_percent) == 100)
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -11,8 +11,8 @@
 const AVERAGE_DIVISOR: u32 = 8;
 /// Half-life of the penalty for failures while no new runs end.
 const FAILING_HALF_LIFE_MS: u64 = 1_000;
-/// Run time, in percent of that of a sound upstream, above which an upstream is on trial: it offers only a
-/// small part of its capacity until its runs are faster again.
+/// Run time, in percent of that of a sound upstream, above which an upstream is on trial: it
+/// offers only a small part of its capacity until its runs are faster again.
 const TRIAL_PERCENT: u32 = 250;
 /// Capacity that an upstream on trial offers, in percent. One task in ten shows as much as all
 /// of them, and if the upstream hangs, it costs one job instead of ten.
@@ -123,7 +123,7 @@
         expected.max(u32::try_from(mean.min(2_000)).unwrap_or(2_000))
     }
 
-    /// Whether a run took far longer than usual.
+    /// Whether a run took far longer than on a sound upstream.
     pub(super) fn is_overdue(&self, run_ms: u32, estimate_ms: u32) -> bool {
         let overdue_percent = self.run_times.longest_sound_percent(OVERDUE_PERCENT);
         f64::from(run_ms) * 100.0 > f64::from(estimate_ms) * overdue_percent
