Run times: an agent counts a usual run time of 80 % and more as the estimate

The error of the average moved the time at which waiting tasks count as late.

Change: only an upstream that is clearly faster goes by its own run times.

--- a/crates/decide/src/ledger/run_times.rs
+++ b/crates/decide/src/ledger/run_times.rs
@@ -22,6 +22,9 @@
 const UNKNOWN_SPELL_PERCENT: f64 = 250.0;
 /// A slow spell that lasts this long, in milliseconds, is a property of the VM.
 const MAX_SPELL_MS: u64 = 15_000;
+/// Usual run times from this percentage of the estimates on count as equal to them: the average is
+/// off by several percent.
+const MIN_SIMILAR_PERCENT: f64 = 80.0;
 /// Half-life of a slow spell while no runs end, in milliseconds. Without the decay, an upstream
 /// that was slow for 7 s stayed unused for up to 8 s more.
 const SPELL_HALF_LIFE_MS: u64 = 1_000;
@@ -104,7 +107,9 @@
 
     /// Shortest time that a task with this estimate is expected to take, in milliseconds.
     pub(super) fn shortest_ms(&self, estimate_ms: u32) -> u64 {
-        (f64::from(estimate_ms) * self.usual_percent.min(NORMAL_PERCENT) / 100.0) as u64
+        let is_faster = self.usual_percent < MIN_SIMILAR_PERCENT;
+        let percent = if is_faster { self.usual_percent } else { NORMAL_PERCENT };
+        (f64::from(estimate_ms) * percent / 100.0) as u64
     }
 
     /// Expected run time in percent of the estimates.
