Run times, placement and the model: names that mean one thing

No logic changed. Bounds and assumed runs of two modules had the same names; slowness was relative to estimates or to the middle upstream; a task was in time for admission, and for placement with time to spare. The record of a run time is split by what it updates.

--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -84,7 +84,7 @@
     renewals: u64,
     in_flight: usize,
     renew_at: Micros,
-    /// Number of the scheduled renewal; an earlier one was replaced.
+    /// Number of the scheduled renewal; those with lower numbers were replaced.
     renewal_turn: u64,
 }
 
@@ -213,9 +213,8 @@
         self.renew_at
     }
 
-    /// When the next renewal is due, and its number, which replaces that of the one scheduled
-    /// before.
-    pub fn next_renewal_turn(&mut self) -> (Micros, u64) {
+    /// Replaces the scheduled renewal. Returns when the new one is due, and its number.
+    pub fn reschedule_renewal(&mut self) -> (Micros, u64) {
         self.renewal_turn += 1;
         (self.renew_at, self.renewal_turn)
     }
@@ -225,8 +224,8 @@
         self.renewal_turn == turn
     }
 
-    /// Handles the answer to a renewal, or its timeout. Returns whether the next one
-    /// is due earlier than scheduled.
+    /// Handles the answer to a renewal, or its timeout. Returns whether the next renewal is due
+    /// earlier than scheduled.
     pub fn renewed(&mut self, life: u64, answer: Option<LeaseAnswer>, now: Micros) -> bool {
         self.in_flight -= 1;
         let Some(mut answer) = answer.filter(|_| life == self.life) else { return false };
--- a/crates/bench/src/policy/bound.rs
+++ b/crates/bench/src/policy/bound.rs
@@ -39,8 +39,8 @@
     starts_s.zip(windows).map(|(start_s, jobs)| most_in_window(settings, jobs, start_s)).sum()
 }
 
-/// Moore's algorithm: by deadline, and the largest job goes whenever the work is too much. It is
-/// optimal for jobs that could all start at once.
+/// Moore's algorithm: takes jobs by their deadlines and drops the largest one whenever they are too
+/// much work. It is optimal for jobs that could all start at once.
 fn most_in_window(settings: &ModelSettings, mut jobs: Vec<&ModelJob>, start_s: u64) -> u64 {
     jobs.sort_by_key(|job| job.in_time_until());
     let mut taken = BinaryHeap::new();
@@ -71,8 +71,8 @@
     upstreams.enumerate().map(work).sum::<f64>() * MICROS_PER_S
 }
 
-/// How long one fault at least takes an upstream away in this time, in seconds. Faults may
-/// overlap, so that of all of them is not known to be longer.
+/// The longest time for which a single fault takes an upstream away, in seconds. Faults may
+/// overlap, and adding them up could take away room that there is.
 fn longest_away_s(settings: &ModelSettings, upstream: usize, from_s: f64, until_s: f64) -> f64 {
     let faults = settings.faults.iter().filter(|fault| {
         matches!(fault.kind, FaultKind::Gone | FaultKind::Hung) && upstream < fault.count as usize
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -6,7 +6,7 @@
     sycamorerail_decide::links::LinkLimits,
 };
 
-/// Most entries, upstreams and kinds of a model: they bound its time, not its sense.
+/// Most entries, upstreams and kinds of a model, for the time that it takes to play.
 const MAX_ENTRIES: u16 = 512;
 const MAX_UPSTREAMS: u32 = 2_000;
 const MAX_KINDS: usize = 64;
--- a/crates/bench/src/policy/world/agents.rs
+++ b/crates/bench/src/policy/world/agents.rs
@@ -153,7 +153,7 @@
 
     /// Schedules the agent's next renewal in place of the one that was scheduled before.
     pub(super) fn schedule_renewal(&mut self, agent: usize) {
-        let (at, turn) = self.agents[agent].next_renewal_turn();
+        let (at, turn) = self.agents[agent].reschedule_renewal();
         self.clock.at(at, Event::RenewalDue { agent, turn });
     }
 
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -24,8 +24,8 @@
 /// Run times in this range of percentages of those at the middle upstream count as the same: the
 /// averages are off by several percent, and by them all entries would prefer the same upstream.
 const SIMILAR_PERCENT: RangeInclusive<u32> = 80..=125;
-/// Time that must be left until the objective for a task to count as on time, in percent of its
-/// run time.
+/// Time between the expected end of a task and the objective from which the task has time to
+/// spare, in percent of its run time.
 const MIN_SLACK_PERCENT: u64 = 20;
 /// Run time on an upstream without the preferred label, in percent of the estimate.
 const WITHOUT_PREFERRED_LABEL_PERCENT: u64 = 150;
@@ -205,7 +205,7 @@
     pub fn estimate(&self, planned: &PlannedTasks, demand: &TaskDemand<'_>) -> TaskEstimate {
         let taken = self.load.taken.plus(&self.unreported_resources).plus(&planned.room);
         let free = self.load.capacity.minus(&taken);
-        let slowness = u64::from(self.slowness_percent(demand.middle_slowness_percent));
+        let slowness = u64::from(self.relative_slowness_percent(demand.middle_slowness_percent));
         let has_preferred_label = demand.preferred_label.is_none_or(|label| self.has_label(label));
         let label_percent = if has_preferred_label { 100 } else { WITHOUT_PREFERRED_LABEL_PERCENT };
         let run_ms = u64::from(demand.run_ms) * slowness * label_percent / 10_000;
@@ -231,7 +231,7 @@
         let room_for_tasks = free.cpu_milli / demand.need.cpu_milli.max(1);
         let min_slack_ms = run_ms * MIN_SLACK_PERCENT / 100;
         // Away from the preferred label the task would take room for longer.
-        let is_in_time = wait_ms == 0
+        let has_time_to_spare = wait_ms == 0
             && cost_ms == end_ms
             && has_preferred_label
             && end_ms + min_slack_ms <= demand.objective_in_ms;
@@ -241,13 +241,13 @@
             wait_ms,
             room_for_tasks,
             planned: planned.count,
-            is_in_time,
+            has_time_to_spare,
         }
     }
 
     /// Run times here in percent of those at the middle upstream; 100 if they are similar.
     #[must_use]
-    pub fn slowness_percent(&self, middle_slowness_percent: u32) -> u32 {
+    pub fn relative_slowness_percent(&self, middle_slowness_percent: u32) -> u32 {
         let percent = self.load.slowness_percent * 100 / middle_slowness_percent.max(1);
         if SIMILAR_PERCENT.contains(&percent) { 100 } else { percent }
     }
@@ -285,7 +285,7 @@
     pub need: &'a Resources,
     /// Expected run time on an upstream of middle speed, in milliseconds.
     pub run_ms: u32,
-    /// Run times on that upstream, in percent of the estimates.
+    /// Slowness of that upstream: its run times in percent of the estimates.
     pub middle_slowness_percent: u32,
     /// Time until the task must end for its job to be on time, in milliseconds.
     pub objective_in_ms: u64,
@@ -329,7 +329,7 @@
     pub room_for_tasks: u32,
     /// Tasks that the current decision has already assigned to the agent.
     pub planned: u16,
-    /// Whether the task starts at once and its job will be on time, even if it takes somewhat
-    /// longer than expected.
-    pub is_in_time: bool,
+    /// Whether the task starts at once, near its data, and ends so early that its job is on time
+    /// even if it takes somewhat longer than expected.
+    pub has_time_to_spare: bool,
 }
--- a/crates/decide/src/dispatch/kinds.rs
+++ b/crates/decide/src/dispatch/kinds.rs
@@ -3,11 +3,11 @@
 
 /// The newest run time counts for one part in this many. Tasks of a job share the error of their
 /// estimate, so that this is the mean of some twenty jobs.
-const RUN_TIME_PARTS: f64 = 128.0;
-/// Runs that the assumption of correct estimates counts for.
-const ASSUMED_RUNS: f64 = 16.0;
+const CORRECTION_PARTS: f64 = 128.0;
+/// Number of runs that the assumption of exact estimates counts for.
+const ASSUMED_EXACT_RUNS: f64 = 16.0;
 /// Bounds of the correction of estimates, in percent.
-const RUN_TIME_BOUNDS_PERCENT: (f64, f64) = (50.0, 300.0);
+const CORRECTION_BOUNDS_PERCENT: (f64, f64) = (50.0, 300.0);
 /// The newest lateness counts for one part in this many: an entry sees 16 jobs of the rarest kind
 /// in about 3 s of a burst.
 const LATENESS_PARTS: f64 = 16.0;
@@ -47,7 +47,7 @@
     shed_fraction: f64,
     /// Observed run times relative to estimates, in percent; `None` before the first run.
     run_time_percent: Option<f64>,
-    /// Number of runs in it.
+    /// Number of runs in `run_time_percent`.
     runs: f64,
     lateness_ms: f64,
     lateness_at_ms: u64,
@@ -65,12 +65,12 @@
 
     /// Records the run time of a task on an upstream of middle speed.
     pub fn record_run_time(&mut self, run_ms: u32, estimate_ms: u32) {
-        let (least, most) = RUN_TIME_BOUNDS_PERCENT;
+        let (least, most) = CORRECTION_BOUNDS_PERCENT;
         let percent = f64::from(run_ms) * 100.0 / f64::from(estimate_ms.max(1));
         let sample = percent.clamp(least, most);
         self.runs += 1.0;
         let past = self.run_time_percent.unwrap_or(100.0);
-        let parts = (self.runs + ASSUMED_RUNS).min(RUN_TIME_PARTS);
+        let parts = (self.runs + ASSUMED_EXACT_RUNS).min(CORRECTION_PARTS);
         self.run_time_percent = Some(past + (sample - past) / parts);
     }
 
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -135,7 +135,9 @@
     /// estimates, so that otherwise an error of the one would increase that of the other.
     pub(super) fn is_of_middle_speed(&self, agent: AgentKey, pool: &str) -> bool {
         let middle_percent = self.middle_slowness_percent(pool);
-        self.agents.get(agent).is_some_and(|agent| agent.slowness_percent(middle_percent) == 100)
+        self.agents
+            .get(agent)
+            .is_some_and(|agent| agent.relative_slowness_percent(middle_percent) == 100)
     }
 
     pub(super) fn corrected_run_ms(&self, job: &Job, step: &StepRequest) -> u32 {
@@ -319,16 +321,17 @@
     best
 }
 
-/// Whether an estimate is better: on time, else clearly lower cost; among those on time or at the
-/// same cost clearly more room, else fewer tasks of the same job.
+/// Whether an estimate is better: with time to spare, else at clearly lower cost; among those with
+/// time to spare, and among those at the same cost, with clearly more room, else with fewer tasks
+/// of the same job.
 ///
-/// Where a task is on time anyway, a faster upstream is no better: its room is left to tasks that
+/// Where a task has time to spare, a faster upstream is no better. Its room is left to tasks that
 /// are on time there only.
 fn is_better(one: &TaskEstimate, other: &TaskEstimate) -> bool {
-    if one.is_in_time != other.is_in_time {
-        return one.is_in_time;
+    if one.has_time_to_spare != other.has_time_to_spare {
+        return one.has_time_to_spare;
     }
-    if !one.is_in_time && one.cost_ms.abs_diff(other.cost_ms) > EQUAL_COST_MS {
+    if !one.has_time_to_spare && one.cost_ms.abs_diff(other.cost_ms) > EQUAL_COST_MS {
         return one.cost_ms < other.cost_ms;
     }
     let (room, other_room) = (room_class(one), room_class(other));
--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -80,7 +80,7 @@
     fn offered_capacity(&self) -> Resources {
         let capacity =
             self.announced_instance.as_ref().map(|instance| instance.capacity).unwrap_or_default();
-        if !self.run_times.exceed(TRIAL_PERCENT) {
+        if !self.run_times.are_beyond(TRIAL_PERCENT) {
             return capacity;
         }
         let cpu_milli = capacity.cpu_milli * TRIAL_CAPACITY_PERCENT / 100;
@@ -106,7 +106,7 @@
     /// Returns the expected run times in percent of the estimates, including runs that are far
     /// overdue and still active.
     fn current_slowness(&self, now_ms: u64) -> u32 {
-        let overdue_percent = self.run_times.longest_sound_percent(OVERDUE_PERCENT) as u64;
+        let overdue_percent = self.run_times.limit_percent(OVERDUE_PERCENT) as u64;
         let overdue = self.runs.values().filter_map(|run| match run.phase {
             Phase::Running { since_ms } => {
                 let elapsed_ms = now_ms.saturating_sub(since_ms);
@@ -125,7 +125,7 @@
 
     /// Whether a run took far longer than on a sound upstream.
     pub(super) fn is_overdue(&self, run_ms: u32, estimate_ms: u32) -> bool {
-        let overdue_percent = self.run_times.longest_sound_percent(OVERDUE_PERCENT);
+        let overdue_percent = self.run_times.limit_percent(OVERDUE_PERCENT);
         f64::from(run_ms) * 100.0 > f64::from(estimate_ms) * overdue_percent
     }
 }
--- a/crates/decide/src/ledger/run_times.rs
+++ b/crates/decide/src/ledger/run_times.rs
@@ -15,7 +15,7 @@
 const ASSUMED_RUNS: f64 = 4.0;
 /// Number of runs, the assumed ones among them, from which the usual run time is known.
 const KNOWN_RUNS: f64 = 16.0;
-/// Recent run times within this factor of the usual one are not a slow spell.
+/// Recent run times beyond this factor of those of a sound upstream are a slow spell.
 const SPELL_FACTOR: f64 = 1.7;
 /// Recent run times above this are a slow spell while the usual one is not known, in percent of
 /// the estimates. Longer runs are not learned as usual, either.
@@ -68,9 +68,18 @@
         let (least, most) = RUN_TIME_BOUNDS_PERCENT;
         let percent = f64::from(run_ms) * 100.0 / f64::from(estimate_ms.max(1));
         let percent = percent.clamp(least, most);
+        self.update_recent(percent, now_ms);
+        self.update_usual(percent, now_ms);
+    }
+
+    fn update_recent(&mut self, percent: f64, now_ms: u64) {
         let past = self.decayed_percent(now_ms);
         self.recent_percent = past + (percent - past) / RECENT_PARTS;
         self.recent_at_ms = now_ms;
+    }
+
+    /// Learns a run outside of slow spells, and the recent run times once a spell has lasted.
+    fn update_usual(&mut self, percent: f64, now_ms: u64) {
         if self.recent_percent <= self.spell_percent() {
             self.spell_since_ms = None;
             self.learn(percent);
@@ -93,6 +102,7 @@
         if is_known { self.sound_percent() * SPELL_FACTOR } else { UNKNOWN_SPELL_PERCENT }
     }
 
+    /// Recent run times, the part above the usual one halved for each second without runs.
     fn decayed_percent(&self, now_ms: u64) -> f64 {
         let halvings = now_ms.saturating_sub(self.recent_at_ms) / SPELL_HALF_LIFE_MS;
         let excess = (self.recent_percent - self.usual_percent).max(0.0);
@@ -121,13 +131,13 @@
         self.usual_percent.round() as u32
     }
 
-    /// Whether the last runs took longer than this percentage of those of a sound upstream.
-    pub(super) fn exceed(&self, percent: u32) -> bool {
-        self.recent_percent > self.longest_sound_percent(percent)
+    /// Whether recent runs took longer than this percentage of those of a sound upstream.
+    pub(super) fn are_beyond(&self, percent: u32) -> bool {
+        self.recent_percent > self.limit_percent(percent)
     }
 
-    /// Run time that is this percentage of that of a sound upstream, in percent of the estimates.
-    pub(super) fn longest_sound_percent(&self, percent: u32) -> f64 {
+    /// Converts a limit in percent of a sound upstream's run times to percent of the estimates.
+    pub(super) fn limit_percent(&self, percent: u32) -> f64 {
         self.sound_percent() * f64::from(percent) / 100.0
     }
 }
