Tests: a check of small differences that could not fail is gone

small_differences_of_speed_are_ignored passed with the rule broken on purpose (its tasks had time to spare and went by room). differences_within_the_error_of_an_estimate_are_ignored, which fails without the rule, takes its place.

--- a/crates/decide/tests/run_times.rs
+++ b/crates/decide/tests/run_times.rs
@@ -258,15 +258,6 @@
     assert!(long.iter().all(|agent| *agent > 0), "{long:?}");
 }
 
-/// Averages of run times are off by some percent; by them all entries would prefer one upstream.
-#[test]
-fn small_differences_of_speed_are_ignored() {
-    let mut site = Site::new(&[load(96, 6_000), load(100, 0), load(104, 0)]);
-    for id in 1..=3 {
-        assert!(!site.place(id, 1, 900).contains(&0));
-    }
-}
-
 /// Upstreams that differ by less than an estimate may be off got the long tasks in turns, by the
 /// errors of their averages.
 #[test]
