--- a/crates/bench/src/policy/world/agents.rs
+++ b/crates/bench/src/policy/world/agents.rs
@@ -167,7 +167,7 @@
         if self.agents[agent].renew_at() > now {
             self.schedule_renewal(agent);
         } else {
-            // Too many renewals are under way.
+            // Too many renewals are in flight.
             self.clock.after(MS, Event::RenewalDue { agent, turn });
         }
     }
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -330,7 +330,7 @@
     pub room_for_tasks: u32,
     /// Tasks that the current decision has already assigned to the agent.
     pub planned: u16,
-    /// Whether the task starts at once, near its data, and ends so early that its job is on time
-    /// even if it takes somewhat longer than expected.
+    /// Whether the task starts at once, on an upstream with the preferred label if there is one,
+    /// and ends so early that its job is on time even if it takes somewhat longer than expected.
     pub has_time_to_spare: bool,
 }
