Recall: waiting tasks get free room, the most urgent first

Cause: tasks that waited at one upstream were offered half of the room of another one, in the order of their objectives and whatever would arrive there.

Change: the most urgent tasks go first and get half of the room, as several entries claim it at the same time and they cannot wait twice; less urgent tasks get what more urgent work leaves.

--- a/crates/decide/src/dispatch/recall.rs
+++ b/crates/decide/src/dispatch/recall.rs
@@ -13,17 +13,22 @@
 /// Maximum number of doublings.
 const MAX_DOUBLINGS: u32 = 6;
 
+/// Part of an agent's free room, in percent, for recalled tasks beside which nothing is more
+/// urgent. Several entries claim the same room, and such a task has no time to wait a second time.
+const MOST_URGENT_ROOM_PERCENT: u64 = 50;
+
 /// A task that waits at an agent.
 struct WaitingTask {
     job: JobKey,
     task: TaskKey,
     at: AgentKey,
     need_milli: u32,
+    priority: u8,
     end_by_ms: u64,
 }
 
 impl Dispatch {
-    /// Recalls tasks that wait at other agents, for the room of this one.
+    /// Recalls tasks that wait at other agents, for the room of this one, the most urgent first.
     ///
     /// A job waits for its slowest task, and run times are off by 40 %: without recalls some
     /// tasks queue at one upstream while others have room again.
@@ -32,14 +37,21 @@
         if !view.is_usable(now_ms, self.limits.suspect_ms) || view.load.waiting > 0 {
             return;
         }
-        // The other half is left for new jobs, here and at other entries.
-        let mut room_milli = view.free_cpu_milli() / 2;
+        let Some(instance) = &view.instance else { return };
+        let load = self.pool_load(&instance.pool);
+        let free_milli = u64::from(view.free_cpu_milli());
+        let offered_milli =
+            |priority| free_milli * offered_percent(load.more_urgent_percent(priority)) / 100;
+        let mut recalled_milli = 0;
         let mut waiting = self.waiting_elsewhere(agent, now_ms);
-        waiting.sort_unstable_by_key(|waiting| waiting.end_by_ms);
+        waiting.sort_unstable_by_key(|waiting| (waiting.priority, waiting.end_by_ms));
         let mut by_agent: BTreeMap<AgentKey, Vec<TaskKey>> = BTreeMap::new();
-        for WaitingTask { job, task, at, need_milli, .. } in waiting {
-            let Some(left) = room_milli.checked_sub(need_milli) else { break };
-            room_milli = left;
+        for WaitingTask { job, task, at, need_milli, priority, .. } in waiting {
+            let with_this_milli = recalled_milli + u64::from(need_milli);
+            if with_this_milli > offered_milli(priority) {
+                continue;
+            }
+            recalled_milli = with_this_milli;
             by_agent.entry(at).or_default().push(task);
             let Some(job) = self.jobs.get_mut(job) else { continue };
             let state = &mut job.tasks[usize::from(task.step)][usize::from(task.index)].state;
@@ -92,6 +104,12 @@
     }
 }
 
+/// Part of an agent's free room that is offered to a task, in percent. Room that more urgent work
+/// takes as it arrives is left for it.
+fn offered_percent(more_urgent_percent: u64) -> u64 {
+    if more_urgent_percent == 0 { MOST_URGENT_ROOM_PERCENT } else { 100 - more_urgent_percent }
+}
+
 /// Tasks of a step that an agent has held for long enough without a start.
 fn waiting_tasks(
     key: JobKey,
@@ -100,6 +118,7 @@
     now_ms: u64,
 ) -> impl Iterator<Item = WaitingTask> + '_ {
     let need_milli = job.request.steps[step].need.cpu_milli;
+    let (priority, end_by_ms) = (job.request.kind.priority, job.objective_ms);
     job.tasks[step].iter().enumerate().filter_map(move |(index, task)| {
         let TaskState::Placed { agent: at, started: false, since_ms, recalled: false } = task.state
         else {
@@ -110,6 +129,6 @@
             return None;
         }
         let task = job.key_of(step, index)?;
-        Some(WaitingTask { job: key, task, at, need_milli, end_by_ms: job.objective_ms })
+        Some(WaitingTask { job: key, task, at, need_milli, priority, end_by_ms })
     })
 }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -564,6 +564,48 @@
     assert_eq!(site.placements()[0].0, agents[1]);
 }
 
+/// Reports an agent whose upstream is free, and one at which all tasks of a job wait. Returns how
+/// many tasks of each priority are recalled for the free one while work of the highest priority
+/// takes this part of the capacity.
+fn recalled_by_priority(arriving_milli: u32, cpu_milli: u32) -> [usize; 2] {
+    let (mut site, agents) = Site::new(&[0, 10_000]);
+    for priority in [1, 0] {
+        let need = Resources { cpu_milli, memory_mb: 10, accelerators: 0 };
+        let mut request = job(u64::from(priority), vec![StepRequest { need, ..step(4) }]);
+        let kind = KindParameters { priority, stretch: 9.0, ..(*request.kind).clone() };
+        request.kind = Arc::new(KindParameters { name: format!("kind-{priority}"), ..kind });
+        site.submit(request);
+    }
+    site.dispatch.take_commands();
+    let arriving_milli = [arriving_milli, 0, 0, 0];
+    let waiting_milli_ms = [600_000, 600_000, 0, 0];
+    let waiting = UpstreamLoad { waiting: 4, waiting_milli_ms, arriving_milli, ..load(10_000) };
+    site.dispatch.handle_report(agents[0], &[], waiting, 9, site.now_ms);
+    site.now_ms += 20;
+    let free = UpstreamLoad { arriving_milli, ..load(0) };
+    site.dispatch.handle_report(agents[1], &[], free, 9, site.now_ms);
+    let mut recalled = [0; 2];
+    for command in site.dispatch.take_commands() {
+        if let Command::Withdraw(_, tasks) = command {
+            tasks.iter().for_each(|task| recalled[usize::from(task.job.0 == 1)] += 1);
+        }
+    }
+    recalled
+}
+
+/// Guards against less urgent tasks that take the room which is free while urgent ones wait.
+#[test]
+fn the_most_urgent_tasks_are_recalled_first() {
+    assert_eq!(recalled_by_priority(0, 1_500), [3, 0]);
+}
+
+/// Guards against long, less urgent tasks in the room for which urgent ones arrive all the time.
+#[test]
+fn room_for_arriving_urgent_work_is_left() {
+    assert_eq!(recalled_by_priority(3_000, 1_500), [3, 1]);
+    assert_eq!(recalled_by_priority(8_000, 1_500), [3, 0]);
+}
+
 /// Several entries claim the same room. A task that was recalled and waits again is left in place
 /// for twice as long each time.
 #[test]
