--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -26,7 +26,7 @@
     stop::STOP_ANSWER_MS,
     types::{
         AgentKey, Command, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
-        KindParameters, NoResultReason, PoolView, StepRequest,
+        KindParameters, NoResultReason, PoolView, ShedCause, Shedding, StepRequest,
     },
 };
 
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -62,7 +62,7 @@
             late_ms,
             must_end_in_ms: admission_deadline_ms.saturating_sub(now_ms),
             useful_for_ms: job.give_up_ms().saturating_sub(now_ms),
-            shed_percent: self.shed_percent(job, now_ms),
+            shedding: self.shedding(job, now_ms),
             stops_in_ms: self.stop_at_ms.map(|stop_at_ms| stop_at_ms.saturating_sub(now_ms)),
         }
     }
--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -15,7 +15,10 @@
 //! more urgent jobs that are refused or late at this entry.
 
 use {
-    super::{Dispatch, Job, JobForecast, kinds::KindRecord},
+    super::{
+        Dispatch, Job, JobForecast, KindParameters, ShedCause, Shedding, kinds::KindRecord,
+        pool_load::PoolLoad,
+    },
     std::sync::Arc,
 };
 
@@ -52,44 +55,61 @@
             return false;
         }
         let kind = Arc::clone(&job.request.kind);
-        self.kind_record(&kind.name).add_shed_fraction(forecast.shed_percent / 100.0)
+        self.kind_record(&kind.name).add_shed_fraction(forecast.shedding.percent / 100.0)
     }
 
-    /// Share of jobs such as this one to shed, in percent.
-    pub(super) fn shed_percent(&self, job: &Job, now_ms: u64) -> f64 {
+    /// Share of jobs such as this one to shed.
+    pub(super) fn shedding(&self, job: &Job, now_ms: u64) -> Shedding {
         if self.is_after_mass_reconnect(now_ms) {
-            return 0.0;
+            return Shedding::default();
+        }
+        let kind = &job.request.kind;
+        let load = self.pool_load(&kind.pool);
+        let strain_percent =
+            (self.strain_percent(job, now_ms) - TOLERATED_STRAIN_PERCENT) * SHED_GAIN;
+        let (own_share, yielded_share) = self.pressure_shares(kind, &load, now_ms);
+        let causes = [
+            (ShedCause::Queue, own_share * 100.0),
+            (ShedCause::Yielded, yielded_share * 100.0),
+            (ShedCause::Strain, strain_percent.min(100.0)),
+        ];
+        let largest = causes.into_iter().filter(|(_, percent)| *percent > 0.0);
+        let largest = largest.max_by(|(_, one), (_, other)| one.total_cmp(other));
+        Shedding {
+            percent: largest.map_or(0.0, |(_, percent)| percent),
+            cause: largest.map(|(cause, _)| cause),
+            queue_ms: load.wait_ms(kind.priority),
         }
-        let by_strain = (self.strain_percent(job, now_ms) - TOLERATED_STRAIN_PERCENT) * SHED_GAIN;
-        by_strain.clamp(0.0, 100.0).max(self.pressure_share(job, now_ms) * 100.0)
     }
 
-    /// Share of jobs to shed because work waits at the upstreams of the pool.
-    fn pressure_share(&self, job: &Job, now_ms: u64) -> f64 {
-        let kind = &job.request.kind;
-        let of_pool: Vec<_> =
-            self.kinds.values().filter(|record| record.is_of_pool(&kind.pool)).collect();
-        let priorities = || of_pool.iter().map(|record| record.priority());
+    /// Shares of the jobs of a kind to shed: for its own queue, and to yield to less urgent kinds.
+    ///
+    /// Where all kinds of the pool have the same priority, forecasts decide alone.
+    fn pressure_shares(
+        &self,
+        kind: &KindParameters,
+        load: &PoolLoad,
+        now_ms: u64,
+    ) -> (/* own */ f64, /* yielded */ f64) {
+        let of_pool = || self.kinds.values().filter(|record| record.is_of_pool(&kind.pool));
+        let priorities = || of_pool().map(KindRecord::priority);
         let (most_urgent, least_urgent) = (priorities().min(), priorities().max());
-        // Where nothing is less urgent than anything else, forecasts decide alone.
+        let Some(own) = self.kinds.get(&kind.name) else { return (0.0, 0.0) };
         if most_urgent == least_urgent {
-            return 0.0;
+            return (0.0, 0.0);
         }
-        let load = self.pool_load(&kind.pool);
-        let own_share = |record: &KindRecord| {
-            share_at_wait(load.wait_ms(record.priority()) / record.slack_ms().max(1.0))
-        };
-        let Some(own) = self.kinds.get(&kind.name) else { return 0.0 };
-        if Some(kind.priority) == most_urgent {
-            return own_share(own);
+        let own_share = share_for_queue(own, load);
+        if most_urgent == Some(kind.priority) {
+            return (own_share, 0.0);
+        }
+        let (mut their_share, mut lacking_milli) = (0.0_f64, 0.0);
+        for record in of_pool().filter(|record| record.priority() > kind.priority) {
+            let share = share_for_queue(record, load);
+            their_share = their_share.max(share);
+            lacking_milli += share * record.asked_milli(now_ms);
         }
-        let less_urgent = || of_pool.iter().filter(|record| record.priority() > kind.priority);
-        let their_share = less_urgent().map(|record| own_share(record)).fold(0.0, f64::max);
-        let lacking_milli: f64 =
-            less_urgent().map(|record| own_share(record) * record.asked_milli(now_ms)).sum();
-        // No more than they lack.
         let most = lacking_milli / own.asked_milli(now_ms).max(1.0);
-        own_share(own).max((their_share * YIELDED_SHARE).min(most))
+        (own_share, (their_share * YIELDED_SHARE).min(most))
     }
 
     /// Recent share of refused or late jobs, in percent, of the kind with the highest one among
@@ -113,7 +133,8 @@
     }
 }
 
-/// Share of jobs to shed at a wait that is given as a part of the slack.
-fn share_at_wait(wait: f64) -> f64 {
+/// Share of the jobs of a kind to shed for the queue ahead of them.
+fn share_for_queue(record: &KindRecord, load: &PoolLoad) -> f64 {
+    let wait = load.wait_ms(record.priority()) / record.slack_ms().max(1.0);
     ((wait - MIN_SHED_WAIT) / (MAX_SHED_WAIT - MIN_SHED_WAIT)).clamp(0.0, 1.0)
 }
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -179,12 +179,47 @@
     pub must_end_in_ms: u64,
     /// Until its result becomes useless.
     pub useful_for_ms: u64,
-    /// Share of such jobs that is shed if they have to wait, in percent.
-    pub shed_percent: f64,
+    /// Share of such jobs that is shed if they have to wait.
+    pub shedding: Shedding,
     /// Until the entry stops, if a stop is planned.
     pub stops_in_ms: Option<u64>,
 }
 
+/// Share of jobs that is shed, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Shedding {
+    /// The share, in percent.
+    pub percent: f64,
+    /// The reason for the largest share; `None` if nothing is shed.
+    pub cause: Option<ShedCause>,
+    /// Mean time that work of the job's priority waits at the upstreams of its pool, in
+    /// milliseconds.
+    pub queue_ms: f64,
+}
+
+/// Why jobs are shed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ShedCause {
+    /// Their queue is too long for their slack.
+    Queue,
+    /// Less urgent kinds are shed, too.
+    Yielded,
+    /// More urgent jobs are refused or late.
+    Strain,
+}
+
+impl ShedCause {
+    /// Name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Queue => "queue",
+            Self::Yielded => "yielded",
+            Self::Strain => "strain",
+        }
+    }
+}
+
 impl JobForecast {
     /// Whether the job can be on time.
     #[must_use]
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -21,13 +21,13 @@
         copies::{CopyFetch, FetchLimits},
         dispatch::{
             AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey,
-            JobRequest, NoResultReason, STOP_ANSWER_MS,
+            JobRequest, NoResultReason, STOP_ANSWER_MS, ShedCause,
         },
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerJobId, ConfigurationCopy, Evacuations, ToRunsAgent},
+        runs::{CallerJobId, ConfigurationCopy, Evacuations, PRIORITY_CLASSES, ToRunsAgent},
     },
     tokio::{
         net::TcpListener,
@@ -223,7 +223,7 @@
     pub async fn run(self: &Arc<Self>, request: JobRequest) -> JobAnswer {
         let (sender, receiver) = oneshot::channel();
         let (id, arrived_ms) = (request.id, request.arrived_ms);
-        let kind = request.kind.name.clone();
+        let (kind, priority) = (request.kind.name.clone(), request.kind.priority);
         let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
         let (submitted, forecast) = {
@@ -234,7 +234,7 @@
             }
             (submitted, dispatch.last_forecast())
         };
-        let size = JobSize { kind: &kind, tasks, deadline_in_ms };
+        let size = JobSize { kind: &kind, priority, tasks, deadline_in_ms };
         log_admission(submitted.is_ok(), id, size, &forecast);
         let answer = match submitted {
             Ok(key) => {
@@ -248,6 +248,7 @@
             Err(answer) => answer,
         };
         self.note_answer(id, &kind, answer, self.clock.now_ms() - arrived_ms);
+        count_refusal(answer, priority);
         answer
     }
 
@@ -358,13 +359,16 @@
         job = id,
         accepted = accepted,
         kind = size.kind,
+        priority = size.priority,
         tasks = size.tasks,
         deadline_in_ms = size.deadline_in_ms,
         expected_in_ms = forecast.end_in_ms,
         wait_ms = forecast.wait_ms,
         late_ms = forecast.late_ms,
         must_end_in_ms = forecast.must_end_in_ms,
-        shed_percent = forecast.shed_percent.round(),
+        shed_percent = forecast.shedding.percent.round(),
+        shed_cause = forecast.shedding.cause.map_or("", ShedCause::name),
+        queue_ms = forecast.shedding.queue_ms.round(),
         stops_in_ms = forecast.stops_in_ms.map_or_else(String::new, |left_ms| left_ms.to_string()),
     );
 }
@@ -373,10 +377,20 @@
 #[derive(Clone, Copy)]
 struct JobSize<'a> {
     kind: &'a str,
+    priority: u8,
     tasks: usize,
     deadline_in_ms: u64,
 }
 
+/// Counts refusals by priority class. Classes are those of the reported load, so that there are
+/// few labels.
+fn count_refusal(answer: JobAnswer, priority: u8) {
+    let JobAnswer::NotRun { reason, .. } = answer else { return };
+    let class = usize::from(priority).min(PRIORITY_CLASSES - 1).to_string();
+    metrics::counter!("sycamorerail_refusals_total", "why" => reason.name(), "priority" => class)
+        .increment(1);
+}
+
 fn names(answer: JobAnswer) -> (&'static str, &'static str) {
     match answer {
         JobAnswer::Completed => ("completed", ""),
