Shedding: refusals in another pool are no strain

Cause: the strain of every kind of an entry counted, also of kinds that run on other upstreams. An overload of one pool shed all less urgent jobs of the others that had to wait (10 of 10 in the test). Change: only kinds of the same pool count. Test other_pools_cause_no_shedding failed before.

--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -113,7 +113,7 @@
     }
 
     /// Recent share of refused or late jobs, in percent, of the kind with the highest one among
-    /// those that precede this job.
+    /// those of its pool that precede this job.
     fn strain_percent(&self, job: &Job, now_ms: u64) -> f64 {
         let priority = job.request.kind.priority;
         let work_milli_ms = job.work_milli_ms() as f64;
@@ -121,7 +121,8 @@
             let is_smaller = record.work_milli_ms() * SMALLER_WORK_FACTOR < work_milli_ms;
             record.priority() < priority || (record.priority() == priority && is_smaller)
         };
-        let before = self.kinds.values().filter(precedes);
+        let of_pool = |record: &&KindRecord| record.is_of_pool(&job.request.kind.pool);
+        let before = self.kinds.values().filter(of_pool).filter(precedes);
         before.map(|record| record.strain_percent(now_ms)).fold(0.0, f64::max)
     }
 
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -71,11 +71,23 @@
         cpu_milli: u32,
         run_ms: u32,
         stretch: f64,
+    ) -> Result<JobKey, JobAnswer> {
+        self.submit_to("desk", priority, tasks, cpu_milli, run_ms, stretch)
+    }
+
+    fn submit_to(
+        &mut self,
+        pool: &str,
+        priority: u8,
+        tasks: u16,
+        cpu_milli: u32,
+        run_ms: u32,
+        stretch: f64,
     ) -> Result<JobKey, JobAnswer> {
         self.jobs += 1;
         let kind = KindParameters {
-            name: format!("kind-{priority}-{tasks}"),
-            pool: "desk".to_owned(),
+            name: format!("kind-{pool}-{priority}-{tasks}"),
+            pool: pool.to_owned(),
             priority,
             max_attempts: 2,
             stretch,
@@ -280,3 +292,30 @@
     setup.report_queue(1, 60, 0);
     assert_eq!(setup.shed_percent_beside(1, 1, 1), 0);
 }
+
+/// Guards against shedding for an overload of other upstreams.
+#[test]
+fn other_pools_cause_no_shedding() {
+    let mut setup = Setup::new();
+    let other = setup.dispatch.agent_connected("other", Incarnation(1), None, 0);
+    setup.dispatch.agent_ready(other, 0);
+    let instance = UpstreamInstance {
+        pool: "booth".to_owned(),
+        ..setup.dispatch.instance(setup.agent).unwrap().clone()
+    };
+    setup.dispatch.set_instance(other, instance);
+    setup.dispatch.message_sent(other, None, setup.now_ms);
+    let full = UpstreamLoad {
+        usable: true,
+        capacity: CAPACITY,
+        taken: CAPACITY,
+        running_milli_ms: 1_000_000,
+        slowness_percent: 100,
+        ..UpstreamLoad::default()
+    };
+    setup.dispatch.handle_report(other, &[], full, 1, setup.now_ms);
+    for _ in 0..20 {
+        assert!(setup.submit_to("booth", 0, 1, 1_000, 50, 1.0).is_err());
+    }
+    assert_eq!(setup.shed_of_ten(1, 1), 0);
+}
