--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 mod place;
 mod pool_load;
 mod recall;
+pub mod returns;
 mod shedding;
 mod stop;
 mod types;
