Admission: jobs refused for load get their retry delay from the schedule of returns

Cause: shed jobs were told to return after 1,000 ms, and others after the forecast wait, all of them after the same time. They met the same load, or each other.

Change: refusals for overload and shedding get the time that ReturnSchedule promises; a job that returns at its time is not shed, and is refused only if its forecast is late. The rate is the capacity that more urgent work leaves in the pool, times this entry's share of the arriving work: what it placed over what its agents reported, both over 2 s. Without reported rates, without a share, or where all kinds of the pool have the same priority, the delay is as before, as is that of the limit of jobs held. Counter sycamorerail_returns_total, key is_return in job_admission.

--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -15,7 +15,9 @@
 mod kinds;
 mod place;
 mod pool_load;
+mod pool_share;
 mod recall;
+mod returning;
 pub mod returns;
 mod shedding;
 mod stop;
@@ -35,6 +37,8 @@
     crashes::Crashes,
     job::{Ending, RunEffect},
     kinds::KindRecord,
+    pool_share::PoolShare,
+    returns::ReturnSchedule,
     slotmap::SlotMap,
     std::{
         collections::{BTreeSet, HashMap},
@@ -56,7 +60,8 @@
 /// Retry delay where all data centres with upstreams for a job are evacuated: an evacuation lasts
 /// for seconds at least, and upstreams serve at once when it ends.
 pub(crate) const EVACUATED_RETRY_MS: u32 = 2_000;
-/// Retry delay for shed jobs: twice the half-life of the strain that causes shedding.
+/// Retry delay for shed jobs without a scheduled return: twice the half-life of the strain that
+/// causes shedding.
 const SHED_RETRY_MS: u32 = 1_000;
 /// Agents whose cost is within this of the best one are compared by free room: the difference is
 /// smaller than the error of the estimates.
@@ -78,6 +83,9 @@
     /// Jobs with unplaced tasks.
     unplaced: BTreeSet<JobKey>,
     kinds: HashMap<String, KindRecord>,
+    /// Shares of this entry in the work that arrives, by pool.
+    pool_shares: HashMap<String, PoolShare>,
+    returns: ReturnSchedule,
     /// Largest capacity of an upstream, by pool.
     largest_capacities: HashMap<String, Resources>,
     evacuations: Evacuations,
@@ -104,6 +112,8 @@
             by_name: HashMap::new(),
             unplaced: BTreeSet::new(),
             kinds: HashMap::new(),
+            pool_shares: HashMap::new(),
+            returns: ReturnSchedule::default(),
             largest_capacities: HashMap::new(),
             evacuations: Evacuations::default(),
             crashes: Crashes::default(),
@@ -166,23 +176,28 @@
         }
         let kind = Arc::clone(&job.request.kind);
         self.kind_record(&kind.name).record_arrival(&job, now_ms);
-        let forecast = self.forecast(&job, now_ms);
+        self.observe_share(&job, now_ms);
+        let is_return = self.returns.redeem(id, now_ms);
+        let forecast = JobForecast { is_return, ..self.forecast(&job, now_ms) };
         self.last_forecast = forecast;
         if self.may_outlast_stop(&job, &forecast, now_ms) {
             return Err(refused(NoResultReason::Stopping, RETRY_RANGE_MS.0 as u32));
         }
-        if self.is_shed(&job, &forecast) {
-            return Err(refused(NoResultReason::Shed, SHED_RETRY_MS));
+        if !is_return && self.is_shed(&job, &forecast) {
+            let retry_after_ms = self.schedule_return(&job, SHED_RETRY_MS, now_ms);
+            return Err(refused(NoResultReason::Shed, retry_after_ms));
         }
         if let Err(answer) = self.admit(&job, &forecast) {
             // Only a refusal for overload is evidence of load.
-            let is_for_load =
-                matches!(answer, JobAnswer::NotRun { reason: NoResultReason::Overload, .. });
-            if is_for_load {
-                self.kind_record(&kind.name).record_strain(true, now_ms);
-            }
-            return Err(answer);
+            let JobAnswer::NotRun { reason: NoResultReason::Overload, retry_after_ms } = answer
+            else {
+                return Err(answer);
+            };
+            self.kind_record(&kind.name).record_strain(true, now_ms);
+            let retry_after_ms = self.schedule_return(&job, retry_after_ms, now_ms);
+            return Err(refused(NoResultReason::Overload, retry_after_ms));
         }
+        self.returns.forget(id);
         job.has_to_wait = forecast.wait_ms > 0;
         job.accepted_ms = now_ms;
         job.expected_end_ms = now_ms + forecast.end_in_ms;
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -64,6 +64,7 @@
             useful_for_ms: job.give_up_ms().saturating_sub(now_ms),
             shed_percent: self.shed_percent(job, now_ms),
             stops_in_ms: self.stop_at_ms.map(|stop_at_ms| stop_at_ms.saturating_sub(now_ms)),
+            is_return: false,
         }
     }
 
@@ -169,6 +170,7 @@
     fn place_step(&mut self, key: JobKey, step: usize, now_ms: u64) -> bool {
         let chosen = self.plan_step_in_time(key, step, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return true };
+        let pool = job.request.kind.pool.clone();
         let mut by_agent: BTreeMap<(AgentKey, bool), Vec<TaskStart>> = BTreeMap::new();
         for PlannedTask { index, agent, .. } in chosen {
             let task = &mut job.tasks[step][usize::from(index)];
@@ -186,7 +188,12 @@
             })
             .collect();
         for (agent, placement) in placements {
-            self.commands.extend(placement.map(|placement| Command::Place(agent, placement)));
+            let Some(placement) = placement else { continue };
+            let task_work_milli_ms =
+                u64::from(placement.need.cpu_milli) * u64::from(placement.run_ms);
+            let work_milli_ms = task_work_milli_ms * placement.tasks.len() as u64;
+            self.record_placed(&pool, work_milli_ms, now_ms);
+            self.commands.push(Command::Place(agent, placement));
         }
         all
     }
--- a/crates/decide/src/dispatch/pool_load.rs
+++ b/crates/decide/src/dispatch/pool_load.rs
@@ -26,6 +26,17 @@
         }
     }
 
+    /// Work that arrives from all entries, in thousandths of a core.
+    pub(super) fn arriving_milli(&self) -> u64 {
+        self.arriving_milli.iter().sum()
+    }
+
+    /// Capacity that work of higher priority does not take as it arrives, in thousandths of a
+    /// core.
+    pub(super) fn capacity_left_milli(&self, priority: u8) -> u64 {
+        self.capacity_milli * (100 - self.more_urgent_percent(priority)) / 100
+    }
+
     /// Share of the capacity that work of higher priority takes as it arrives, in percent.
     pub(super) fn more_urgent_percent(&self, priority: u8) -> u64 {
         let classes = usize::from(priority).min(PRIORITY_CLASSES);
--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -67,14 +67,12 @@
     /// Share of jobs to shed because work waits at the upstreams of the pool.
     fn pressure_share(&self, job: &Job, now_ms: u64) -> f64 {
         let kind = &job.request.kind;
-        let of_pool: Vec<_> =
-            self.kinds.values().filter(|record| record.is_of_pool(&kind.pool)).collect();
-        let priorities = || of_pool.iter().map(|record| record.priority());
-        let (most_urgent, least_urgent) = (priorities().min(), priorities().max());
         // Where nothing is less urgent than anything else, forecasts decide alone.
-        if most_urgent == least_urgent {
+        if !self.has_mixed_priorities(&kind.pool) {
             return 0.0;
         }
+        let of_pool: Vec<_> = self.records_of_pool(&kind.pool).collect();
+        let most_urgent = of_pool.iter().map(|record| record.priority()).min();
         let load = self.pool_load(&kind.pool);
         let own_share = |record: &KindRecord| {
             share_at_wait(load.wait_ms(record.priority()) / record.slack_ms().max(1.0))
@@ -92,6 +90,16 @@
         own_share(own).max((their_share * YIELDED_SHARE).min(most))
     }
 
+    fn records_of_pool(&self, pool: &str) -> impl Iterator<Item = &KindRecord> {
+        self.kinds.values().filter(move |record| record.is_of_pool(pool))
+    }
+
+    /// Whether the kinds of a pool differ in priority.
+    pub(super) fn has_mixed_priorities(&self, pool: &str) -> bool {
+        let priorities = || self.records_of_pool(pool).map(KindRecord::priority);
+        priorities().min() != priorities().max()
+    }
+
     /// Recent share of refused or late jobs, in percent, of the kind with the highest one among
     /// those that precede this job.
     fn strain_percent(&self, job: &Job, now_ms: u64) -> f64 {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -183,6 +183,8 @@
     pub shed_percent: f64,
     /// Until the entry stops, if a stop is planned.
     pub stops_in_ms: Option<u64>,
+    /// Whether the job was refused before and returns at the time it was given.
+    pub is_return: bool,
 }
 
 impl JobForecast {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -21,7 +21,7 @@
         copies::{CopyFetch, FetchLimits},
         dispatch::{
             AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey,
-            JobRequest, NoResultReason, STOP_ANSWER_MS,
+            JobRequest, NoResultReason, STOP_ANSWER_MS, returns::ReturnCounts,
         },
     },
     sycamorerail_telemetry::event,
@@ -226,14 +226,15 @@
         let kind = request.kind.name.clone();
         let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
-        let (submitted, forecast) = {
+        let (submitted, forecast, returns) = {
             let mut dispatch = self.dispatch.lock();
             let submitted = dispatch.submit(request, self.clock.now_ms());
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
             }
-            (submitted, dispatch.last_forecast())
+            (submitted, dispatch.last_forecast(), dispatch.return_counts())
         };
+        count_returns(&returns);
         let size = JobSize { kind: &kind, tasks, deadline_in_ms };
         log_admission(submitted.is_ok(), id, size, &forecast);
         let answer = match submitted {
@@ -365,10 +366,18 @@
         late_ms = forecast.late_ms,
         must_end_in_ms = forecast.must_end_in_ms,
         shed_percent = forecast.shed_percent.round(),
+        is_return = forecast.is_return,
         stops_in_ms = forecast.stops_in_ms.map_or_else(String::new, |left_ms| left_ms.to_string()),
     );
 }
 
+fn count_returns(counts: &ReturnCounts) {
+    let ReturnCounts { promised, redeemed, early } = *counts;
+    for (outcome, count) in [("promised", promised), ("redeemed", redeemed), ("early", early)] {
+        metrics::counter!("sycamorerail_returns_total", "outcome" => outcome).absolute(count);
+    }
+}
+
 /// What the log tells of a job.
 #[derive(Clone, Copy)]
 struct JobSize<'a> {
