Model: callers that return after a refusal

Cause: the model counted a refused job as gone, so that retry delays made no difference.

Change: settings returning and sticky of a kind; a returning job is in time by its new arrival, and tables count how callers end. New figures: returned, returned in time, most work that returned in half a second.

--- a/crates/bench/src/policy/report.rs
+++ b/crates/bench/src/policy/report.rs
@@ -34,11 +34,13 @@
 /// A figure of counts, with its name and how it is written.
 type Figure = (&'static str, fn(&Counts) -> f64);
 
-const FIGURES: [Figure; 8] = [
+const FIGURES: [Figure; 10] = [
     ("in time", Counts::in_time_share),
     ("late", |counts| part(counts.late, counts)),
     ("refused", |counts| part(counts.refused, counts)),
     ("refused while free", |counts| part(counts.refused_while_free, counts)),
+    ("returned", |counts| part(counts.returned, counts)),
+    ("returned in time", |counts| part(counts.returned_in_time, counts)),
     ("given up", |counts| part(counts.given_up, counts)),
     ("lost", |counts| part(counts.lost, counts)),
     ("failed", |counts| part(counts.failed, counts)),
@@ -67,7 +69,7 @@
         format_args!(
             "\nAt most {:.3} in time by the bound. Room used: {:.3}. Time over the longest task alone: p50 {:.2}, \
              p99 {:.2}. Work thrown away: {:.1} core-seconds. Messages a job: {:.1}; tasks asked \
-             back a job: {:.3}.\n",
+             back a job: {:.3}. Most work that came again in half a second: {:.3} of the room.\n",
             median(|played| played.bound as f64 / played.outcome.all.asked.max(1) as f64),
             median(|played| played.outcome.room_used),
             median(|played| quantile(&played.outcome.ratios, 0.5)),
@@ -75,6 +77,7 @@
             median(|played| played.outcome.all.wasted_core_s),
             median(|played| per_job(played.outcome.messages, played)),
             median(|played| per_job(played.outcome.recalls, played)),
+            median(|played| played.outcome.return_peak),
         ),
     );
     text
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -118,6 +118,12 @@
     /// What a late one is worth, in the same unit.
     #[serde(default)]
     pub late_value: f64,
+    /// Share of refused jobs that are submitted again, once, after the retry delay.
+    #[serde(default)]
+    pub returning: f64,
+    /// Share of these that come to the same entry; the others come to one at random.
+    #[serde(default)]
+    pub sticky: f64,
 }
 
 /// A log-normal distribution that is cut at the top.
@@ -273,7 +279,9 @@
         ensure!(self.cpu_milli > 0, "cpu_milli: must be at least 1");
         check_range("stretch", self.stretch, 1.0, 100.0)?;
         check_range("value", self.value, 0.0, f64::MAX)?;
-        check_range("late_value", self.late_value, 0.0, self.value)
+        check_range("late_value", self.late_value, 0.0, self.value)?;
+        check_range("returning", self.returning, 0.0, 1.0)?;
+        check_range("sticky", self.sticky, 0.0, 1.0)
     }
 }
 
--- a/crates/bench/src/policy/tally.rs
+++ b/crates/bench/src/policy/tally.rs
@@ -3,9 +3,12 @@
 use {
     super::{clock::Micros, jobs::ModelJob, settings::ModelSettings},
     serde::Serialize,
+    std::collections::BTreeMap,
 };
 
 const MICROS_PER_S: u64 = 1_000_000;
+/// Step in which returning work is added up, in microseconds: shorter than most retry delays.
+const RETURN_STEP: u64 = 500_000;
 
 /// How a job ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -47,6 +50,10 @@
     pub refused: u64,
     /// Of these, refused while some upstream had room for one of its tasks.
     pub refused_while_free: u64,
+    /// Refused once and submitted again, however they ended.
+    pub returned: u64,
+    /// Of these, completed in time by their new arrival.
+    pub returned_in_time: u64,
     /// Given up after some of it may have run, or of no use as it was completed.
     pub given_up: u64,
     /// Without an answer, as with a lost entry.
@@ -118,6 +125,9 @@
     pub ratios: Vec<f64>,
     /// Part of the upstreams' room that runs took during the load.
     pub room_used: f64,
+    /// Most work of jobs that came again within half a second, as a part of the upstreams' room in
+    /// that time.
+    pub return_peak: f64,
     /// Messages between entries and agents.
     pub messages: u64,
     /// Tasks that were asked back.
@@ -131,6 +141,8 @@
     pub work: u64,
     /// Upstreams without waiting tasks had room for all of its tasks as it was refused.
     pub was_free: bool,
+    /// When it was submitted again after it was refused.
+    pub returned_at: Option<Micros>,
 }
 
 /// Counts how jobs ended.
@@ -157,6 +169,10 @@
         let Outcome { all, by_kind, by_second, ratios, .. } = &mut outcome;
         for counts in [all, &mut by_kind[job.kind], &mut by_second[second]] {
             counts.add(ended.end, value, late_value);
+            if note.returned_at.is_some() {
+                counts.returned += 1;
+                counts.returned_in_time += u64::from(ended.end == End::InTime);
+            }
             if ended.end == End::Refused {
                 counts.refused_while_free += u64::from(note.was_free);
             }
@@ -172,11 +188,23 @@
     }
     let groups = settings.upstreams.iter();
     let room: u64 = groups.map(|group| u64::from(group.count) * u64::from(group.cpu_milli)).sum();
+    outcome.return_peak = share(most_returning(settings, jobs, notes), (room * RETURN_STEP) as f64);
     let room = room * u64::from(settings.seconds) * MICROS_PER_S;
     outcome.room_used = share(taken as f64, room as f64);
     outcome
 }
 
+/// Most work of jobs that came again within one step.
+fn most_returning(settings: &ModelSettings, jobs: &[ModelJob], notes: &[Note]) -> f64 {
+    let mut by_step = BTreeMap::<u64, u64>::new();
+    for (job, note) in jobs.iter().zip(notes) {
+        if let Some(at) = note.returned_at {
+            *by_step.entry(at / RETURN_STEP).or_default() += job.work(&settings.kinds[job.kind]);
+        }
+    }
+    by_step.into_values().max().unwrap_or(0) as f64
+}
+
 /// What a job counts beside a mean one: a part for being asked at all, the rest by its
 /// work, as callers with more work have more at stake. Four at most.
 fn job_size(job: &ModelJob, mean_work_ms: f64) -> f64 {
--- a/crates/bench/src/policy/world/entries.rs
+++ b/crates/bench/src/policy/world/entries.rs
@@ -4,9 +4,10 @@
     super::{BALANCED_AFTER, ENTRY_TICK, Event, HEARTBEAT_INTERVAL, Link, World},
     crate::policy::{
         agent::ModelAgent,
-        clock::millis,
-        tally::{End, Ended},
+        clock::{MS, Micros, millis},
+        tally::{End, Ended, Note},
     },
+    rand::Rng,
     sycamorerail_decide::dispatch::{AgentKey, Command, JobAnswer, PoolView},
     sycamorerail_wire::runs::{FromRunsAgent, ToRunsAgent},
 };
@@ -48,6 +49,12 @@
     }
 
     pub(super) fn answered(&mut self, number: usize, answer: JobAnswer) {
+        if let JobAnswer::NotRun { retry_after_ms, .. } = answer
+            && self.will_return(number)
+        {
+            let delay = Micros::from(retry_after_ms) * MS;
+            return self.clock.after(delay, Event::Returns(number));
+        }
         let (job, now) = (&self.jobs[number], self.clock.now());
         let end = match answer {
             JobAnswer::Completed if now <= job.in_time_until() => End::InTime,
@@ -59,6 +66,25 @@
         self.ended(number, end);
     }
 
+    /// Whether a refused job is submitted again.
+    fn will_return(&mut self, number: usize) -> bool {
+        let share = self.settings.kinds[self.jobs[number].kind].returning;
+        let is_first = self.notes[number].returned_at.is_none();
+        is_first && share > 0.0 && self.rng.random::<f64>() < share
+    }
+
+    pub(super) fn returns(&mut self, number: usize) {
+        let sticky = self.settings.kinds[self.jobs[number].kind].sticky;
+        let now = self.clock.now();
+        let job = &mut self.jobs[number];
+        job.at = now;
+        if self.rng.random::<f64>() >= sticky {
+            job.entry = self.rng.random_range(0..self.entries.len());
+        }
+        self.notes[number] = Note { returned_at: Some(now), was_free: false, ..self.notes[number] };
+        self.arrives(number);
+    }
+
     /// Does what the dispatch of an entry wants.
     pub(super) fn carry_out(&mut self, entry: usize) {
         let commands = self.entries[entry].dispatch.take_commands();
--- a/crates/bench/src/policy/world/mod.rs
+++ b/crates/bench/src/policy/world/mod.rs
@@ -55,6 +55,7 @@
 #[derive(Debug)]
 enum Event {
     Arrives(usize),
+    Returns(usize),
     EntryTick(usize),
     AgentTick(usize),
     Heartbeat(Link),
@@ -97,7 +98,8 @@
 
 struct World<'a> {
     settings: &'a ModelSettings,
-    jobs: &'a [ModelJob],
+    /// Jobs; those that return with their last arrival and entry.
+    jobs: Vec<ModelJob>,
     kinds: Vec<Arc<KindParameters>>,
     clock: Clock<Event>,
     entries: Vec<ModelEntry>,
@@ -137,7 +139,6 @@
         let agents: Vec<_> = upstreams.map(agent).collect();
         Self {
             settings,
-            jobs,
             kinds: settings.kinds.iter().map(parameters).collect(),
             linked: linked(entries, agents.len(), &settings.links.limits()),
             clock: Clock::default(),
@@ -146,6 +147,7 @@
             agents,
             ends: vec![None; jobs.len()],
             notes: vec![Note::default(); jobs.len()],
+            jobs: jobs.to_vec(),
             lost_at: vec![0; entries],
             // Another stream of numbers than that of the jobs.
             rng: SmallRng::seed_from_u64(!seed),
@@ -194,6 +196,7 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Arrives(job) => self.arrives(job),
+            Event::Returns(job) => self.returns(job),
             Event::EntryTick(entry) => self.tick_entry(entry),
             Event::AgentTick(agent) => self.tick_agent(agent),
             Event::Heartbeat(link) => self.heartbeat(link),
--- a/crates/bench/tests/policy_model.rs
+++ b/crates/bench/tests/policy_model.rs
@@ -21,6 +21,8 @@
         target_ms: 60,
         value: 1.0,
         late_value: 0.2,
+        returning: 0.0,
+        sticky: 0.0,
     }
 }
 
