--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -91,13 +91,12 @@
         load: &PoolLoad,
         now_ms: u64,
     ) -> (/* own */ f64, /* yielded */ f64) {
-        let of_pool = || self.kinds.values().filter(|record| record.is_of_pool(&kind.pool));
-        let priorities = || of_pool().map(KindRecord::priority);
-        let (most_urgent, least_urgent) = (priorities().min(), priorities().max());
         let Some(own) = self.kinds.get(&kind.name) else { return (0.0, 0.0) };
-        if most_urgent == least_urgent {
+        if !self.has_mixed_priorities(&kind.pool) {
             return (0.0, 0.0);
         }
+        let of_pool = || self.records_of_pool(&kind.pool);
+        let most_urgent = of_pool().map(KindRecord::priority).min();
         let own_share = share_for_queue(own, load);
         if most_urgent == Some(kind.priority) {
             return (own_share, 0.0);
@@ -112,6 +111,16 @@
         (own_share, (their_share * YIELDED_SHARE).min(most))
     }
 
+    fn records_of_pool(&self, pool: &str) -> impl Iterator<Item = &KindRecord> {
+        self.kinds.values().filter(move |record| record.is_of_pool(pool))
+    }
+
+    /// Whether the kinds of a pool differ in priority.
+    pub(super) fn has_mixed_priorities(&self, pool: &str) -> bool {
+        let priorities = || self.records_of_pool(pool).map(KindRecord::priority);
+        priorities().min() != priorities().max()
+    }
+
     /// Recent share of refused or late jobs, in percent, of the kind with the highest one among
     /// those of its pool that precede this job.
     fn strain_percent(&self, job: &Job, now_ms: u64) -> f64 {
@@ -121,8 +130,7 @@
             let is_smaller = record.work_milli_ms() * SMALLER_WORK_FACTOR < work_milli_ms;
             record.priority() < priority || (record.priority() == priority && is_smaller)
         };
-        let of_pool = |record: &&KindRecord| record.is_of_pool(&job.request.kind.pool);
-        let before = self.kinds.values().filter(of_pool).filter(precedes);
+        let before = self.records_of_pool(&job.request.kind.pool).filter(precedes);
         before.map(|record| record.strain_percent(now_ms)).fold(0.0, f64::max)
     }
 
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -20,6 +20,8 @@
     agent: AgentKey,
     now_ms: u64,
     jobs: u64,
+    /// Pool of the jobs to submit.
+    pool: &'static str,
 }
 
 impl Setup {
@@ -39,7 +41,7 @@
                 leaving: false,
             },
         );
-        let mut setup = Self { dispatch, agent, now_ms: 10_000, jobs: 0 };
+        let mut setup = Self { dispatch, agent, now_ms: 10_000, jobs: 0, pool: "desk" };
         // The agent has recently received a message of this entry.
         setup.dispatch.message_sent(agent, None, setup.now_ms);
         setup.report(10_000);
@@ -71,23 +73,11 @@
         cpu_milli: u32,
         run_ms: u32,
         stretch: f64,
-    ) -> Result<JobKey, JobAnswer> {
-        self.submit_to("desk", priority, tasks, cpu_milli, run_ms, stretch)
-    }
-
-    fn submit_to(
-        &mut self,
-        pool: &str,
-        priority: u8,
-        tasks: u16,
-        cpu_milli: u32,
-        run_ms: u32,
-        stretch: f64,
     ) -> Result<JobKey, JobAnswer> {
         self.jobs += 1;
         let kind = KindParameters {
-            name: format!("kind-{pool}-{priority}-{tasks}"),
-            pool: pool.to_owned(),
+            name: format!("kind-{}-{priority}-{tasks}", self.pool),
+            pool: self.pool.to_owned(),
             priority,
             max_attempts: 2,
             stretch,
@@ -314,8 +304,10 @@
         ..UpstreamLoad::default()
     };
     setup.dispatch.handle_report(other, &[], full, 1, setup.now_ms);
+    setup.pool = "booth";
     for _ in 0..20 {
-        assert!(setup.submit_to("booth", 0, 1, 1_000, 50, 1.0).is_err());
+        assert!(setup.submit(0, 1, 1_000, 50, 1.0).is_err());
     }
+    setup.pool = "desk";
     assert_eq!(setup.shed_of_ten(1, 1), 0);
 }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -21,7 +21,7 @@
         copies::{CopyFetch, FetchLimits},
         dispatch::{
             AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey,
-            JobRequest, NoResultReason, STOP_ANSWER_MS, ShedCause,
+            JobRequest, NoResultReason, STOP_ANSWER_MS, ShedCause, returns::ReturnCounts,
         },
     },
     sycamorerail_telemetry::event,
@@ -226,14 +226,15 @@
         let (kind, priority) = (request.kind.name.clone(), request.kind.priority);
         let tasks: usize = request.steps.iter().map(|step| usize::from(step.count)).sum();
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
-        let (submitted, forecast) = {
+        let (submitted, forecast, returns) = {
             let mut dispatch = self.dispatch.lock();
             let submitted = dispatch.submit(request, self.clock.now_ms());
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
             }
-            (submitted, dispatch.last_forecast())
+            (submitted, dispatch.last_forecast(), dispatch.return_counts())
         };
+        count_returns(&returns);
         let size = JobSize { kind: &kind, priority, tasks, deadline_in_ms };
         log_admission(submitted.is_ok(), id, size, &forecast);
         let answer = match submitted {
@@ -369,10 +370,18 @@
         shed_percent = forecast.shedding.percent.round(),
         shed_cause = forecast.shedding.cause.map_or("", ShedCause::name),
         queue_ms = forecast.shedding.queue_ms.round(),
+        is_return = forecast.is_return,
         stops_in_ms = forecast.stops_in_ms.map_or_else(String::new, |left_ms| left_ms.to_string()),
     );
 }
 
+fn count_returns(counts: &ReturnCounts) {
+    let ReturnCounts { promised, redeemed, early } = *counts;
+    for (outcome, count) in [("promised", promised), ("redeemed", redeemed), ("early", early)] {
+        metrics::counter!("sycamorerail_returns_total", "outcome" => outcome).absolute(count);
+    }
+}
+
 /// What the log tells of a job.
 #[derive(Clone, Copy)]
 struct JobSize<'a> {
