Model: run times with a heavy tail

Cause: run times of the model were log-normal, and three runs in a hundred that take seven times as long were not in it.

Change: a kind has a share of tasks (tail) that run longer by a factor (tail_factor), up to the most of run_ms.

--- a/crates/bench/src/policy/jobs.rs
+++ b/crates/bench/src/policy/jobs.rs
@@ -13,6 +13,8 @@
 const UNEVEN: f64 = 0.15;
 const MICROS_PER_S: f64 = 1_000_000.0;
 const MICROS_PER_MS: f64 = 1_000.0;
+/// Separates the draws of tails from those of jobs.
+const TAIL_SEED: u64 = 0x7461_696c;
 /// A late result is of use up to so many times the time in which it is in time.
 const USEFUL_SPANS: u64 = 3;
 
@@ -61,10 +63,35 @@
     for kind in 0..settings.kinds.len() {
         draw_kind(settings, kind, &mut rng, &mut jobs);
     }
+    lengthen_tails(settings, seed, &mut jobs);
     jobs.sort_by_key(|job| job.at);
     jobs
 }
 
+/// Lengthens the share of tasks that run longer than usual.
+///
+/// The draws are separate ones, so that a seed gives the same jobs with and without a tail.
+fn lengthen_tails(settings: &ModelSettings, seed: u64, jobs: &mut [ModelJob]) {
+    let mut rng = SmallRng::seed_from_u64(seed ^ TAIL_SEED);
+    for job in jobs {
+        let kind = &settings.kinds[job.kind];
+        let most_micros = kind.run_ms.most * MICROS_PER_MS;
+        for run_micros in &mut job.run_micros {
+            if rng.random::<f64>() < kind.tail {
+                let longer_micros = (*run_micros as f64 * kind.tail_factor).min(most_micros);
+                *run_micros = (longer_micros as u64).max(*run_micros);
+            }
+        }
+        job.span = span(kind, &job.run_micros);
+    }
+}
+
+/// Time within which a job with these run times is in time.
+fn span(kind: &KindSettings, run_micros: &[u64]) -> Micros {
+    let longest = run_micros.iter().copied().max().unwrap_or(0) as f64;
+    (longest * kind.stretch + f64::from(kind.target_ms) * MICROS_PER_MS) as Micros
+}
+
 /// Arrivals of one kind: a Poisson process at the highest rate, thinned to the present.
 fn draw_kind(settings: &ModelSettings, kind: usize, rng: &mut SmallRng, jobs: &mut Vec<ModelJob>) {
     let figures = &settings.kinds[kind];
@@ -98,15 +125,14 @@
         (0..tasks).map(|_| (draw(&uneven, rng) * MICROS_PER_MS).max(1.0) as u64).collect();
     let off = settings.estimate_off;
     let estimate_ms = base_ms * (1.0 + rng.random_range(-off..=off));
-    let longest = run_micros.iter().copied().max().unwrap_or(0) as f64;
-    let span = longest * figures.stretch + f64::from(figures.target_ms) * MICROS_PER_MS;
+    let span = span(figures, &run_micros);
     ModelJob {
         kind,
         entry: rng.random_range(0..usize::from(settings.entries)),
         at,
         run_micros,
         estimate_ms: estimate_ms.round().max(1.0) as u32,
-        span: span as Micros,
+        span,
     }
 }
 
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -106,6 +106,12 @@
     pub tasks: Spread,
     /// Run time of its tasks on an upstream of speed 1, in milliseconds.
     pub run_ms: Spread,
+    /// Share of tasks that run longer than usual ...
+    #[serde(default)]
+    pub tail: f64,
+    /// ... by this factor, up to the most of `run_ms`.
+    #[serde(default = "one")]
+    pub tail_factor: f64,
     /// Room of a task, in thousandths of a core.
     pub cpu_milli: u32,
     /// A job is in time within this factor of its longest task ...
@@ -276,6 +282,8 @@
         check_range("per_s", self.per_s, 0.0, 100_000.0)?;
         self.tasks.check("tasks", 1_000.0)?;
         self.run_ms.check("run_ms", 600_000.0)?;
+        check_range("tail", self.tail, 0.0, 1.0)?;
+        check_range("tail_factor", self.tail_factor, 1.0, 1_000.0)?;
         ensure!(self.cpu_milli > 0, "cpu_milli: must be at least 1");
         check_range("stretch", self.stretch, 1.0, 100.0)?;
         check_range("value", self.value, 0.0, f64::MAX)?;
--- a/crates/bench/tests/policy_model.rs
+++ b/crates/bench/tests/policy_model.rs
@@ -16,6 +16,8 @@
         per_s,
         tasks: Spread { mean: tasks, spread: 0.4, most: tasks * 4.0 },
         run_ms: Spread { mean: run_ms, spread: 0.4, most: run_ms * 4.0 },
+        tail: 0.0,
+        tail_factor: 1.0,
         cpu_milli: 1_000,
         stretch: 1.6,
         target_ms: 60,
@@ -154,3 +156,28 @@
         prop_assert!(outcome.all.in_time <= most_in_time(&settings, &draw_jobs(&settings, seed)));
     }
 }
+
+/// Guards against tails that change the load itself, or when a job is in time: runs with and
+/// without a tail would not be comparable.
+#[test]
+fn tails_lengthen_single_tasks() {
+    let plain = site(0.5);
+    let mut tailed = plain.clone();
+    (tailed.kinds[0].tail, tailed.kinds[0].tail_factor) = (0.1, 7.0);
+    let most_micros = (tailed.kinds[0].run_ms.most * 1_000.0) as u64;
+    let (plain_jobs, jobs) = (draw_jobs(&plain, 1), draw_jobs(&tailed, 1));
+    assert_eq!(plain_jobs.len(), jobs.len());
+    let (mut tasks, mut longer) = (0, 0);
+    for (plain, job) in plain_jobs.iter().zip(&jobs) {
+        assert_eq!((plain.at, plain.estimate_ms), (job.at, job.estimate_ms));
+        let longest = *job.run_micros.iter().max().unwrap() as f64;
+        assert!((job.span as f64 - longest * 1.6 - 60_000.0).abs() < 1.0);
+        for (&usual, &run) in plain.run_micros.iter().zip(&job.run_micros) {
+            assert!(run == usual || run == (usual * 7).min(most_micros).max(usual));
+            assert!(run == usual || job.kind == 0);
+            tasks += u32::from(job.kind == 0);
+            longer += u32::from(run != usual);
+        }
+    }
+    assert!((0.07..0.13).contains(&(f64::from(longer) / f64::from(tasks))), "{longer} of {tasks}");
+}
--- a/crates/bench/tests/policy_settings.rs
+++ b/crates/bench/tests/policy_settings.rs
@@ -47,6 +47,8 @@
         error("per_s: 10", "per_s: -1"),
         error("mean: 4, most: 8", "mean: 4, most: 2"),
         error("stretch: 1.5", "stretch: 0.5"),
+        error("stretch: 1.5", "stretch: 1.5\n    tail: 1.1"),
+        error("stretch: 1.5", "stretch: 1.5\n    tail_factor: 0.9"),
         error("factor: 2", "factor: 2, kind: nobody"),
         error("strength: 4", "strength: 0"),
         error("strength: 4", "strength: 4, count: 9"),
