--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -106,6 +106,12 @@
     pub tasks: Spread,
     /// Run time of its tasks on an upstream of speed 1, in milliseconds.
     pub run_ms: Spread,
+    /// Share of tasks that run longer than usual ...
+    #[serde(default)]
+    pub tail: f64,
+    /// ... by this factor, up to the most of `run_ms`.
+    #[serde(default = "one")]
+    pub tail_factor: f64,
     /// Room of a task, in thousandths of a core.
     pub cpu_milli: u32,
     /// A job is in time within this factor of its longest task ...
@@ -118,6 +124,12 @@
     /// What a late one is worth, in the same unit.
     #[serde(default)]
     pub late_value: f64,
+    /// Share of refused jobs that are submitted again, once, after the retry delay.
+    #[serde(default)]
+    pub returning: f64,
+    /// Share of these that come to the same entry; the others come to one at random.
+    #[serde(default)]
+    pub sticky: f64,
 }
 
 /// A log-normal distribution that is cut at the top.
@@ -270,10 +282,14 @@
         check_range("per_s", self.per_s, 0.0, 100_000.0)?;
         self.tasks.check("tasks", 1_000.0)?;
         self.run_ms.check("run_ms", 600_000.0)?;
+        check_range("tail", self.tail, 0.0, 1.0)?;
+        check_range("tail_factor", self.tail_factor, 1.0, 1_000.0)?;
         ensure!(self.cpu_milli > 0, "cpu_milli: must be at least 1");
         check_range("stretch", self.stretch, 1.0, 100.0)?;
         check_range("value", self.value, 0.0, f64::MAX)?;
-        check_range("late_value", self.late_value, 0.0, self.value)
+        check_range("late_value", self.late_value, 0.0, self.value)?;
+        check_range("returning", self.returning, 0.0, 1.0)?;
+        check_range("sticky", self.sticky, 0.0, 1.0)
     }
 }
 
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -183,6 +183,8 @@
     pub shedding: Shedding,
     /// Until the entry stops, if a stop is planned.
     pub stops_in_ms: Option<u64>,
+    /// Whether the job was refused before and returns at the time it was given.
+    pub is_return: bool,
 }
 
 /// Share of jobs that is shed, and why.
