--- a/crates/bench/src/policy/agent.rs
+++ b/crates/bench/src/policy/agent.rs
@@ -1,5 +1,5 @@
-//! A modelled agent: the real ledger beside a modelled upstream, with the timing of
-//! renewals and reports as the program has it.
+//! A modelled agent: the real ledger beside a modelled upstream, with renewals and reports
+//! timed as in the program.
 
 use {
     super::{
@@ -69,11 +69,11 @@
 /// One agent with its upstream.
 #[derive(Debug)]
 pub struct ModelAgent {
-    /// The decisions.
+    /// The real decisions.
     pub ledger: Ledger,
-    /// What runs its tasks.
+    /// Its upstream.
     pub upstream: Upstream,
-    /// Number of the upstream's present life.
+    /// Number of the upstream's current instance.
     pub life: u64,
     /// Renewals that wait at the upstream.
     pub waiting: Vec<Renewal>,
@@ -89,7 +89,7 @@
 }
 
 impl ModelAgent {
-    /// An agent whose upstream was just announced.
+    /// Creates an agent whose upstream has just been announced.
     pub fn new(cpu_milli: u32, speed: f64, entries: usize, load_pause: Micros) -> Self {
         let mut agent = Self {
             ledger: Ledger::new(LedgerLimits::default()),
@@ -108,13 +108,13 @@
         agent
     }
 
-    /// The upstream announces its present life.
+    /// Announces the upstream's current instance.
     pub fn announce(&mut self) {
         let life = self.life();
         self.ledger.set_upstream(life);
     }
 
-    /// The upstream's present life.
+    /// The upstream's current instance.
     pub fn life(&self) -> UpstreamInstance {
         UpstreamInstance {
             id: InstanceId::without_start(&self.life.to_string()),
@@ -126,7 +126,7 @@
         }
     }
 
-    /// The upstream is lost with all that runs.
+    /// Loses the upstream with all of its runs.
     pub fn lose_upstream(&mut self) {
         self.life += 1;
         self.upstream.leave();
--- a/crates/bench/src/policy/bound.rs
+++ b/crates/bench/src/policy/bound.rs
@@ -1,4 +1,4 @@
-//! A bound that no decision can pass: how many jobs could be in time.
+//! Upper bound of the number of jobs that are on time, whatever is decided.
 
 use {
     super::{
@@ -10,8 +10,8 @@
 
 const MICROS_PER_S: f64 = 1_000_000.0;
 
-/// Jobs in time if all upstreams were one, work flowed into it without gaps, and all jobs were
-/// known beforehand.
+/// Jobs on time if all upstreams were one, work were infinitely divisible, and all jobs were
+/// known in advance.
 ///
 /// Faults are left out but for `gone` and `hung`, which take room away. For each length of
 /// window, the jobs of a window may use all room from its start, whatever those of others take;
--- a/crates/bench/src/policy/clock.rs
+++ b/crates/bench/src/policy/clock.rs
@@ -5,19 +5,19 @@
     collections::{BinaryHeap, HashMap},
 };
 
-/// A moment, in microseconds from the start.
+/// Time since the start, in microseconds.
 pub type Micros = u64;
 
 /// Microseconds of a millisecond.
 pub const MS: Micros = 1_000;
 
-/// Milliseconds as the decisions count them.
+/// Converts to the milliseconds that the decisions use.
 #[must_use]
 pub fn millis(at: Micros) -> u64 {
     at / MS
 }
 
-/// Events by time; those of one moment in the order in which they were added.
+/// Event queue; events due at the same time are in the order in which they were added.
 #[derive(Debug)]
 pub struct Clock<E> {
     now: Micros,
@@ -33,24 +33,24 @@
 }
 
 impl<E> Clock<E> {
-    /// The present moment.
+    /// Current time.
     pub fn now(&self) -> Micros {
         self.now
     }
 
-    /// Adds an event that is due after so much time.
+    /// Adds an event that is due after a delay.
     pub fn after(&mut self, delay: Micros, event: E) {
         self.at(self.now + delay, event);
     }
 
-    /// Adds an event that is due at a moment, now at the earliest.
+    /// Adds an event that is due at a given time, or now if that has passed.
     pub fn at(&mut self, moment: Micros, event: E) {
         self.count += 1;
         self.due.push(Reverse((moment.max(self.now), self.count)));
         self.events.insert(self.count, event);
     }
 
-    /// Moves to the next event and returns it, if one is due before `end`.
+    /// Advances to the next event and returns it, if one is due before `end`.
     pub fn next_before(&mut self, end: Micros) -> Option<E> {
         let &Reverse((moment, number)) = self.due.peek()?;
         if moment >= end {
--- a/crates/bench/src/policy/entry.rs
+++ b/crates/bench/src/policy/entry.rs
@@ -1,4 +1,4 @@
-//! A modelled entry: the real dispatch, with its jobs by number.
+//! A modelled entry: the real dispatch, and the numbers of its jobs.
 
 use {
     super::{
@@ -26,20 +26,20 @@
 /// An agent that is linked to an entry.
 #[derive(Clone, Copy, Debug)]
 pub struct LinkedAgent {
-    /// Its key in the dispatch.
+    /// Key in the dispatch.
     pub key: AgentKey,
-    /// Its highest report that was taken note of.
+    /// Number of its last report that was processed.
     pub confirmed: u64,
 }
 
 /// One entry.
 #[derive(Debug)]
 pub struct ModelEntry {
-    /// The decisions.
+    /// The real decisions.
     pub dispatch: Dispatch,
-    /// Its present run.
+    /// Incarnation of the entry.
     pub run: Incarnation,
-    /// It is there.
+    /// Whether it runs.
     pub is_up: bool,
     /// Agents that are linked, by number.
     pub agents: BTreeMap<usize, LinkedAgent>,
@@ -48,7 +48,7 @@
 }
 
 impl ModelEntry {
-    /// A fresh run that no agent has connected to.
+    /// Creates an entry without agents.
     pub fn new(run: u64) -> Self {
         Self {
             dispatch: Dispatch::new(DispatchLimits::default(), Incarnation(run)),
@@ -59,7 +59,7 @@
         }
     }
 
-    /// An agent connects.
+    /// Registers an agent that connects.
     pub fn connect(&mut self, number: usize, life: UpstreamInstance, now: Micros) {
         let (name, now_ms) = (number.to_string(), millis(now));
         let agent = self.dispatch.agent_connected(&name, Incarnation(1), None, now_ms);
@@ -75,7 +75,7 @@
         self.agents.iter().find(|(_, known)| known.key == agent).map(|(number, _)| *number)
     }
 
-    /// Hands a job in.
+    /// Submits a job.
     pub fn submit(
         &mut self,
         number: usize,
--- a/crates/bench/src/policy/jobs.rs
+++ b/crates/bench/src/policy/jobs.rs
@@ -15,34 +15,34 @@
 const MICROS_PER_MS: f64 = 1_000.0;
 /// Separates the draws of tails from those of jobs.
 const TAIL_SEED: u64 = 0x7461_696c;
-/// A late result is of use up to so many times the time in which it is in time.
+/// A result is useful within this many times the span within which it is on time.
 const USEFUL_SPANS: u64 = 3;
 
-/// One job, with what only the model knows of it.
+/// A job with its true run times.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ModelJob {
     /// Position of its kind in the settings.
     pub kind: usize,
-    /// The entry that it comes to.
+    /// Entry at which it arrives.
     pub entry: usize,
-    /// When it comes.
+    /// Arrival time.
     pub at: Micros,
     /// True run time of each task on an upstream of speed 1, in microseconds.
     pub run_micros: Vec<u64>,
-    /// What its caller says of each, in milliseconds.
+    /// The caller's estimate of each run time, in milliseconds.
     pub estimate_ms: u32,
-    /// Time within which it is in time.
+    /// Span from its arrival within which it is on time.
     pub span: Micros,
 }
 
 impl ModelJob {
-    /// Until when it is in time.
+    /// Time until which it is on time.
     #[must_use]
     pub fn in_time_until(&self) -> Micros {
         self.at + self.span
     }
 
-    /// Until when a result is of use.
+    /// Time until which a result is useful.
     #[must_use]
     pub fn useful_until(&self) -> Micros {
         self.at + self.span * USEFUL_SPANS
@@ -55,7 +55,7 @@
     }
 }
 
-/// All jobs, in the order in which they come.
+/// Draws all jobs, in the order of arrival.
 #[must_use]
 pub fn draw_jobs(settings: &ModelSettings, seed: u64) -> Vec<ModelJob> {
     let mut rng = SmallRng::seed_from_u64(seed);
@@ -86,13 +86,13 @@
     }
 }
 
-/// Time within which a job with these run times is in time.
+/// Span within which a job with these run times is on time.
 fn span(kind: &KindSettings, run_micros: &[u64]) -> Micros {
     let longest = run_micros.iter().copied().max().unwrap_or(0) as f64;
     (longest * kind.stretch + f64::from(kind.target_ms) * MICROS_PER_MS) as Micros
 }
 
-/// Arrivals of one kind: a Poisson process at the highest rate, thinned to the present.
+/// Draws the jobs of one kind: a Poisson process at the highest rate, thinned to the current one.
 fn draw_kind(settings: &ModelSettings, kind: usize, rng: &mut SmallRng, jobs: &mut Vec<ModelJob>) {
     let figures = &settings.kinds[kind];
     let highest = settings.bursts.iter().map(|burst| burst.factor).fold(1.0, |a, b| a * b.max(1.0));
@@ -107,7 +107,7 @@
     }
 }
 
-/// Times the usual load of a kind at a moment.
+/// Factor of the usual load of a kind at a given time.
 fn factor_at(settings: &ModelSettings, kind: &str, at_s: f64) -> f64 {
     let bursts = settings.bursts.iter().filter(|burst| {
         (burst.at_s..burst.at_s + burst.for_s).contains(&at_s)
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -1,10 +1,9 @@
-//! The decisions of entries and agents in virtual time: the real `decide::dispatch`
+//! Discrete-event model of the decisions of entries and agents: the real `decide::dispatch`
 //! and `decide::ledger` between generated jobs and modelled upstreams.
 //!
-//! It answers one question: what becomes of a load under a fault, by kind and by
-//! second, when only the decisions differ. Messages, orders and renewals take their
-//! time and reports age; nothing of sockets, processes or the store is modelled. The
-//! same settings and seed give the same result.
+//! It shows how a load is served under a fault, by kind and by second, if only the
+//! decisions differ. Messages, orders and renewals have delays; sockets, processes and
+//! the store are not modelled. The same settings and seed give the same result.
 
 mod agent;
 mod bound;
--- a/crates/bench/src/policy/report.rs
+++ b/crates/bench/src/policy/report.rs
@@ -10,18 +10,18 @@
     std::fmt::Write,
 };
 
-/// What one seed gave.
+/// Result of one seed.
 #[derive(Clone, Debug)]
 pub struct Played {
     /// The seed.
     pub seed: u64,
-    /// What became of its jobs.
+    /// Outcomes of the jobs.
     pub outcome: Outcome,
-    /// Jobs that could have been in time at most.
+    /// Upper bound of the jobs on time.
     pub bound: u64,
 }
 
-/// Plays settings with seeds from 1 up.
+/// Plays settings with the seeds from 1 on.
 #[must_use]
 pub fn play_seeds(settings: &ModelSettings, seeds: u64) -> Vec<Played> {
     let one = |seed| {
--- a/crates/bench/src/policy/settings.rs
+++ b/crates/bench/src/policy/settings.rs
@@ -6,7 +6,7 @@
     sycamorerail_decide::links::LinkLimits,
 };
 
-/// Most entries, upstreams and kinds of a model, for the time that it takes to play.
+/// Maximum numbers of entries, upstreams and kinds, which bound the time that a model takes.
 const MAX_ENTRIES: u16 = 512;
 const MAX_UPSTREAMS: u32 = 2_000;
 const MAX_KINDS: usize = 64;
@@ -19,41 +19,41 @@
     pub name: String,
     /// Length of the load, in seconds.
     pub seconds: u32,
-    /// Entries; each job comes to one at random.
+    /// Number of entries; each job arrives at a random one.
     pub entries: u16,
-    /// One way between an entry and an agent, in milliseconds.
+    /// Delay of a message between an entry and an agent, in milliseconds.
     #[serde(default = "default_message_ms")]
     pub message_ms: f64,
-    /// One way between an agent and its upstream, in milliseconds.
+    /// Delay of a message between an agent and its upstream, in milliseconds.
     #[serde(default = "default_call_ms")]
     pub call_ms: f64,
-    /// Estimates are off by up to this share, either way.
+    /// Largest relative error of an estimate, in either direction.
     #[serde(default = "default_estimate_off")]
     pub estimate_off: f64,
-    /// How many links there are; as in the programs where it is left out.
+    /// Number of links; by default as in the programs.
     #[serde(default)]
     pub links: LinkSettings,
-    /// Upstreams, by groups that are alike.
+    /// Groups of equal upstreams.
     pub upstreams: Vec<UpstreamGroup>,
     /// Kinds of requests.
     pub kinds: Vec<KindSettings>,
-    /// Times in which more comes.
+    /// Periods of higher load.
     #[serde(default)]
     pub bursts: Vec<Burst>,
-    /// What fails when.
+    /// Faults.
     #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
-/// How many links there are between agents and entries.
+/// Number of links between agents and entries.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LinkSettings {
-    /// Entries that each agent links to, at least.
+    /// Minimum number of entries that each agent links to.
     pub entries_per_agent: u32,
-    /// Agents that an entry has, at least, where there are as many.
+    /// Minimum number of agents that an entry has, if there are as many.
     pub agents_per_entry: u32,
-    /// Shortest time between two loads told on a link, in milliseconds.
+    /// Minimum interval between two load reports on a link, in milliseconds.
     pub load_pause_ms: u32,
 }
 
@@ -71,7 +71,7 @@
         check_range("load_pause_ms", self.load_pause_ms.into(), 0.0, 10_000.0)
     }
 
-    /// Without the pause.
+    /// The limits of links, without the interval of reports.
     #[must_use]
     pub fn limits(&self) -> LinkLimits {
         let Self { entries_per_agent, agents_per_entry, .. } = *self;
@@ -79,15 +79,15 @@
     }
 }
 
-/// Upstreams that are alike.
+/// A group of equal upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct UpstreamGroup {
-    /// How many.
+    /// Number of upstreams.
     pub count: u32,
-    /// Room of each, in thousandths of a core.
+    /// Capacity of each, in thousandths of a core.
     pub cpu_milli: u32,
-    /// Work done in a second, in seconds of the kinds' run times.
+    /// Speed, relative to the run times of the kinds.
     #[serde(default = "one")]
     pub speed: f64,
 }
@@ -96,13 +96,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct KindSettings {
-    /// Its name.
+    /// Name of the kind.
     pub name: String,
     /// Lower goes first.
     pub priority: u8,
-    /// Jobs a second.
+    /// Jobs per second.
     pub per_s: f64,
-    /// Tasks of a job.
+    /// Number of tasks in a job.
     pub tasks: Spread,
     /// Run time of its tasks on an upstream of speed 1, in milliseconds.
     pub run_ms: Spread,
@@ -112,16 +112,16 @@
     /// ... by this factor, up to the most of `run_ms`.
     #[serde(default = "one")]
     pub tail_factor: f64,
-    /// Room of a task, in thousandths of a core.
+    /// Capacity that a task takes, in thousandths of a core.
     pub cpu_milli: u32,
-    /// A job is in time within this factor of its longest task ...
+    /// A job is on time within this factor of its longest task ...
     pub stretch: f64,
-    /// ... and this much, in milliseconds.
+    /// ... plus this time, in milliseconds.
     pub target_ms: u32,
-    /// What a mean job in time is worth to its caller, in any unit.
+    /// Value of a mean job that is on time, in any unit.
     #[serde(default = "one")]
     pub value: f64,
-    /// What a late one is worth, in the same unit.
+    /// Value of a mean job that is late, in the same unit.
     #[serde(default)]
     pub late_value: f64,
     /// Share of refused jobs that are submitted again, once, after the retry delay.
@@ -136,26 +136,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Spread {
-    /// Mean before the cut.
+    /// Mean before values are capped.
     pub mean: f64,
     /// Standard deviation of the logarithm.
     #[serde(default)]
     pub spread: f64,
-    /// Most.
+    /// Upper bound.
     pub most: f64,
 }
 
-/// A time in which more comes.
+/// A period of higher load.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Burst {
-    /// When it begins, in seconds.
+    /// Start, in seconds.
     pub at_s: f64,
-    /// How long it lasts, in seconds.
+    /// Duration, in seconds.
     pub for_s: f64,
-    /// Times the usual load.
+    /// Factor of the usual load.
     pub factor: f64,
-    /// Only this kind, where it is named.
+    /// The kind that arrives more often; all kinds by default.
     #[serde(default)]
     pub kind: Option<String>,
 }
@@ -164,38 +164,38 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
-    /// What is wrong.
+    /// Type of the fault.
     pub kind: FaultKind,
-    /// When it begins, in seconds.
+    /// Start, in seconds.
     pub at_s: f64,
-    /// How long it lasts, in seconds.
+    /// Duration, in seconds.
     pub for_s: f64,
-    /// How many it hits, the first ones of all.
+    /// Number of upstreams or entries that are affected, by their order.
     #[serde(default = "one_of_them")]
     pub count: u32,
-    /// For `slow` how many times longer runs take, for `late_orders` the share of orders.
+    /// Factor of run times for `slow`, share of orders for `late_orders`.
     #[serde(default)]
     pub strength: f64,
 }
 
-/// What can be wrong.
+/// Type of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// Upstreams run tasks more slowly.
     Slow,
-    /// Tasks on upstreams stand still.
+    /// Tasks on upstreams make no progress.
     Hung,
-    /// Upstreams lose all that runs and answer nothing.
+    /// Upstreams lose all runs and answer no calls.
     Gone,
-    /// Some orders to upstreams get no answer and are carried out seconds later.
+    /// Some orders to upstreams are not answered and carried out seconds later.
     LateOrders,
-    /// Entries are lost with their jobs and come back empty.
+    /// Entries crash, lose their jobs and restart.
     EntryLost,
 }
 
 impl ModelSettings {
-    /// Reads and checks settings.
+    /// Parses and validates settings.
     ///
     /// # Errors
     ///
@@ -206,13 +206,13 @@
         Ok(settings)
     }
 
-    /// Upstreams in all.
+    /// Total number of upstreams.
     #[must_use]
     pub fn upstream_count(&self) -> u32 {
         self.upstreams.iter().map(|group| group.count).fold(0, u32::saturating_add)
     }
 
-    /// Whether the names and ranges are sound.
+    /// Checks names and ranges.
     fn check(&self) -> eyre::Result<()> {
         ensure!(self.seconds > 0, "seconds: must be at least 1");
         ensure!((1..=MAX_ENTRIES).contains(&self.entries), "entries: must be 1 to {MAX_ENTRIES}");
@@ -306,12 +306,12 @@
     Ok(())
 }
 
-/// Between data centres and through two busy programs.
+/// A message between data centres, including the delays of two busy processes.
 fn default_message_ms() -> f64 {
     1.5
 }
 
-/// On one VM.
+/// A message within one VM.
 fn default_call_ms() -> f64 {
     0.5
 }
--- a/crates/bench/src/policy/tally.rs
+++ b/crates/bench/src/policy/tally.rs
@@ -1,4 +1,4 @@
-//! What became of the jobs of a model.
+//! Outcomes of the jobs of a model.
 
 use {
     super::{clock::Micros, jobs::ModelJob, settings::ModelSettings},
@@ -14,35 +14,35 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
-    /// Completed within its time.
+    /// Completed on time.
     InTime,
-    /// Completed later, while the result was still of use.
+    /// Completed late, while the result was still useful.
     Late,
-    /// Refused, and none of it ran.
+    /// Refused before any task ran.
     Refused,
-    /// Given up after some of it may have run, or completed when it was of no use any more.
+    /// Abandoned after a task may have run, or completed when the result was useless.
     GivenUp,
-    /// Lost with its entry, without an entry to go to, or never answered.
+    /// Lost with its entry, without a reachable entry, or never answered.
     Lost,
-    /// Its entry answered that it failed.
+    /// Answered as failed.
     Failed,
 }
 
 /// How a job ended, and when.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Ended {
-    /// How.
+    /// Outcome.
     pub end: End,
-    /// Microseconds from its arrival.
+    /// Time since its arrival, in microseconds.
     pub after: Micros,
 }
 
-/// Jobs by how they ended.
+/// Numbers of jobs by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Counts {
-    /// Jobs that came.
+    /// Jobs that arrived.
     pub asked: u64,
-    /// Completed in time.
+    /// Completed on time.
     pub in_time: u64,
     /// Completed late.
     pub late: u64,
@@ -54,34 +54,34 @@
     pub returned: u64,
     /// Of these, completed in time by their new arrival.
     pub returned_in_time: u64,
-    /// Given up after some of it may have run, or of no use as it was completed.
+    /// Abandoned after a task may have run, or completed when the result was useless.
     pub given_up: u64,
-    /// Without an answer, as with a lost entry.
+    /// Not answered, for example because the entry was lost.
     pub lost: u64,
-    /// Failed by its entry's word.
+    /// Answered as failed.
     pub failed: u64,
-    /// What all were worth to their callers, had they been in time.
+    /// Value of all jobs if they had been on time.
     pub value_asked: f64,
-    /// What was earned of it.
+    /// Value of the results that were delivered.
     pub value_earned: f64,
     /// Work of jobs that were not completed, in core-seconds.
     pub wasted_core_s: f64,
 }
 
 impl Counts {
-    /// Share that was completed in time.
+    /// Share of jobs that were completed on time.
     #[must_use]
     pub fn in_time_share(&self) -> f64 {
         share(self.in_time as f64, self.asked as f64)
     }
 
-    /// Share that was neither in time nor late.
+    /// Share of jobs that were neither on time nor late.
     #[must_use]
     pub fn unserved_share(&self) -> f64 {
         share((self.refused + self.given_up + self.lost + self.failed) as f64, self.asked as f64)
     }
 
-    /// Share of the value that was earned.
+    /// Share of the value that was delivered.
     #[must_use]
     pub fn value_share(&self) -> f64 {
         share(self.value_earned, self.value_asked)
@@ -114,23 +114,23 @@
 /// The result of a model.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Outcome {
-    /// Of all jobs.
+    /// All jobs.
     pub all: Counts,
     /// By kind, in the order of the settings.
     pub by_kind: Vec<Counts>,
-    /// By the second in which jobs came.
+    /// By the second in which jobs arrived.
     pub by_second: Vec<Counts>,
-    /// Time of jobs that were completed over their longest task alone on a sound
-    /// upstream, in the order in which they came.
+    /// Response times of completed jobs relative to their longest task on an idle upstream, in
+    /// the order of arrival.
     pub ratios: Vec<f64>,
-    /// Part of the upstreams' room that runs took during the load.
+    /// Part of the upstreams' capacity that runs took during the load.
     pub room_used: f64,
     /// Most work of jobs that came again within half a second, as a part of the upstreams' room in
     /// that time.
     pub return_peak: f64,
     /// Messages between entries and agents.
     pub messages: u64,
-    /// Tasks that were asked back.
+    /// Tasks that were recalled.
     pub recalls: u64,
 }
 
@@ -160,7 +160,7 @@
     };
     let mut taken = 0;
     for ((job, ended), note) in jobs.iter().zip(ends).zip(notes) {
-        // What never ended was not served.
+        // A job without an outcome was not served.
         let ended = ended.unwrap_or(Ended { end: End::Lost, after: job.span });
         let second = (job.at / MICROS_PER_S) as usize;
         let kind = &settings.kinds[job.kind];
@@ -205,8 +205,8 @@
     by_step.into_values().max().unwrap_or(0) as f64
 }
 
-/// What a job counts beside a mean one: a part for being asked at all, the rest by its
-/// work, as callers with more work have more at stake. Four at most.
+/// Weight of a job relative to a mean one: a fixed part, and the rest in proportion to its work,
+/// because callers with more work have more at stake. At most 4.
 fn job_size(job: &ModelJob, mean_work_ms: f64) -> f64 {
     const BASE: f64 = 0.3;
     const MOST: f64 = 4.0;
--- a/crates/bench/src/policy/upstream.rs
+++ b/crates/bench/src/policy/upstream.rs
@@ -1,5 +1,5 @@
-//! A modelled upstream: it runs what it is told under its present speed, lists ends,
-//! and does nothing while it is gone.
+//! A modelled upstream: it carries out orders at its current speed, lists ends of runs, and is
+//! unreachable while it is gone.
 
 use {
     super::clock::{Micros, millis},
@@ -8,25 +8,25 @@
     sycamorerail_wire::runs::{InstanceId, TaskKey},
 };
 
-/// A run under way.
+/// An active run.
 #[derive(Clone, Copy, Debug)]
 struct Running {
     run: u32,
-    /// Work left at `since`, in microseconds at speed 1.
+    /// Remaining work at `since`, in microseconds at speed 1.
     left: f64,
     since: Micros,
-    /// Rises with each change of the speed, so that an older end is told.
+    /// Incremented with each change of the speed, to recognise outdated end events.
     version: u64,
 }
 
-/// When a run will end, as of the present speed.
+/// Expected end of a run at the current speed.
 #[derive(Clone, Copy, Debug)]
 pub struct EndDue {
     /// The task.
     pub task: TaskKey,
     /// When it ends.
     pub at: Micros,
-    /// As of this change of the speed.
+    /// Version of the speed for which the end was computed.
     pub version: u64,
 }
 
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 pub struct Upstream {
     speed: f64,
-    /// Times longer that runs take now; infinite while they stand still.
+    /// Factor of run times; infinite while runs make no progress.
     slowness: f64,
     is_gone: bool,
     running: BTreeMap<TaskKey, Running>,
@@ -46,7 +46,7 @@
 }
 
 impl Upstream {
-    /// An idle one.
+    /// Creates an idle upstream.
     pub fn new(speed: f64) -> Self {
         Self {
             speed,
@@ -60,12 +60,12 @@
         }
     }
 
-    /// Whether it answers.
+    /// Whether it answers calls.
     pub fn answers(&self) -> bool {
         !self.is_gone
     }
 
-    /// Starts a run of so much work.
+    /// Starts a run with this amount of work.
     pub fn start(&mut self, task: TaskKey, run: u32, work: u64, now: Micros) -> StartAnswer {
         if self.running.get(&task).is_some_and(|running| running.run == run) {
             return StartAnswer::Started;
@@ -80,7 +80,7 @@
         StartAnswer::Started
     }
 
-    /// Stops a run, or sees to it that it never starts.
+    /// Stops a run, or prevents it from starting.
     pub fn stop(&mut self, task: TaskKey, run: u32) {
         let highest = self.highest.entry(task).or_insert(0);
         *highest = run.max(*highest);
@@ -118,7 +118,7 @@
         self.ended.last().is_some_and(|last| last.number > acknowledged)
     }
 
-    /// Answers a renewal that was sent then.
+    /// Answers a renewal that was sent at this time.
     pub fn list(&mut self, acknowledged: u64, sent: Micros, now: Micros) -> LeaseAnswer {
         self.ended.retain(|ended| ended.number > acknowledged);
         LeaseAnswer {
@@ -131,7 +131,7 @@
         }
     }
 
-    /// Runs take so many times longer from now on; returns when they end.
+    /// Sets the factor of run times; returns the new ends.
     pub fn set_slowness(&mut self, slowness: f64, now: Micros) -> Vec<EndDue> {
         let rate = self.speed / self.slowness;
         for running in self.running.values_mut() {
@@ -145,12 +145,12 @@
         tasks.into_iter().filter_map(|task| self.end_due(task)).collect()
     }
 
-    /// Loses all that runs and answers nothing.
+    /// Loses all runs and answers no calls.
     pub fn leave(&mut self) {
         *self = Self { is_gone: true, versions: self.versions, ..Self::new(self.speed) };
     }
 
-    /// Is there again, empty.
+    /// Restarts without runs.
     pub fn come_back(&mut self) {
         self.is_gone = false;
     }
--- a/crates/bench/src/policy/world/agents.rs
+++ b/crates/bench/src/policy/world/agents.rs
@@ -49,7 +49,7 @@
         self.act(link.agent);
     }
 
-    /// Sends what an agent wants after a change, and reports it.
+    /// Sends an agent's orders and reports after a change.
     pub(super) fn act(&mut self, agent: usize) {
         let (now, delay) = (self.clock.now(), self.call_delay());
         let orders = self.agents[agent].take_orders(now);
--- a/crates/bench/src/policy/world/entries.rs
+++ b/crates/bench/src/policy/world/entries.rs
@@ -33,7 +33,8 @@
         self.carry_out(entry);
     }
 
-    /// The entry that a caller reaches: its own, or another one once it is out.
+    /// The entry that a caller reaches: its own, or another one once the load balancer has removed
+    /// it.
     pub(super) fn entry_for(&self, own: usize) -> Option<usize> {
         if self.entries[own].is_up {
             return Some(own);
@@ -85,7 +86,7 @@
         self.arrives(number);
     }
 
-    /// Does what the dispatch of an entry wants.
+    /// Carries out the commands of an entry's dispatch.
     pub(super) fn carry_out(&mut self, entry: usize) {
         let commands = self.entries[entry].dispatch.take_commands();
         for command in commands {
--- a/crates/bench/src/policy/world/mod.rs
+++ b/crates/bench/src/policy/world/mod.rs
@@ -1,4 +1,4 @@
-//! Entries, agents and upstreams in virtual time, and what goes between them.
+//! Entries, agents and upstreams in virtual time, and the messages between them.
 
 mod agents;
 mod entries;
@@ -27,9 +27,9 @@
     },
 };
 
-/// Time before the load in which links open and leases are renewed.
+/// Time before the load, in which links are opened and leases are renewed.
 const SETTLE: Micros = 1_000 * MS;
-/// Time after the load in which what was accepted ends.
+/// Time after the load, in which accepted jobs end.
 const AFTER: Micros = 15_000 * MS;
 /// Ticks of entries and agents, as in the programs.
 const ENTRY_TICK: Micros = 20 * MS;
@@ -38,13 +38,13 @@
 const HEARTBEAT_INTERVAL: Micros = 200 * MS;
 /// Timeout of a call to an upstream.
 const ANSWER_TIMEOUT: Micros = 200 * MS;
-/// An upstream that is back announces itself within this.
+/// Time until an upstream that has restarted announces itself.
 const ANNOUNCED_AFTER: Micros = 700 * MS;
-/// The balancer takes an entry that is lost out after this; callers then reach others.
+/// Time until the load balancer has removed a lost entry and callers reach others.
 const BALANCED_AFTER: Micros = 2_000 * MS;
 const MICROS_PER_S: f64 = 1_000_000.0;
 
-/// A link from an agent to a run of an entry.
+/// A link from an agent to an incarnation of an entry.
 #[derive(Clone, Copy, Debug)]
 struct Link {
     entry: usize,
@@ -108,7 +108,7 @@
     linked: Vec<BTreeSet<usize>>,
     ends: Vec<Option<Ended>>,
     notes: Vec<Note>,
-    /// When each entry that is lost was lost.
+    /// Time at which each entry was lost last.
     lost_at: Vec<Micros>,
     /// Share of calls to each upstream that get no answer.
     unanswered: Vec<f64>,
