--- a/crates/decide/src/dispatch/pool_load.rs
+++ b/crates/decide/src/dispatch/pool_load.rs
@@ -21,7 +21,8 @@
     fn add(&mut self, agent: &AgentView) {
         self.capacity_milli += u64::from(agent.load.capacity.cpu_milli);
         for class in 0..PRIORITY_CLASSES {
-            self.waiting_milli_ms[class] += agent.load.waiting_milli_ms[class];
+            let waiting_milli_ms = &mut self.waiting_milli_ms[class];
+            *waiting_milli_ms = waiting_milli_ms.saturating_add(agent.load.waiting_milli_ms[class]);
             self.arriving_milli[class] += u64::from(agent.load.arriving_milli[class]);
         }
     }
--- a/crates/decide/tests/shedding.rs
+++ b/crates/decide/tests/shedding.rs
@@ -342,3 +342,20 @@
     setup.report_queue(3, 8, CAPACITY.cpu_milli * 8 / 10);
     assert_eq!(setup.shed_percent_beside(7, 1, 0), 0);
 }
+
+/// An agent that falls silent has the queue of its last report for good: guards against shedding
+/// for work that other upstreams will never have.
+#[test]
+fn a_silent_agent_causes_no_shedding() {
+    let mut setup = Setup::new();
+    setup.report_queue(1, 60, 0);
+    let silent = setup.agent;
+    let instance = setup.dispatch.instance(silent).unwrap().clone();
+    setup.agent = setup.dispatch.agent_connected("other", Incarnation(1), None, 0);
+    setup.dispatch.agent_ready(setup.agent, 0);
+    setup.dispatch.set_instance(setup.agent, instance);
+    setup.now_ms += 700;
+    setup.dispatch.message_sent(setup.agent, None, setup.now_ms);
+    setup.report_queue(1, 5, 0);
+    assert_eq!(setup.shed_percent_beside(1, 1, 0), 0);
+}
