--- a/crates/bench/tests/contention.rs
+++ b/crates/bench/tests/contention.rs
@@ -17,12 +17,21 @@
     mean(outcomes, |outcome| outcome.by_kind[kind].in_time_share())
 }
 
+/// The target under both overloads; the tests below hold what is reached.
+#[test]
+fn value_target() {
+    for name in ["contended-over", "contended-lasting"] {
+        let value = mean(&outcomes(name), |outcome| outcome.all.value_share());
+        assert!(value > 0.90, "{name} {value}");
+    }
+}
+
 /// 1.4 times the capacity for three seconds. Guards against accepting long jobs until each of
 /// them is late: 63 % of them were on time.
 #[test]
 fn short_overload() {
     let outcomes = outcomes("contended-over");
-    assert!(in_time(&outcomes, 0) > 0.985, "most urgent {}", in_time(&outcomes, 0));
+    assert!(in_time(&outcomes, 0) > 0.99, "most urgent {}", in_time(&outcomes, 0));
     assert!(in_time(&outcomes, 1) > 0.75, "long {}", in_time(&outcomes, 1));
     assert!(mean(&outcomes, |outcome| outcome.all.value_share()) > 0.845);
 }
@@ -37,7 +46,8 @@
     assert!(mean(&outcomes, |outcome| outcome.all.value_share()) > 0.845);
 }
 
-/// Guards against accepting jobs that end late or are given up.
+/// Guards against accepting jobs that end late or are given up. The bound is half of the gain: 3.7 %
+/// and 5.9 % were late.
 #[test]
 fn accepted_jobs_are_on_time() {
     for name in ["contended-over", "contended-lasting"] {
--- a/crates/decide/src/dispatch/pool_load.rs
+++ b/crates/decide/src/dispatch/pool_load.rs
@@ -5,8 +5,8 @@
     sycamorerail_wire::runs::{PRIORITY_CLASSES, Resources},
 };
 
-/// Largest part of the capacity, in percent, that counts as taken by more urgent work. More than
-/// that is taken only while agents refuse nothing, and the rest keeps waiting times finite.
+/// Largest part of the capacity, in percent, that counts as taken by more urgent work. While more
+/// arrives than fits, the rest keeps the computed waiting times of less urgent work finite.
 const MAX_MORE_URGENT_PERCENT: u64 = 90;
 
 /// Sums over the linked agents of a pool.
@@ -49,7 +49,8 @@
     /// milliseconds.
     pub(super) fn wait_ms(&self, priority: u8) -> f64 {
         let class = usize::from(priority).min(PRIORITY_CLASSES - 1);
-        let waiting: u64 = self.waiting_milli_ms[..=class].iter().sum();
+        let waiting =
+            self.waiting_milli_ms[..=class].iter().fold(0, |a: u64, b| a.saturating_add(*b));
         let left_percent = 100 - self.more_urgent_percent(priority);
         waiting as f64 * 100.0 / (self.capacity_milli * left_percent).max(1) as f64
     }
