Stalls of a process are logged with what the kernel tells of them

Logs of the stops that ended by SIGKILL do not tell whether a silent process had no processor, waited for a disk or for a lock. Each process now checks itself every 50 ms and logs a check that is late by 100 ms or more with its thread's time on a processor, time without one and major faults.

Bounds of tests and checks are unchanged.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,6 +5,8 @@
 //! after other processes had given them up. Code that makes decisions reads the time from
 //! here; timers only trigger the next check.
 
+pub mod lag;
+
 use {
     nix::time::{ClockId, clock_gettime},
     std::{
--- /dev/null
+++ b/crates/clock/tests/lag.rs
@@ -0,0 +1,45 @@
+//! Delays of a process's periodic checks.
+
+use sycamorerail_clock::lag::Lag;
+
+#[test]
+fn checks_on_time_show_no_delay() {
+    let mut lag = Lag::new(50, 0);
+    for now_ms in (50..=1_000).step_by(50) {
+        assert_eq!(lag.record(now_ms), 0);
+    }
+    assert_eq!((lag.recent_ms(1_010), lag.unhandled_ms(1_010)), (0, 10));
+}
+
+#[test]
+fn a_delay_counts_less_as_it_ages() {
+    let mut lag = Lag::new(50, 0);
+    assert_eq!(lag.record(450), 400);
+    assert_eq!(lag.recent_ms(450), 400);
+    for now_ms in (500..=1_450).step_by(50) {
+        lag.record(now_ms);
+    }
+    assert_eq!(lag.recent_ms(1_450), 200);
+}
+
+/// Guards against a smaller delay that hides a larger one just before it.
+#[test]
+fn the_largest_recent_delay_counts() {
+    let mut lag = Lag::new(50, 0);
+    lag.record(450);
+    lag.record(530);
+    assert!(lag.recent_ms(530) > 350, "{}", lag.recent_ms(530));
+}
+
+/// Guards against a signal that counts as new although the process could not read it before.
+#[test]
+fn events_before_a_late_check_are_unhandled() {
+    let mut lag = Lag::new(50, 0);
+    lag.record(50);
+    // The check and the event are handled together, in either order.
+    assert_eq!(lag.unhandled_ms(950), 900);
+    lag.record(950);
+    assert_eq!(lag.unhandled_ms(950), 900);
+    lag.record(1_000);
+    assert_eq!(lag.unhandled_ms(1_000), 0);
+}
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,6 +1,7 @@
-//! Logs, metrics and invariant checks, shared by all binaries.
+//! Logs, metrics, stalls and invariant checks, shared by all binaries.
 
 pub mod invariant;
 mod log_queue;
 pub mod logs;
 pub mod metrics_page;
+pub mod stalls;
