--- a/crates/entry/src/drain.rs
+++ b/crates/entry/src/drain.rs
@@ -155,8 +155,9 @@
 
 /// Waits until nothing is in flight, at most for the bound of the settings.
 /// Jobs that run on shortly before it are given up, and whatever else a request
-/// waits for, so that all callers are answered. Returns the time left of it.
-pub async fn finish(shared: &Arc<Shared>) -> Duration {
+/// waits for, so that all callers are answered. Returns the end of the bound, in the time of
+/// [`Shared::now_ms`].
+pub async fn finish(shared: &Arc<Shared>) -> u64 {
     let bound_ms = u64::from(shared.settings.limits.drain_ms);
     let end_ms = shared.now_ms() + bound_ms;
     let give_up_ms = end_ms - LAST_ANSWERS_MS.min(bound_ms);
@@ -165,7 +166,7 @@
     give_up_jobs(shared).await;
     shared.lifecycle.ending.send_replace(true);
     wait_idle(shared, end_ms).await;
-    left(shared, end_ms)
+    end_ms
 }
 
 /// Ends what still runs. Jobs of which agents do not report in time are
@@ -199,7 +200,9 @@
     }
 }
 
-fn left(shared: &Shared, until_ms: u64) -> Duration {
+/// Time left until then.
+#[must_use]
+pub fn left(shared: &Shared, until_ms: u64) -> Duration {
     Duration::from_millis(until_ms.saturating_sub(shared.now_ms()))
 }
 
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -124,16 +124,16 @@
     pub async fn drain(self) -> Result<(), EntryError> {
         let shared = self.shared;
         shared.lifecycle.drain();
-        let left = drain::finish(&shared).await;
+        let end_ms = drain::finish(&shared).await;
         let mut server = self.server;
         if let Some(ended) = server.borrow().clone() {
             return Err(ended_early(self.http_address, ended));
         }
         self.shutdown.notify();
-        let bound = left + CLOSE_PAUSE + CLOSE_PAUSE;
+        let bound = drain::left(&shared, end_ms) + CLOSE_PAUSE + CLOSE_PAUSE;
         let closed = tokio::time::timeout(bound, server.wait_for(Option::is_some)).await.is_ok();
         // Other entries' calls come over sessions, which still stand.
-        drain::close(&shared, left).await;
+        drain::close(&shared, drain::left(&shared, end_ms)).await;
         let (jobs, requests) = (shared.jobs.undecided(), shared.lifecycle.requests());
         self.stop.send_replace(true);
         shared.endpoint.close(0u32.into(), b"stopped");
