--- a/crates/decide/src/planned_stop.rs
+++ b/crates/decide/src/planned_stop.rs
@@ -17,11 +17,11 @@
 /// Time within which jobs that are given up have their answers written, in milliseconds: the
 /// decision, the entry's next check of what is due, and the way to the caller.
 const LAST_ANSWERS_MS: u64 = STOP_ANSWER_MS + 100;
-/// Part of the grace period in which a process that gets no processor can still end, in
-/// milliseconds: a busy machine withholds it for up to some 0.3 s.
+/// Part of the grace period that is kept for a stall at the very end, in milliseconds. Such a stall
+/// comes unannounced, and what is not answered before it is cut.
 const STALL_RESERVE_MS: u64 = 400;
-/// Reserve for each millisecond of recent delay: for the end of the jobs and for that of the
-/// process.
+/// Reserve for each millisecond of recent delay: the jobs end late by one delay, and the process by
+/// another one.
 const RESERVE_PER_DELAY: u64 = 2;
 /// Largest reserve for delays, in milliseconds. With more, a stall early in the stop would give up
 /// jobs that can end.
