--- a/crates/bench/src/policy/report.rs
+++ b/crates/bench/src/policy/report.rs
@@ -23,8 +23,10 @@
     pub outcome: Outcome,
     /// Upper bound of the jobs on time.
     pub bound: u64,
-    /// Share of the value if all jobs were known in advance and served by value, and by priority.
-    pub known_value: [f64; 2],
+    /// Share of the value that is reached if all jobs are known in advance and served by value.
+    pub known_by_value: f64,
+    /// The same, served by priority.
+    pub known_by_priority: f64,
 }
 
 /// Plays settings with the seeds from 1 on.
@@ -32,10 +34,14 @@
 pub fn play_seeds(settings: &ModelSettings, seeds: u64) -> Vec<Played> {
     let one = |seed| {
         let jobs = draw_jobs(settings, seed);
-        let known_value = [Order::ByValue, Order::ByPriority]
-            .map(|order| clairvoyant::serve(settings, &jobs, order).all.value_share());
-        let bound = most_in_time(settings, &jobs);
-        Played { seed, outcome: play(settings, seed), bound, known_value }
+        let known = |order| clairvoyant::serve(settings, &jobs, order).all.value_share();
+        Played {
+            seed,
+            outcome: play(settings, seed),
+            bound: most_in_time(settings, &jobs),
+            known_by_value: known(Order::ByValue),
+            known_by_priority: known(Order::ByPriority),
+        }
     };
     (1..=seeds).map(one).collect()
 }
@@ -88,8 +94,8 @@
             median(|played| per_job(played.outcome.messages, played)),
             median(|played| per_job(played.outcome.recalls, played)),
             median(|played| played.outcome.return_peak),
-            median(|played| played.known_value[0]),
-            median(|played| played.known_value[1]),
+            median(|played| played.known_by_value),
+            median(|played| played.known_by_priority),
         ),
     );
     text
