--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,56 +1,84 @@
-//! A front is lost, and 450 ms later a side freezes. The client's copy of the job then runs beside
-//! the runs that the frozen side can no longer stop.
+//! A side is cut off, and 650 ms later it freezes. A front starts its tasks again on other runners
+//! while their first runs are still at work.
 
 #[path = "../harness/mod.rs"]
 mod harness;
 
 use harness::{
-    QUEUE, Run, SIGCONT, SIGKILL, SIGSTOP, Site, folder, has_trouble, job, limit_time,
-    record::Record, runs,
+    FRONTS, QUEUE, Run, SIGCONT, SIGSTOP, Site, folder, has_trouble, job, limit_time,
+    record::Record,
+    relay::{Cut, Relay},
+    runs,
+};
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
 };
-use std::{thread, time::Duration};
 
 const ID: &str = "00000000000000a1";
 /// The largest job of `match-headshots`: tasks, thousandths of a core, milliseconds.
 const TASKS: u32 = 16;
 const CPU: u64 = 2_300;
 const RUN_MS: u64 = 3_600;
-const DEADLINE_MS: u64 = 8_000;
-/// `retry_ms` of the settings.
-const RETRY: Duration = Duration::from_millis(1_300);
-/// Time between the two losses.
-const BETWEEN: Duration = Duration::from_millis(450);
+const DEADLINE_MS: u64 = 12_000;
+/// `node_cut` of one side from all fronts.
+const CUT: Duration = Duration::from_millis(5_500);
+/// From the cut's begin to `node_freeze` of the same side.
+const FREEZES_AFTER: Duration = Duration::from_millis(650);
 const FREEZE: Duration = Duration::from_millis(3_500);
+/// Between two small jobs at each front.
+const BETWEEN_JOBS: Duration = Duration::from_millis(60);
 
 fn main() {
     limit_time(100);
     let mut site = Site::start(&Record::create(&folder().join("record.txt")));
+    let relays: Vec<_> = (0..FRONTS).map(|front| site.relay_front(front)).collect();
     site.start_all();
 
     let body = job(TASKS, CPU, &RUN_MS.to_string(), RUN_MS, "");
+    let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
-        let client = scope.spawn(|| {
-            if site.submit(0, QUEUE, ID, &body, DEADLINE_MS).is_err() {
-                // No answer: the same request again, `retry_ms` later, at another node.
-                thread::sleep(RETRY);
-                let _ = site.submit(1, QUEUE, ID, &body, DEADLINE_MS);
-            }
-        });
+        // Usual work, so that sides and fronts talk as often as they do on a working day.
+        for front in 0..FRONTS {
+            let (site, is_over) = (&site, &is_over);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if is_over.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    let id = format!("0000000{front}{number:08x}");
+                    let body = job(8, 1_600, "60", 60, "");
+                    scope.spawn(move || site.submit(front, QUEUE, &id, &body, 1_500));
+                    thread::sleep(BETWEEN_JOBS);
+                }
+            });
+        }
+        thread::sleep(Duration::from_secs(1));
+        let client = scope.spawn(|| site.submit(0, QUEUE, ID, &body, DEADLINE_MS));
         site.until("all tasks run", || site.starts_of(ID) == TASKS as usize);
         thread::sleep(Duration::from_millis(500));
         if has_trouble() {
-            let sides = 0..site.sides.len();
-            let side = sides.max_by_key(|side| site.runners[*side].running().len()).unwrap_or(0);
-            site.record.line(&format!("{} is killed", site.fronts[0].node));
-            site.fronts[0].signal(SIGKILL);
-            thread::sleep(BETWEEN);
-            site.record.line(&format!("{} freezes", site.sides[side].node));
-            site.sides[side].signal(SIGSTOP);
+            let of_job = |side: &usize| {
+                site.runners[*side].running().iter().filter(|task| task.starts_with(ID)).count()
+            };
+            let side = (0..site.sides.len()).max_by_key(of_job).unwrap_or(0);
+            let side = &site.sides[side];
+            site.record.line(&format!("{} is cut off", side.node));
+            let cut = Cut { node: side.node.clone(), both_ways: true };
+            relays.iter().for_each(|relay| relay.cut(cut.clone()));
+            thread::sleep(FREEZES_AFTER);
+            site.record.line(&format!("{} freezes", side.node));
+            side.signal(SIGSTOP);
             thread::sleep(FREEZE);
-            site.record.line(&format!("{} wakes", site.sides[side].node));
-            site.sides[side].signal(SIGCONT);
+            site.record.line(&format!("{} wakes", side.node));
+            side.signal(SIGCONT);
+            thread::sleep(CUT - FREEZES_AFTER - FREEZE);
+            site.record.line(&format!("{} is no longer cut off", side.node));
+            relays.iter().for_each(Relay::heal);
         }
         let _ = client.join();
+        is_over.store(true, Ordering::SeqCst);
     });
     thread::sleep(Duration::from_secs(1));
 
