--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -34,7 +34,7 @@
     limit_time(100);
     let mut site = Site::start(&Record::create(&folder().join("record.txt")));
     let relays: Vec<_> = (0..FRONTS).map(|front| site.relay_front(front)).collect();
-    site.start_all();
+    site.start_all(FRONTS);
 
     let body = job(TASKS, CPU, &RUN_MS.to_string(), RUN_MS, "");
     let is_over = AtomicBool::new(false);
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -20,7 +20,7 @@
     panic,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, OnceLock},
     thread,
     time::{Duration, Instant},
 };
@@ -51,6 +51,25 @@
 /// Host of all requests.
 pub const HOST: &str = "desk.example";
 
+/// Ids of the programs that run, and the folder of their settings and logs.
+static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+
+/// Ends all programs and the case, which could not run.
+fn could_not_run(why: &str) -> ! {
+    eprintln!("the case could not run: {why}");
+    if let Ok(started) = STARTED.try_lock() {
+        for pid in started.iter() {
+            // SAFETY: this is a child that has not been waited for.
+            unsafe { kill(*pid, SIGKILL) };
+        }
+    }
+    if let Some(folder) = FOLDER.get() {
+        let _ = fs::remove_dir_all(folder);
+    }
+    exit(COULD_NOT_RUN)
+}
+
 /// A program that runs.
 pub struct Program {
     pub node: String,
@@ -66,6 +85,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        STARTED.lock().unwrap().retain(|pid| *pid != self.child.id() as i32);
     }
 
     /// Exit status, if it has ended.
@@ -132,6 +152,7 @@
         drop(listeners);
         let dir = std::env::temp_dir().join(format!("review-{process}"));
         or_exit(fs::create_dir_all(&dir));
+        let _ = FOLDER.set(dir.clone());
         let at = SocketAddr::new(address(network, 1), ports.store);
         let store = or_exit(Store::start(at, record.clone()));
         Site {
@@ -347,14 +368,15 @@
             });
         }
         let child = or_exit(command.spawn());
+        STARTED.lock().unwrap().push(child.id() as i32);
         self.record.line(&format!("{node} is started: {program}"));
         Program { node, child }
     }
 
     /// Starts as many fronts and sides as the site `rangmancha-rail` has, with its kinds and
     /// sizes of runners, publishes a configuration with one queue, and waits until all serve.
-    pub fn start_all(&mut self) {
-        (0..FRONTS).for_each(|_| self.add_front());
+    pub fn start_all(&mut self, fronts: usize) {
+        (0..fronts).for_each(|_| self.add_front());
         for number in 0..SIDES {
             let (label, cpu) = if number % 3 == 2 { ("b", 24_000) } else { ("a", 16_000) };
             let rack = format!("r1-{}", number / 3 + 1);
@@ -402,7 +424,7 @@
         while !holds() {
             if Instant::now() > until {
                 self.record.line(&format!("waited in vain until {what}"));
-                self.give_up();
+                self.give_up(what);
             }
             thread::sleep(Duration::from_millis(20));
         }
@@ -451,13 +473,9 @@
         }
     }
 
-    fn give_up(&self) -> ! {
+    fn give_up(&self, why: &str) -> ! {
         self.keep_logs();
-        for program in self.fronts.iter().chain(&self.sides) {
-            program.signal(SIGKILL);
-        }
-        let _ = fs::remove_dir_all(&self.dir);
-        exit(COULD_NOT_RUN)
+        could_not_run(why)
     }
 
     /// Ends all processes and the case.
@@ -539,14 +557,10 @@
 /// Ends the case as one that could not run if it takes too long or a stand-in fails. The programs
 /// end with this process.
 pub fn limit_time(seconds: u64) {
-    panic::set_hook(Box::new(|panicked| {
-        eprintln!("the case could not run: {panicked}");
-        exit(COULD_NOT_RUN)
-    }));
+    panic::set_hook(Box::new(|panicked| could_not_run(&panicked.to_string())));
     thread::spawn(move || {
         thread::sleep(Duration::from_secs(seconds));
-        eprintln!("the case could not run in {seconds} s");
-        exit(COULD_NOT_RUN)
+        could_not_run(&format!("{seconds} s are over"))
     });
 }
 
@@ -565,8 +579,5 @@
 }
 
 fn or_exit<T>(result: io::Result<T>) -> T {
-    result.unwrap_or_else(|error| {
-        eprintln!("the case could not run: {error}");
-        exit(COULD_NOT_RUN)
-    })
+    result.unwrap_or_else(|error| could_not_run(&error.to_string()))
 }
