Review, case 1: two kills in place of a cut and a freeze

Tried: a front is killed, 500 ms later a side, and the client sends the job again 1,300 ms after its connection broke. This needs no cut and no freeze of the same machine: both kills are node_kill, which the site names.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,14 +1,11 @@
-//! A side is cut off, and 620 ms later it freezes. A front starts its tasks again on other runners
-//! while their first runs are still at work.
+//! A front is killed, and half a second later a side. The client sends its job again, and tasks
+//! start on other runners while their first runs are still at work beside the killed side.
 
 #[path = "../harness/mod.rs"]
 mod harness;
 
 use harness::{
-    FRONTS, QUEUE, Run, SIGCONT, SIGSTOP, Site, folder, has_trouble, job, limit_time,
-    record::Record,
-    relay::{Cut, Relay},
-    runs,
+    FRONTS, QUEUE, Run, SIGKILL, Site, folder, has_trouble, job, limit_time, record::Record, runs,
 };
 use std::{
     sync::atomic::{AtomicBool, Ordering},
@@ -22,25 +19,25 @@
 const CPU: u64 = 2_300;
 const RUN_MS: u64 = 3_600;
 const DEADLINE_MS: u64 = 12_000;
-/// `node_cut` of one side from all fronts.
-const CUT: Duration = Duration::from_millis(5_500);
-/// From the cut's begin to `node_freeze` of the same side.
-const FREEZES_AFTER: Duration = Duration::from_millis(620);
-const FREEZE: Duration = Duration::from_millis(3_500);
-/// Between two small jobs at each front.
+/// `retry_ms`.
+const RETRY: Duration = Duration::from_millis(1_300);
+/// From the kill of the front to the kill of the side.
+const BETWEEN_KILLS: Duration = Duration::from_millis(500);
+/// Time until a killed program is started again.
+const DOWN: Duration = Duration::from_millis(3_000);
+/// Between two small jobs at each of the other fronts.
 const BETWEEN_JOBS: Duration = Duration::from_millis(25);
 
 fn main() {
     limit_time(100);
     let mut site = Site::start(&Record::create(&folder().join("record.txt")));
-    let relays: Vec<_> = (0..FRONTS).map(|front| site.relay_front(front)).collect();
     site.start_all(FRONTS);
 
     let body = job(TASKS, CPU, &RUN_MS.to_string(), RUN_MS, "");
     let is_over = AtomicBool::new(false);
+    let mut restarted = Vec::new();
     thread::scope(|scope| {
-        // Usual work, so that sides and fronts talk as often as they do on a working day.
-        for front in 0..FRONTS {
+        for front in 1..FRONTS {
             let (site, is_over) = (&site, &is_over);
             scope.spawn(move || {
                 for number in 0.. {
@@ -55,7 +52,16 @@
             });
         }
         thread::sleep(Duration::from_secs(1));
-        let client = scope.spawn(|| site.submit(0, QUEUE, ID, &body, DEADLINE_MS));
+        let client = scope.spawn(|| {
+            for front in 0..FRONTS {
+                let answer = site.submit(front, QUEUE, ID, &body, DEADLINE_MS);
+                let is_final = matches!(answer, Ok((status, _)) if status != 502 && status != 504);
+                if is_final {
+                    return;
+                }
+                thread::sleep(RETRY);
+            }
+        });
         site.until("all tasks run", || site.starts_of(ID) == TASKS as usize);
         thread::sleep(Duration::from_millis(500));
         if has_trouble() {
@@ -63,19 +69,15 @@
                 site.runners[*side].running().iter().filter(|task| task.starts_with(ID)).count()
             };
             let side = (0..site.sides.len()).max_by_key(of_job).unwrap_or(0);
-            let side = &site.sides[side];
-            site.record.line(&format!("{} is cut off", side.node));
-            let cut = Cut { node: side.node.clone(), both_ways: true };
-            relays.iter().for_each(|relay| relay.cut(cut.clone()));
-            thread::sleep(FREEZES_AFTER);
-            site.record.line(&format!("{} freezes", side.node));
-            side.signal(SIGSTOP);
-            thread::sleep(FREEZE);
-            site.record.line(&format!("{} wakes", side.node));
-            side.signal(SIGCONT);
-            thread::sleep(CUT - FREEZES_AFTER - FREEZE);
-            site.record.line(&format!("{} is no longer cut off", side.node));
-            relays.iter().for_each(Relay::heal);
+            site.record.line(&format!("{} is killed", site.fronts[0].node));
+            site.fronts[0].signal(SIGKILL);
+            thread::sleep(BETWEEN_KILLS);
+            site.record.line(&format!("{} is killed", site.sides[side].node));
+            site.sides[side].signal(SIGKILL);
+            thread::sleep(DOWN - BETWEEN_KILLS);
+            restarted.push(site.start_front(0));
+            thread::sleep(BETWEEN_KILLS);
+            restarted.push(site.start_side(side));
         }
         let _ = client.join();
         is_over.store(true, Ordering::SeqCst);
@@ -86,6 +88,7 @@
     let pairs = runs.iter().enumerate();
     let pairs = pairs.flat_map(|(index, one)| runs[index + 1..].iter().map(move |it| (one, it)));
     let broken: Vec<String> = pairs.filter_map(|(one, other)| overlap(one, other)).collect();
+    drop(restarted);
     site.finish(&broken);
 }
 
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -20,7 +20,10 @@
     panic,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio, exit},
-    sync::{Arc, Mutex, OnceLock},
+    sync::{
+        Arc, Mutex, OnceLock,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -123,7 +126,7 @@
     dir: PathBuf,
     /// Where each front is reached by agents and other fronts, if not directly.
     relayed: bool,
-    starts: u32,
+    starts: AtomicU32,
 }
 
 /// What a runner is like.
@@ -166,7 +169,7 @@
             network,
             dir,
             relayed: false,
-            starts: 0,
+            starts: AtomicU32::new(0),
         }
     }
 
@@ -211,7 +214,7 @@
         self.fronts.push(program);
     }
 
-    pub fn start_front(&mut self, number: usize) -> Program {
+    pub fn start_front(&self, number: usize) -> Program {
         let ip = self.front_ip(number);
         let Ports { callers, readiness, control, .. } = self.ports;
         let listen = format!(
@@ -244,7 +247,7 @@
         self.sides.push(program);
     }
 
-    pub fn start_side(&mut self, number: usize) -> Program {
+    pub fn start_side(&self, number: usize) -> Program {
         let ip = self.side_ip(number);
         let listen = format!("control = \"{ip}:{}\"", self.ports.control);
         let app = format!("app = \"{ip}:{}\"", self.ports.app);
@@ -255,7 +258,7 @@
 
     #[allow(clippy::too_many_arguments)]
     fn start_program(
-        &mut self,
+        &self,
         class: &str,
         number: usize,
         ip: IpAddr,
@@ -346,8 +349,8 @@
             role = if class == "front" { "entry" } else { "agent" },
             seeds = seeds.join(","),
         );
-        self.starts += 1;
-        let path = self.dir.join(format!("{node}-{}.toml", self.starts));
+        let starts = self.starts.fetch_add(1, Ordering::SeqCst);
+        let path = self.dir.join(format!("{node}-{starts}.toml"));
         or_exit(fs::write(&path, settings));
         let log = or_exit(fs::File::create(path.with_extension("log")));
         let program = format!("target/release/sycamorerail-{class}");
