--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -1,5 +1,4 @@
-//! HTTP/1.1: a server with a thread for each connection, and a client with a connection for
-//! each request.
+//! HTTP/1.1: a server with a thread for each connection, and a client.
 
 use std::{
     collections::HashMap,
@@ -121,32 +120,64 @@
     patience: Duration,
 ) -> Result<(u16, String), String> {
     let until = Instant::now() + patience;
-    let left = || until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-    let fail = |why: io::Error| format!("{:?}", why.kind());
-    let stream = TcpStream::connect_timeout(&address, left()).map_err(fail)?;
-    stream.set_nodelay(true).map_err(fail)?;
-    let mut request = format!("{method} {path} HTTP/1.1\r\n");
-    if !headers.iter().any(|(name, _)| *name == "Host") {
-        request += &format!("Host: {address}\r\n");
-    }
-    for (name, value) in headers {
-        request += &format!("{name}: {value}\r\n");
+    let mut connection = Connection::open(address, patience)?;
+    let left = until.saturating_duration_since(Instant::now());
+    connection.call(method, path, headers, body, left)
+}
+
+/// A client's connection, for one request after the other.
+pub struct Connection {
+    address: SocketAddr,
+    writer: TcpStream,
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    pub fn open(address: SocketAddr, patience: Duration) -> Result<Connection, String> {
+        let patience = patience.max(Duration::from_millis(1));
+        let stream = TcpStream::connect_timeout(&address, patience).map_err(name)?;
+        stream.set_nodelay(true).map_err(name)?;
+        let writer = stream.try_clone().map_err(name)?;
+        Ok(Connection { address, writer, reader: BufReader::new(stream) })
     }
-    request +=
-        &format!("content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}", body.len());
-    let mut writer = stream.try_clone().map_err(fail)?;
-    writer.write_all(request.as_bytes()).map_err(fail)?;
-    stream.set_read_timeout(Some(left())).map_err(fail)?;
-    let mut reader = BufReader::new(stream);
-    let mut first = String::new();
-    if reader.read_line(&mut first).map_err(fail)? == 0 {
-        return Err("closed".to_owned());
+
+    /// Sends a request and waits for the whole answer.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+        patience: Duration,
+    ) -> Result<(u16, String), String> {
+        let mut request = format!("{method} {path} HTTP/1.1\r\n");
+        if !headers.iter().any(|(name, _)| *name == "Host") {
+            request += &format!("Host: {}\r\n", self.address);
+        }
+        for (name, value) in headers {
+            request += &format!("{name}: {value}\r\n");
+        }
+        request += &format!(
+            "content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.writer.write_all(request.as_bytes()).map_err(name)?;
+        let patience = patience.max(Duration::from_millis(1));
+        self.writer.set_read_timeout(Some(patience)).map_err(name)?;
+        let mut first = String::new();
+        if self.reader.read_line(&mut first).map_err(name)? == 0 {
+            return Err("closed".to_owned());
+        }
+        let status = first.split_whitespace().nth(1).and_then(|it| it.parse().ok());
+        let status = status.ok_or("no status")?;
+        let headers = read_headers(&mut self.reader).map_err(name)?;
+        let length = headers.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
+        let mut body = vec![0; length];
+        self.reader.read_exact(&mut body).map_err(name)?;
+        Ok((status, String::from_utf8_lossy(&body).into_owned()))
     }
-    let status = first.split_whitespace().nth(1).and_then(|it| it.parse().ok());
-    let status = status.ok_or("no status")?;
-    let headers = read_headers(&mut reader).map_err(fail)?;
-    let length = headers.get("content-length").and_then(|it| it.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).map_err(fail)?;
-    Ok((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+fn name(error: io::Error) -> String {
+    format!("{:?}", error.kind())
 }
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -6,12 +6,11 @@
 pub mod http;
 pub mod json;
 pub mod record;
-pub mod relay;
 pub mod runner;
 pub mod store;
 
+use http::Connection;
 use record::Record;
-use relay::Relay;
 use runner::{Runner, Seen};
 use std::{
     fs, io,
@@ -124,8 +123,6 @@
     pub ports: Ports,
     network: (u8, u8),
     dir: PathBuf,
-    /// Where each front is reached by agents and other fronts, if not directly.
-    relayed: bool,
     starts: AtomicU32,
 }
 
@@ -168,7 +165,6 @@
             ports,
             network,
             dir,
-            relayed: false,
             starts: AtomicU32::new(0),
         }
     }
@@ -177,21 +173,6 @@
         address(self.network, 11 + number as u8)
     }
 
-    /// Puts a relay between the front of this number and all agents and other fronts. Call it
-    /// before anything is started.
-    pub fn relay_front(&mut self, number: usize) -> Relay {
-        self.relayed = true;
-        let near = SocketAddr::new(self.known_front_ip(number), self.ports.inner);
-        let far = SocketAddr::new(self.front_ip(number), self.ports.inner);
-        or_exit(Relay::start(near, far))
-    }
-
-    /// Address by which agents and other fronts know a front.
-    fn known_front_ip(&self, number: usize) -> IpAddr {
-        let first = if self.relayed { 71 } else { 11 };
-        address(self.network, first + number as u8)
-    }
-
     pub fn side_ip(&self, number: usize) -> IpAddr {
         address(self.network, 31 + number as u8)
     }
@@ -221,7 +202,6 @@
             "front = \"{ip}:{callers}\"\nready = \"{ip}:{readiness}\"\ncontrol = \"{ip}:{control}\""
         );
         let store = self.store_address();
-        let ip = self.known_front_ip(number);
         let limits = "cpu_share = 0.25\nmemory_mb = 260\nmax_fds = 4100";
         self.start_program("front", number, ip, &listen, "", limits, store)
     }
@@ -269,7 +249,7 @@
     ) -> Program {
         let node = format!("{class}-salt-lake-{}", number + 1);
         let seeds: Vec<_> = (0..3)
-            .map(|front| format!("\"{}:{}\"", self.known_front_ip(front), self.ports.control))
+            .map(|front| format!("\"{}:{}\"", self.front_ip(front), self.ports.control))
             .collect();
         let serves = if class == "front" { "\"front\",\"control\"" } else { "\"side\"" };
         let inner = self.ports.inner;
@@ -433,7 +413,7 @@
         }
     }
 
-    /// Sends a job and waits for its answer.
+    /// Sends a job over a connection of its own and waits for its answer.
     pub fn submit(
         &self,
         front: usize,
@@ -441,17 +421,45 @@
         id: &str,
         body: &str,
         deadline_ms: u64,
+    ) -> Result<(u16, String), String> {
+        let connection = Connection::open(self.callers(front), Duration::from_millis(deadline_ms));
+        match connection {
+            Ok(mut connection) => {
+                self.submit_over(&mut connection, front, prefix, id, body, deadline_ms)
+            }
+            Err(error) => {
+                self.record.line(&format!("POST {prefix}{id} to front {}: {error}", front + 1));
+                Err(error)
+            }
+        }
+    }
+
+    /// Sends a job over an open connection to a front and waits for its answer.
+    pub fn submit_over(
+        &self,
+        connection: &mut Connection,
+        front: usize,
+        prefix: &str,
+        id: &str,
+        body: &str,
+        deadline_ms: u64,
     ) -> Result<(u16, String), String> {
         let deadline = deadline_ms.to_string();
         let headers = [("Host", HOST), ("X-Deadline-Ms", deadline.as_str())];
         let path = format!("{prefix}{id}");
         self.record.line(&format!("POST {path} to front {}: {body}", front + 1));
         let patience = Duration::from_millis(deadline_ms);
-        let answer = http::call(self.callers(front), "POST", &path, &headers, body, patience);
+        let answer = connection.call("POST", &path, &headers, body, patience);
         self.record.line(&format!("POST {path} to front {}: answer {answer:?}", front + 1));
         answer
     }
 
+    /// Opens a connection to a front, which a client keeps for its requests.
+    pub fn connect(&self, front: usize) -> Connection {
+        let connection = Connection::open(self.callers(front), Duration::from_secs(3));
+        connection.unwrap_or_else(|error| could_not_run(&error))
+    }
+
     pub fn request(&self, front: usize, method: &str, path: &str) -> Result<(u16, String), String> {
         self.record.line(&format!("{method} {path} to front {}", front + 1));
         let patience = Duration::from_secs(3);
