Review, case 1: a frozen side in place of a killed one

Tried: a front is killed and back after 0.5 s, one side freezes 500 ms after the kill for 3.5 s, the largest node_freeze of the site.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,11 +1,12 @@
-//! A front is killed, and half a second later a side. The client sends its job again, and tasks
-//! start on other runners while their first runs are still at work beside the killed side.
+//! A front is killed, and half a second later a side freezes. The client sends its job again, and
+//! tasks start on other runners while their first runs are still at work beside the frozen side.
 
 #[path = "../harness/mod.rs"]
 mod harness;
 
 use harness::{
-    FRONTS, QUEUE, Run, SIGKILL, Site, folder, has_trouble, job, limit_time, record::Record, runs,
+    FRONTS, QUEUE, Run, SIGCONT, SIGKILL, SIGSTOP, Site, folder, has_trouble, job, limit_time,
+    record::Record, runs,
 };
 use std::{
     sync::atomic::{AtomicBool, Ordering},
@@ -21,10 +22,11 @@
 const DEADLINE_MS: u64 = 12_000;
 /// `retry_ms`.
 const RETRY: Duration = Duration::from_millis(1_300);
-/// From the kill of the front to the kill of the side.
-const BETWEEN_KILLS: Duration = Duration::from_millis(500);
-/// Time until a killed program is started again.
-const DOWN: Duration = Duration::from_millis(3_000);
+/// From the kill of the front to the freeze of the side.
+const FREEZES_AFTER: Duration = Duration::from_millis(500);
+/// Time until the killed front is started again.
+const DOWN: Duration = Duration::from_millis(500);
+const FREEZE: Duration = Duration::from_millis(3_500);
 /// Between two small jobs at each of the other fronts.
 const BETWEEN_JOBS: Duration = Duration::from_millis(25);
 
@@ -69,15 +71,19 @@
                 site.runners[*side].running().iter().filter(|task| task.starts_with(ID)).count()
             };
             let side = (0..site.sides.len()).max_by_key(of_job).unwrap_or(0);
-            site.record.line(&format!("{} is killed", site.fronts[0].node));
-            site.fronts[0].signal(SIGKILL);
-            thread::sleep(BETWEEN_KILLS);
-            site.record.line(&format!("{} is killed", site.sides[side].node));
-            site.sides[side].signal(SIGKILL);
-            thread::sleep(DOWN - BETWEEN_KILLS);
-            restarted.push(site.start_front(0));
-            thread::sleep(BETWEEN_KILLS);
-            restarted.push(site.start_side(side));
+            let (front, side) = (&site.fronts[0], &site.sides[side]);
+            site.record.line(&format!("{} is killed", front.node));
+            front.signal(SIGKILL);
+            scope.spawn(|| {
+                thread::sleep(DOWN);
+                restarted.push(site.start_front(0));
+            });
+            thread::sleep(FREEZES_AFTER);
+            site.record.line(&format!("{} freezes", side.node));
+            side.signal(SIGSTOP);
+            thread::sleep(FREEZE);
+            site.record.line(&format!("{} wakes", side.node));
+            side.signal(SIGCONT);
         }
         let _ = client.join();
         is_over.store(true, Ordering::SeqCst);
