Review, case 3: a crashed runner refuses connections

The stand-in of a crashed runner still answered a call in flight and closed new connections; now it ends all connections and refuses new ones, as a process that is gone.

--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -3,9 +3,12 @@
 use std::{
     collections::HashMap,
     io::{self, BufRead, BufReader, Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
-    thread,
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
@@ -20,22 +23,57 @@
 /// A status and a JSON body; `None` resets nothing and answers nothing: the connection closes.
 pub type Answer = Option<(u16, String)>;
 
-/// Serves an address until the process ends.
+/// Serves an address until it is stopped or the process ends.
 pub fn serve(
     address: SocketAddr,
     handler: impl Fn(Request) -> Answer + Send + Sync + 'static,
-) -> io::Result<()> {
+) -> io::Result<Server> {
     let listener = TcpListener::bind(address)?;
     let handler = Arc::new(handler);
-    thread::spawn(move || {
+    let server = Server {
+        address,
+        is_stopped: Arc::default(),
+        connections: Arc::default(),
+        accepting: None,
+    };
+    let (is_stopped, connections) =
+        (Arc::clone(&server.is_stopped), Arc::clone(&server.connections));
+    let accepting = thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if is_stopped.load(Ordering::SeqCst) {
+                return;
+            }
+            connections.lock().unwrap().extend(stream.try_clone());
             let handler = Arc::clone(&handler);
             thread::spawn(move || {
                 let _ = serve_connection(stream, &*handler);
             });
         }
     });
-    Ok(())
+    Ok(Server { accepting: Some(accepting), ..server })
+}
+
+/// A server that goes on when this is dropped.
+pub struct Server {
+    address: SocketAddr,
+    is_stopped: Arc<AtomicBool>,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    accepting: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Ends all connections, and refuses new ones from now on.
+    pub fn stop(mut self) {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        // Wakes the thread that accepts.
+        let _ = TcpStream::connect(self.address);
+        if let Some(accepting) = self.accepting.take() {
+            let _ = accepting.join();
+        }
+        for connection in self.connections.lock().unwrap().drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
 }
 
 fn serve_connection(
--- a/review/harness/runner.rs
+++ b/review/harness/runner.rs
@@ -2,7 +2,7 @@
 //! under the lease that its agent renews.
 
 use super::{
-    http::{self, Answer, Request},
+    http::{self, Answer, Request, Server},
     json::{Json, num, obj, text},
     record::Record,
 };
@@ -93,6 +93,8 @@
     pub cpu: u64,
     state: Mutex<Life>,
     changed: Condvar,
+    address: SocketAddr,
+    server: Mutex<Option<Server>>,
     agent: SocketAddr,
     record: Record,
     seen: Arc<Mutex<Vec<Seen>>>,
@@ -115,12 +117,13 @@
             cpu,
             state: Mutex::new(Life::new(&format!("{name}-1"), service, labels)),
             changed: Condvar::new(),
+            address,
+            server: Mutex::default(),
             agent,
             record: record.clone(),
             seen: Arc::clone(seen),
         });
-        let serving = Arc::clone(&runner);
-        http::serve(address, move |request| serving.answer(&request))?;
+        runner.serve()?;
         let ticking = Arc::clone(&runner);
         thread::spawn(move || {
             loop {
@@ -139,7 +142,14 @@
         Ok(runner)
     }
 
-    /// The present life crashes with all that it runs.
+    fn serve(self: &Arc<Self>) -> io::Result<()> {
+        let serving = Arc::clone(self);
+        let server = http::serve(self.address, move |request| serving.answer(&request))?;
+        *self.server.lock().unwrap() = Some(server);
+        Ok(())
+    }
+
+    /// The present life crashes with all that it runs; connections are refused.
     pub fn crash(&self) {
         let mut life = self.state.lock().unwrap();
         life.is_down = true;
@@ -148,12 +158,16 @@
             self.end(&mut life, &task, "crashed");
         }
         drop(life);
+        if let Some(server) = self.server.lock().unwrap().take() {
+            server.stop();
+        }
         self.record.line(&format!("{} crashes", self.name));
     }
 
     /// Another life begins and sends its first heartbeat.
-    pub fn begin(&self, id: &str, service: &str, labels: &[&str]) {
+    pub fn begin(self: &Arc<Self>, id: &str, service: &str, labels: &[&str]) {
         *self.state.lock().unwrap() = Life::new(id, service, labels);
+        self.serve().expect("the address is free again");
         self.record.line(&format!("{} begins life {id}: {service} {labels:?}", self.name));
         self.beat();
     }
@@ -216,7 +230,7 @@
         let done = match &*request.path {
             "/run-start" => self.start_run(&body),
             "/run-stop" => self.stop_run(&body),
-            "/hold" => return Some(self.hold(&body)),
+            "/hold" => return self.hold(&body),
             _ => return Some((404, "{}".to_owned())),
         };
         let clock_ms = self.state.lock().unwrap().clock_ms();
@@ -282,12 +296,12 @@
         Ok(())
     }
 
-    fn hold(&self, body: &Json) -> (u16, String) {
+    fn hold(&self, body: &Json) -> Answer {
         let mut life = self.state.lock().unwrap();
         let fence = body.get("fence").u64().unwrap_or(0);
         if fence < life.fence {
             let refused = obj([("clock_ms", num(life.clock_ms())), ("reason", text("fence"))]);
-            return (409, refused.to_string());
+            return Some((409, refused.to_string()));
         }
         life.fence = fence;
         if let Some(deadline_ms) = body.get("deadline_ms").u64() {
@@ -305,6 +319,9 @@
             }
             life = self.changed.wait_timeout(life, left).unwrap().0;
         }
+        if life.is_down {
+            return None;
+        }
         let running = life.running.iter().map(|(task, running)| {
             Json::Arr(vec![
                 text(task),
@@ -323,7 +340,7 @@
             ("running", Json::Arr(running.collect())),
             ("ended", Json::Arr(ended.collect())),
         ]);
-        (200, lists.to_string())
+        Some((200, lists.to_string()))
     }
 
     /// Ends tasks that have run their time, and all when the lease lapses.
