Review, case 1: the front that is started again stays

Cause: a program ends with the thread that starts it, and case 1 started the front from a thread that was over at once; seen by counting the processes of a run (2 fronts instead of 3). Now the main thread starts it, and the script ends with 2 if the front is not there at the end.

--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -22,10 +22,8 @@
 const DEADLINE_MS: u64 = 12_000;
 /// `retry_ms`.
 const RETRY: Duration = Duration::from_millis(1_300);
-/// From the kill of the front to the freeze of the side.
+/// From the kill of the front to its next start, and to the freeze of the side.
 const FREEZES_AFTER: Duration = Duration::from_millis(500);
-/// Time until the killed front is started again.
-const DOWN: Duration = Duration::from_millis(500);
 const FREEZE: Duration = Duration::from_millis(3_500);
 /// Between two small jobs at each of the other fronts.
 const BETWEEN_JOBS: Duration = Duration::from_millis(25);
@@ -74,13 +72,10 @@
             let (front, side) = (&site.fronts[0], &site.sides[side]);
             site.record.line(&format!("{} is killed", front.node));
             front.signal(SIGKILL);
-            scope.spawn(|| {
-                thread::sleep(DOWN);
-                restarted.push(site.start_front(0));
-            });
             thread::sleep(FREEZES_AFTER);
             site.record.line(&format!("{} freezes", side.node));
             side.signal(SIGSTOP);
+            restarted.push(site.start_front(0));
             thread::sleep(FREEZE);
             site.record.line(&format!("{} wakes", side.node));
             side.signal(SIGCONT);
@@ -94,6 +89,11 @@
     let pairs = runs.iter().enumerate();
     let pairs = pairs.flat_map(|(index, one)| runs[index + 1..].iter().map(move |it| (one, it)));
     let broken: Vec<String> = pairs.filter_map(|(one, other)| overlap(one, other)).collect();
+    for front in &mut restarted {
+        if let Some(status) = front.ended() {
+            site.could_not_run(&format!("{} has ended: {status}", front.node));
+        }
+    }
     drop(restarted);
     site.finish(&broken);
 }
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -343,7 +343,8 @@
         }
         command.env("SYCAMORERAIL_SETTINGS", &path).stdin(Stdio::null());
         command.stdout(or_exit(log.try_clone())).stderr(log);
-        // SAFETY: prctl is async-signal-safe. The program ends with this process.
+        // SAFETY: prctl is async-signal-safe. The program ends with the thread that starts it, which
+        // has to be the main one.
         unsafe {
             command.pre_exec(|| {
                 prctl(PR_SET_PDEATHSIG, SIGKILL);
@@ -407,7 +408,7 @@
         while !holds() {
             if Instant::now() > until {
                 self.record.line(&format!("waited in vain until {what}"));
-                self.give_up(what);
+                self.could_not_run(what);
             }
             thread::sleep(Duration::from_millis(20));
         }
@@ -484,7 +485,7 @@
         }
     }
 
-    fn give_up(&self, why: &str) -> ! {
+    pub fn could_not_run(&self, why: &str) -> ! {
         self.keep_logs();
         could_not_run(why)
     }
