Log why a run counts as lost, and how a link ended

Between the admission and the answer of a job an entry wrote no line that named a task, so that a second order could not be told from a copy at another entry or from a report of the agent. The entry now logs each run that it takes for lost without a report, with the cause and the agent's silence; the agent logs how the loss of a run is known, and the silence of an entry; an ended connection tells whether the agent closed it, was silent or replaced it.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -350,13 +350,14 @@
 
 fn log_decided(decided: &RunDecision) {
     let format_run_time = |run_ms: u32| format!("{run_ms}ms");
+    let proof = || decided.proof.map_or(String::new(), |proof| proof.name().to_owned());
     let (name, why, detail) = match decided.event {
         RunEvent::Started => ("started", "", String::new()),
         RunEvent::Done { run_ms } => ("done", "", format_run_time(run_ms)),
         RunEvent::Failed { run_ms } => ("failed", "", format_run_time(run_ms)),
         RunEvent::Stopped => ("stopped", "", String::new()),
-        RunEvent::Lost => ("lost", "", String::new()),
-        RunEvent::Crashed => ("crashed", "", String::new()),
+        RunEvent::Lost => ("lost", "", proof()),
+        RunEvent::Crashed => ("crashed", "", proof()),
         RunEvent::NotStarted(why) => ("not_started", why.name(), why.name().to_owned()),
     };
     metrics::counter!("sycamorerail_runs_total", "event" => name, "why" => why).increment(1);
@@ -400,13 +401,22 @@
             ledger.note_suspension(suspended_ms, now_ms);
             ledger.check_lease_lapse(now_ms);
             ledger.drop_expired(now_ms);
-            ledger.drop_silent_owners(now_ms)
+            let silent = ledger.silent_owners(now_ms);
+            ledger.drop_silent_owners(now_ms);
+            silent
         });
-        for entry in &silent {
-            event!(Warn, "entry_silent", entry = entry, suspended_ms = suspended_ms);
+        for owner in &silent {
+            event!(
+                Warn,
+                "entry_silent",
+                entry = owner.entry,
+                suspended_ms = suspended_ms,
+                silent_ms = owner.silent_ms,
+                stopped_runs = owner.stopped_runs,
+            );
         }
         if !silent.is_empty() {
-            agent.dropped_owners.send_replace(silent);
+            agent.dropped_owners.send_replace(silent.iter().map(|owner| owner.entry).collect());
         }
     }
 }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,7 +1,7 @@
 //! Agents that connect, report, fall silent and reconnect.
 
 use {
-    super::{AgentKey, AgentView, Command, Dispatch, PoolView},
+    super::{AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss},
     crate::rendezvous::weight,
     std::collections::BTreeSet,
     sycamorerail_wire::{
@@ -53,7 +53,7 @@
         if load.usable && view.earlier_runs_until_ms.take().is_some() {
             // A restarted agent reports itself as usable only when no run of its earlier
             // incarnation is left.
-            self.mark_runs_lost(agent, |_, _| true, now_ms);
+            self.mark_runs_lost(agent, LossCause::Restarted, |_, _| true, now_ms);
         }
         for report in reports {
             self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
@@ -64,16 +64,21 @@
 
     pub(super) fn lose_silent_agents(&mut self, now_ms: u64) {
         let lost_ms = self.limits.lost_ms;
-        let is_lost = |agent: &&AgentView| {
-            now_ms >= agent.last_heard_ms + lost_ms
-                || agent.earlier_runs_until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+        let cause_of_loss = |agent: &AgentView| {
+            if now_ms >= agent.last_heard_ms + lost_ms {
+                return Some(LossCause::Silent);
+            }
+            let until_ms = agent.earlier_runs_until_ms?;
+            (now_ms >= until_ms).then_some(LossCause::Restarted)
         };
-        let lost: Vec<_> = self.agents.values().filter(is_lost).map(|agent| agent.key).collect();
-        for key in lost {
+        let lost =
+            self.agents.values().filter_map(|agent| Some((agent.key, cause_of_loss(agent)?)));
+        let lost: Vec<_> = lost.collect();
+        for (key, cause) in lost {
             if let Some(view) = self.agents.get_mut(key) {
                 view.earlier_runs_until_ms = None;
             }
-            self.mark_runs_lost(key, |_, _| true, now_ms);
+            self.mark_runs_lost(key, cause, |_, _| true, now_ms);
         }
     }
 
@@ -81,12 +86,16 @@
     fn mark_runs_lost(
         &mut self,
         agent: AgentKey,
+        cause: LossCause,
         is_lost: impl Fn(TaskKey, u32) -> bool,
         now_ms: u64,
     ) {
+        let last_heard_ms = self.agents.get(agent).map_or(now_ms, |view| view.last_heard_ms);
+        let silent_ms = now_ms.saturating_sub(last_heard_ms);
         let here = self.jobs.values().flat_map(|job| job.tasks_at(agent));
         let lost: Vec<_> = here.filter(|&(task, run)| is_lost(task, run)).collect();
         for (task, run) in lost {
+            self.losses.push(RunLoss { agent, task, run, cause, silent_ms });
             self.apply_run_event(agent, task, run, RunEvent::Lost, now_ms);
         }
     }
@@ -132,7 +141,8 @@
         if restarted {
             view.earlier_runs_until_ms = Some(now_ms + self.limits.lost_ms);
         } else if let Some(held) = held {
-            self.mark_runs_lost(key, |task, run| !held.contains(&(task, run)), now_ms);
+            let is_lost = |task, run| !held.contains(&(task, run));
+            self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
             self.stop_ended_jobs(key, held);
         }
         key
@@ -219,6 +229,13 @@
         }
     }
 
+    /// Name of an agent, and the time since its last message in milliseconds.
+    #[must_use]
+    pub fn agent_silence(&self, key: AgentKey, now_ms: u64) -> Option<(&str, u64)> {
+        let view = self.agents.get(key)?;
+        Some((&view.name, now_ms.saturating_sub(view.last_heard_ms)))
+    }
+
     /// The last instance that an agent has reported of its upstream.
     #[must_use]
     pub fn instance(&self, key: AgentKey) -> Option<&UpstreamInstance> {
@@ -244,7 +261,7 @@
             .filter(|agent| !agent.connected && now_ms >= agent.last_heard_ms + after_ms);
         let gone: Vec<_> = gone.map(|agent| (agent.key, agent.name.clone())).collect();
         for (key, name) in gone {
-            self.mark_runs_lost(key, |_, _| true, now_ms);
+            self.mark_runs_lost(key, LossCause::Forgotten, |_, _| true, now_ms);
             self.agents.remove(key);
             self.by_name.remove(&name);
         }
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -29,7 +29,8 @@
     stop::STOP_ANSWER_MS,
     types::{
         AgentKey, Command, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
-        KindParameters, NoResultReason, PoolView, ShedCause, Shedding, StepRequest,
+        KindParameters, LossCause, NoResultReason, PoolView, RunLoss, ShedCause, Shedding,
+        StepRequest,
     },
 };
 
@@ -92,6 +93,8 @@
     /// Crashes of upstreams, by the task that ran there.
     crashes: Crashes,
     commands: Vec<Command>,
+    /// Losses of runs since they were last taken.
+    losses: Vec<RunLoss>,
     /// This incarnation of the entry; it determines the entry's own order of agents.
     entry: Incarnation,
     /// When all jobs must have ended, once a stop is planned.
@@ -118,6 +121,7 @@
             evacuations: Evacuations::default(),
             crashes: Crashes::default(),
             commands: Vec::new(),
+            losses: Vec::new(),
             stop_at_ms: None,
             last_forecast: JobForecast::default(),
         }
@@ -128,6 +132,11 @@
         std::mem::take(&mut self.commands)
     }
 
+    /// Returns the runs that were taken for lost since the last call, for the log.
+    pub fn take_losses(&mut self) -> Vec<RunLoss> {
+        std::mem::take(&mut self.losses)
+    }
+
     /// Number of jobs held.
     #[must_use]
     pub fn job_count(&self) -> usize {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -239,6 +239,47 @@
     }
 }
 
+/// Why an entry takes a run at an agent for lost without a report of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossCause {
+    /// The agent has been silent for too long.
+    Silent,
+    /// The agent has reconnected and does not hold the run.
+    NotHeld,
+    /// The agent has restarted, and nothing of its earlier incarnation is left.
+    Restarted,
+    /// The agent has been disconnected for so long that the entry forgets it.
+    Forgotten,
+}
+
+impl LossCause {
+    /// Name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Silent => "silent",
+            Self::NotHeld => "not_held",
+            Self::Restarted => "restarted",
+            Self::Forgotten => "forgotten",
+        }
+    }
+}
+
+/// A run that an entry takes for lost without a report of it, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RunLoss {
+    /// The agent that had the run.
+    pub agent: AgentKey,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+    /// Why it counts as lost.
+    pub cause: LossCause,
+    /// Time since the agent's last message, in milliseconds.
+    pub silent_ms: u64,
+}
+
 /// An action that the dispatch asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -6,8 +6,8 @@
 
 use {
     super::{
-        AnnouncementOutcome, InstanceEnd, LeaseAnswer, Ledger, Phase, RunKey, WithdrawalOutcome,
-        order_fence::OrderFence,
+        AnnouncementOutcome, InstanceEnd, LeaseAnswer, Ledger, LossProof, Phase, RunKey,
+        WithdrawalOutcome, order_fence::OrderFence,
     },
     sycamorerail_wire::runs::{InstanceId, NotStarted, RunEvent, UpstreamInstance},
 };
@@ -151,7 +151,7 @@
         let begun = self.runs.iter().filter(|(_, run)| matches!(run.phase, Phase::Running { .. }));
         let keys: Vec<_> = begun.map(|(key, _)| key).collect();
         for key in keys {
-            self.settle(key, event);
+            self.settle_lost(key, event, LossProof::InstanceEnded);
         }
     }
 
@@ -159,7 +159,7 @@
         let orphans = self.runs.iter().filter_map(|(key, run)| Some((key, orphan_end(run.phase)?)));
         let orphans: Vec<(RunKey, RunEvent)> = orphans.collect();
         for (key, event) in orphans {
-            self.settle(key, event);
+            self.settle_lost(key, event, LossProof::InstanceEnded);
         }
     }
 
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -24,8 +24,8 @@
 pub use {
     load::is_significant_change,
     types::{
-        AnnouncementOutcome, EndKind, InstanceEnd, LeaseAnswer, LedgerLimits, RunDecision, RunEnd,
-        StartAnswer, StartOrder, StartRefusal, WithdrawalOutcome,
+        AnnouncementOutcome, EndKind, InstanceEnd, LeaseAnswer, LedgerLimits, LossProof,
+        RunDecision, RunEnd, SilentOwner, StartAnswer, StartOrder, StartRefusal, WithdrawalOutcome,
     },
 };
 
@@ -233,9 +233,9 @@
         }
     }
 
-    fn settle_active(&mut self, event: RunEvent) {
+    fn lose_active(&mut self, proof: LossProof) {
         for key in self.active_runs() {
-            self.settle(key, event);
+            self.settle_lost(key, RunEvent::Lost, proof);
         }
     }
 
@@ -285,6 +285,23 @@
         self.owners.note_contact(owner, now_ms);
     }
 
+    /// Returns the entries that [`Self::drop_silent_owners`] would drop now.
+    #[must_use]
+    pub fn silent_owners(&self, now_ms: u64) -> Vec<SilentOwner> {
+        let silent = self.owners.silent_owners(now_ms, self.limits.owner_timeout_ms);
+        let silent = silent.into_iter().map(|entry| SilentOwner {
+            entry,
+            silent_ms: self.owners.silence_ms(entry, now_ms),
+            stopped_runs: self.active_runs_of(entry),
+        });
+        silent.collect()
+    }
+
+    fn active_runs_of(&self, owner: Incarnation) -> usize {
+        let is_active = |run: &&Run| run.owner == owner && run.phase != Phase::Waiting;
+        self.runs.values().filter(is_active).count()
+    }
+
     /// Ends the runs of entries that were not heard from for the owner timeout. Returns these
     /// entries.
     pub fn drop_silent_owners(&mut self, now_ms: u64) -> Vec<Incarnation> {
@@ -317,7 +334,7 @@
     pub fn report_missing_runs(&mut self, owner: Incarnation, held: &[(TaskKey, u32)]) {
         for &(task, run) in held {
             if self.find_run(task, run).is_none() && !self.owners.has_report(owner, task, run) {
-                self.push_report(owner, task, run, RunEvent::Lost);
+                self.push_report(owner, task, run, RunEvent::Lost, Some(LossProof::EntrySilent));
             }
         }
     }
@@ -575,7 +592,7 @@
         run.phase = Phase::Running { since_ms: now_ms };
         if !std::mem::replace(&mut run.start_reported, true) {
             let (owner, task, number) = (run.owner, run.task, run.number);
-            self.push_report(owner, task, number, RunEvent::Started);
+            self.push_report(owner, task, number, RunEvent::Started, None);
         }
     }
 
@@ -602,6 +619,15 @@
 
     /// Removes a run and reports its outcome.
     fn settle(&mut self, key: RunKey, event: RunEvent) {
+        self.settle_as(key, event, None);
+    }
+
+    /// Removes a run that is over without an end in the upstream's list, and reports `event`.
+    fn settle_lost(&mut self, key: RunKey, event: RunEvent, proof: LossProof) {
+        self.settle_as(key, event, Some(proof));
+    }
+
+    fn settle_as(&mut self, key: RunKey, event: RunEvent, proof: Option<LossProof>) {
         let Some(run) = self.runs.remove(key) else { return };
         self.by_task.remove(&run.task);
         if run.phase == Phase::Waiting {
@@ -609,19 +635,26 @@
         } else {
             self.taken = self.taken.minus(&run.need);
         }
-        self.report(&run, event);
+        self.push_report(run.owner, run.task, run.number, event, proof);
     }
 
     fn report(&mut self, run: &Run, event: RunEvent) {
-        self.push_report(run.owner, run.task, run.number, event);
+        self.push_report(run.owner, run.task, run.number, event, None);
     }
 
-    fn push_report(&mut self, owner: Incarnation, task: TaskKey, run: u32, event: RunEvent) {
+    fn push_report(
+        &mut self,
+        owner: Incarnation,
+        task: TaskKey,
+        run: u32,
+        event: RunEvent,
+        proof: Option<LossProof>,
+    ) {
         if event == RunEvent::Crashed {
             self.crash_log.record_own(task);
         }
         self.owners.push_report(owner, task, run, event);
-        self.decided.push(RunDecision { owner, task, run, event, taken: self.taken });
+        self.decided.push(RunDecision { owner, task, run, event, proof, taken: self.taken });
     }
 
     /// Returns the reports that an entry has not confirmed.
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -34,6 +34,11 @@
         silent.map(|(owner, _)| *owner).collect()
     }
 
+    pub(super) fn silence_ms(&self, owner: Incarnation, now_ms: u64) -> u64 {
+        let heard_ms = self.owners.get(&owner).map_or(now_ms, |owner| owner.heard_ms);
+        now_ms.saturating_sub(heard_ms)
+    }
+
     pub(super) fn is_fresh(&self, owner: Incarnation, now_ms: u64, timeout_ms: u64) -> bool {
         self.owners.get(&owner).is_some_and(|owner| now_ms < owner.heard_ms + timeout_ms)
     }
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -3,7 +3,7 @@
 
 use {
     super::{
-        CLOCK_DRIFT_PERCENT, EndKind, InstanceEnd, LeaseAnswer, Ledger, Phase, RunEnd,
+        CLOCK_DRIFT_PERCENT, EndKind, InstanceEnd, LeaseAnswer, Ledger, LossProof, Phase, RunEnd,
         START_CONFIRM_WITHIN_MS, Stop, Suspension, instances::orphan_end,
     },
     std::collections::BTreeMap,
@@ -114,7 +114,8 @@
             }
             EndKind::Stopped | EndKind::Lapsed => {}
         }
-        self.settle(key, event);
+        let proof = (ended.kind == EndKind::Lapsed).then_some(LossProof::Lapsed);
+        self.settle_as(key, event, proof);
     }
 
     /// Settles runs that the upstream would have listed if they were running.
@@ -138,8 +139,10 @@
                 }
                 phase => orphan_end(phase),
             };
-            if let Some(event) = event {
-                self.settle(key, event);
+            match event {
+                Some(event @ RunEvent::NotStarted(_)) => self.settle(key, event),
+                Some(event) => self.settle_lost(key, event, LossProof::Unlisted),
+                None => {}
             }
         }
     }
@@ -196,7 +199,7 @@
         if now_ms < self.lapsed_ms {
             return;
         }
-        self.settle_active(RunEvent::Lost);
+        self.lose_active(LossProof::Unanswered);
         // Runs that the upstream still lists are stopped and waited for, as after a restart.
         self.has_no_leftovers = false;
         self.renewed_ms = None;
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -159,6 +159,46 @@
     pub ended: Vec<RunEnd>,
 }
 
+/// How it is known that a run is over whose end the upstream has not told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LossProof {
+    /// The upstream lists the run as lapsed.
+    Lapsed,
+    /// The upstream does not list the run any more.
+    Unlisted,
+    /// Renewals went unanswered for so long that the lease has lapsed.
+    Unanswered,
+    /// The upstream's instance has ended.
+    InstanceEnded,
+    /// It ended while its entry counted as silent.
+    EntrySilent,
+}
+
+impl LossProof {
+    /// Name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Lapsed => "lapsed",
+            Self::Unlisted => "unlisted",
+            Self::Unanswered => "unanswered",
+            Self::InstanceEnded => "instance_ended",
+            Self::EntrySilent => "entry_silent",
+        }
+    }
+}
+
+/// An entry that was not heard from for the owner timeout, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SilentOwner {
+    /// The entry.
+    pub entry: Incarnation,
+    /// Time since the entry was last heard from, in milliseconds.
+    pub silent_ms: u64,
+    /// Number of its runs that are being stopped.
+    pub stopped_runs: usize,
+}
+
 /// A decision on a run, for the log and the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunDecision {
@@ -170,6 +210,8 @@
     pub run: u32,
     /// The event reported to the entry.
     pub event: sycamorerail_wire::runs::RunEvent,
+    /// How the loss of a run is known.
+    pub proof: Option<LossProof>,
     /// Capacity taken on the upstream after the event.
     pub taken: Resources,
 }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -5,7 +5,7 @@
     std::sync::Arc,
     sycamorerail_decide::dispatch::{
         AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest, KindParameters,
-        NoResultReason, STOP_ANSWER_MS, StepRequest,
+        LossCause, NoResultReason, RunLoss, STOP_ANSWER_MS, StepRequest,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -394,6 +394,22 @@
     assert_ne!(agent, agents[0]);
 }
 
+/// Guards against a second order of a task that no log explains.
+#[test]
+fn runs_that_count_as_lost_are_told_with_the_cause() {
+    let (mut site, agents) = Site::new(&[0]);
+    site.submit(job(1, vec![step(2)]));
+    site.dispatch.agent_connected("agent-0", Incarnation(1), Some(&[(task(1, 0, 0), 1)]), 110);
+    let (agent, run) = (agents[0], 1);
+    let (cause, silent_ms) = (LossCause::NotHeld, 10);
+    let not_held = RunLoss { agent, task: task(1, 0, 1), run, cause, silent_ms };
+    assert_eq!(site.dispatch.take_losses(), [not_held]);
+    site.dispatch.tick(1_600);
+    let (cause, silent_ms) = (LossCause::Silent, 1_500);
+    let silent = RunLoss { agent, task: task(1, 0, 0), run, cause, silent_ms };
+    assert_eq!(site.dispatch.take_losses()[0], silent);
+}
+
 #[test]
 fn a_new_connection_reconciles_what_the_agent_holds() {
     let (mut site, agents) = Site::new(&[0]);
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -3,7 +3,8 @@
 
 use {
     sycamorerail_decide::ledger::{
-        EndKind, LeaseAnswer, Ledger, LedgerLimits, RunEnd, StartAnswer, StartOrder, StartRefusal,
+        EndKind, LeaseAnswer, Ledger, LedgerLimits, LossProof, RunEnd, SilentOwner, StartAnswer,
+        StartOrder, StartRefusal,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -196,6 +197,37 @@
     assert_eq!(ledger.stops_due(3_000), [(order.task, 1)]);
 }
 
+/// Guards against a run that is reported as lost without a log of how that is known.
+#[test]
+fn a_lost_run_is_logged_with_its_proof() {
+    let mut ledger = ready_ledger();
+    ledger.place(ENTRY, placement(1, 3, 1_000), 2);
+    for order in starts(&mut ledger, 2) {
+        ledger.handle_start_answer(order.task, 1, StartAnswer::Started, 3);
+    }
+    ledger.take_decisions();
+    renew(&mut ledger, 10, &[(task(1, 0), 1)], &[ended(1, 1, 1, EndKind::Lapsed)]);
+    ledger.check_lease_lapse(10 + 800 + 1_020);
+    let decided = ledger.take_decisions().into_iter().map(|decided| (decided.task, decided.proof));
+    let proofs = [
+        (task(1, 1), Some(LossProof::Lapsed)),
+        (task(1, 2), Some(LossProof::Unlisted)),
+        (task(1, 0), Some(LossProof::Unanswered)),
+    ];
+    assert_eq!(decided.collect::<Vec<_>>(), proofs);
+}
+
+#[test]
+fn a_silent_entry_is_logged_with_its_silence() {
+    let mut ledger = ready_ledger();
+    ledger.place(ENTRY, placement(1, 2, 8_000), 2);
+    let order = starts(&mut ledger, 2).remove(0);
+    ledger.handle_start_answer(order.task, 1, StartAnswer::Started, 3);
+    assert_eq!(ledger.silent_owners(900), []);
+    let silent = SilentOwner { entry: ENTRY, silent_ms: 950, stopped_runs: 1 };
+    assert_eq!(ledger.silent_owners(951), [silent]);
+}
+
 #[test]
 fn a_silent_entry_loses_its_runs() {
     let mut ledger = ready_ledger();
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -5,6 +5,7 @@
     parking_lot::Mutex,
     std::{
         collections::HashMap,
+        fmt,
         net::SocketAddr,
         sync::{
             Arc,
@@ -118,8 +119,29 @@
         Err(_) => return event!(Info, "hello_late", peer = peer),
     };
     let link = Link::begin(&service, peer, hello);
-    let error = link.run(reader, writer).await;
-    link.end(&error);
+    let end = link.run(reader, writer).await;
+    link.end(&end);
+}
+
+/// How a connection ended.
+#[derive(Debug)]
+enum LinkEnd {
+    /// It broke, or the agent closed it.
+    Broken(FrameError),
+    /// The agent was silent for too long.
+    Silent,
+    /// The agent has made another one.
+    Replaced,
+}
+
+impl fmt::Display for LinkEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => error.fmt(f),
+            Self::Silent => f.write_str("silent"),
+            Self::Replaced => f.write_str("replaced"),
+        }
+    }
 }
 
 /// One connection of an agent.
@@ -193,34 +215,42 @@
         }
     }
 
-    fn end(&self, error: &FrameError) {
+    fn end(&self, end: &LinkEnd) {
         // Under the dispatch's lock, as a connection begins: one that begins meanwhile would
         // count as ended with this one.
-        self.service.change(|dispatch, _| {
+        let silent_ms = self.service.change(|dispatch, now_ms| {
             if self.service.links.end(self.agent, &self.outbox) {
                 self.service.forget_linked(self.agent);
                 self.service.copies.lock().remove_source(self.agent);
                 dispatch.agent_disconnected(self.agent);
             }
+            dispatch.agent_silence(self.agent, now_ms).map_or(0, |(_, silent_ms)| silent_ms)
         });
-        event!(Info, "agent_disconnected", agent = self.name, peer = self.peer, error = error);
+        event!(
+            Info,
+            "agent_disconnected",
+            agent = self.name,
+            peer = self.peer,
+            error = end,
+            silent_ms = silent_ms,
+        );
     }
 
-    async fn run(&self, reader: FrameReader, writer: FrameWriter) -> FrameError {
+    async fn run(&self, reader: FrameReader, writer: FrameWriter) -> LinkEnd {
         tokio::select! {
-            error = self.read_on(reader) => error,
-            error = self.write_on(writer) => error,
-            () = self.outbox.replaced.notified() => FrameError::Closed(self.peer),
+            end = self.read_on(reader) => end,
+            error = self.write_on(writer) => LinkEnd::Broken(error),
+            () = self.outbox.replaced.notified() => LinkEnd::Replaced,
         }
     }
 
-    async fn read_on(&self, mut reader: FrameReader) -> FrameError {
+    async fn read_on(&self, mut reader: FrameReader) -> LinkEnd {
         loop {
             let next = timeout(Duration::from_millis(SILENCE_MS), reader.next()).await;
             match next {
                 Ok(Ok(message)) => self.take(message),
-                Ok(Err(error)) => return error,
-                Err(_) => return FrameError::Closed(self.peer),
+                Ok(Err(error)) => return LinkEnd::Broken(error),
+                Err(_) => return LinkEnd::Silent,
             }
         }
     }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -21,7 +21,7 @@
         copies::{CopyFetch, FetchLimits},
         dispatch::{
             AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobForecast, JobKey,
-            JobRequest, NoResultReason, STOP_ANSWER_MS, ShedCause, returns::ReturnCounts,
+            JobRequest, NoResultReason, RunLoss, STOP_ANSWER_MS, ShedCause, returns::ReturnCounts,
         },
     },
     sycamorerail_telemetry::event,
@@ -296,6 +296,10 @@
     pub(crate) fn act(&self) {
         let mut dispatch = self.dispatch.lock();
         let now_ms = self.clock.now_ms();
+        for loss in dispatch.take_losses() {
+            let agent = dispatch.agent_silence(loss.agent, now_ms).map_or("", |(name, _)| name);
+            log_loss(&loss, agent);
+        }
         for command in dispatch.take_commands() {
             match command {
                 Command::Place(agent, placement) => {
@@ -357,6 +361,21 @@
     }
 }
 
+/// Logs that a run counts as lost. Its task is ordered elsewhere from then on.
+fn log_loss(loss: &RunLoss, agent: &str) {
+    let cause = loss.cause.name();
+    metrics::counter!("sycamorerail_runs_lost_total", "cause" => cause).increment(1);
+    event!(
+        Info,
+        "run_lost",
+        task = loss.task,
+        run = loss.run,
+        agent = agent,
+        cause = cause,
+        silent_ms = loss.silent_ms,
+    );
+}
+
 /// Logs a decision on a job with what decided it.
 fn log_admission(accepted: bool, id: CallerJobId, size: JobSize<'_>, forecast: &JobForecast) {
     event!(
