Test: a second connection of a new agent loses runs of the earlier one

Seen by reading: Dispatch::agent_connected compares the runs that a hello lists as held unless the agent's incarnation has changed since the last hello. A new agent's first hello changes it and sets earlier_runs_until_ms, as the upstream may still run what the earlier agent started. Its second hello, after its first connection has broken, doesn't; it lists none of those runs, which the new agent has never known, and each counts as NotHeld at once. The entry orders them elsewhere while they run until their lease lapses or the new agent stops them.

--- a/crates/decide/tests/reconnects.rs
+++ b/crates/decide/tests/reconnects.rs
@@ -12,14 +12,15 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, Resources, StepPlacement, TaskKey, UpstreamInstance,
-            UpstreamLoad,
+            CallerJobId, InstanceId, Resources, RunEvent, RunReport, StepPlacement, TaskKey,
+            UpstreamInstance, UpstreamLoad,
         },
     },
 };
 
 const ENTRY: Incarnation = Incarnation(7);
 const FIRST: Incarnation = Incarnation(1);
+const SECOND: Incarnation = Incarnation(2);
 const CAPACITY: Resources = Resources { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
 const JOB: CallerJobId = CallerJobId(1);
 const TASK: TaskKey = TaskKey { job: JOB, step: 0, index: 0 };
@@ -125,3 +126,27 @@
     entry.tick(220);
     assert_eq!(ordered(&mut entry), [], "run 1 is at work beside the first agent");
 }
+
+/// Guards against a second run of a task while the first one still runs under the lease of an
+/// earlier agent: the next agent connects twice before it has stopped that run.
+#[test]
+fn an_agents_second_connection_loses_no_run_of_an_earlier_agent() {
+    let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let key = connect_usable(&mut entry, "a", 100);
+    entry.submit(job(), 100).unwrap();
+    entry.take_commands();
+    let started = RunReport { number: 1, task: TASK, run: 1, event: RunEvent::Started };
+    entry.handle_report(key, &[started], load(true), 2, 110);
+    connect_usable(&mut entry, "b", 110);
+    connect(&mut entry, "a", SECOND, 600);
+    entry.handle_report(key, &[], load(false), 1, 600);
+    entry.tick(605);
+    assert_eq!(ordered(&mut entry), [], "the upstream may still run it");
+    // The second agent has heard this entry, and has no runs of its own.
+    entry.agent_disconnected(key);
+    entry.agent_connected("a", SECOND, Some(&[]), 610);
+    entry.agent_ready(key, 610);
+    entry.handle_report(key, &[], load(false), 1, 610);
+    entry.tick(615);
+    assert_eq!(ordered(&mut entry), [], "as before");
+}
