Test: a suspension extends the time in which a start is carried out

Seen by reading: Ledger::upstream_clock_ms extrapolates the upstream's clock by the agent's, which counts suspensions of the VM; the upstream's may stand still with it. After a suspension that is shorter than the time for which an upstream stays trusted (800 ms), starts are ordered with a deadline that is too late by its length, until a renewal is answered. The ledger settles such a start by the same clock, and the upstream bounds every lease itself, so no two runs follow from this alone; the bound of 300 ms of start_within_ms doesn't hold.

--- a/crates/decide/tests/upstream_clock.rs
+++ b/crates/decide/tests/upstream_clock.rs
@@ -1,4 +1,5 @@
-//! Deadlines on the clock of the upstream, which may be slow.
+//! Deadlines on the clock of the upstream, which may be slow and stands still while the VM is
+//! suspended.
 
 use {
     sycamorerail_decide::ledger::{LeaseAnswer, Ledger, LedgerLimits, StartAnswer},
@@ -97,3 +98,18 @@
     }
     panic!("never lost");
 }
+
+/// Guards against an order that is carried out long after it was sent: after a suspension the
+/// upstream's clock is behind the one that the deadline is computed by.
+#[test]
+fn a_suspension_does_not_extend_the_time_for_a_start() {
+    const SUSPENDED_MS: u64 = 500;
+    let mut ledger = ready_ledger();
+    let now_ms = 11 + SUSPENDED_MS;
+    ledger.note_suspension(SUSPENDED_MS, now_ms);
+    ledger.note_owner_contact(ENTRY, now_ms);
+    place(&mut ledger, now_ms);
+    let order = ledger.next_start(now_ms).unwrap();
+    let within_ms = order.late_after_clock_ms - (CLOCK_MS + 11);
+    assert!(within_ms <= LedgerLimits::default().start_within_ms, "{within_ms} ms");
+}
