Apply each report of an agent once

Seen: a task of a job that was handed in again at the same entry could run twice. Run numbers begin at 1 with each submission, and a report that the entry has applied but not yet confirmed comes again in the hello of the next connection. There it was taken for one about run 1 of the present submission, and run 2 was ordered elsewhere while run 1 ran; nothing stopped run 1.

Cause: a report names a task and a run, which do not tell submissions apart.

Change: the entry keeps the number of the last report that it has applied for each incarnation of an agent, and passes over those that come again. Numbers of reports rise over all connections and entries, and a hello lists them in order, so nothing new is passed over.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -70,6 +70,9 @@
     pub earlier_runs_until_ms: Option<u64>,
     /// Time until which the upstream says that it is slow after its start.
     pub cold_until_ms: Option<u64>,
+    /// Number of the last report that was applied. Numbers rise for as long as the agent's
+    /// incarnation lasts.
+    pub last_report: u64,
     /// Which of the entry's messages the agent has received.
     pub acks: AckTracker,
     unreported: VecDeque<UnreportedPlacement>,
@@ -102,6 +105,7 @@
             load: UpstreamLoad::default(),
             earlier_runs_until_ms: None,
             cold_until_ms: None,
+            last_report: 0,
             acks: AckTracker::new(now_ms),
             unreported: VecDeque::new(),
             unreported_resources: Resources::default(),
@@ -123,6 +127,21 @@
         self.unreported_work_milli_ms = 0;
     }
 
+    /// Begins another incarnation of the agent, whose reports are numbered anew.
+    pub fn restart(&mut self, incarnation: Incarnation, earlier_runs_until_ms: u64) {
+        self.incarnation = incarnation;
+        self.earlier_runs_until_ms = Some(earlier_runs_until_ms);
+        self.last_report = 0;
+    }
+
+    /// Returns whether a report is new. One that is sent again may be about an earlier submission
+    /// of a job, whose runs had the same numbers.
+    pub fn take_report(&mut self, number: u64) -> bool {
+        let is_new = number > self.last_report;
+        self.last_report = self.last_report.max(number);
+        is_new
+    }
+
     /// Whether the agent is connected and not about to disconnect.
     #[must_use]
     pub fn is_linked(&self) -> bool {
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -55,9 +55,7 @@
             // incarnation is left.
             self.mark_runs_lost(agent, LossCause::Restarted, |_, _| true, now_ms);
         }
-        for report in reports {
-            self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
-        }
+        self.apply_reports(agent, reports, now_ms);
         self.place_unplaced(now_ms);
         self.recall_for(agent, now_ms);
     }
@@ -113,8 +111,16 @@
         if self.agents[key].incarnation != incarnation {
             return;
         }
+        self.apply_reports(key, reports, now_ms);
+    }
+
+    fn apply_reports(&mut self, agent: AgentKey, reports: &[RunReport], now_ms: u64) {
         for report in reports {
-            self.apply_run_event(key, report.task, report.run, report.event, now_ms);
+            let is_new =
+                self.agents.get_mut(agent).is_some_and(|view| view.take_report(report.number));
+            if is_new {
+                self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
+            }
         }
     }
 
@@ -136,10 +142,8 @@
             return key;
         };
         let view = &mut self.agents[key];
-        let restarted = view.incarnation != incarnation;
-        view.incarnation = incarnation;
-        if restarted {
-            view.earlier_runs_until_ms = Some(now_ms + self.limits.lost_ms);
+        if view.incarnation != incarnation {
+            view.restart(incarnation, now_ms + self.limits.lost_ms);
         } else if let Some(held) = held {
             let is_lost = |task, run| !held.contains(&(task, run));
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
