A hello tells nothing of the runs that an earlier agent left

Seen: an agent that was started again and connected twice before it had stopped the runs of its predecessor lost all of them at once: the entry ordered them elsewhere while they ran.

Cause: a hello of the agent's present incarnation lists the runs that it holds, and the entry took each other run at the agent for over. Those of the earlier incarnation are never in that list; that they are over is known once the agent is usable again, or when their leases have surely lapsed.

Change: as long as the end of earlier runs is not known, hellos are not compared. Nothing is placed at the agent meanwhile, as it is not usable.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -125,7 +125,8 @@
     }
 
     /// Registers an agent that has connected. `held` are the runs of this entry that the agent
-    /// still has, if it knows this incarnation of the entry.
+    /// still has, if it knows this incarnation of the entry. They tell nothing of runs that an
+    /// earlier incarnation of the agent left.
     pub fn agent_connected(
         &mut self,
         name: &str,
@@ -144,7 +145,7 @@
         let view = &mut self.agents[key];
         if view.incarnation != incarnation {
             view.restart(incarnation, now_ms + self.limits.lost_ms);
-        } else if let Some(held) = held {
+        } else if let Some(held) = held.filter(|_| view.earlier_runs_until_ms.is_none()) {
             let is_lost = |task, run| !held.contains(&(task, run));
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
             self.stop_ended_jobs(key, held);
