Count the drift of the upstream's clock until the last renewal, too

Seen: an agent could report runs as lost while the upstream, with a clock 2 % slow, went on for 15 ms.

Cause: a renewal that is sent at the end of the time for which an upstream stays trusted asks for a lease on a clock that was extrapolated since the last answer. The drift was counted for the lease alone.

--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -210,9 +210,10 @@
 
     /// Returns the time from the last answered renewal after which the lease has certainly
     /// lapsed. Renewals without an answer may have been sent until the upstream was no longer
-    /// trusted.
+    /// trusted. Until then the upstream's clock was extrapolated, so that its drift counts for the
+    /// whole time.
     fn lapse_after_ms(&self) -> u64 {
-        let lease_ms = self.limits.lease_ms;
-        self.trusted_ms() + lease_ms + lease_ms * CLOCK_DRIFT_PERCENT / 100
+        let clock_ms = self.trusted_ms() + self.limits.lease_ms;
+        (clock_ms * 100).div_ceil(100 - CLOCK_DRIFT_PERCENT)
     }
 }
