Test: a hello that was overtaken loses a run that goes on

Seen by reading: an agent that gets no welcome within 500 ms gives the connection up and dials again (Link::open, keep_link). Its hello on the first one may still arrive: a lost segment is sent again by the kernel after the process has closed the connection. Link::begin of the entry takes whatever hello comes last for the newest. A run that was ordered over the second connection in the meantime is not in the older hello's list, Dispatch::agent_connected counts it as NotHeld, and run 2 is ordered elsewhere while run 1 is at work. The agent then dials a third time, and its hello, which lists run 1, changes nothing, as the job is open.

Not shown with real programs.

--- /dev/null
+++ b/crates/entry/tests/agent_links.rs
@@ -0,0 +1,192 @@
+//! Links of agents to an entry: a run that goes on is not ordered a second time, in whatever order
+//! and of whatever kind the messages of its agent arrive.
+
+use {
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    sycamorerail_decide::dispatch::{
+        DispatchLimits, JobAnswer, JobRequest, KindParameters, StepRequest,
+    },
+    sycamorerail_entry::runs::{JobService, JobServiceSettings},
+    sycamorerail_wire::{
+        frames::{self, FrameReader, FrameWriter},
+        ids::Incarnation,
+        runs::{
+            CallerJobId, FromRunsAgent, InstanceId, Resources, RunEvent, RunReport,
+            RunsFirstMessage, RunsHello, StepPlacement, TaskKey, ToRunsAgent, UpstreamInstance,
+            UpstreamLoad,
+        },
+    },
+    tokio::{
+        net::TcpListener,
+        task::JoinHandle,
+        time::{sleep, timeout},
+    },
+};
+
+const CAPACITY: Resources = Resources { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
+const TASK: TaskKey = TaskKey { job: CallerJobId(1), step: 0, index: 0 };
+const AGENT: Incarnation = Incarnation(1);
+/// Far longer than anything should take on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+async fn start_entry(limits: DispatchLimits) -> (Arc<JobService>, SocketAddr) {
+    let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+    let own = listener.local_addr().unwrap();
+    let settings = JobServiceSettings { name: "entry".to_owned(), limits, own };
+    (JobService::start(settings, listener), own)
+}
+
+/// Hands a job of one task in.
+fn submit(entry: &Arc<JobService>) -> JoinHandle<JobAnswer> {
+    let (entry, now_ms) = (Arc::clone(entry), entry.now_ms());
+    let request = JobRequest {
+        id: TASK.job,
+        kind: Arc::new(KindParameters {
+            name: "kind".to_owned(),
+            pool: "desk".to_owned(),
+            priority: 0,
+            max_attempts: 2,
+            stretch: 2.0,
+            target_ms: 100,
+        }),
+        spec: String::new(),
+        steps: vec![StepRequest {
+            count: 1,
+            need: Resources { cpu_milli: 1_000, memory_mb: 1, accelerators: 0 },
+            run_ms: 60_000,
+            ..StepRequest::default()
+        }],
+        arrived_ms: now_ms,
+        deadline_ms: now_ms + 100_000,
+    };
+    tokio::spawn(async move { entry.run(request).await })
+}
+
+/// An agent's connection to the entry.
+struct Connection {
+    reader: FrameReader,
+    writer: FrameWriter,
+}
+
+impl Connection {
+    async fn open(entry: SocketAddr) -> Self {
+        let (reader, writer) = frames::connect(entry, PATIENCE).await.unwrap();
+        Self { reader, writer }
+    }
+
+    async fn greet(&mut self, name: &str, heard: Option<Incarnation>, held: &[(TaskKey, u32)]) {
+        let hello = RunsHello {
+            agent: AGENT,
+            name: name.to_owned(),
+            data_centre: "hall".to_owned(),
+            last_heard_entry: heard,
+            held_runs: held.to_vec(),
+            unconfirmed_reports: Vec::new(),
+            configuration_revision: 0,
+        };
+        self.writer.push(&RunsFirstMessage::Agent(hello)).unwrap();
+        self.writer.flush().await.unwrap();
+    }
+
+    /// Returns the incarnation of the entry.
+    async fn read_welcome(&mut self) -> Incarnation {
+        match self.next().await {
+            ToRunsAgent::Welcome { entry, .. } => entry,
+            other => panic!("no welcome: {other:?}"),
+        }
+    }
+
+    async fn next(&mut self) -> ToRunsAgent {
+        timeout(PATIENCE, self.reader.next()).await.unwrap().unwrap()
+    }
+
+    async fn send(&mut self, message: FromRunsAgent) {
+        self.writer.push(&message).unwrap();
+        self.writer.flush().await.unwrap();
+    }
+
+    async fn report(&mut self, reports: Vec<RunReport>) {
+        let load = UpstreamLoad {
+            usable: true,
+            capacity: CAPACITY,
+            slowness_percent: 100,
+            ..UpstreamLoad::default()
+        };
+        self.send(FromRunsAgent::Report { heard: 1, reports, load }).await;
+    }
+
+    async fn report_upstream(&mut self, id: &str) {
+        let upstream = UpstreamInstance {
+            id: InstanceId::without_start(id),
+            order_fence: 0,
+            pool: "desk".to_owned(),
+            capacity: CAPACITY,
+            labels: Vec::new(),
+            leaving: false,
+        };
+        self.send(FromRunsAgent::Upstream(upstream)).await;
+        self.report(Vec::new()).await;
+    }
+
+    async fn read_placement(&mut self) -> StepPlacement {
+        loop {
+            if let ToRunsAgent::Place(placement) = self.next().await {
+                return placement;
+            }
+        }
+    }
+
+    async fn report_started(&mut self) {
+        let report = RunReport { number: 1, task: TASK, run: 1, event: RunEvent::Started };
+        self.report(vec![report]).await;
+    }
+}
+
+async fn until_usable(entry: &JobService, agents: usize) {
+    let all = async {
+        while entry.usable_agents() < agents {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(PATIENCE, all).await.unwrap();
+}
+
+/// Guards against a second run of a task while the first one runs: a hello that was held up
+/// arrives after the next connection has been made and a run ordered over it.
+#[tokio::test]
+async fn a_hello_that_was_overtaken_loses_no_run() {
+    const HEARTBEATS: usize = 3;
+    // Nobody is silent, however busy the machine is.
+    let limits =
+        DispatchLimits { suspect_ms: 100_000, lost_ms: 100_000, ..DispatchLimits::default() };
+    let (entry, address) = start_entry(limits).await;
+    let mut first = Connection::open(address).await;
+    first.greet("agent-a", None, &[]).await;
+    let heard = Some(first.read_welcome().await);
+    drop(first);
+    // The agent gives this connection up, as it gets no welcome, and makes another one.
+    let mut held_up = Connection::open(address).await;
+    let mut current = Connection::open(address).await;
+    current.greet("agent-a", heard, &[]).await;
+    current.read_welcome().await;
+    current.report_upstream("a").await;
+    until_usable(&entry, 1).await;
+    let _job = submit(&entry);
+    assert_eq!(current.read_placement().await.tasks[0].run, 1);
+    current.report_started().await;
+    let mut other = Connection::open(address).await;
+    other.greet("agent-b", None, &[]).await;
+    other.read_welcome().await;
+    other.report_upstream("b").await;
+    until_usable(&entry, 2).await;
+    held_up.greet("agent-a", heard, &[]).await;
+    drop(held_up);
+    let mut heartbeats = 0;
+    while heartbeats < HEARTBEATS {
+        match other.next().await {
+            ToRunsAgent::Place(placement) => panic!("run 1 goes on: {placement:?}"),
+            ToRunsAgent::Heartbeat { .. } => heartbeats += 1,
+            _ => {}
+        }
+    }
+}
