Test: an entry gives up an agent whose messages it acknowledges

Seen by reading: Link::take of the entry counts every message as heard, and the next heartbeat acknowledges it, from which the agent computes its last contact. AgentView::last_heard_ms moves with reports and connections alone. An agent sends a report every 200 ms at least; so the entry may give its runs up as much earlier than the agent supposes, or by a stall of the agent more, if only what it sent before the report arrives (crashes, the upstream, members).

--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -2,7 +2,11 @@
 //! and of whatever kind the messages of its agent arrive.
 
 use {
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     sycamorerail_decide::dispatch::{
         DispatchLimits, JobAnswer, JobRequest, KindParameters, StepRequest,
     },
@@ -66,12 +70,14 @@
 struct Connection {
     reader: FrameReader,
     writer: FrameWriter,
+    /// Number of messages received.
+    heard: u64,
 }
 
 impl Connection {
     async fn open(entry: SocketAddr) -> Self {
         let (reader, writer) = frames::connect(entry, PATIENCE).await.unwrap();
-        Self { reader, writer }
+        Self { reader, writer, heard: 0 }
     }
 
     async fn greet(&mut self, name: &str, heard: Option<Incarnation>, held: &[(TaskKey, u32)]) {
@@ -97,7 +103,9 @@
     }
 
     async fn next(&mut self) -> ToRunsAgent {
-        timeout(PATIENCE, self.reader.next()).await.unwrap().unwrap()
+        let message = timeout(PATIENCE, self.reader.next()).await.unwrap().unwrap();
+        self.heard += 1;
+        message
     }
 
     async fn send(&mut self, message: FromRunsAgent) {
@@ -112,7 +120,7 @@
             slowness_percent: 100,
             ..UpstreamLoad::default()
         };
-        self.send(FromRunsAgent::Report { heard: 1, reports, load }).await;
+        self.send(FromRunsAgent::Report { heard: self.heard, reports, load }).await;
     }
 
     async fn report_upstream(&mut self, id: &str) {
@@ -190,3 +198,57 @@
         }
     }
 }
+
+/// Guards against a run that is ordered elsewhere while its agent counts as heard: messages other
+/// than reports are acknowledged, and the agent keeps the run for as long as they are.
+#[tokio::test]
+async fn an_agent_whose_messages_are_acknowledged_is_not_silent() {
+    const PAUSE: Duration = Duration::from_millis(20);
+    let limits = DispatchLimits::default();
+    let lost = Duration::from_millis(limits.lost_ms);
+    let (entry, address) = start_entry(limits).await;
+    let mut agent = Connection::open(address).await;
+    agent.greet("agent-a", None, &[]).await;
+    agent.read_welcome().await;
+    agent.report_upstream("a").await;
+    until_usable(&entry, 1).await;
+    let _job = submit(&entry);
+    assert_eq!(agent.read_placement().await.tasks[0].run, 1);
+    agent.report_started().await;
+    let mut other = Connection::open(address).await;
+    other.greet("agent-b", None, &[]).await;
+    other.read_welcome().await;
+    other.report_upstream("b").await;
+    // The hello, the upstream, its load and the start of the run went before.
+    let mut sent_at = vec![Instant::now(); 4];
+    let mut acknowledged = 1;
+    let begun = Instant::now();
+    while begun.elapsed() < 2 * lost {
+        sent_at.push(Instant::now());
+        agent.send(FromRunsAgent::Cold { left_ms: 0 }).await;
+        other.report(Vec::new()).await;
+        while let Ok(message) = timeout(PAUSE, agent.next()).await {
+            if let ToRunsAgent::Heartbeat { heard, .. } = message {
+                acknowledged = usize::try_from(heard).unwrap();
+            }
+        }
+        while let Ok(message) = timeout(PAUSE, other.next()).await {
+            if let ToRunsAgent::Place(placement) = message {
+                let silent = sent_at[acknowledged - 1].elapsed();
+                assert!(silent >= lost, "{silent:?}: {placement:?}");
+            }
+        }
+    }
+    // Its run is ordered elsewhere once it is silent.
+    let ordered = async {
+        loop {
+            other.report(Vec::new()).await;
+            while let Ok(message) = timeout(PAUSE, other.next()).await {
+                if matches!(message, ToRunsAgent::Place(_)) {
+                    return;
+                }
+            }
+        }
+    };
+    timeout(PATIENCE, ordered).await.unwrap();
+}
