Model: a late hello loses a run that still goes on

They shrink to one class: an agent gives a connection up before its welcome, as the entry is cut off or stalls, and makes another one. The hello of the first arrives after that; its list of held runs is older than a placement over the second connection, so the entry takes the run for lost (not_held) and starts the task elsewhere. Cause: Dispatch::agent_connected compares the list of any hello, whichever connection is the agent's latest.

--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -105,3 +105,16 @@
         assert_eq!((world.late, world.twice), (None, None));
     }
 }
+
+/// Guards against a hello that arrives late, after the agent has made another connection: the
+/// runs that it doesn't list are those placed since.
+#[test]
+fn late_hello_loses_no_run() {
+    for agent in 0..AGENTS {
+        let reset = Fault::Reset { entry: 0, agent };
+        let cut = cut(agent, [true, false], 550, 800);
+        let plan = [(0, reset), (3, cut), (800, SUBMIT)];
+        let world = World::play(&plan, [0; AGENTS]);
+        assert_eq!((world.late, world.twice), (None, None));
+    }
+}
