Test: a report over a replaced connection ends runs of an earlier agent

Seen by reading: Link::take of the entry asks whether its connection is still the present one, and only then takes the lock of the dispatch. If the next agent's hello is handled in between, the report counts as the new agent's. One that says "usable" clears earlier_runs_until_ms (Dispatch::handle_report): all runs of the earlier agent are taken for over and ordered elsewhere, while they run under its lease. It takes an agent that is killed and started again while the entry lets its messages wait, as when the entry stands still.

--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -12,7 +12,7 @@
     },
     sycamorerail_entry::runs::{JobService, JobServiceSettings},
     sycamorerail_wire::{
-        frames::{self, FrameReader, FrameWriter},
+        frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
             CallerJobId, FromRunsAgent, InstanceId, Resources, RunEvent, RunReport,
@@ -22,14 +22,19 @@
     },
     tokio::{
         net::TcpListener,
-        task::JoinHandle,
+        sync::Barrier,
+        task::{JoinHandle, JoinSet},
         time::{sleep, timeout},
     },
 };
 
 const CAPACITY: Resources = Resources { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
 const TASK: TaskKey = TaskKey { job: CallerJobId(1), step: 0, index: 0 };
-const AGENT: Incarnation = Incarnation(1);
+const FIRST: Incarnation = Incarnation(1);
+const SECOND: Incarnation = Incarnation(2);
+/// Nobody is silent, however busy the machine is.
+const PATIENT: DispatchLimits =
+    DispatchLimits { suspect_ms: 100_000, lost_ms: 100_000, max_jobs: 10 };
 /// Far longer than anything should take on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -70,6 +75,8 @@
 struct Connection {
     reader: FrameReader,
     writer: FrameWriter,
+    /// Incarnation of the agent.
+    run: Incarnation,
     /// Number of messages received.
     heard: u64,
 }
@@ -77,12 +84,12 @@
 impl Connection {
     async fn open(entry: SocketAddr) -> Self {
         let (reader, writer) = frames::connect(entry, PATIENCE).await.unwrap();
-        Self { reader, writer, heard: 0 }
+        Self { reader, writer, run: FIRST, heard: 0 }
     }
 
     async fn greet(&mut self, name: &str, heard: Option<Incarnation>, held: &[(TaskKey, u32)]) {
         let hello = RunsHello {
-            agent: AGENT,
+            agent: self.run,
             name: name.to_owned(),
             data_centre: "hall".to_owned(),
             last_heard_entry: heard,
@@ -114,13 +121,18 @@
     }
 
     async fn report(&mut self, reports: Vec<RunReport>) {
+        self.try_report(reports).await.unwrap();
+    }
+
+    async fn try_report(&mut self, reports: Vec<RunReport>) -> Result<(), FrameError> {
         let load = UpstreamLoad {
             usable: true,
             capacity: CAPACITY,
             slowness_percent: 100,
             ..UpstreamLoad::default()
         };
-        self.send(FromRunsAgent::Report { heard: self.heard, reports, load }).await;
+        self.writer.push(&FromRunsAgent::Report { heard: self.heard, reports, load })?;
+        self.writer.flush().await
     }
 
     async fn report_upstream(&mut self, id: &str) {
@@ -136,6 +148,15 @@
         self.report(Vec::new()).await;
     }
 
+    /// Connects an agent that accepts work.
+    async fn open_usable(entry: SocketAddr, name: &str) -> Self {
+        let mut connection = Self::open(entry).await;
+        connection.greet(name, None, &[]).await;
+        connection.read_welcome().await;
+        connection.report_upstream(name).await;
+        connection
+    }
+
     async fn read_placement(&mut self) -> StepPlacement {
         loop {
             if let ToRunsAgent::Place(placement) = self.next().await {
@@ -164,10 +185,7 @@
 #[tokio::test]
 async fn a_hello_that_was_overtaken_loses_no_run() {
     const HEARTBEATS: usize = 3;
-    // Nobody is silent, however busy the machine is.
-    let limits =
-        DispatchLimits { suspect_ms: 100_000, lost_ms: 100_000, ..DispatchLimits::default() };
-    let (entry, address) = start_entry(limits).await;
+    let (entry, address) = start_entry(PATIENT).await;
     let mut first = Connection::open(address).await;
     first.greet("agent-a", None, &[]).await;
     let heard = Some(first.read_welcome().await);
@@ -182,10 +200,7 @@
     let _job = submit(&entry);
     assert_eq!(current.read_placement().await.tasks[0].run, 1);
     current.report_started().await;
-    let mut other = Connection::open(address).await;
-    other.greet("agent-b", None, &[]).await;
-    other.read_welcome().await;
-    other.report_upstream("b").await;
+    let mut other = Connection::open_usable(address, "agent-b").await;
     until_usable(&entry, 2).await;
     held_up.greet("agent-a", heard, &[]).await;
     drop(held_up);
@@ -207,18 +222,12 @@
     let limits = DispatchLimits::default();
     let lost = Duration::from_millis(limits.lost_ms);
     let (entry, address) = start_entry(limits).await;
-    let mut agent = Connection::open(address).await;
-    agent.greet("agent-a", None, &[]).await;
-    agent.read_welcome().await;
-    agent.report_upstream("a").await;
+    let mut agent = Connection::open_usable(address, "agent-a").await;
     until_usable(&entry, 1).await;
     let _job = submit(&entry);
     assert_eq!(agent.read_placement().await.tasks[0].run, 1);
     agent.report_started().await;
-    let mut other = Connection::open(address).await;
-    other.greet("agent-b", None, &[]).await;
-    other.read_welcome().await;
-    other.report_upstream("b").await;
+    let mut other = Connection::open_usable(address, "agent-b").await;
     // The hello, the upstream, its load and the start of the run went before.
     let mut sent_at = vec![Instant::now(); 4];
     let mut acknowledged = 1;
@@ -252,3 +261,60 @@
     };
     timeout(PATIENCE, ordered).await.unwrap();
 }
+
+/// Guards against a second run of a task while the first one still runs under the lease of an
+/// earlier agent: a report of that agent is applied to the connection of the next one, as if all
+/// runs were over.
+#[tokio::test(flavor = "multi_thread", worker_threads = 6)]
+async fn a_report_over_a_replaced_connection_is_not_applied() {
+    // The two messages meet only in some rounds.
+    const ROUNDS: usize = 200;
+    for round in 0..ROUNDS {
+        let placed = report_while_connecting().await;
+        assert!(placed.is_none(), "in round {round}: {placed:?}");
+    }
+}
+
+/// Lets the next agent connect while the earlier one and many others report, as when an entry
+/// wakes. Returns what is ordered elsewhere.
+async fn report_while_connecting() -> Option<StepPlacement> {
+    const OTHERS: usize = 20;
+    const REPORTS: usize = 20;
+    const ORDERED_WITHIN: Duration = Duration::from_millis(20);
+    let (entry, address) = start_entry(PATIENT).await;
+    let mut earlier = Connection::open_usable(address, "agent-a").await;
+    until_usable(&entry, 1).await;
+    let job = submit(&entry);
+    earlier.read_placement().await;
+    earlier.report_started().await;
+    let mut other = Connection::open_usable(address, "agent-b").await;
+    until_usable(&entry, 2).await;
+    let mut next = Connection::open(address).await;
+    next.run = SECOND;
+    let mut reporting = vec![earlier];
+    for number in 0..OTHERS {
+        let mut connection = Connection::open(address).await;
+        connection.greet(&format!("agent-{number}"), None, &[]).await;
+        connection.read_welcome().await;
+        reporting.push(connection);
+    }
+    let ready = Arc::new(Barrier::new(reporting.len() + 1));
+    let report = async |mut connection: Connection, ready: Arc<Barrier>| {
+        ready.wait().await;
+        for _ in 0..REPORTS {
+            // That of the earlier agent ends.
+            if connection.try_report(Vec::new()).await.is_err() {
+                return;
+            }
+        }
+    };
+    let reports: JoinSet<()> =
+        reporting.into_iter().map(|connection| report(connection, Arc::clone(&ready))).collect();
+    ready.wait().await;
+    next.greet("agent-a", None, &[]).await;
+    next.read_welcome().await;
+    reports.join_all().await;
+    let placed = timeout(ORDERED_WITHIN, other.read_placement()).await.ok();
+    job.abort();
+    placed
+}
