Leases end soon after the last contact with any entry

Seen: two runs of a task at once, by order of one entry, or of a first entry and of the one that got the caller's copy. The first run was not stopped and often ended as done.

Cause: an agent renewed the lease of all runs for as long as its upstream answered, whatever it heard of the entries. It stops the runs of a silent entry after 900 ms. If it stood still before that, they lived for up to 1,900 ms after the entry was last heard, while the entry gives the agent up after 1,500 ms and a caller's copy comes after 1,300 ms. The class: a bound that holds only if the process that has to keep it goes on running.

Change: no lease is granted beyond 1,200 ms after the last contact with any entry that the agent knows. The lease of a run that is to be stopped stays bounded by the contact at that time until the upstream shows that the run is over. A start prolongs no lease either, as the upstream takes its deadline for one, and waits if the leases granted so far are too long for its entry. With the errors of the upstream's clock a run is over 1,240 ms after the last contact, whatever the agent does from then on.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -214,9 +214,9 @@
 ) -> RenewalOutcome {
     let sent_ms = agent.clock.now_ms();
     let (fence, is_fenced, renewal) = {
-        let ledger = agent.ledger.lock();
+        let mut ledger = agent.ledger.lock();
         let renewal = if ledger.is_fenced() {
-            build_renewal(&ledger, wait_ms, acknowledge, sent_ms)
+            build_renewal(&mut ledger, wait_ms, acknowledge, sent_ms)
         } else {
             LeaseRenewal { lease_until_clock_ms: None, acknowledged_through: 0, wait_ms: 0 }
         };
@@ -231,7 +231,12 @@
     }
 }
 
-fn build_renewal(ledger: &Ledger, wait_ms: u32, acknowledge: bool, now_ms: u64) -> LeaseRenewal {
+fn build_renewal(
+    ledger: &mut Ledger,
+    wait_ms: u32,
+    acknowledge: bool,
+    now_ms: u64,
+) -> LeaseRenewal {
     LeaseRenewal {
         lease_until_clock_ms: ledger.lease_until_clock_ms(now_ms),
         acknowledged_through: if acknowledge { ledger.last_acknowledged_end() } else { 0 },
--- /dev/null
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -0,0 +1,53 @@
+//! Bounds leases by what the agent has heard from the entries.
+//!
+//! An entry that gives up a run tells the agent, or falls silent. In both cases the run must be
+//! over before its task may start elsewhere, also if the agent stands still from any moment on
+//! and stops nothing. So no lease lasts longer than a fixed time after the last contact with any
+//! entry, and none is prolonged for a run that is being stopped.
+
+use {
+    super::{CLOCK_DRIFT_PERCENT, Ledger, LedgerLimits},
+    sycamorerail_wire::ids::Incarnation,
+};
+
+impl LedgerLimits {
+    /// Returns the longest time for which a run may go on after the last contact with its entry,
+    /// in milliseconds. The upstream's clock may be slow while the lease runs, and while the agent
+    /// extrapolates it from the last answer.
+    #[must_use]
+    pub fn longest_run_after_contact_ms(&self) -> u64 {
+        let clock_error_ms = 2 * self.lease_ms * CLOCK_DRIFT_PERCENT / 100;
+        self.run_after_contact_ms + clock_error_ms
+    }
+}
+
+impl Ledger {
+    /// Returns when a lease that is granted now has to end at the latest, in the agent's time.
+    ///
+    /// A confirmed stop counts until the run is over, as the upstream takes some time for it.
+    pub(super) fn lease_end_ms(&self, now_ms: u64, length_ms: u64) -> u64 {
+        let of_owners = self.owners.earliest_contact_ms().map(|ms| self.limit_after(ms));
+        let of_stops = self.runs.values().filter_map(|run| run.stop.as_ref());
+        let limits = of_owners.into_iter().chain(of_stops.map(|stop| stop.lease_limit_ms));
+        limits.fold(now_ms + length_ms, u64::min)
+    }
+
+    /// Returns the end of the leases of an entry's runs that are given up now.
+    pub(super) fn stop_limit_ms(&self, owner: Incarnation) -> u64 {
+        self.owners.contact_ms(owner).map_or(0, |ms| self.limit_after(ms))
+    }
+
+    /// Whether a run of the entry may start under the leases that were granted so far.
+    pub(super) fn is_within_leases(&self, owner: Incarnation) -> bool {
+        self.granted_ms <= self.stop_limit_ms(owner)
+    }
+
+    /// Records that a lease was granted until this time.
+    pub(super) fn note_lease(&mut self, until_ms: u64) {
+        self.granted_ms = self.granted_ms.max(until_ms);
+    }
+
+    fn limit_after(&self, contact_ms: u64) -> u64 {
+        contact_ms + self.limits.run_after_contact_ms
+    }
+}
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod crash_log;
 mod instances;
+mod lease_limit;
 mod load;
 mod order_fence;
 mod owners;
@@ -90,6 +91,14 @@
     sent_ms: Option<u64>,
     /// When the upstream confirmed the stop.
     confirmed_ms: Option<u64>,
+    /// No lease is prolonged beyond this time until the run is over.
+    lease_limit_ms: u64,
+}
+
+impl Stop {
+    fn new(lease_limit_ms: u64) -> Self {
+        Self { sent_ms: None, confirmed_ms: None, lease_limit_ms }
+    }
 }
 
 /// Sort key of waiting tasks: those that can be in time first, then by priority; within a
@@ -161,6 +170,8 @@
     renewed_ms: Option<u64>,
     /// When the lease has certainly lapsed, counted from that renewal.
     lapsed_ms: u64,
+    /// End of the longest lease that was granted, in the agent's time.
+    granted_ms: u64,
     suspension: Suspension,
     acknowledged: u64,
     runs: SlotMap<RunKey, Run>,
@@ -198,6 +209,7 @@
             upstream_clock: None,
             renewed_ms: None,
             lapsed_ms: 0,
+            granted_ms: 0,
             suspension: Suspension::default(),
             acknowledged: 0,
             runs: SlotMap::with_key(),
@@ -280,9 +292,9 @@
         }
     }
 
-    /// Records that an entry was heard from.
-    pub fn note_owner_contact(&mut self, owner: Incarnation, now_ms: u64) {
-        self.owners.note_contact(owner, now_ms);
+    /// Records that an entry has heard a message that the agent sent at `heard_ms`.
+    pub fn note_owner_contact(&mut self, owner: Incarnation, heard_ms: u64) {
+        self.owners.note_contact(owner, heard_ms);
     }
 
     /// Returns the entries that [`Self::drop_silent_owners`] would drop now.
@@ -456,11 +468,12 @@
     }
 
     fn stop_run(&mut self, key: RunKey) {
-        let run = &mut self.runs[key];
-        if run.phase == Phase::Waiting {
+        let owner = self.runs[key].owner;
+        if self.runs[key].phase == Phase::Waiting {
             self.settle(key, RunEvent::NotStarted(NotStarted::Withdrawn));
-        } else if run.stop.is_none() {
-            run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
+        } else {
+            let stop = Stop::new(self.stop_limit_ms(owner));
+            self.runs[key].stop.get_or_insert(stop);
         }
     }
 
@@ -470,16 +483,23 @@
             return None;
         }
         self.reorder_waiting(now_ms);
+        let until_ms = self.lease_end_ms(now_ms, self.limits.start_within_ms);
+        if until_ms <= now_ms {
+            return None;
+        }
         let instance = self.announced_instance.as_ref()?;
         let free = instance.capacity.minus(&self.taken);
         let ready = |run: &Run| {
             free.covers(&run.need)
                 && !(run.suspect && self.has_active_suspect())
                 && self.owners.is_fresh(run.owner, now_ms, self.limits.owner_timeout_ms)
+                && self.is_within_leases(run.owner)
         };
         let mut ahead = self.waiting.iter().take(MAX_TASKS_EXAMINED);
         let &(rank, key) = ahead.find(|(_, key)| ready(&self.runs[*key]))?;
-        let late_after_clock_ms = self.upstream_clock_ms(now_ms)? + self.limits.start_within_ms;
+        let late_after_clock_ms = self.upstream_clock_ms(now_ms)? + (until_ms - now_ms);
+        // The upstream takes the deadline of a start for a lease of all its runs.
+        self.note_lease(until_ms);
         self.waiting.remove(&(rank, key));
         let run = &mut self.runs[key];
         run.phase = Phase::Ordered { since_ms: now_ms, late_after_clock_ms, unanswered: false };
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -24,9 +24,19 @@
 }
 
 impl Owners {
-    pub(super) fn note_contact(&mut self, owner: Incarnation, now_ms: u64) {
+    pub(super) fn note_contact(&mut self, owner: Incarnation, heard_ms: u64) {
         let owner = self.owners.entry(owner).or_default();
-        owner.heard_ms = owner.heard_ms.max(now_ms);
+        owner.heard_ms = owner.heard_ms.max(heard_ms);
+    }
+
+    /// Returns when an entry was last heard from.
+    pub(super) fn contact_ms(&self, owner: Incarnation) -> Option<u64> {
+        self.owners.get(&owner).map(|owner| owner.heard_ms)
+    }
+
+    /// Returns the earliest of the last contacts with the entries.
+    pub(super) fn earliest_contact_ms(&self) -> Option<u64> {
+        self.owners.values().map(|owner| owner.heard_ms).min()
     }
 
     pub(super) fn silent_owners(&self, now_ms: u64, timeout_ms: u64) -> Vec<Incarnation> {
@@ -35,12 +45,11 @@
     }
 
     pub(super) fn silence_ms(&self, owner: Incarnation, now_ms: u64) -> u64 {
-        let heard_ms = self.owners.get(&owner).map_or(now_ms, |owner| owner.heard_ms);
-        now_ms.saturating_sub(heard_ms)
+        now_ms.saturating_sub(self.contact_ms(owner).unwrap_or(now_ms))
     }
 
     pub(super) fn is_fresh(&self, owner: Incarnation, now_ms: u64, timeout_ms: u64) -> bool {
-        self.owners.get(&owner).is_some_and(|owner| now_ms < owner.heard_ms + timeout_ms)
+        self.contact_ms(owner).is_some_and(|heard_ms| now_ms < heard_ms + timeout_ms)
     }
 
     pub(super) fn remove(&mut self, owner: Incarnation) {
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -3,22 +3,30 @@
 
 use {
     super::{
-        CLOCK_DRIFT_PERCENT, EndKind, InstanceEnd, LeaseAnswer, Ledger, LossProof, Phase, RunEnd,
-        START_CONFIRM_WITHIN_MS, Stop, Suspension, instances::orphan_end,
+        CLOCK_DRIFT_PERCENT, EndKind, InstanceEnd, LeaseAnswer, Ledger, LossProof, Phase, Run,
+        RunEnd, START_CONFIRM_WITHIN_MS, Stop, Suspension, instances::orphan_end,
     },
     std::collections::BTreeMap,
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
 };
 
 impl Ledger {
-    /// Returns the end of the lease to request, on the upstream's clock. Returns `None` once
-    /// renewals went unanswered for a while: an unanswered renewal may still be carried out, so
-    /// if the agent kept sending them, the lapse of the lease would never be certain.
+    /// Returns the end of the lease to request, on the upstream's clock, or `None` if the lease
+    /// must not be prolonged.
+    ///
+    /// That is so once renewals went unanswered for a while: an unanswered renewal may still be
+    /// carried out, so if the agent kept sending them, the lapse of the lease would never be
+    /// certain.
     #[must_use]
-    pub fn lease_until_clock_ms(&self, now_ms: u64) -> Option<u64> {
+    pub fn lease_until_clock_ms(&mut self, now_ms: u64) -> Option<u64> {
         let clock_ms = self.upstream_clock_ms(now_ms)?;
         let may_renew = self.renewed_ms.is_none() || self.is_trusted(now_ms);
-        may_renew.then_some(clock_ms + self.limits.lease_ms)
+        let until_ms = self.lease_end_ms(now_ms, self.limits.lease_ms);
+        if !may_renew || until_ms <= now_ms {
+            return None;
+        }
+        self.note_lease(until_ms);
+        Some(clock_ms + (until_ms - now_ms))
     }
 
     /// Handles the upstream's confirmation of a stop. From now on the upstream refuses a start
@@ -151,17 +159,20 @@
     /// stop is confirmed the start can no longer be carried out, and the task can be placed
     /// elsewhere long before the order's start deadline.
     fn stop_unconfirmed_starts(&mut self, answer: &LeaseAnswer) {
-        for run in self.runs.values_mut() {
-            let Phase::Ordered { since_ms, .. } = run.phase else { continue };
-            if run.stop.is_none() && since_ms + START_CONFIRM_WITHIN_MS <= answer.sent_ms {
-                run.stop = Some(Stop { sent_ms: None, confirmed_ms: None });
-            }
+        let is_unconfirmed = |run: &Run| {
+            let Phase::Ordered { since_ms, .. } = run.phase else { return false };
+            since_ms + START_CONFIRM_WITHIN_MS <= answer.sent_ms
+        };
+        let unconfirmed = self.runs.iter().filter(|(_, run)| is_unconfirmed(run));
+        let unconfirmed: Vec<_> = unconfirmed.map(|(key, _)| key).collect();
+        for key in unconfirmed {
+            self.stop_run(key);
         }
     }
 
     fn note_leftovers(&mut self, running: &[(TaskKey, u32)]) {
         let foreign = running.iter().filter(|&&(task, run)| self.find_run(task, run).is_none());
-        let never = Stop { sent_ms: None, confirmed_ms: None };
+        let never = Stop::new(0);
         let leftovers: BTreeMap<_, _> =
             foreign.map(|run| (*run, self.leftovers.get(run).copied().unwrap_or(never))).collect();
         self.leftovers = leftovers;
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -17,6 +17,9 @@
     pub start_within_ms: u64,
     /// Time without contact after which the runs of an entry are stopped, in milliseconds.
     pub owner_timeout_ms: u64,
+    /// Time after the last contact with an entry at which the leases of its runs have ended, in
+    /// milliseconds.
+    pub run_after_contact_ms: u64,
     /// Time after which an unconfirmed stop is sent again, in milliseconds.
     pub stop_retry_ms: u64,
     /// Maximum number of starts that were sent to the upstream and not answered.
@@ -30,9 +33,12 @@
             // Twenty times the usual answer time within one VM. A task that is refused as late
             // can still be in time elsewhere.
             start_within_ms: 300,
-            // Together with the time to stop a run and a margin, this is below the 1,300 ms
-            // after which a caller may submit the job again at another entry.
+            // Four heartbeats of 200 ms and the time of a slow turn.
             owner_timeout_ms: 900,
+            // Leaves 300 ms for the stops of a silent entry's runs. With the errors of the
+            // upstream's clock this is below the 1,300 ms after which a caller may submit the
+            // job again at another entry.
+            run_after_contact_ms: 1_200,
             // Thirty times the usual answer time. One stop in twenty may be lost.
             stop_retry_ms: 60,
             // Each start occupies a connection to the upstream.
--- /dev/null
+++ b/crates/decide/tests/ledger_leases.rs
@@ -0,0 +1,175 @@
+//! How long leases last: never longer than what was heard from the entries allows, so that a run
+//! is over before its entry orders the task elsewhere.
+
+use {
+    sycamorerail_decide::{
+        dispatch::DispatchLimits,
+        ledger::{LeaseAnswer, Ledger, LedgerLimits, StartAnswer, StartOrder},
+    },
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{
+            CallerJobId, InstanceId, Resources, StepPlacement, TaskKey, TaskStart, UpstreamInstance,
+        },
+    },
+};
+
+const ENTRY: Incarnation = Incarnation(7);
+const OTHER_ENTRY: Incarnation = Incarnation(8);
+/// The upstream's clock when the agent's clock is at 0.
+const CLOCK_MS: u64 = 50_000;
+/// Callers submit a job again at another entry this long after an attempt without an answer.
+const RETRY_MS: u64 = 1_300;
+
+fn instance() -> UpstreamInstance {
+    UpstreamInstance {
+        id: InstanceId::without_start("a"),
+        order_fence: 0,
+        pool: "desk".to_owned(),
+        capacity: Resources { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 },
+        labels: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn placement(job: u64) -> StepPlacement {
+    StepPlacement {
+        job: CallerJobId(job),
+        step: 0,
+        spec: "spec".to_owned(),
+        tasks: vec![TaskStart { index: 0, run: 1 }],
+        need: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
+        run_ms: 100,
+        priority: 1,
+        objective_in_ms: 400,
+        give_up_in_ms: 2_000,
+        job_mostly_started: false,
+        suspect: false,
+    }
+}
+
+fn task(job: u64) -> TaskKey {
+    TaskKey { job: CallerJobId(job), step: 0, index: 0 }
+}
+
+/// The upstream answers a renewal at once.
+fn renew(ledger: &mut Ledger, now_ms: u64, running: &[(TaskKey, u32)]) {
+    let answer = LeaseAnswer {
+        instance: ledger.current_instance().cloned().unwrap_or_default(),
+        fence: 0,
+        sent_ms: now_ms,
+        clock_ms: CLOCK_MS + now_ms,
+        running: running.to_vec(),
+        ended: Vec::new(),
+    };
+    ledger.handle_renewal_answer(&answer, now_ms);
+}
+
+/// Returns a ledger that heard both entries, and its upstream, at 1 ms.
+fn ready_ledger() -> Ledger {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(instance());
+    ledger.note_owner_contact(ENTRY, 1);
+    ledger.note_owner_contact(OTHER_ENTRY, 1);
+    renew(&mut ledger, 1, &[]);
+    ledger
+}
+
+/// Returns a ledger with a run of the job 1 of `ENTRY` since 2 ms.
+fn ledger_with_run() -> Ledger {
+    let mut ledger = ready_ledger();
+    ledger.place(ENTRY, placement(1), 2);
+    let order = start(&mut ledger, 2).unwrap();
+    ledger.handle_start_answer(order.task, 1, StartAnswer::Started, 2);
+    ledger
+}
+
+fn start(ledger: &mut Ledger, now_ms: u64) -> Option<StartOrder> {
+    ledger.next_start(now_ms)
+}
+
+/// Returns the end of the lease that is requested now, in the agent's time.
+fn lease_end_ms(ledger: &mut Ledger, now_ms: u64) -> Option<u64> {
+    ledger.lease_until_clock_ms(now_ms).map(|clock_ms| clock_ms - CLOCK_MS)
+}
+
+/// Guards against a run that outlives its silent entry's patience because its agent stands still.
+#[test]
+fn leases_end_soon_after_the_last_contact_with_an_entry() {
+    let mut ledger = ledger_with_run();
+    assert_eq!(lease_end_ms(&mut ledger, 100), Some(1_100));
+    ledger.note_owner_contact(OTHER_ENTRY, 600);
+    renew(&mut ledger, 700, &[(task(1), 1)]);
+    assert_eq!(lease_end_ms(&mut ledger, 700), Some(1 + 1_200));
+    ledger.note_owner_contact(ENTRY, 650);
+    assert_eq!(lease_end_ms(&mut ledger, 700), Some(1_700));
+}
+
+/// Guards against other entries' runs that keep the lease of a run alive whose stop is lost.
+#[test]
+fn no_lease_is_prolonged_until_a_stopped_run_is_over() {
+    let mut ledger = ledger_with_run();
+    ledger.note_owner_contact(OTHER_ENTRY, 901);
+    renew(&mut ledger, 901, &[(task(1), 1)]);
+    assert_eq!(ledger.drop_silent_owners(901), [ENTRY]);
+    assert_eq!(lease_end_ms(&mut ledger, 910), Some(1 + 1_200));
+    ledger.note_owner_contact(OTHER_ENTRY, 1_201);
+    renew(&mut ledger, 1_201, &[(task(1), 1)]);
+    assert_eq!(lease_end_ms(&mut ledger, 1_201), None);
+    ledger.handle_stop_confirmation(task(1), 1, 1_202);
+    assert_eq!(lease_end_ms(&mut ledger, 1_202), None);
+    renew(&mut ledger, 1_250, &[]);
+    assert_eq!(lease_end_ms(&mut ledger, 1_250), Some(2_250));
+}
+
+#[test]
+fn a_stop_by_the_entry_bounds_the_lease_from_its_last_contact() {
+    let mut ledger = ledger_with_run();
+    ledger.note_owner_contact(ENTRY, 300);
+    ledger.stop_job(ENTRY, CallerJobId(1));
+    for entry in [ENTRY, OTHER_ENTRY] {
+        ledger.note_owner_contact(entry, 790);
+    }
+    assert_eq!(lease_end_ms(&mut ledger, 790), Some(300 + 1_200));
+}
+
+/// Guards against a start whose own deadline prolongs the lease of a run that must end.
+#[test]
+fn a_start_prolongs_no_lease_beyond_the_limit() {
+    let mut ledger = ledger_with_run();
+    ledger.note_owner_contact(OTHER_ENTRY, 1_100);
+    renew(&mut ledger, 1_100, &[(task(1), 1)]);
+    ledger.drop_silent_owners(1_100);
+    ledger.place(OTHER_ENTRY, placement(2), 1_100);
+    let order = start(&mut ledger, 1_100).unwrap();
+    assert_eq!(order.late_after_clock_ms, CLOCK_MS + 1 + 1_200);
+    ledger.place(OTHER_ENTRY, placement(3), 1_201);
+    assert_eq!(start(&mut ledger, 1_201), None);
+}
+
+/// Guards against a run that starts under a lease longer than its entry's silence allows.
+#[test]
+fn no_run_starts_under_a_lease_that_is_too_long_for_its_entry() {
+    let mut ledger = ready_ledger();
+    renew(&mut ledger, 500, &[]);
+    for entry in [ENTRY, OTHER_ENTRY] {
+        ledger.note_owner_contact(entry, 500);
+    }
+    assert_eq!(lease_end_ms(&mut ledger, 500), Some(1_500));
+    let late = Incarnation(9);
+    ledger.note_owner_contact(late, 250);
+    ledger.place(late, placement(1), 510);
+    assert_eq!(start(&mut ledger, 510), None);
+    ledger.note_owner_contact(late, 505);
+    assert_eq!(start(&mut ledger, 520).unwrap().task, task(1));
+}
+
+/// Guards against timeouts that let two runs of a task overlap when one of them is changed.
+#[test]
+fn runs_are_over_before_their_tasks_start_elsewhere() {
+    let (agent, entry) = (LedgerLimits::default(), DispatchLimits::default());
+    let longest_ms = agent.longest_run_after_contact_ms();
+    assert!(longest_ms < RETRY_MS, "a copy at another entry");
+    assert!(longest_ms < entry.lost_ms, "another order of the same entry");
+    assert!(agent.owner_timeout_ms + agent.start_within_ms <= agent.run_after_contact_ms);
+}
