Runs that an earlier agent left are not renewed

Seen by reading: an agent that is started again renews the lease of all runs of its upstream, those of its predecessor among them, until it has stopped them. If the stops are lost, or the agent stands still after a renewal, they go on while their entry counts them as over, 1.5 s after the new agent has connected or the earlier one was last heard.

Change: no lease is requested while the upstream lists runs that the agent does not know. They end with the last lease of the earlier agent. Nothing of the new agent runs by then.

ledger_leases::runs_of_an_earlier_agent_are_not_renewed fails without the change.

--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -16,13 +16,14 @@
     ///
     /// That is so once renewals went unanswered for a while: an unanswered renewal may still be
     /// carried out, so if the agent kept sending them, the lapse of the lease would never be
-    /// certain.
+    /// certain. It is also so while the upstream lists runs of an earlier agent: their entries
+    /// rely on the end of the earlier agent's leases.
     #[must_use]
     pub fn lease_until_clock_ms(&mut self, now_ms: u64) -> Option<u64> {
         let clock_ms = self.upstream_clock_ms(now_ms)?;
         let may_renew = self.renewed_ms.is_none() || self.is_trusted(now_ms);
         let until_ms = self.lease_end_ms(now_ms, self.limits.lease_ms);
-        if !may_renew || until_ms <= now_ms {
+        if !may_renew || !self.has_no_leftovers || until_ms <= now_ms {
             return None;
         }
         self.note_lease(until_ms);
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -164,6 +164,18 @@
     assert_eq!(start(&mut ledger, 520).unwrap().task, task(1));
 }
 
+/// Guards against a restarted agent that keeps runs alive which entries count as over.
+#[test]
+fn runs_of_an_earlier_agent_are_not_renewed() {
+    let mut ledger = Ledger::new(LedgerLimits::default());
+    ledger.set_upstream(instance());
+    ledger.note_owner_contact(ENTRY, 1);
+    renew(&mut ledger, 1, &[(task(9), 3)]);
+    assert_eq!(lease_end_ms(&mut ledger, 2), None);
+    renew(&mut ledger, 60, &[]);
+    assert_eq!(lease_end_ms(&mut ledger, 60), Some(1_060));
+}
+
 /// Guards against timeouts that let two runs of a task overlap when one of them is changed.
 #[test]
 fn runs_are_over_before_their_tasks_start_elsewhere() {
