A suspension does not count towards the upstream's clock

Seen: after a suspension of 500 ms a start could be carried out for 800 ms in place of 300, and a lease could be longer by the suspension than requested.

Cause: the upstream's clock was extrapolated by the agent's, which counts suspensions of the VM; the upstream's may stand still with it.

Change: a suspension that is noticed counts for nothing on the upstream's clock. It is looked for before each start and each renewal, not at ticks alone.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -215,6 +215,7 @@
     let sent_ms = agent.clock.now_ms();
     let (fence, is_fenced, renewal) = {
         let mut ledger = agent.ledger.lock();
+        ledger.note_suspension(agent.clock.suspended_ms(), sent_ms);
         let renewal = if ledger.is_fenced() {
             build_renewal(&mut ledger, wait_ms, acknowledge, sent_ms)
         } else {
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -274,6 +274,7 @@
     pub(crate) fn execute_decisions(self: &Arc<Self>) {
         let mut ledger = self.ledger.lock();
         let now_ms = self.clock.now_ms();
+        ledger.note_suspension(self.clock.suspended_ms(), now_ms);
         let starts: Vec<_> = std::iter::from_fn(|| ledger.next_start(now_ms)).collect();
         let stops = ledger.stops_due(now_ms);
         let decided = ledger.take_decisions();
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -184,7 +184,8 @@
     ///
     /// No entry was heard from during a suspension, so it counts towards the trust in the
     /// upstream and the silence of entries. It does not count towards the lapse of the lease,
-    /// because the upstream's clock may have stood still as well.
+    /// because the upstream's clock may have stood still as well, nor towards that clock when a
+    /// lease is requested.
     pub fn note_suspension(&mut self, total_ms: u64, now_ms: u64) {
         let last_ms = total_ms.saturating_sub(self.suspension.total_ms);
         if last_ms == 0 {
@@ -192,6 +193,10 @@
         }
         self.suspension = Suspension { total_ms, last_ms, noticed_ms: now_ms };
         self.lapsed_ms += last_ms;
+        self.granted_ms += last_ms;
+        if let Some((_, at_ms)) = &mut self.upstream_clock {
+            *at_ms += last_ms;
+        }
     }
 
     /// Reports runs as lost once their lease has certainly lapsed, and hands waiting tasks back
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -176,6 +176,20 @@
     assert_eq!(lease_end_ms(&mut ledger, 60), Some(1_060));
 }
 
+/// Guards against a lease that is too long because the upstream's clock was taken to go on while
+/// the VM was suspended.
+#[test]
+fn a_suspension_does_not_count_towards_the_upstreams_clock() {
+    let mut ledger = ledger_with_run();
+    renew(&mut ledger, 100, &[(task(1), 1)]);
+    for entry in [ENTRY, OTHER_ENTRY] {
+        ledger.note_owner_contact(entry, 90);
+    }
+    ledger.note_suspension(500, 610);
+    let lease_ms = 90 + 1_200 - 610;
+    assert_eq!(ledger.lease_until_clock_ms(610), Some(CLOCK_MS + 110 + lease_ms));
+}
+
 /// Guards against timeouts that let two runs of a task overlap when one of them is changed.
 #[test]
 fn runs_are_over_before_their_tasks_start_elsewhere() {
