A welcome is no contact with a known entry

Seen by reading, and by the model: an agent that stood still between its hello and the entry's welcome took the entry for just heard as it woke, although the entry had given it up since. Its runs were kept and renewed.

Cause: contact was noted as of the reading of the welcome. What the entry had heard was the hello; and its welcome may precede the end of jobs that fell due while it stood still itself.

Change: a welcome makes an entry known as of the hello, and moves nothing if it is known. Contact comes from acknowledged messages alone.

ledger_leases::a_welcome_is_no_contact_with_a_known_entry fails without it.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -101,6 +101,7 @@
         let (mut reader, mut writer) = frames::connect(peer, CONNECT_TIMEOUT).await?;
         let hello = hello(agent, last_entry);
         let last_report = hello.unconfirmed_reports.last().map_or(0, |report| report.number);
+        let hello_ms = agent.clock.now_ms();
         let held = hello.held_runs.clone();
         writer.push(&RunsFirstMessage::Agent(hello))?;
         writer.flush().await?;
@@ -109,9 +110,8 @@
         let ToRunsAgent::Welcome { entry, upstream } = first else {
             return Err(FrameError::Closed(peer));
         };
-        let now_ms = agent.clock.now_ms();
-        agent.update_ledger(|ledger, now_ms| {
-            ledger.note_owner_contact(entry, now_ms);
+        agent.update_ledger(|ledger, _| {
+            ledger.introduce_owner(entry, hello_ms);
             if last_entry == Some(entry) {
                 ledger.report_missing_runs(entry, &held);
             }
@@ -120,8 +120,8 @@
         if let Some(instance) = upstream {
             agent.restore_upstream(instance);
         }
-        let mut acks = AckTracker::new(now_ms);
-        acks.record_sent(now_ms);
+        let mut acks = AckTracker::new(hello_ms);
+        acks.record_sent(hello_ms);
         let reported_up_to =
             AtomicU64::new(if last_entry == Some(entry) { last_report } else { 0 });
         let link = Self {
@@ -220,10 +220,12 @@
                 agent.links.update_from_heartbeat(self.peer, agents, &largest);
                 let mut acks = self.acks.lock();
                 acks.record_ack(heard);
-                let heard_ms = acks.acked_sent_ms();
+                let heard_ms = acks.last_ack_sent_ms();
                 drop(acks);
                 let mut ledger = agent.ledger.lock();
-                ledger.note_owner_contact(self.entry, heard_ms);
+                if let Some(heard_ms) = heard_ms {
+                    ledger.note_owner_contact(self.entry, heard_ms);
+                }
                 ledger.confirm_reports(self.entry, confirmed);
             }
             ToRunsAgent::Configuration(copy) => {
--- a/crates/decide/src/ack_tracker.rs
+++ b/crates/decide/src/ack_tracker.rs
@@ -15,13 +15,14 @@
     sent: VecDeque<(/* message */ u64, /* sent_ms */ u64)>,
     count: u64,
     acked_sent_ms: u64,
+    has_ack: bool,
 }
 
 impl AckTracker {
     /// Starts tracking a connection that was established now.
     #[must_use]
     pub fn new(now_ms: u64) -> Self {
-        Self { sent: VecDeque::new(), count: 0, acked_sent_ms: now_ms }
+        Self { sent: VecDeque::new(), count: 0, acked_sent_ms: now_ms, has_ack: false }
     }
 
     /// Records a message that is sent now and returns its number.
@@ -42,6 +43,7 @@
     pub fn record_ack(&mut self, count: u64) {
         while let Some((_, sent_ms)) = self.sent.front().filter(|(number, _)| *number <= count) {
             self.acked_sent_ms = *sent_ms;
+            self.has_ack = true;
             self.sent.pop_front();
         }
     }
@@ -52,4 +54,10 @@
     pub fn acked_sent_ms(&self) -> u64 {
         self.acked_sent_ms
     }
+
+    /// Like [`Self::acked_sent_ms`], but `None` if no message has been acknowledged.
+    #[must_use]
+    pub fn last_ack_sent_ms(&self) -> Option<u64> {
+        self.has_ack.then_some(self.acked_sent_ms)
+    }
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -297,6 +297,14 @@
         self.owners.note_contact(owner, heard_ms);
     }
 
+    /// Records an entry that has answered a hello which the agent sent at `hello_ms`.
+    ///
+    /// For an entry that is known already this is no contact: its answer may precede the end of
+    /// jobs that fell due while it stood still.
+    pub fn introduce_owner(&mut self, owner: Incarnation, hello_ms: u64) {
+        self.owners.introduce(owner, hello_ms);
+    }
+
     /// Returns the entries that [`Self::drop_silent_owners`] would drop now.
     #[must_use]
     pub fn silent_owners(&self, now_ms: u64) -> Vec<SilentOwner> {
--- a/crates/decide/src/ledger/owners.rs
+++ b/crates/decide/src/ledger/owners.rs
@@ -29,6 +29,12 @@
         owner.heard_ms = owner.heard_ms.max(heard_ms);
     }
 
+    /// Adds an entry that was heard from then, unless it is known.
+    pub(super) fn introduce(&mut self, owner: Incarnation, heard_ms: u64) {
+        let new = Owner { heard_ms, ..Owner::default() };
+        self.owners.entry(owner).or_insert(new);
+    }
+
     /// Returns when an entry was last heard from.
     pub(super) fn contact_ms(&self, owner: Incarnation) -> Option<u64> {
         self.owners.get(&owner).map(|owner| owner.heard_ms)
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -157,7 +157,7 @@
     }
     assert_eq!(lease_end_ms(&mut ledger, 500), Some(1_500));
     let late = Incarnation(9);
-    ledger.note_owner_contact(late, 250);
+    ledger.introduce_owner(late, 250);
     ledger.place(late, placement(1), 510);
     assert_eq!(start(&mut ledger, 510), None);
     ledger.note_owner_contact(late, 505);
@@ -176,6 +176,20 @@
     assert_eq!(lease_end_ms(&mut ledger, 60), Some(1_060));
 }
 
+/// Guards against a stall between hello and welcome, after which an entry that has given the agent
+/// up counts as just heard.
+#[test]
+fn a_welcome_is_no_contact_with_a_known_entry() {
+    let mut ledger = ledger_with_run();
+    ledger.note_owner_contact(OTHER_ENTRY, 850);
+    ledger.introduce_owner(ENTRY, 890);
+    assert_eq!(ledger.drop_silent_owners(901), [ENTRY]);
+    ledger.introduce_owner(ENTRY, 890);
+    assert!(ledger.drop_silent_owners(1_000).is_empty());
+    // Its run goes on to be stopped.
+    assert_eq!(ledger.stops_due(1_000), [(task(1), 1)]);
+}
+
 /// Guards against a lease that is too long because the upstream's clock was taken to go on while
 /// the VM was suspended.
 #[test]
