Any message of an agent shows that it lives

Seen: an entry gave the runs of an agent up while it acknowledged its messages. The agent takes an acknowledged message for contact, so its runs went on: run 2 was ordered 138 to 167 ms after the last acknowledged message was sent.

Cause: all messages were counted and acknowledged, but only reports put off the loss of the agent. Agents report every 200 ms at least, so that the bounds of both sides were apart by as much, or by a stall between two messages.

Change: every message of the present connection counts.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -60,6 +60,13 @@
         self.recall_for(agent, now_ms);
     }
 
+    /// Records that a message of an agent has arrived.
+    pub fn agent_heard(&mut self, key: AgentKey, now_ms: u64) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.last_heard_ms = now_ms;
+        }
+    }
+
     pub(super) fn lose_silent_agents(&mut self, now_ms: u64) {
         let lost_ms = self.limits.lost_ms;
         let cause_of_loss = |agent: &AgentView| {
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -260,6 +260,7 @@
         if !self.service.links.is_present(self.agent, &self.outbox) {
             return;
         }
+        self.service.dispatch.lock().agent_heard(self.agent, self.service.clock.now_ms());
         match message {
             FromRunsAgent::Report { heard, reports, load } => {
                 let last = reports.last().map_or(0, |report| report.number);
