Ask under the lock whether a connection is the present one

Seen: a report of a killed agent, read as the next agent connected, was applied as the next agent's. If it said "usable", all runs of the earlier agent were taken for over and ordered elsewhere, while they ran under its lease.

Cause: the entry asked whether the connection had been replaced before it took the lock of the dispatch, under which connections are replaced.

Change: both happen under the lock, for all messages that change the dispatch.

--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -257,15 +257,15 @@
 
     fn take(&self, message: FromRunsAgent) {
         self.heard.fetch_add(1, Ordering::AcqRel);
-        if !self.service.links.is_present(self.agent, &self.outbox) {
+        let is_present = self.update(|dispatch, now_ms| dispatch.agent_heard(self.agent, now_ms));
+        if is_present.is_none() {
             return;
         }
-        self.service.dispatch.lock().agent_heard(self.agent, self.service.clock.now_ms());
         match message {
             FromRunsAgent::Report { heard, reports, load } => {
                 let last = reports.last().map_or(0, |report| report.number);
                 self.confirmed.fetch_max(last, Ordering::AcqRel);
-                self.service.change(|dispatch, now_ms| {
+                self.change(|dispatch, now_ms| {
                     dispatch.handle_report(self.agent, &reports, load, heard, now_ms);
                 });
             }
@@ -277,18 +277,17 @@
                     life = life.id,
                     leaving = life.leaving
                 );
-                self.service.change(|dispatch, _| dispatch.set_instance(self.agent, life));
+                self.change(|dispatch, _| dispatch.set_instance(self.agent, life));
             }
             FromRunsAgent::Entries { connected, named } => {
                 self.service.set_linked(self.agent, connected, named);
             }
             FromRunsAgent::LargestCapacity(room) => {
-                self.service
-                    .change(|dispatch, _| dispatch.raise_largest_capacity(self.agent, room));
+                self.change(|dispatch, _| dispatch.raise_largest_capacity(self.agent, room));
             }
             FromRunsAgent::Unlink => {
                 event!(Info, "agent_unlinks", agent = self.name);
-                self.service.change(|dispatch, _| dispatch.agent_unlinks(self.agent));
+                self.change(|dispatch, _| dispatch.agent_unlinks(self.agent));
                 self.tell(ToRunsAgent::Unlinked);
             }
             FromRunsAgent::Configuration(copy) => {
@@ -312,8 +311,24 @@
         }
     }
 
+    /// Updates the dispatch if this is the agent's present connection. Connections are replaced
+    /// under the same lock, so that no message counts as one of the next connection, which may be
+    /// that of a restarted agent.
+    fn update<T>(&self, update: impl FnOnce(&mut Dispatch, u64) -> T) -> Option<T> {
+        let mut dispatch = self.service.dispatch.lock();
+        let is_present = self.service.links.is_present(self.agent, &self.outbox);
+        is_present.then(|| update(&mut dispatch, self.service.clock.now_ms()))
+    }
+
+    /// Like [`Self::update`], and carries out what the dispatch decides.
+    fn change(&self, change: impl FnOnce(&mut Dispatch, u64)) {
+        if self.update(change).is_some() {
+            self.service.act();
+        }
+    }
+
     fn take_cold(&self, left_ms: u32) {
-        self.service.change(|dispatch, now_ms| dispatch.set_cold(self.agent, left_ms, now_ms));
+        self.change(|dispatch, now_ms| dispatch.set_cold(self.agent, left_ms, now_ms));
         event!(Info, "upstream_cold", agent = self.name, left_ms = left_ms);
     }
 
