Acknowledge a message only after a later pass over what is due

Seen by reading, and by the model: an entry that stood still over the deadline of a job, or while its caller left, could read messages of agents as it woke, acknowledge them in a heartbeat, and stand still again before it ended the job. The agent took that for contact and kept the runs, although the caller may have been at another entry by then.

Cause: an acknowledgement told that a message was read, not that the entry still wanted what the agent does for it.

Change: a heartbeat acknowledges what was read before the last pass over what is due by time. What was readable before that pass, as the end of a caller's connection, was handled before it, and stops of runs go ahead of the heartbeat on the same connection. The second heartbeat of a connection follows after 40 ms, so that a hello is acknowledged as soon as before.

receipts::a_message_is_acknowledged_after_the_next_pass fails if messages are acknowledged at once. No test with real processes shows the stall between the two steps of the entry.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 pub mod planned_stop;
 pub mod queue;
+pub mod receipts;
 pub mod rendezvous;
 pub mod retry;
 pub mod share;
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -16,6 +16,7 @@
     sycamorerail_decide::{
         copies,
         dispatch::{AgentKey, Dispatch, PoolView},
+        receipts::Receipts,
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -38,6 +39,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Heartbeat of each link: a one-way cut is seen within three of them.
 const BEAT: Duration = Duration::from_millis(200);
+/// From the first heartbeat of a link to the second one, which acknowledges the agent's hello.
+const SECOND_BEAT: Duration = Duration::from_millis(40);
 /// An agent that was not heard for this long is disconnected.
 const SILENCE_MS: u64 = 2_500;
 
@@ -152,7 +155,7 @@
     name: String,
     outbox: Arc<Outbox>,
     /// Messages heard on this connection.
-    heard: AtomicU64,
+    heard: Mutex<Receipts>,
     /// Highest number of a report taken note of.
     confirmed: AtomicU64,
     /// Highest revision of the configuration that the agent holds or was told of.
@@ -202,13 +205,15 @@
         // What was requested on the connection before is lost with it.
         service.copies.lock().remove_source(agent);
         service.add_copy_source(agent, &hello.name, hello.configuration_revision);
+        let mut heard = Receipts::default();
+        heard.record(service.passes());
         Self {
             service: Arc::clone(service),
             peer,
             agent,
             name: hello.name,
             outbox,
-            heard: AtomicU64::new(1),
+            heard: Mutex::new(heard),
             confirmed: AtomicU64::new(confirmed),
             agent_revision: AtomicU64::new(hello.configuration_revision),
             agent_evacuations: Mutex::default(),
@@ -256,7 +261,7 @@
     }
 
     fn take(&self, message: FromRunsAgent) {
-        self.heard.fetch_add(1, Ordering::AcqRel);
+        self.heard.lock().record(self.service.passes());
         let is_present = self.update(|dispatch, now_ms| dispatch.agent_heard(self.agent, now_ms));
         if is_present.is_none() {
             return;
@@ -350,6 +355,7 @@
         let mut evacuations = self.service.evacuations.subscribe();
         // Members are told with heartbeats: as everything starts each entry is new.
         let mut beats = tokio::time::interval(BEAT);
+        let mut is_first = true;
         loop {
             if let Err(error) = self.write(&mut writer).await {
                 return error;
@@ -358,6 +364,9 @@
                 () = self.outbox.filled.notified() => {}
                 Ok(()) = evacuations.changed() => self.tell_evacuations(),
                 _ = beats.tick() => {
+                    if std::mem::take(&mut is_first) {
+                        beats.reset_after(SECOND_BEAT);
+                    }
                     if members.has_changed().unwrap_or(false) {
                         let known = members.borrow_and_update().clone();
                         self.tell(ToRunsAgent::Members(known));
@@ -400,7 +409,7 @@
     /// Queues a heartbeat, and what the agent lacks of the evacuations or this entry of the
     /// configuration.
     fn beat(&self) {
-        let heard = self.heard.load(Ordering::Acquire);
+        let heard = self.heard.lock().acknowledgeable(self.service.passes());
         let confirmed = self.confirmed.load(Ordering::Acquire);
         let PoolView { agents, largest } = self.service.dispatch.lock().pool_view(self.agent);
         self.tell(ToRunsAgent::Heartbeat { heard, confirmed, agents, largest });
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -15,7 +15,15 @@
     cluster::{AgentsEntries, Cluster},
     parking_lot::Mutex,
     rand::Rng,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
         copies::{CopyFetch, FetchLimits},
@@ -77,6 +85,8 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
+    /// Number of passes over what is due by time.
+    passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
     stopped: watch::Sender<bool>,
 }
@@ -109,6 +119,7 @@
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
             waiters: Mutex::new(HashMap::new()),
+            passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
         tokio::spawn(links::accept(Arc::clone(&service), listener));
@@ -128,6 +139,11 @@
         self.clock.now_ms()
     }
 
+    /// Number of passes over what is due by time that are complete.
+    fn passes(&self) -> u64 {
+        self.passes.load(Ordering::Acquire)
+    }
+
     /// Agents that take work now.
     #[must_use]
     pub fn usable_agents(&self) -> usize {
@@ -443,6 +459,7 @@
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
         });
+        service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
     }
