Model: acknowledgements that precede what they stand for

Seen: two sequences in which an agent keeps runs because its entry acknowledged a message too early. (1) The entry wakes, acknowledges, and stalls again before it sees that a caller has left. (2) The entry counts a message (Link::take adds to heard first), a heartbeat acknowledges it, and the tick takes the agent for silent before the message is applied. The named tests replay them. The order of steps is mixed by SplitMix64: with the plain xorshift small seeds all took the first steps first.

--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -118,3 +118,35 @@
         assert_eq!((world.late, world.twice), (None, None));
     }
 }
+
+/// Guards against an entry that wakes, acknowledges new messages and stalls again before it sees
+/// that a caller has left: the agent keeps the runs until the caller's copy comes.
+#[test]
+fn waking_entry_acknowledges_nothing_before_it_ends_jobs() {
+    let stalls = |steps, ms| Fault::Stall { process: EntryOf(0), steps, ms, order: 12 };
+    let plan = [
+        (0, SUBMIT),
+        (300, stalls(0, 550)),
+        (10, Fault::Leave { job: 0 }),
+        (100, stalls(12, 3_000)),
+        (900, stall(AgentOf(1), 3_000)),
+    ];
+    let world = World::play(&plan, [0; AGENTS]);
+    assert_eq!((world.late, world.twice), (None, None));
+}
+
+/// Guards against an acknowledgement of a message that the entry has counted and not applied: the
+/// agent keeps runs that its entry, for which it is still silent, takes for lost.
+#[test]
+fn counted_message_is_acknowledged_once_it_is_applied() {
+    let stalls = |steps, ms| Fault::Stall { process: EntryOf(0), steps, ms, order: 32 };
+    let plan = [
+        (0, SUBMIT),
+        (300, stall(AgentOf(1), 550)),
+        (551, stalls(1, 150)),
+        (30, stalls(7, 850)),
+        (700, stall(AgentOf(1), 3_000)),
+    ];
+    let world = World::play(&plan, [0; AGENTS]);
+    assert_eq!((world.late, world.twice), (None, None));
+}
--- a/crates/decide/tests/run_bound_chain/mod.rs
+++ b/crates/decide/tests/run_bound_chain/mod.rs
@@ -140,10 +140,11 @@
         if self.order == 0 {
             return 0;
         }
-        self.order ^= self.order << 13;
-        self.order ^= self.order >> 7;
-        self.order ^= self.order << 17;
-        (self.order >> 33) as usize % count
+        // SplitMix64.
+        self.order = self.order.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.order ^ (self.order >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (mixed >> 33) as usize % count
     }
 }
 /// Where a caller's job is.
