--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -32,7 +32,7 @@
         echo "green seed=$1 $2"
         return 0
     fi
-    kept=$(sed -n 's/^logs are in //p' "$log")
+    kept=$(sed -n '/^logs are in /{s///p;q;}' "$log")
     if [ -n "$kept" ]; then
         cp -r "$kept" "$out/$2-$1"
     fi
