Count a message after it has put off the loss of its agent

Seen by the model: a message that was counted, and not applied yet, was acknowledged by a heartbeat, and the tick took the agent for silent before it was applied. The agent kept the runs for its contact.

Change: a message is counted once it has moved the time of the last contact. The platform's programs run on one thread, so that the order of steps was never seen there; the service does not rely on it.

--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -261,8 +261,9 @@
     }
 
     fn take(&self, message: FromRunsAgent) {
-        self.heard.lock().record(self.service.passes());
         let is_present = self.update(|dispatch, now_ms| dispatch.agent_heard(self.agent, now_ms));
+        // Not before: an acknowledged message must have put off the loss of the agent.
+        self.heard.lock().record(self.service.passes());
         if is_present.is_none() {
             return;
         }
