Hellos of an agent are numbered, and an overtaken one makes no connection

Seen: a task ran twice at once with no silence, no restart and no lost process: an agent that got no welcome in time gave the connection up and made another one, over which a run was ordered. Then the hello of the first arrived. The entry took its connection for the newest, and the run, which that hello does not list, for over. Run 2 was ordered elsewhere, nothing stopped run 1, and it ended as done.

Cause: nothing told which hello was made later; the one that arrived last counted.

Change: an agent numbers its hellos, and an entry drops a connection whose hello was made before that of a connection it knows (`hello_overtaken`). The number is a new field of the hello, so that agents and entries of earlier builds do not link to this one.

A connection of agent_links takes its number as it is opened, as an agent does.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -466,5 +466,6 @@
         held_runs: last_entry.map(|entry| ledger.held_runs(entry)).unwrap_or_default(),
         unconfirmed_reports: last_entry.map(|entry| ledger.reports(entry)).unwrap_or_default(),
         configuration_revision: agent.configuration_revision(),
+        number: agent.hellos.fetch_add(1, Ordering::AcqRel) + 1,
     }
 }
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -13,7 +13,11 @@
     crate::evacuation,
     parking_lot::Mutex,
     rand::Rng,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::AtomicU64},
+        time::Duration,
+    },
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
         copies::{CopyFetch, FetchLimits},
@@ -81,6 +85,8 @@
     pub(crate) dropped_owners: watch::Sender<Vec<Incarnation>>,
     /// Requests an immediate renewal, whose answer lists the runs of the upstream.
     pub(crate) renew_now: Notify,
+    /// Number of the last hello.
+    pub(crate) hellos: AtomicU64,
 }
 
 impl LeasedAgent {
@@ -115,6 +121,7 @@
             proven_instance: watch::Sender::new(None),
             dropped_owners: watch::Sender::new(Vec::new()),
             renew_now: Notify::new(),
+            hellos: AtomicU64::new(0),
         });
         tokio::spawn(lease::keep_lease(Arc::clone(&agent)));
         tokio::spawn(tick(Arc::clone(&agent)));
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -66,6 +66,8 @@
     pub instance: Option<UpstreamInstance>,
     /// The load in the agent's last report.
     pub load: UpstreamLoad,
+    /// Number of the hello of the current connection.
+    pub hello: u64,
     /// Time until which runs of an earlier incarnation of the agent may continue.
     pub earlier_runs_until_ms: Option<u64>,
     /// Time until which the upstream says that it is slow after its start.
@@ -103,6 +105,7 @@
             last_heard_ms: now_ms,
             instance: None,
             load: UpstreamLoad::default(),
+            hello: 0,
             earlier_runs_until_ms: None,
             cold_until_ms: None,
             last_report: 0,
@@ -132,6 +135,7 @@
         self.incarnation = incarnation;
         self.earlier_runs_until_ms = Some(earlier_runs_until_ms);
         self.last_report = 0;
+        self.hello = 0;
     }
 
     /// Returns whether a report is new. One that is sent again may be about an earlier submission
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -131,6 +131,21 @@
         }
     }
 
+    /// Whether a later hello of the same incarnation of the agent has arrived before this one. The
+    /// agent has given the connection up then, and the hello does not list the runs placed since.
+    #[must_use]
+    pub fn is_hello_overtaken(&self, name: &str, incarnation: Incarnation, number: u64) -> bool {
+        let view = self.by_name.get(name).and_then(|key| self.agents.get(*key));
+        view.is_some_and(|view| view.incarnation == incarnation && number < view.hello)
+    }
+
+    /// Records the number of the hello of an agent's current connection.
+    pub fn set_hello(&mut self, key: AgentKey, number: u64) {
+        if let Some(view) = self.agents.get_mut(key) {
+            view.hello = number;
+        }
+    }
+
     /// Registers an agent that has connected. `held` are the runs of this entry that the agent
     /// still has, if it knows this incarnation of the entry. They tell nothing of runs that an
     /// earlier incarnation of the agent left.
--- a/crates/decide/tests/run_bound_chain/agent.rs
+++ b/crates/decide/tests/run_bound_chain/agent.rs
@@ -50,6 +50,8 @@
     pub orders: Vec<(u64, u64, CallBody)>,
     pub pending: Vec<Pending>,
     pub next_call: u64,
+    /// Number of the last hello.
+    pub hellos: u64,
     pub links: [AgentLink; ENTRIES],
 }
 
@@ -110,6 +112,7 @@
             orders: Vec::new(),
             pending: Vec::new(),
             next_call: 0,
+            hellos: 0,
             links: std::array::from_fn(|_| link()),
         }
     }
@@ -264,6 +267,7 @@
     }
 
     pub fn dial(&mut self, name: usize, entry: usize, now_ms: u64) -> RunsHello {
+        self.hellos += 1;
         let link = &mut self.links[entry];
         let known = link.last_entry;
         let hello = RunsHello {
@@ -274,6 +278,7 @@
             held_runs: known.map(|known| self.ledger.held_runs(known)).unwrap_or_default(),
             unconfirmed_reports: known.map(|known| self.ledger.reports(known)).unwrap_or_default(),
             configuration_revision: 0,
+            number: self.hellos,
         };
         let last_report = hello.unconfirmed_reports.last().map_or(0, |report| report.number);
         let held_runs = hello.held_runs.clone();
--- a/crates/decide/tests/run_bound_chain/entry.rs
+++ b/crates/decide/tests/run_bound_chain/entry.rs
@@ -207,10 +207,14 @@
         let held = is_same.then_some(&*hello.held_runs);
         let reports = &hello.unconfirmed_reports;
         let dispatch = &mut self.dispatch;
+        if dispatch.is_hello_overtaken(&hello.name, hello.agent, hello.number) {
+            return;
+        }
         if is_same {
             dispatch.apply_resent_reports(&hello.name, hello.agent, reports, now_ms);
         }
         let key = dispatch.agent_connected(&hello.name, hello.agent, held, now_ms);
+        dispatch.set_hello(key, hello.number);
         dispatch.set_data_centre(key, &hello.data_centre);
         dispatch.agent_ready(key, now_ms);
         self.agents.insert(key, agent);
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -121,7 +121,7 @@
         Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
         Err(_) => return event!(Info, "hello_late", peer = peer),
     };
-    let link = Link::begin(&service, peer, hello);
+    let Some(link) = Link::begin(&service, peer, hello) else { return };
     let end = link.run(reader, writer).await;
     link.end(&end);
 }
@@ -165,11 +165,15 @@
 }
 
 impl Link {
-    fn begin(service: &Arc<JobService>, peer: SocketAddr, hello: RunsHello) -> Self {
+    /// Makes this the agent's connection, unless its hello was overtaken by a later one.
+    fn begin(service: &Arc<JobService>, peer: SocketAddr, hello: RunsHello) -> Option<Self> {
         let outbox = Arc::new(Outbox::default());
         let same = hello.last_heard_entry == Some(service.incarnation);
         let held = same.then_some(&*hello.held_runs);
         let agent = service.change(|dispatch, now_ms| {
+            if dispatch.is_hello_overtaken(&hello.name, hello.agent, hello.number) {
+                return None;
+            }
             if same {
                 // What became of runs goes before what is held no more.
                 dispatch.apply_resent_reports(
@@ -180,6 +184,7 @@
                 );
             }
             let agent = dispatch.agent_connected(&hello.name, hello.agent, held, now_ms);
+            dispatch.set_hello(agent, hello.number);
             dispatch.set_data_centre(agent, &hello.data_centre);
             dispatch.agent_ready(agent, now_ms);
             // The present messages of the dispatch belong to this connection.
@@ -190,8 +195,12 @@
             let upstream = dispatch.instance(agent).cloned();
             dispatch.message_sent(agent, None, now_ms);
             outbox.push(ToRunsAgent::Welcome { entry: service.incarnation, upstream });
-            agent
+            Some(agent)
         });
+        let Some(agent) = agent else {
+            event!(Info, "hello_overtaken", agent = hello.name, peer = peer, run = hello.agent);
+            return None;
+        };
         event!(
             Info,
             "agent_connected",
@@ -207,7 +216,7 @@
         service.add_copy_source(agent, &hello.name, hello.configuration_revision);
         let mut heard = Receipts::default();
         heard.record(service.passes());
-        Self {
+        Some(Self {
             service: Arc::clone(service),
             peer,
             agent,
@@ -217,7 +226,7 @@
             confirmed: AtomicU64::new(confirmed),
             agent_revision: AtomicU64::new(hello.configuration_revision),
             agent_evacuations: Mutex::default(),
-        }
+        })
     }
 
     fn end(&self, end: &LinkEnd) {
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -4,7 +4,10 @@
 use {
     std::{
         net::SocketAddr,
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::{Duration, Instant},
     },
     sycamorerail_decide::dispatch::{
@@ -28,6 +31,8 @@
     },
 };
 
+static HELLOS: AtomicU64 = AtomicU64::new(1);
+
 const CAPACITY: Resources = Resources { cpu_milli: 10_000, memory_mb: 1_000, accelerators: 0 };
 const TASK: TaskKey = TaskKey { job: CallerJobId(1), step: 0, index: 0 };
 const FIRST: Incarnation = Incarnation(1);
@@ -77,6 +82,8 @@
     writer: FrameWriter,
     /// Incarnation of the agent.
     run: Incarnation,
+    /// Number of the hello, which agents take as they connect.
+    hello: u64,
     /// Number of messages received.
     heard: u64,
 }
@@ -84,7 +91,8 @@
 impl Connection {
     async fn open(entry: SocketAddr) -> Self {
         let (reader, writer) = frames::connect(entry, PATIENCE).await.unwrap();
-        Self { reader, writer, run: FIRST, heard: 0 }
+        let hello = HELLOS.fetch_add(1, Ordering::Relaxed);
+        Self { reader, writer, run: FIRST, hello, heard: 0 }
     }
 
     async fn greet(&mut self, name: &str, heard: Option<Incarnation>, held: &[(TaskKey, u32)]) {
@@ -96,6 +104,7 @@
             held_runs: held.to_vec(),
             unconfirmed_reports: Vec::new(),
             configuration_revision: 0,
+            number: self.hello,
         };
         self.writer.push(&RunsFirstMessage::Agent(hello)).unwrap();
         self.writer.flush().await.unwrap();
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -439,6 +439,9 @@
     pub unconfirmed_reports: Vec<RunReport>,
     /// Revision of the configuration copy that the agent holds.
     pub configuration_revision: u64,
+    /// Number of the hello, which rises over all that this incarnation of the agent sends. A
+    /// connection that the agent has given up may deliver its hello after that of the next one.
+    pub number: u64,
 }
 
 /// First message on a connection to an entry.
