Model: late welcomes, leftovers, and the hello of a killed agent

An entry that hears the late hello of a killed agent takes the runs of the next agent for lost; an agent renews its predecessor's leftovers and stalls; a late welcome counts as a contact of its own moment.

--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -150,3 +150,43 @@
     let world = World::play(&plan, [0; AGENTS]);
     assert_eq!((world.late, world.twice), (None, None));
 }
+
+/// Guards against a late hello of an agent that has been killed: after it, what the next agent
+/// says of itself passes for a restart.
+#[test]
+fn late_hello_of_a_killed_agent_loses_no_run() {
+    let reset = Fault::Reset { entry: 0, agent: 1 };
+    let kill = Fault::Kill { process: AgentOf(1), restart_ms: 50 };
+    let plan = [(0, reset), (3, cut(1, [true, false], 300, 900)), (50, kill), (600, SUBMIT)];
+    let world = World::play(&plan, [20; AGENTS]);
+    assert_eq!((world.late, world.twice), (None, None));
+}
+
+/// Guards against an agent that renews the lease of its predecessor's runs and stalls before it
+/// stops them.
+#[test]
+fn next_agent_renews_no_lease_of_the_one_before() {
+    for steps in 0..16 {
+        let kill = Fault::Kill { process: AgentOf(1), restart_ms: 400 };
+        let stall = Fault::Stall { process: AgentOf(1), steps, ms: 3_000, order: 0 };
+        let cut = cut(1, [true; 2], 3_000, 0);
+        let plan = [(0, SUBMIT), (300, cut), (10, kill), (401, stall)];
+        let world = World::play(&plan, [20; AGENTS]);
+        assert_eq!((world.late, world.twice), (None, None));
+    }
+}
+
+/// Guards against a welcome that comes late and counts as a contact of that moment: the entry has
+/// not heard the agent since its hello.
+#[test]
+fn late_welcome_is_a_contact_of_the_hello() {
+    let plan = [
+        (0, SUBMIT),
+        (300, Fault::Reset { entry: 0, agent: 1 }),
+        (3, cut(1, [false, true], 321, 0)),
+        (4, cut(1, [true, false], 3_500, 0)),
+        (640, stall(AgentOf(1), 3_500)),
+    ];
+    let world = World::play(&plan, [20; AGENTS]);
+    assert_eq!((world.late, world.twice), (None, None));
+}
