Model: agents and entries take the steps that they take now

Contact is noted as of the hello and by acknowledgements, messages are counted once they are applied and acknowledged after a pass, the second heartbeat follows after 40 ms. The hello of a killed agent remains.

--- a/crates/decide/tests/run_bound_chain/agent.rs
+++ b/crates/decide/tests/run_bound_chain/agent.rs
@@ -311,8 +311,9 @@
             }
             ToRunsAgent::Heartbeat { heard, confirmed, .. } => {
                 open.acks.record_ack(heard);
-                let heard_ms = open.acks.acked_sent_ms();
-                self.ledger.note_owner_contact(open.entry, heard_ms);
+                if let Some(heard_ms) = open.acks.last_ack_sent_ms() {
+                    self.ledger.note_owner_contact(open.entry, heard_ms);
+                }
                 self.ledger.confirm_reports(open.entry, confirmed);
                 return;
             }
@@ -331,7 +332,7 @@
         let Some(hello) = self.links[from].hello.take() else { return };
         let last_entry = self.links[from].last_entry.replace(entry);
         let is_same = last_entry == Some(entry);
-        self.ledger.note_owner_contact(entry, now_ms);
+        self.ledger.introduce_owner(entry, hello.sent_ms);
         if is_same {
             self.ledger.report_missing_runs(entry, &hello.held_runs);
         }
@@ -341,8 +342,8 @@
         if let Some(before) = last_entry.filter(|_| !is_same) {
             self.ledger.drop_owner(before);
         }
-        let mut acks = AckTracker::new(now_ms);
-        acks.record_sent(now_ms);
+        let mut acks = AckTracker::new(hello.sent_ms);
+        acks.record_sent(hello.sent_ms);
         self.links[from].open = Some(OpenLink {
             entry,
             acks,
--- a/crates/decide/tests/run_bound_chain/entry.rs
+++ b/crates/decide/tests/run_bound_chain/entry.rs
@@ -3,9 +3,12 @@
 use {
     super::{Connection, LATENCY_MS, upstream::RUN_MS},
     std::collections::{BTreeMap, VecDeque},
-    sycamorerail_decide::dispatch::{
-        AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest, KindParameters,
-        StepRequest,
+    sycamorerail_decide::{
+        dispatch::{
+            AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest,
+            KindParameters, StepRequest,
+        },
+        receipts::Receipts,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -15,6 +18,7 @@
 
 const ENTRY_TICK_MS: u64 = 20;
 const HEARTBEAT_MS: u64 = 200;
+const SECOND_BEAT_MS: u64 = 40;
 const ENTRY_SILENCE_MS: u64 = 2_500;
 
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +37,7 @@
     pub incarnation: Incarnation,
     pub dispatch: Dispatch,
     pub tick_ms: u64,
+    pub passes: u64,
     /// Connections whose hello was not read yet.
     pub backlog: Vec<usize>,
     pub links: Vec<EntryLink>,
@@ -57,9 +62,10 @@
     pub agent: AgentKey,
     pub is_present: bool,
     pub outbox: Vec<ToRunsAgent>,
-    pub heard: u64,
+    pub heard: Receipts,
     pub confirmed: u64,
     pub beat_ms: u64,
+    pub is_first_beat: bool,
     pub silent_ms: u64,
     /// A message that was counted and not applied yet.
     pub counted: Option<FromRunsAgent>,
@@ -96,6 +102,7 @@
             incarnation,
             dispatch: Dispatch::new(DispatchLimits::default(), incarnation),
             tick_ms: now_ms,
+            passes: 0,
             backlog: Vec::new(),
             links: Vec::new(),
             agents: BTreeMap::new(),
@@ -176,6 +183,7 @@
         self.tick_ms = now_ms + ENTRY_TICK_MS;
         self.dispatch.tick(now_ms);
         self.act(now_ms);
+        self.passes += 1;
     }
 
     pub fn handle_caller(&mut self, now_ms: u64) {
@@ -222,14 +230,17 @@
         before.for_each(|link| link.is_present = false);
         let upstream = dispatch.instance(key).cloned();
         dispatch.message_sent(key, None, now_ms);
+        let mut heard = Receipts::default();
+        heard.record(self.passes);
         self.links.push(EntryLink {
             connection,
             agent: key,
             is_present: true,
             outbox: vec![ToRunsAgent::Welcome { entry: self.incarnation, upstream }],
-            heard: 1,
+            heard,
             confirmed: if is_same { reports.last().map_or(0, |last| last.number) } else { 0 },
             beat_ms: now_ms,
+            is_first_beat: true,
             silent_ms: now_ms + ENTRY_SILENCE_MS,
             counted: None,
         });
@@ -238,7 +249,6 @@
 
     pub fn count(&mut self, link: usize, message: FromRunsAgent, now_ms: u64) {
         let link = &mut self.links[link];
-        link.heard += 1;
         link.silent_ms = now_ms + ENTRY_SILENCE_MS;
         link.counted = Some(message);
     }
@@ -246,6 +256,10 @@
     pub fn apply(&mut self, link: usize, now_ms: u64) {
         let link = &mut self.links[link];
         let message = link.counted.take().filter(|_| link.is_present);
+        if message.is_some() {
+            self.dispatch.agent_heard(link.agent, now_ms);
+        }
+        link.heard.record(self.passes);
         match message {
             Some(FromRunsAgent::Report { heard, reports, load }) => {
                 let last = reports.last().map_or(0, |report| report.number);
@@ -262,10 +276,13 @@
 
     pub fn beat(&mut self, link: usize, now_ms: u64) {
         let link = &mut self.links[link];
-        link.beat_ms += HEARTBEAT_MS;
+        let pause_ms = if link.is_first_beat { SECOND_BEAT_MS } else { HEARTBEAT_MS };
+        link.is_first_beat = false;
+        link.beat_ms += pause_ms;
         if link.is_present {
             self.dispatch.message_sent(link.agent, None, now_ms);
-            let (heard, confirmed) = (link.heard, link.confirmed);
+            let heard = link.heard.acknowledgeable(self.passes);
+            let confirmed = link.confirmed;
             let largest = Resources::default();
             link.outbox.push(ToRunsAgent::Heartbeat { heard, confirmed, agents: 0, largest });
         }
