Runs that a restarted agent holds are none of its predecessor's

Seen by the model: the hello of a killed agent arrives after the next agent has connected and got runs. The entry takes it for a restart, then the next agent's own hello for another one, and, as that agent is usable, all runs there for the predecessor's and over. They were ordered elsewhere while they ran.

Cause: whatever was placed at an agent before its incarnation changed counted as left by the incarnation before.

Change: runs that the hello lists as held are not lost with the earlier ones. Runs of jobs that are over are stopped after every hello.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -7,7 +7,7 @@
     std::{collections::VecDeque, ops::RangeInclusive},
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{PRIORITY_CLASSES, Resources, UpstreamInstance, UpstreamLoad},
+        runs::{PRIORITY_CLASSES, Resources, TaskKey, UpstreamInstance, UpstreamLoad},
     },
 };
 
@@ -39,6 +39,24 @@
     work_milli_ms: u64,
 }
 
+/// Runs at an agent that an earlier incarnation of it has left.
+#[derive(Clone, Debug)]
+pub struct EarlierRuns {
+    /// When they have certainly ended.
+    pub until_ms: u64,
+    /// Runs that the present incarnation holds, and that are none of them. It holds some if the
+    /// hello of an earlier incarnation arrived after its own.
+    pub held: Vec<(TaskKey, u32)>,
+}
+
+impl EarlierRuns {
+    /// Whether a run at the agent is one of them.
+    #[must_use]
+    pub fn contains(&self, task: TaskKey, run: u32) -> bool {
+        !self.held.contains(&(task, run))
+    }
+}
+
 /// An entry's view of one agent.
 #[derive(Debug)]
 pub struct AgentView {
@@ -68,8 +86,8 @@
     pub load: UpstreamLoad,
     /// Number of the hello of the current connection.
     pub hello: u64,
-    /// Time until which runs of an earlier incarnation of the agent may continue.
-    pub earlier_runs_until_ms: Option<u64>,
+    /// Runs of an earlier incarnation of the agent, until they are known to be over.
+    pub earlier_runs: Option<EarlierRuns>,
     /// Time until which the upstream says that it is slow after its start.
     pub cold_until_ms: Option<u64>,
     /// Number of the last report that was applied. Numbers rise for as long as the agent's
@@ -106,7 +124,7 @@
             instance: None,
             load: UpstreamLoad::default(),
             hello: 0,
-            earlier_runs_until_ms: None,
+            earlier_runs: None,
             cold_until_ms: None,
             last_report: 0,
             acks: AckTracker::new(now_ms),
@@ -131,9 +149,9 @@
     }
 
     /// Begins another incarnation of the agent, whose reports are numbered anew.
-    pub fn restart(&mut self, incarnation: Incarnation, earlier_runs_until_ms: u64) {
+    pub fn restart(&mut self, incarnation: Incarnation, earlier_runs: EarlierRuns) {
         self.incarnation = incarnation;
-        self.earlier_runs_until_ms = Some(earlier_runs_until_ms);
+        self.earlier_runs = Some(earlier_runs);
         self.last_report = 0;
         self.hello = 0;
     }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -1,7 +1,9 @@
 //! Agents that connect, report, fall silent and reconnect.
 
 use {
-    super::{AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss},
+    super::{
+        AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss, agents::EarlierRuns,
+    },
     crate::rendezvous::weight,
     std::collections::BTreeSet,
     sycamorerail_wire::{
@@ -50,10 +52,13 @@
     ) {
         let Some(view) = self.agents.get_mut(agent) else { return };
         view.set_load(load, heard, now_ms);
-        if load.usable && view.earlier_runs_until_ms.take().is_some() {
-            // A restarted agent reports itself as usable only when no run of its earlier
-            // incarnation is left.
-            self.mark_runs_lost(agent, LossCause::Restarted, |_, _| true, now_ms);
+        // A restarted agent reports itself as usable only when no run of its earlier incarnation
+        // is left.
+        if load.usable
+            && let Some(earlier) = view.earlier_runs.take()
+        {
+            let is_lost = |task, run| earlier.contains(task, run);
+            self.mark_runs_lost(agent, LossCause::Restarted, is_lost, now_ms);
         }
         self.apply_reports(agent, reports, now_ms);
         self.place_unplaced(now_ms);
@@ -73,17 +78,19 @@
             if now_ms >= agent.last_heard_ms + lost_ms {
                 return Some(LossCause::Silent);
             }
-            let until_ms = agent.earlier_runs_until_ms?;
-            (now_ms >= until_ms).then_some(LossCause::Restarted)
+            let earlier = agent.earlier_runs.as_ref()?;
+            (now_ms >= earlier.until_ms).then_some(LossCause::Restarted)
         };
         let lost =
             self.agents.values().filter_map(|agent| Some((agent.key, cause_of_loss(agent)?)));
         let lost: Vec<_> = lost.collect();
         for (key, cause) in lost {
-            if let Some(view) = self.agents.get_mut(key) {
-                view.earlier_runs_until_ms = None;
-            }
-            self.mark_runs_lost(key, cause, |_, _| true, now_ms);
+            let earlier = self.agents.get_mut(key).and_then(|view| view.earlier_runs.take());
+            let is_lost = |task, run| match (cause, &earlier) {
+                (LossCause::Restarted, Some(earlier)) => earlier.contains(task, run),
+                _ => true,
+            };
+            self.mark_runs_lost(key, cause, is_lost, now_ms);
         }
     }
 
@@ -166,12 +173,14 @@
         };
         let view = &mut self.agents[key];
         if view.incarnation != incarnation {
-            view.restart(incarnation, now_ms + self.limits.lost_ms);
-        } else if let Some(held) = held.filter(|_| view.earlier_runs_until_ms.is_none()) {
+            let until_ms = now_ms + self.limits.lost_ms;
+            let held = held.map_or_else(Vec::new, <[_]>::to_vec);
+            view.restart(incarnation, EarlierRuns { until_ms, held });
+        } else if let Some(held) = held.filter(|_| view.earlier_runs.is_none()) {
             let is_lost = |task, run| !held.contains(&(task, run));
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
-            self.stop_ended_jobs(key, held);
         }
+        self.stop_ended_jobs(key, held.unwrap_or_default());
         key
     }
 
