Request no lease longer than a second

Cause: the agent requested leases as long as the upstream grants. With them grows the time for which it trusts an upstream that does not answer, and so the error of the clock that it extrapolates.

Change: leases are 1 s at most, as on all other deployments.

--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -11,6 +11,14 @@
 };
 
 impl LedgerLimits {
+    /// Returns the limits for an upstream that grants leases of up to this length. No lease is
+    /// longer than the default one: the error of the upstream's clock grows with it.
+    #[must_use]
+    pub fn for_upstream(longest_lease_ms: u64) -> Self {
+        let default = Self::default();
+        Self { lease_ms: default.lease_ms.min(longest_lease_ms), ..default }
+    }
+
     /// Returns the longest time for which a run may go on after the last contact with its entry,
     /// in milliseconds. The upstream's clock may be slow while the lease runs, and while the agent
     /// extrapolates it from the last answer.
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -204,6 +204,16 @@
     assert_eq!(ledger.lease_until_clock_ms(610), Some(CLOCK_MS + 110 + lease_ms));
 }
 
+/// Guards against an upstream that grants leases so long that runs outlive a caller's patience.
+#[test]
+fn runs_are_over_in_time_whatever_leases_the_upstream_grants() {
+    for longest_lease_ms in [100, 1_000, 15_000, 600_000] {
+        let limits = LedgerLimits::for_upstream(longest_lease_ms);
+        assert!(limits.lease_ms <= longest_lease_ms);
+        assert!(limits.longest_run_after_contact_ms() < RETRY_MS, "{longest_lease_ms}");
+    }
+}
+
 /// Guards against timeouts that let two runs of a task overlap when one of them is changed.
 #[test]
 fn runs_are_over_before_their_tasks_start_elsewhere() {
