--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -190,3 +190,21 @@
     let world = World::play(&plan, [20; AGENTS]);
     assert_eq!((world.late, world.twice), (None, None));
 }
+
+/// Guards against an entry that stalls twice and acknowledges a message in between, before it sees
+/// that a caller has left.
+#[test]
+fn caller_that_left_is_seen_before_an_acknowledgement() {
+    for steps in [16, 20] {
+        let stalls = |steps, ms| Fault::Stall { process: EntryOf(0), steps, ms, order: 274 };
+        let plan = [
+            (0, SUBMIT),
+            (300, stalls(0, 550)),
+            (10, Fault::Leave { job: 0 }),
+            (100, stalls(steps, 3_000)),
+            (900, stall(AgentOf(1), 3_000)),
+        ];
+        let world = World::play(&plan, [0; AGENTS]);
+        assert_eq!((world.late, world.twice), (None, None));
+    }
+}
--- a/crates/decide/tests/run_bound_chain/entry.rs
+++ b/crates/decide/tests/run_bound_chain/entry.rs
@@ -18,7 +18,7 @@
 
 const ENTRY_TICK_MS: u64 = 20;
 const HEARTBEAT_MS: u64 = 200;
-const SECOND_BEAT_MS: u64 = 40;
+const SECOND_BEAT_MS: u64 = 60;
 const ENTRY_SILENCE_MS: u64 = 2_500;
 
 #[derive(Clone, Copy, Debug)]
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -40,7 +40,7 @@
 /// Heartbeat of each link: a one-way cut is seen within three of them.
 const BEAT: Duration = Duration::from_millis(200);
 /// From the first heartbeat of a link to the second one, which acknowledges the agent's hello.
-const SECOND_BEAT: Duration = Duration::from_millis(40);
+const SECOND_BEAT: Duration = Duration::from_millis(60);
 /// An agent that was not heard for this long is disconnected.
 const SILENCE_MS: u64 = 2_500;
 
