Entries that are gone bound no lease for long, and starts need a lease

Seen by the review: after the death of an entry all agents that knew it shortened the leases of all runs to 300 ms until it counted as silent, also agents without a run of it, so that a stall of some 300 ms lost the runs of all entries. And a start could be ordered with 3 ms left of its lease.

Change: an entry whose connection has ended is forgotten at once if it has neither runs nor unconfirmed reports at the agent; the next connection introduces it anew. Nothing is ordered under a lease that ends within 50 ms.

ledger_leases::a_forgotten_entry_without_runs_bounds_no_lease and nothing_starts_under_a_lease_that_is_about_to_end. An entry that has runs, or is cut off, shortens leases as before.

--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -275,9 +275,12 @@
                 let end = link.run(reader, writer).await;
                 agent.links.disconnected_from(peer, agent.clock.now_ms());
                 agent.copies.lock().remove_source(link.entry);
-                if matches!(end, LinkEnd::Released) {
-                    agent.update_ledger(|ledger, _| ledger.drop_owner(link.entry));
-                }
+                agent.update_ledger(|ledger, _| match end {
+                    LinkEnd::Released => ledger.drop_owner(link.entry),
+                    LinkEnd::Broken(_) | LinkEnd::Silent => {
+                        ledger.forget_settled_owner(link.entry);
+                    }
+                });
                 event!(Info, "link_ended", peer = peer, entry = link.entry, end = end);
             }
             Err(error) => {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -61,6 +61,9 @@
 /// An ordered run that the upstream does not list this long after the order was sent is
 /// stopped. An order is usually carried out and answered within 2 ms.
 const START_CONFIRM_WITHIN_MS: u64 = 25;
+/// Shortest time that a start needs, in milliseconds: the first renewal after it must be answered
+/// before its own deadline ends the run.
+const MIN_START_MS: u64 = 50;
 /// Number of waiting tasks examined for one that fits, so that a large task at the head of the
 /// queue does not leave capacity unused for long.
 const MAX_TASKS_EXAMINED: usize = 16;
@@ -359,6 +362,14 @@
         }
     }
 
+    /// Forgets an entry whose connection has ended, unless it has runs or unconfirmed reports here.
+    /// Until it is heard from again, its silence bounds no lease.
+    pub fn forget_settled_owner(&mut self, owner: Incarnation) {
+        if self.is_owner_settled(owner) {
+            self.owners.remove(owner);
+        }
+    }
+
     /// Whether an entry has neither runs nor unconfirmed reports here.
     #[must_use]
     pub fn is_owner_settled(&self, owner: Incarnation) -> bool {
@@ -492,7 +503,7 @@
         }
         self.reorder_waiting(now_ms);
         let until_ms = self.lease_end_ms(now_ms, self.limits.start_within_ms);
-        if until_ms <= now_ms {
+        if until_ms < now_ms + MIN_START_MS {
             return None;
         }
         let instance = self.announced_instance.as_ref()?;
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -164,6 +164,31 @@
     assert_eq!(start(&mut ledger, 520).unwrap().task, task(1));
 }
 
+/// Guards against a start whose lease ends before the next renewal can prolong it.
+#[test]
+fn nothing_starts_under_a_lease_that_is_about_to_end() {
+    let mut ledger = ledger_with_run();
+    ledger.note_owner_contact(OTHER_ENTRY, 1_190);
+    renew(&mut ledger, 1_190, &[(task(1), 1)]);
+    ledger.drop_silent_owners(1_190);
+    ledger.place(OTHER_ENTRY, placement(2), 1_190);
+    assert_eq!(start(&mut ledger, 1_190), None);
+    renew(&mut ledger, 1_250, &[]);
+    assert_eq!(start(&mut ledger, 1_250).unwrap().task, task(2));
+}
+
+/// Guards against an entry that is gone and shortens the leases of all other entries' runs.
+#[test]
+fn a_forgotten_entry_without_runs_bounds_no_lease() {
+    let mut ledger = ledger_with_run();
+    ledger.forget_settled_owner(ENTRY);
+    ledger.forget_settled_owner(OTHER_ENTRY);
+    ledger.note_owner_contact(ENTRY, 880);
+    renew(&mut ledger, 890, &[(task(1), 1)]);
+    assert_eq!(lease_end_ms(&mut ledger, 890), Some(1_890));
+    assert_eq!(ledger.held_runs(ENTRY), [(task(1), 1)]);
+}
+
 /// Guards against a restarted agent that keeps runs alive which entries count as over.
 #[test]
 fn runs_of_an_earlier_agent_are_not_renewed() {
