Name what an entry knows of an agent's processes

AgentView had the incarnation twice, and `last` for the numbers of the current one. AgentProcess is one process of the agent with the numbers of its last hello and report; losing silent agents and losing what an earlier process left are two functions; asking whether a hello was overtaken changes nothing.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -39,13 +39,13 @@
     work_milli_ms: u64,
 }
 
-/// Runs at an agent that an earlier incarnation of it has left.
+/// Runs at an agent that its process before the current one has left.
 #[derive(Clone, Debug)]
 pub struct EarlierRuns {
     /// When they have certainly ended.
     pub until_ms: u64,
-    /// Runs that the present incarnation holds, and that are none of them. It holds some if the
-    /// hello of an earlier incarnation arrived after its own.
+    /// Runs that the current process holds, and that are therefore none of them. It holds some if
+    /// the hello of the process before it arrived late, after its own.
     pub held: Vec<(TaskKey, u32)>,
 }
 
@@ -57,23 +57,27 @@
     }
 }
 
-/// Numbers of the last messages of one incarnation of an agent.
+/// One incarnation of an agent, and how far its numbered messages have been handled.
 #[derive(Clone, Copy, Debug)]
-pub struct LastNumbers {
+pub struct AgentProcess {
     /// The incarnation.
     pub incarnation: Incarnation,
     /// Number of the hello of its last connection.
-    pub hello: u64,
+    pub last_hello: u64,
     /// Number of its last report that was applied.
-    pub report: u64,
+    pub last_report: u64,
 }
 
-impl LastNumbers {
+impl AgentProcess {
+    fn new(incarnation: Incarnation) -> Self {
+        Self { incarnation, last_hello: 0, last_report: 0 }
+    }
+
     /// Returns whether a report is new. One that is sent again may be about an earlier submission
     /// of a job, whose runs had the same numbers.
     pub fn take_report(&mut self, number: u64) -> bool {
-        let is_new = number > self.report;
-        self.report = self.report.max(number);
+        let is_new = number > self.last_report;
+        self.last_report = self.last_report.max(number);
         is_new
     }
 }
@@ -91,8 +95,11 @@
     pub is_evacuated: bool,
     /// Rank of the agent in the order that is this entry's own; lower ranks come first.
     pub rank: u64,
-    /// Current incarnation of the agent.
-    pub incarnation: Incarnation,
+    /// Process that made the agent's last connection.
+    pub process: AgentProcess,
+    /// The process before it. It may be the one that lives: a hello of one that has ended may
+    /// arrive late.
+    pub previous_process: Option<AgentProcess>,
     /// Whether the agent is connected.
     pub connected: bool,
     /// Whether the agent is about to close its connection.
@@ -105,12 +112,7 @@
     pub instance: Option<UpstreamInstance>,
     /// The load in the agent's last report.
     pub load: UpstreamLoad,
-    /// Numbers of the current incarnation's last messages.
-    pub last: LastNumbers,
-    /// Those of the incarnation before. It may be the one that lives: the hello of a process that
-    /// has ended may arrive late.
-    pub previous: Option<LastNumbers>,
-    /// Runs of an earlier incarnation of the agent, until they are known to be over.
+    /// Runs that the process before the current one has left, until they are known to be over.
     pub earlier_runs: Option<EarlierRuns>,
     /// Time until which the upstream says that it is slow after its start.
     pub cold_until_ms: Option<u64>,
@@ -137,15 +139,14 @@
             data_centre: String::new(),
             is_evacuated: false,
             rank,
-            incarnation,
+            process: AgentProcess::new(incarnation),
+            previous_process: None,
             connected: true,
             is_disconnecting: false,
             connected_ms: now_ms,
             last_heard_ms: now_ms,
             instance: None,
             load: UpstreamLoad::default(),
-            last: LastNumbers { incarnation, hello: 0, report: 0 },
-            previous: None,
             earlier_runs: None,
             cold_until_ms: None,
             acks: AckTracker::new(now_ms),
@@ -169,19 +170,25 @@
         self.unreported_work_milli_ms = 0;
     }
 
-    /// Begins another incarnation of the agent, or returns to the one before.
-    pub fn restart(&mut self, incarnation: Incarnation, earlier_runs: EarlierRuns) {
-        let returning = self.previous.filter(|previous| previous.incarnation == incarnation);
-        let new = LastNumbers { incarnation, hello: 0, report: 0 };
-        self.previous = Some(std::mem::replace(&mut self.last, returning.unwrap_or(new)));
-        self.incarnation = incarnation;
+    /// Makes another process the current one. It may be the previous one, whose numbers go on.
+    pub fn change_process(&mut self, incarnation: Incarnation, earlier_runs: EarlierRuns) {
+        let returning = self.previous_process.filter(|other| other.incarnation == incarnation);
+        let process = returning.unwrap_or(AgentProcess::new(incarnation));
+        self.previous_process = Some(std::mem::replace(&mut self.process, process));
         self.earlier_runs = Some(earlier_runs);
     }
 
-    /// Returns the numbers of the current incarnation or the one before.
-    pub fn last_numbers(&mut self, incarnation: Incarnation) -> Option<&mut LastNumbers> {
-        let mut known = [Some(&mut self.last), self.previous.as_mut()].into_iter().flatten();
-        known.find(|last| last.incarnation == incarnation)
+    /// Returns the current or the previous process, if it is of this incarnation.
+    #[must_use]
+    pub fn process_of(&self, incarnation: Incarnation) -> Option<&AgentProcess> {
+        let mut known = [Some(&self.process), self.previous_process.as_ref()].into_iter().flatten();
+        known.find(|process| process.incarnation == incarnation)
+    }
+
+    /// Like [`Self::process_of`], to be updated.
+    pub fn process_of_mut(&mut self, incarnation: Incarnation) -> Option<&mut AgentProcess> {
+        let known = [Some(&mut self.process), self.previous_process.as_mut()];
+        known.into_iter().flatten().find(|process| process.incarnation == incarnation)
     }
 
     /// Whether the agent is connected and not about to disconnect.
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -52,9 +52,9 @@
     ) {
         let Some(view) = self.agents.get_mut(agent) else { return };
         view.set_load(load, heard, now_ms);
-        let incarnation = view.incarnation;
-        // A restarted agent reports itself as usable only when no run of its earlier incarnation
-        // is left.
+        let incarnation = view.process.incarnation;
+        // A restarted agent reports itself as usable only when no run of its earlier process is
+        // left.
         if load.usable
             && let Some(earlier) = view.earlier_runs.take()
         {
@@ -75,23 +75,29 @@
 
     pub(super) fn lose_silent_agents(&mut self, now_ms: u64) {
         let lost_ms = self.limits.lost_ms;
-        let cause_of_loss = |agent: &AgentView| {
-            if now_ms >= agent.last_heard_ms + lost_ms {
-                return Some(LossCause::Silent);
+        let is_silent = |agent: &&AgentView| now_ms >= agent.last_heard_ms + lost_ms;
+        let silent: Vec<_> =
+            self.agents.values().filter(is_silent).map(|agent| agent.key).collect();
+        for key in silent {
+            if let Some(view) = self.agents.get_mut(key) {
+                view.earlier_runs = None;
             }
-            let earlier = agent.earlier_runs.as_ref()?;
-            (now_ms >= earlier.until_ms).then_some(LossCause::Restarted)
-        };
-        let lost =
-            self.agents.values().filter_map(|agent| Some((agent.key, cause_of_loss(agent)?)));
-        let lost: Vec<_> = lost.collect();
-        for (key, cause) in lost {
-            let earlier = self.agents.get_mut(key).and_then(|view| view.earlier_runs.take());
-            let is_lost = |task, run| match (cause, &earlier) {
-                (LossCause::Restarted, Some(earlier)) => earlier.contains(task, run),
-                _ => true,
-            };
-            self.mark_runs_lost(key, cause, is_lost, now_ms);
+            self.mark_runs_lost(key, LossCause::Silent, |_, _| true, now_ms);
+        }
+    }
+
+    /// Marks the runs as lost that earlier processes of agents have left, once they have
+    /// certainly ended.
+    pub(super) fn lose_earlier_runs(&mut self, now_ms: u64) {
+        let is_over = |earlier: &mut EarlierRuns| now_ms >= earlier.until_ms;
+        let over = self
+            .agents
+            .values_mut()
+            .filter_map(|agent| Some((agent.key, agent.earlier_runs.take_if(is_over)?)));
+        let over: Vec<_> = over.collect();
+        for (key, earlier) in over {
+            let is_lost = |task, run| earlier.contains(task, run);
+            self.mark_runs_lost(key, LossCause::Restarted, is_lost, now_ms);
         }
     }
 
@@ -126,7 +132,8 @@
         self.apply_reports(key, incarnation, reports, now_ms);
     }
 
-    /// Applies new reports of the agent's incarnation, which may be the one before.
+    /// Applies the new ones among the reports of the current process of an agent, or the previous
+    /// one.
     fn apply_reports(
         &mut self,
         agent: AgentKey,
@@ -135,8 +142,9 @@
         now_ms: u64,
     ) {
         for report in reports {
-            let last = self.agents.get_mut(agent).and_then(|view| view.last_numbers(incarnation));
-            if last.is_some_and(|last| last.take_report(report.number)) {
+            let view = self.agents.get_mut(agent);
+            let process = view.and_then(|view| view.process_of_mut(incarnation));
+            if process.is_some_and(|process| process.take_report(report.number)) {
                 self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
             }
         }
@@ -145,27 +153,22 @@
     /// Whether a later hello of the same incarnation of the agent has arrived before this one. The
     /// agent has given the connection up then, and the hello does not list the runs placed since.
     #[must_use]
-    pub fn is_hello_overtaken(
-        &mut self,
-        name: &str,
-        incarnation: Incarnation,
-        number: u64,
-    ) -> bool {
-        let view = self.by_name.get(name).and_then(|key| self.agents.get_mut(*key));
-        let last = view.and_then(|view| view.last_numbers(incarnation));
-        last.is_some_and(|last| number < last.hello)
+    pub fn is_hello_overtaken(&self, name: &str, incarnation: Incarnation, number: u64) -> bool {
+        let view = self.by_name.get(name).and_then(|key| self.agents.get(*key));
+        let process = view.and_then(|view| view.process_of(incarnation));
+        process.is_some_and(|process| number < process.last_hello)
     }
 
     /// Records the number of the hello of an agent's current connection.
     pub fn set_hello(&mut self, key: AgentKey, number: u64) {
         if let Some(view) = self.agents.get_mut(key) {
-            view.last.hello = number;
+            view.process.last_hello = number;
         }
     }
 
     /// Registers an agent that has connected. `held` are the runs of this entry that the agent
     /// still has, if it knows this incarnation of the entry. They tell nothing of runs that an
-    /// earlier incarnation of the agent left.
+    /// earlier process of the agent left.
     pub fn agent_connected(
         &mut self,
         name: &str,
@@ -182,10 +185,10 @@
             return key;
         };
         let view = &mut self.agents[key];
-        if view.incarnation != incarnation {
+        if view.process.incarnation != incarnation {
             let until_ms = now_ms + self.limits.lost_ms;
             let held = held.map_or_else(Vec::new, <[_]>::to_vec);
-            view.restart(incarnation, EarlierRuns { until_ms, held });
+            view.change_process(incarnation, EarlierRuns { until_ms, held });
         } else if let Some(held) = held.filter(|_| view.earlier_runs.is_none()) {
             let is_lost = |task, run| !held.contains(&(task, run));
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
--- a/crates/decide/src/dispatch/crashes.rs
+++ b/crates/decide/src/dispatch/crashes.rs
@@ -156,7 +156,9 @@
         agent: AgentKey,
         now_ms: u64,
     ) {
-        let Some(agent) = self.agents.get(agent).map(|view| view.incarnation) else { return };
+        let Some(agent) = self.agents.get(agent).map(|view| view.process.incarnation) else {
+            return;
+        };
         let Some(own_crashes) = self.jobs.get(key).and_then(|job| job.own_crashes(task)) else {
             return;
         };
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -350,6 +350,7 @@
     /// runs of silent agents as lost.
     pub fn tick(&mut self, now_ms: u64) {
         self.lose_silent_agents(now_ms);
+        self.lose_earlier_runs(now_ms);
         self.end_cold_starts(now_ms);
         self.answer_crashing(now_ms);
         self.end_for_stop(now_ms);
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -246,7 +246,7 @@
     Silent,
     /// The agent has reconnected and does not hold the run.
     NotHeld,
-    /// The agent has restarted, and nothing of its earlier incarnation is left.
+    /// The agent has restarted, and nothing of its earlier process is left.
     Restarted,
     /// The agent has been disconnected for so long that the entry forgets it.
     Forgotten,
