--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -16,7 +16,6 @@
 fn fault() -> impl Strategy<Value = Fault> {
     let entry = 0..ENTRIES;
     let agent = 0..AGENTS;
-    let any = proptest::bool::ANY;
     let process = prop_oneof![
         1 => entry.clone().prop_map(EntryOf),
         2 => agent.clone().prop_map(AgentOf),
@@ -34,8 +33,8 @@
             .prop_map(|(entry, agents, ways, ms, lag_ms)| Fault::Cut { entry, agents, ways, ms, lag_ms }),
         1 => (entry, agent.clone()).prop_map(|(entry, agent)| Fault::Reset { entry, agent }),
         2 => (process, 20..800_u64).prop_map(|(process, restart_ms)| Fault::Kill { process, restart_ms }),
-        1 => (agent, 10..400_u64, 1..400_u64, any)
-            .prop_map(|(agent, ms, late_ms, _)| Fault::Slow { agent, ms, late_ms }),
+        1 => (agent, 10..400_u64, 1..400_u64)
+            .prop_map(|(agent, ms, late_ms)| Fault::Slow { agent, ms, late_ms }),
     ]
 }
 
