--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -25,6 +25,8 @@
 /// Limits of the dispatch, from the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DispatchLimits {
+    /// Heartbeat interval of links to agents, in milliseconds.
+    pub heartbeat_ms: u64,
     /// Silence of an agent after which it gets no new work, in milliseconds.
     pub suspect_ms: u64,
     /// Silence of an agent after which all its runs for this entry have ended, in milliseconds.
@@ -36,6 +38,8 @@
 impl Default for DispatchLimits {
     fn default() -> Self {
         Self {
+            // A one-way cut is seen within three of them.
+            heartbeat_ms: 200,
             // A heartbeat of 200 ms in each direction, and the time of a slow turn.
             suspect_ms: 600,
             // The agent stops this entry's runs after 900 ms of silence; a stop takes 50 ms and
--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -10,13 +10,42 @@
     sycamorerail_wire::ids::Incarnation,
 };
 
+/// Shortest time after which callers may submit a job again, in milliseconds: runs that have to be
+/// over by then still get leases that bear two lost heartbeats.
+pub const SHORTEST_RESUBMIT_MS: u64 = 700;
+/// Time from the end of a run to the earliest start of a copy, in milliseconds.
+const COPY_MARGIN_MS: u64 = 60;
+/// Time that the stops of a silent entry's runs take, with repetitions, in milliseconds.
+const STOPS_MS: u64 = 300;
+/// Heartbeats within the owner timeout.
+const HEARTBEATS_IN_TIMEOUT: u64 = 4;
+
 impl LedgerLimits {
-    /// Returns the limits for an upstream that grants leases of up to this length. No lease is
-    /// longer than the default one: the error of the upstream's clock grows with it.
+    /// Returns the limits for an upstream that grants leases of up to `longest_lease_ms`, and
+    /// callers that submit a job again `resubmit_ms` after an attempt without an answer.
+    ///
+    /// No lease is longer than the default one: the error of the upstream's clock grows with it.
+    /// Below [`SHORTEST_RESUBMIT_MS`] the limits are those for that time.
     #[must_use]
-    pub fn for_upstream(longest_lease_ms: u64) -> Self {
+    pub fn for_upstream(longest_lease_ms: u64, resubmit_ms: u64) -> Self {
         let default = Self::default();
-        Self { lease_ms: default.lease_ms.min(longest_lease_ms), ..default }
+        let lease_ms = default.lease_ms.min(longest_lease_ms);
+        let over_ms = resubmit_ms.max(SHORTEST_RESUBMIT_MS) - COPY_MARGIN_MS;
+        let run_after_contact_ms =
+            default.run_after_contact_ms.min(over_ms - clock_error_ms(lease_ms));
+        Self {
+            lease_ms,
+            run_after_contact_ms,
+            owner_timeout_ms: default.owner_timeout_ms.min(run_after_contact_ms - STOPS_MS),
+            ..default
+        }
+    }
+
+    /// Returns the longest heartbeat interval of links between entries and agents that the owner
+    /// timeout bears, in milliseconds.
+    #[must_use]
+    pub fn longest_heartbeat_ms(&self) -> u64 {
+        self.owner_timeout_ms / HEARTBEATS_IN_TIMEOUT
     }
 
     /// Returns the longest time for which a run may go on after the last contact with its entry,
@@ -24,11 +53,16 @@
     /// extrapolates it from the last answer.
     #[must_use]
     pub fn longest_run_after_contact_ms(&self) -> u64 {
-        let clock_error_ms = 2 * self.lease_ms * CLOCK_DRIFT_PERCENT / 100;
-        self.run_after_contact_ms + clock_error_ms
+        self.run_after_contact_ms + clock_error_ms(self.lease_ms)
     }
 }
 
+/// Returns the error of the upstream's clock at the end of a lease: over the lease, and over the
+/// time for which it was extrapolated, which is shorter.
+fn clock_error_ms(lease_ms: u64) -> u64 {
+    2 * lease_ms * CLOCK_DRIFT_PERCENT / 100
+}
+
 impl Ledger {
     /// Returns when a lease that is granted now has to end at the latest, in the agent's time.
     ///
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -23,6 +23,7 @@
 mod types;
 
 pub use {
+    lease_limit::SHORTEST_RESUBMIT_MS,
     load::is_significant_change,
     types::{
         AnnouncementOutcome, EndKind, InstanceEnd, LeaseAnswer, LedgerLimits, LossProof,
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -35,9 +35,7 @@
             start_within_ms: 300,
             // Four heartbeats of 200 ms and the time of a slow turn.
             owner_timeout_ms: 900,
-            // Leaves 300 ms for the stops of a silent entry's runs. With the errors of the
-            // upstream's clock this is below the 1,300 ms after which a caller may submit the
-            // job again at another entry.
+            // The owner timeout, and the stops of a silent entry's runs.
             run_after_contact_ms: 1_200,
             // Thirty times the usual answer time. One stop in twenty may be lost.
             stop_retry_ms: 60,
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -4,7 +4,9 @@
 use {
     sycamorerail_decide::{
         dispatch::DispatchLimits,
-        ledger::{LeaseAnswer, Ledger, LedgerLimits, StartAnswer, StartOrder},
+        ledger::{
+            LeaseAnswer, Ledger, LedgerLimits, SHORTEST_RESUBMIT_MS, StartAnswer, StartOrder,
+        },
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -229,22 +231,45 @@
     assert_eq!(ledger.lease_until_clock_ms(610), Some(CLOCK_MS + 110 + lease_ms));
 }
 
-/// Guards against an upstream that grants leases so long that runs outlive a caller's patience.
+/// Guards against runs that outlive a caller's patience, whatever leases the upstream grants and
+/// however soon callers come again.
 #[test]
-fn runs_are_over_in_time_whatever_leases_the_upstream_grants() {
-    for longest_lease_ms in [100, 1_000, 15_000, 600_000] {
-        let limits = LedgerLimits::for_upstream(longest_lease_ms);
+fn runs_are_over_before_callers_come_again() {
+    let resubmissions_ms = [SHORTEST_RESUBMIT_MS, 800, 1_000, RETRY_MS, 5_000];
+    let leases_ms = [100, 1_000, 15_000, 600_000];
+    for (resubmit_ms, longest_lease_ms) in pairs(&resubmissions_ms, &leases_ms) {
+        let limits = LedgerLimits::for_upstream(longest_lease_ms, resubmit_ms);
         assert!(limits.lease_ms <= longest_lease_ms);
-        assert!(limits.longest_run_after_contact_ms() < RETRY_MS, "{longest_lease_ms}");
+        assert!(limits.longest_run_after_contact_ms() < resubmit_ms, "{limits:?}");
     }
 }
 
 /// Guards against timeouts that let two runs of a task overlap when one of them is changed.
 #[test]
 fn runs_are_over_before_their_tasks_start_elsewhere() {
-    let (agent, entry) = (LedgerLimits::default(), DispatchLimits::default());
-    let longest_ms = agent.longest_run_after_contact_ms();
-    assert!(longest_ms < RETRY_MS, "a copy at another entry");
-    assert!(longest_ms < entry.lost_ms, "another order of the same entry");
-    assert!(agent.owner_timeout_ms + agent.start_within_ms <= agent.run_after_contact_ms);
+    for resubmit_ms in [SHORTEST_RESUBMIT_MS, RETRY_MS, 5_000] {
+        let agent = LedgerLimits::for_upstream(1_000, resubmit_ms);
+        let entry = DispatchLimits::default();
+        let longest_ms = agent.longest_run_after_contact_ms();
+        assert!(longest_ms < resubmit_ms, "a copy at another entry");
+        assert!(longest_ms < entry.lost_ms, "another order of the same entry");
+        assert!(agent.owner_timeout_ms + agent.start_within_ms <= agent.run_after_contact_ms);
+    }
+}
+
+/// Guards against timeouts that are shorter than what is heard of an entry in calm times, and
+/// against limits of the usual deployments that differ from the default.
+#[test]
+fn an_entry_counts_as_silent_after_several_heartbeats() {
+    for resubmit_ms in [SHORTEST_RESUBMIT_MS, 800, RETRY_MS] {
+        let limits = LedgerLimits::for_upstream(1_000, resubmit_ms);
+        // A message waits for a heartbeat in each direction, and one may be lost.
+        assert!(3 * limits.longest_heartbeat_ms() < limits.owner_timeout_ms, "{limits:?}");
+        assert!(limits.longest_heartbeat_ms() >= 50, "{limits:?}");
+    }
+    assert_eq!(LedgerLimits::for_upstream(1_000, RETRY_MS), LedgerLimits::default());
+}
+
+fn pairs<'a>(left: &'a [u64], right: &'a [u64]) -> impl Iterator<Item = (u64, u64)> + 'a {
+    left.iter().flat_map(|&left| right.iter().map(move |&right| (left, right)))
 }
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -37,8 +37,6 @@
 const HELLO_WITHIN: Duration = Duration::from_secs(2);
 /// Pause after an accept that failed, as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Heartbeat of each link: a one-way cut is seen within three of them.
-const BEAT: Duration = Duration::from_millis(200);
 /// From the first heartbeat of a link to the second one, which acknowledges the agent's hello.
 const SECOND_BEAT: Duration = Duration::from_millis(60);
 /// An agent that was not heard for this long is disconnected.
@@ -364,7 +362,8 @@
         members.mark_changed();
         let mut evacuations = self.service.evacuations.subscribe();
         // Members are told with heartbeats: as everything starts each entry is new.
-        let mut beats = tokio::time::interval(BEAT);
+        let heartbeat = Duration::from_millis(self.service.settings.limits.heartbeat_ms);
+        let mut beats = tokio::time::interval(heartbeat);
         let mut is_first = true;
         loop {
             if let Err(error) = self.write(&mut writer).await {
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -39,7 +39,7 @@
 const SECOND: Incarnation = Incarnation(2);
 /// Nobody is silent, however busy the machine is.
 const PATIENT: DispatchLimits =
-    DispatchLimits { suspect_ms: 100_000, lost_ms: 100_000, max_jobs: 10 };
+    DispatchLimits { heartbeat_ms: 200, suspect_ms: 100_000, lost_ms: 100_000, max_jobs: 10 };
 /// Far longer than anything should take on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(30);
 
