--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -27,8 +27,8 @@
 const END_BATCH_PAUSE: Duration = Duration::from_millis(3);
 /// Pause after a failed renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
-/// After this many refused connections in a row the upstream counts as crashed.
-const GONE_AFTER_REFUSALS: u32 = 3;
+/// After this many refused connections in a row the upstream gets no new work.
+const REFUSING_AFTER: u32 = 3;
 
 /// Keeps the lease of the current instance for as long as the agent runs.
 pub(super) async fn keep_lease(agent: Arc<LeasedAgent>) {
@@ -70,6 +70,9 @@
             }
         }
     }
+    if keeper.refused_calls >= REFUSING_AFTER {
+        event!(Warn, "upstream_lost", life = instance, error = CallError::NoListener);
+    }
 }
 
 /// When the next renewal is to be sent.
@@ -184,6 +187,13 @@
             lose_upstream(agent, instance, error, how);
             return NextRenewal::Never;
         }
+        if self.refused_calls == REFUSING_AFTER {
+            let active = agent.update_ledger(|ledger, _| {
+                ledger.handle_refused_connections();
+                ledger.active_count()
+            });
+            event!(Warn, "upstream_refuses", life = instance, active = active);
+        }
         match error {
             // Another renewal was sent meanwhile.
             CallError::TimedOut(_) => NextRenewal::AsScheduled,
@@ -198,9 +208,6 @@
             CallError::NoListener if self.agent.ledger.lock().has_pending_withdrawal() => {
                 Some(InstanceEnd::Left)
             }
-            CallError::NoListener if self.refused_calls >= GONE_AFTER_REFUSALS => {
-                Some(InstanceEnd::Crashed)
-            }
             _ => None,
         }
     }
--- a/crates/agent/src/leased/upstream_client.rs
+++ b/crates/agent/src/leased/upstream_client.rs
@@ -37,7 +37,7 @@
         /// The upstream's clock in its answer.
         clock_ms: u64,
     },
-    /// The connection was refused: the upstream's process is gone.
+    /// The connection was refused: the upstream's process is gone, or does not listen.
     NoListener,
     /// No complete answer arrived in time.
     TimedOut(String),
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -128,6 +128,7 @@
         self.upstream_clock = None;
         self.renewed_ms = None;
         self.withdrawn_ms = None;
+        self.is_refusing = false;
         self.acknowledged = 0;
         self.leftovers.clear();
         self.orphan_runs(|phase| matches!(phase, Phase::Ordered { .. }), has_crashed);
--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -53,7 +53,13 @@
     /// extrapolates it from the last answer.
     #[must_use]
     pub fn longest_run_after_contact_ms(&self) -> u64 {
-        self.run_after_contact_ms + clock_error_ms(self.lease_ms)
+        self.latest_end_ms(self.run_after_contact_ms)
+    }
+
+    /// Returns when a lease that ends at `lease_end_ms` in the agent's time has ended on the
+    /// upstream's clock, however slow that is.
+    pub(super) fn latest_end_ms(&self, lease_end_ms: u64) -> u64 {
+        lease_end_ms + clock_error_ms(self.lease_ms)
     }
 }
 
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -176,6 +176,8 @@
     lapsed_ms: u64,
     /// End of the longest lease that was granted, in the agent's time.
     granted_ms: u64,
+    /// The upstream has refused connections since its last answer.
+    is_refusing: bool,
     suspension: Suspension,
     acknowledged: u64,
     runs: SlotMap<RunKey, Run>,
@@ -214,6 +216,7 @@
             renewed_ms: None,
             lapsed_ms: 0,
             granted_ms: 0,
+            is_refusing: false,
             suspension: Suspension::default(),
             acknowledged: 0,
             runs: SlotMap::with_key(),
@@ -550,10 +553,11 @@
             && !self.has_pending_withdrawal()
     }
 
-    /// Whether the upstream answered a renewal lately.
+    /// Whether the upstream answered a renewal lately and has not refused connections since.
     #[must_use]
     pub fn is_trusted(&self, now_ms: u64) -> bool {
-        self.renewed_ms.is_some_and(|sent_ms| now_ms < sent_ms + self.trusted_ms())
+        let is_recent = |sent_ms| now_ms < sent_ms + self.trusted_ms();
+        !self.is_refusing && self.renewed_ms.is_some_and(is_recent)
     }
 
     fn trusted_ms(&self) -> u64 {
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -84,6 +84,7 @@
 
     /// Records the clock in an answer of the current instance, and when its lease lapses.
     pub(super) fn note_answer(&mut self, answer: &LeaseAnswer, now_ms: u64) {
+        self.is_refusing = false;
         self.upstream_clock = Some((answer.clock_ms, now_ms));
         self.renewed_ms = Some(answer.sent_ms);
         self.lapsed_ms = answer.sent_ms + self.lapse_after_ms();
@@ -216,6 +217,11 @@
         if now_ms < self.lapsed_ms {
             return;
         }
+        if self.is_refusing {
+            self.end_instance(InstanceEnd::Crashed);
+            self.settle_orphans();
+            return;
+        }
         self.lose_active(LossProof::Unanswered);
         // Runs that the upstream still lists are stopped and waited for, as after a restart.
         self.has_no_leftovers = false;
@@ -225,6 +231,20 @@
         }
     }
 
+    /// Handles refused connections to the upstream, whose process is gone or does not listen.
+    ///
+    /// A live process may refuse, too, and goes on with its runs. So these are over only once
+    /// another instance answers, or their lease has lapsed: the upstream has granted none since it
+    /// refuses. Its waiting tasks are handed back at once.
+    pub fn handle_refused_connections(&mut self) {
+        if self.active_count() == 0 {
+            return self.end_instance(InstanceEnd::Crashed);
+        }
+        self.is_refusing = true;
+        self.lapsed_ms = self.lapsed_ms.min(self.limits.latest_end_ms(self.granted_ms));
+        self.drop_waiting(NotStarted::NoUpstream);
+    }
+
     /// Returns the time from the last answered renewal after which the lease has certainly
     /// lapsed. Renewals without an answer may have been sent until the upstream was no longer
     /// trusted. Until then the upstream's clock was extrapolated, so that its drift counts for the
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -5,13 +5,15 @@
     sycamorerail_decide::{
         dispatch::DispatchLimits,
         ledger::{
-            LeaseAnswer, Ledger, LedgerLimits, SHORTEST_RESUBMIT_MS, StartAnswer, StartOrder,
+            InstanceEnd, LeaseAnswer, Ledger, LedgerLimits, SHORTEST_RESUBMIT_MS, StartAnswer,
+            StartOrder,
         },
     },
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, Resources, StepPlacement, TaskKey, TaskStart, UpstreamInstance,
+            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, StepPlacement, TaskKey,
+            TaskStart, UpstreamInstance,
         },
     },
 };
@@ -179,6 +181,65 @@
     assert_eq!(start(&mut ledger, 1_250).unwrap().task, task(2));
 }
 
+fn events(ledger: &Ledger) -> Vec<RunEvent> {
+    ledger.reports(ENTRY).iter().map(|report| report.event).collect()
+}
+
+/// Guards against a live upstream that refuses connections for a moment, whose runs were reported
+/// as crashed while they went on.
+#[test]
+fn runs_go_on_while_their_upstream_refuses_connections() {
+    let mut ledger = ledger_with_run();
+    assert_eq!(lease_end_ms(&mut ledger, 100), Some(1_100));
+    ledger.place(ENTRY, placement(2), 110);
+    ledger.handle_refused_connections();
+    assert!(!ledger.load(110).usable);
+    let handed_back = RunEvent::NotStarted(NotStarted::NoUpstream);
+    assert_eq!(events(&ledger), [RunEvent::Started, handed_back]);
+    assert_eq!(lease_end_ms(&mut ledger, 120), None, "a refusal tells nothing of earlier calls");
+    ledger.check_lease_lapse(200);
+    renew(&mut ledger, 250, &[(task(1), 1)]);
+    assert_eq!(events(&ledger), [RunEvent::Started, handed_back]);
+    assert!(ledger.load(250).usable);
+}
+
+/// Guards against runs of a crashed upstream that nobody ever counts as over, and against an order
+/// elsewhere while their lease lasts.
+#[test]
+fn runs_of_a_refusing_upstream_are_over_as_their_lease_ends() {
+    let mut ledger = ledger_with_run();
+    assert_eq!(lease_end_ms(&mut ledger, 100), Some(1_100));
+    ledger.handle_refused_connections();
+    // The upstream's clock may be slow.
+    ledger.check_lease_lapse(1_100 + 39);
+    assert_eq!(events(&ledger), [RunEvent::Started]);
+    ledger.check_lease_lapse(1_100 + 40);
+    assert_eq!(events(&ledger), [RunEvent::Started, RunEvent::Crashed]);
+    assert_eq!(ledger.current_instance(), None);
+    assert_eq!(ledger.load(1_200).taken, Resources::default());
+}
+
+/// Guards against a wait for a lease although another instance shows that the runs are over.
+#[test]
+fn an_upstream_that_answers_in_place_of_a_refusing_one_ends_its_runs() {
+    let mut ledger = ledger_with_run();
+    ledger.handle_refused_connections();
+    let next = UpstreamInstance { id: InstanceId::without_start("b"), ..instance() };
+    ledger.handle_announcement(next, 300);
+    assert_eq!(events(&ledger), [RunEvent::Started], "an announcement may be late");
+    ledger.end_instance(InstanceEnd::Replaced);
+    assert_eq!(events(&ledger), [RunEvent::Started, RunEvent::Crashed]);
+    assert_eq!(ledger.current_instance(), Some(&InstanceId::without_start("b")));
+}
+
+/// Guards against a wait for the lease of an upstream without runs.
+#[test]
+fn a_refusing_upstream_without_runs_is_gone_at_once() {
+    let mut ledger = ready_ledger();
+    ledger.handle_refused_connections();
+    assert_eq!(ledger.current_instance(), None);
+}
+
 /// Guards against an entry that is gone and shortens the leases of all other entries' runs.
 #[test]
 fn a_forgotten_entry_without_runs_bounds_no_lease() {
