--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -188,8 +188,8 @@
             return NextRenewal::Never;
         }
         if self.refused_calls == REFUSING_AFTER {
-            let active = agent.update_ledger(|ledger, _| {
-                ledger.handle_refused_connections();
+            let active = agent.update_ledger(|ledger, now_ms| {
+                ledger.handle_refused_connections(now_ms);
                 ledger.active_count()
             });
             event!(Warn, "upstream_refuses", life = instance, active = active);
--- a/crates/decide/src/ledger/crash_log.rs
+++ b/crates/decide/src/ledger/crash_log.rs
@@ -35,10 +35,11 @@
 }
 
 impl CrashLog {
-    /// Records that this agent's upstream crashed while the task ran.
-    pub(super) fn record_own(&mut self, task: TaskKey) {
+    /// Records that this agent's upstream crashed while the task ran: then, or now if that is not
+    /// known.
+    pub(super) fn record_own(&mut self, task: TaskKey, crashed_ms: Option<u64>) {
         let crashes = self.crash_count(None, task).saturating_add(1);
-        self.replace(None, task, crashes, None);
+        self.replace(None, task, crashes, crashed_ms.map(|ms| ms as i64));
     }
 
     /// Records crashes at another agent that an entry reported.
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -128,7 +128,6 @@
         self.upstream_clock = None;
         self.renewed_ms = None;
         self.withdrawn_ms = None;
-        self.is_refusing = false;
         self.acknowledged = 0;
         self.leftovers.clear();
         self.orphan_runs(|phase| matches!(phase, Phase::Ordered { .. }), has_crashed);
@@ -137,6 +136,7 @@
         if how == InstanceEnd::Replaced {
             self.settle_orphans();
         }
+        self.refusing_since_ms = None;
         if let Some((instance, _)) = self.doubted_announcement.take() {
             self.set_upstream(instance);
         }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -176,8 +176,8 @@
     lapsed_ms: u64,
     /// End of the longest lease that was granted, in the agent's time.
     granted_ms: u64,
-    /// The upstream has refused connections since its last answer.
-    is_refusing: bool,
+    /// Since when the upstream has refused connections, until it answers again.
+    refusing_since_ms: Option<u64>,
     suspension: Suspension,
     acknowledged: u64,
     runs: SlotMap<RunKey, Run>,
@@ -216,7 +216,7 @@
             renewed_ms: None,
             lapsed_ms: 0,
             granted_ms: 0,
-            is_refusing: false,
+            refusing_since_ms: None,
             suspension: Suspension::default(),
             acknowledged: 0,
             runs: SlotMap::with_key(),
@@ -557,7 +557,7 @@
     #[must_use]
     pub fn is_trusted(&self, now_ms: u64) -> bool {
         let is_recent = |sent_ms| now_ms < sent_ms + self.trusted_ms();
-        !self.is_refusing && self.renewed_ms.is_some_and(is_recent)
+        self.refusing_since_ms.is_none() && self.renewed_ms.is_some_and(is_recent)
     }
 
     fn trusted_ms(&self) -> u64 {
@@ -695,7 +695,7 @@
         proof: Option<LossProof>,
     ) {
         if event == RunEvent::Crashed {
-            self.crash_log.record_own(task);
+            self.crash_log.record_own(task, self.refusing_since_ms);
         }
         self.owners.push_report(owner, task, run, event);
         self.decided.push(RunDecision { owner, task, run, event, proof, taken: self.taken });
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -84,7 +84,7 @@
 
     /// Records the clock in an answer of the current instance, and when its lease lapses.
     pub(super) fn note_answer(&mut self, answer: &LeaseAnswer, now_ms: u64) {
-        self.is_refusing = false;
+        self.refusing_since_ms = None;
         self.upstream_clock = Some((answer.clock_ms, now_ms));
         self.renewed_ms = Some(answer.sent_ms);
         self.lapsed_ms = answer.sent_ms + self.lapse_after_ms();
@@ -217,7 +217,7 @@
         if now_ms < self.lapsed_ms {
             return;
         }
-        if self.is_refusing {
+        if self.refusing_since_ms.is_some() {
             self.end_instance(InstanceEnd::Crashed);
             self.settle_orphans();
             return;
@@ -236,11 +236,11 @@
     /// A live process may refuse, too, and goes on with its runs. So these are over only once
     /// another instance answers, or their lease has lapsed: the upstream has granted none since it
     /// refuses. Its waiting tasks are handed back at once.
-    pub fn handle_refused_connections(&mut self) {
+    pub fn handle_refused_connections(&mut self, now_ms: u64) {
         if self.active_count() == 0 {
             return self.end_instance(InstanceEnd::Crashed);
         }
-        self.is_refusing = true;
+        self.refusing_since_ms.get_or_insert(now_ms);
         self.lapsed_ms = self.lapsed_ms.min(self.limits.latest_end_ms(self.granted_ms));
         self.drop_waiting(NotStarted::NoUpstream);
     }
