--- a/crates/clock/src/lag.rs
+++ b/crates/clock/src/lag.rs
@@ -14,6 +14,8 @@
     last_check_ms: u64,
     /// By this time, everything that had reached the process before was handled.
     handled_until_ms: u64,
+    /// The last check was late.
+    was_late: bool,
     delay_ms: f64,
 }
 
@@ -21,7 +23,13 @@
     /// Starts with the first check now. The next ones are due at this interval.
     #[must_use]
     pub fn new(interval_ms: u64, now_ms: u64) -> Self {
-        Self { interval_ms, last_check_ms: now_ms, handled_until_ms: now_ms, delay_ms: 0.0 }
+        Self {
+            interval_ms,
+            last_check_ms: now_ms,
+            handled_until_ms: now_ms,
+            was_late: false,
+            delay_ms: 0.0,
+        }
     }
 
     /// Records a check. Returns its delay in milliseconds.
@@ -29,7 +37,8 @@
         let delay_ms = now_ms.saturating_sub(self.last_check_ms + self.interval_ms);
         self.delay_ms = self.remembered_ms(now_ms).max(delay_ms as f64);
         // After a late check, nothing shows when the process stopped handling events.
-        self.handled_until_ms = if delay_ms < LATE_MS { now_ms } else { self.last_check_ms };
+        self.was_late = delay_ms >= LATE_MS;
+        self.handled_until_ms = if self.was_late { self.last_check_ms } else { now_ms };
         self.last_check_ms = now_ms;
         delay_ms
     }
@@ -47,6 +56,14 @@
         now_ms.saturating_sub(self.handled_until_ms)
     }
 
+    /// How long an event that is handled now may have waited because the process stood still, in
+    /// milliseconds; 0 if it did not.
+    #[must_use]
+    pub fn stalled_ms(&self, now_ms: u64) -> u64 {
+        let is_overdue = now_ms >= self.last_check_ms + self.interval_ms + LATE_MS;
+        if is_overdue || self.was_late { self.unhandled_ms(now_ms) } else { 0 }
+    }
+
     fn remembered_ms(&self, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.last_check_ms) as f64;
         self.delay_ms * 0.5_f64.powf(age_ms / HALF_LIFE_MS)
--- a/crates/clock/tests/lag.rs
+++ b/crates/clock/tests/lag.rs
@@ -43,3 +43,18 @@
     lag.record(1_000);
     assert_eq!(lag.unhandled_ms(1_000), 0);
 }
+
+/// Guards against events whose time counts from their handling although they came in a stall.
+#[test]
+fn events_may_have_waited_for_as_long_as_the_process_stood_still() {
+    let mut lag = Lag::new(50, 1_000);
+    assert_eq!(lag.stalled_ms(1_060), 0, "a check is due, not late");
+    lag.record(1_060);
+    assert_eq!(lag.stalled_ms(1_100), 0);
+    // Before the check notices the stall, and after it.
+    assert_eq!(lag.stalled_ms(1_800), 740);
+    lag.record(1_800);
+    assert_eq!(lag.stalled_ms(1_801), 741);
+    lag.record(1_850);
+    assert_eq!(lag.stalled_ms(1_860), 0);
+}
--- a/crates/telemetry/src/stalls.rs
+++ b/crates/telemetry/src/stalls.rs
@@ -46,6 +46,13 @@
         self.lag.lock().unhandled_ms(self.clock.now_ms())
     }
 
+    /// How long an event that is handled now may have waited because the process stood still, in
+    /// milliseconds; 0 if it did not.
+    #[must_use]
+    pub fn stalled_ms(&self) -> u64 {
+        self.lag.lock().stalled_ms(self.clock.now_ms())
+    }
+
     async fn check_regularly(self) {
         let mut checks = interval(CHECK_INTERVAL);
         checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
