--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -17,9 +17,11 @@
 mod lease_limit;
 mod load;
 mod order_fence;
+mod orders;
 mod owners;
 mod renewal;
 mod run_times;
+mod starts;
 mod types;
 
 pub use {
@@ -48,26 +50,17 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, RunReport, StepPlacement,
-            TaskCrashes, TaskKey, UpstreamInstance,
+            InstanceId, NotStarted, Resources, RunEvent, RunReport, TaskCrashes, TaskKey,
+            UpstreamInstance,
         },
     },
 };
 
-/// Part of the lease, in percent, after which an upstream that answered no renewal gets no new
-/// runs and no new lease. Three calls that time out fit into it.
-const TRUSTED_LEASE_PERCENT: u64 = 80;
 /// The upstream's clock may be this much slower than the agent's, in percent.
 const CLOCK_DRIFT_PERCENT: u64 = 2;
 /// An ordered run that the upstream does not list this long after the order was sent is
 /// stopped. An order is usually carried out and answered within 2 ms.
 const START_CONFIRM_WITHIN_MS: u64 = 25;
-/// Shortest time that a start needs, in milliseconds: the first renewal after it must be answered
-/// before its own deadline ends the run.
-const MIN_START_MS: u64 = 50;
-/// Number of waiting tasks examined for one that fits, so that a large task at the head of the
-/// queue does not leave capacity unused for long.
-const MAX_TASKS_EXAMINED: usize = 16;
 
 new_key_type! {
     /// Key of a run in the ledger.
@@ -237,21 +230,6 @@
         }
     }
 
-    /// Hands back waiting tasks that need more than the upstream's whole capacity, which may
-    /// change while it runs. They could never start, and would use up the number of tasks that
-    /// are examined. Active runs go on; their capacity is freed as they end.
-    fn drop_too_large(&mut self) {
-        let Some(capacity) = self.announced_instance.as_ref().map(|instance| instance.capacity)
-        else {
-            return;
-        };
-        let is_too_large = |key: &RunKey| !capacity.covers(&self.runs[*key].need);
-        let keys: Vec<_> = self.waiting.iter().map(|&(_, key)| key).filter(is_too_large).collect();
-        for key in keys {
-            self.settle(key, RunEvent::NotStarted(NotStarted::NoRoom));
-        }
-    }
-
     fn lose_active(&mut self, proof: LossProof) {
         for key in self.active_runs() {
             self.settle_lost(key, RunEvent::Lost, proof);
@@ -381,217 +359,6 @@
         !has_run && self.owners.is_confirmed(owner)
     }
 
-    /// Accepts tasks of a job. Tasks that are not accepted are reported as not started.
-    ///
-    /// Nothing is accepted from an entry that was not heard from lately: after a suspension of
-    /// this VM the agent reads old orders whose tasks the entry has placed elsewhere since.
-    pub fn place(&mut self, owner: Incarnation, placement: StepPlacement, now_ms: u64) {
-        let spec: Arc<str> = placement.spec.into();
-        let objective_ms = now_ms + u64::from(placement.objective_in_ms);
-        let is_fresh = self.owners.is_fresh(owner, now_ms, self.limits.owner_timeout_ms);
-        let shortest_ms = self.run_times.shortest_ms(placement.run_ms);
-        for start in placement.tasks {
-            let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
-            let run = Run {
-                owner,
-                task,
-                number: start.run,
-                spec: Arc::clone(&spec),
-                need: placement.need,
-                run_ms: placement.run_ms,
-                give_up_ms: now_ms + u64::from(placement.give_up_in_ms),
-                rank: Rank {
-                    is_late: false,
-                    is_job_mostly_waiting: !placement.job_mostly_started,
-                    start_by_ms: objective_ms.saturating_sub(shortest_ms),
-                    priority: placement.priority,
-                    arrival: self.next_arrival,
-                },
-                phase: Phase::Waiting,
-                stop: None,
-                start_reported: false,
-                suspect: placement.suspect,
-            };
-            self.next_arrival += 1;
-            self.accept_task(run, is_fresh, now_ms);
-        }
-    }
-
-    fn accept_task(&mut self, run: Run, is_fresh: bool, now_ms: u64) {
-        if let Some(&key) = self.by_task.get(&run.task) {
-            let known = &self.runs[key];
-            if known.owner != run.owner || known.number != run.number {
-                self.report(&run, RunEvent::NotStarted(NotStarted::Refused));
-            }
-            return;
-        }
-        let refusal = match &self.announced_instance {
-            None => Some(NotStarted::NoUpstream),
-            Some(_) if !is_fresh => Some(NotStarted::Stale),
-            Some(_) if self.is_leaving() || self.draining => Some(NotStarted::Leaving),
-            Some(_) if self.is_evacuated => Some(NotStarted::Evacuated),
-            Some(instance) if !instance.capacity.covers(&run.need) => Some(NotStarted::NoRoom),
-            Some(_) => None,
-        };
-        if let Some(why) = refusal {
-            return self.report(&run, RunEvent::NotStarted(why));
-        }
-        let (task, rank) = (run.task, run.rank);
-        // A task that was recalled from another agent has arrived there already.
-        if run.number == 1 {
-            let work_milli_ms = u64::from(run.need.cpu_milli) * u64::from(run.run_ms);
-            self.arrivals.record(rank.priority, work_milli_ms, now_ms);
-        }
-        let key = self.runs.insert(run);
-        self.by_task.insert(task, key);
-        self.waiting.insert((rank, key));
-    }
-
-    /// Drops the waiting tasks of an entry's job and stops its active runs.
-    pub fn stop_job(&mut self, owner: Incarnation, job: CallerJobId) {
-        let of_job = |run: &Run| run.owner == owner && run.task.job == job;
-        let keys: Vec<_> =
-            self.runs.iter().filter(|(_, run)| of_job(run)).map(|(key, _)| key).collect();
-        for key in keys {
-            self.stop_run(key);
-        }
-    }
-
-    /// Moves the waiting tasks of an entry's job ahead of others of their priority, because
-    /// most of the job has started, and gives them `give_up_in_ms` from now on.
-    pub fn prioritise_job(
-        &mut self,
-        owner: Incarnation,
-        job: CallerJobId,
-        give_up_in_ms: u32,
-        now_ms: u64,
-    ) {
-        let of_job = |key: RunKey| {
-            let run = &self.runs[key];
-            run.owner == owner && run.task.job == job
-        };
-        let waiting: Vec<_> =
-            self.waiting.iter().filter(|(_, key)| of_job(*key)).copied().collect();
-        for (rank, key) in waiting {
-            self.waiting.remove(&(rank, key));
-            let run = &mut self.runs[key];
-            run.give_up_ms = now_ms + u64::from(give_up_in_ms);
-            run.rank = Rank { is_late: false, is_job_mostly_waiting: false, ..rank };
-            self.waiting.insert((run.rank, key));
-        }
-    }
-
-    /// Hands a task back if it still waits.
-    pub fn withdraw_task(&mut self, owner: Incarnation, task: TaskKey) {
-        let Some(&key) = self.by_task.get(&task) else { return };
-        let run = &self.runs[key];
-        if run.owner == owner && run.phase == Phase::Waiting {
-            self.settle(key, RunEvent::NotStarted(NotStarted::Withdrawn));
-        }
-    }
-
-    fn stop_run(&mut self, key: RunKey) {
-        let owner = self.runs[key].owner;
-        if self.runs[key].phase == Phase::Waiting {
-            self.settle(key, RunEvent::NotStarted(NotStarted::Withdrawn));
-        } else {
-            let stop = Stop::new(self.stop_limit_ms(owner));
-            self.runs[key].stop.get_or_insert(stop);
-        }
-    }
-
-    /// Returns the next task to start, if one waits and fits, and takes its capacity.
-    pub fn next_start(&mut self, now_ms: u64) -> Option<StartOrder> {
-        if !self.may_start(now_ms) {
-            return None;
-        }
-        self.reorder_waiting(now_ms);
-        let until_ms = self.lease_end_ms(now_ms, self.limits.start_within_ms);
-        if until_ms < now_ms + MIN_START_MS {
-            return None;
-        }
-        let instance = self.announced_instance.as_ref()?;
-        let free = instance.capacity.minus(&self.taken);
-        let ready = |run: &Run| {
-            free.covers(&run.need)
-                && !(run.suspect && self.has_active_suspect())
-                && self.owners.is_fresh(run.owner, now_ms, self.limits.owner_timeout_ms)
-                && self.is_within_leases(run.owner)
-        };
-        let mut ahead = self.waiting.iter().take(MAX_TASKS_EXAMINED);
-        let &(rank, key) = ahead.find(|(_, key)| ready(&self.runs[*key]))?;
-        let late_after_clock_ms = self.upstream_clock_ms(now_ms)? + (until_ms - now_ms);
-        // The upstream takes the deadline of a start for a lease of all its runs.
-        self.note_lease(until_ms);
-        self.waiting.remove(&(rank, key));
-        let run = &mut self.runs[key];
-        run.phase = Phase::Ordered { since_ms: now_ms, late_after_clock_ms, unanswered: false };
-        self.taken = self.taken.plus(&run.need);
-        self.pending_starts += 1;
-        let (task, number, spec) = (run.task, run.number, Arc::clone(&run.spec));
-        Some(StartOrder { task, run: number, spec, late_after_clock_ms })
-    }
-
-    fn has_active_suspect(&self) -> bool {
-        self.runs.values().any(|run| run.suspect && run.phase != Phase::Waiting)
-    }
-
-    /// Whether a start may be ordered now. The upstream must have answered a renewal lately:
-    /// after a pause of this process its lease may have lapsed.
-    fn may_start(&self, now_ms: u64) -> bool {
-        self.accepts_runs(now_ms) && self.pending_starts < self.limits.max_pending_starts
-    }
-
-    /// Whether the upstream accepts runs once it has free capacity.
-    fn accepts_runs(&self, now_ms: u64) -> bool {
-        self.has_no_leftovers
-            && self.announced_instance.is_some()
-            && self.is_trusted(now_ms)
-            && !self.is_leaving()
-            && !self.draining
-            && !self.is_evacuated
-            && !self.has_pending_withdrawal()
-    }
-
-    /// Whether the upstream answered a renewal lately and has not refused connections since.
-    #[must_use]
-    pub fn is_trusted(&self, now_ms: u64) -> bool {
-        let is_recent = |sent_ms| now_ms < sent_ms + self.trusted_ms();
-        self.refusing_since_ms.is_none() && self.renewed_ms.is_some_and(is_recent)
-    }
-
-    fn trusted_ms(&self) -> u64 {
-        self.limits.lease_ms * TRUSTED_LEASE_PERCENT / 100
-    }
-
-    /// Hands back tasks at the head of the queue that cannot end in time here, and moves late
-    /// tasks behind those that can be in time.
-    fn reorder_waiting(&mut self, now_ms: u64) {
-        while let Some(&(rank, key)) = self.waiting.first() {
-            let run = &mut self.runs[key];
-            if now_ms + self.run_times.shortest_ms(run.run_ms) > run.give_up_ms {
-                self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
-            } else if rank.is_job_mostly_waiting && !rank.is_late && rank.start_by_ms < now_ms {
-                self.waiting.remove(&(rank, key));
-                run.rank.is_late = true;
-                self.waiting.insert((run.rank, key));
-            } else {
-                return;
-            }
-        }
-    }
-
-    /// Hands back waiting tasks whose time has passed, and drops old crash records.
-    pub fn drop_expired(&mut self, now_ms: u64) {
-        self.crash_log.expire(now_ms);
-        let too_late = |run: &Run| now_ms + self.run_times.shortest_ms(run.run_ms) > run.give_up_ms;
-        let expired = self.waiting.iter().filter(|(_, key)| too_late(&self.runs[*key]));
-        let keys: Vec<_> = expired.map(|&(_, key)| key).collect();
-        for key in keys {
-            self.settle(key, RunEvent::NotStarted(NotStarted::TooLate));
-        }
-    }
-
     /// Returns the upstream's clock, extrapolated from its last answer; `None` before the first
     /// one.
     #[must_use]
@@ -599,47 +366,11 @@
         self.upstream_clock.map(|(clock_ms, at_ms)| clock_ms + now_ms.saturating_sub(at_ms))
     }
 
-    /// Handles the upstream's answer to a start.
-    pub fn handle_start_answer(
-        &mut self,
-        task: TaskKey,
-        run: u32,
-        answer: StartAnswer,
-        now_ms: u64,
-    ) {
-        self.pending_starts = self.pending_starts.saturating_sub(1);
-        let Some(key) = self.find_run(task, run) else { return };
-        match (answer, self.runs[key].phase) {
-            // It is not known which instance carried out an orphaned order.
-            (StartAnswer::Started, Phase::Ordered { .. }) => self.mark_running(key, now_ms),
-            (StartAnswer::Unanswered, Phase::Ordered { since_ms, late_after_clock_ms, .. }) => {
-                let unanswered = true;
-                self.runs[key].phase = Phase::Ordered { since_ms, late_after_clock_ms, unanswered };
-            }
-            (StartAnswer::Refused(why), Phase::Ordered { .. } | Phase::Orphaned { .. }) => {
-                if why == StartRefusal::Unhealthy {
-                    self.note_failure(true, now_ms);
-                }
-                self.settle(key, RunEvent::NotStarted(not_started_reason(why)));
-            }
-            _ => {}
-        }
-    }
-
     fn find_run(&self, task: TaskKey, number: u32) -> Option<RunKey> {
         let key = *self.by_task.get(&task)?;
         (self.runs[key].number == number).then_some(key)
     }
 
-    fn mark_running(&mut self, key: RunKey, now_ms: u64) {
-        let run = &mut self.runs[key];
-        run.phase = Phase::Running { since_ms: now_ms };
-        if !std::mem::replace(&mut run.start_reported, true) {
-            let (owner, task, number) = (run.owner, run.task, run.number);
-            self.push_report(owner, task, number, RunEvent::Started, None);
-        }
-    }
-
     /// Returns the stops to send now, for runs of this agent and for leftovers of an earlier
     /// one.
     pub fn stops_due(&mut self, now_ms: u64) -> Vec<(TaskKey, u32)> {
@@ -735,13 +466,3 @@
         std::mem::take(&mut self.decided)
     }
 }
-
-fn not_started_reason(why: StartRefusal) -> NotStarted {
-    match why {
-        StartRefusal::Fenced => NotStarted::NoUpstream,
-        StartRefusal::OldRun => NotStarted::OldRun,
-        StartRefusal::Late => NotStarted::Unanswered,
-        StartRefusal::NoRoom => NotStarted::NoRoom,
-        StartRefusal::Unhealthy => NotStarted::Refused,
-    }
-}
