--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -119,7 +119,7 @@
     /// it is leaving does not count as crashed.
     ///
     /// Unanswered orders may reach the next instance if that has the same id. They are settled
-    /// by its first answer, or when the lease would have lapsed.
+    /// by its first answer, or when the lease would have lapsed, as it has for one that refused.
     pub fn end_instance(&mut self, how: InstanceEnd) {
         let has_crashed = how != InstanceEnd::Left && !self.is_leaving();
         self.announced_instance = None;
@@ -133,7 +133,7 @@
         self.orphan_runs(|phase| matches!(phase, Phase::Ordered { .. }), has_crashed);
         self.settle_running(if has_crashed { RunEvent::Crashed } else { RunEvent::Lost });
         self.drop_waiting(NotStarted::NoUpstream);
-        if how == InstanceEnd::Replaced {
+        if matches!(how, InstanceEnd::Replaced | InstanceEnd::Refused) {
             self.settle_orphans();
         }
         self.refusing_since_ms = None;
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -218,8 +218,7 @@
             return;
         }
         if self.refusing_since_ms.is_some() {
-            self.end_instance(InstanceEnd::Crashed);
-            self.settle_orphans();
+            self.end_instance(InstanceEnd::Refused);
             return;
         }
         self.lose_active(LossProof::Unanswered);
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -106,6 +106,8 @@
     Left,
     /// An upstream with another id answers in its place.
     Replaced,
+    /// It refused connections until its lease had lapsed.
+    Refused,
 }
 
 /// Outcome of an announcement.
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -47,6 +47,13 @@
 
 /// Creates a ledger that runs a task of the entry.
 fn running() -> Ledger {
+    let mut ledger = ordered();
+    ledger.handle_start_answer(task(0), 1, StartAnswer::Started, 3);
+    ledger
+}
+
+/// A ledger with an order that was not answered.
+fn ordered() -> Ledger {
     let mut ledger = Ledger::new(LedgerLimits::default());
     ledger.set_upstream(life("a", false));
     ledger.note_owner_contact(ENTRY, 1);
@@ -71,8 +78,7 @@
         suspect: false,
     };
     ledger.place(ENTRY, placement, 2);
-    let order = ledger.next_start(2).unwrap();
-    ledger.handle_start_answer(order.task, order.run, StartAnswer::Started, 3);
+    ledger.next_start(2).unwrap();
     ledger
 }
 
@@ -113,12 +119,14 @@
 /// others that its upstream's process is gone.
 #[test]
 fn a_crash_is_dated_by_the_refused_connections() {
-    let mut ledger = running();
-    ledger.handle_refused_connections(60);
-    ledger.check_lease_lapse(2_000);
-    assert_eq!(last_event(&ledger), RunEvent::Crashed);
-    let (crashes, _) = ledger.crashes_after(0, ENTRY, 2_000);
-    assert_eq!(crashes.iter().map(|crash| crash.ago_ms).collect::<Vec<_>>(), [2_000 - 60]);
+    for is_answered in [true, false] {
+        let mut ledger = if is_answered { running() } else { ordered() };
+        ledger.handle_refused_connections(60);
+        ledger.check_lease_lapse(2_000);
+        assert_eq!(last_event(&ledger), RunEvent::Crashed);
+        let (crashes, _) = ledger.crashes_after(0, ENTRY, 2_000);
+        assert_eq!(crashes.iter().map(|crash| crash.ago_ms).collect::<Vec<_>>(), [2_000 - 60]);
+    }
 }
 
 fn entry_with(agents: usize, now_ms: u64) -> (Dispatch, Vec<AgentKey>) {
