--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -33,8 +33,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest wait for the first message on a new connection.
 const WELCOME_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest heartbeat interval of a link without other messages.
-const LONGEST_HEARTBEAT_MS: u64 = 200;
 /// Shortest pause between load reports without run events on a link, so that one report
 /// covers the start and the end of a short run. In a model of 55 entries and 240 upstreams,
 /// 95.7 % of the most urgent jobs were in time with 10 ms and 91.5 % with 30 ms.
@@ -360,8 +358,7 @@
         }
         let update = agent.evacuations.lock().update_for_peer(&mut self.entry_evacuations.lock());
         messages.extend(update.map(FromRunsAgent::Evacuations));
-        let heartbeat_ms = LONGEST_HEARTBEAT_MS.min(agent.settings.limits.longest_heartbeat_ms());
-        let heartbeat = Duration::from_millis(heartbeat_ms);
+        let heartbeat = Duration::from_millis(agent.settings.limits.heartbeat_ms());
         let now = Instant::now();
         if now >= sent.cluster_at {
             sent.cluster_at = now + heartbeat;
--- a/crates/decide/src/dispatch/crashes.rs
+++ b/crates/decide/src/dispatch/crashes.rs
@@ -24,9 +24,9 @@
 /// likely cause. One or two flapping upstreams are tolerated, a loss of dozens within a second is
 /// not.
 const MAX_UNRELATED_UPSTREAMS: usize = 2;
-/// Time after its last crash before a job may be called failed. Agents that only see refused
-/// connections report crashes once the leases have ended, up to 1,040 ms later; if dozens of
-/// upstreams are lost within a second, six crash within the rest.
+/// Time after its last crash before a job may be called failed. An agent that only sees refused
+/// connections reports a crash as the leases end, up to 1,040 ms later. If dozens of upstreams are
+/// lost within a second, six crash within the 260 ms that remain.
 const VERDICT_DELAY_MS: u64 = 1_300;
 
 /// Crashes of one agent's upstream while a task ran there.
--- a/crates/decide/src/ledger/crash_log.rs
+++ b/crates/decide/src/ledger/crash_log.rs
@@ -35,8 +35,8 @@
 }
 
 impl CrashLog {
-    /// Records that this agent's upstream crashed while the task ran: then, or now if that is not
-    /// known.
+    /// Records that this agent's upstream crashed while the task ran. Without a time,
+    /// [`Self::expire`] dates the crash.
     pub(super) fn record_own(&mut self, task: TaskKey, crashed_ms: Option<u64>) {
         let crashes = self.crash_count(None, task).saturating_add(1);
         self.replace(None, task, crashes, crashed_ms.map(|ms| ms as i64));
--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -17,8 +17,11 @@
 const COPY_MARGIN_MS: u64 = 60;
 /// Time that the stops of a silent entry's runs take, with repetitions, in milliseconds.
 const STOPS_MS: u64 = 300;
-/// Heartbeats within the owner timeout.
+/// Heartbeats within the owner timeout: a message waits for one in each direction, and one may be
+/// lost.
 const HEARTBEATS_IN_TIMEOUT: u64 = 4;
+/// Longest heartbeat interval, in milliseconds.
+const MAX_HEARTBEAT_MS: u64 = 200;
 
 impl LedgerLimits {
     /// Returns the limits for an upstream that grants leases of up to `longest_lease_ms`, and
@@ -41,11 +44,11 @@
         }
     }
 
-    /// Returns the longest heartbeat interval of links between entries and agents that the owner
-    /// timeout bears, in milliseconds.
+    /// Returns the interval at which entries and agents send heartbeats to each other, in
+    /// milliseconds.
     #[must_use]
-    pub fn longest_heartbeat_ms(&self) -> u64 {
-        self.owner_timeout_ms / HEARTBEATS_IN_TIMEOUT
+    pub fn heartbeat_ms(&self) -> u64 {
+        MAX_HEARTBEAT_MS.min(self.owner_timeout_ms / HEARTBEATS_IN_TIMEOUT)
     }
 
     /// Returns the longest time for which a run may go on after the last contact with its entry,
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -232,9 +232,10 @@
 
     /// Handles refused connections to the upstream, whose process is gone or does not listen.
     ///
-    /// A live process may refuse, too, and goes on with its runs. So these are over only once
-    /// another instance answers, or their lease has lapsed: the upstream has granted none since it
-    /// refuses. Its waiting tasks are handed back at once.
+    /// A live process may refuse, too, and goes on with its runs. The ledger counts them as over
+    /// only once another instance answers, or all leases that it requested have ended; it requests
+    /// none while the upstream refuses. It hands waiting tasks back at once, and forgets an
+    /// upstream without runs.
     pub fn handle_refused_connections(&mut self, now_ms: u64) {
         if self.active_count() == 0 {
             return self.end_instance(InstanceEnd::Crashed);
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -325,8 +325,8 @@
     for resubmit_ms in [SHORTEST_RESUBMIT_MS, 800, RETRY_MS] {
         let limits = LedgerLimits::for_upstream(1_000, resubmit_ms);
         // A message waits for a heartbeat in each direction, and one may be lost.
-        assert!(3 * limits.longest_heartbeat_ms() < limits.owner_timeout_ms, "{limits:?}");
-        assert!(limits.longest_heartbeat_ms() >= 50, "{limits:?}");
+        assert!(3 * limits.heartbeat_ms() < limits.owner_timeout_ms, "{limits:?}");
+        assert!(limits.heartbeat_ms() >= 50, "{limits:?}");
     }
     assert_eq!(LedgerLimits::for_upstream(1_000, RETRY_MS), LedgerLimits::default());
 }
