Second review: a case that is ended by a signal ends its programs

Tried: SIGTERM to a run of case 7 after 3 s. Before, its programs lived on (seen on case 5); now it exits with 2, no program is left and the temporary folder is gone. What the cases judge is unchanged.

--- a/review/harness-2/mod.rs
+++ b/review/harness-2/mod.rs
@@ -18,7 +18,7 @@
     process::{Child, Command, Stdio},
     sync::{
         Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -35,6 +35,41 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn signal(signal: i32, handler: extern "C" fn(i32)) -> usize;
+}
+
+const SIGINT: i32 = 2;
+const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
+
+/// Process ids of the programs that run, and whether the case was told to end.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static IS_TOLD_TO_END: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn note_end(_: i32) {
+    IS_TOLD_TO_END.store(true, Ordering::Relaxed);
+}
+
+/// Ends the programs, too, where the case is ended from outside.
+fn end_with_programs() {
+    for number in [SIGINT, SIGTERM] {
+        unsafe { signal(number, note_end) };
+    }
+    thread::spawn(|| {
+        while !IS_TOLD_TO_END.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        // Nothing is started any more while the lock is held.
+        let running = RUNNING.lock().unwrap();
+        running.iter().for_each(|pid| unsafe { _ = kill(*pid as i32, SIGKILL) });
+        let _ = fs::remove_dir_all(folder());
+        std::process::exit(2);
+    });
+}
+
+/// Folder of settings and logs.
+fn folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
 }
 
 /// Exit code of a case.
@@ -95,9 +130,10 @@
 impl Site {
     /// Starts fronts, and sides with a runner each of this much `cpu`; returns once all serve.
     pub fn start(fronts: u8, sides: u8, cpu: u64, record: Record) -> Option<Self> {
+        end_with_programs();
         let pid = std::process::id();
         let net = |last: u8| IpAddr::V4(Ipv4Addr::new(127, 1 + (pid % 250) as u8, 77, last));
-        let folder = std::env::temp_dir().join(format!("review-2-{pid}"));
+        let folder = folder();
         fs::create_dir_all(&folder).ok()?;
         let free: Vec<_> = (0..5).map(|_| TcpListener::bind((net(1), 0)).unwrap()).collect();
         let port = |n: usize| free[n].local_addr().unwrap().port();
@@ -243,6 +279,7 @@
         fs::write(&path, settings).unwrap();
         let log = path.with_extension("log");
         let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        let mut running = RUNNING.lock().unwrap();
         let child = Command::new(format!("target/release/sycamorerail-{program}"))
             .env_clear()
             .env("SYCAMORERAIL_SETTINGS", &path)
@@ -252,10 +289,14 @@
             .spawn();
         self.record.line(&format!("{program}-{number} starts"));
         match child {
-            Ok(child) => Some(child),
+            Ok(child) => {
+                running.push(child.id());
+                Some(child)
+            }
             Err(error) => {
+                // Without it the deployment does not become ready.
                 self.record.say(&format!("cannot start {program}: {error}"));
-                Outcome::NotRun.exit()
+                None
             }
         }
     }
@@ -341,6 +382,7 @@
 
 fn end(node: &Node) {
     if let Some(mut child) = node.child.lock().unwrap().take() {
+        RUNNING.lock().unwrap().retain(|pid| *pid != child.id());
         let _ = child.kill();
         let _ = child.wait();
     }
