Log how much of a lost agent's silence the entry itself stood still

The record of the 73 cases leaves open whether the agents of the earlier runs were silent, or their entry heard nobody. `run_lost` tells the agent's silence only, and `process_stalled` is written after it. Now `run_lost` has `stalled_ms` beside `silent_ms`. Nothing is decided by it yet.

--- a/crates/clock/src/lag.rs
+++ b/crates/clock/src/lag.rs
@@ -69,3 +69,32 @@
         self.delay_ms * 0.5_f64.powf(age_ms / HALF_LIFE_MS)
     }
 }
+
+/// Shortest stall that [`StallMeter`] tells of, in milliseconds. A peer is taken for lost after a
+/// silence of several times as long.
+pub const MIN_STALL_MS: u64 = 300;
+
+/// Tells of the times in which a process stood still, by the delays of a periodic check.
+///
+/// In that time it heard nobody, so that it shows nothing about the silence of others.
+#[derive(Clone, Copy, Debug)]
+pub struct StallMeter {
+    interval_ms: u64,
+    last_check_ms: u64,
+}
+
+impl StallMeter {
+    /// Starts with a check now. The next ones are due at this interval.
+    #[must_use]
+    pub fn new(interval_ms: u64, now_ms: u64) -> Self {
+        Self { interval_ms, last_check_ms: now_ms }
+    }
+
+    /// Records a check. Returns how long the process stood still before it, in milliseconds, if
+    /// that is [`MIN_STALL_MS`] or more.
+    pub fn record(&mut self, now_ms: u64) -> Option<u64> {
+        let last_check_ms = std::mem::replace(&mut self.last_check_ms, now_ms);
+        let stall_ms = now_ms.saturating_sub(last_check_ms + self.interval_ms);
+        Some(stall_ms).filter(|stall_ms| *stall_ms >= MIN_STALL_MS)
+    }
+}
--- a/crates/clock/tests/lag.rs
+++ b/crates/clock/tests/lag.rs
@@ -1,6 +1,6 @@
 //! Delays of a process's periodic checks.
 
-use sycamorerail_clock::lag::Lag;
+use sycamorerail_clock::lag::{Lag, MIN_STALL_MS, StallMeter};
 
 #[test]
 fn checks_on_time_show_no_delay() {
@@ -58,3 +58,14 @@
     lag.record(1_850);
     assert_eq!(lag.stalled_ms(1_860), 0);
 }
+
+/// Guards against short delays, which any busy process has, that count as stalls.
+#[test]
+fn a_stall_meter_tells_of_long_stalls_only() {
+    let mut meter = StallMeter::new(20, 1_000);
+    assert_eq!(meter.record(1_020), None);
+    assert_eq!(meter.record(1_040 + MIN_STALL_MS - 1), None);
+    let before_ms = 1_040 + MIN_STALL_MS - 1;
+    assert_eq!(meter.record(before_ms + 20 + 2_000), Some(2_000));
+    assert_eq!(meter.record(before_ms + 20 + 2_000 + 25), None);
+}
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -108,6 +108,8 @@
     pub connected_ms: u64,
     /// When the agent's last message arrived.
     pub last_heard_ms: u64,
+    /// How long the entry has stood still since then, in milliseconds.
+    pub stalled_ms: u64,
     /// The upstream instance, once the agent has reported it.
     pub instance: Option<UpstreamInstance>,
     /// The load in the agent's last report.
@@ -145,6 +147,7 @@
             is_disconnecting: false,
             connected_ms: now_ms,
             last_heard_ms: now_ms,
+            stalled_ms: 0,
             instance: None,
             load: UpstreamLoad::default(),
             earlier_runs: None,
@@ -161,7 +164,7 @@
         self.connected = true;
         self.is_disconnecting = false;
         self.connected_ms = now_ms;
-        self.last_heard_ms = now_ms;
+        self.note_heard(now_ms);
         self.acks = AckTracker::new(now_ms);
         self.load.usable = false;
         self.cold_until_ms = None;
@@ -170,6 +173,18 @@
         self.unreported_work_milli_ms = 0;
     }
 
+    /// Records that a message of the agent has arrived.
+    pub fn note_heard(&mut self, now_ms: u64) {
+        self.last_heard_ms = now_ms;
+        self.stalled_ms = 0;
+    }
+
+    /// Records that the entry stood still until now.
+    pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
+        let silent_ms = now_ms.saturating_sub(self.last_heard_ms);
+        self.stalled_ms = silent_ms.min(self.stalled_ms + stall_ms);
+    }
+
     /// Makes another process the current one. It may be the previous one, whose numbers go on.
     pub fn change_process(&mut self, incarnation: Incarnation, earlier_runs: EarlierRuns) {
         let returning = self.previous_process.filter(|other| other.incarnation == incarnation);
@@ -224,7 +239,7 @@
 
     /// Applies the load of a report, which covers all messages up to number `heard`.
     pub fn set_load(&mut self, load: UpstreamLoad, heard: u64, now_ms: u64) {
-        self.last_heard_ms = now_ms;
+        self.note_heard(now_ms);
         self.load = load;
         self.acks.record_ack(heard);
         while let Some(first) = self.unreported.front().filter(|first| first.message <= heard) {
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -69,7 +69,15 @@
     /// Records that a message of an agent has arrived.
     pub fn agent_heard(&mut self, key: AgentKey, now_ms: u64) {
         if let Some(view) = self.agents.get_mut(key) {
-            view.last_heard_ms = now_ms;
+            view.note_heard(now_ms);
+        }
+    }
+
+    /// Records that this entry stood still until now. Messages that arrived meanwhile are still
+    /// to be read.
+    pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
+        for view in self.agents.values_mut() {
+            view.note_stall(stall_ms, now_ms);
         }
     }
 
@@ -109,12 +117,13 @@
         is_lost: impl Fn(TaskKey, u32) -> bool,
         now_ms: u64,
     ) {
-        let last_heard_ms = self.agents.get(agent).map_or(now_ms, |view| view.last_heard_ms);
-        let silent_ms = now_ms.saturating_sub(last_heard_ms);
+        let Some(view) = self.agents.get(agent) else { return };
+        let silent_ms = now_ms.saturating_sub(view.last_heard_ms);
+        let stalled_ms = view.stalled_ms;
         let here = self.jobs.values().flat_map(|job| job.tasks_at(agent));
         let lost: Vec<_> = here.filter(|&(task, run)| is_lost(task, run)).collect();
         for (task, run) in lost {
-            self.losses.push(RunLoss { agent, task, run, cause, silent_ms });
+            self.losses.push(RunLoss { agent, task, run, cause, silent_ms, stalled_ms });
             self.apply_run_event(agent, task, run, RunEvent::Lost, now_ms);
         }
     }
--- a/crates/decide/tests/dispatch.rs
+++ b/crates/decide/tests/dispatch.rs
@@ -402,11 +402,11 @@
     site.dispatch.agent_connected("agent-0", Incarnation(1), Some(&[(task(1, 0, 0), 1)]), 110);
     let (agent, run) = (agents[0], 1);
     let (cause, silent_ms) = (LossCause::NotHeld, 10);
-    let not_held = RunLoss { agent, task: task(1, 0, 1), run, cause, silent_ms };
+    let not_held = RunLoss { agent, task: task(1, 0, 1), run, cause, silent_ms, stalled_ms: 0 };
     assert_eq!(site.dispatch.take_losses(), [not_held]);
     site.dispatch.tick(1_600);
     let (cause, silent_ms) = (LossCause::Silent, 1_500);
-    let silent = RunLoss { agent, task: task(1, 0, 0), run, cause, silent_ms };
+    let silent = RunLoss { agent, task: task(1, 0, 0), run, cause, silent_ms, stalled_ms: 0 };
     assert_eq!(site.dispatch.take_losses()[0], silent);
 }
 
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -24,7 +24,7 @@
         },
         time::Duration,
     },
-    sycamorerail_clock::Clock,
+    sycamorerail_clock::{Clock, lag::StallMeter},
     sycamorerail_decide::{
         copies::{CopyFetch, FetchLimits},
         dispatch::{
@@ -389,6 +389,7 @@
         agent = agent,
         cause = cause,
         silent_ms = loss.silent_ms,
+        stalled_ms = loss.stalled_ms,
     );
 }
 
@@ -452,9 +453,13 @@
 async fn tick(service: Arc<JobService>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     loop {
         ticks.tick().await;
         let stopped = service.change(|dispatch, now_ms| {
+            if let Some(stall_ms) = stalls.record(now_ms) {
+                dispatch.note_stall(stall_ms, now_ms);
+            }
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
