An entry's own stall is no silence of its agents

What callers saw: all tasks of their jobs run twice as a site's VMs stand still together for 1.5 s or more. The entry that goes on first does what is due by time before it reads what has arrived: all agents count as silent for the length of its stall, all their runs as lost, and it orders them at the first agent that it hears. Runs go on as their upstreams do.

Cause: the time of a stall counted as time in which the agents could have been heard. Now it does not: a run is lost after 1.5 s in which the entry ran and heard nothing, so that what arrived meanwhile is read first, and an agent that stood still with the entry has its time to go on.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -183,6 +183,16 @@
     pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
         let silent_ms = now_ms.saturating_sub(self.last_heard_ms);
         self.stalled_ms = silent_ms.min(self.stalled_ms + stall_ms);
+        let connected_for_ms = now_ms.saturating_sub(self.connected_ms);
+        if let Some(earlier) = &mut self.earlier_runs {
+            earlier.until_ms += stall_ms.min(connected_for_ms);
+        }
+    }
+
+    /// How long the agent has been silent while the entry could hear it, in milliseconds.
+    #[must_use]
+    pub fn observed_silence_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.last_heard_ms + self.stalled_ms)
     }
 
     /// Makes another process the current one. It may be the previous one, whose numbers go on.
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -74,7 +74,8 @@
     }
 
     /// Records that this entry stood still until now. Messages that arrived meanwhile are still
-    /// to be read.
+    /// to be read, and whatever stopped this entry may have stopped the agents, too. So the stall
+    /// shows nothing about them, and puts off what counts as lost after a time.
     pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
         for view in self.agents.values_mut() {
             view.note_stall(stall_ms, now_ms);
@@ -83,7 +84,7 @@
 
     pub(super) fn lose_silent_agents(&mut self, now_ms: u64) {
         let lost_ms = self.limits.lost_ms;
-        let is_silent = |agent: &&AgentView| now_ms >= agent.last_heard_ms + lost_ms;
+        let is_silent = |agent: &&AgentView| agent.observed_silence_ms(now_ms) >= lost_ms;
         let silent: Vec<_> =
             self.agents.values().filter(is_silent).map(|agent| agent.key).collect();
         for key in silent {
