An agent's own stall is no silence of its upstream

An agent that goes on after 1.9 s or more finds its upstream's lease lapsed before it has read an answer, and reports all runs as lost; its entry orders them elsewhere. The lapse holds on the upstream's clock, but an upstream that stood still with the agent ends its runs only as it goes on, and under a clock that stood still not even then.

Now the lapse is put off by the agent's stall, as it is by a suspension that the clocks show, and the upstream's first answer tells what became of the runs. Nothing starts until then. Leases are not longer than before: they depend on contacts with entries, which a stall does not renew.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -18,7 +18,7 @@
         sync::{Arc, atomic::AtomicU64},
         time::Duration,
     },
-    sycamorerail_clock::Clock,
+    sycamorerail_clock::{Clock, lag::StallMeter},
     sycamorerail_decide::{
         copies::{CopyFetch, FetchLimits},
         ledger::{
@@ -32,7 +32,10 @@
         ids::Incarnation,
         runs::{ConfigurationCopy, Evacuations, InstanceId, RunEvent, TaskKey, UpstreamInstance},
     },
-    tokio::sync::{Notify, watch},
+    tokio::{
+        sync::{Notify, watch},
+        time::Instant,
+    },
 };
 
 /// Interval of the time-driven checks. Only timeouts wait for it: events start waiting tasks.
@@ -399,14 +402,22 @@
 async fn tick(agent: Arc<LeasedAgent>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let started = Instant::now();
+    // Suspensions of the VM are noted apart: this time does not include them.
+    let awake_ms = || u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+    let mut stalls = StallMeter::new(TICK.as_millis() as u64, awake_ms());
     for count in 0_u64.. {
         ticks.tick().await;
+        let stall_ms = stalls.record(awake_ms());
         if count.is_multiple_of(TICKS_PER_LOAD_LINE) {
             log_load(&agent);
         }
         let suspended_ms = agent.clock.suspended_ms();
         let silent = agent.update_ledger(|ledger, now_ms| {
             ledger.note_suspension(suspended_ms, now_ms);
+            if let Some(stall_ms) = stall_ms {
+                ledger.note_stall(stall_ms);
+            }
             ledger.check_lease_lapse(now_ms);
             ledger.drop_expired(now_ms);
             let silent = ledger.silent_owners(now_ms);
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -200,6 +200,13 @@
         }
     }
 
+    /// Records that this process stood still until now. Answers that arrived meanwhile are still to
+    /// be read, and whatever stopped this process may have stopped the upstream, too, which ends
+    /// runs without a lease only once it goes on. So the upstream gets as much longer to answer.
+    pub fn note_stall(&mut self, stall_ms: u64) {
+        self.lapsed_ms += stall_ms;
+    }
+
     /// Reports runs as lost once their lease has certainly lapsed, and hands waiting tasks back
     /// once the upstream is no longer trusted. Nothing is started until the upstream answers
     /// again and lists no leftovers.
--- a/crates/decide/tests/own_stalls.rs
+++ b/crates/decide/tests/own_stalls.rs
@@ -2,9 +2,12 @@
 
 use {
     std::sync::Arc,
-    sycamorerail_decide::dispatch::{
-        AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobRequest, KindParameters,
-        StepRequest,
+    sycamorerail_decide::{
+        dispatch::{
+            AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobRequest, KindParameters,
+            StepRequest,
+        },
+        ledger::{LeaseAnswer, Ledger, LedgerLimits, StartAnswer},
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -158,3 +161,42 @@
     entry.tick(WOKEN_MS + LOST_MS);
     assert_eq!(entry.take_losses().len(), 1);
 }
+
+/// Guards against an agent that reports runs as lost for its own stall, before its upstream has
+/// had time to answer.
+#[test]
+fn an_agents_own_stall_loses_no_run() {
+    let mut agent = Ledger::new(LedgerLimits::default());
+    agent.set_upstream(upstream("a"));
+    agent.note_owner_contact(ENTRY, 1);
+    let answer = |running: &[(TaskKey, u32)], sent_ms: u64| LeaseAnswer {
+        instance: InstanceId::without_start("a"),
+        sent_ms,
+        clock_ms: 50_000 + sent_ms,
+        running: running.to_vec(),
+        ..LeaseAnswer::default()
+    };
+    agent.handle_renewal_answer(&answer(&[], 1), 1);
+    let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let key = connect(&mut entry, "a", AGENT, 1);
+    entry.handle_report(key, &[], load(), 1, 1);
+    entry.submit(JobRequest { arrived_ms: 1, ..job() }, 1).unwrap();
+    let placement = entry.take_commands().into_iter().find_map(|command| match command {
+        Command::Place(_, placement) => Some(placement),
+        _ => None,
+    });
+    agent.place(ENTRY, placement.unwrap(), 2);
+    agent.next_start(2).unwrap();
+    agent.handle_start_answer(TASK, 1, StartAnswer::Started, 3);
+    agent.handle_renewal_answer(&answer(&[(TASK, 1)], 60), 60);
+    let events = |agent: &Ledger| -> Vec<_> {
+        agent.reports(ENTRY).iter().map(|report| report.event).collect()
+    };
+    let woken_ms = 60 + STALL_MS;
+    agent.note_stall(STALL_MS);
+    agent.check_lease_lapse(woken_ms);
+    assert_eq!(events(&agent), [RunEvent::Started], "its upstream was not asked yet");
+    assert!(!agent.is_trusted(woken_ms), "nothing starts until it answers");
+    agent.check_lease_lapse(woken_ms + 1_837);
+    assert_eq!(events(&agent), [RunEvent::Started, RunEvent::Lost]);
+}
