--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -6,7 +6,8 @@
 #
 # Environment:
 #   PLANS="promises_hold_under_random_faults planned_stops_lose_nothing
-#          promises_hold_while_agents_know_little no_run_outlives_its_order"
+#          promises_hold_while_agents_know_little no_run_outlives_its_order
+#          no_run_is_ordered_again_after_a_shared_stall"
 #   SOAK_SECONDS=15  SOAK_ENTRIES, SOAK_AGENTS, SOAK_LANES as for the test
 #   OUT=DIR            default bench-results/soak
 set -euo pipefail
@@ -16,7 +17,8 @@
 count=${2:-50}
 out=${OUT:-bench-results/soak}
 plans=(promises_hold_under_random_faults planned_stops_lose_nothing
-    promises_hold_while_agents_know_little no_run_outlives_its_order)
+    promises_hold_while_agents_know_little no_run_outlives_its_order
+    no_run_is_ordered_again_after_a_shared_stall)
 if [ -n "${PLANS:-}" ]; then
     read -ra plans <<< "$PLANS"
 fi
