Stalls put a loss off once, and nothing undoes it

Now only the longest stall since the last message, answer or hello counts. An answer from before the stall, refused connections, and the next hello of a restarted agent each undid a stall that had been noted: the agent's stall is kept apart from the lapse, as its suspensions are, and the runs of an earlier process count from the hello that left them.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -408,15 +408,14 @@
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, awake_ms());
     for count in 0_u64.. {
         ticks.tick().await;
-        let stall_ms = stalls.record(awake_ms());
         if count.is_multiple_of(TICKS_PER_LOAD_LINE) {
             log_load(&agent);
         }
         let suspended_ms = agent.clock.suspended_ms();
         let silent = agent.update_ledger(|ledger, now_ms| {
             ledger.note_suspension(suspended_ms, now_ms);
-            if let Some(stall_ms) = stall_ms {
-                ledger.note_stall(stall_ms);
+            if let Some(stall_ms) = stalls.record(awake_ms()) {
+                ledger.note_stall(stall_ms, now_ms);
             }
             ledger.check_lease_lapse(now_ms);
             ledger.drop_expired(now_ms);
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -42,14 +42,29 @@
 /// Runs at an agent that its process before the current one has left.
 #[derive(Clone, Debug)]
 pub struct EarlierRuns {
-    /// When they have certainly ended.
-    pub until_ms: u64,
+    /// When the hello of the next process arrived.
+    pub since_ms: u64,
+    /// How long after that they have certainly ended, in milliseconds.
+    pub over_after_ms: u64,
+    /// The longest stall of the entry since then, in milliseconds.
+    pub stalled_ms: u64,
     /// Runs that the current process holds, and that are therefore none of them. It holds some if
     /// the hello of the process before it arrived late, after its own.
     pub held: Vec<(TaskKey, u32)>,
 }
 
 impl EarlierRuns {
+    /// Whether they have certainly ended.
+    #[must_use]
+    pub fn are_over(&self, now_ms: u64) -> bool {
+        now_ms >= self.since_ms + self.over_after_ms + self.stalled_ms
+    }
+
+    fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
+        let longest_ms = now_ms.saturating_sub(self.since_ms);
+        self.stalled_ms = self.stalled_ms.max(stall_ms.min(longest_ms));
+    }
+
     /// Whether a run at the agent is one of them.
     #[must_use]
     pub fn contains(&self, task: TaskKey, run: u32) -> bool {
@@ -108,7 +123,7 @@
     pub connected_ms: u64,
     /// When the agent's last message arrived.
     pub last_heard_ms: u64,
-    /// How long the entry has stood still since then, in milliseconds.
+    /// The longest stall of the entry since then, in milliseconds.
     pub stalled_ms: u64,
     /// The upstream instance, once the agent has reported it.
     pub instance: Option<UpstreamInstance>,
@@ -182,14 +197,15 @@
     /// Records that the entry stood still until now.
     pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
         let silent_ms = now_ms.saturating_sub(self.last_heard_ms);
-        self.stalled_ms = silent_ms.min(self.stalled_ms + stall_ms);
-        let connected_for_ms = now_ms.saturating_sub(self.connected_ms);
+        self.stalled_ms = self.stalled_ms.max(stall_ms.min(silent_ms));
         if let Some(earlier) = &mut self.earlier_runs {
-            earlier.until_ms += stall_ms.min(connected_for_ms);
+            earlier.note_stall(stall_ms, now_ms);
         }
     }
 
-    /// How long the agent has been silent while the entry could hear it, in milliseconds.
+    /// How long the agent has been silent, without the longest stall of the entry in that time, in
+    /// milliseconds. Only one stall counts, so that one after the other doesn't put a loss off for
+    /// good.
     #[must_use]
     pub fn observed_silence_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.last_heard_ms + self.stalled_ms)
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -75,7 +75,8 @@
 
     /// Records that this entry stood still until now. Messages that arrived meanwhile are still
     /// to be read, and whatever stopped this entry may have stopped the agents, too. So the stall
-    /// shows nothing about them, and puts off what counts as lost after a time.
+    /// shows nothing about them, and puts off what counts as lost after a time, once for the
+    /// longest stall in that time.
     pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
         for view in self.agents.values_mut() {
             view.note_stall(stall_ms, now_ms);
@@ -98,7 +99,7 @@
     /// Marks the runs as lost that earlier processes of agents have left, once they have
     /// certainly ended.
     pub(super) fn lose_earlier_runs(&mut self, now_ms: u64) {
-        let is_over = |earlier: &mut EarlierRuns| now_ms >= earlier.until_ms;
+        let is_over = |earlier: &mut EarlierRuns| earlier.are_over(now_ms);
         let over = self
             .agents
             .values_mut()
@@ -196,9 +197,13 @@
         };
         let view = &mut self.agents[key];
         if view.process.incarnation != incarnation {
-            let until_ms = now_ms + self.limits.lost_ms;
-            let held = held.map_or_else(Vec::new, <[_]>::to_vec);
-            view.change_process(incarnation, EarlierRuns { until_ms, held });
+            let earlier_runs = EarlierRuns {
+                since_ms: now_ms,
+                over_after_ms: self.limits.lost_ms,
+                stalled_ms: 0,
+                held: held.map_or_else(Vec::new, <[_]>::to_vec),
+            };
+            view.change_process(incarnation, earlier_runs);
         } else if let Some(held) = held.filter(|_| view.earlier_runs.is_none()) {
             let is_lost = |task, run| !held.contains(&(task, run));
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -282,7 +282,8 @@
     pub cause: LossCause,
     /// Time since the agent's last message, in milliseconds.
     pub silent_ms: u64,
-    /// How much of that time the entry stood still and could hear nobody, in milliseconds.
+    /// The longest stall of the entry in that time, in which it could hear nobody, in
+    /// milliseconds.
     pub stalled_ms: u64,
 }
 
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -172,6 +172,10 @@
     /// Since when the upstream has refused connections, until it answers again.
     refusing_since_ms: Option<u64>,
     suspension: Suspension,
+    /// The longest stall of this process since the last answered renewal was sent, in
+    /// milliseconds, and when the last one was noticed.
+    stalled_ms: u64,
+    stall_noticed_ms: u64,
     acknowledged: u64,
     runs: SlotMap<RunKey, Run>,
     by_task: HashMap<TaskKey, RunKey>,
@@ -211,6 +215,8 @@
             granted_ms: 0,
             refusing_since_ms: None,
             suspension: Suspension::default(),
+            stalled_ms: 0,
+            stall_noticed_ms: 0,
             acknowledged: 0,
             runs: SlotMap::with_key(),
             by_task: HashMap::new(),
--- a/crates/decide/src/ledger/renewal.rs
+++ b/crates/decide/src/ledger/renewal.rs
@@ -91,6 +91,9 @@
         if answer.sent_ms < self.suspension.noticed_ms {
             self.lapsed_ms += self.suspension.last_ms;
         }
+        if answer.sent_ms >= self.stall_noticed_ms {
+            self.stalled_ms = 0;
+        }
     }
 
     fn handle_run_end(&mut self, ended: &RunEnd, now_ms: u64) {
@@ -202,16 +205,22 @@
 
     /// Records that this process stood still until now. Answers that arrived meanwhile are still to
     /// be read, and whatever stopped this process may have stopped the upstream, too, which ends
-    /// runs without a lease only once it goes on. So the upstream gets as much longer to answer.
-    pub fn note_stall(&mut self, stall_ms: u64) {
-        self.lapsed_ms += stall_ms;
+    /// runs without a lease only once it goes on. So the upstream gets as much longer to answer,
+    /// once for the longest stall since its last answer.
+    pub fn note_stall(&mut self, stall_ms: u64, now_ms: u64) {
+        self.stalled_ms = self.stalled_ms.max(stall_ms);
+        self.stall_noticed_ms = now_ms;
+    }
+
+    fn has_lapsed(&self, now_ms: u64) -> bool {
+        now_ms >= self.lapsed_ms + self.stalled_ms
     }
 
     /// Reports runs as lost once their lease has certainly lapsed, and hands waiting tasks back
     /// once the upstream is no longer trusted. Nothing is started until the upstream answers
     /// again and lists no leftovers.
     pub fn check_lease_lapse(&mut self, now_ms: u64) {
-        if now_ms >= self.lapsed_ms {
+        if self.has_lapsed(now_ms) {
             self.settle_orphans();
         }
         if self.renewed_ms.is_none() {
@@ -221,7 +230,7 @@
             // Another agent may start them meanwhile.
             self.drop_waiting(NotStarted::NoUpstream);
         }
-        if now_ms < self.lapsed_ms {
+        if !self.has_lapsed(now_ms) {
             return;
         }
         if self.refusing_since_ms.is_some() {
--- a/crates/decide/tests/own_stalls.rs
+++ b/crates/decide/tests/own_stalls.rs
@@ -130,20 +130,17 @@
 /// Guards against an agent that is gone and never counts as lost, as its entry stands still again
 /// and again.
 #[test]
-fn silence_between_stalls_adds_up() {
+fn stalls_one_after_the_other_put_a_loss_off_once() {
     let (mut entry, _, other) = entry_with_run();
     let mut now_ms = HEARD_MS;
-    for stalls in 1.. {
-        now_ms += 500;
+    while now_ms < HEARD_MS + LOST_MS + 400 {
+        assert_eq!(entry.take_losses(), [], "at {now_ms}");
+        now_ms += 420;
         entry.note_stall(400, now_ms);
         entry.handle_report(other, &[], load(), 1, now_ms);
         entry.tick(now_ms);
-        let observed_ms = stalls * 100;
-        assert_eq!(entry.take_losses().len(), usize::from(observed_ms >= LOST_MS), "{observed_ms}");
-        if observed_ms >= LOST_MS {
-            return;
-        }
     }
+    assert_eq!(entry.take_losses().len(), 1);
 }
 
 /// Guards against the runs of an earlier process of an agent that count as over while their
@@ -152,31 +149,34 @@
 fn an_entrys_own_stall_ends_no_run_of_an_earlier_process() {
     let (mut entry, first, _) = entry_with_run();
     connect(&mut entry, "a", NEXT_AGENT, HEARD_MS);
+    // The next hello of the same process is read before the stall is noticed.
+    connect(&mut entry, "a", NEXT_AGENT, WOKEN_MS);
     entry.note_stall(STALL_MS, WOKEN_MS);
     entry.tick(WOKEN_MS);
     assert_eq!(entry.take_losses(), []);
-    entry.agent_heard(first, WOKEN_MS + 1);
+    entry.agent_heard(first, WOKEN_MS + LOST_MS - 1);
     entry.tick(WOKEN_MS + LOST_MS - 1);
     assert_eq!(entry.take_losses(), []);
     entry.tick(WOKEN_MS + LOST_MS);
     assert_eq!(entry.take_losses().len(), 1);
 }
 
-/// Guards against an agent that reports runs as lost for its own stall, before its upstream has
-/// had time to answer.
-#[test]
-fn an_agents_own_stall_loses_no_run() {
-    let mut agent = Ledger::new(LedgerLimits::default());
-    agent.set_upstream(upstream("a"));
-    agent.note_owner_contact(ENTRY, 1);
-    let answer = |running: &[(TaskKey, u32)], sent_ms: u64| LeaseAnswer {
+fn listed(running: &[(TaskKey, u32)], sent_ms: u64) -> LeaseAnswer {
+    LeaseAnswer {
         instance: InstanceId::without_start("a"),
         sent_ms,
         clock_ms: 50_000 + sent_ms,
         running: running.to_vec(),
         ..LeaseAnswer::default()
-    };
-    agent.handle_renewal_answer(&answer(&[], 1), 1);
+    }
+}
+
+/// Returns an agent whose task runs, as its upstream said at 60 ms.
+fn agent_with_run() -> Ledger {
+    let mut agent = Ledger::new(LedgerLimits::default());
+    agent.set_upstream(upstream("a"));
+    agent.note_owner_contact(ENTRY, 1);
+    agent.handle_renewal_answer(&listed(&[], 1), 1);
     let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
     let key = connect(&mut entry, "a", AGENT, 1);
     entry.handle_report(key, &[], load(), 1, 1);
@@ -188,15 +188,50 @@
     agent.place(ENTRY, placement.unwrap(), 2);
     agent.next_start(2).unwrap();
     agent.handle_start_answer(TASK, 1, StartAnswer::Started, 3);
-    agent.handle_renewal_answer(&answer(&[(TASK, 1)], 60), 60);
-    let events = |agent: &Ledger| -> Vec<_> {
-        agent.reports(ENTRY).iter().map(|report| report.event).collect()
-    };
+    agent.handle_renewal_answer(&listed(&[(TASK, 1)], 60), 60);
+    agent
+}
+
+fn events(agent: &Ledger) -> Vec<RunEvent> {
+    agent.reports(ENTRY).iter().map(|report| report.event).collect()
+}
+
+/// Guards against an agent that reports runs as lost for its own stall, before its upstream has
+/// had time to answer.
+#[test]
+fn an_agents_own_stall_loses_no_run() {
+    let mut agent = agent_with_run();
     let woken_ms = 60 + STALL_MS;
-    agent.note_stall(STALL_MS);
+    agent.note_stall(STALL_MS, woken_ms);
     agent.check_lease_lapse(woken_ms);
     assert_eq!(events(&agent), [RunEvent::Started], "its upstream was not asked yet");
     assert!(!agent.is_trusted(woken_ms), "nothing starts until it answers");
     agent.check_lease_lapse(woken_ms + 1_837);
     assert_eq!(events(&agent), [RunEvent::Started, RunEvent::Lost]);
 }
+
+/// Guards against an answer from before the stall, read after it, that brings the lapse forward.
+#[test]
+fn an_answer_from_before_a_stall_does_not_undo_it() {
+    let mut agent = agent_with_run();
+    let woken_ms = 100 + STALL_MS;
+    agent.note_stall(STALL_MS, woken_ms);
+    agent.handle_renewal_answer(&listed(&[(TASK, 1)], 100), woken_ms + 1);
+    agent.check_lease_lapse(woken_ms + 25);
+    assert_eq!(events(&agent), [RunEvent::Started]);
+    agent.handle_renewal_answer(&listed(&[(TASK, 1)], woken_ms + 30), woken_ms + 31);
+    agent.check_lease_lapse(woken_ms + 30 + 1_837);
+    assert_eq!(events(&agent), [RunEvent::Started, RunEvent::Lost], "the stall is over");
+}
+
+/// Guards against an upstream that goes on later than its agent, refuses connections until then,
+/// and counts as crashed at once.
+#[test]
+fn refused_connections_do_not_undo_a_stall() {
+    let mut agent = agent_with_run();
+    let woken_ms = 100 + STALL_MS;
+    agent.note_stall(STALL_MS, woken_ms);
+    agent.handle_refused_connections(woken_ms + 20);
+    agent.check_lease_lapse(woken_ms + 25);
+    assert_eq!(events(&agent), [RunEvent::Started]);
+}
--- a/crates/decide/tests/run_bound_chain/agent.rs
+++ b/crates/decide/tests/run_bound_chain/agent.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Connection, ENTRIES,
+        Connection, ENTRIES, stall_before_check_ms,
         upstream::{Answer, Call, CallBody, Upstream},
     },
     sycamorerail_decide::{
@@ -170,6 +170,9 @@
     }
 
     pub fn tick(&mut self, now_ms: u64) {
+        if let Some(stall_ms) = stall_before_check_ms(self.tick_ms, now_ms) {
+            self.ledger.note_stall(stall_ms, now_ms);
+        }
         self.tick_ms = now_ms + AGENT_TICK_MS;
         self.ledger.check_lease_lapse(now_ms);
         self.ledger.drop_expired(now_ms);
--- a/crates/decide/tests/run_bound_chain/entry.rs
+++ b/crates/decide/tests/run_bound_chain/entry.rs
@@ -1,7 +1,7 @@
 //! The steps of an entry's process, as `entry::runs` takes them.
 
 use {
-    super::{Connection, LATENCY_MS, upstream::RUN_MS},
+    super::{Connection, LATENCY_MS, stall_before_check_ms, upstream::RUN_MS},
     std::collections::{BTreeMap, VecDeque},
     sycamorerail_decide::{
         dispatch::{
@@ -180,6 +180,9 @@
     }
 
     pub fn tick(&mut self, now_ms: u64) {
+        if let Some(stall_ms) = stall_before_check_ms(self.tick_ms, now_ms) {
+            self.dispatch.note_stall(stall_ms, now_ms);
+        }
         self.tick_ms = now_ms + ENTRY_TICK_MS;
         self.dispatch.tick(now_ms);
         self.act(now_ms);
--- a/crates/decide/tests/run_bound_chain/mod.rs
+++ b/crates/decide/tests/run_bound_chain/mod.rs
@@ -28,9 +28,16 @@
 pub const LATENCY_MS: u64 = 2;
 /// Links and leases stand when the first fault comes.
 pub const WARM_UP_MS: u64 = 500;
+/// Processes notice stalls from this length on.
+const MIN_STALL_MS: u64 = 300;
 /// What is left of a plan's last faults shows within this time.
 pub const AFTERMATH_MS: u64 = 3_500;
 
+/// The stall before a periodic check that was due then, if the process notices it.
+fn stall_before_check_ms(due_ms: u64, now_ms: u64) -> Option<u64> {
+    Some(now_ms.saturating_sub(due_ms)).filter(|stall_ms| *stall_ms >= MIN_STALL_MS)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Process {
     Entry(usize),
