An item that fills a page of a list hides none behind it

What callers saw: with one item of another writer that cannot be read and takes a whole page of the store's list (a value may have 1,048,576 bytes, a page about 1 MB), all items after it were missing: agents read no entries, mirrors no records, for as long as it stood.

Cause: such items are left out of a page, a page without items counted as the last one, and the next page began after the last item that could be read. Now a page tells its last key, readable or not, and the next page begins after it. A page that leads no further ends the list.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -125,12 +125,16 @@
     async fn pages(&self, prefix: &str, with_values: bool) -> Result<Range, PlatformError> {
         let form = &self.shared.form;
         let mut range: Option<Range> = None;
+        // The next page begins after the last key, which may be one that cannot be read.
+        let mut last_key: Option<String> = None;
         loop {
-            let last = range.as_ref().and_then(|range| range.items.last());
-            let call = form.range(prefix, last.map(|kv| &*kv.key), with_values);
+            let call = form.range(prefix, last_key.as_deref(), with_values);
             let page =
                 self.call(PlatformStep::Range, &call, |reply| form.read_range(reply)).await?;
-            let has_more = page.has_more && !page.items.is_empty();
+            // A page that leads no further would be read for ever.
+            let leads_on = page.last_key.is_some() && page.last_key != last_key;
+            let has_more = page.has_more && leads_on;
+            last_key = page.last_key;
             let read = match range.take() {
                 None => Range { mark: page.mark, items: page.items },
                 Some(mut read) => {
--- a/crates/platform/src/etcd.rs
+++ b/crates/platform/src/etcd.rs
@@ -35,8 +35,9 @@
 
     fn read_range(&self, reply: &Reply) -> Read<Page> {
         let answer: RangeResponse = read_success(reply)?;
-        let items = answer.kvs.into_iter().map(KeyValue::from).collect();
-        Ok(Page { mark: answer.header.revision.0, items, has_more: false })
+        let items: Vec<_> = answer.kvs.into_iter().map(KeyValue::from).collect();
+        let last_key = items.last().map(|item: &KeyValue| item.key.clone());
+        Ok(Page { mark: answer.header.revision.0, items, last_key, has_more: false })
     }
 
     fn get(&self, key: &str) -> Call {
--- a/crates/platform/src/form.rs
+++ b/crates/platform/src/form.rs
@@ -69,8 +69,10 @@
 pub struct Page {
     /// Platform revision of the answer.
     pub mark: u64,
-    /// The keys, in their order.
+    /// The keys, in their order, without those whose values cannot be read.
     pub items: Vec<KeyValue>,
+    /// The page's last key, whether or not its value can be read; `None` if the page is empty.
+    pub last_key: Option<String>,
     /// More keys come after the last one.
     pub has_more: bool,
 }
