The room of an upstream on trial is computed in 64 bits

What callers saw: nothing yet; a heartbeat with a capacity of 4,294,967,295, which is valid, makes the agent of a slow upstream panic in its load report where overflow is checked. Elsewhere the product wraps, and entries are told a wrong room.

Cause: a tenth of the capacity was computed as capacity * 10 / 100 in 32 bits, which overflows from 429,496,730 on.

Red with the change taken back: run_times::a_room_too_large_for_any_vm_is_counted_on_trial ("attempt to multiply with overflow"). Green with it.

--- a/crates/decide/src/ledger/load.rs
+++ b/crates/decide/src/ledger/load.rs
@@ -16,7 +16,7 @@
 const TRIAL_PERCENT: u32 = 250;
 /// Capacity that an upstream on trial offers, in percent. One task in ten shows as much as all
 /// of them, and if the upstream hangs, it costs one job instead of ten.
-const TRIAL_CAPACITY_PERCENT: u32 = 10;
+const TRIAL_CAPACITY_PERCENT: u64 = 10;
 /// Run time, in percent of that on a sound upstream, above which a run is overdue.
 const OVERDUE_PERCENT: u32 = 250;
 
@@ -85,7 +85,8 @@
         if !self.run_times.are_beyond(TRIAL_PERCENT) {
             return capacity;
         }
-        let cpu_milli = capacity.cpu_milli * TRIAL_CAPACITY_PERCENT / 100;
+        let cpu_milli = u64::from(capacity.cpu_milli) * TRIAL_CAPACITY_PERCENT / 100;
+        let cpu_milli = u32::try_from(cpu_milli).unwrap_or(u32::MAX);
         Resources { cpu_milli, ..capacity }
     }
 
--- a/crates/decide/tests/run_times.rs
+++ b/crates/decide/tests/run_times.rs
@@ -127,6 +127,18 @@
     assert_eq!(agent.ledger.load(agent.now_ms).capacity, CAPACITY);
 }
 
+/// The room on trial was computed in 32 bits: a room that is valid, but larger than any VM's,
+/// made the agent panic.
+#[test]
+fn a_room_too_large_for_any_vm_is_counted_on_trial() {
+    let mut agent = Agent::new();
+    agent.run(100, 55);
+    agent.run(15, 400);
+    let capacity = Resources { cpu_milli: u32::MAX, ..CAPACITY };
+    agent.ledger.set_upstream(UpstreamInstance { capacity, ..instance("a") });
+    assert_eq!(agent.ledger.load(agent.now_ms).capacity.cpu_milli, u32::MAX / 10);
+}
+
 /// An upstream that stays slow must not be on trial for ever.
 #[test]
 fn a_slow_spell_that_lasts_is_the_new_speed() {
