An address with port 0 names no entry

What callers saw: nothing shown; an item of another writer with port 0 in the roster or among the records of entries was dialled by entries and agents like one that answers.

Cause: 0 is a port to the parser of addresses. Items with it are now left out, logged once with the others that are refused ("port: 0 names no entry"); the log also names the address as the field that cannot be read. Ports above 65535 were refused before, which the test covers as well.

--- a/crates/membership/src/record.rs
+++ b/crates/membership/src/record.rs
@@ -1,7 +1,10 @@
 //! The records' values, as JSON.
 
 use {
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{
+        Deserialize, Deserializer, Serialize,
+        de::{DeserializeOwned, Error},
+    },
     std::net::SocketAddr,
     sycamorerail_wire::message::AgentIdentity,
 };
@@ -14,6 +17,7 @@
     /// Data centre from the settings.
     pub data_centre: String,
     /// Address for its peers and agents.
+    #[serde(deserialize_with = "address")]
     pub inner_address: SocketAddr,
     /// Address for callers and operators.
     pub http_address: SocketAddr,
@@ -67,6 +71,12 @@
     pub changed_unix_ms: u64,
 }
 
+/// Reads an address that can be dialled: with port 0 it names no entry.
+fn address<'de, D: Deserializer<'de>>(field: D) -> Result<SocketAddr, D::Error> {
+    let address = SocketAddr::deserialize(field)?;
+    if address.port() == 0 { Err(Error::custom("port 0")) } else { Ok(address) }
+}
+
 /// Writes a record's value.
 #[must_use]
 pub fn to_json(record: &impl Serialize) -> String {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -89,7 +89,7 @@
         let mut addresses = Vec::with_capacity(items.len());
         let mut refused = BTreeSet::new();
         for item in items {
-            match item.value.parse() {
+            match read_address(&item.value) {
                 Ok(address) => addresses.push(address),
                 Err(error) => {
                     self.tell_refused(item, &error);
@@ -101,7 +101,7 @@
         addresses
     }
 
-    fn tell_refused(&self, item: &KeyValue, error: &std::net::AddrParseError) {
+    fn tell_refused(&self, item: &KeyValue, error: &str) {
         if self.refused.contains(&(item.key.clone(), item.modified)) {
             return;
         }
@@ -115,3 +115,9 @@
         );
     }
 }
+
+fn read_address(value: &str) -> Result<SocketAddr, String> {
+    let address: SocketAddr = value.parse().map_err(|error| format!("address: {error}"))?;
+    // Connections to it fail, and each takes the turn of an entry that answers.
+    if address.port() == 0 { Err("port: 0 names no entry".to_owned()) } else { Ok(address) }
+}
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -28,3 +28,14 @@
         prop_assert_eq!(addresses, expected);
     }
 }
+
+/// Entries and agents dialled it, in place of one that answers.
+#[test]
+fn an_address_without_a_usable_port_names_no_entry() {
+    for port in ["0", "65536", "1000000000", "-1", "1e3", "18446744073709551616"] {
+        let odd = format!("10.0.0.9:{port}");
+        let items = [item(1, "10.0.0.1:7720"), item(2, &odd), item(3, "[::1]:0")];
+        let addresses = RosterReader::default().addresses(&items);
+        assert_eq!(addresses, ["10.0.0.1:7720".parse().unwrap()], "{port}");
+    }
+}
