Another spelling of an incarnation names no record

Cause: keys are parsed as hexadecimal numbers of any length, with a sign and in either case, and the last of two that name one incarnation won. Only the form that is written names one now.

The other tests of the file, of records that are nested up to 500,000 deep or have numbers too large, were green before.

--- a/crates/membership/src/keys.rs
+++ b/crates/membership/src/keys.rs
@@ -22,8 +22,10 @@
     format!("{prefix}{incarnation}")
 }
 
-/// The incarnation that a key under the prefix names.
+/// The incarnation that a key under the prefix names. Only the form that [`key`] writes names
+/// one: another writer's record under another form would take the place of the right one.
 #[must_use]
 pub fn incarnation(prefix: &str, key: &str) -> Option<Incarnation> {
-    key.strip_prefix(prefix)?.parse().ok()
+    let incarnation = key.strip_prefix(prefix)?.parse().ok()?;
+    (self::key(prefix, incarnation) == key).then_some(incarnation)
 }
