A start time that no clock shows raises no fence

Cause: fences are computed from the latest start known under an id, doubled, without a bound. Start times from 2^42 ms on (the year 2109), up to which the doublings stay exact in JSON, now count as unknown, and a life record with one is logged as unreadable, by the name of the field.

--- a/crates/decide/src/ledger/order_fence.rs
+++ b/crates/decide/src/ledger/order_fence.rs
@@ -1,7 +1,7 @@
 //! The fencing number by which an upstream tells its agent's orders from those of earlier
 //! agents.
 
-use sycamorerail_wire::runs::InstanceId;
+use sycamorerail_wire::runs::{InstanceId, MAX_START_UNIX_MS};
 
 /// Largest integer up to which all JSON readers are exact.
 const MAX_JSON_INTEGER: u64 = 1 << 53;
@@ -38,8 +38,7 @@
 
     /// Records an instance under the id, perhaps one that an earlier agent knew.
     pub(super) fn note_instance(&mut self, instance: &InstanceId) {
-        let start_unix_ms = instance.started_unix_ms.unwrap_or(0);
-        self.latest_start_unix_ms = self.latest_start_unix_ms.max(start_unix_ms);
+        self.latest_start_unix_ms = self.latest_start_unix_ms.max(start_unix_ms(instance));
     }
 
     /// Restores a number that was in use under the id. If it is higher than the number of this
@@ -57,7 +56,7 @@
     /// one, by no more than the lifetime of the earlier instance. Twice the latest start time
     /// is above it.
     pub(super) fn take(&mut self, instance: &InstanceId, clock_ms: u64) {
-        let has_gone_back = instance.started_unix_ms.unwrap_or(0) < self.latest_start_unix_ms;
+        let has_gone_back = start_unix_ms(instance) < self.latest_start_unix_ms;
         if has_gone_back && self.taken_for.is_none() {
             self.raise(self.latest_start_unix_ms.saturating_mul(2));
         }
@@ -88,5 +87,11 @@
 }
 
 fn fresh_number(instance: &InstanceId, clock_ms: u64) -> u64 {
-    instance.started_unix_ms.unwrap_or(0).saturating_add(clock_ms).saturating_add(1)
+    start_unix_ms(instance).saturating_add(clock_ms).saturating_add(1)
+}
+
+/// Returns when the instance started, or 0 if that is not known. A later time than any clock shows
+/// comes from a foreign writer: a number computed from it could not be exceeded by a later agent.
+fn start_unix_ms(instance: &InstanceId) -> u64 {
+    instance.started_unix_ms.filter(|start| *start < MAX_START_UNIX_MS).unwrap_or(0)
 }
--- a/crates/decide/tests/ledger_instances.rs
+++ b/crates/decide/tests/ledger_instances.rs
@@ -404,3 +404,16 @@
     ledger.handle_announcement(instance(id(SECOND)), 50);
     assert!(ledger.load(51).usable);
 }
+
+/// The fence was computed from it, and no later run of the agent could exceed it.
+#[test]
+fn a_start_time_of_another_writer_raises_no_fence() {
+    for start in [1 << 42, 1 << 53, u64::MAX] {
+        let mut ledger = Ledger::new(LedgerLimits::default());
+        ledger.handle_announcement(instance(id(start)), 0);
+        let answer = answer(&ledger, id(FIRST), 1);
+        ledger.handle_fence_answer(&answer, 1);
+        assert_eq!(ledger.current_instance(), Some(&id(FIRST)), "{start}");
+        assert!(ledger.fence() < 2 * FIRST, "{start}: {}", ledger.fence());
+    }
+}
--- a/crates/membership/src/life_record.rs
+++ b/crates/membership/src/life_record.rs
@@ -9,7 +9,7 @@
 use {
     sycamorerail_platform::{Expected, KeyValue, Platform, PlatformError, Swap, backoff::jittered},
     sycamorerail_telemetry::event,
-    sycamorerail_wire::runs::UpstreamInstance,
+    sycamorerail_wire::runs::{MAX_START_UNIX_MS, UpstreamInstance},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -84,7 +84,7 @@
     }
 
     fn parse(&mut self, item: KeyValue) -> Option<UpstreamInstance> {
-        let life = serde_json::from_str(&item.value);
+        let life = read(&item.value);
         if let Err(error) = &life {
             event!(Warn, "life_unreadable", key = self.key, error = error);
         }
@@ -119,3 +119,14 @@
         Ok(())
     }
 }
+
+fn read(value: &str) -> Result<UpstreamInstance, String> {
+    let life: UpstreamInstance = serde_json::from_str(value).map_err(|error| error.to_string())?;
+    match life.id.started_unix_ms {
+        // Fences of orders that are computed from it could not be exceeded again.
+        Some(start) if start >= MAX_START_UNIX_MS => {
+            Err(format!("started_unix_ms: {start} is not below {MAX_START_UNIX_MS}"))
+        }
+        _ => Ok(life),
+    }
+}
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -401,6 +401,10 @@
     }
 }
 
+/// Start times are below this Unix time, in milliseconds (in the year 2109). Fences of orders are
+/// computed from start times and stay exact in JSON only below it.
+pub const MAX_START_UNIX_MS: u64 = 1 << 42;
+
 /// An instance of an upstream, as its agent describes it. Entries keep the record, so that
 /// an agent that restarts gets it back.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
