--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -178,11 +178,14 @@
     /// If the announced instance is not the one that answers renewals, the agent ignores the
     /// announcement until that instance answers: a delayed announcement may come from an
     /// earlier instance. It also ignores one that moves a known instance to another pool,
-    /// because an instance never changes its pool.
-    pub fn upstream_announced(self: &Arc<Self>, instance: UpstreamInstance) {
+    /// because an instance never changes its pool, unless all announcements have named that pool
+    /// for some time.
+    pub fn upstream_announced(self: &Arc<Self>, instance: UpstreamInstance) -> AnnouncementOutcome {
         let (id, pool, leaving) = (instance.id.clone(), instance.pool.clone(), instance.leaving);
         let cpu_milli = instance.capacity.cpu_milli;
-        match self.update_ledger(|ledger, now_ms| ledger.handle_announcement(instance, now_ms)) {
+        let outcome =
+            self.update_ledger(|ledger, now_ms| ledger.handle_announcement(instance, now_ms));
+        match outcome {
             AnnouncementOutcome::Unchanged => {}
             AnnouncementOutcome::Accepted => {
                 event!(
@@ -203,6 +206,21 @@
                 event!(Info, "announcement_ignored", life = id, pool = pool);
             }
         }
+        outcome
+    }
+
+    /// Returns the agent's time, in milliseconds since its start.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Whether the current instance has this id and a known start time.
+    #[must_use]
+    pub fn knows_start_of(&self, id: &str) -> bool {
+        let ledger = self.ledger.lock();
+        let current = ledger.current_instance();
+        current.is_some_and(|instance| instance.id == id && instance.started_unix_ms.is_some())
     }
 
     /// Handles an instance's notice that it stays slow after its start for `left_ms` more.
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -9,6 +9,7 @@
         AnnouncementOutcome, InstanceEnd, LeaseAnswer, Ledger, LossProof, Phase, RunKey,
         WithdrawalOutcome, order_fence::OrderFence,
     },
+    crate::contradiction::Contradiction,
     sycamorerail_wire::runs::{InstanceId, NotStarted, RunEvent, UpstreamInstance},
 };
 
@@ -51,9 +52,12 @@
         }
         let is_other_pool =
             |known: &UpstreamInstance| known.id == instance.id && known.pool != instance.pool;
-        if self.announced_instance.as_ref().is_some_and(is_other_pool) {
+        if self.announced_instance.as_ref().is_some_and(is_other_pool)
+            && !self.is_other_pool_believed(&instance.pool, now_ms)
+        {
             return AnnouncementOutcome::Ignored;
         }
+        self.other_pool = None;
         if self.set_upstream(instance) {
             AnnouncementOutcome::Accepted
         } else {
@@ -61,6 +65,15 @@
         }
     }
 
+    /// Whether announcements of the current instance have named only this other pool for long
+    /// enough: then the known one came from a foreign writer.
+    fn is_other_pool_believed(&mut self, pool: &str, now_ms: u64) -> bool {
+        if self.other_pool.as_ref().is_none_or(|(known, _)| known != pool) {
+            self.other_pool = Some((pool.to_owned(), Contradiction::begin(now_ms)));
+        }
+        self.other_pool.as_mut().is_some_and(|(_, row)| row.lasts(now_ms))
+    }
+
     /// Sets the upstream's current instance. Runs on an earlier instance are lost. Returns
     /// whether anything changed.
     pub fn set_upstream(&mut self, mut instance: UpstreamInstance) -> bool {
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -36,6 +36,7 @@
 pub(crate) use crash_log::CRASH_RETENTION_MS;
 
 use {
+    crate::contradiction::Contradiction,
     arrivals::ArrivalRates,
     cold::ColdInstance,
     crash_log::CrashLog,
@@ -153,6 +154,8 @@
     announced_instance: Option<UpstreamInstance>,
     /// Another instance that was announced while the current one was answering, and when.
     doubted_announcement: Option<(UpstreamInstance, /* since_ms */ u64)>,
+    /// Another pool that announcements of the current instance name.
+    other_pool: Option<(String, Contradiction)>,
     /// When the id of the current instance was withdrawn; cleared by an answer that refutes it.
     withdrawn_ms: Option<u64>,
     order_fence: OrderFence,
@@ -204,6 +207,7 @@
             current_since_ms: 0,
             announced_instance: None,
             doubted_announcement: None,
+            other_pool: None,
             withdrawn_ms: None,
             order_fence: OrderFence::default(),
             draining: false,
