An entry that has not read the roster says of no job that it is gone

What callers saw: a cancel that reached an entry in the milliseconds after its start was answered 410, and the job ran on at the other entry. GETs were answered 410 alike.

Cause: requests wait for the first configuration only. When that comes before the roster and no agent has told of other entries yet, the entry knows nobody, asks nobody, and took the empty list for a full one.

Now `announce` tells whether the roster was read in this process. "No such job" is said only by an entry that has read it, after every entry known by then has said so or its process is gone. What agents tell is not taken for all: as an entry starts few are connected, and each knows the entries of its own links. The roster of a site with one entry names that entry, and is complete like any other.

--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -11,8 +11,10 @@
 /// Entries known, by who told.
 #[derive(Debug, Default)]
 pub(super) struct Cluster {
-    /// Those of the roster.
+    /// Those of the roster, or this entry alone before the roster was read in this process.
     pub(super) roster: Vec<SocketAddr>,
+    /// Whether the roster was read in this process.
+    pub(super) is_roster_read: bool,
     /// Those that each agent linked here knows.
     pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
 }
@@ -35,6 +37,13 @@
         members.into_iter().collect()
     }
 
+    /// Whether [`Self::all`] names every entry that may hold a job. What agents tell does not: at
+    /// the start of an entry, few or none are connected, and each knows the entries of its own
+    /// links.
+    pub(super) fn is_complete(&self) -> bool {
+        self.is_roster_read
+    }
+
     /// All that may be there.
     pub(super) fn all(&self) -> BTreeSet<SocketAddr> {
         let named = self.by_agent.values().flat_map(|entries| &entries.named).copied();
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -81,6 +81,8 @@
     /// Evacuated data centres in force, to pass on.
     pub(crate) evacuations: watch::Sender<Evacuations>,
     cluster: Mutex<Cluster>,
+    /// Wakes when what is known of other entries has changed.
+    cluster_changes: watch::Sender<()>,
     /// Inner addresses of entries that are surely there, for agents: those of the roster
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
@@ -118,6 +120,7 @@
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
             cluster: Mutex::default(),
+            cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
@@ -213,9 +216,13 @@
         self.configuration.subscribe()
     }
 
-    /// The roster of entries has changed.
-    pub fn set_members(&self, members: Vec<SocketAddr>) {
-        self.change_cluster(|cluster| cluster.roster = members);
+    /// The roster of entries was read or has changed, or is not read yet: then `members` names
+    /// this entry at most.
+    pub fn set_members(&self, members: Vec<SocketAddr>, is_read: bool) {
+        self.change_cluster(|cluster| {
+            cluster.roster = members;
+            cluster.is_roster_read = is_read;
+        });
     }
 
     fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<SocketAddr>) {
@@ -237,6 +244,8 @@
             *known = members;
             changed
         });
+        drop(cluster);
+        self.cluster_changes.send_replace(());
     }
 
     /// Runs a job and waits for its answer. Dropping the future gives the job
--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -13,7 +13,7 @@
         frames::{self, FrameError, FrameWriter},
         runs::{CallerJobId, JobQuery, JobQueryReply, RunsFirstMessage},
     },
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout, timeout_at},
 };
 
 /// Longest wait for a connection to another entry: some fifty times the way there
@@ -27,35 +27,83 @@
 pub enum Held {
     /// It is.
     Yes,
-    /// Every entry known said that it holds no such job, or its process is gone.
+    /// The roster was read, and every entry said that it holds no such job, or its process is
+    /// gone.
     No,
-    /// No entry said that it holds it, and some could not be asked.
+    /// No entry said that it holds it, and some could not be asked or may not be known.
     Unknown,
 }
 
+/// Answers of the entries that were asked about a job.
+#[derive(Debug)]
+enum Asked {
+    /// One holds it.
+    Found,
+    /// None holds it.
+    NotFound,
+    /// None said that it holds it, and some did not answer.
+    Unanswered,
+}
+
 impl JobService {
-    /// Looks for a job at all entries, this one first, and cancels it if asked.
-    pub async fn query(self: &Arc<Self>, query: JobQuery) -> Held {
-        if self.look(query) {
-            return Held::Yes;
-        }
-        let others = self.known_entries().into_iter();
-        let mut asked: FuturesUnordered<_> =
-            others.map(|entry| async move { (entry, ask(entry, query).await) }).collect();
+    /// Looks for a job at all entries, this one first, and cancels it if asked. An entry that has
+    /// not read the roster asks those that agents tell of, and waits up to `wait` to know all
+    /// others.
+    pub async fn query(self: &Arc<Self>, query: JobQuery, wait: Duration) -> Held {
+        let give_up_at = Instant::now() + wait;
+        let mut changes = self.cluster_changes.subscribe();
+        let mut asked = BTreeSet::new();
         let mut held = Held::No;
-        while let Some((entry, answer)) = asked.next().await {
+        loop {
+            // Again after each wait: the job may have come here meanwhile.
+            if self.look(query) {
+                return Held::Yes;
+            }
+            changes.mark_unchanged();
+            let (known, is_complete) = self.cluster_view();
+            let new: BTreeSet<_> = known.difference(&asked).copied().collect();
+            match self.ask_all(&new, query).await {
+                Asked::Found => return Held::Yes,
+                Asked::NotFound => {}
+                Asked::Unanswered => held = Held::Unknown,
+            }
+            asked.extend(new);
+            if is_complete {
+                return held;
+            }
+            // The service holds the sender.
+            if timeout_at(give_up_at, changes.changed()).await.is_err() {
+                event!(Info, "query_before_roster", job = query.job, asked = asked.len());
+                return Held::Unknown;
+            }
+        }
+    }
+
+    async fn ask_all(&self, entries: &BTreeSet<SocketAddr>, query: JobQuery) -> Asked {
+        let mut answers: FuturesUnordered<_> =
+            entries.iter().map(|&entry| async move { (entry, ask(entry, query).await) }).collect();
+        let mut all = Asked::NotFound;
+        while let Some((entry, answer)) = answers.next().await {
             match answer {
-                Ok(true) => return Held::Yes,
+                Ok(true) => return Asked::Found,
                 Ok(false) => {}
                 // Without a process there is no job.
                 Err(error) if is_process_gone(&error) => {}
                 Err(error) => {
                     event!(Info, "query_unanswered", job = query.job, entry = entry, error = error);
-                    held = Held::Unknown;
+                    all = Asked::Unanswered;
                 }
             }
         }
-        held
+        all
+    }
+
+    /// Other entries that are known, and whether these are all.
+    fn cluster_view(&self) -> (BTreeSet<SocketAddr>, bool) {
+        let cluster = self.cluster.lock();
+        let mut entries = cluster.all();
+        entries.remove(&self.settings.own);
+        (entries, cluster.is_complete())
     }
 
     /// Other entries: those of the roster, those that agents are connected to and those that the
@@ -63,9 +111,7 @@
     /// while the platform is out.
     #[must_use]
     pub fn known_entries(&self) -> BTreeSet<SocketAddr> {
-        let mut entries = self.cluster.lock().all();
-        entries.remove(&self.settings.own);
-        entries
+        self.cluster_view().0
     }
 
     fn look(self: &Arc<Self>, query: JobQuery) -> bool {
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -23,12 +23,21 @@
 /// up, while callers' requests waited.
 const SEARCH_PAUSE_MS: (u64, u64) = (100, 1_500);
 
+/// What an entry knows of the entries in the platform's roster.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Roster {
+    /// Inner addresses, the entry's own among them.
+    pub entries: Vec<SocketAddr>,
+    /// Whether the roster was read in this process. Otherwise, a missing address tells nothing.
+    pub is_read: bool,
+}
+
 /// Keeps an entry's address in the roster, and tells of all addresses there.
 pub fn announce(
     platform: &Platform,
     own: SocketAddr,
     shortest_lease_ms: u32,
-    on_change: impl Fn(Vec<SocketAddr>) + Send + 'static,
+    on_change: impl Fn(Roster) + Send + 'static,
 ) {
     let lease_ms = shortest_lease_ms * SHORTEST_LEASES;
     let key = format!("{PREFIX}{own}");
@@ -40,11 +49,13 @@
         let mut reader = RosterReader::default();
         loop {
             changed.borrow_and_update();
+            // Before the list: what is read in between must not count as listed.
+            let is_read = mirror.synced();
             let mut entries = reader.addresses(&mirror.list(PREFIX));
             if !entries.contains(&own) {
                 entries.push(own);
             }
-            on_change(entries);
+            on_change(Roster { entries, is_read });
             if changed.changed().await.is_err() {
                 return;
             }
