An agent starts no task that was placed for another upstream

What callers saw: tasks on upstreams without their required label, or of another pool. An entry that stands still, or has not read of a restart yet, orders by the instance before, and the agent compared the order with the room of the present instance alone.

Now an order names the instance, the pool and the required label that the entry chose by. The agent answers "other_instance" if the present upstream is not that, also for waiting tasks whose label goes away; the task goes to another agent, and pauses after a second refusal in a row. Tests that place at a ledger name its upstream.

Red before: an_order_for_an_earlier_instance_does_not_start, the tests of pool, label and waiting tasks, and the property test.

--- a/crates/bench/src/policy/world/agents.rs
+++ b/crates/bench/src/policy/world/agents.rs
@@ -10,7 +10,7 @@
     },
     rand::Rng,
     sycamorerail_decide::ledger::{StartAnswer, StartOrder},
-    sycamorerail_wire::runs::{TaskKey, ToRunsAgent},
+    sycamorerail_wire::runs::{FromRunsAgent, TaskKey, ToRunsAgent},
 };
 
 impl World<'_> {
@@ -65,6 +65,20 @@
         }
     }
 
+    /// Tells the entries which upstream an agent has now.
+    pub(super) fn tell_upstream(&mut self, agent: usize) {
+        let life = self.agents[agent].life();
+        for entry in 0..self.entries.len() {
+            let link = Link { entry, run: self.entries[entry].run, agent };
+            if self.is_present(link) && self.entries[entry].agents.contains_key(&agent) {
+                self.messages += 1;
+                let delay = self.message_delay();
+                let told = FromRunsAgent::Upstream(life.clone());
+                self.clock.after(delay, Event::Report(link, told));
+            }
+        }
+    }
+
     pub(super) fn report_now(&mut self, link: Link) -> Option<Micros> {
         if !self.is_present(link) {
             return None;
--- a/crates/bench/src/policy/world/mod.rs
+++ b/crates/bench/src/policy/world/mod.rs
@@ -221,6 +221,7 @@
             Event::RunEnds { agent, life, due } => self.run_ends(agent, life, due),
             Event::Announced(agent) => {
                 self.agents[agent].announce();
+                self.tell_upstream(agent);
                 self.act(agent);
             }
             Event::FaultBegins(fault) => self.fault_begins(fault),
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -296,9 +296,7 @@
     }
 
     fn has_label(&self, label: &str) -> bool {
-        self.instance
-            .as_ref()
-            .is_some_and(|instance| instance.labels.iter().any(|own| own == label))
+        self.instance.as_ref().is_some_and(|instance| instance.has_label(label))
     }
 
     /// Whether the upstream could ever run such a task.
@@ -307,7 +305,7 @@
         let Some(instance) = &self.instance else { return false };
         instance.pool == pool
             && instance.capacity.covers(need)
-            && required_label.is_none_or(|label| self.has_label(label))
+            && required_label.is_none_or(|label| instance.has_label(label))
     }
 
     /// Estimates when a task that is sent now will start and end at this agent.
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -48,8 +48,8 @@
 const REFUSALS_BEFORE_PAUSE: u32 = 2;
 
 /// Pause of a task that agents refuse repeatedly, in milliseconds. Without it, a task that runs
-/// for another entry, or upstreams that refuse everything, would cause a thousand placements a
-/// second.
+/// for another entry, upstreams that refuse everything, or one whose restart this entry has not
+/// read of, would cause a thousand placements a second.
 const REFUSAL_PAUSE_MS: u64 = 50;
 
 /// A task of a job.
@@ -469,7 +469,7 @@
                 task.mark_returned(from);
                 match why {
                     NotStarted::OldRun => task.run += OLD_RUN_SKIP,
-                    NotStarted::Refused => task.record_refusal(now_ms),
+                    NotStarted::Refused | NotStarted::OtherInstance => task.record_refusal(now_ms),
                     _ => {}
                 }
                 RunEffect::PlaceAgain
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -9,7 +9,7 @@
         kinds::KindRecord,
     },
     std::collections::BTreeMap,
-    sycamorerail_wire::runs::{Resources, StepPlacement, TaskStart},
+    sycamorerail_wire::runs::{PlacementTarget, Resources, StepPlacement, TaskStart},
 };
 
 /// A task with the agent chosen for it.
@@ -184,7 +184,7 @@
         let placements: Vec<_> = by_agent
             .into_iter()
             .map(|((agent, suspect), tasks)| {
-                (agent, self.build_placement(key, step, tasks, suspect, now_ms))
+                (agent, self.build_placement(key, step, (agent, suspect), tasks, now_ms))
             })
             .collect();
         for (agent, placement) in placements {
@@ -204,16 +204,22 @@
         &self,
         key: JobKey,
         step: usize,
+        (agent, suspect): (AgentKey, bool),
         tasks: Vec<TaskStart>,
-        suspect: bool,
         now_ms: u64,
     ) -> Option<StepPlacement> {
         let job = self.jobs.get(key)?;
         let step_request = &job.request.steps[step];
         let left = |at_ms: u64| u32::try_from(at_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX);
+        let target = PlacementTarget {
+            instance: self.instance(agent)?.id.clone(),
+            pool: job.request.kind.pool.clone(),
+            required_label: step_request.required_label.clone(),
+        };
         Some(StepPlacement {
             job: job.request.id,
             step: u8::try_from(step).ok()?,
+            target,
             spec: job.request.spec.clone(),
             tasks,
             need: step_request.need,
--- a/crates/decide/src/ledger/instances.rs
+++ b/crates/decide/src/ledger/instances.rs
@@ -89,7 +89,7 @@
         if self.is_leaving() {
             self.drop_waiting(NotStarted::Leaving);
         }
-        self.drop_too_large();
+        self.drop_unfit();
         true
     }
 
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -121,6 +121,8 @@
     task: TaskKey,
     number: u32,
     spec: Arc<str>,
+    /// Label that the upstream must have when the run starts.
+    required_label: Option<Arc<str>>,
     need: Resources,
     run_ms: u32,
     give_up_ms: u64,
--- a/crates/decide/src/ledger/orders.rs
+++ b/crates/decide/src/ledger/orders.rs
@@ -13,11 +13,13 @@
     /// Accepts tasks of a job. Tasks that are not accepted are reported as not started.
     ///
     /// Nothing is accepted from an entry that was not heard from lately: after a suspension of
-    /// this VM the agent reads old orders whose tasks the entry has placed elsewhere since.
+    /// this VM the agent reads old orders whose tasks the entry has placed elsewhere since. Nor is
+    /// anything accepted that was placed for another upstream than the present one.
     pub fn place(&mut self, owner: Incarnation, placement: StepPlacement, now_ms: u64) {
+        let refusal = self.refusal(owner, &placement, now_ms);
         let spec: Arc<str> = placement.spec.into();
+        let required_label: Option<Arc<str>> = placement.target.required_label.map(Arc::from);
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
-        let is_fresh = self.owners.is_fresh(owner, now_ms, self.limits.owner_timeout_ms);
         let shortest_ms = self.run_times.shortest_ms(placement.run_ms);
         for start in placement.tasks {
             let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
@@ -26,6 +28,7 @@
                 task,
                 number: start.run,
                 spec: Arc::clone(&spec),
+                required_label: required_label.clone(),
                 need: placement.need,
                 run_ms: placement.run_ms,
                 give_up_ms: now_ms + u64::from(placement.give_up_in_ms),
@@ -42,11 +45,34 @@
                 suspect: placement.suspect,
             };
             self.next_arrival += 1;
-            self.accept_task(run, is_fresh, now_ms);
+            self.accept_task(run, refusal, now_ms);
         }
     }
 
-    fn accept_task(&mut self, run: Run, is_fresh: bool, now_ms: u64) {
+    /// Returns why the agent must not start the tasks, if there is a reason.
+    fn refusal(
+        &self,
+        owner: Incarnation,
+        placement: &StepPlacement,
+        now_ms: u64,
+    ) -> Option<NotStarted> {
+        let Some(instance) = &self.announced_instance else { return Some(NotStarted::NoUpstream) };
+        if !self.owners.is_fresh(owner, now_ms, self.limits.owner_timeout_ms) {
+            Some(NotStarted::Stale)
+        } else if !instance.is_target(&placement.target) {
+            Some(NotStarted::OtherInstance)
+        } else if self.is_leaving() || self.draining {
+            Some(NotStarted::Leaving)
+        } else if self.is_evacuated {
+            Some(NotStarted::Evacuated)
+        } else if !instance.capacity.covers(&placement.need) {
+            Some(NotStarted::NoRoom)
+        } else {
+            None
+        }
+    }
+
+    fn accept_task(&mut self, run: Run, refusal: Option<NotStarted>, now_ms: u64) {
         if let Some(&key) = self.by_task.get(&run.task) {
             let known = &self.runs[key];
             if known.owner != run.owner || known.number != run.number {
@@ -54,14 +80,6 @@
             }
             return;
         }
-        let refusal = match &self.announced_instance {
-            None => Some(NotStarted::NoUpstream),
-            Some(_) if !is_fresh => Some(NotStarted::Stale),
-            Some(_) if self.is_leaving() || self.draining => Some(NotStarted::Leaving),
-            Some(_) if self.is_evacuated => Some(NotStarted::Evacuated),
-            Some(instance) if !instance.capacity.covers(&run.need) => Some(NotStarted::NoRoom),
-            Some(_) => None,
-        };
         if let Some(why) = refusal {
             return self.report(&run, RunEvent::NotStarted(why));
         }
@@ -129,18 +147,25 @@
         }
     }
 
-    /// Hands back waiting tasks that need more than the upstream's whole capacity, which may
-    /// change while it runs. They could never start, and would use up the number of tasks that
-    /// are examined. Active runs go on; their capacity is freed as they end.
-    pub(super) fn drop_too_large(&mut self) {
-        let Some(capacity) = self.announced_instance.as_ref().map(|instance| instance.capacity)
-        else {
-            return;
+    /// Hands back waiting tasks that the upstream cannot run any more, as its whole capacity or its
+    /// labels may change while it runs. They would use up the number of tasks that are examined.
+    /// Active runs go on; their capacity is freed as they end.
+    pub(super) fn drop_unfit(&mut self) {
+        let Some(instance) = &self.announced_instance else { return };
+        let misfit = |run: &Run| {
+            if run.required_label.as_deref().is_some_and(|label| !instance.has_label(label)) {
+                Some(NotStarted::OtherInstance)
+            } else if !instance.capacity.covers(&run.need) {
+                Some(NotStarted::NoRoom)
+            } else {
+                None
+            }
         };
-        let is_too_large = |key: &RunKey| !capacity.covers(&self.runs[*key].need);
-        let keys: Vec<_> = self.waiting.iter().map(|&(_, key)| key).filter(is_too_large).collect();
-        for key in keys {
-            self.settle(key, RunEvent::NotStarted(NotStarted::NoRoom));
+        let unfit =
+            self.waiting.iter().filter_map(|&(_, key)| Some((key, misfit(&self.runs[key])?)));
+        let unfit: Vec<_> = unfit.collect();
+        for (key, why) in unfit {
+            self.settle(key, RunEvent::NotStarted(why));
         }
     }
 }
--- a/crates/decide/tests/arrivals.rs
+++ b/crates/decide/tests/arrivals.rs
@@ -4,7 +4,10 @@
     sycamorerail_decide::ledger::{Ledger, LedgerLimits},
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerJobId, InstanceId, Resources, StepPlacement, TaskStart, UpstreamInstance},
+        runs::{
+            CallerJobId, InstanceId, PlacementTarget, Resources, StepPlacement, TaskStart,
+            UpstreamInstance,
+        },
     },
 };
 
@@ -34,6 +37,11 @@
     let placement = StepPlacement {
         job: CallerJobId(job),
         step: 0,
+        target: PlacementTarget {
+            instance: InstanceId::without_start("one"),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: String::new(),
         tasks: vec![TaskStart { index: 0, run }],
         need: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -17,8 +17,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, Resources, RunEvent, RunReport, StepPlacement, TaskCrashes,
-            TaskKey, TaskStart, UpstreamInstance, UpstreamLoad,
+            CallerJobId, InstanceId, PlacementTarget, Resources, RunEvent, RunReport,
+            StepPlacement, TaskCrashes, TaskKey, TaskStart, UpstreamInstance, UpstreamLoad,
         },
     },
 };
@@ -67,6 +67,11 @@
     let placement = StepPlacement {
         job: CallerJobId(1),
         step: 0,
+        target: PlacementTarget {
+            instance: InstanceId::without_start("a"),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: vec![TaskStart { index: 0, run: 1 }],
         need: NEED,
--- a/crates/decide/tests/evacuation.rs
+++ b/crates/decide/tests/evacuation.rs
@@ -13,8 +13,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, Evacuations, InstanceId, NotStarted, Resources, RunEvent, RunReport,
-            StepPlacement, TaskKey, TaskStart, UpstreamInstance, UpstreamLoad,
+            CallerJobId, Evacuations, InstanceId, NotStarted, PlacementTarget, Resources, RunEvent,
+            RunReport, StepPlacement, TaskKey, TaskStart, UpstreamInstance, UpstreamLoad,
         },
     },
 };
@@ -224,6 +224,11 @@
     StepPlacement {
         job: CallerJobId(job),
         step: 0,
+        target: PlacementTarget {
+            instance: life().id,
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: (0..count).map(|index| TaskStart { index, run: 1 }).collect(),
         need: NEED,
--- a/crates/decide/tests/ledger.rs
+++ b/crates/decide/tests/ledger.rs
@@ -9,8 +9,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, StepPlacement, TaskKey,
-            TaskStart, UpstreamInstance,
+            CallerJobId, InstanceId, NotStarted, PlacementTarget, Resources, RunEvent,
+            StepPlacement, TaskKey, TaskStart, UpstreamInstance,
         },
     },
 };
@@ -35,6 +35,11 @@
     StepPlacement {
         job: CallerJobId(job),
         step: 0,
+        target: PlacementTarget {
+            instance: InstanceId::without_start("a"),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: (0..count).map(|index| TaskStart { index, run: 1 }).collect(),
         need: Resources { cpu_milli, memory_mb: 10, accelerators: 0 },
@@ -291,7 +296,9 @@
     assert_eq!(events(&ledger, ENTRY)[1], (order.task, RunEvent::Crashed));
     assert!(!ledger.load(4).usable);
     // Each instance numbers its ends anew.
-    ledger.place(ENTRY, placement(2, 1, 8_000), 5);
+    let mut for_next = placement(2, 1, 8_000);
+    for_next.target.instance = InstanceId::without_start("b");
+    ledger.place(ENTRY, for_next, 5);
     renew(&mut ledger, 6, &[], &[]);
     assert_eq!(starts(&mut ledger, 6).len(), 1);
     ledger.handle_start_answer(task(2, 0), 1, StartAnswer::Started, 7);
--- a/crates/decide/tests/ledger_instances.rs
+++ b/crates/decide/tests/ledger_instances.rs
@@ -10,8 +10,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, StepPlacement, TaskKey,
-            TaskStart, UpstreamInstance,
+            CallerJobId, InstanceId, NotStarted, PlacementTarget, Resources, RunEvent,
+            StepPlacement, TaskKey, TaskStart, UpstreamInstance,
         },
     },
 };
@@ -84,6 +84,11 @@
     let placement = StepPlacement {
         job: CallerJobId(1),
         step: 0,
+        target: PlacementTarget {
+            instance: id(FIRST),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: vec![TaskStart { index: 0, run: 1 }],
         need: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -12,8 +12,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, StepPlacement, TaskKey,
-            TaskStart, UpstreamInstance,
+            CallerJobId, InstanceId, NotStarted, PlacementTarget, Resources, RunEvent,
+            StepPlacement, TaskKey, TaskStart, UpstreamInstance,
         },
     },
 };
@@ -40,6 +40,11 @@
     StepPlacement {
         job: CallerJobId(job),
         step: 0,
+        target: PlacementTarget {
+            instance: InstanceId::without_start("a"),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: vec![TaskStart { index: 0, run: 1 }],
         need: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -16,8 +16,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, Resources, RunEvent, StepPlacement, TaskKey, TaskStart,
-            UpstreamInstance,
+            CallerJobId, InstanceId, PlacementTarget, Resources, RunEvent, StepPlacement, TaskKey,
+            TaskStart, UpstreamInstance,
         },
     },
 };
@@ -445,7 +445,7 @@
         self.check();
     }
 
-    /// The entry places a task that it has not placed anywhere.
+    /// The entry, which knows the agent's upstream, places a task that it has not placed anywhere.
     fn place(&mut self, task: TaskKey, site: usize) {
         let belief = self.tasks.entry(task).or_default();
         if belief.site.is_some() {
@@ -453,9 +453,16 @@
         }
         belief.site = Some(site);
         belief.run += 1;
+        let known = self.sites[site].ledger.announced_instance();
+        let target = known.map_or_else(PlacementTarget::default, |known| PlacementTarget {
+            instance: known.id.clone(),
+            pool: known.pool.clone(),
+            required_label: None,
+        });
         let placement = StepPlacement {
             job: task.job,
             step: 0,
+            target,
             spec: String::new(),
             tasks: vec![TaskStart { index: 0, run: belief.run }],
             need: Resources { cpu_milli: need_milli(task), memory_mb: 0, accelerators: 0 },
--- a/crates/decide/tests/run_times.rs
+++ b/crates/decide/tests/run_times.rs
@@ -12,8 +12,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, StepPlacement, TaskKey,
-            TaskStart, UpstreamInstance, UpstreamLoad,
+            CallerJobId, InstanceId, NotStarted, PlacementTarget, Resources, RunEvent,
+            StepPlacement, TaskKey, TaskStart, UpstreamInstance, UpstreamLoad,
         },
     },
 };
@@ -67,9 +67,15 @@
         self.jobs += 1;
         let job = CallerJobId(self.jobs);
         self.ledger.note_owner_contact(ENTRY, self.now_ms);
+        let known = self.ledger.announced_instance().unwrap();
         let placement = StepPlacement {
             job,
             step: 0,
+            target: PlacementTarget {
+                instance: known.id.clone(),
+                pool: known.pool.clone(),
+                required_label: None,
+            },
             spec: "spec".to_owned(),
             tasks: vec![TaskStart { index: 0, run: 1 }],
             need: NEED,
--- a/crates/decide/tests/upstream_clock.rs
+++ b/crates/decide/tests/upstream_clock.rs
@@ -6,8 +6,8 @@
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, Resources, RunEvent, StepPlacement, TaskKey, TaskStart,
-            UpstreamInstance,
+            CallerJobId, InstanceId, PlacementTarget, Resources, RunEvent, StepPlacement, TaskKey,
+            TaskStart, UpstreamInstance,
         },
     },
 };
@@ -49,6 +49,11 @@
     let placement = StepPlacement {
         job: JOB,
         step: 0,
+        target: PlacementTarget {
+            instance: InstanceId::without_start("a"),
+            pool: "desk".to_owned(),
+            required_label: None,
+        },
         spec: "spec".to_owned(),
         tasks: vec![TaskStart { index: 0, run: 1 }],
         need: Resources { cpu_milli: 1_000, memory_mb: 10, accelerators: 0 },
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -116,6 +116,18 @@
     pub run: u32,
 }
 
+/// What an entry counted on when it chose an agent for tasks. The agent checks it against the
+/// upstream that is present, as the entry may not have read of a change yet.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementTarget {
+    /// The agent's upstream as the entry knew it.
+    pub instance: InstanceId,
+    /// Pool that the tasks belong to.
+    pub pool: String,
+    /// Label that the tasks require.
+    pub required_label: Option<String>,
+}
+
 /// Tasks of one step of a job, placed on one agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StepPlacement {
@@ -123,6 +135,8 @@
     pub job: CallerJobId,
     /// Number of the step within the job, from 0.
     pub step: u8,
+    /// What the upstream has to be for these tasks.
+    pub target: PlacementTarget,
     /// The caller's specification of the tasks, passed to the upstream unread.
     pub spec: String,
     /// The tasks to start.
@@ -169,6 +183,8 @@
     Refused,
     /// The upstream did not confirm the start in time, and will not start the run later.
     Unanswered,
+    /// The upstream is not the one that the entry chose, or no longer has the required label.
+    OtherInstance,
 }
 
 impl NotStarted {
@@ -186,6 +202,7 @@
             Self::NoRoom => "no_room",
             Self::Refused => "refused",
             Self::Unanswered => "unanswered",
+            Self::OtherInstance => "other_instance",
         }
     }
 }
@@ -387,8 +404,14 @@
     /// without a start time are told apart by their ids alone. Otherwise returns `self`.
     #[must_use]
     pub fn or_current(self, current: Option<&Self>) -> Self {
-        let is_current = |current: &&Self| self.started_unix_ms.is_none() && current.id == self.id;
-        current.filter(is_current).cloned().unwrap_or(self)
+        current.filter(|current| self.may_be(current)).cloned().unwrap_or(self)
+    }
+
+    /// Whether this is the identity of `other`, as far as it tells: without a start time it is
+    /// that of any instance with the same id.
+    #[must_use]
+    pub fn may_be(&self, other: &Self) -> bool {
+        self == other || (self.started_unix_ms.is_none() && self.id == other.id)
     }
 }
 
@@ -425,6 +448,22 @@
     pub leaving: bool,
 }
 
+impl UpstreamInstance {
+    /// Whether the upstream has a label.
+    #[must_use]
+    pub fn has_label(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| own == label)
+    }
+
+    /// Whether tasks that were placed for `target` may run here.
+    #[must_use]
+    pub fn is_target(&self, target: &PlacementTarget) -> bool {
+        target.instance.may_be(&self.id)
+            && target.pool == self.pool
+            && target.required_label.as_deref().is_none_or(|label| self.has_label(label))
+    }
+}
+
 /// First message of an agent on a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunsHello {
