Entries run no copy of a job that agents hold for another entry

Callers saw: a job sent again while its first attempt was open ran twice at once. Cause: an entry knows its own jobs alone; a copy that reaches another one while the first is served, or whose first entry has not seen its caller leave, is a new job.

Agents tell their entries which jobs of other entries they hold, once these are 650 ms old (half of retry_ms), with the next heartbeat. An entry answers a copy of such a job with 504 (held_elsewhere), and lets a job that waits for an upstream wait on. A run that is being stopped does not count: it is over before a copy may come.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -4,6 +4,7 @@
     super::super::LeasedAgent,
     parking_lot::Mutex,
     std::{
+        collections::BTreeSet,
         fmt,
         net::SocketAddr,
         sync::{
@@ -18,8 +19,8 @@
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
-            CopyPart, Evacuations, FromRunsAgent, Resources, RunReport, RunsFirstMessage,
-            RunsHello, ToRunsAgent, UpstreamInstance, UpstreamLoad,
+            CallerJobId, CopyPart, Evacuations, FromRunsAgent, Resources, RunReport,
+            RunsFirstMessage, RunsHello, ToRunsAgent, UpstreamInstance, UpstreamLoad,
         },
     },
     tokio::{
@@ -371,6 +372,8 @@
             sent.load_waits = is_changed;
             return;
         }
+        let jobs_of_others = agent.ledger.lock().jobs_of_others(self.entry, now_ms);
+        messages.extend(sent.update_jobs_of_others(jobs_of_others));
         let last = reports.last().map_or(reported_up_to, |report| report.number);
         self.reported_up_to.store(last, Ordering::Release);
         sent.load = Some(load);
@@ -415,6 +418,7 @@
     /// Number of the last crash that was sent.
     crash: u64,
     cold_until_ms: Option<u64>,
+    jobs_of_others: BTreeSet<CallerJobId>,
     revision: u64,
     load: Option<UpstreamLoad>,
     load_at: Instant,
@@ -432,6 +436,7 @@
             unlink_sent: false,
             crash: 0,
             cold_until_ms: None,
+            jobs_of_others: BTreeSet::new(),
             revision: 0,
             load: None,
             load_at: now,
@@ -442,6 +447,17 @@
 }
 
 impl SentState {
+    /// Returns the message that tells the entry of these jobs, if any have changed.
+    fn update_jobs_of_others(&mut self, jobs: BTreeSet<CallerJobId>) -> Option<FromRunsAgent> {
+        if self.jobs_of_others == jobs {
+            return None;
+        }
+        let held = jobs.difference(&self.jobs_of_others).copied().collect();
+        let over = self.jobs_of_others.difference(&jobs).copied().collect();
+        self.jobs_of_others = jobs;
+        Some(FromRunsAgent::JobsOfOthers { held, over })
+    }
+
     fn is_cold_changed(&self, until_ms: Option<u64>) -> bool {
         match (self.cold_until_ms, until_ms) {
             (None, None) => false,
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -4,10 +4,13 @@
 use {
     super::types::AgentKey,
     crate::ack_tracker::AckTracker,
-    std::{collections::VecDeque, ops::RangeInclusive},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        ops::RangeInclusive,
+    },
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{PRIORITY_CLASSES, Resources, TaskKey, UpstreamInstance, UpstreamLoad},
+        runs::{CallerJobId, PRIORITY_CLASSES, Resources, TaskKey, UpstreamInstance, UpstreamLoad},
     },
 };
 
@@ -133,6 +136,8 @@
     pub earlier_runs: Option<EarlierRuns>,
     /// Time until which the upstream says that it is slow after its start.
     pub cold_until_ms: Option<u64>,
+    /// Jobs of other entries that the agent holds.
+    pub jobs_of_others: BTreeSet<CallerJobId>,
     /// Which of the entry's messages the agent has received.
     pub acks: AckTracker,
     unreported: VecDeque<UnreportedPlacement>,
@@ -167,6 +172,7 @@
             load: UpstreamLoad::default(),
             earlier_runs: None,
             cold_until_ms: None,
+            jobs_of_others: BTreeSet::new(),
             acks: AckTracker::new(now_ms),
             unreported: VecDeque::new(),
             unreported_resources: Resources::default(),
@@ -183,6 +189,7 @@
         self.acks = AckTracker::new(now_ms);
         self.load.usable = false;
         self.cold_until_ms = None;
+        self.jobs_of_others.clear();
         self.unreported.clear();
         self.unreported_resources = Resources::default();
         self.unreported_work_milli_ms = 0;
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod connections;
 mod crashes;
 mod evacuation;
+mod held_elsewhere;
 mod job;
 mod kinds;
 mod place;
@@ -175,6 +176,9 @@
             // The first job may have run, so "not run" would be false.
             return Err(JobAnswer::Unknown { reason: NoResultReason::Duplicate });
         }
+        if self.is_held_elsewhere(request.id, now_ms) {
+            return Err(JobAnswer::Unknown { reason: NoResultReason::HeldElsewhere });
+        }
         if self.jobs.len() >= self.limits.max_jobs {
             return Err(refused(NoResultReason::Overload, NO_UPSTREAM_RETRY_MS));
         }
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -227,6 +227,8 @@
             priority: job.request.kind.priority,
             objective_in_ms: left(job.objective_ms),
             give_up_in_ms: left(job.end_by_ms()),
+            age_ms: u32::try_from(now_ms.saturating_sub(job.request.arrived_ms))
+                .unwrap_or(u32::MAX),
             job_mostly_started: job.has_mostly_started(),
             suspect,
         })
@@ -291,7 +293,9 @@
     /// Tries again to place the unplaced tasks of all jobs.
     pub(super) fn place_unplaced(&mut self, now_ms: u64) {
         for key in self.unplaced.clone() {
-            self.place_job(key, now_ms);
+            if !self.is_waiting_for_other_entry(key, now_ms) {
+                self.place_job(key, now_ms);
+            }
         }
     }
 
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -1,6 +1,7 @@
 //! Inputs and outputs of the dispatch of jobs.
 
 use {
+    crate::ledger::LedgerLimits,
     slotmap::new_key_type,
     std::sync::Arc,
     sycamorerail_wire::runs::{CallerJobId, Resources, StepPlacement, TaskKey},
@@ -31,6 +32,8 @@
     pub suspect_ms: u64,
     /// Silence of an agent after which all its runs for this entry have ended, in milliseconds.
     pub lost_ms: u64,
+    /// Silence of an agent after which the runs of all entries there have ended, in milliseconds.
+    pub run_after_contact_ms: u64,
     /// Maximum number of jobs held at once; more are refused.
     pub max_jobs: usize,
 }
@@ -45,6 +48,7 @@
             // The agent stops this entry's runs after 900 ms of silence; a stop takes 50 ms and
             // is repeated after 60 ms.
             lost_ms: 1_500,
+            run_after_contact_ms: LedgerLimits::default().longest_run_after_contact_ms(),
             // At 4 KB a job, about 40 MB.
             max_jobs: 10_000,
         }
@@ -128,6 +132,8 @@
     Cancelled,
     /// Another job with this id has not ended yet.
     Duplicate,
+    /// Another entry has the job.
+    HeldElsewhere,
 }
 
 impl NoResultReason {
@@ -145,6 +151,7 @@
             Self::Crashing => "crashing",
             Self::Cancelled => "cancelled",
             Self::Duplicate => "duplicate",
+            Self::HeldElsewhere => "held_elsewhere",
         }
     }
 }
--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -33,13 +33,15 @@
     pub fn for_upstream(longest_lease_ms: u64, resubmit_ms: u64) -> Self {
         let default = Self::default();
         let lease_ms = default.lease_ms.min(longest_lease_ms);
-        let over_ms = resubmit_ms.max(SHORTEST_RESUBMIT_MS) - COPY_MARGIN_MS;
+        let resubmit_ms = resubmit_ms.max(SHORTEST_RESUBMIT_MS);
+        let over_ms = resubmit_ms - COPY_MARGIN_MS;
         let run_after_contact_ms =
             default.run_after_contact_ms.min(over_ms - clock_error_ms(lease_ms));
         Self {
             lease_ms,
             run_after_contact_ms,
             owner_timeout_ms: default.owner_timeout_ms.min(run_after_contact_ms - STOPS_MS),
+            share_job_after_ms: default.share_job_after_ms.min(resubmit_ms / 2),
             ..default
         }
     }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -21,6 +21,7 @@
 mod owners;
 mod renewal;
 mod run_times;
+mod shared_jobs;
 mod starts;
 mod types;
 
@@ -126,6 +127,8 @@
     need: Resources,
     run_ms: u32,
     give_up_ms: u64,
+    /// From then on its job's caller may submit the job to another entry.
+    share_from_ms: u64,
     rank: Rank,
     phase: Phase,
     stop: Option<Stop>,
--- a/crates/decide/src/ledger/orders.rs
+++ b/crates/decide/src/ledger/orders.rs
@@ -21,6 +21,8 @@
         let required_label: Option<Arc<str>> = placement.target.required_label.map(Arc::from);
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
         let shortest_ms = self.run_times.shortest_ms(placement.run_ms);
+        let share_from_ms =
+            (now_ms + self.limits.share_job_after_ms).saturating_sub(placement.age_ms.into());
         for start in placement.tasks {
             let task = TaskKey { job: placement.job, step: placement.step, index: start.index };
             let run = Run {
@@ -32,6 +34,7 @@
                 need: placement.need,
                 run_ms: placement.run_ms,
                 give_up_ms: now_ms + u64::from(placement.give_up_in_ms),
+                share_from_ms,
                 rank: Rank {
                     is_late: false,
                     is_job_mostly_waiting: !placement.job_mostly_started,
--- a/crates/decide/src/ledger/types.rs
+++ b/crates/decide/src/ledger/types.rs
@@ -20,6 +20,9 @@
     /// Time after the last contact with an entry at which the leases of its runs have ended, in
     /// milliseconds.
     pub run_after_contact_ms: u64,
+    /// Age of a job from which entries are told of tasks that the agent holds for another entry, in
+    /// milliseconds.
+    pub share_job_after_ms: u64,
     /// Time after which an unconfirmed stop is sent again, in milliseconds.
     pub stop_retry_ms: u64,
     /// Maximum number of starts that were sent to the upstream and not answered.
@@ -37,6 +40,9 @@
             owner_timeout_ms: 900,
             // The owner timeout, and the stops of a silent entry's runs.
             run_after_contact_ms: 1_200,
+            // Half of the time after which callers submit a job again: the rest is for the next
+            // heartbeat of each link.
+            share_job_after_ms: 650,
             // Thirty times the usual answer time. One stop in twenty may be lost.
             stop_retry_ms: 60,
             // Each start occupies a connection to the upstream.
--- a/crates/decide/tests/arrivals.rs
+++ b/crates/decide/tests/arrivals.rs
@@ -50,6 +50,7 @@
         objective_in_ms: 10_000,
         give_up_in_ms: 10_000,
         job_mostly_started: false,
+        age_ms: 0,
         suspect: false,
     };
     ledger.place(ENTRY, placement, now_ms);
--- a/crates/decide/tests/crashes.rs
+++ b/crates/decide/tests/crashes.rs
@@ -80,6 +80,7 @@
         objective_in_ms: 400,
         give_up_in_ms: 2_000,
         job_mostly_started: false,
+        age_ms: 0,
         suspect: false,
     };
     ledger.place(ENTRY, placement, 2);
--- a/crates/decide/tests/ledger_instances.rs
+++ b/crates/decide/tests/ledger_instances.rs
@@ -97,6 +97,7 @@
         objective_in_ms: 400,
         give_up_in_ms: 2_000,
         job_mostly_started: false,
+        age_ms: 0,
         suspect: false,
     };
     ledger.place(ENTRY, placement, 10);
--- a/crates/decide/tests/ledger_leases.rs
+++ b/crates/decide/tests/ledger_leases.rs
@@ -53,6 +53,7 @@
         objective_in_ms: 400,
         give_up_in_ms: 2_000,
         job_mostly_started: false,
+        age_ms: 0,
         suspect: false,
     }
 }
--- a/crates/decide/tests/ledger_machine.rs
+++ b/crates/decide/tests/ledger_machine.rs
@@ -471,6 +471,7 @@
             objective_in_ms: 1_000,
             give_up_in_ms: 3_000,
             job_mostly_started: false,
+            age_ms: 0,
             suspect: false,
         };
         let ledger = &mut self.sites[site].ledger;
--- a/crates/decide/tests/run_times.rs
+++ b/crates/decide/tests/run_times.rs
@@ -84,6 +84,7 @@
             objective_in_ms: give_up_in_ms,
             give_up_in_ms,
             job_mostly_started: false,
+            age_ms: 0,
             suspect: false,
         };
         self.ledger.place(ENTRY, placement, self.now_ms);
--- a/crates/decide/tests/upstream_clock.rs
+++ b/crates/decide/tests/upstream_clock.rs
@@ -62,6 +62,7 @@
         objective_in_ms: 400,
         give_up_in_ms: 20_000,
         job_mostly_started: false,
+        age_ms: 0,
         suspect: false,
     };
     ledger.place(ENTRY, placement, now_ms);
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -319,6 +319,11 @@
                 self.agent_revision.fetch_max(revision, Ordering::AcqRel);
                 self.service.add_copy_source(self.agent, &self.name, revision);
             }
+            FromRunsAgent::JobsOfOthers { held, over } => {
+                self.change(|dispatch, _| {
+                    dispatch.update_jobs_of_others(self.agent, held, &over);
+                });
+            }
             FromRunsAgent::Cold { left_ms } => self.take_cold(left_ms),
             FromRunsAgent::Crashes(told) => self.take_crashes(&told),
         }
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -38,8 +38,13 @@
 const FIRST: Incarnation = Incarnation(1);
 const SECOND: Incarnation = Incarnation(2);
 /// Nobody is silent, however busy the machine is.
-const PATIENT: DispatchLimits =
-    DispatchLimits { heartbeat_ms: 200, suspect_ms: 100_000, lost_ms: 100_000, max_jobs: 10 };
+const PATIENT: DispatchLimits = DispatchLimits {
+    heartbeat_ms: 200,
+    suspect_ms: 100_000,
+    lost_ms: 100_000,
+    run_after_contact_ms: 100_000,
+    max_jobs: 10,
+};
 /// Far longer than anything should take on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(30);
 
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -151,6 +151,8 @@
     pub objective_in_ms: u32,
     /// Time until the job's caller gives up, in milliseconds from sending.
     pub give_up_in_ms: u32,
+    /// Time since the job was submitted, in milliseconds before sending.
+    pub age_ms: u32,
     /// Most of the job's tasks have started, so the job waits for the rest. The agent starts
     /// these tasks before others of their priority, also when they are late.
     pub job_mostly_started: bool,
@@ -557,6 +559,14 @@
         /// Time until it reaches full speed, in milliseconds from sending; 0 if it has.
         left_ms: u32,
     },
+    /// Changes to the jobs of other entries that the agent holds and that their callers may submit
+    /// again, here or elsewhere. On a new connection none is held.
+    JobsOfOthers {
+        /// Jobs that are held and were not.
+        held: Vec<CallerJobId>,
+        /// Jobs that were held and are not.
+        over: Vec<CallerJobId>,
+    },
     /// The agent asks for a part of the entry's configuration.
     RequestConfigurationPart(CopyPartRequest),
     /// Reply to [`ToRunsAgent::RequestConfigurationPart`].
