Entries tell each other of old jobs through agents; what a restart, a stall and a refusal forgot

Callers saw: copies of open jobs still ran twice at once where no agent of the job links to the entry of the copy: with 14 entries and 74 agents each agent links to five or six. An entry now tells the jobs that it has had for 650 ms, whether placed or not, to a few agents that together reach all other entries; these pass them on with their next reports.

An agent logs the number of runs that its process before left.

--- a/crates/agent/src/leased/lease.rs
+++ b/crates/agent/src/leased/lease.rs
@@ -136,13 +136,18 @@
         self.refused_calls = 0;
         self.last_call_answered = true;
         self.may_acknowledge_ends = true;
-        agent.update_ledger(|ledger, now_ms| {
+        let (left_before, left) = agent.update_ledger(|ledger, now_ms| {
+            let left_before = ledger.leftover_count();
             if is_fenced {
                 ledger.handle_renewal_answer(answer, now_ms);
             } else {
                 ledger.handle_fence_answer(answer, now_ms);
             }
+            (left_before, ledger.leftover_count())
         });
+        if left != left_before {
+            event!(Info, "leftovers", life = answer.instance, runs = left);
+        }
         if answer.instance != *instance {
             self.log_other_instance(&answer.instance);
         }
--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -214,6 +214,9 @@
             ToRunsAgent::Withdraw(tasks) => agent.update_ledger(|ledger, _| {
                 tasks.into_iter().for_each(|task| ledger.withdraw_task(self.entry, task));
             }),
+            ToRunsAgent::OldJobs { held, over } => {
+                agent.update_old_jobs(self.entry, held, &over);
+            }
             ToRunsAgent::Unlinked => self.unlinked.notify_one(),
             ToRunsAgent::Heartbeat { heard, confirmed, agents, largest } => {
                 agent.links.update_from_heartbeat(self.peer, agents, &largest);
@@ -372,8 +375,7 @@
             sent.load_waits = is_changed;
             return;
         }
-        let jobs_of_others = agent.ledger.lock().jobs_of_others(self.entry, now_ms);
-        messages.extend(sent.update_jobs_of_others(jobs_of_others));
+        messages.extend(sent.update_jobs_of_others(agent.jobs_of_others(self.entry)));
         let last = reports.last().map_or(reported_up_to, |report| report.number);
         self.reported_up_to.store(last, Ordering::Release);
         sent.load = Some(load);
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -275,6 +275,7 @@
                 let end = link.run(reader, writer).await;
                 agent.links.disconnected_from(peer, agent.clock.now_ms());
                 agent.copies.lock().remove_source(link.entry);
+                agent.old_jobs.lock().remove(&link.entry);
                 agent.update_ledger(|ledger, _| match end {
                     LinkEnd::Released => ledger.drop_owner(link.entry),
                     LinkEnd::Broken(_) | LinkEnd::Silent => {
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -14,6 +14,7 @@
     parking_lot::Mutex,
     rand::Rng,
     std::{
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         sync::{Arc, atomic::AtomicU64},
         time::Duration,
@@ -30,7 +31,10 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{ConfigurationCopy, Evacuations, InstanceId, RunEvent, TaskKey, UpstreamInstance},
+        runs::{
+            CallerJobId, ConfigurationCopy, Evacuations, InstanceId, RunEvent, TaskKey,
+            UpstreamInstance,
+        },
     },
     tokio::{
         sync::{Notify, watch},
@@ -78,6 +82,8 @@
     pub(crate) copies: Mutex<CopyFetch<Incarnation>>,
     /// Evacuations in force, which the agent passes on to entries.
     pub(crate) evacuations: Mutex<Evacuations>,
+    /// Jobs of each linked entry that their callers may submit to another one, as it reports.
+    pub(crate) old_jobs: Mutex<HashMap<Incarnation, BTreeSet<CallerJobId>>>,
     /// Counts changes that links may have to send to entries.
     pub(crate) changes: watch::Sender<u64>,
     /// Signals that another instance of the upstream is known.
@@ -119,6 +125,7 @@
             configuration: Mutex::new(None),
             copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: Mutex::default(),
+            old_jobs: Mutex::default(),
             changes: watch::Sender::new(0),
             instance_changed: Notify::new(),
             proven_instance: watch::Sender::new(None),
@@ -275,6 +282,29 @@
         evacuation::log_in_force(received, is_evacuated);
     }
 
+    /// Records changes to the old jobs of an entry.
+    pub(crate) fn update_old_jobs(
+        &self,
+        entry: Incarnation,
+        held: Vec<CallerJobId>,
+        over: &[CallerJobId],
+    ) {
+        let mut old_jobs = self.old_jobs.lock();
+        let of_entry = old_jobs.entry(entry).or_default();
+        of_entry.retain(|job| !over.contains(job));
+        of_entry.extend(held);
+    }
+
+    /// Returns the jobs of other entries that a caller may submit at this one, as those entries
+    /// report and as the agent's own runs show.
+    pub(crate) fn jobs_of_others(&self, entry: Incarnation) -> BTreeSet<CallerJobId> {
+        let mut jobs = self.ledger.lock().jobs_of_others(entry, self.clock.now_ms());
+        let old_jobs = self.old_jobs.lock();
+        let others = old_jobs.iter().filter(|(other, _)| **other != entry);
+        jobs.extend(others.flat_map(|(_, old)| old));
+        jobs
+    }
+
     /// Begins a planned stop. The agent starts no more tasks.
     pub fn drain(self: &Arc<Self>) {
         self.update_ledger(|ledger, _| ledger.drain());
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -136,8 +136,11 @@
     pub earlier_runs: Option<EarlierRuns>,
     /// Time until which the upstream says that it is slow after its start.
     pub cold_until_ms: Option<u64>,
-    /// Jobs of other entries that the agent holds.
+    /// Jobs of other entries, as the agent reports them on this connection.
     pub jobs_of_others: BTreeSet<CallerJobId>,
+    /// The same on the connection before, until the agent's upstream is usable: a restarted agent
+    /// may find runs of its earlier process.
+    pub jobs_before: BTreeSet<CallerJobId>,
     /// Which of the entry's messages the agent has received.
     pub acks: AckTracker,
     unreported: VecDeque<UnreportedPlacement>,
@@ -173,6 +176,7 @@
             earlier_runs: None,
             cold_until_ms: None,
             jobs_of_others: BTreeSet::new(),
+            jobs_before: BTreeSet::new(),
             acks: AckTracker::new(now_ms),
             unreported: VecDeque::new(),
             unreported_resources: Resources::default(),
@@ -189,7 +193,7 @@
         self.acks = AckTracker::new(now_ms);
         self.load.usable = false;
         self.cold_until_ms = None;
-        self.jobs_of_others.clear();
+        self.jobs_before.append(&mut self.jobs_of_others);
         self.unreported.clear();
         self.unreported_resources = Resources::default();
         self.unreported_work_milli_ms = 0;
@@ -274,6 +278,9 @@
     pub fn set_load(&mut self, load: UpstreamLoad, heard: u64, now_ms: u64) {
         self.note_heard(now_ms);
         self.load = load;
+        if load.usable {
+            self.jobs_before.clear();
+        }
         self.acks.record_ack(heard);
         while let Some(first) = self.unreported.front().filter(|first| first.message <= heard) {
             self.unreported_resources = self.unreported_resources.minus(&first.room);
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -162,6 +162,8 @@
     pub may_have_run: bool,
     /// Whether agents were told that most of its tasks have started.
     pub told_mostly_started: bool,
+    /// Whether its tasks are not placed because another entry has the job.
+    pub waits_for_other_entry: bool,
     /// Set while the job is being ended.
     pub ending: Option<Ending>,
     /// When a job that is given up for crashes is to be answered.
@@ -220,6 +222,7 @@
             unfinished,
             may_have_run: false,
             told_mostly_started: false,
+            waits_for_other_entry: false,
             ending: None,
             verdict_at_ms: None,
         }
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -330,10 +330,11 @@
                 NoResultReason::Evacuated => EVACUATED_RETRY_MS,
                 _ => RETRY_RANGE_MS.0 as u32,
             };
-            // Tasks without a report from their agent may have started.
+            // Tasks without a report from their agent may have started, as may those of another
+            // entry.
             let answer = if reason == NoResultReason::Crashing {
                 self.crash_answer(job, job.verdict_at_ms.is_none())
-            } else if job.may_have_run || job.has_placed() {
+            } else if job.may_have_run || job.has_placed() || job.waits_for_other_entry {
                 JobAnswer::Unknown { reason }
             } else {
                 JobAnswer::NotRun { reason, retry_after_ms }
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -151,10 +151,16 @@
 
     /// Places the unplaced tasks of a job, as far as agents are usable.
     pub(super) fn place_job(&mut self, key: JobKey, now_ms: u64) {
-        let Some(job) = self.jobs.get(key) else { return };
+        let waits_for_other_entry = self.must_wait_for_other_entry(key, now_ms);
+        let Some(job) = self.jobs.get_mut(key) else { return };
         if job.ending.is_some() {
             return;
         }
+        job.waits_for_other_entry = waits_for_other_entry;
+        if waits_for_other_entry {
+            self.unplaced.insert(key);
+            return;
+        }
         let mut left = false;
         for step in job.steps_to_place() {
             left |= !self.place_step(key, step, now_ms);
@@ -293,9 +299,7 @@
     /// Tries again to place the unplaced tasks of all jobs.
     pub(super) fn place_unplaced(&mut self, now_ms: u64) {
         for key in self.unplaced.clone() {
-            if !self.is_waiting_for_other_entry(key, now_ms) {
-                self.place_job(key, now_ms);
-            }
+            self.place_job(key, now_ms);
         }
     }
 
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -32,8 +32,11 @@
     pub suspect_ms: u64,
     /// Silence of an agent after which all its runs for this entry have ended, in milliseconds.
     pub lost_ms: u64,
-    /// Silence of an agent after which the runs of all entries there have ended, in milliseconds.
+    /// Silence of an agent after which what it reported of other entries counts no more, in
+    /// milliseconds.
     pub run_after_contact_ms: u64,
+    /// Age of a job from which other entries are told of it, in milliseconds.
+    pub share_job_after_ms: u64,
     /// Maximum number of jobs held at once; more are refused.
     pub max_jobs: usize,
 }
@@ -49,6 +52,7 @@
             // is repeated after 60 ms.
             lost_ms: 1_500,
             run_after_contact_ms: LedgerLimits::default().longest_run_after_contact_ms(),
+            share_job_after_ms: LedgerLimits::default().share_job_after_ms,
             // At 4 KB a job, about 40 MB.
             max_jobs: 10_000,
         }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -285,6 +285,12 @@
         self.runs.len() - self.waiting.len()
     }
 
+    /// Returns the number of runs that an earlier process of the agent has left on the upstream.
+    #[must_use]
+    pub fn leftover_count(&self) -> usize {
+        self.leftovers.len()
+    }
+
     fn drop_waiting(&mut self, why: NotStarted) {
         let waiting: Vec<_> = self.waiting.iter().map(|&(_, key)| key).collect();
         for key in waiting {
--- a/crates/decide/src/ledger/shared_jobs.rs
+++ b/crates/decide/src/ledger/shared_jobs.rs
@@ -10,13 +10,16 @@
 };
 
 impl Ledger {
-    /// Returns the jobs of other entries that their callers may have submitted again at this one.
+    /// Returns the jobs of other entries that their callers may have submitted again at this one,
+    /// and those of runs that an earlier process of the agent has left.
     ///
-    /// A run that is being stopped is over before a copy may come, and prevents none.
+    /// A run that its entry stops is over before a caller submits the job again after the end of an
+    /// attempt, and prevents no copy.
     #[must_use]
     pub fn jobs_of_others(&self, entry: Incarnation, now_ms: u64) -> BTreeSet<CallerJobId> {
         let is_shared =
             |run: &&Run| run.owner != entry && run.stop.is_none() && now_ms >= run.share_from_ms;
-        self.runs.values().filter(is_shared).map(|run| run.task.job).collect()
+        let held = self.runs.values().filter(is_shared).map(|run| run.task.job);
+        held.chain(self.leftovers.keys().map(|(task, _)| task.job)).collect()
     }
 }
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -185,6 +185,7 @@
             dispatch.set_hello(agent, hello.number);
             dispatch.set_data_centre(agent, &hello.data_centre);
             dispatch.agent_ready(agent, now_ms);
+            service.told_jobs.lock().remove(&agent);
             // The present messages of the dispatch belong to this connection.
             let before = service.links.0.lock().insert(agent, Arc::clone(&outbox));
             if let Some(before) = before {
@@ -233,6 +234,7 @@
         let silent_ms = self.service.change(|dispatch, now_ms| {
             if self.service.links.end(self.agent, &self.outbox) {
                 self.service.forget_linked(self.agent);
+                self.service.told_jobs.lock().remove(&self.agent);
                 self.service.copies.lock().remove_source(self.agent);
                 dispatch.agent_disconnected(self.agent);
             }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod evacuation;
 mod links;
+mod old_jobs;
 mod query;
 
 pub use query::Held;
@@ -87,6 +88,8 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
+    /// Locked after the dispatch.
+    told_jobs: Mutex<old_jobs::ToldJobs>,
     /// Number of passes over what is due by time.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
@@ -122,6 +125,7 @@
             cluster: Mutex::default(),
             cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
+            told_jobs: Mutex::default(),
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
@@ -473,6 +477,7 @@
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
         });
+        service.share_old_jobs();
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -43,6 +43,7 @@
     suspect_ms: 100_000,
     lost_ms: 100_000,
     run_after_contact_ms: 100_000,
+    share_job_after_ms: 650,
     max_jobs: 10,
 };
 /// Far longer than anything should take on a busy machine.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -599,6 +599,14 @@
         /// Time until the job's caller gives up, in milliseconds from sending.
         give_up_in_ms: u32,
     },
+    /// Changes to the jobs of this entry that their callers may submit to another one, which the
+    /// agent passes on as [`FromRunsAgent::JobsOfOthers`]. On a new connection there are none.
+    OldJobs {
+        /// Jobs that are held and old enough.
+        held: Vec<CallerJobId>,
+        /// Jobs that are so no more.
+        over: Vec<CallerJobId>,
+    },
     /// Heartbeat, which confirms what the entry has received.
     Heartbeat {
         /// Number of messages received from the agent on this connection.
