--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -14,6 +14,7 @@
 
 use {
     cluster::{AgentsEntries, Cluster},
+    old_jobs::{SharedJobs, ToldJobs},
     parking_lot::Mutex,
     rand::Rng,
     std::{
@@ -89,7 +90,7 @@
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
     /// Locked after the dispatch.
-    told_jobs: Mutex<old_jobs::ToldJobs>,
+    told_jobs: Mutex<ToldJobs>,
     /// Number of passes over what is due by time.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
@@ -467,6 +468,7 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
+    let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
     loop {
         ticks.tick().await;
         let stopped = service.change(|dispatch, now_ms| {
@@ -477,7 +479,7 @@
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
         });
-        service.share_old_jobs();
+        service.share_old_jobs(&mut shared);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
--- a/crates/entry/src/runs/old_jobs.rs
+++ b/crates/entry/src/runs/old_jobs.rs
@@ -12,39 +12,59 @@
     },
     sycamorerail_decide::dispatch::AgentKey,
     sycamorerail_wire::runs::{CallerJobId, ToRunsAgent},
+    tokio::sync::watch,
 };
 
 /// Old jobs that agents were told of, by agent.
 pub(super) type ToldJobs = HashMap<AgentKey, BTreeSet<CallerJobId>>;
 
+/// What was shared last, so that only changes cost time.
+pub(super) struct SharedJobs {
+    old: BTreeSet<CallerJobId>,
+    /// Agents that together are connected to all other entries that any agent is connected to.
+    relays: BTreeSet<AgentKey>,
+    cluster_changes: watch::Receiver<()>,
+}
+
+impl SharedJobs {
+    pub(super) fn new(cluster_changes: watch::Receiver<()>) -> Self {
+        Self { old: BTreeSet::new(), relays: BTreeSet::new(), cluster_changes }
+    }
+}
+
 impl JobService {
-    /// Tells agents what has changed about the old jobs since the last call.
-    pub(super) fn share_old_jobs(&self) {
+    /// Tells agents what has changed about the old jobs.
+    pub(super) fn share_old_jobs(&self, shared: &mut SharedJobs) {
         let mut dispatch = self.dispatch.lock();
         let now_ms = self.clock.now_ms();
         let old = dispatch.old_jobs(now_ms);
-        let mut told = self.told_jobs.lock();
-        if old.is_empty() && told.is_empty() {
+        let is_cluster_changed = shared.cluster_changes.has_changed().unwrap_or(false);
+        if old == shared.old && !is_cluster_changed {
             return;
         }
-        let relays = if old.is_empty() { BTreeSet::new() } else { self.relays() };
-        for &agent in &relays {
+        if is_cluster_changed {
+            shared.cluster_changes.mark_unchanged();
+            shared.relays = self.relays();
+        }
+        let mut told = self.told_jobs.lock();
+        for &agent in &shared.relays {
             told.entry(agent).or_default();
         }
+        let none = BTreeSet::new();
         told.retain(|agent, known| {
-            let jobs = if relays.contains(agent) { old.clone() } else { BTreeSet::new() };
+            let jobs = if shared.relays.contains(agent) { &old } else { &none };
             let held: Vec<_> = jobs.difference(known).copied().collect();
-            let over: Vec<_> = known.difference(&jobs).copied().collect();
+            let over: Vec<_> = known.difference(jobs).copied().collect();
             if !held.is_empty() || !over.is_empty() {
                 dispatch.message_sent(*agent, None, now_ms);
                 self.send(*agent, ToRunsAgent::OldJobs { held, over });
             }
-            *known = jobs;
+            known.clone_from(jobs);
             !known.is_empty()
         });
+        shared.old = old;
     }
 
-    /// Agents that together are connected to all other entries that any agent is connected to.
     fn relays(&self) -> BTreeSet<AgentKey> {
         let cluster = self.cluster.lock();
         let connected =
