What a reconnecting agent, or one whose upstream is silent, reported of other entries expires

Reports of the connection before count from its last message (reconnects_prolong_no_report, not run on the code before), runs that are left only while the upstream answers.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -291,12 +291,14 @@
     ) {
         let mut old_jobs = self.old_jobs.lock();
         let of_entry = old_jobs.entry(entry).or_default();
-        of_entry.retain(|job| !over.contains(job));
+        for job in over {
+            of_entry.remove(job);
+        }
         of_entry.extend(held);
     }
 
-    /// Returns the jobs of other entries that a caller may submit at this one, as those entries
-    /// report and as the agent's own runs show.
+    /// Returns the jobs to tell this entry of: old jobs of other entries, as these report and as the
+    /// agent's own runs show, and those of runs that an earlier process left.
     pub(crate) fn jobs_of_others(&self, entry: Incarnation) -> BTreeSet<CallerJobId> {
         let mut jobs = self.ledger.lock().jobs_of_others(entry, self.clock.now_ms());
         let old_jobs = self.old_jobs.lock();
--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -140,7 +140,9 @@
     pub jobs_of_others: BTreeSet<CallerJobId>,
     /// The same on the connection before, until the agent's upstream is usable: a restarted agent
     /// may find runs of its earlier process.
-    pub jobs_before: BTreeSet<CallerJobId>,
+    pub jobs_before_reconnect: BTreeSet<CallerJobId>,
+    /// When the agent was heard last on the connection before.
+    pub heard_before_reconnect_ms: u64,
     /// Which of the entry's messages the agent has received.
     pub acks: AckTracker,
     unreported: VecDeque<UnreportedPlacement>,
@@ -176,7 +178,8 @@
             earlier_runs: None,
             cold_until_ms: None,
             jobs_of_others: BTreeSet::new(),
-            jobs_before: BTreeSet::new(),
+            jobs_before_reconnect: BTreeSet::new(),
+            heard_before_reconnect_ms: 0,
             acks: AckTracker::new(now_ms),
             unreported: VecDeque::new(),
             unreported_resources: Resources::default(),
@@ -189,11 +192,12 @@
         self.connected = true;
         self.is_disconnecting = false;
         self.connected_ms = now_ms;
+        self.jobs_before_reconnect = std::mem::take(&mut self.jobs_of_others);
+        self.heard_before_reconnect_ms = self.last_heard_ms + self.stalled_ms;
         self.note_heard(now_ms);
         self.acks = AckTracker::new(now_ms);
         self.load.usable = false;
         self.cold_until_ms = None;
-        self.jobs_before.append(&mut self.jobs_of_others);
         self.unreported.clear();
         self.unreported_resources = Resources::default();
         self.unreported_work_milli_ms = 0;
@@ -279,7 +283,7 @@
         self.note_heard(now_ms);
         self.load = load;
         if load.usable {
-            self.jobs_before.clear();
+            self.jobs_before_reconnect.clear();
         }
         self.acks.record_ack(heard);
         while let Some(first) = self.unreported.front().filter(|first| first.message <= heard) {
--- a/crates/decide/src/dispatch/held_elsewhere.rs
+++ b/crates/decide/src/dispatch/held_elsewhere.rs
@@ -13,8 +13,8 @@
     /// Returns the jobs here that their callers may have submitted to another entry.
     #[must_use]
     pub fn old_jobs(&self, now_ms: u64) -> BTreeSet<CallerJobId> {
-        let from_ms = |job: &Job| job.request.arrived_ms + self.limits.share_job_after_ms;
-        let is_old = |job: &&Job| job.ending.is_none() && now_ms >= from_ms(job);
+        let old_from_ms = |job: &Job| job.request.arrived_ms + self.limits.share_job_after_ms;
+        let is_old = |job: &&Job| job.ending.is_none() && now_ms >= old_from_ms(job);
         self.jobs.values().filter(is_old).map(|job| job.request.id).collect()
     }
 
@@ -37,9 +37,9 @@
     pub(super) fn is_held_elsewhere(&self, job: CallerJobId, now_ms: u64) -> bool {
         let limit_ms = self.limits.run_after_contact_ms;
         let is_held_at = |view: &AgentView| {
-            let is_held_before = || view.jobs_before.contains(&job);
             view.jobs_of_others.contains(&job) && view.observed_silence_ms(now_ms) < limit_ms
-                || is_held_before() && now_ms < view.connected_ms + limit_ms
+                || view.jobs_before_reconnect.contains(&job)
+                    && now_ms < view.heard_before_reconnect_ms + limit_ms
         };
         self.agents.values().any(is_held_at)
     }
--- a/crates/decide/src/ledger/shared_jobs.rs
+++ b/crates/decide/src/ledger/jobs_of_others.rs
@@ -11,7 +11,8 @@
 
 impl Ledger {
     /// Returns the jobs of other entries that their callers may have submitted again at this one,
-    /// and those of runs that an earlier process of the agent has left.
+    /// and those of runs that an earlier process of the agent has left. These end with its leases:
+    /// an upstream that doesn't answer is not known to run them for long.
     ///
     /// A run that its entry stops is over before a caller submits the job again after the end of an
     /// attempt, and prevents no copy.
@@ -20,6 +21,7 @@
         let is_shared =
             |run: &&Run| run.owner != entry && run.stop.is_none() && now_ms >= run.share_from_ms;
         let held = self.runs.values().filter(is_shared).map(|run| run.task.job);
-        held.chain(self.leftovers.keys().map(|(task, _)| task.job)).collect()
+        let leftovers = self.leftovers.keys().filter(|_| self.is_trusted(now_ms));
+        held.chain(leftovers.map(|(task, _)| task.job)).collect()
     }
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -14,6 +14,7 @@
 mod cold;
 mod crash_log;
 mod instances;
+mod jobs_of_others;
 mod lease_limit;
 mod load;
 mod order_fence;
@@ -21,7 +22,6 @@
 mod owners;
 mod renewal;
 mod run_times;
-mod shared_jobs;
 mod starts;
 mod types;
 
--- a/crates/decide/tests/held_elsewhere.rs
+++ b/crates/decide/tests/held_elsewhere.rs
@@ -115,6 +115,18 @@
     assert_eq!(submit(&mut dispatch, 151), Ok(()));
 }
 
+/// Guards against a job that is refused for good, as an agent that never becomes usable connects
+/// again and again.
+#[test]
+fn reconnects_prolong_no_report() {
+    let (mut dispatch, _) = entry_with_report();
+    let over_ms = 100 + DispatchLimits::default().run_after_contact_ms;
+    for (run, now_ms) in (2..).zip((200..over_ms).step_by(200)) {
+        connect(&mut dispatch, run, false, now_ms);
+    }
+    assert_eq!(submit(&mut dispatch, over_ms), Ok(()));
+}
+
 /// Guards against a job that an agent refuses, as another entry's run is there, and that is placed
 /// at the next one at once.
 #[test]
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -89,7 +89,7 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<SocketAddr>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
-    /// Locked after the dispatch.
+    /// Old jobs that each connected agent was told of. Locked after the dispatch.
     told_jobs: Mutex<ToldJobs>,
     /// Number of passes over what is due by time.
     passes: AtomicU64,
--- a/crates/entry/src/runs/old_jobs.rs
+++ b/crates/entry/src/runs/old_jobs.rs
@@ -2,7 +2,7 @@
 //! there.
 //!
 //! Entries have no connections to each other, and an agent links to some of them only. A few agents
-//! together reach all entries that any agent reaches.
+//! together reach all entries to which any agent linked here is connected.
 
 use {
     super::JobService,
@@ -18,7 +18,7 @@
 /// Old jobs that agents were told of, by agent.
 pub(super) type ToldJobs = HashMap<AgentKey, BTreeSet<CallerJobId>>;
 
-/// What was shared last, so that only changes cost time.
+/// State of the last call of [`JobService::share_old_jobs`], which does nothing if it is unchanged.
 pub(super) struct SharedJobs {
     old: BTreeSet<CallerJobId>,
     /// Agents that together are connected to all other entries that any agent is connected to.
