A report of another entry's job counts no longer than its entry may hold runs

The other entry believed the agent's last report for 1,240 ms from that agent's last message; the run is bound by the contact with its own entry. An agent now reports jobs only of entries that it has heard within 700 ms (a heartbeat less than the owner timeout), and a report counts for 540 ms of the agent's silence, so that it is void 1,240 ms after the last contact with the entry.

--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -300,10 +300,13 @@
     /// Returns the jobs to tell this entry of: old jobs of other entries, as these report and as the
     /// agent's own runs show, and those of runs that an earlier process left.
     pub(crate) fn jobs_of_others(&self, entry: Incarnation) -> BTreeSet<CallerJobId> {
-        let mut jobs = self.ledger.lock().jobs_of_others(entry, self.clock.now_ms());
+        let now_ms = self.clock.now_ms();
+        let ledger = self.ledger.lock();
+        let mut jobs = ledger.jobs_of_others(entry, now_ms);
         let old_jobs = self.old_jobs.lock();
-        let others = old_jobs.iter().filter(|(other, _)| **other != entry);
-        jobs.extend(others.flat_map(|(_, old)| old));
+        let is_shared = |other: Incarnation| other != entry && ledger.shares_jobs_of(other, now_ms);
+        let of_others = old_jobs.iter().filter(|(other, _)| is_shared(**other));
+        jobs.extend(of_others.flat_map(|(_, old)| old));
         jobs
     }
 
--- a/crates/decide/src/dispatch/held_elsewhere.rs
+++ b/crates/decide/src/dispatch/held_elsewhere.rs
@@ -33,9 +33,9 @@
     }
 
     /// Whether another entry has a job, as agents report. What an agent reported counts until the
-    /// agent has been silent for so long that its runs have ended.
+    /// agent has been silent for so long that the other entry may be gone, with its runs.
     pub(super) fn is_held_elsewhere(&self, job: CallerJobId, now_ms: u64) -> bool {
-        let limit_ms = self.limits.run_after_contact_ms;
+        let limit_ms = self.limits.forget_jobs_after_ms;
         let is_held_at = |view: &AgentView| {
             view.jobs_of_others.contains(&job) && view.observed_silence_ms(now_ms) < limit_ms
                 || view.jobs_before_reconnect.contains(&job)
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -34,7 +34,7 @@
     pub lost_ms: u64,
     /// Silence of an agent after which what it reported of other entries counts no more, in
     /// milliseconds.
-    pub run_after_contact_ms: u64,
+    pub forget_jobs_after_ms: u64,
     /// Age of a job from which other entries are told of it, in milliseconds.
     pub share_job_after_ms: u64,
     /// Maximum number of jobs held at once; more are refused.
@@ -51,7 +51,7 @@
             // The agent stops this entry's runs after 900 ms of silence; a stop takes 50 ms and
             // is repeated after 60 ms.
             lost_ms: 1_500,
-            run_after_contact_ms: LedgerLimits::default().longest_run_after_contact_ms(),
+            forget_jobs_after_ms: LedgerLimits::default().forget_jobs_after_ms(),
             share_job_after_ms: LedgerLimits::default().share_job_after_ms,
             // At 4 KB a job, about 40 MB.
             max_jobs: 10_000,
--- a/crates/decide/src/ledger/jobs_of_others.rs
+++ b/crates/decide/src/ledger/jobs_of_others.rs
@@ -18,10 +18,22 @@
     /// attempt, and prevents no copy.
     #[must_use]
     pub fn jobs_of_others(&self, entry: Incarnation, now_ms: u64) -> BTreeSet<CallerJobId> {
-        let is_shared =
-            |run: &&Run| run.owner != entry && run.stop.is_none() && now_ms >= run.share_from_ms;
+        let is_shared = |run: &&Run| {
+            run.owner != entry
+                && run.stop.is_none()
+                && now_ms >= run.share_from_ms
+                && self.shares_jobs_of(run.owner, now_ms)
+        };
         let held = self.runs.values().filter(is_shared).map(|run| run.task.job);
         let leftovers = self.leftovers.keys().filter(|_| self.is_trusted(now_ms));
         held.chain(leftovers.map(|(task, _)| task.job)).collect()
     }
+
+    /// Whether an entry was heard so lately that other entries are told of its jobs. One that is
+    /// silent may be gone, and its callers submit their jobs elsewhere.
+    #[must_use]
+    pub fn shares_jobs_of(&self, owner: Incarnation, now_ms: u64) -> bool {
+        let silent_ms = self.limits.share_jobs_until_silent_ms();
+        self.owners.is_fresh(owner, now_ms, silent_ms)
+    }
 }
--- a/crates/decide/src/ledger/lease_limit.rs
+++ b/crates/decide/src/ledger/lease_limit.rs
@@ -61,6 +61,20 @@
         self.latest_end_ms(self.run_after_contact_ms)
     }
 
+    /// Returns the silence of an entry up to which its jobs are reported to others, in
+    /// milliseconds: a heartbeat before its runs are stopped.
+    #[must_use]
+    pub fn share_jobs_until_silent_ms(&self) -> u64 {
+        self.owner_timeout_ms - self.heartbeat_ms()
+    }
+
+    /// Returns the silence of an agent after which its report of another entry's job counts no
+    /// more, in milliseconds. By then nothing runs for that entry if it is gone.
+    #[must_use]
+    pub fn forget_jobs_after_ms(&self) -> u64 {
+        self.longest_run_after_contact_ms() - self.share_jobs_until_silent_ms()
+    }
+
     /// Returns when a lease that ends at `lease_end_ms` in the agent's time has ended on the
     /// upstream's clock, however slow that is.
     pub(super) fn latest_end_ms(&self, lease_end_ms: u64) -> u64 {
