A job is claimed at a majority of three entries before its first start

What callers saw: two runs of a task at once. Cause: an entry started a job on its own word, and knew of other entries' jobs by news 650 ms old, over links that may be silent or frozen. The job is now claimed at three entries that rank first for its id; a majority has to grant it, and two majorities share an entry.

--- /dev/null
+++ b/crates/decide/src/dispatch/claims.rs
@@ -0,0 +1,47 @@
+//! Claims on jobs, as the dispatch needs them: a job waits until its claim is granted, and gives the
+//! claim up as it ends.
+
+use {
+    super::{Dispatch, Ending, Job, JobKey, NoResultReason},
+    sycamorerail_wire::runs::CallerJobId,
+};
+
+/// A job that has ended at this entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReleasedJob {
+    /// Its id.
+    pub id: CallerJobId,
+    /// Whether runs of it may go on, at agents that have not said that they are over.
+    pub may_run: bool,
+    /// Whether a task was started, or may have been. Otherwise, its caller may submit it again at
+    /// once.
+    pub may_have_run: bool,
+}
+
+impl From<&Job> for ReleasedJob {
+    fn from(job: &Job) -> Self {
+        let may_run = job.has_placed();
+        Self { id: job.request.id, may_run, may_have_run: job.may_have_run || may_run }
+    }
+}
+
+impl Dispatch {
+    /// Places a job that no other entry has.
+    pub fn claim_granted(&mut self, key: JobKey, now_ms: u64) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        job.is_claimed = true;
+        self.place_job(key, now_ms);
+    }
+
+    /// Ends a job that another entry has.
+    pub fn claim_denied(&mut self, key: JobKey) {
+        if self.jobs.get(key).is_some_and(|job| job.ending.is_none() && !job.is_claimed) {
+            self.begin_ending(key, Ending::GivenUp(NoResultReason::HeldElsewhere));
+        }
+    }
+
+    /// Returns the jobs that have ended since the last call.
+    pub fn take_released(&mut self) -> Vec<ReleasedJob> {
+        std::mem::take(&mut self.released)
+    }
+}
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -162,6 +162,8 @@
     pub may_have_run: bool,
     /// Whether agents were told that most of its tasks have started.
     pub told_mostly_started: bool,
+    /// Whether the entry has been granted the claim on it.
+    pub is_claimed: bool,
     /// Whether its tasks are not placed because another entry has the job.
     pub waits_for_other_entry: bool,
     /// Set while the job is being ended.
@@ -222,12 +224,19 @@
             unfinished,
             may_have_run: false,
             told_mostly_started: false,
+            is_claimed: false,
             waits_for_other_entry: false,
             ending: None,
             verdict_at_ms: None,
         }
     }
 
+    /// Whether another entry may have the job.
+    #[must_use]
+    pub fn may_be_elsewhere(&self) -> bool {
+        !self.is_claimed || self.waits_for_other_entry
+    }
+
     /// Time by which the job must end. A job that has not started is refused rather than late, as
     /// its room goes to jobs that can be on time. One that waits for room is given up once its
     /// result is useless. One whose tasks all run continues as long as its caller waits: in a
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 //! first, so that "not run" is known rather than assumed.
 
 mod agents;
+mod claims;
 mod connections;
 mod crashes;
 mod evacuation;
@@ -26,6 +27,7 @@
 
 pub use {
     agents::{AgentView, PlannedTasks, TaskDemand, TaskEstimate},
+    claims::ReleasedJob,
     job::Job,
     stop::STOP_ANSWER_MS,
     types::{
@@ -96,6 +98,8 @@
     commands: Vec<Command>,
     /// Losses of runs since they were last taken.
     losses: Vec<RunLoss>,
+    /// Jobs that were removed since they were last taken.
+    released: Vec<ReleasedJob>,
     /// This incarnation of the entry; it determines the entry's own order of agents.
     entry: Incarnation,
     /// When all jobs must have ended, once a stop is planned.
@@ -123,6 +127,7 @@
             crashes: Crashes::default(),
             commands: Vec::new(),
             losses: Vec::new(),
+            released: Vec::new(),
             stop_at_ms: None,
             last_forecast: JobForecast::default(),
         }
@@ -163,12 +168,28 @@
         self.last_forecast
     }
 
-    /// Accepts or refuses a job. An accepted job is answered by a [`Command::Answer`].
+    /// Accepts or refuses a job that no other entry can have. An accepted job is answered by a
+    /// [`Command::Answer`].
     ///
     /// # Errors
     ///
     /// The answer, if the job is refused: none of its tasks runs.
     pub fn submit(&mut self, request: JobRequest, now_ms: u64) -> Result<JobKey, JobAnswer> {
+        let key = self.submit_unclaimed(request, now_ms)?;
+        self.claim_granted(key, now_ms);
+        Ok(key)
+    }
+
+    /// Accepts or refuses a job. The tasks of an accepted one wait until its claim is granted.
+    ///
+    /// # Errors
+    ///
+    /// The answer, if the job is refused: none of its tasks runs.
+    pub fn submit_unclaimed(
+        &mut self,
+        request: JobRequest,
+        now_ms: u64,
+    ) -> Result<JobKey, JobAnswer> {
         let refused = |reason, retry_after_ms| JobAnswer::NotRun { reason, retry_after_ms };
         // A job that is refused without a forecast must not report that of another job.
         self.last_forecast = JobForecast::default();
@@ -220,7 +241,7 @@
         }
         let key = self.jobs.insert(job);
         self.by_id.insert(id, key);
-        self.place_job(key, now_ms);
+        self.unplaced.insert(key);
         Ok(key)
     }
 
@@ -334,7 +355,7 @@
             // entry.
             let answer = if reason == NoResultReason::Crashing {
                 self.crash_answer(job, job.verdict_at_ms.is_none())
-            } else if job.may_have_run || job.has_placed() || job.waits_for_other_entry {
+            } else if job.may_have_run || job.has_placed() || job.may_be_elsewhere() {
                 JobAnswer::Unknown { reason }
             } else {
                 JobAnswer::NotRun { reason, retry_after_ms }
@@ -348,6 +369,7 @@
         self.unplaced.remove(&key);
         if let Some(job) = self.jobs.remove(key) {
             self.by_id.remove(&job.request.id);
+            self.released.push(ReleasedJob::from(&job));
         }
     }
 
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -157,7 +157,7 @@
             return;
         }
         job.waits_for_other_entry = waits_for_other_entry;
-        if waits_for_other_entry {
+        if job.may_be_elsewhere() {
             self.unplaced.insert(key);
             return;
         }
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -37,6 +37,8 @@
     pub forget_jobs_after_ms: u64,
     /// Age of a job from which other entries are told of it, in milliseconds.
     pub share_job_after_ms: u64,
+    /// Time for which runs may go on after their entry is gone, in milliseconds.
+    pub run_over_ms: u64,
     /// Maximum number of jobs held at once; more are refused.
     pub max_jobs: usize,
 }
@@ -53,6 +55,7 @@
             lost_ms: 1_500,
             forget_jobs_after_ms: LedgerLimits::default().forget_jobs_after_ms(),
             share_job_after_ms: LedgerLimits::default().share_job_after_ms,
+            run_over_ms: LedgerLimits::default().longest_run_after_contact_ms(),
             // At 4 KB a job, about 40 MB.
             max_jobs: 10_000,
         }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod ack_tracker;
 pub mod admission;
+pub mod claims;
 pub mod contradiction;
 pub mod copies;
 pub mod decaying_sum;
--- /dev/null
+++ b/crates/entry/src/runs/claims.rs
@@ -0,0 +1,433 @@
+//! Claims on jobs over connections between entries.
+//!
+//! An entry connects to a holder for its first claim there and keeps the connection. There are no
+//! heartbeats: a connection on which a claim stays unanswered is replaced, and the claims that the
+//! holder should have are sent again over the new one.
+
+use {
+    super::{JobService, query::is_process_gone},
+    parking_lot::Mutex,
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    sycamorerail_decide::{
+        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
+        dispatch::{Dispatch, DispatchLimits},
+    },
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::{
+        frames::{self, FrameError, FrameReader, FrameWriter},
+        ids::Incarnation,
+        runs::{CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRequests, RunsFirstMessage},
+    },
+    tokio::{
+        sync::Notify,
+        time::{Instant, sleep, sleep_until, timeout},
+    },
+};
+
+/// Time for a connection to another entry: fifty times the way there and back between data centres.
+const CONNECT_WITHIN: Duration = Duration::from_millis(150);
+/// Time for an answer, after which the connection counts as silent. The holder may wait for its
+/// share of a processor, which is given out each 100 ms.
+const ANSWER_WITHIN: Duration = Duration::from_millis(120);
+/// Longest time for an answer of a holder that has left several connections unanswered.
+const MAX_ANSWER_WITHIN: Duration = Duration::from_millis(960);
+/// Pause between connection attempts to a holder that is lost.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+/// A holder closes a connection on which it has heard nothing for this long.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+/// A claim that some holders grant counts after this time without an answer of the others: that of
+/// a silent connection and one more attempt.
+const PATIENCE_MS: u64 = 250;
+/// Time after which claims of jobs that have run are given up, together with others. Their callers
+/// come again later than that.
+const RELEASE_PAUSE_MS: u64 = 200;
+/// Longest time that callers commonly wait. A holder that was lost for that time and the time of
+/// runs has no claims any more.
+const COMMON_DEADLINE_MS: u64 = 1_500;
+
+/// Claims of this entry and of others.
+pub(super) struct ClaimLinks {
+    /// Locked after the dispatch.
+    claims: Mutex<Claims>,
+    /// Locked after the claims.
+    table: Mutex<ClaimTable>,
+    /// Connections to holders.
+    holders: Mutex<HashMap<SocketAddr, Arc<Holder>>>,
+    run_over_ms: u64,
+    /// When claims were last given up.
+    released_ms: AtomicU64,
+}
+
+/// Messages on their way to a holder.
+#[derive(Default)]
+struct Holder {
+    requests: Mutex<ClaimRequests>,
+    filled: Notify,
+}
+
+impl ClaimLinks {
+    pub(super) fn new(limits: &DispatchLimits) -> Self {
+        let run_over_ms = limits.run_over_ms;
+        let claim_limits = ClaimLimits {
+            run_over_ms,
+            patience_ms: PATIENCE_MS,
+            forget_holder_ms: COMMON_DEADLINE_MS + run_over_ms,
+        };
+        Self {
+            claims: Mutex::new(Claims::new(claim_limits)),
+            table: Mutex::new(ClaimTable::new(run_over_ms, 0)),
+            holders: Mutex::default(),
+            run_over_ms,
+            released_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Sends what waits for the next claim, from time to time.
+    fn flush_releases(&self, now_ms: u64) {
+        if now_ms < self.released_ms.load(Ordering::Relaxed) + RELEASE_PAUSE_MS {
+            return;
+        }
+        self.released_ms.store(now_ms, Ordering::Relaxed);
+        let holders = self.holders.lock();
+        let waits = |link: &&Arc<Holder>| !link.requests.lock().releases.is_empty();
+        holders.values().filter(waits).for_each(|link| link.filled.notify_one());
+    }
+}
+
+impl JobService {
+    /// Grants no claims until those are over that an earlier process of this entry may have
+    /// granted.
+    pub fn wait_for_earlier_claims(&self) {
+        let run_over_ms = self.claims.run_over_ms;
+        *self.claims.table.lock() = ClaimTable::new(run_over_ms, self.now_ms() + run_over_ms);
+    }
+
+    /// Claims a job that was just accepted.
+    pub(super) fn begin_claim(
+        self: &Arc<Self>,
+        dispatch: &mut Dispatch,
+        job: CallerJobId,
+        deadline_ms: u64,
+        now_ms: u64,
+    ) {
+        let mut entries = self.members.borrow().clone();
+        entries.push(self.settings.own);
+        let mut claims = self.claims.claims.lock();
+        let requests = claims.begin(job, &entries, deadline_ms, now_ms);
+        let decided = self.send_claims(&mut claims, requests, now_ms);
+        drop(claims);
+        self.apply(dispatch, decided, now_ms);
+    }
+
+    /// Sends claims to their holders, of which this entry may be one.
+    fn send_claims(
+        self: &Arc<Self>,
+        claims: &mut Claims,
+        requests: Vec<ClaimRequest>,
+        now_ms: u64,
+    ) -> Vec<(CallerJobId, ClaimDecision)> {
+        let mut decided = Vec::new();
+        for ClaimRequest { holder, job, for_ms } in requests {
+            if holder == self.settings.own {
+                let mut table = self.claims.table.lock();
+                let answer = table.claim(job, self.incarnation, for_ms, now_ms);
+                let decision = claims.answered(job, holder, answer, now_ms);
+                decided.extend(decision.map(|decision| (job, decision)));
+                continue;
+            }
+            let link = self.holder(holder);
+            link.requests.lock().claims.push((job, for_ms));
+            link.filled.notify_one();
+        }
+        decided
+    }
+
+    fn apply(
+        &self,
+        dispatch: &mut Dispatch,
+        decided: Vec<(CallerJobId, ClaimDecision)>,
+        now_ms: u64,
+    ) {
+        for (job, decision) in decided {
+            let Some(key) = dispatch.find_job(job) else { continue };
+            match decision {
+                ClaimDecision::Granted => dispatch.claim_granted(key, now_ms),
+                ClaimDecision::Denied { holder } => {
+                    event!(Info, "job_claim_denied", job = job, holder = holder);
+                    metrics::counter!("sycamorerail_claims_denied_total").increment(1);
+                    dispatch.claim_denied(key);
+                }
+            }
+        }
+    }
+
+    /// Gives up the claims of jobs that have ended.
+    pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
+        for job in dispatch.take_released() {
+            let after_ms = if job.may_run { self.claims.run_over_ms } else { 0 };
+            for holder in self.claims.claims.lock().end(job.id) {
+                if holder == self.settings.own {
+                    let mut table = self.claims.table.lock();
+                    table.release(job.id, self.incarnation, after_ms, self.clock.now_ms());
+                } else if let Some(link) = self.claims.holders.lock().get(&holder) {
+                    let mut requests = link.requests.lock();
+                    requests.claims.retain(|(claimed, _)| *claimed != job.id);
+                    requests.releases.push((job.id, after_ms));
+                    if !job.may_have_run {
+                        link.filled.notify_one();
+                    }
+                }
+            }
+        }
+    }
+
+    /// Does what is due by time.
+    pub(super) fn tick_claims(self: &Arc<Self>) {
+        self.change(|dispatch, now_ms| {
+            let mut claims = self.claims.claims.lock();
+            self.claims.table.lock().tick(now_ms);
+            self.claims.flush_releases(now_ms);
+            let (granted, requests) = claims.tick(now_ms);
+            let mut decided: Vec<_> =
+                granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
+            for (job, _) in &decided {
+                event!(Info, "job_claim_unanswered", job = job);
+                metrics::counter!("sycamorerail_claims_unanswered_total").increment(1);
+            }
+            decided.extend(self.send_claims(&mut claims, requests, now_ms));
+            drop(claims);
+            self.apply(dispatch, decided, now_ms);
+        });
+    }
+
+    /// The connection to a holder, which is made if there is none.
+    fn holder(self: &Arc<Self>, address: SocketAddr) -> Arc<Holder> {
+        let mut holders = self.claims.holders.lock();
+        let new = || {
+            let link = Arc::<Holder>::default();
+            tokio::spawn(keep_connected(Arc::clone(self), address, Arc::clone(&link)));
+            link
+        };
+        Arc::clone(holders.entry(address).or_insert_with(new))
+    }
+
+    /// Takes a holder's answers. Returns whether it has left other claims unanswered.
+    fn claims_answered(
+        self: &Arc<Self>,
+        holder: SocketAddr,
+        ClaimAnswers(answers): ClaimAnswers,
+    ) -> bool {
+        self.change(|dispatch, now_ms| {
+            let mut claims = self.claims.claims.lock();
+            claims.holder_reached(holder);
+            let decision =
+                |(job, answer)| Some((job, claims.answered(job, holder, answer, now_ms)?));
+            let decided = answers.into_iter().filter_map(decision).collect();
+            let is_pending = claims.is_pending(holder);
+            drop(claims);
+            self.apply(dispatch, decided, now_ms);
+            is_pending
+        })
+    }
+
+    fn holder_lost(self: &Arc<Self>, holder: SocketAddr, is_gone: bool) {
+        self.change(|dispatch, now_ms| {
+            let mut claims = self.claims.claims.lock();
+            if !claims.is_lost(holder) {
+                event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone);
+            }
+            let granted = claims.holder_lost(holder, is_gone, now_ms);
+            drop(claims);
+            let decided = granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
+            self.apply(dispatch, decided, now_ms);
+        });
+    }
+
+    /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
+    /// again, as long as it is a member.
+    fn forget_idle_holder(&self, holder: SocketAddr, link: &Holder) -> bool {
+        let claims = self.claims.claims.lock();
+        let mut holders = self.claims.holders.lock();
+        let is_needed = !claims.renewals(holder, self.clock.now_ms()).is_empty()
+            || claims.is_lost(holder) && self.members.borrow().contains(&holder);
+        // Claims are queued under the lock of the claims.
+        let is_idle = !is_needed && link.requests.lock().claims.is_empty();
+        if is_idle {
+            holders.remove(&holder);
+        }
+        is_idle
+    }
+}
+
+/// Keeps the connection to a holder as long as there are claims for it.
+async fn keep_connected(service: Arc<JobService>, holder: SocketAddr, link: Arc<Holder>) {
+    let mut answer_within = ANSWER_WITHIN;
+    loop {
+        let end = match frames::connect(holder, CONNECT_WITHIN).await {
+            Ok((reader, writer)) => {
+                let connection = Connection { reader, writer, answer_within };
+                connection.claim_on(&service, holder, &link).await
+            }
+            Err(error) => LinkEnd::Lost { is_gone: is_process_gone(&error) },
+        };
+        match end {
+            LinkEnd::Closed => answer_within = ANSWER_WITHIN,
+            LinkEnd::Silent { answered } => {
+                let next = if answered { ANSWER_WITHIN } else { answer_within * 2 };
+                answer_within = next.min(MAX_ANSWER_WITHIN);
+                service.holder_lost(holder, false);
+            }
+            LinkEnd::Lost { is_gone } => {
+                service.holder_lost(holder, is_gone);
+                sleep(RECONNECT_PAUSE).await;
+            }
+        }
+        if service.forget_idle_holder(holder, &link) {
+            return;
+        }
+    }
+}
+
+/// How a connection to a holder ended.
+#[derive(Clone, Copy, Debug)]
+enum LinkEnd {
+    /// It was closed, or broke.
+    Closed,
+    /// Claims were left unanswered.
+    Silent {
+        /// Whether the holder has answered on it before.
+        answered: bool,
+    },
+    /// None could be made.
+    Lost {
+        /// Whether nobody listens there.
+        is_gone: bool,
+    },
+}
+
+/// A connection to a holder.
+struct Connection {
+    reader: FrameReader,
+    writer: FrameWriter,
+    /// Time for an answer.
+    answer_within: Duration,
+}
+
+impl Connection {
+    /// Sends claims and takes the answers until the connection ends or is silent.
+    async fn claim_on(
+        mut self,
+        service: &Arc<JobService>,
+        holder: SocketAddr,
+        link: &Holder,
+    ) -> LinkEnd {
+        if begin_on(service, holder, link, &mut self.writer).is_err() {
+            return LinkEnd::Closed;
+        }
+        let answer_at = |within| Instant::now() + within;
+        let mut answer_by = Some(answer_at(self.answer_within));
+        let mut answered = false;
+        loop {
+            if self.writer.flush().await.is_err() {
+                return LinkEnd::Closed;
+            }
+            tokio::select! {
+                biased;
+                answers = self.reader.next::<ClaimAnswers>() => {
+                    let Ok(answers) = answers else { return LinkEnd::Closed };
+                    let is_pending = service.claims_answered(holder, answers);
+                    answer_by = is_pending.then(|| answer_at(ANSWER_WITHIN));
+                    (answered, self.answer_within) = (true, ANSWER_WITHIN);
+                }
+                () = link.filled.notified() => {
+                    let requests = std::mem::take(&mut *link.requests.lock());
+                    if !requests.claims.is_empty() {
+                        answer_by.get_or_insert_with(|| answer_at(self.answer_within));
+                    }
+                    if self.writer.push(&requests).is_err() {
+                        return LinkEnd::Closed;
+                    }
+                }
+                () = sleep_until(answer_by.unwrap_or_else(Instant::now)), if answer_by.is_some() => {
+                    return LinkEnd::Silent { answered };
+                }
+            }
+        }
+    }
+}
+
+/// Queues the first messages of a connection.
+fn begin_on(
+    service: &JobService,
+    holder: SocketAddr,
+    link: &Holder,
+    writer: &mut FrameWriter,
+) -> Result<(), FrameError> {
+    writer.push(&RunsFirstMessage::Claimant(service.incarnation))?;
+    let claims = service.claims.claims.lock();
+    let renewals = claims.renewals(holder, service.clock.now_ms());
+    let mut requests = std::mem::take(&mut *link.requests.lock());
+    requests.claims = renewals.into_iter().map(|renewal| (renewal.job, renewal.for_ms)).collect();
+    writer.push(&requests)
+}
+
+/// Answers the claims of another entry.
+pub(super) async fn answer(
+    service: &Arc<JobService>,
+    claimant: Incarnation,
+    peer: SocketAddr,
+    mut reader: FrameReader,
+    mut writer: FrameWriter,
+) {
+    let table = &service.claims.table;
+    table.lock().connected(claimant);
+    let mut is_first = true;
+    let end = loop {
+        let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
+            Ok(Ok(requests)) => requests,
+            Ok(Err(error)) => break error,
+            Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
+        };
+        let answers = service.grant(claimant, &requests);
+        // The first answer shows that this process reads.
+        if answers.0.is_empty() && !std::mem::take(&mut is_first) {
+            continue;
+        }
+        let sent = match writer.push(&answers) {
+            Ok(()) => writer.flush().await,
+            Err(error) => Err(error),
+        };
+        if let Err(error) = sent {
+            break error;
+        }
+    };
+    table.lock().disconnected(claimant, service.now_ms());
+    event!(Info, "claimant_disconnected", claimant = claimant, peer = peer, error = end);
+}
+
+impl JobService {
+    fn grant(&self, claimant: Incarnation, requests: &ClaimRequests) -> ClaimAnswers {
+        let now_ms = self.now_ms();
+        let mut table = self.claims.table.lock();
+        for &(job, after_ms) in &requests.releases {
+            table.release(job, claimant, after_ms, now_ms);
+        }
+        let claims = requests.claims.iter();
+        let answers = claims.map(|&(job, for_ms)| {
+            let answer = table.claim(job, claimant, for_ms, now_ms);
+            if answer == ClaimAnswer::Held {
+                event!(Info, "job_claim_held", job = job, claimant = claimant);
+            }
+            (job, answer)
+        });
+        ClaimAnswers(answers.collect())
+    }
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -1,7 +1,7 @@
 //! Connections of agents to this entry.
 
 use {
-    super::{JobService, query},
+    super::{JobService, claims, query},
     parking_lot::Mutex,
     std::{
         collections::HashMap,
@@ -116,6 +116,9 @@
         Ok(Ok(RunsFirstMessage::Entry(query))) => {
             return query::answer(&service, query, peer, writer).await;
         }
+        Ok(Ok(RunsFirstMessage::Claimant(claimant))) => {
+            return claims::answer(&service, claimant, peer, reader, writer).await;
+        }
         Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
         Err(_) => return event!(Info, "hello_late", peer = peer),
     };
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -4,6 +4,7 @@
 //! [`links`] serves the agents' connections, [`query`] asks other entries about
 //! jobs that are not here.
 
+mod claims;
 mod cluster;
 mod evacuation;
 mod links;
@@ -13,6 +14,7 @@
 pub use query::Held;
 
 use {
+    claims::ClaimLinks,
     cluster::{AgentsEntries, Cluster},
     old_jobs::{SharedJobs, ToldJobs},
     parking_lot::Mutex,
@@ -91,6 +93,8 @@
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
     /// Old jobs that each connected agent was told of. Locked after the dispatch.
     told_jobs: Mutex<ToldJobs>,
+    /// Claims on jobs, of this entry and of others.
+    claims: ClaimLinks,
     /// Number of passes over what is due by time.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
@@ -115,7 +119,6 @@
         let incarnation = Incarnation(rand::rng().random());
         let service = Arc::new(Self {
             dispatch: Mutex::new(Dispatch::new(settings.limits, incarnation)),
-            settings,
             incarnation,
             clock,
             links: links::Links::default(),
@@ -127,6 +130,8 @@
             cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
             told_jobs: Mutex::default(),
+            claims: ClaimLinks::new(&settings.limits),
+            settings,
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
@@ -263,9 +268,13 @@
         let deadline_in_ms = request.deadline_ms.saturating_sub(arrived_ms);
         let (submitted, forecast, returns) = {
             let mut dispatch = self.dispatch.lock();
-            let submitted = dispatch.submit(request, self.clock.now_ms());
+            // A claim of the job's last submission is given up first.
+            self.release_claims(&mut dispatch);
+            let (now_ms, deadline_ms) = (self.clock.now_ms(), request.deadline_ms);
+            let submitted = dispatch.submit_unclaimed(request, now_ms);
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
+                self.begin_claim(&mut dispatch, id, deadline_ms, now_ms);
             }
             (submitted, dispatch.last_forecast(), dispatch.return_counts())
         };
@@ -326,6 +335,7 @@
     pub(crate) fn act(&self) {
         let mut dispatch = self.dispatch.lock();
         let now_ms = self.clock.now_ms();
+        self.release_claims(&mut dispatch);
         for loss in dispatch.take_losses() {
             let agent = dispatch.agent_silence(loss.agent, now_ms).map_or("", |(name, _)| name);
             log_loss(&loss, agent);
@@ -480,6 +490,7 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
+        service.tick_claims();
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -127,7 +127,7 @@
     Ok(answer.map_err(|_| FrameError::Closed(entry))??.found)
 }
 
-fn is_process_gone(error: &FrameError) -> bool {
+pub(super) fn is_process_gone(error: &FrameError) -> bool {
     matches!(error, FrameError::Connect(_, io) if io.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -497,6 +497,37 @@
     /// Another entry asks about a job. The reply is a [`JobQueryReply`], after which the
     /// connection ends.
     Entry(JobQuery),
+    /// Another entry connects to claim jobs, and keeps the connection. It sends
+    /// [`ClaimRequests`]; the replies are [`ClaimAnswers`].
+    Claimant(Incarnation),
+}
+
+/// Claims of an entry on jobs, and claims that it gives up.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRequests {
+    /// Jobs with the time for which each is claimed, in milliseconds.
+    pub claims: Vec<(CallerJobId, u64)>,
+    /// Jobs with the time after which each claim ends, in milliseconds.
+    pub releases: Vec<(CallerJobId, u64)>,
+}
+
+/// Answers to claims.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimAnswers(pub Vec<(CallerJobId, ClaimAnswer)>);
+
+/// Answer to a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// The claimant has the job.
+    Granted,
+    /// Another entry has it.
+    Held,
+    /// The holder has started lately and does not know what its process before has granted. The
+    /// claim is to be sent again after this time.
+    NotYet {
+        /// In milliseconds.
+        in_ms: u32,
+    },
 }
 
 /// Sent to the other entries by an entry whose caller names a job that the entry does not
