Logs: silence of a connection, what the agent has not read on it, and the connection of a request

The record of the 135 cases has silent_ms=0 beside each connection that was replaced: the time was read by agent, after the new connection's hello. agent_disconnected now tells the silence of that connection, and how many messages the agent has not said to have read on it. job_admission tells the caller's address, the age of its connection, and for how long the request may have waited for a process that stood still, so that both entries of a copy show whether it was held up.

--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -145,6 +145,23 @@
     }
 }
 
+/// What went over a connection, for the log of its end.
+struct LinkTraffic {
+    /// When the last message was heard.
+    heard_ms: AtomicU64,
+    /// Number of messages that were sent.
+    sent: AtomicU64,
+    /// Number of those that the agent has said to have read.
+    read_by_agent: AtomicU64,
+}
+
+impl LinkTraffic {
+    fn new(now_ms: u64) -> Self {
+        let none = || AtomicU64::new(0);
+        Self { heard_ms: AtomicU64::new(now_ms), sent: none(), read_by_agent: none() }
+    }
+}
+
 /// One connection of an agent.
 struct Link {
     service: Arc<JobService>,
@@ -154,6 +171,7 @@
     outbox: Arc<Outbox>,
     /// Messages heard on this connection.
     heard: Mutex<Receipts>,
+    traffic: LinkTraffic,
     /// Highest number of a report taken note of.
     confirmed: AtomicU64,
     /// Highest revision of the configuration that the agent holds or was told of.
@@ -222,6 +240,7 @@
             name: hello.name,
             outbox,
             heard: Mutex::new(heard),
+            traffic: LinkTraffic::new(service.now_ms()),
             confirmed: AtomicU64::new(confirmed),
             agent_revision: AtomicU64::new(hello.configuration_revision),
             agent_evacuations: Mutex::default(),
@@ -238,8 +257,12 @@
                 self.service.copies.lock().remove_source(self.agent);
                 dispatch.agent_disconnected(self.agent);
             }
-            dispatch.agent_silence(self.agent, now_ms).map_or(0, |(_, silent_ms)| silent_ms)
+            // Of this connection: the agent may have been heard on the next one.
+            now_ms.saturating_sub(self.traffic.heard_ms.load(Ordering::Relaxed))
         });
+        let queued =
+            self.traffic.sent.load(Ordering::Relaxed) + self.outbox.messages.lock().len() as u64;
+        let unread = queued.saturating_sub(self.traffic.read_by_agent.load(Ordering::Relaxed));
         event!(
             Info,
             "agent_disconnected",
@@ -247,6 +270,7 @@
             peer = self.peer,
             error = end,
             silent_ms = silent_ms,
+            unread = unread,
         );
     }
 
@@ -270,6 +294,7 @@
     }
 
     fn take(&self, message: FromRunsAgent) {
+        self.traffic.heard_ms.store(self.service.now_ms(), Ordering::Relaxed);
         let is_present = self.update(|dispatch, now_ms| dispatch.agent_heard(self.agent, now_ms));
         // Not before: an acknowledged message must have put off the loss of the agent.
         self.heard.lock().record(self.service.passes());
@@ -278,6 +303,7 @@
         }
         match message {
             FromRunsAgent::Report { heard, reports, load } => {
+                self.traffic.read_by_agent.store(heard, Ordering::Relaxed);
                 let last = reports.last().map_or(0, |report| report.number);
                 self.confirmed.fetch_max(last, Ordering::AcqRel);
                 self.change(|dispatch, now_ms| {
@@ -398,6 +424,7 @@
         if messages.is_empty() {
             return Ok(());
         }
+        self.traffic.sent.fetch_add(messages.len() as u64, Ordering::Relaxed);
         for message in &messages {
             writer.push(message)?;
         }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -69,6 +69,17 @@
     pub own: SocketAddr,
 }
 
+/// Where a request comes from, for the log.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestSource {
+    /// The caller's end of its connection.
+    pub peer: Option<SocketAddr>,
+    /// Time since the connection was accepted, in milliseconds.
+    pub connection_ms: u64,
+    /// Time for which the request may have waited in a process that stood still, in milliseconds.
+    pub waited_ms: u64,
+}
+
 /// Takes jobs and answers them.
 pub struct JobService {
     pub(crate) settings: JobServiceSettings,
@@ -256,6 +267,15 @@
     /// Runs a job and waits for its answer. Dropping the future gives the job
     /// up: its caller has left.
     pub async fn run(self: &Arc<Self>, request: JobRequest) -> JobAnswer {
+        self.run_from(request, &RequestSource::default()).await
+    }
+
+    /// The same for a caller's request, whose source is logged.
+    pub async fn run_from(
+        self: &Arc<Self>,
+        request: JobRequest,
+        source: &RequestSource,
+    ) -> JobAnswer {
         let (sender, receiver) = oneshot::channel();
         let (id, arrived_ms) = (request.id, request.arrived_ms);
         let (kind, priority) = (request.kind.name.clone(), request.kind.priority);
@@ -271,7 +291,7 @@
         };
         count_returns(&returns);
         let size = JobSize { kind: &kind, priority, tasks, deadline_in_ms };
-        log_admission(submitted.is_ok(), id, size, &forecast);
+        log_admission(submitted.is_ok(), id, size, &forecast, source);
         let answer = match submitted {
             Ok(key) => {
                 let mut waiting = Waiting { service: self, job: key, id, is_answered: false };
@@ -408,7 +428,13 @@
 }
 
 /// Logs a decision on a job with what decided it.
-fn log_admission(accepted: bool, id: CallerJobId, size: JobSize<'_>, forecast: &JobForecast) {
+fn log_admission(
+    accepted: bool,
+    id: CallerJobId,
+    size: JobSize<'_>,
+    forecast: &JobForecast,
+    source: &RequestSource,
+) {
     event!(
         Info,
         "job_admission",
@@ -427,6 +453,9 @@
         queue_ms = forecast.shedding.queue_ms.round(),
         is_return = forecast.is_return,
         stops_in_ms = forecast.stops_in_ms.map_or_else(String::new, |left_ms| left_ms.to_string()),
+        peer = source.peer.map_or_else(String::new, |peer| peer.to_string()),
+        connection_ms = source.connection_ms,
+        waited_ms = source.waited_ms,
     );
 }
 
