--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -3,7 +3,7 @@
 use {
     super::{ClaimLimits, holders},
     std::{collections::HashMap, net::SocketAddr},
-    sycamorerail_wire::runs::{CallerJobId, ClaimAnswer},
+    sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, JobClaim},
 };
 
 /// Longest time between two looks that counts towards the patience of a claim, in milliseconds. A
@@ -15,10 +15,8 @@
 pub struct ClaimRequest {
     /// The holder.
     pub holder: SocketAddr,
-    /// The job.
-    pub job: CallerJobId,
-    /// Time for which the claim is requested, in milliseconds.
-    pub for_ms: u64,
+    /// The claim.
+    pub claim: JobClaim,
 }
 
 /// What became of a claim.
@@ -42,12 +40,15 @@
     NotYet { until_ms: u64 },
     /// It has granted the claim.
     Granted,
-    /// Its process is gone.
-    Gone,
+    /// Its process was gone before it was asked.
+    Absent,
+    /// Its process is gone, and may have granted the job to another entry before.
+    Lost,
 }
 
 #[derive(Debug)]
 struct Claim {
+    number: u64,
     votes: Vec<(SocketAddr, Vote)>,
     /// When runs of the job are over at the latest.
     ends_ms: u64,
@@ -57,11 +58,19 @@
 }
 
 impl Claim {
-    /// Whether enough holders have granted the claim. Holders that are gone have no vote.
+    fn request(&self, job: CallerJobId, holder: SocketAddr, now_ms: u64) -> ClaimRequest {
+        let for_ms = self.ends_ms.saturating_sub(now_ms);
+        ClaimRequest {
+            holder,
+            claim: JobClaim { job, number: self.number, for_ms, is_granted: self.is_granted },
+        }
+    }
+
+    /// Whether enough holders have granted the claim.
     fn is_decided(&self, limits: &ClaimLimits) -> bool {
         let count = |wanted| self.votes.iter().filter(|(_, vote)| *vote == wanted).count();
-        let (granted, gone) = (count(Vote::Granted), count(Vote::Gone));
-        let voting = self.votes.len() - gone;
+        let granted = count(Vote::Granted);
+        let voting = self.votes.len() - count(Vote::Absent);
         let is_patient = self.waited_ms < limits.patience_ms;
         granted * 2 > voting || !is_patient && (granted > 0 || voting == 0)
     }
@@ -81,6 +90,8 @@
     limits: ClaimLimits,
     claims: HashMap<CallerJobId, Claim>,
     lost: HashMap<SocketAddr, LostHolder>,
+    /// Number of the last claim.
+    last_number: u64,
     looked_ms: u64,
 }
 
@@ -88,7 +99,7 @@
     /// Creates the state of an entry without claims.
     #[must_use]
     pub fn new(limits: ClaimLimits) -> Self {
-        Self { limits, claims: HashMap::new(), lost: HashMap::new(), looked_ms: 0 }
+        Self { limits, claims: HashMap::new(), lost: HashMap::new(), last_number: 0, looked_ms: 0 }
     }
 
     /// Begins a claim on a job whose caller waits until `deadline_ms`. Returns what to ask the
@@ -109,32 +120,35 @@
         let entries: Vec<_> = entries.iter().filter(is_holder).copied().collect();
         let first_vote = |holder| {
             let is_gone = self.lost.get(&holder).is_some_and(|lost| lost.is_gone);
-            (holder, if is_gone { Vote::Gone } else { Vote::Pending })
+            (holder, if is_gone { Vote::Absent } else { Vote::Pending })
         };
         let votes: Vec<_> = holders(job, &entries).into_iter().map(first_vote).collect();
-        let for_ms = ends_ms.saturating_sub(now_ms);
-        let requests =
-            votes.iter().map(|&(holder, _)| ClaimRequest { holder, job, for_ms }).collect();
-        self.claims.insert(job, Claim { votes, ends_ms, waited_ms: 0, is_granted: false });
+        self.last_number += 1;
+        let number = self.last_number;
+        let claim = Claim { number, votes, ends_ms, waited_ms: 0, is_granted: false };
+        let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
+        let requests = claim.votes.iter().map(request).collect();
+        self.claims.insert(job, claim);
         requests
     }
 
     /// Records a holder's answer. Returns the decision, if it is made by this answer.
     pub fn answered(
         &mut self,
-        job: CallerJobId,
+        AnsweredClaim { job, number, answer }: AnsweredClaim,
         holder: SocketAddr,
-        answer: ClaimAnswer,
         now_ms: u64,
     ) -> Option<ClaimDecision> {
+        let claim = self.claims.get(&job).filter(|claim| claim.number == number)?;
         let vote = match answer {
             ClaimAnswer::Granted => Vote::Granted,
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
-            ClaimAnswer::Held => {
-                // A granted claim is not taken back: its tasks may run.
-                let claim = self.claims.get(&job)?;
-                return (!claim.is_granted).then_some(ClaimDecision::Denied { holder });
+            ClaimAnswer::Held if claim.is_granted => {
+                // The other entry is about to give its claim up. Its holder has to know of this
+                // one, should those that granted it be lost.
+                Vote::NotYet { until_ms: now_ms }
             }
+            ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
         };
         self.record(job, holder, vote)
     }
@@ -150,24 +164,16 @@
         self.lost.contains_key(&holder)
     }
 
-    /// Records that a holder can't be reached, and whether its process is gone. Returns the claims
-    /// that are granted by that.
-    pub fn holder_lost(
-        &mut self,
-        holder: SocketAddr,
-        is_gone: bool,
-        now_ms: u64,
-    ) -> Vec<CallerJobId> {
+    /// Records that a holder can't be reached, and whether its process is gone.
+    pub fn holder_lost(&mut self, holder: SocketAddr, is_gone: bool, now_ms: u64) {
         let lost = self.lost.entry(holder);
         lost.or_insert(LostHolder { since_ms: now_ms, is_gone }).is_gone = is_gone;
         if !is_gone {
-            return Vec::new();
+            return;
         }
-        let jobs: Vec<_> = self.claims.keys().copied().collect();
-        let is_granted = |job: &CallerJobId| {
-            self.record(*job, holder, Vote::Gone) == Some(ClaimDecision::Granted)
-        };
-        jobs.into_iter().filter(is_granted).collect()
+        let votes = self.claims.values_mut().flat_map(|claim| &mut claim.votes);
+        let of_holder = votes.filter(|(of, vote)| *of == holder && *vote != Vote::Absent);
+        of_holder.for_each(|(_, vote)| *vote = Vote::Lost);
     }
 
     fn record(
@@ -193,13 +199,16 @@
         self.looked_ms = now_ms;
         let (mut granted, mut requests) = (Vec::new(), Vec::new());
         for (&job, claim) in &mut self.claims {
+            let mut ask_again = Vec::new();
             for (holder, vote) in &mut claim.votes {
-                if matches!(*vote, Vote::NotYet { until_ms } if until_ms <= now_ms) {
+                // A holder that grants nothing takes note of a granted claim.
+                let is_due = |until_ms| claim.is_granted || until_ms <= now_ms;
+                if matches!(*vote, Vote::NotYet { until_ms } if is_due(until_ms)) {
                     *vote = Vote::Pending;
-                    let for_ms = claim.ends_ms.saturating_sub(now_ms);
-                    requests.push(ClaimRequest { holder: *holder, job, for_ms });
+                    ask_again.push(*holder);
                 }
             }
+            requests.extend(ask_again.into_iter().map(|holder| claim.request(job, holder, now_ms)));
             if claim.is_granted {
                 continue;
             }
@@ -217,17 +226,13 @@
     pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
         let is_holder = |claim: &Claim| claim.votes.iter().any(|(of, _)| *of == holder);
         let claims = self.claims.iter().filter(|(_, claim)| is_holder(claim));
-        let renewal = |(&job, claim): (&CallerJobId, &Claim)| {
-            let for_ms = claim.ends_ms.saturating_sub(now_ms);
-            ClaimRequest { holder, job, for_ms }
-        };
-        claims.map(renewal).collect()
+        claims.map(|(&job, claim)| claim.request(job, holder, now_ms)).collect()
     }
 
-    /// Ends a claim. Returns the holders to tell.
-    pub fn end(&mut self, job: CallerJobId) -> Vec<SocketAddr> {
-        let votes = self.claims.remove(&job).map_or_else(Vec::new, |claim| claim.votes);
-        votes.into_iter().map(|(holder, _)| holder).collect()
+    /// Ends a claim. Returns its number and the holders to tell.
+    pub fn end(&mut self, job: CallerJobId) -> Option<(u64, Vec<SocketAddr>)> {
+        let Claim { number, votes, .. } = self.claims.remove(&job)?;
+        Some((number, votes.into_iter().map(|(holder, _)| holder).collect()))
     }
 
     /// Whether a holder has not answered a claim.
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -24,7 +24,10 @@
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
-        runs::{CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRequests, RunsFirstMessage},
+        runs::{
+            AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
+            RunsFirstMessage,
+        },
     },
     tokio::{
         sync::Notify,
@@ -73,6 +76,14 @@
     filled: Notify,
 }
 
+impl Holder {
+    fn release(&self, release: ClaimRelease) {
+        let mut requests = self.requests.lock();
+        requests.claims.retain(|claim| claim.job != release.job);
+        requests.releases.push(release);
+    }
+}
+
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
         let run_over_ms = limits.run_over_ms;
@@ -135,16 +146,15 @@
         now_ms: u64,
     ) -> Vec<(CallerJobId, ClaimDecision)> {
         let mut decided = Vec::new();
-        for ClaimRequest { holder, job, for_ms } in requests {
+        for ClaimRequest { holder, claim } in requests {
             if holder == self.settings.own {
-                let mut table = self.claims.table.lock();
-                let answer = table.claim(job, self.incarnation, for_ms, now_ms);
-                let decision = claims.answered(job, holder, answer, now_ms);
-                decided.extend(decision.map(|decision| (job, decision)));
+                let answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
+                let decision = claims.answered(answer, holder, now_ms);
+                decided.extend(decision.map(|decision| (claim.job, decision)));
                 continue;
             }
             let link = self.holder(holder);
-            link.requests.lock().claims.push((job, for_ms));
+            link.requests.lock().claims.push(claim);
             link.filled.notify_one();
         }
         decided
@@ -172,15 +182,15 @@
     /// Gives up the claims of jobs that have ended.
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
+            let Some((number, holders)) = self.claims.claims.lock().end(job.id) else { continue };
             let after_ms = if job.may_run { self.claims.run_over_ms } else { 0 };
-            for holder in self.claims.claims.lock().end(job.id) {
+            let release = ClaimRelease { job: job.id, number, after_ms };
+            for holder in holders {
                 if holder == self.settings.own {
                     let mut table = self.claims.table.lock();
-                    table.release(job.id, self.incarnation, after_ms, self.clock.now_ms());
+                    table.release(release, self.incarnation, self.clock.now_ms());
                 } else if let Some(link) = self.claims.holders.lock().get(&holder) {
-                    let mut requests = link.requests.lock();
-                    requests.claims.retain(|(claimed, _)| *claimed != job.id);
-                    requests.releases.push((job.id, after_ms));
+                    link.release(release);
                     if !job.may_have_run {
                         link.filled.notify_one();
                     }
@@ -228,8 +238,9 @@
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             claims.holder_reached(holder);
-            let decision =
-                |(job, answer)| Some((job, claims.answered(job, holder, answer, now_ms)?));
+            let decision = |answer: AnsweredClaim| {
+                Some((answer.job, claims.answered(answer, holder, now_ms)?))
+            };
             let decided = answers.into_iter().filter_map(decision).collect();
             let is_pending = claims.is_pending(holder);
             drop(claims);
@@ -239,16 +250,11 @@
     }
 
     fn holder_lost(self: &Arc<Self>, holder: SocketAddr, is_gone: bool) {
-        self.change(|dispatch, now_ms| {
-            let mut claims = self.claims.claims.lock();
-            if !claims.is_lost(holder) {
-                event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone);
-            }
-            let granted = claims.holder_lost(holder, is_gone, now_ms);
-            drop(claims);
-            let decided = granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
-            self.apply(dispatch, decided, now_ms);
-        });
+        let mut claims = self.claims.claims.lock();
+        if !claims.is_lost(holder) {
+            event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone);
+        }
+        claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
 
     /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
@@ -375,7 +381,7 @@
     let claims = service.claims.claims.lock();
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
-    requests.claims = renewals.into_iter().map(|renewal| (renewal.job, renewal.for_ms)).collect();
+    requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
     writer.push(&requests)
 }
 
@@ -388,7 +394,7 @@
     mut writer: FrameWriter,
 ) {
     let table = &service.claims.table;
-    table.lock().connected(claimant);
+    table.lock().connected(claimant, service.now_ms());
     let mut is_first = true;
     let end = loop {
         let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
@@ -417,16 +423,16 @@
     fn grant(&self, claimant: Incarnation, requests: &ClaimRequests) -> ClaimAnswers {
         let now_ms = self.now_ms();
         let mut table = self.claims.table.lock();
-        for &(job, after_ms) in &requests.releases {
-            table.release(job, claimant, after_ms, now_ms);
+        for &release in &requests.releases {
+            table.release(release, claimant, now_ms);
         }
         let claims = requests.claims.iter();
-        let answers = claims.map(|&(job, for_ms)| {
-            let answer = table.claim(job, claimant, for_ms, now_ms);
-            if answer == ClaimAnswer::Held {
-                event!(Info, "job_claim_held", job = job, claimant = claimant);
+        let answers = claims.map(|&claim| {
+            let answered = table.claim(claim, claimant, now_ms);
+            if answered.answer == ClaimAnswer::Held {
+                event!(Info, "job_claim_held", job = claim.job, claimant = claimant);
             }
-            (job, answer)
+            answered
         });
         ClaimAnswers(answers.collect())
     }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -505,15 +505,50 @@
 /// Claims of an entry on jobs, and claims that it gives up.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequests {
-    /// Jobs with the time for which each is claimed, in milliseconds.
-    pub claims: Vec<(CallerJobId, u64)>,
-    /// Jobs with the time after which each claim ends, in milliseconds.
-    pub releases: Vec<(CallerJobId, u64)>,
+    /// Claims, sent for the first time or again.
+    pub claims: Vec<JobClaim>,
+    /// Claims that the entry gives up.
+    pub releases: Vec<ClaimRelease>,
+}
+
+/// Claim on a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobClaim {
+    /// The job.
+    pub job: CallerJobId,
+    /// Number of the claim, which rises over the claims of an entry.
+    pub number: u64,
+    /// Time for which it is claimed, in milliseconds.
+    pub for_ms: u64,
+    /// Whether enough holders have granted the claim, so that the job may run.
+    pub is_granted: bool,
+}
+
+/// End of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRelease {
+    /// The job.
+    pub job: CallerJobId,
+    /// Number of the claim.
+    pub number: u64,
+    /// Time after which it ends, in milliseconds.
+    pub after_ms: u64,
 }
 
 /// Answers to claims.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimAnswers(pub Vec<(CallerJobId, ClaimAnswer)>);
+pub struct ClaimAnswers(pub Vec<AnsweredClaim>);
+
+/// Claim with the answer to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredClaim {
+    /// The job.
+    pub job: CallerJobId,
+    /// Number of the claim.
+    pub number: u64,
+    /// The answer.
+    pub answer: ClaimAnswer,
+}
 
 /// Answer to a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
