--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -40,6 +40,8 @@
     NotYet { until_ms: u64 },
     /// It has granted the claim.
     Granted,
+    /// Another entry has the job, though this one's claim is granted.
+    Held,
     /// Its process was gone before it was asked.
     Absent,
     /// Its process is gone, and may have granted the job to another entry before.
@@ -66,11 +68,14 @@
         }
     }
 
+    fn count(&self, wanted: Vote) -> usize {
+        self.votes.iter().filter(|(_, vote)| *vote == wanted).count()
+    }
+
     /// Whether enough holders have granted the claim.
     fn is_decided(&self, limits: &ClaimLimits) -> bool {
-        let count = |wanted| self.votes.iter().filter(|(_, vote)| *vote == wanted).count();
-        let granted = count(Vote::Granted);
-        let voting = self.votes.len() - count(Vote::Absent);
+        let granted = self.count(Vote::Granted);
+        let voting = self.votes.len() - self.count(Vote::Absent);
         let is_patient = self.waited_ms < limits.patience_ms;
         granted * 2 > voting || !is_patient && (granted > 0 || voting == 0)
     }
@@ -143,17 +148,33 @@
         let vote = match answer {
             ClaimAnswer::Granted => Vote::Granted,
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
-            ClaimAnswer::Held if claim.is_granted => {
-                // The other entry is about to give its claim up. Its holder has to know of this
-                // one, should those that granted it be lost.
-                Vote::NotYet { until_ms: now_ms }
-            }
+            ClaimAnswer::Held if claim.is_granted => Vote::Held,
             ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
         };
         self.record(job, holder, vote)
     }
 
-    /// Records that a holder is reached again.
+    /// Takes note of other entries: claims that are not decided have the holders that rank first
+    /// now. Returns what to ask new ones.
+    pub fn set_entries(&mut self, entries: &[SocketAddr], now_ms: u64) -> Vec<ClaimRequest> {
+        let mut requests = Vec::new();
+        for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_granted) {
+            let ranked = holders(job, entries);
+            let is_new = |holder: &SocketAddr| claim.votes.iter().all(|(of, _)| of != holder);
+            let new: Vec<_> = ranked.iter().copied().filter(is_new).collect();
+            // Those that rank lower now have no vote; they are told of the claim's end.
+            for (holder, vote) in &mut claim.votes {
+                if !ranked.contains(holder) {
+                    *vote = Vote::Absent;
+                }
+            }
+            claim.votes.extend(new.iter().map(|&holder| (holder, Vote::Pending)));
+            requests.extend(new.into_iter().map(|holder| claim.request(job, holder, now_ms)));
+        }
+        requests
+    }
+
+    /// Records that a holder is no entry any more, or is reached again.
     pub fn holder_reached(&mut self, holder: SocketAddr) {
         self.lost.remove(&holder);
     }
@@ -186,7 +207,9 @@
         let (_, known) = claim.votes.iter_mut().find(|(of, _)| *of == holder)?;
         *known = vote;
         if claim.is_granted {
-            return None;
+            // The claim has lapsed where this entry could not be heard.
+            let is_lapsed = claim.count(Vote::Held) * 2 > claim.votes.len();
+            return is_lapsed.then_some(ClaimDecision::Denied { holder });
         }
         claim.is_granted = claim.is_decided(&self.limits);
         claim.is_granted.then_some(ClaimDecision::Granted)
@@ -201,9 +224,15 @@
         for (&job, claim) in &mut self.claims {
             let mut ask_again = Vec::new();
             for (holder, vote) in &mut claim.votes {
-                // A holder that grants nothing takes note of a granted claim.
-                let is_due = |until_ms| claim.is_granted || until_ms <= now_ms;
-                if matches!(*vote, Vote::NotYet { until_ms } if is_due(until_ms)) {
+                let is_due = match *vote {
+                    // A holder that grants nothing takes note of a granted claim.
+                    Vote::NotYet { until_ms } => claim.is_granted || until_ms <= now_ms,
+                    // The other entry is about to give its claim up. The holder has to know of
+                    // this one, should those that granted it be lost.
+                    Vote::Held => true,
+                    _ => false,
+                };
+                if is_due {
                     *vote = Vote::Pending;
                     ask_again.push(*holder);
                 }
@@ -223,10 +252,25 @@
 
     /// Returns the claims to send again to a holder, over a new connection.
     #[must_use]
-    pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
-        let is_holder = |claim: &Claim| claim.votes.iter().any(|(of, _)| *of == holder);
-        let claims = self.claims.iter().filter(|(_, claim)| is_holder(claim));
-        claims.map(|(&job, claim)| claim.request(job, holder, now_ms)).collect()
+    pub fn renewals(&mut self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
+        let mut renewals = Vec::new();
+        for (&job, claim) in &mut self.claims {
+            let Some((_, vote)) = claim.votes.iter_mut().find(|(of, _)| *of == holder) else {
+                continue;
+            };
+            if *vote == Vote::Absent {
+                *vote = Vote::Pending;
+            }
+            renewals.push(claim.request(job, holder, now_ms));
+        }
+        renewals
+    }
+
+    /// Whether there are claims that a holder has, or should have.
+    #[must_use]
+    pub fn has_claims_at(&self, holder: SocketAddr) -> bool {
+        let mut votes = self.claims.values().flat_map(|claim| &claim.votes);
+        votes.any(|(of, _)| *of == holder)
     }
 
     /// Ends a claim. Returns its number and the holders to tell.
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -8,30 +8,52 @@
     },
 };
 
-/// A granted claim.
+/// Time within which entries claim their jobs again at a holder that has started, in milliseconds:
+/// that of a connection attempt after a refused one.
+const RENEWAL_MS: u64 = 150;
+
+/// A claim that is known here.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
     claimant: Incarnation,
     number: u64,
     ends_ms: u64,
+    /// Whether it is granted, by this holder or by others. Otherwise, one that others have granted
+    /// replaces it.
+    is_granted: bool,
 }
 
 /// State of a holder.
 #[derive(Debug)]
 pub struct ClaimTable {
     claims: HashMap<CallerJobId, Claim>,
-    /// Number of connections of each claimant.
-    connections: HashMap<Incarnation, usize>,
-    /// Claims that an earlier process of this entry has granted are over by this time.
+    /// Number of the last connection of each claimant.
+    connections: HashMap<Incarnation, u64>,
+    last_connection: u64,
+    /// Claims that an earlier process of this entry has granted are over, or known, by this time.
     grants_from_ms: u64,
     run_over_ms: u64,
 }
 
 impl ClaimTable {
-    /// Creates the table of an entry that grants claims from `grants_from_ms` on.
+    /// Creates the table of an entry that has granted nothing before.
+    #[must_use]
+    pub fn new(run_over_ms: u64) -> Self {
+        Self {
+            claims: HashMap::new(),
+            connections: HashMap::new(),
+            last_connection: 0,
+            grants_from_ms: 0,
+            run_over_ms,
+        }
+    }
+
+    /// Creates the table of an entry that starts again. It grants nothing before the claims are
+    /// over which it does not know: those of entries that were gone before they could claim their
+    /// jobs again.
     #[must_use]
-    pub fn new(run_over_ms: u64, grants_from_ms: u64) -> Self {
-        Self { claims: HashMap::new(), connections: HashMap::new(), grants_from_ms, run_over_ms }
+    pub fn restarted(run_over_ms: u64, now_ms: u64) -> Self {
+        Self { grants_from_ms: now_ms + RENEWAL_MS + run_over_ms, ..Self::new(run_over_ms) }
     }
 
     /// Grants a claim for some time, unless another entry has one on the job. A claimant that asks
@@ -43,17 +65,26 @@
 
     fn grant(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
         let held = self.claims.get(&asked.job).filter(|claim| claim.ends_ms > now_ms);
-        if held.is_some_and(|claim| claim.claimant != claimant) {
+        let is_held = |claim: &Claim| {
+            if claim.claimant == claimant {
+                // A connection that was replaced may deliver an earlier claim.
+                claim.number > asked.number
+            } else {
+                claim.is_granted || !asked.is_granted
+            }
+        };
+        if held.is_some_and(is_held) {
             return ClaimAnswer::Held;
         }
-        // What others have granted is taken note of at once, before new claims on the job.
-        if now_ms < self.grants_from_ms && !asked.is_granted {
-            let in_ms = u32::try_from(self.grants_from_ms - now_ms).unwrap_or(u32::MAX);
-            return ClaimAnswer::NotYet { in_ms };
+        let is_granted = asked.is_granted || now_ms >= self.grants_from_ms;
+        let ends_ms = now_ms + asked.for_ms;
+        self.claims
+            .insert(asked.job, Claim { claimant, number: asked.number, ends_ms, is_granted });
+        if is_granted {
+            return ClaimAnswer::Granted;
         }
-        let claim = Claim { claimant, number: asked.number, ends_ms: now_ms + asked.for_ms };
-        self.claims.insert(asked.job, claim);
-        ClaimAnswer::Granted
+        let in_ms = u32::try_from(self.grants_from_ms - now_ms).unwrap_or(u32::MAX);
+        ClaimAnswer::NotYet { in_ms }
     }
 
     /// Ends a claim after the time that its claimant names, or when it ends anyway.
@@ -65,18 +96,18 @@
     }
 
     /// Records a connection of a claimant, which claims its jobs again over it. What it may have
-    /// given up over an earlier one ends when its runs are over.
-    pub fn connected(&mut self, claimant: Incarnation, now_ms: u64) {
-        *self.connections.entry(claimant).or_default() += 1;
+    /// given up over an earlier one ends when its runs are over. Returns the connection's number.
+    pub fn connected(&mut self, claimant: Incarnation, now_ms: u64) -> u64 {
+        self.last_connection += 1;
+        self.connections.insert(claimant, self.last_connection);
         self.shorten(claimant, now_ms);
+        self.last_connection
     }
 
-    /// Records the end of a connection. A claimant without connections may be gone: its claims end
-    /// when its runs are over, unless it claims the jobs again.
-    pub fn disconnected(&mut self, claimant: Incarnation, now_ms: u64) {
-        let Some(connections) = self.connections.get_mut(&claimant) else { return };
-        *connections -= 1;
-        if *connections == 0 {
+    /// Records the end of a connection. A claimant whose last one it was may be gone: its claims
+    /// end when its runs are over, unless it claims the jobs again.
+    pub fn disconnected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
+        if self.connections.get(&claimant) == Some(&connection) {
             self.connections.remove(&claimant);
             self.shorten(claimant, now_ms);
         }
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -35,7 +35,7 @@
 
     /// Ends a job that another entry has.
     pub fn claim_denied(&mut self, key: JobKey) {
-        if self.jobs.get(key).is_some_and(|job| job.ending.is_none() && !job.is_claimed) {
+        if self.jobs.get(key).is_some_and(|job| job.ending.is_none()) {
             self.begin_ending(key, Ending::GivenUp(NoResultReason::HeldElsewhere));
         }
     }
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -151,7 +151,8 @@
 
     /// Places the unplaced tasks of a job, as far as agents are usable.
     pub(super) fn place_job(&mut self, key: JobKey, now_ms: u64) {
-        let waits_for_other_entry = self.must_wait_for_other_entry(key, now_ms);
+        let is_claimed = self.jobs.get(key).is_some_and(|job| job.is_claimed);
+        let waits_for_other_entry = is_claimed && self.must_wait_for_other_entry(key, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return };
         if job.ending.is_some() {
             return;
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -86,9 +86,9 @@
 /// Guards against a job that runs at two entries.
 #[test]
 fn a_holder_grants_one_entry() {
-    let mut table = ClaimTable::new(LIMITS.run_over_ms, 0);
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
     assert_eq!(ask(&mut table, new_claim(2_740), FIRST, 0), ClaimAnswer::Granted);
-    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_300), ClaimAnswer::Held);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_390), ClaimAnswer::Held);
     assert_eq!(ask(&mut table, new_claim(2_740), FIRST, 1_300), ClaimAnswer::Granted);
     let (mut claims, holders) = begun();
     let denied = ClaimDecision::Denied { holder: holders[0] };
@@ -107,7 +107,7 @@
 /// Guards against a caller that is refused though its first attempt is over.
 #[test]
 fn a_released_claim_is_free() {
-    let mut table = ClaimTable::new(LIMITS.run_over_ms, 0);
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
     ask(&mut table, new_claim(2_740), FIRST, 0);
     table.release(release(0), SECOND, 50);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 60), ClaimAnswer::Held);
@@ -119,10 +119,10 @@
 /// Guards against a copy that is refused though its entry is gone, with its runs.
 #[test]
 fn claims_of_a_dead_entry_end_with_its_runs() {
-    let mut table = ClaimTable::new(LIMITS.run_over_ms, 0);
-    table.connected(FIRST, 0);
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
+    let connection = table.connected(FIRST, 0);
     ask(&mut table, new_claim(20_000), FIRST, 0);
-    table.disconnected(FIRST, 1_000);
+    table.disconnected(FIRST, connection, 1_000);
     let over_ms = 1_000 + LIMITS.run_over_ms;
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, over_ms - 1), ClaimAnswer::Held);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, over_ms), ClaimAnswer::Granted);
@@ -142,23 +142,23 @@
 /// Guards against claims that end with a connection, as the next one is there already.
 #[test]
 fn a_second_connection_keeps_claims() {
-    let mut table = ClaimTable::new(LIMITS.run_over_ms, 0);
-    table.connected(FIRST, 0);
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
+    let connection = table.connected(FIRST, 0);
     ask(&mut table, new_claim(20_000), FIRST, 0);
     table.connected(FIRST, 100);
     ask(&mut table, JobClaim { is_granted: true, ..new_claim(19_900) }, FIRST, 100);
-    table.disconnected(FIRST, 200);
+    table.disconnected(FIRST, connection, 200);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 19_999), ClaimAnswer::Held);
 }
 
 /// Guards against a copy beside a job that a holder has forgotten over its restart.
 #[test]
 fn a_restarted_holder_grants_nothing_before_earlier_claims_are_over() {
-    let mut table = ClaimTable::new(LIMITS.run_over_ms, 1_240);
-    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 40), ClaimAnswer::NotYet { in_ms: 1_200 });
+    let mut table = ClaimTable::restarted(LIMITS.run_over_ms, 0);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 40), ClaimAnswer::NotYet { in_ms: 1_350 });
     let renewed = JobClaim { is_granted: true, ..new_claim(2_000) };
     assert_eq!(ask(&mut table, renewed, FIRST, 50), ClaimAnswer::Granted);
-    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_240), ClaimAnswer::Held);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_390), ClaimAnswer::Held);
     let (mut claims, holders) = begun();
     assert_eq!(answer(&mut claims, holders[0], ClaimAnswer::NotYet { in_ms: 100 }, 10), None);
     assert_eq!(claims.tick(109).1, []);
@@ -255,3 +255,37 @@
     assert_eq!(again.len(), 1);
     assert!(again[0].holder == holders[2] && again[0].claim.is_granted);
 }
+
+/// Guards against an earlier claim that a replaced connection delivers late, and that shortens the
+/// present one.
+#[test]
+fn an_overtaken_claim_changes_nothing() {
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
+    let next = JobClaim { number: 2, ..new_claim(2_740) };
+    assert_eq!(ask(&mut table, next, FIRST, 0), ClaimAnswer::Granted);
+    assert_eq!(ask(&mut table, new_claim(100), FIRST, 10), ClaimAnswer::Held);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 2_000), ClaimAnswer::Held);
+}
+
+/// Guards against an entry that goes on with a job which it could not keep its claim on.
+#[test]
+fn a_claim_that_has_lapsed_is_denied() {
+    let (mut claims, holders) = begun();
+    granted(&mut claims, holders[0]);
+    granted(&mut claims, holders[1]);
+    assert_eq!(answer(&mut claims, holders[0], ClaimAnswer::Held, 2_000), None);
+    let denied = Some(ClaimDecision::Denied { holder: holders[1] });
+    assert_eq!(answer(&mut claims, holders[1], ClaimAnswer::Held, 2_000), denied);
+}
+
+/// Guards against an entry that asks only those which it knew as the job came.
+#[test]
+fn entries_that_become_known_are_asked() {
+    let mut claims = Claims::new(LIMITS);
+    let own = holders(JOB, &entries(14))[0];
+    claims.begin(JOB, &[own], DEADLINE_MS, 0);
+    assert_eq!(claims.set_entries(&entries(14), 10).len(), HOLDERS - 1);
+    assert_eq!(answer(&mut claims, own, ClaimAnswer::Granted, 11), None);
+    let other = holders(JOB, &entries(14))[1];
+    assert_eq!(answer(&mut claims, other, ClaimAnswer::Granted, 11), Some(ClaimDecision::Granted));
+}
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -17,7 +17,7 @@
 const LIMITS: ClaimLimits =
     ClaimLimits { run_over_ms: RUN_OVER_MS, patience_ms: 100_000, forget_holder_ms: 100_000 };
 const STEP_MS: u64 = 10;
-/// An entry is asked again so long after the last time at the soonest: callers wait longer.
+/// Within this time at most two entries are asked for the job: callers wait longer before each copy.
 const ASK_AGAIN_MS: u64 = 300;
 /// Longest time of a message on its way, and until a broken connection is made again.
 const MAX_DELAY_MS: u64 = 100;
@@ -63,8 +63,6 @@
     down_until_ms: Option<u64>,
     /// By when the job ends here, if it is here.
     job_ends_ms: Option<u64>,
-    /// When it may be asked again.
-    asked_until_ms: u64,
     is_granted: bool,
 }
 
@@ -74,9 +72,11 @@
     to_holder: Vec<Vec<VecDeque<(u64, Message)>>>,
     to_claimant: Vec<Vec<VecDeque<(u64, Message)>>>,
     /// Incarnations whose connection each holder knows, by claimant and holder.
-    connected: Vec<Vec<Option<Incarnation>>>,
+    connected: Vec<Vec<Option<(Incarnation, u64)>>>,
     /// Runs that killed entries have left go on until then.
     left_until_ms: Vec<u64>,
+    /// When entries were asked for the job.
+    asked_ms: Vec<u64>,
     now_ms: u64,
     delay_ms: u64,
     next_incarnation: u64,
@@ -100,12 +100,13 @@
             to_claimant: queues(),
             connected: vec![vec![None; count]; count],
             left_until_ms: Vec::new(),
+            asked_ms: Vec::new(),
             now_ms: 0,
             delay_ms: 0,
             next_incarnation: 1,
         };
         for _ in 0..count {
-            let entry = model.fresh(0);
+            let entry = model.fresh(ClaimTable::new(RUN_OVER_MS));
             model.entries.push(entry);
         }
         for claimant in 0..count {
@@ -114,15 +115,14 @@
         model
     }
 
-    fn fresh(&mut self, grants_from_ms: u64) -> Entry {
+    fn fresh(&mut self, table: ClaimTable) -> Entry {
         self.next_incarnation += 1;
         Entry {
             claims: Claims::new(LIMITS),
-            table: ClaimTable::new(RUN_OVER_MS, grants_from_ms),
+            table,
             incarnation: Incarnation(self.next_incarnation),
             down_until_ms: None,
             job_ends_ms: None,
-            asked_until_ms: 0,
             is_granted: false,
         }
     }
@@ -166,8 +166,8 @@
     fn disconnect(&mut self, claimant: usize, holder: usize) {
         self.to_holder[claimant][holder].clear();
         self.to_claimant[claimant][holder].clear();
-        if let Some(incarnation) = self.connected[claimant][holder].take() {
-            self.entries[holder].table.disconnected(incarnation, self.now_ms);
+        if let Some((incarnation, connection)) = self.connected[claimant][holder].take() {
+            self.entries[holder].table.disconnected(incarnation, connection, self.now_ms);
         }
     }
 
@@ -216,15 +216,16 @@
     fn act(&mut self, act: &Act) {
         match *act {
             Act::Submit { entry, steps } => {
-                let is_asked = self.now_ms < self.entries[entry].asked_until_ms;
+                let is_recent = |asked_ms: &&u64| self.now_ms < **asked_ms + ASK_AGAIN_MS;
+                let is_asked = self.asked_ms.iter().filter(is_recent).count() > 1;
                 if !self.is_up(entry) || is_asked || self.entries[entry].job_ends_ms.is_some() {
                     return;
                 }
                 let deadline_ms = self.now_ms + steps * STEP_MS;
+                self.asked_ms.push(self.now_ms);
                 let all: Vec<_> = (0..self.entries.len()).map(address).collect();
                 let entry_state = &mut self.entries[entry];
                 entry_state.job_ends_ms = Some(deadline_ms);
-                entry_state.asked_until_ms = self.now_ms + ASK_AGAIN_MS;
                 let requests = entry_state.claims.begin(JOB, &all, deadline_ms, self.now_ms);
                 self.ask(entry, requests);
             }
@@ -257,7 +258,7 @@
             self.to_claimant[other][entry].clear();
             self.connected[other][entry] = None;
         }
-        self.entries[entry] = self.fresh(0);
+        self.entries[entry] = self.fresh(ClaimTable::new(RUN_OVER_MS));
         self.entries[entry].down_until_ms = Some(self.now_ms + steps * STEP_MS);
         for other in 0..self.entries.len() {
             if other != entry {
@@ -270,7 +271,8 @@
         self.now_ms += STEP_MS;
         for entry in 0..self.entries.len() {
             if self.entries[entry].down_until_ms.is_some_and(|until_ms| until_ms <= self.now_ms) {
-                self.entries[entry] = self.fresh(self.now_ms + RUN_OVER_MS);
+                let table = ClaimTable::restarted(RUN_OVER_MS, self.now_ms);
+                self.entries[entry] = self.fresh(table);
                 self.connect_all(entry);
                 for other in (0..self.entries.len()).filter(|&other| other != entry) {
                     self.connect(other, entry);
@@ -316,8 +318,8 @@
         let table = &mut self.entries[holder].table;
         match message {
             Message::Connect(incarnation) => {
-                table.connected(incarnation, self.now_ms);
-                self.connected[claimant][holder] = Some(incarnation);
+                let connection = table.connected(incarnation, self.now_ms);
+                self.connected[claimant][holder] = Some((incarnation, connection));
             }
             Message::Claim(incarnation, claim) => {
                 let answer = table.claim(claim, incarnation, self.now_ms);
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -30,7 +30,7 @@
         },
     },
     tokio::{
-        sync::Notify,
+        sync::{Notify, watch},
         time::{Instant, sleep, sleep_until, timeout},
     },
 };
@@ -43,7 +43,7 @@
 /// Longest time for an answer of a holder that has left several connections unanswered.
 const MAX_ANSWER_WITHIN: Duration = Duration::from_millis(960);
 /// Pause between connection attempts to a holder that is lost.
-const RECONNECT_PAUSE: Duration = Duration::from_millis(100);
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// A holder closes a connection on which it has heard nothing for this long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 /// A claim that some holders grant counts after this time without an answer of the others: that of
@@ -94,7 +94,7 @@
         };
         Self {
             claims: Mutex::new(Claims::new(claim_limits)),
-            table: Mutex::new(ClaimTable::new(run_over_ms, 0)),
+            table: Mutex::new(ClaimTable::new(run_over_ms)),
             holders: Mutex::default(),
             run_over_ms,
             released_ms: AtomicU64::new(0),
@@ -118,7 +118,7 @@
     /// granted.
     pub fn wait_for_earlier_claims(&self) {
         let run_over_ms = self.claims.run_over_ms;
-        *self.claims.table.lock() = ClaimTable::new(run_over_ms, self.now_ms() + run_over_ms);
+        *self.claims.table.lock() = ClaimTable::restarted(run_over_ms, self.now_ms());
     }
 
     /// Claims a job that was just accepted.
@@ -129,8 +129,7 @@
         deadline_ms: u64,
         now_ms: u64,
     ) {
-        let mut entries = self.members.borrow().clone();
-        entries.push(self.settings.own);
+        let entries = self.claimable_entries();
         let mut claims = self.claims.claims.lock();
         let requests = claims.begin(job, &entries, deadline_ms, now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
@@ -138,6 +137,13 @@
         self.apply(dispatch, decided, now_ms);
     }
 
+    /// Entries that hold claims.
+    fn claimable_entries(&self) -> Vec<SocketAddr> {
+        let mut entries = self.members.borrow().clone();
+        entries.push(self.settings.own);
+        entries
+    }
+
     /// Sends claims to their holders, of which this entry may be one.
     fn send_claims(
         self: &Arc<Self>,
@@ -200,7 +206,9 @@
     }
 
     /// Does what is due by time.
-    pub(super) fn tick_claims(self: &Arc<Self>) {
+    pub(super) fn tick_claims(self: &Arc<Self>, members: &mut watch::Receiver<Vec<SocketAddr>>) {
+        let is_changed = members.has_changed().unwrap_or(false);
+        members.mark_unchanged();
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
@@ -213,6 +221,10 @@
                 metrics::counter!("sycamorerail_claims_unanswered_total").increment(1);
             }
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
+            if is_changed {
+                let requests = claims.set_entries(&self.claimable_entries(), now_ms);
+                decided.extend(self.send_claims(&mut claims, requests, now_ms));
+            }
             drop(claims);
             self.apply(dispatch, decided, now_ms);
         });
@@ -260,14 +272,16 @@
     /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
     /// again, as long as it is a member.
     fn forget_idle_holder(&self, holder: SocketAddr, link: &Holder) -> bool {
-        let claims = self.claims.claims.lock();
+        let mut claims = self.claims.claims.lock();
         let mut holders = self.claims.holders.lock();
-        let is_needed = !claims.renewals(holder, self.clock.now_ms()).is_empty()
+        let is_needed = claims.has_claims_at(holder)
             || claims.is_lost(holder) && self.members.borrow().contains(&holder);
         // Claims are queued under the lock of the claims.
         let is_idle = !is_needed && link.requests.lock().claims.is_empty();
         if is_idle {
             holders.remove(&holder);
+            // It counts as reachable when it is a member again.
+            claims.holder_reached(holder);
         }
         is_idle
     }
@@ -285,7 +299,11 @@
             Err(error) => LinkEnd::Lost { is_gone: is_process_gone(&error) },
         };
         match end {
-            LinkEnd::Closed => answer_within = ANSWER_WITHIN,
+            LinkEnd::Closed { answered: true } => answer_within = ANSWER_WITHIN,
+            LinkEnd::Closed { answered: false } => {
+                service.holder_lost(holder, false);
+                sleep(RECONNECT_PAUSE).await;
+            }
             LinkEnd::Silent { answered } => {
                 let next = if answered { ANSWER_WITHIN } else { answer_within * 2 };
                 answer_within = next.min(MAX_ANSWER_WITHIN);
@@ -306,7 +324,10 @@
 #[derive(Clone, Copy, Debug)]
 enum LinkEnd {
     /// It was closed, or broke.
-    Closed,
+    Closed {
+        /// Whether the holder has answered on it before.
+        answered: bool,
+    },
     /// Claims were left unanswered.
     Silent {
         /// Whether the holder has answered on it before.
@@ -336,19 +357,19 @@
         link: &Holder,
     ) -> LinkEnd {
         if begin_on(service, holder, link, &mut self.writer).is_err() {
-            return LinkEnd::Closed;
+            return LinkEnd::Closed { answered: false };
         }
         let answer_at = |within| Instant::now() + within;
         let mut answer_by = Some(answer_at(self.answer_within));
         let mut answered = false;
         loop {
             if self.writer.flush().await.is_err() {
-                return LinkEnd::Closed;
+                return LinkEnd::Closed { answered };
             }
             tokio::select! {
                 biased;
                 answers = self.reader.next::<ClaimAnswers>() => {
-                    let Ok(answers) = answers else { return LinkEnd::Closed };
+                    let Ok(answers) = answers else { return LinkEnd::Closed { answered } };
                     let is_pending = service.claims_answered(holder, answers);
                     answer_by = is_pending.then(|| answer_at(ANSWER_WITHIN));
                     (answered, self.answer_within) = (true, ANSWER_WITHIN);
@@ -359,7 +380,7 @@
                         answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     }
                     if self.writer.push(&requests).is_err() {
-                        return LinkEnd::Closed;
+                        return LinkEnd::Closed { answered };
                     }
                 }
                 () = sleep_until(answer_by.unwrap_or_else(Instant::now)), if answer_by.is_some() => {
@@ -378,7 +399,7 @@
     writer: &mut FrameWriter,
 ) -> Result<(), FrameError> {
     writer.push(&RunsFirstMessage::Claimant(service.incarnation))?;
-    let claims = service.claims.claims.lock();
+    let mut claims = service.claims.claims.lock();
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
@@ -394,7 +415,7 @@
     mut writer: FrameWriter,
 ) {
     let table = &service.claims.table;
-    table.lock().connected(claimant, service.now_ms());
+    let connection = table.lock().connected(claimant, service.now_ms());
     let mut is_first = true;
     let end = loop {
         let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
@@ -415,7 +436,7 @@
             break error;
         }
     };
-    table.lock().disconnected(claimant, service.now_ms());
+    table.lock().disconnected(claimant, connection, service.now_ms());
     event!(Info, "claimant_disconnected", claimant = claimant, peer = peer, error = end);
 }
 
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -508,6 +508,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
+    let mut members = service.members.subscribe();
     loop {
         ticks.tick().await;
         let stopped = service.change(|dispatch, now_ms| {
@@ -519,7 +520,7 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims();
+        service.tick_claims(&mut members);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
