--- a/crates/entry/src/runs/old_jobs.rs
+++ b/crates/entry/src/runs/old_jobs.rs
@@ -1,7 +1,7 @@
 //! Tells other entries, through agents, which jobs this entry holds that their callers may submit
 //! there.
 //!
-//! Entries have no connections to each other, and an agent links to some of them only. A few agents
+//! Entries connect to each other for claims only, and an agent links to some of them. A few agents
 //! together reach all entries to which any agent linked here is connected.
 
 use {
--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -1,8 +1,8 @@
 //! Questions about jobs that this entry does not hold, to the entries that may.
 //!
 //! A job that is not stored is known to its own entry alone, and callers' later
-//! requests may reach any. These are rare, so there are no standing connections
-//! between entries: each question is one short connection to each other entry.
+//! requests may reach any. These are rare: each question is one short connection to each
+//! other entry.
 
 use {
     super::JobService,
