--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -75,7 +75,10 @@
     /// Whether enough holders have granted the claim.
     fn is_decided(&self, limits: &ClaimLimits) -> bool {
         let granted = self.count(Vote::Granted);
-        let voting = self.votes.len() - self.count(Vote::Absent);
+        let is_new = |(_, vote): &&(_, Vote)| matches!(vote, Vote::NotYet { .. });
+        // A holder that has not started lately knows of every claim, as each is sent to all.
+        let new = if granted > 0 { self.votes.iter().filter(is_new).count() } else { 0 };
+        let voting = self.votes.len() - self.count(Vote::Absent) - new;
         let is_patient = self.waited_ms < limits.patience_ms;
         granted * 2 > voting || !is_patient && (granted > 0 || voting == 0)
     }
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -289,3 +289,13 @@
     let other = holders(JOB, &entries(14))[1];
     assert_eq!(answer(&mut claims, other, ClaimAnswer::Granted, 11), Some(ClaimDecision::Granted));
 }
+
+/// Guards against jobs that are held up by stops in turn, after which two holders know nothing.
+#[test]
+fn a_holder_that_has_not_started_lately_decides() {
+    let (mut claims, holders) = begun();
+    let not_yet = ClaimAnswer::NotYet { in_ms: 1_000 };
+    assert_eq!(answer(&mut claims, holders[0], not_yet, 1), None);
+    assert_eq!(answer(&mut claims, holders[1], not_yet, 1), None);
+    assert_eq!(granted(&mut claims, holders[2]), Some(ClaimDecision::Granted));
+}
