The claim on a job that is given up ends with its runs

The entry waits up to 1.5 s for them and kept the claim as long. Runs are over 1,240 ms after a job is given up, so that the claim ends by then.

--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -6,11 +6,14 @@
     sycamorerail_wire::runs::CallerJobId,
 };
 
-/// A job that has ended at this entry.
+/// A job that has ended at this entry, or is being ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReleasedJob {
     /// Its id.
     pub id: CallerJobId,
+    /// Whether the entry waits for agents to say that its runs are over. They are, a while after
+    /// it was given up, whether agents say so or not.
+    pub is_ending: bool,
     /// Whether runs of it may go on, at agents that have not said that they are over.
     pub may_run: bool,
     /// Whether a task was started, or may have been. Otherwise, its caller may submit it again at
@@ -18,10 +21,10 @@
     pub may_have_run: bool,
 }
 
-impl From<&Job> for ReleasedJob {
-    fn from(job: &Job) -> Self {
+impl ReleasedJob {
+    pub(super) fn new(job: &Job, is_ending: bool) -> Self {
         let may_run = job.has_placed();
-        Self { id: job.request.id, may_run, may_have_run: job.may_have_run || may_run }
+        Self { id: job.request.id, is_ending, may_run, may_have_run: job.may_have_run || may_run }
     }
 }
 
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -329,6 +329,7 @@
         let Some(job) = self.jobs.get_mut(key) else { return };
         job.ending = Some(ending);
         let id = job.request.id;
+        self.released.push(ReleasedJob::new(job, true));
         let stops = job.agents().into_iter().map(|agent| Command::Stop(agent, id));
         self.commands.extend(stops);
         self.unplaced.remove(&key);
@@ -369,7 +370,7 @@
         self.unplaced.remove(&key);
         if let Some(job) = self.jobs.remove(key) {
             self.by_id.remove(&job.request.id);
-            self.released.push(ReleasedJob::from(&job));
+            self.released.push(ReleasedJob::new(&job, false));
         }
     }
 
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -299,3 +299,14 @@
     assert_eq!(answer(&mut claims, holders[1], not_yet, 1), None);
     assert_eq!(granted(&mut claims, holders[2]), Some(ClaimDecision::Granted));
 }
+
+/// Guards against a copy that is refused as agents have not said that the runs of a job are over
+/// which its entry has given up.
+#[test]
+fn the_claim_on_a_job_that_is_given_up_ends_with_its_runs() {
+    let (mut claims, holders) = begun();
+    granted(&mut claims, holders[0]);
+    claims.end_with_runs(JOB, 200);
+    let renewed = claims.renewals(holders[0], 200);
+    assert_eq!(renewed[0].claim.for_ms, LIMITS.run_over_ms);
+}
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -77,9 +77,15 @@
 }
 
 impl Holder {
-    fn release(&self, release: ClaimRelease) {
+    fn release(&self, release: ClaimRelease, is_ending: bool) {
         let mut requests = self.requests.lock();
-        requests.claims.retain(|claim| claim.job != release.job);
+        if is_ending {
+            // Releases go before the claims of the same message.
+            let unsent = requests.claims.iter_mut().filter(|claim| claim.job == release.job);
+            unsent.for_each(|claim| claim.for_ms = claim.for_ms.min(release.after_ms));
+        } else {
+            requests.claims.retain(|claim| claim.job != release.job);
+        }
         requests.releases.push(release);
     }
 }
@@ -188,16 +194,24 @@
     /// Gives up the claims of jobs that have ended.
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
-            let Some((number, holders)) = self.claims.claims.lock().end(job.id) else { continue };
-            let after_ms = if job.may_run { self.claims.run_over_ms } else { 0 };
+            let now_ms = self.clock.now_ms();
+            let mut claims = self.claims.claims.lock();
+            let ended = if job.is_ending {
+                claims.end_with_runs(job.id, now_ms)
+            } else {
+                claims.end(job.id)
+            };
+            drop(claims);
+            let Some((number, holders)) = ended else { continue };
+            let after_ms = if job.is_ending || job.may_run { self.claims.run_over_ms } else { 0 };
             let release = ClaimRelease { job: job.id, number, after_ms };
             for holder in holders {
                 if holder == self.settings.own {
                     let mut table = self.claims.table.lock();
-                    table.release(release, self.incarnation, self.clock.now_ms());
+                    table.release(release, self.incarnation, now_ms);
                 } else if let Some(link) = self.claims.holders.lock().get(&holder) {
-                    link.release(release);
-                    if !job.may_have_run {
+                    link.release(release, job.is_ending);
+                    if job.is_ending || !job.may_have_run {
                         link.filled.notify_one();
                     }
                 }
