Claims of an entry that stands still end with its runs, and are granted again as it wakes

A holder hears each claimant every 100 ms now, and a claim is over 1,260 ms after the last message, less the holder's own stalls. An entry that stood still for 300 ms places nothing until its claims are granted again, and ends the jobs that others have been granted.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -57,6 +57,8 @@
     /// How long it has been undecided, less the time in which this process stood still.
     waited_ms: u64,
     is_granted: bool,
+    /// Whether it was granted before this process stood still.
+    was_granted: bool,
 }
 
 impl Claim {
@@ -64,7 +66,12 @@
         let for_ms = self.ends_ms.saturating_sub(now_ms);
         ClaimRequest {
             holder,
-            claim: JobClaim { job, number: self.number, for_ms, is_granted: self.is_granted },
+            claim: JobClaim {
+                job,
+                number: self.number,
+                for_ms,
+                is_granted: self.is_granted || self.was_granted,
+            },
         }
     }
 
@@ -133,7 +140,8 @@
         let votes: Vec<_> = holders(job, &entries).into_iter().map(first_vote).collect();
         self.last_number += 1;
         let number = self.last_number;
-        let claim = Claim { number, votes, ends_ms, waited_ms: 0, is_granted: false };
+        let claim =
+            Claim { number, votes, ends_ms, waited_ms: 0, is_granted: false, was_granted: false };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
         let requests = claim.votes.iter().map(request).collect();
         self.claims.insert(job, claim);
@@ -157,6 +165,24 @@
         self.record(job, holder, vote)
     }
 
+    /// Claims all jobs again after this process has stood still: holders may have taken it for lost
+    /// and granted a job to another entry. Returns what to ask.
+    pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
+        let mut requests = Vec::new();
+        for (&job, claim) in &mut self.claims {
+            claim.was_granted |= claim.is_granted;
+            claim.is_granted = false;
+            claim.waited_ms = 0;
+            self.last_number += 1;
+            claim.number = self.last_number;
+            let votes = claim.votes.iter_mut().filter(|(_, vote)| *vote != Vote::Absent);
+            votes.for_each(|(_, vote)| *vote = Vote::Pending);
+            requests
+                .extend(claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, now_ms)));
+        }
+        requests
+    }
+
     /// Takes note of other entries: claims that are not decided have the holders that rank first
     /// now. Returns what to ask new ones.
     pub fn set_entries(&mut self, entries: &[SocketAddr], now_ms: u64) -> Vec<ClaimRequest> {
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -12,6 +12,13 @@
 /// that of a connection attempt after a refused one.
 const RENEWAL_MS: u64 = 150;
 
+/// Time by which the longest pause between two messages of a claimant may exceed that of its runs, in
+/// milliseconds.
+const SILENCE_SLACK_MS: u64 = 20;
+/// Longest pause between two looks at what is due in which this process has not stood still, in
+/// milliseconds.
+const MAX_TICK_MS: u64 = 100;
+
 /// A claim that is known here.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -30,6 +37,10 @@
     /// Number of the last connection of each claimant.
     connections: HashMap<Incarnation, u64>,
     last_connection: u64,
+    /// When each connected claimant was heard last, later by the time in which this process stood
+    /// still since.
+    heard_ms: HashMap<Incarnation, u64>,
+    ticked_ms: u64,
     /// Claims that an earlier process of this entry has granted are over, or known, by this time.
     grants_from_ms: u64,
     run_over_ms: u64,
@@ -43,6 +54,8 @@
             claims: HashMap::new(),
             connections: HashMap::new(),
             last_connection: 0,
+            heard_ms: HashMap::new(),
+            ticked_ms: 0,
             grants_from_ms: 0,
             run_over_ms,
         }
@@ -64,7 +77,9 @@
     }
 
     fn grant(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
-        let held = self.claims.get(&asked.job).filter(|claim| claim.ends_ms > now_ms);
+        let is_live =
+            |claim: &&Claim| claim.ends_ms > now_ms && !self.is_silent(claim.claimant, now_ms);
+        let held = self.claims.get(&asked.job).filter(is_live);
         let is_held = |claim: &Claim| {
             if claim.claimant == claimant {
                 // A connection that was replaced may deliver an earlier claim.
@@ -101,14 +116,29 @@
         self.last_connection += 1;
         self.connections.insert(claimant, self.last_connection);
         self.shorten(claimant, now_ms);
+        self.heard(claimant, now_ms);
         self.last_connection
     }
 
+    /// Records a message of a claimant.
+    pub fn heard(&mut self, claimant: Incarnation, now_ms: u64) {
+        self.heard_ms.insert(claimant, now_ms);
+    }
+
+    /// Whether a claimant has been silent for so long that its runs are over: it may stand still.
+    fn is_silent(&self, claimant: Incarnation, now_ms: u64) -> bool {
+        let Some(&heard_ms) = self.heard_ms.get(&claimant) else { return false };
+        // What came while this process stood still is not read yet.
+        let own_stall_ms = own_stall_ms(self.ticked_ms, now_ms);
+        now_ms.saturating_sub(heard_ms + own_stall_ms) >= self.run_over_ms + SILENCE_SLACK_MS
+    }
+
     /// Records the end of a connection. A claimant whose last one it was may be gone: its claims
     /// end when its runs are over, unless it claims the jobs again.
     pub fn disconnected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
         if self.connections.get(&claimant) == Some(&connection) {
             self.connections.remove(&claimant);
+            self.heard_ms.remove(&claimant);
             self.shorten(claimant, now_ms);
         }
     }
@@ -122,6 +152,9 @@
 
     /// Forgets claims that have ended.
     pub fn tick(&mut self, now_ms: u64) {
+        let stall_ms = own_stall_ms(self.ticked_ms, now_ms);
+        self.heard_ms.values_mut().for_each(|heard_ms| *heard_ms += stall_ms);
+        self.ticked_ms = now_ms;
         self.claims.retain(|_, claim| claim.ends_ms > now_ms);
     }
 
@@ -137,3 +170,9 @@
         self.claims.is_empty()
     }
 }
+
+/// Returns for how long this process has stood still since the last look at what is due.
+fn own_stall_ms(ticked_ms: u64, now_ms: u64) -> u64 {
+    let pause_ms = now_ms.saturating_sub(ticked_ms);
+    if pause_ms > MAX_TICK_MS { pause_ms } else { 0 }
+}
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -6,6 +6,9 @@
     sycamorerail_wire::runs::CallerJobId,
 };
 
+/// Longest pause between two looks at what is due after which claims hold, in milliseconds.
+pub const MAX_TICK_MS: u64 = 300;
+
 /// A job that has ended at this entry, or is being ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReleasedJob {
@@ -36,6 +39,17 @@
         self.place_job(key, now_ms);
     }
 
+    /// Places no more tasks until claims are granted again.
+    pub fn suspend_claims(&mut self) {
+        let claimed = self.jobs.values_mut().filter(|job| job.needs_claim);
+        claimed.for_each(|job| job.is_claimed = false);
+    }
+
+    /// Whether this process may have stood still, so that claims have to be granted again.
+    pub(super) fn may_have_stood_still(&self, now_ms: u64) -> bool {
+        now_ms > self.ticked_ms + MAX_TICK_MS
+    }
+
     /// Ends a job that another entry has.
     pub fn claim_denied(&mut self, key: JobKey) {
         if self.jobs.get(key).is_some_and(|job| job.ending.is_none()) {
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -162,6 +162,8 @@
     pub may_have_run: bool,
     /// Whether agents were told that most of its tasks have started.
     pub told_mostly_started: bool,
+    /// Whether other entries may be asked for it.
+    pub needs_claim: bool,
     /// Whether the entry has been granted the claim on it.
     pub is_claimed: bool,
     /// Whether its tasks are not placed because another entry has the job.
@@ -224,6 +226,7 @@
             unfinished,
             may_have_run: false,
             told_mostly_started: false,
+            needs_claim: true,
             is_claimed: false,
             waits_for_other_entry: false,
             ending: None,
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -27,7 +27,7 @@
 
 pub use {
     agents::{AgentView, PlannedTasks, TaskDemand, TaskEstimate},
-    claims::ReleasedJob,
+    claims::{MAX_TICK_MS, ReleasedJob},
     job::Job,
     stop::STOP_ANSWER_MS,
     types::{
@@ -100,6 +100,8 @@
     losses: Vec<RunLoss>,
     /// Jobs that were removed since they were last taken.
     released: Vec<ReleasedJob>,
+    /// When what is due was last looked at.
+    ticked_ms: u64,
     /// This incarnation of the entry; it determines the entry's own order of agents.
     entry: Incarnation,
     /// When all jobs must have ended, once a stop is planned.
@@ -128,6 +130,7 @@
             commands: Vec::new(),
             losses: Vec::new(),
             released: Vec::new(),
+            ticked_ms: 0,
             stop_at_ms: None,
             last_forecast: JobForecast::default(),
         }
@@ -176,6 +179,9 @@
     /// The answer, if the job is refused: none of its tasks runs.
     pub fn submit(&mut self, request: JobRequest, now_ms: u64) -> Result<JobKey, JobAnswer> {
         let key = self.submit_unclaimed(request, now_ms)?;
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.needs_claim = false;
+        }
         self.claim_granted(key, now_ms);
         Ok(key)
     }
@@ -377,6 +383,7 @@
     /// Does what is due at this time: gives up jobs that can no longer end in time and marks the
     /// runs of silent agents as lost.
     pub fn tick(&mut self, now_ms: u64) {
+        self.ticked_ms = now_ms;
         self.lose_silent_agents(now_ms);
         self.lose_earlier_runs(now_ms);
         self.end_cold_starts(now_ms);
--- a/crates/decide/src/dispatch/place.rs
+++ b/crates/decide/src/dispatch/place.rs
@@ -151,14 +151,16 @@
 
     /// Places the unplaced tasks of a job, as far as agents are usable.
     pub(super) fn place_job(&mut self, key: JobKey, now_ms: u64) {
-        let is_claimed = self.jobs.get(key).is_some_and(|job| job.is_claimed);
+        let has_stalled = self.may_have_stood_still(now_ms);
+        let holds = |job: &Job| job.is_claimed && !(job.needs_claim && has_stalled);
+        let is_claimed = self.jobs.get(key).is_some_and(holds);
         let waits_for_other_entry = is_claimed && self.must_wait_for_other_entry(key, now_ms);
         let Some(job) = self.jobs.get_mut(key) else { return };
         if job.ending.is_some() {
             return;
         }
         job.waits_for_other_entry = waits_for_other_entry;
-        if job.may_be_elsewhere() {
+        if !is_claimed || waits_for_other_entry {
             self.unplaced.insert(key);
             return;
         }
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -310,3 +310,51 @@
     let renewed = claims.renewals(holders[0], 200);
     assert_eq!(renewed[0].claim.for_ms, LIMITS.run_over_ms);
 }
+
+/// Returns a holder that has granted the job to an entry which it hears until 1,000 ms, and looks at
+/// what is due until some time.
+fn holder_of_a_silent_claim(ticks_until_ms: u64) -> ClaimTable {
+    let mut table = ClaimTable::new(LIMITS.run_over_ms);
+    table.connected(FIRST, 0);
+    ask(&mut table, new_claim(20_000), FIRST, 0);
+    for now_ms in (0..=ticks_until_ms).step_by(20) {
+        if now_ms <= 1_000 {
+            table.heard(FIRST, now_ms);
+        }
+        table.tick(now_ms);
+    }
+    table
+}
+
+/// Guards against a copy that is refused though its entry stands still, and agents have ended its
+/// runs.
+#[test]
+fn claims_of_a_silent_entry_end_with_its_runs() {
+    let mut table = holder_of_a_silent_claim(2_200);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 2_259), ClaimAnswer::Held);
+    let mut table = holder_of_a_silent_claim(2_260);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 2_270), ClaimAnswer::Granted);
+}
+
+/// Guards against a holder that stood still and takes that time for silence of a claimant.
+#[test]
+fn a_holders_stall_is_no_silence() {
+    let mut table = holder_of_a_silent_claim(1_000);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 4_000), ClaimAnswer::Held);
+    table.tick(4_000);
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 4_010), ClaimAnswer::Held);
+}
+
+/// Guards against an entry that stood still and goes on with jobs that others have been granted.
+#[test]
+fn claims_are_granted_again_after_a_stall() {
+    let (mut claims, holders) = begun();
+    granted(&mut claims, holders[0]);
+    granted(&mut claims, holders[1]);
+    let again = claims.claim_again(3_000);
+    assert!(again.len() == HOLDERS && again.iter().all(|request| request.claim.is_granted));
+    let number = again[0].claim.number;
+    let held = AnsweredClaim { job: JOB, number, answer: ClaimAnswer::Held };
+    let denied = Some(ClaimDecision::Denied { holder: holders[2] });
+    assert_eq!(claims.answered(held, holders[2], 3_001), denied);
+}
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -289,6 +289,14 @@
             self.ask(entry, requests);
         }
         self.deliver();
+        for holder in 0..self.entries.len() {
+            for claimant in 0..self.entries.len() {
+                if let Some((incarnation, _)) = self.connected[claimant][holder] {
+                    self.entries[holder].table.heard(incarnation, self.now_ms);
+                }
+            }
+            self.entries[holder].table.tick(self.now_ms);
+        }
         let live = self.entries.iter().filter(|entry| entry.is_granted).count();
         let left = self.left_until_ms.iter().filter(|&&until_ms| self.now_ms < until_ms).count();
         assert!(live + left <= 1, "{live} entries run the job, and {left} have left runs");
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -49,9 +49,9 @@
 /// A claim that some holders grant counts after this time without an answer of the others: that of
 /// a silent connection and one more attempt.
 const PATIENCE_MS: u64 = 250;
-/// Time after which claims of jobs that have run are given up, together with others. Their callers
-/// come again later than that.
-const RELEASE_PAUSE_MS: u64 = 200;
+/// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run are
+/// given up with the next one: their callers come again later than that.
+const BEAT_MS: u64 = 100;
 /// Longest time that callers commonly wait. A holder that was lost for that time and the time of
 /// runs has no claims any more.
 const COMMON_DEADLINE_MS: u64 = 1_500;
@@ -65,8 +65,8 @@
     /// Connections to holders.
     holders: Mutex<HashMap<SocketAddr, Arc<Holder>>>,
     run_over_ms: u64,
-    /// When claims were last given up.
-    released_ms: AtomicU64,
+    /// When holders were last sent what is sent from time to time.
+    beat_ms: AtomicU64,
 }
 
 /// Messages on their way to a holder.
@@ -103,19 +103,21 @@
             table: Mutex::new(ClaimTable::new(run_over_ms)),
             holders: Mutex::default(),
             run_over_ms,
-            released_ms: AtomicU64::new(0),
+            beat_ms: AtomicU64::new(0),
         }
     }
 
-    /// Sends what waits for the next claim, from time to time.
-    fn flush_releases(&self, now_ms: u64) {
-        if now_ms < self.released_ms.load(Ordering::Relaxed) + RELEASE_PAUSE_MS {
+    /// Lets holders hear of this entry that have claims of it, or of claims that it gives up.
+    fn beat(&self, claims: &Claims, now_ms: u64) {
+        if now_ms < self.beat_ms.load(Ordering::Relaxed) + BEAT_MS {
             return;
         }
-        self.released_ms.store(now_ms, Ordering::Relaxed);
+        self.beat_ms.store(now_ms, Ordering::Relaxed);
         let holders = self.holders.lock();
-        let waits = |link: &&Arc<Holder>| !link.requests.lock().releases.is_empty();
-        holders.values().filter(waits).for_each(|link| link.filled.notify_one());
+        let is_heard = |(holder, link): &(&SocketAddr, &Arc<Holder>)| {
+            claims.has_claims_at(**holder) || !link.requests.lock().releases.is_empty()
+        };
+        holders.iter().filter(is_heard).for_each(|(_, link)| link.filled.notify_one());
     }
 }
 
@@ -219,6 +221,16 @@
         }
     }
 
+    /// Claims all jobs again, as this process has stood still.
+    pub(super) fn claim_again(self: &Arc<Self>, dispatch: &mut Dispatch, now_ms: u64) {
+        dispatch.suspend_claims();
+        let mut claims = self.claims.claims.lock();
+        let requests = claims.claim_again(now_ms);
+        let decided = self.send_claims(&mut claims, requests, now_ms);
+        drop(claims);
+        self.apply(dispatch, decided, now_ms);
+    }
+
     /// Does what is due by time.
     pub(super) fn tick_claims(self: &Arc<Self>, members: &mut watch::Receiver<Vec<SocketAddr>>) {
         let is_changed = members.has_changed().unwrap_or(false);
@@ -226,7 +238,7 @@
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
-            self.claims.flush_releases(now_ms);
+            self.claims.beat(&claims, now_ms);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
@@ -390,9 +402,7 @@
                 }
                 () = link.filled.notified() => {
                     let requests = std::mem::take(&mut *link.requests.lock());
-                    if !requests.claims.is_empty() {
-                        answer_by.get_or_insert_with(|| answer_at(self.answer_within));
-                    }
+                    answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     if self.writer.push(&requests).is_err() {
                         return LinkEnd::Closed { answered };
                     }
@@ -430,7 +440,6 @@
 ) {
     let table = &service.claims.table;
     let connection = table.lock().connected(claimant, service.now_ms());
-    let mut is_first = true;
     let end = loop {
         let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
             Ok(Ok(requests)) => requests,
@@ -438,10 +447,7 @@
             Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
         };
         let answers = service.grant(claimant, &requests);
-        // The first answer shows that this process reads.
-        if answers.0.is_empty() && !std::mem::take(&mut is_first) {
-            continue;
-        }
+        // An answer without claims shows that this process reads.
         let sent = match writer.push(&answers) {
             Ok(()) => writer.flush().await,
             Err(error) => Err(error),
@@ -458,6 +464,7 @@
     fn grant(&self, claimant: Incarnation, requests: &ClaimRequests) -> ClaimAnswers {
         let now_ms = self.now_ms();
         let mut table = self.claims.table.lock();
+        table.heard(claimant, now_ms);
         for &release in &requests.releases {
             table.release(release, claimant, now_ms);
         }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -514,6 +514,7 @@
         let stopped = service.change(|dispatch, now_ms| {
             if let Some(stall_ms) = stalls.record(now_ms) {
                 dispatch.note_stall(stall_ms, now_ms);
+                service.claim_again(dispatch, now_ms);
             }
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
