--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -1,8 +1,8 @@
 //! Claims on jobs over connections between entries.
 //!
-//! An entry connects to a holder for its first claim there and keeps the connection. There are no
-//! heartbeats: a connection on which a claim stays unanswered is replaced, and the claims that the
-//! holder should have are sent again over the new one.
+//! An entry connects to a holder for its first claim there and keeps the connection. The holder hears
+//! it as long as it has claims of it. A connection on which a message stays unanswered is replaced,
+//! and the claims that the holder should have are sent again over the new one.
 
 use {
     super::{JobService, query::is_process_gone},
