Claims: an entry that wakes for a moment prolongs none before it has handled what was due

As with agents (Receipts), a message counts only after two passes over what is due, and claims are granted again after these. The claim on a job that is given up ends a run's longest time after the last moment up to which the entry had handled what was due, as its runs do.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -302,14 +302,10 @@
         votes.any(|(of, _)| *of == holder)
     }
 
-    /// Ends a claim once runs are over that end now. Returns its number and the holders to tell.
-    pub fn end_with_runs(
-        &mut self,
-        job: CallerJobId,
-        now_ms: u64,
-    ) -> Option<(u64, Vec<SocketAddr>)> {
+    /// Ends a claim at some time, unless it ends sooner. Returns its number and the holders to tell.
+    pub fn end_by(&mut self, job: CallerJobId, over_ms: u64) -> Option<(u64, Vec<SocketAddr>)> {
         let claim = self.claims.get_mut(&job)?;
-        claim.ends_ms = claim.ends_ms.min(now_ms + self.limits.run_over_ms);
+        claim.ends_ms = claim.ends_ms.min(over_ms);
         Some((claim.number, claim.votes.iter().map(|(holder, _)| *holder).collect()))
     }
 
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -25,6 +25,8 @@
     claimant: Incarnation,
     number: u64,
     ends_ms: u64,
+    /// When it came.
+    claimed_ms: u64,
     /// Whether it is granted, by this holder or by others. Otherwise, one that others have granted
     /// replaces it.
     is_granted: bool,
@@ -77,8 +79,7 @@
     }
 
     fn grant(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
-        let is_live =
-            |claim: &&Claim| claim.ends_ms > now_ms && !self.is_silent(claim.claimant, now_ms);
+        let is_live = |claim: &&Claim| claim.ends_ms > now_ms && !self.is_silent(claim, now_ms);
         let held = self.claims.get(&asked.job).filter(is_live);
         let is_held = |claim: &Claim| {
             if claim.claimant == claimant {
@@ -92,9 +93,15 @@
             return ClaimAnswer::Held;
         }
         let is_granted = asked.is_granted || now_ms >= self.grants_from_ms;
-        let ends_ms = now_ms + asked.for_ms;
-        self.claims
-            .insert(asked.job, Claim { claimant, number: asked.number, ends_ms, is_granted });
+        let known = self.claims.get(&asked.job).filter(|claim| claim.number == asked.number);
+        let claim = Claim {
+            claimant,
+            number: asked.number,
+            ends_ms: now_ms + asked.for_ms,
+            claimed_ms: known.map_or(now_ms, |claim| claim.claimed_ms),
+            is_granted,
+        };
+        self.claims.insert(asked.job, claim);
         if is_granted {
             return ClaimAnswer::Granted;
         }
@@ -116,21 +123,22 @@
         self.last_connection += 1;
         self.connections.insert(claimant, self.last_connection);
         self.shorten(claimant, now_ms);
-        self.heard(claimant, now_ms);
+        self.heard_ms.entry(claimant).or_insert(now_ms);
         self.last_connection
     }
 
-    /// Records a message of a claimant.
+    /// Records that a claimant still wants its jobs.
     pub fn heard(&mut self, claimant: Incarnation, now_ms: u64) {
         self.heard_ms.insert(claimant, now_ms);
     }
 
     /// Whether a claimant has been silent for so long that its runs are over: it may stand still.
-    fn is_silent(&self, claimant: Incarnation, now_ms: u64) -> bool {
-        let Some(&heard_ms) = self.heard_ms.get(&claimant) else { return false };
+    fn is_silent(&self, claim: &Claim, now_ms: u64) -> bool {
+        let Some(&heard_ms) = self.heard_ms.get(&claim.claimant) else { return false };
         // What came while this process stood still is not read yet.
         let own_stall_ms = own_stall_ms(self.ticked_ms, now_ms);
-        now_ms.saturating_sub(heard_ms + own_stall_ms) >= self.run_over_ms + SILENCE_SLACK_MS
+        let heard_ms = heard_ms.max(claim.claimed_ms) + own_stall_ms;
+        now_ms.saturating_sub(heard_ms) >= self.run_over_ms + SILENCE_SLACK_MS
     }
 
     /// Records the end of a connection. A claimant whose last one it was may be gone: its claims
--- a/crates/decide/src/receipts.rs
+++ b/crates/decide/src/receipts.rs
@@ -11,7 +11,7 @@
 //! one begins only after those have been handled.
 
 /// Number of passes between a message and its acknowledgement.
-const PASSES: usize = 2;
+pub const PASSES: usize = 2;
 
 /// Messages received on one connection.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -306,7 +306,7 @@
 fn the_claim_on_a_job_that_is_given_up_ends_with_its_runs() {
     let (mut claims, holders) = begun();
     granted(&mut claims, holders[0]);
-    claims.end_with_runs(JOB, 200);
+    claims.end_by(JOB, 200 + LIMITS.run_over_ms);
     let renewed = claims.renewals(holders[0], 200);
     assert_eq!(renewed[0].claim.for_ms, LIMITS.run_over_ms);
 }
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -19,6 +19,7 @@
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
         dispatch::{Dispatch, DispatchLimits},
+        receipts,
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -65,6 +66,9 @@
     /// Connections to holders.
     holders: Mutex<HashMap<SocketAddr, Arc<Holder>>>,
     run_over_ms: u64,
+    /// Up to when this process has handled what was due. Agents acknowledge nothing later, so that
+    /// the runs of a job that is given up are over a while after it.
+    handled_ms: AtomicU64,
     /// When holders were last sent what is sent from time to time.
     beat_ms: AtomicU64,
 }
@@ -103,6 +107,7 @@
             table: Mutex::new(ClaimTable::new(run_over_ms)),
             holders: Mutex::default(),
             run_over_ms,
+            handled_ms: AtomicU64::new(0),
             beat_ms: AtomicU64::new(0),
         }
     }
@@ -117,7 +122,10 @@
         let is_heard = |(holder, link): &(&SocketAddr, &Arc<Holder>)| {
             claims.has_claims_at(**holder) || !link.requests.lock().releases.is_empty()
         };
-        holders.iter().filter(is_heard).for_each(|(_, link)| link.filled.notify_one());
+        for (_, link) in holders.iter().filter(is_heard) {
+            link.requests.lock().is_current = true;
+            link.filled.notify_one();
+        }
     }
 }
 
@@ -198,14 +206,13 @@
         for job in dispatch.take_released() {
             let now_ms = self.clock.now_ms();
             let mut claims = self.claims.claims.lock();
-            let ended = if job.is_ending {
-                claims.end_with_runs(job.id, now_ms)
-            } else {
-                claims.end(job.id)
-            };
+            let over_ms = self.claims.handled_ms.load(Ordering::Relaxed) + self.claims.run_over_ms;
+            let ended =
+                if job.is_ending { claims.end_by(job.id, over_ms) } else { claims.end(job.id) };
             drop(claims);
             let Some((number, holders)) = ended else { continue };
-            let after_ms = if job.is_ending || job.may_run { self.claims.run_over_ms } else { 0 };
+            let may_run = job.is_ending || job.may_run;
+            let after_ms = if may_run { over_ms.saturating_sub(now_ms) } else { 0 };
             let release = ClaimRelease { job: job.id, number, after_ms };
             for holder in holders {
                 if holder == self.settings.own {
@@ -221,9 +228,8 @@
         }
     }
 
-    /// Claims all jobs again, as this process has stood still.
-    pub(super) fn claim_again(self: &Arc<Self>, dispatch: &mut Dispatch, now_ms: u64) {
-        dispatch.suspend_claims();
+    /// Claims all jobs again after this process has stood still.
+    fn claim_again(self: &Arc<Self>, dispatch: &mut Dispatch, now_ms: u64) {
         let mut claims = self.claims.claims.lock();
         let requests = claims.claim_again(now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
@@ -231,14 +237,21 @@
         self.apply(dispatch, decided, now_ms);
     }
 
-    /// Does what is due by time.
-    pub(super) fn tick_claims(self: &Arc<Self>, members: &mut watch::Receiver<Vec<SocketAddr>>) {
+    /// Does what is due by time, so many passes after this process has stood still.
+    pub(super) fn tick_claims(
+        self: &Arc<Self>,
+        members: &mut watch::Receiver<Vec<SocketAddr>>,
+        passes: usize,
+    ) {
         let is_changed = members.has_changed().unwrap_or(false);
         members.mark_unchanged();
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
-            self.claims.beat(&claims, now_ms);
+            if passes >= receipts::PASSES {
+                self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
+                self.claims.beat(&claims, now_ms);
+            }
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
@@ -253,6 +266,9 @@
             }
             drop(claims);
             self.apply(dispatch, decided, now_ms);
+            if passes == receipts::PASSES {
+                self.claim_again(dispatch, now_ms);
+            }
         });
     }
 
@@ -464,7 +480,9 @@
     fn grant(&self, claimant: Incarnation, requests: &ClaimRequests) -> ClaimAnswers {
         let now_ms = self.now_ms();
         let mut table = self.claims.table.lock();
-        table.heard(claimant, now_ms);
+        if requests.is_current {
+            table.heard(claimant, now_ms);
+        }
         for &release in &requests.releases {
             table.release(release, claimant, now_ms);
         }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -509,19 +509,23 @@
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
     let mut members = service.members.subscribe();
+    // Passes since the process has last stood still.
+    let mut calm_passes = usize::MAX;
     loop {
         ticks.tick().await;
         let stopped = service.change(|dispatch, now_ms| {
             if let Some(stall_ms) = stalls.record(now_ms) {
                 dispatch.note_stall(stall_ms, now_ms);
-                service.claim_again(dispatch, now_ms);
+                dispatch.suspend_claims();
+                calm_passes = 0;
             }
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut members);
+        service.tick_claims(&mut members, calm_passes);
+        calm_passes = calm_passes.saturating_add(1);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -509,6 +509,9 @@
     pub claims: Vec<JobClaim>,
     /// Claims that the entry gives up.
     pub releases: Vec<ClaimRelease>,
+    /// Whether the entry has handled what was due, so that it still wants the jobs that it has
+    /// claimed.
+    pub is_current: bool,
 }
 
 /// Claim on a job.
