Logs tell which holders granted a claim, what an order rests on, and which entry is lost

The record shows three claimants that close their connections at once. Its lines can't tell a kill from the end of a cut: the entry, its silence and its claims are missing. Nor do they tell by whom a claim was granted, or which claim an order rests on.

claimant_disconnected has entry, silent_ms and claims; job_claim_granted is new, one line a job; tasks_placed is new, one line an order; claim_holder_lost has an error; job_claim_held names the entry that has the job. No change of logic. Entries tell their address as they connect to a holder: replace all entries together.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -99,6 +99,17 @@
     is_gone: bool,
 }
 
+/// State of a claim, for the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClaimState {
+    /// Its number.
+    pub number: u64,
+    /// Holders that have granted it.
+    pub granted_by: Vec<SocketAddr>,
+    /// Its other holders.
+    pub others: Vec<SocketAddr>,
+}
+
 /// State of an entry that claims jobs.
 #[derive(Debug)]
 pub struct Claims {
@@ -322,6 +333,19 @@
         votes.any(|vote| *vote == (holder, Vote::Pending))
     }
 
+    /// The state of the claim on a job.
+    #[must_use]
+    pub fn state(&self, job: CallerJobId) -> Option<ClaimState> {
+        let claim = self.claims.get(&job)?;
+        let with = |is_granted: bool| {
+            let votes = claim.votes.iter();
+            let wanted = votes.filter(|(_, vote)| (*vote == Vote::Granted) == is_granted);
+            wanted.map(|(holder, _)| *holder).collect()
+        };
+        let (granted_by, others) = (with(true), with(false));
+        Some(ClaimState { number: claim.number, granted_by, others })
+    }
+
     /// Number of claims.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -10,8 +10,8 @@
 mod table;
 
 pub use {
-    claimant::{ClaimDecision, ClaimRequest, Claims},
-    table::ClaimTable,
+    claimant::{ClaimDecision, ClaimRequest, ClaimState, Claims},
+    table::{ClaimOwner, ClaimTable},
 };
 
 use {
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -32,6 +32,17 @@
     is_granted: bool,
 }
 
+/// The entry that has the claim on a job, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimOwner {
+    /// The entry.
+    pub claimant: Incarnation,
+    /// Number of the claim.
+    pub number: u64,
+    /// Time since the entry was heard, in milliseconds; 0 if it is not connected.
+    pub silent_ms: u64,
+}
+
 /// State of a holder.
 #[derive(Debug)]
 pub struct ClaimTable {
@@ -166,6 +177,20 @@
         self.claims.retain(|_, claim| claim.ends_ms > now_ms);
     }
 
+    /// The entry that has the claim on a job.
+    #[must_use]
+    pub fn owner(&self, job: CallerJobId, now_ms: u64) -> Option<ClaimOwner> {
+        let Claim { claimant, number, .. } = *self.claims.get(&job)?;
+        let heard_ms = self.heard_ms.get(&claimant).copied().unwrap_or(now_ms);
+        Some(ClaimOwner { claimant, number, silent_ms: now_ms.saturating_sub(heard_ms) })
+    }
+
+    /// Number of claims of an entry.
+    #[must_use]
+    pub fn count_of(&self, claimant: Incarnation) -> usize {
+        self.claims.values().filter(|claim| claim.claimant == claimant).count()
+    }
+
     /// Number of claims.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -9,6 +9,7 @@
     parking_lot::Mutex,
     std::{
         collections::HashMap,
+        fmt,
         net::SocketAddr,
         sync::{
             Arc,
@@ -27,7 +28,7 @@
         ids::Incarnation,
         runs::{
             AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
-            RunsFirstMessage,
+            ClaimantHello, RunsFirstMessage, StepPlacement,
         },
     },
     tokio::{
@@ -191,7 +192,10 @@
         for (job, decision) in decided {
             let Some(key) = dispatch.find_job(job) else { continue };
             match decision {
-                ClaimDecision::Granted => dispatch.claim_granted(key, now_ms),
+                ClaimDecision::Granted => {
+                    self.log_grant(job);
+                    dispatch.claim_granted(key, now_ms);
+                }
                 ClaimDecision::Denied { holder } => {
                     event!(Info, "job_claim_denied", job = job, holder = holder);
                     metrics::counter!("sycamorerail_claims_denied_total").increment(1);
@@ -201,6 +205,34 @@
         }
     }
 
+    /// Logs which holders have granted a claim.
+    fn log_grant(&self, job: CallerJobId) {
+        let Some(state) = self.claims.claims.lock().state(job) else { return };
+        event!(
+            Info,
+            "job_claim_granted",
+            job = job,
+            claim = state.number,
+            granted_by = list(&state.granted_by),
+            others = list(&state.others),
+        );
+    }
+
+    /// Logs an order with the claim that it rests on.
+    pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement) {
+        let claim = self.claims.claims.lock().state(placement.job).map(|state| state.number);
+        event!(
+            Info,
+            "tasks_placed",
+            job = placement.job,
+            claim = claim.unwrap_or(0),
+            agent = agent,
+            step = placement.step,
+            tasks = placement.tasks.len(),
+            last_run = placement.tasks.iter().map(|task| task.run).max().unwrap_or(0),
+        );
+    }
+
     /// Gives up the claims of jobs that have ended.
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
@@ -303,10 +335,10 @@
         })
     }
 
-    fn holder_lost(self: &Arc<Self>, holder: SocketAddr, is_gone: bool) {
+    fn holder_lost(self: &Arc<Self>, holder: SocketAddr, is_gone: bool, end: &LinkEnd) {
         let mut claims = self.claims.claims.lock();
         if !claims.is_lost(holder) {
-            event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone);
+            event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone, error = end);
         }
         claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
@@ -343,16 +375,16 @@
         match end {
             LinkEnd::Closed { answered: true } => answer_within = ANSWER_WITHIN,
             LinkEnd::Closed { answered: false } => {
-                service.holder_lost(holder, false);
+                service.holder_lost(holder, false, &end);
                 sleep(RECONNECT_PAUSE).await;
             }
             LinkEnd::Silent { answered } => {
                 let next = if answered { ANSWER_WITHIN } else { answer_within * 2 };
                 answer_within = next.min(MAX_ANSWER_WITHIN);
-                service.holder_lost(holder, false);
+                service.holder_lost(holder, false, &end);
             }
             LinkEnd::Lost { is_gone } => {
-                service.holder_lost(holder, is_gone);
+                service.holder_lost(holder, is_gone, &end);
                 sleep(RECONNECT_PAUSE).await;
             }
         }
@@ -382,6 +414,17 @@
     },
 }
 
+impl fmt::Display for LinkEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Closed { .. } => "the connection was closed",
+            Self::Silent { .. } => "claims were left unanswered",
+            Self::Lost { is_gone: true } => "the port refuses connections",
+            Self::Lost { is_gone: false } => "no connection could be made",
+        })
+    }
+}
+
 /// A connection to a holder.
 struct Connection {
     reader: FrameReader,
@@ -438,7 +481,8 @@
     link: &Holder,
     writer: &mut FrameWriter,
 ) -> Result<(), FrameError> {
-    writer.push(&RunsFirstMessage::Claimant(service.incarnation))?;
+    let hello = ClaimantHello { incarnation: service.incarnation, entry: service.settings.own };
+    writer.push(&RunsFirstMessage::Claimant(hello))?;
     let mut claims = service.claims.claims.lock();
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
@@ -449,19 +493,22 @@
 /// Answers the claims of another entry.
 pub(super) async fn answer(
     service: &Arc<JobService>,
-    claimant: Incarnation,
+    hello: ClaimantHello,
     peer: SocketAddr,
     mut reader: FrameReader,
     mut writer: FrameWriter,
 ) {
+    let ClaimantHello { incarnation: claimant, entry } = hello;
     let table = &service.claims.table;
     let connection = table.lock().connected(claimant, service.now_ms());
+    let mut heard_ms = service.now_ms();
     let end = loop {
         let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
             Ok(Ok(requests)) => requests,
             Ok(Err(error)) => break error,
             Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
         };
+        heard_ms = service.now_ms();
         let answers = service.grant(claimant, &requests);
         // An answer without claims shows that this process reads.
         let sent = match writer.push(&answers) {
@@ -472,8 +519,21 @@
             break error;
         }
     };
-    table.lock().disconnected(claimant, connection, service.now_ms());
-    event!(Info, "claimant_disconnected", claimant = claimant, peer = peer, error = end);
+    let now_ms = service.now_ms();
+    let mut table = table.lock();
+    table.disconnected(claimant, connection, now_ms);
+    let claims = table.count_of(claimant);
+    drop(table);
+    event!(
+        Info,
+        "claimant_disconnected",
+        claimant = claimant,
+        entry = entry,
+        peer = peer,
+        error = end,
+        silent_ms = now_ms.saturating_sub(heard_ms),
+        claims = claims,
+    );
 }
 
 impl JobService {
@@ -489,11 +549,25 @@
         let claims = requests.claims.iter();
         let answers = claims.map(|&claim| {
             let answered = table.claim(claim, claimant, now_ms);
-            if answered.answer == ClaimAnswer::Held {
-                event!(Info, "job_claim_held", job = claim.job, claimant = claimant);
+            if answered.answer == ClaimAnswer::Held
+                && let Some(owner) = table.owner(claim.job, now_ms)
+            {
+                event!(
+                    Info,
+                    "job_claim_held",
+                    job = claim.job,
+                    claimant = claimant,
+                    held_by = owner.claimant,
+                    claim = owner.number,
+                    silent_ms = owner.silent_ms,
+                );
             }
             answered
         });
         ClaimAnswers(answers.collect())
     }
 }
+
+fn list(entries: &[SocketAddr]) -> String {
+    entries.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(",")
+}
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -116,8 +116,8 @@
         Ok(Ok(RunsFirstMessage::Entry(query))) => {
             return query::answer(&service, query, peer, writer).await;
         }
-        Ok(Ok(RunsFirstMessage::Claimant(claimant))) => {
-            return claims::answer(&service, claimant, peer, reader, writer).await;
+        Ok(Ok(RunsFirstMessage::Claimant(hello))) => {
+            return claims::answer(&service, hello, peer, reader, writer).await;
         }
         Ok(Err(error)) => return event!(Info, "hello_lost", peer = peer, error = error),
         Err(_) => return event!(Info, "hello_late", peer = peer),
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -363,6 +363,8 @@
         for command in dispatch.take_commands() {
             match command {
                 Command::Place(agent, placement) => {
+                    let silence = dispatch.agent_silence(agent, now_ms);
+                    self.log_placement(silence.map_or("", |(name, _)| name), &placement);
                     dispatch.message_sent(agent, Some(&placement), now_ms);
                     self.send(agent, ToRunsAgent::Place(placement));
                 }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -499,7 +499,16 @@
     Entry(JobQuery),
     /// Another entry connects to claim jobs, and keeps the connection. It sends
     /// [`ClaimRequests`]; the replies are [`ClaimAnswers`].
-    Claimant(Incarnation),
+    Claimant(ClaimantHello),
+}
+
+/// First message of an entry that claims jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimantHello {
+    /// Incarnation of the entry.
+    pub incarnation: Incarnation,
+    /// Its inner address, as other entries know it.
+    pub entry: SocketAddr,
 }
 
 /// Claims of an entry on jobs, and claims that it gives up.
