Relay: several peers are held at one moment, and their new connections wait

A peer's name may be bytes, so that one is told from another whose name its own begins with. While a peer is held, the first bytes of a new connection are read before it is carried on: that of a held peer waits, and is dropped where the peer has given it up by then, as in a cut its opening never arrives. What holds for a connection is looked up once after each change.

--- a/crates/soak/src/tcp_relay.rs
+++ b/crates/soak/src/tcp_relay.rs
@@ -1,5 +1,6 @@
 //! A relay before a TCP address, so that connections can be delayed, held up in
-//! one direction, slowed down together, silenced for good, or reset.
+//! one direction, slowed down together, silenced for good, or reset. Those of single
+//! peers are told from others by their first bytes.
 
 use {
     parking_lot::Mutex,
@@ -10,7 +11,7 @@
         time::Duration,
     },
     tokio::{
-        io::{AsyncReadExt, AsyncWriteExt},
+        io::{AsyncReadExt, AsyncWriteExt, Interest},
         net::{
             TcpListener, TcpStream,
             tcp::{ReadHalf, WriteHalf},
@@ -35,7 +36,8 @@
     HeldToTarget,
     /// Those from the target are held up until it opens again.
     HeldFromTarget,
-    /// All are held up; new connections are taken and lead nowhere until then.
+    /// All are held up; new connections are taken and lead nowhere until then. That of a
+    /// single peer is not carried on at all where the peer has given it up by then.
     Held,
 }
 
@@ -57,31 +59,48 @@
     }
 }
 
-/// What happens to bytes of all connections, and of those of single peers.
-#[derive(Clone, Debug, Default)]
-struct Passages {
+/// What happens to bytes of one connection.
+#[derive(Clone, Copy, Debug)]
+struct ConnectionPassage {
     all: Passage,
-    /// By a text that a peer's first bytes contain, as its name.
-    peers: Vec<(String, Passage)>,
+    peer: Option<Passage>,
 }
 
-impl Passages {
-    fn holds(&self, way: Way, opening: &[u8]) -> bool {
-        self.all.holds(way) || self.peer(opening).is_some_and(|passage| passage.holds(way))
+impl ConnectionPassage {
+    fn holds(self, way: Way) -> bool {
+        self.all.holds(way) || self.peer.is_some_and(|passage| passage.holds(way))
     }
 
-    fn delay_ms(&self, opening: &[u8]) -> Option<u64> {
+    fn delay_ms(self) -> Option<u64> {
         let delay = |passage| match passage {
             Passage::Delayed(ms) => Some(ms),
             _ => None,
         };
-        delay(self.all).or_else(|| self.peer(opening).and_then(delay))
+        delay(self.all).or_else(|| self.peer.and_then(delay))
     }
 
-    fn peer(&self, opening: &[u8]) -> Option<Passage> {
-        let is_of =
-            |name: &String| opening.windows(name.len()).any(|window| window == name.as_bytes());
-        self.peers.iter().find(|(name, _)| is_of(name)).map(|(_, passage)| *passage)
+    fn is_held(self) -> bool {
+        [Some(self.all), self.peer].contains(&Some(Passage::Held))
+    }
+}
+
+/// What happens to bytes of all connections, and of those of single peers.
+#[derive(Clone, Debug, Default)]
+struct Passages {
+    all: Passage,
+    /// By bytes that a peer's first bytes contain, as its name.
+    peers: Vec<(Vec<u8>, Passage)>,
+}
+
+impl Passages {
+    fn of(&self, opening: &[u8]) -> ConnectionPassage {
+        let is_of = |name: &[u8]| opening.windows(name.len()).any(|window| window == name);
+        let peer = self.peers.iter().find(|(name, _)| is_of(name));
+        ConnectionPassage { all: self.all, peer: peer.map(|(_, passage)| *passage) }
+    }
+
+    fn is_a_peer_held(&self) -> bool {
+        self.peers.iter().any(|(_, passage)| *passage == Passage::Held)
     }
 }
 
@@ -161,10 +180,17 @@
 
     /// The same for connections of one peer: those whose first bytes contain its name.
     pub fn set_for(&self, peer: &str, passage: Passage) {
+        self.set_for_each(&[peer], passage);
+    }
+
+    /// The same for several peers at one moment, whose names need not be texts.
+    pub fn set_for_each(&self, peers: &[impl AsRef<[u8]>], passage: Passage) {
         self.passages.send_modify(|passages| {
-            passages.peers.retain(|(name, _)| name != peer);
-            if passage != Passage::Open {
-                passages.peers.push((peer.to_owned(), passage));
+            for peer in peers.iter().map(AsRef::as_ref) {
+                passages.peers.retain(|(name, _)| name != peer);
+                if passage != Passage::Open {
+                    passages.peers.push((peer.to_vec(), passage));
+                }
             }
         });
     }
@@ -228,6 +254,7 @@
     let connected = async {
         // The sender lives as long as the relay.
         let _ = passages.wait_for(|passages| passages.all != Passage::Held).await;
+        until_carried_on(&near, &mut passages).await?;
         TcpStream::connect(target).await
     };
     let far = tokio::select! {
@@ -243,8 +270,10 @@
         link: Arc::clone(&link),
         fate: fate.clone(),
         opening: Arc::clone(&opening),
+        passage: None,
     };
-    let from = Pump { way: Way::FromTarget, passages, link, fate: fate.clone(), opening };
+    let from =
+        Pump { way: Way::FromTarget, passages, link, fate: fate.clone(), opening, passage: None };
     let was_reset = {
         let (near_reader, near_writer) = near.split();
         let (far_reader, far_writer) = far.split();
@@ -262,6 +291,29 @@
     }
 }
 
+/// Waits until a new connection is not that of a held peer. While any peer is held, its
+/// first bytes tell whose it is.
+async fn until_carried_on(
+    near: &TcpStream,
+    passages: &mut watch::Receiver<Passages>,
+) -> io::Result<()> {
+    let mut opening = vec![0; BUFFER_BYTES];
+    let length = tokio::select! {
+        biased;
+        _ = passages.wait_for(|passages| !passages.is_a_peer_held()) => return Ok(()),
+        length = near.peek(&mut opening) => length?,
+    };
+    let opening = &opening[..length];
+    if !passages.borrow().of(opening).is_held() {
+        return Ok(());
+    }
+    let _ = passages.wait_for(|passages| !passages.of(opening).is_held()).await;
+    if near.ready(Interest::READABLE).await?.is_read_closed() {
+        return Err(io::ErrorKind::ConnectionAborted.into());
+    }
+    Ok(())
+}
+
 fn reset(stream: &TcpStream) {
     // With a linger of zero the end is a reset.
     let _ = stream.set_zero_linger();
@@ -275,6 +327,8 @@
     fate: watch::Receiver<Fate>,
     /// First bytes to the target.
     opening: Arc<OnceLock<Vec<u8>>>,
+    /// What happens to bytes since the last change, once the first bytes are known.
+    passage: Option<ConnectionPassage>,
 }
 
 impl Pump {
@@ -305,15 +359,26 @@
         if silenced {
             return std::future::pending().await;
         }
-        let opening = self.opening.get().map_or(&[][..], Vec::as_slice);
-        let delay_ms = self.passages.borrow().delay_ms(opening);
-        if let Some(ms) = delay_ms {
+        if let Some(ms) = self.passage().delay_ms() {
             sleep(Duration::from_millis(ms)).await;
         }
-        let opened = self.passages.wait_for(|passages| !passages.holds(way, opening));
-        let _ = opened.await;
+        // The sender lives as long as the relay.
+        while self.passage().holds(way) && self.passages.changed().await.is_ok() {
+            self.passage = None;
+        }
         if *self.fate.borrow() == Fate::Silenced {
             std::future::pending::<()>().await;
         }
     }
+
+    fn passage(&mut self) -> ConnectionPassage {
+        let has_changed = self.passages.has_changed().unwrap_or(true);
+        if let Some(passage) = self.passage.filter(|_| !has_changed) {
+            return passage;
+        }
+        let opening = self.opening.get();
+        let passage = self.passages.borrow_and_update().of(opening.map_or(&[], Vec::as_slice));
+        self.passage = opening.is_some().then_some(passage);
+        passage
+    }
 }
--- a/crates/soak/tests/relay_peers.rs
+++ b/crates/soak/tests/relay_peers.rs
@@ -6,7 +6,7 @@
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt, copy},
         net::{TcpListener, TcpStream},
-        time::timeout,
+        time::{sleep, timeout},
     },
 };
 
@@ -54,3 +54,58 @@
         assert!(echoed(&mut one, b"held", PATIENCE).await, "{passage:?}");
     }
 }
+
+/// A relay before an echo, with two connections: of `side-1` and of `side-10`.
+async fn relayed() -> (TcpRelay, [TcpStream; 2]) {
+    let relay = TcpRelay::start("127.0.0.1:0".parse().unwrap(), echo().await).await.unwrap();
+    let mut one = TcpStream::connect(relay.address()).await.unwrap();
+    let mut other = TcpStream::connect(relay.address()).await.unwrap();
+    assert!(says(&mut one, b"\x06side-1", PATIENCE).await);
+    assert!(says(&mut other, b"\x07side-10", PATIENCE).await);
+    (relay, [one, other])
+}
+
+/// Guards against a peer that is held in place of another whose name its own begins with.
+#[tokio::test]
+async fn names_may_be_bytes() {
+    let (relay, [mut one, mut other]) = relayed().await;
+    relay.set_for_each(&[b"\x06side-1".as_slice(), b"\x06side-2"], Passage::Held);
+    assert!(!says(&mut one, b"held", HELD_FOR).await);
+    assert!(says(&mut other, b"goes on", PATIENCE).await);
+}
+
+/// Guards against a cut that new connections of a held peer get through, or that holds those of
+/// others up.
+#[tokio::test]
+async fn new_connections_of_a_held_peer_wait() {
+    let (relay, _) = relayed().await;
+    relay.set_for("side-2", Passage::Held);
+    let mut one = TcpStream::connect(relay.address()).await.unwrap();
+    let mut other = TcpStream::connect(relay.address()).await.unwrap();
+    assert!(!says(&mut one, b"hello side-2", HELD_FOR).await);
+    assert!(says(&mut other, b"hello side-3", PATIENCE).await);
+    relay.set_for("side-2", Passage::Open);
+    assert!(echoed(&mut one, b"hello side-2", PATIENCE).await);
+}
+
+/// Guards against connections that were given up during a cut and come to life after it.
+#[tokio::test]
+async fn connections_given_up_while_held_are_not_carried_on() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let target_address = target.local_addr().unwrap();
+    let relay = TcpRelay::start("127.0.0.1:0".parse().unwrap(), target_address).await.unwrap();
+    relay.set_for("side-1", Passage::Held);
+    let mut given_up = TcpStream::connect(relay.address()).await.unwrap();
+    given_up.write_all(b"hello side-1").await.unwrap();
+    assert!(timeout(HELD_FOR, target.accept()).await.is_err());
+    drop(given_up);
+    let mut kept = TcpStream::connect(relay.address()).await.unwrap();
+    kept.write_all(b"hello side-1, again").await.unwrap();
+    sleep(HELD_FOR).await;
+    relay.set_for("side-1", Passage::Open);
+    let (mut carried, _) = timeout(PATIENCE, target.accept()).await.unwrap().unwrap();
+    let mut hello = [0; 19];
+    carried.read_exact(&mut hello).await.unwrap();
+    assert_eq!(&hello, b"hello side-1, again");
+    assert!(timeout(HELD_FOR, target.accept()).await.is_err());
+}
