--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -19,7 +19,7 @@
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
         runs::{
-            CallerJobId, CopyPart, Evacuations, FromRunsAgent, Resources, RunReport,
+            CallerJobId, CopyPart, EntryAddress, Evacuations, FromRunsAgent, Resources, RunReport,
             RunsFirstMessage, RunsHello, ToRunsAgent, UpstreamInstance, UpstreamLoad,
         },
     },
@@ -198,7 +198,7 @@
         match message {
             ToRunsAgent::Welcome { .. } => {}
             ToRunsAgent::Members(entries) => {
-                agent.links.set_listed_by(self.peer, &entries, agent.clock.now_ms());
+                agent.links.set_listed_by(self.peer, entries, agent.clock.now_ms());
             }
             ToRunsAgent::Place(placement) => {
                 agent.update_ledger(|ledger, now_ms| ledger.place(self.entry, placement, now_ms));
@@ -406,7 +406,7 @@
     /// Entries to which the agent is connected.
     pub(super) connected: Vec<SocketAddr>,
     /// Entries that the connected entries list.
-    pub(super) named: Vec<SocketAddr>,
+    pub(super) named: Vec<EntryAddress>,
     /// Largest capacity, per resource, of any upstream in the agent's pool.
     pub(super) largest: Resources,
 }
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -19,7 +19,10 @@
         LinkChoice, LinkLimits, LinkState, next_link_count, rank_entries, select_links,
     },
     sycamorerail_telemetry::event,
-    sycamorerail_wire::{ids::Incarnation, runs::Resources},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{EntryAddress, Resources},
+    },
     tokio::{
         sync::{Notify, watch},
         time::{Instant, sleep, timeout_at},
@@ -59,7 +62,7 @@
     /// When this entry was last listed.
     named_ms: u64,
     /// Entries that this one listed last.
-    names: BTreeSet<SocketAddr>,
+    names: BTreeSet<EntryAddress>,
     connected_since_ms: Option<u64>,
     failing_since_ms: Option<u64>,
     /// Incarnation of the last connection to it.
@@ -101,11 +104,12 @@
     }
 
     /// Stores the list of all entries that the entry `by` knows.
-    fn set_listed_by(&self, by: SocketAddr, entries: &[SocketAddr], now_ms: u64) {
+    fn set_listed_by(&self, by: SocketAddr, entries: Vec<EntryAddress>, now_ms: u64) {
+        let addresses: Vec<_> = entries.iter().map(|entry| entry.address).collect();
         if let Some(by) = self.known.lock().entries.get_mut(&by) {
-            by.names = entries.iter().copied().collect();
+            by.names = entries.into_iter().collect();
         }
-        self.add_entries(entries, now_ms);
+        self.add_entries(&addresses, now_ms);
     }
 
     /// Stores what a heartbeat of the entry `by` reports about the agent's pool.
@@ -123,7 +127,7 @@
         let connected =
             known.entries.iter().filter(|(_, entry)| entry.connected_since_ms.is_some());
         let connected = connected.map(|(address, _)| *address).collect();
-        let named = known.named().into_iter().collect();
+        let named = known.named().into_iter().cloned().collect();
         Cluster { connected, named, largest: known.largest }
     }
 
@@ -176,13 +180,13 @@
 
 impl Known {
     /// Returns the entries that other entries list.
-    fn named(&self) -> BTreeSet<SocketAddr> {
-        self.entries.values().flat_map(|entry| entry.names.iter().copied()).collect()
+    fn named(&self) -> BTreeSet<&EntryAddress> {
+        self.entries.values().flat_map(|entry| &entry.names).collect()
     }
 
     /// Forgets entries that no entry lists and that cannot be reached.
     fn forget_lost(&mut self, seeds: &[SocketAddr], now_ms: u64) {
-        let named = self.named();
+        let named: BTreeSet<_> = self.named().iter().map(|entry| entry.address).collect();
         self.entries.retain(|address, entry| {
             let is_old = now_ms >= entry.named_ms + FORGET_AFTER_MS;
             let is_lost = entry.connected_since_ms.is_none() && !named.contains(address);
--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -2,13 +2,13 @@
 
 use {
     super::{ClaimLimits, holders},
-    std::{collections::HashMap, net::SocketAddr},
-    sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, JobClaim},
+    std::{cmp::Reverse, collections::HashMap, net::SocketAddr},
+    sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, JobClaim},
 };
 
-/// Longest time between two looks that counts towards the patience of a claim, in milliseconds. A
-/// process that stood still has not read the answers of that time.
-const MAX_WAIT_STEP_MS: u64 = 40;
+/// Pause before a claim is sent again to a holder where another one is about to end, in
+/// milliseconds: that one may end sooner than at the latest.
+const ENDING_PAUSE_MS: u64 = 100;
 
 /// A claim to be sent to a holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,6 +29,8 @@
         /// The entry that says so.
         holder: SocketAddr,
     },
+    /// Another entry has had it, and its claim is about to end.
+    Postponed,
 }
 
 /// What a holder has answered.
@@ -36,29 +38,44 @@
 enum Vote {
     /// Nothing yet.
     Pending,
-    /// It grants nothing before this time.
+    /// It has started lately, and grants nothing before this time.
     NotYet { until_ms: u64 },
-    /// It has granted the claim.
-    Granted,
+    /// Another entry's claim is about to end there. To be asked again at this time.
+    Ending { until_ms: u64 },
+    /// It has granted the claim, and knew whether it was the only one.
+    Granted { is_alone: bool },
+    /// It has granted the claim before another holder turned out to have started lately: it may
+    /// know of other claims since, which that one has forgotten.
+    Unsure,
     /// Another entry has the job, though this one's claim is granted.
     Held,
-    /// Its process was gone before it was asked.
-    Absent,
-    /// Its process is gone, and may have granted the job to another entry before.
-    Lost,
+}
+
+impl Vote {
+    fn is_granted(self) -> bool {
+        matches!(self, Self::Granted { .. })
+    }
 }
 
 #[derive(Debug)]
 struct Claim {
     number: u64,
     votes: Vec<(SocketAddr, Vote)>,
+    /// Entries without a vote that know of the claim: former holders, and such as have become
+    /// holders since it was granted.
+    told: Vec<SocketAddr>,
     /// When runs of the job are over at the latest.
     ends_ms: u64,
-    /// How long it has been undecided, less the time in which this process stood still.
-    waited_ms: u64,
+    /// When a majority was last certain to keep it, or holders were first asked.
+    confirmed_ms: u64,
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
+    /// Whether no majority has confirmed it in time.
+    is_lapsed: bool,
+    /// It does not lapse before this time, as holders were asked again after this process stood
+    /// still.
+    lapses_from_ms: u64,
 }
 
 impl Claim {
@@ -75,19 +92,81 @@
         }
     }
 
-    fn count(&self, wanted: Vote) -> usize {
-        self.votes.iter().filter(|(_, vote)| *vote == wanted).count()
+    fn count(&self, is_wanted: impl Fn(Vote) -> bool) -> usize {
+        self.votes.iter().filter(|(_, vote)| is_wanted(*vote)).count()
+    }
+
+    /// Number of holders of which a majority has to grant the claim.
+    fn voting(&self, reach: &Reach) -> usize {
+        // A holder that has not started lately knows of every claim, as each is sent to all, but
+        // for those that the first one of two has granted alone.
+        let is_alone = self.count(|vote| vote == Vote::Granted { is_alone: true }) > 0;
+        let has_cast = |holder| self.votes.len() == 2 && self.votes[0].0 == holder;
+        let has_vote = |(holder, vote): &&(SocketAddr, Vote)| {
+            let is_new = matches!(vote, Vote::NotYet { .. });
+            let knows_nothing = is_new && is_alone && !has_cast(*holder);
+            !reach.is_out(*holder) && !knows_nothing
+        };
+        self.votes.iter().filter(has_vote).count()
+    }
+
+    /// Holders with a vote that have granted it.
+    fn granted_by(&self, reach: &Reach) -> impl Iterator<Item = SocketAddr> {
+        let granted = self.votes.iter().filter(|(_, vote)| vote.is_granted());
+        granted.map(|(holder, _)| *holder).filter(|holder| !reach.is_out(*holder))
+    }
+
+    /// Entries that know of it, or should.
+    fn known_to(&self) -> impl Iterator<Item = SocketAddr> {
+        self.votes.iter().map(|(holder, _)| *holder).chain(self.told.iter().copied())
+    }
+
+    /// Takes note of holders that are to be told of it, which it returns.
+    fn tell(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
+        let is_new = |entry: &SocketAddr| self.known_to().all(|known| known != *entry);
+        let new: Vec<_> = ranked.iter().copied().filter(is_new).collect();
+        self.told.extend(&new);
+        new
+    }
+
+    /// Gives it these holders. Returns those that are to be asked.
+    fn move_to(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
+        let known: Vec<_> = self.known_to().collect();
+        let votes = std::mem::take(&mut self.votes);
+        let vote_of = |holder: SocketAddr| votes.iter().find(|(of, _)| *of == holder).copied();
+        // In their order: the first of two has the casting vote.
+        self.votes = ranked
+            .iter()
+            .map(|&holder| vote_of(holder).unwrap_or((holder, Vote::Pending)))
+            .collect();
+        self.told = known.into_iter().filter(|entry| !ranked.contains(entry)).collect();
+        ranked.iter().copied().filter(|&holder| vote_of(holder).is_none()).collect()
+    }
+
+    /// Whether a majority has granted it, and keeps it for long enough.
+    fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
+        let granted = self.granted_by(reach).count();
+        (granted * 2 > self.voting(reach) || self.casting_vote().is_some())
+            && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
+    }
+
+    /// The first holder of two, if it has granted the claim: its vote decides.
+    fn casting_vote(&self) -> Option<SocketAddr> {
+        match self.votes[..] {
+            [(first, Vote::Granted { .. }), _] => Some(first),
+            _ => None,
+        }
     }
 
-    /// Whether enough holders have granted the claim.
-    fn is_decided(&self, limits: &ClaimLimits) -> bool {
-        let granted = self.count(Vote::Granted);
-        let is_new = |(_, vote): &&(_, Vote)| matches!(vote, Vote::NotYet { .. });
-        // A holder that has not started lately knows of every claim, as each is sent to all.
-        let new = if granted > 0 { self.votes.iter().filter(is_new).count() } else { 0 };
-        let voting = self.votes.len() - self.count(Vote::Absent) - new;
-        let is_patient = self.waited_ms < limits.patience_ms;
-        granted * 2 > voting || !is_patient && (granted > 0 || voting == 0)
+    /// Returns when a majority was last certain to keep it.
+    fn last_confirmed_ms(&self, reach: &Reach) -> u64 {
+        let contact_ms = |holder| reach.contacts_ms.get(&holder).copied();
+        let mut contacts_ms: Vec<_> = self.granted_by(reach).filter_map(contact_ms).collect();
+        contacts_ms.sort_unstable_by_key(|&contact_ms| Reverse(contact_ms));
+        let by_majority_ms = contacts_ms.get(self.voting(reach) / 2).copied();
+        let by_first_ms = self.casting_vote().and_then(|holder| reach.contacts_ms.get(&holder));
+        let confirmed_ms = by_majority_ms.max(by_first_ms.copied());
+        confirmed_ms.unwrap_or(0).max(self.confirmed_ms)
     }
 }
 
@@ -95,8 +174,45 @@
 #[derive(Clone, Copy, Debug)]
 struct LostHolder {
     since_ms: u64,
-    /// Whether its process is gone.
-    is_gone: bool,
+    /// Whether it has said that it ends as planned.
+    has_left: bool,
+    /// Whether no agent is in contact with it, if agents can tell.
+    has_no_agents: Option<bool>,
+    /// When agents told so last.
+    told_ms: u64,
+}
+
+impl LostHolder {
+    fn new(has_left: bool, now_ms: u64) -> Self {
+        Self { since_ms: now_ms, has_left, has_no_agents: None, told_ms: now_ms }
+    }
+}
+
+/// What is known of the holders.
+#[derive(Debug)]
+struct Reach {
+    limits: ClaimLimits,
+    lost: HashMap<SocketAddr, LostHolder>,
+    /// When the last message was sent that each holder has answered. Holders keep claims for a
+    /// while after it.
+    contacts_ms: HashMap<SocketAddr, u64>,
+}
+
+impl Reach {
+    /// Whether a holder grants nothing, or nothing that could run.
+    fn is_out(&self, holder: SocketAddr) -> bool {
+        self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
+    }
+
+    /// Whether a holder's vote is not to be expected.
+    fn is_given_up(&self, holder: SocketAddr, now_ms: u64) -> bool {
+        let ClaimLimits { lost_after_ms, noticed_within_ms, .. } = self.limits;
+        self.lost.get(&holder).is_some_and(|lost| {
+            let wait_ms =
+                if lost.has_no_agents.is_some() { noticed_within_ms } else { lost_after_ms };
+            now_ms >= lost.since_ms + wait_ms
+        })
+    }
 }
 
 /// State of a claim, for the log.
@@ -113,52 +229,74 @@
 /// State of an entry that claims jobs.
 #[derive(Debug)]
 pub struct Claims {
-    limits: ClaimLimits,
+    reach: Reach,
     claims: HashMap<CallerJobId, Claim>,
-    lost: HashMap<SocketAddr, LostHolder>,
     /// Number of the last claim.
     last_number: u64,
-    looked_ms: u64,
 }
 
 impl Claims {
     /// Creates the state of an entry without claims.
     #[must_use]
     pub fn new(limits: ClaimLimits) -> Self {
-        Self { limits, claims: HashMap::new(), lost: HashMap::new(), last_number: 0, looked_ms: 0 }
+        let reach = Reach { limits, lost: HashMap::new(), contacts_ms: HashMap::new() };
+        Self { reach, claims: HashMap::new(), last_number: 0 }
     }
 
     /// Begins a claim on a job whose caller waits until `deadline_ms`. Returns what to ask the
-    /// holders among `entries`. Those that have been lost for so long that the claims which they
-    /// granted are over are no holders.
+    /// holders among `entries`.
     pub fn begin(
         &mut self,
         job: CallerJobId,
-        entries: &[SocketAddr],
+        entries: &[EntryAddress],
         deadline_ms: u64,
         now_ms: u64,
     ) -> Vec<ClaimRequest> {
-        let ends_ms = deadline_ms + self.limits.run_over_ms;
-        let is_holder = |entry: &&SocketAddr| {
-            let lost = self.lost.get(entry);
-            lost.is_none_or(|lost| now_ms < lost.since_ms + self.limits.forget_holder_ms)
-        };
-        let entries: Vec<_> = entries.iter().filter(is_holder).copied().collect();
-        let first_vote = |holder| {
-            let is_gone = self.lost.get(&holder).is_some_and(|lost| lost.is_gone);
-            (holder, if is_gone { Vote::Absent } else { Vote::Pending })
-        };
-        let votes: Vec<_> = holders(job, &entries).into_iter().map(first_vote).collect();
+        let votes = holders(job, entries).into_iter().map(|holder| (holder, Vote::Pending));
+        let votes = votes.collect();
         self.last_number += 1;
-        let number = self.last_number;
-        let claim =
-            Claim { number, votes, ends_ms, waited_ms: 0, is_granted: false, was_granted: false };
+        let claim = Claim {
+            number: self.last_number,
+            votes,
+            told: Vec::new(),
+            ends_ms: deadline_ms + self.reach.limits.run_over_ms,
+            confirmed_ms: now_ms,
+            is_granted: false,
+            was_granted: false,
+            is_lapsed: false,
+            lapses_from_ms: now_ms,
+        };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
         let requests = claim.votes.iter().map(request).collect();
         self.claims.insert(job, claim);
         requests
     }
 
+    /// Whether so many holders of a job can be reached that they may grant it.
+    #[must_use]
+    pub fn can_be_granted(&self, job: CallerJobId, entries: &[EntryAddress], now_ms: u64) -> bool {
+        let holders = holders(job, entries);
+        let is_reached = |holder: &SocketAddr| !self.reach.is_given_up(*holder, now_ms);
+        if let [first, _] = &holders[..]
+            && is_reached(first)
+        {
+            return true;
+        }
+        let voting = holders.into_iter().filter(|holder| !self.reach.is_out(*holder));
+        let (reached, lost): (Vec<_>, Vec<_>) = voting.partition(is_reached);
+        reached.len() > lost.len()
+    }
+
+    /// Whether this entry is without contact to most entries, itself included.
+    #[must_use]
+    pub fn is_apart(&self, entries: &[EntryAddress], now_ms: u64) -> bool {
+        let addresses = entries.iter().map(|entry| entry.address);
+        let voting = addresses.filter(|entry| !self.reach.is_out(*entry));
+        let (lost, reached): (Vec<_>, Vec<_>) =
+            voting.partition(|entry| self.reach.is_given_up(*entry, now_ms));
+        lost.len() > reached.len()
+    }
+
     /// Records a holder's answer. Returns the decision, if it is made by this answer.
     pub fn answered(
         &mut self,
@@ -168,12 +306,17 @@
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get(&job).filter(|claim| claim.number == number)?;
         let vote = match answer {
-            ClaimAnswer::Granted => Vote::Granted,
+            ClaimAnswer::Granted { is_alone } => Vote::Granted { is_alone },
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
-            ClaimAnswer::Held if claim.is_granted => Vote::Held,
+            ClaimAnswer::Held | ClaimAnswer::Ending { .. } if claim.is_granted => Vote::Held,
             ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
+            ClaimAnswer::Ending { in_ms } => {
+                let until_ms = now_ms + u64::from(in_ms).min(ENDING_PAUSE_MS);
+                self.record(job, holder, Vote::Ending { until_ms }, now_ms);
+                return Some(ClaimDecision::Postponed);
+            }
         };
-        self.record(job, holder, vote)
+        self.record(job, holder, vote, now_ms)
     }
 
     /// Claims all jobs again after this process has stood still: holders may have taken it for lost
@@ -183,11 +326,10 @@
         for (&job, claim) in &mut self.claims {
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
-            claim.waited_ms = 0;
+            claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
             self.last_number += 1;
             claim.number = self.last_number;
-            let votes = claim.votes.iter_mut().filter(|(_, vote)| *vote != Vote::Absent);
-            votes.for_each(|(_, vote)| *vote = Vote::Pending);
+            claim.votes.iter_mut().for_each(|(_, vote)| *vote = Vote::Pending);
             requests
                 .extend(claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, now_ms)));
         }
@@ -195,46 +337,73 @@
     }
 
     /// Takes note of other entries: claims that are not decided have the holders that rank first
-    /// now. Returns what to ask new ones.
-    pub fn set_entries(&mut self, entries: &[SocketAddr], now_ms: u64) -> Vec<ClaimRequest> {
+    /// now, and new ones are told of granted claims. Returns what to send.
+    pub fn set_entries(&mut self, entries: &[EntryAddress], now_ms: u64) -> Vec<ClaimRequest> {
         let mut requests = Vec::new();
-        for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_granted) {
+        for (&job, claim) in &mut self.claims {
             let ranked = holders(job, entries);
-            let is_new = |holder: &SocketAddr| claim.votes.iter().all(|(of, _)| of != holder);
-            let new: Vec<_> = ranked.iter().copied().filter(is_new).collect();
-            // Those that rank lower now have no vote; they are told of the claim's end.
-            for (holder, vote) in &mut claim.votes {
-                if !ranked.contains(holder) {
-                    *vote = Vote::Absent;
-                }
-            }
-            claim.votes.extend(new.iter().map(|&holder| (holder, Vote::Pending)));
-            requests.extend(new.into_iter().map(|holder| claim.request(job, holder, now_ms)));
+            let to_ask =
+                if claim.is_granted { claim.tell(&ranked) } else { claim.move_to(&ranked) };
+            requests.extend(to_ask.into_iter().map(|holder| claim.request(job, holder, now_ms)));
         }
         requests
     }
 
+    /// Records that a holder has answered a message of some time.
+    pub fn confirmed(&mut self, holder: SocketAddr, sent_ms: u64) {
+        let contact_ms = self.reach.contacts_ms.entry(holder).or_default();
+        *contact_ms = sent_ms.max(*contact_ms);
+    }
+
     /// Records that a holder is no entry any more, or is reached again.
     pub fn holder_reached(&mut self, holder: SocketAddr) {
-        self.lost.remove(&holder);
+        self.reach.lost.remove(&holder);
     }
 
     /// Whether a holder can't be reached.
     #[must_use]
     pub fn is_lost(&self, holder: SocketAddr) -> bool {
-        self.lost.contains_key(&holder)
+        self.reach.lost.contains_key(&holder)
     }
 
-    /// Records that a holder can't be reached, and whether its process is gone.
+    /// Records that a holder can't be reached, and whether nobody listens there: what it has
+    /// granted may be forgotten.
     pub fn holder_lost(&mut self, holder: SocketAddr, is_gone: bool, now_ms: u64) {
-        let lost = self.lost.entry(holder);
-        lost.or_insert(LostHolder { since_ms: now_ms, is_gone }).is_gone = is_gone;
-        if !is_gone {
-            return;
+        self.reach.lost.entry(holder).or_insert(LostHolder::new(false, now_ms));
+        let undecided = self.claims.values_mut().filter(|claim| is_gone && !claim.is_granted);
+        let votes = undecided.flat_map(|claim| &mut claim.votes);
+        let granted = votes.filter(|(of, vote)| *of == holder && vote.is_granted());
+        granted.for_each(|(_, vote)| *vote = Vote::Pending);
+    }
+
+    /// Records that a holder ends as planned, and grants nothing any more.
+    pub fn holder_left(&mut self, holder: SocketAddr, now_ms: u64) {
+        self.reach.lost.insert(holder, LostHolder::new(true, now_ms));
+    }
+
+    /// Records which of the lost holders have no agents, as far as agents can tell: nothing that
+    /// they grant could run. What they have told holds for a while where one of them is replacing
+    /// its connection.
+    pub fn set_without_agents(
+        &mut self,
+        has_no_agents: impl Fn(SocketAddr) -> Option<bool>,
+        now_ms: u64,
+    ) {
+        for (&holder, lost) in &mut self.reach.lost {
+            let told = has_no_agents(holder);
+            if told.is_some() {
+                lost.told_ms = now_ms;
+            } else if now_ms < lost.told_ms + self.reach.limits.noticed_within_ms {
+                continue;
+            }
+            lost.has_no_agents = told;
         }
-        let votes = self.claims.values_mut().flat_map(|claim| &mut claim.votes);
-        let of_holder = votes.filter(|(of, vote)| *of == holder && *vote != Vote::Absent);
-        of_holder.for_each(|(_, vote)| *vote = Vote::Lost);
+    }
+
+    /// Whether any holder can't be reached.
+    #[must_use]
+    pub fn has_lost_holders(&self) -> bool {
+        !self.reach.lost.is_empty()
     }
 
     fn record(
@@ -242,34 +411,43 @@
         job: CallerJobId,
         holder: SocketAddr,
         vote: Vote,
+        now_ms: u64,
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get_mut(&job)?;
         let (_, known) = claim.votes.iter_mut().find(|(of, _)| *of == holder)?;
-        *known = vote;
+        let before = std::mem::replace(known, vote);
+        let is_new = |vote: Vote| matches!(vote, Vote::NotYet { .. });
+        if is_new(vote) && !is_new(before) {
+            let granted = claim.votes.iter_mut().filter(|(_, vote)| vote.is_granted());
+            granted.for_each(|(_, vote)| *vote = Vote::Unsure);
+        }
         if claim.is_granted {
             // The claim has lapsed where this entry could not be heard.
-            let is_lapsed = claim.count(Vote::Held) * 2 > claim.votes.len();
+            let is_lapsed = claim.count(|vote| vote == Vote::Held) * 2 > claim.votes.len();
             return is_lapsed.then_some(ClaimDecision::Denied { holder });
         }
-        claim.is_granted = claim.is_decided(&self.limits);
+        claim.is_granted = claim.is_decided(&self.reach, now_ms);
         claim.is_granted.then_some(ClaimDecision::Granted)
     }
 
-    /// Returns the claims that count as granted by now without the answers of all holders, and
-    /// what to ask holders again that can answer now.
+    /// Returns the claims that are granted now, as holders have left, and what to ask holders again
+    /// that can answer now.
     pub fn tick(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<ClaimRequest>) {
-        let step_ms = (now_ms - self.looked_ms.min(now_ms)).min(MAX_WAIT_STEP_MS);
-        self.looked_ms = now_ms;
         let (mut granted, mut requests) = (Vec::new(), Vec::new());
+        // By then an entry that has left may have started again, and grants claims.
+        let left_for_ms = self.reach.limits.run_over_ms;
+        let may_be_back = |lost: &&mut LostHolder| now_ms >= lost.since_ms + left_for_ms;
+        self.reach.lost.values_mut().filter(may_be_back).for_each(|lost| lost.has_left = false);
         for (&job, claim) in &mut self.claims {
             let mut ask_again = Vec::new();
             for (holder, vote) in &mut claim.votes {
                 let is_due = match *vote {
                     // A holder that grants nothing takes note of a granted claim.
                     Vote::NotYet { until_ms } => claim.is_granted || until_ms <= now_ms,
+                    Vote::Ending { until_ms } => claim.is_granted || until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
-                    Vote::Held => true,
+                    Vote::Held | Vote::Unsure => true,
                     _ => false,
                 };
                 if is_due {
@@ -278,52 +456,62 @@
                 }
             }
             requests.extend(ask_again.into_iter().map(|holder| claim.request(job, holder, now_ms)));
-            if claim.is_granted {
-                continue;
-            }
-            claim.waited_ms += step_ms;
-            claim.is_granted = claim.is_decided(&self.limits);
-            if claim.is_granted {
+            if !claim.is_granted && claim.is_decided(&self.reach, now_ms) {
+                claim.is_granted = true;
                 granted.push(job);
             }
         }
         (granted, requests)
     }
 
+    /// Returns the granted jobs to give up, each once: no majority has confirmed their claims
+    /// lately, so that another entry may be granted them soon. After this process has stood still,
+    /// claims are granted again before.
+    pub fn take_lapsed(&mut self, now_ms: u64) -> Vec<CallerJobId> {
+        let reach = &self.reach;
+        let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
+            (claim.is_granted || claim.was_granted)
+                && !claim.is_lapsed
+                && now_ms >= claim.lapses_from_ms
+                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms()
+        };
+        let mark = |(&job, claim): (&CallerJobId, &mut Claim)| {
+            claim.is_lapsed = true;
+            job
+        };
+        // Kept, as a holder that is back and has a vote again has confirmed nothing yet.
+        for claim in self.claims.values_mut() {
+            claim.confirmed_ms = claim.last_confirmed_ms(reach);
+        }
+        self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
+    }
+
     /// Returns the claims to send again to a holder, over a new connection.
     #[must_use]
-    pub fn renewals(&mut self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
-        let mut renewals = Vec::new();
-        for (&job, claim) in &mut self.claims {
-            let Some((_, vote)) = claim.votes.iter_mut().find(|(of, _)| *of == holder) else {
-                continue;
-            };
-            if *vote == Vote::Absent {
-                *vote = Vote::Pending;
-            }
-            renewals.push(claim.request(job, holder, now_ms));
-        }
-        renewals
+    pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
+        let of_holder =
+            self.claims.iter().filter(|(_, claim)| claim.known_to().any(|entry| entry == holder));
+        of_holder.map(|(&job, claim)| claim.request(job, holder, now_ms)).collect()
     }
 
     /// Whether there are claims that a holder has, or should have.
     #[must_use]
     pub fn has_claims_at(&self, holder: SocketAddr) -> bool {
-        let mut votes = self.claims.values().flat_map(|claim| &claim.votes);
-        votes.any(|(of, _)| *of == holder)
+        self.claims.values().any(|claim| claim.known_to().any(|entry| entry == holder))
     }
 
-    /// Ends a claim at some time, unless it ends sooner. Returns its number and the holders to tell.
+    /// Ends a claim at some time, unless it ends sooner. Returns its number and the holders to
+    /// tell.
     pub fn end_by(&mut self, job: CallerJobId, over_ms: u64) -> Option<(u64, Vec<SocketAddr>)> {
         let claim = self.claims.get_mut(&job)?;
         claim.ends_ms = claim.ends_ms.min(over_ms);
-        Some((claim.number, claim.votes.iter().map(|(holder, _)| *holder).collect()))
+        Some((claim.number, claim.known_to().collect()))
     }
 
     /// Ends a claim. Returns its number and the holders to tell.
     pub fn end(&mut self, job: CallerJobId) -> Option<(u64, Vec<SocketAddr>)> {
-        let Claim { number, votes, .. } = self.claims.remove(&job)?;
-        Some((number, votes.into_iter().map(|(holder, _)| holder).collect()))
+        let claim = self.claims.remove(&job)?;
+        Some((claim.number, claim.known_to().collect()))
     }
 
     /// Whether a holder has not answered a claim.
@@ -339,7 +527,7 @@
         let claim = self.claims.get(&job)?;
         let with = |is_granted: bool| {
             let votes = claim.votes.iter();
-            let wanted = votes.filter(|(_, vote)| (*vote == Vote::Granted) == is_granted);
+            let wanted = votes.filter(|(_, vote)| vote.is_granted() == is_granted);
             wanted.map(|(holder, _)| *holder).collect()
         };
         let (granted_by, others) = (with(true), with(false));
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -3,6 +3,8 @@
 //! An entry claims a job at the job's holders before it starts any of its tasks. The holders are
 //! the entries that rank first for the job's id, so that every entry asks the same ones. Two
 //! entries that are granted a majority of them share a holder, which has granted one of them only.
+//! Without a majority no job is started, and one that runs is given up in time for its runs to be
+//! over before its holders grant it to another entry.
 //!
 //! [`ClaimTable`] is the state of a holder, [`Claims`] that of an entry that claims.
 
@@ -16,8 +18,8 @@
 
 use {
     crate::rendezvous,
-    std::{cmp::Reverse, net::SocketAddr},
-    sycamorerail_wire::runs::CallerJobId,
+    std::{cmp::Reverse, collections::HashSet, net::SocketAddr},
+    sycamorerail_wire::runs::{CallerJobId, EntryAddress},
 };
 
 /// Number of holders of a claim: a majority answers while one of them is lost.
@@ -29,25 +31,69 @@
     /// Time for which runs may go on after their entry is gone or has given up their job, in
     /// milliseconds.
     pub run_over_ms: u64,
-    /// Time after which a claim counts as granted that some holders grant and the others leave
-    /// unanswered, in milliseconds.
-    pub patience_ms: u64,
-    /// Time without contact after which a holder is none any more, in milliseconds: all claims
-    /// that it had granted are over.
-    pub forget_holder_ms: u64,
+    /// Time for which a claim lasts beyond that, in milliseconds.
+    pub margin_ms: u64,
+    /// A claim counts as granted only if the majority of its holders was in contact within this
+    /// time, in milliseconds.
+    pub confirm_within_ms: u64,
+    /// Time within which the runs of a job are over at agents that are in contact once it is given
+    /// up, in milliseconds.
+    pub stop_within_ms: u64,
+    /// Time after which an entry no longer expects the vote of a holder that it can't reach, in
+    /// milliseconds.
+    pub lost_after_ms: u64,
+    /// Time within which agents that are linked to all entries notice that one is lost, in
+    /// milliseconds.
+    pub noticed_within_ms: u64,
+}
+
+impl ClaimLimits {
+    /// Time for which a claim lasts after the last sign of its claimant, in milliseconds: its runs
+    /// are over, whether they can be stopped or end with their leases.
+    #[must_use]
+    pub fn outlast_ms(&self) -> u64 {
+        self.run_over_ms + self.margin_ms
+    }
+
+    /// Time after the last contact with a majority of its holders after which an entry gives a job
+    /// up, in milliseconds.
+    #[must_use]
+    pub fn give_up_ms(&self) -> u64 {
+        self.outlast_ms() - self.stop_within_ms
+    }
 }
 
 /// Returns the entries that hold claims on a job, the same at every entry that knows the same
-/// entries.
+/// entries. They are in different data centres if there are as many, so that the loss of one leaves
+/// a majority.
 #[must_use]
-pub fn holders(job: CallerJobId, entries: &[SocketAddr]) -> Vec<SocketAddr> {
+pub fn holders(job: CallerJobId, entries: &[EntryAddress]) -> Vec<SocketAddr> {
     let id = job.to_string();
-    let mut ranked: Vec<_> = entries
-        .iter()
-        .map(|entry| (Reverse(rendezvous::weight(&id, &entry.to_string())), *entry))
-        .collect();
+    let weight = |entry: &EntryAddress| rendezvous::weight(&id, &entry.address.to_string());
+    let mut ranked: Vec<_> = entries.iter().map(|entry| (Reverse(weight(entry)), entry)).collect();
     ranked.sort_unstable();
-    ranked.dedup();
-    ranked.truncate(HOLDERS);
-    ranked.into_iter().map(|(_, entry)| entry).collect()
+    ranked.dedup_by_key(|(_, entry)| entry.address);
+    let ranked = ranked.into_iter().map(|(_, entry)| entry);
+    let mut data_centres = HashSet::new();
+    let (first, others): (Vec<&EntryAddress>, Vec<_>) =
+        ranked.partition(|entry| data_centres.insert(entry.data_centre.as_str()));
+    let chosen = first.into_iter().chain(others).take(HOLDERS);
+    chosen.map(|entry| entry.address).collect()
+}
+
+/// Whether nothing that a lost holder grants could run, as no agent is in contact with it; `None`
+/// if agents can't tell. Each agent is given with the entries that it is connected to, or `None` if
+/// it has not told them. Agents that are not linked to every entry that is `reached` link to some
+/// entries only, and can't tell.
+pub fn has_no_agents<'a>(
+    holder: SocketAddr,
+    agents: impl IntoIterator<Item = Option<&'a [SocketAddr]>>,
+    reached: &[SocketAddr],
+) -> Option<bool> {
+    let is_linked_to_all =
+        |connected: &&[SocketAddr]| reached.iter().all(|entry| connected.contains(entry));
+    let agents = agents.into_iter().map(|connected| connected.filter(is_linked_to_all));
+    let agents: Vec<_> = agents.collect::<Option<_>>()?;
+    let is_without = |connected: &&[SocketAddr]| !connected.contains(&holder);
+    (!agents.is_empty()).then(|| agents.iter().all(is_without))
 }
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -1,6 +1,7 @@
 //! Claims that other entries, and this one, have been granted here.
 
 use {
+    super::ClaimLimits,
     std::collections::HashMap,
     sycamorerail_wire::{
         ids::Incarnation,
@@ -12,8 +13,8 @@
 /// that of a connection attempt after a refused one.
 const RENEWAL_MS: u64 = 150;
 
-/// Time by which the longest pause between two messages of a claimant may exceed that of its runs, in
-/// milliseconds.
+/// Time by which the longest pause between two messages of a claimant may exceed that of its runs,
+/// in milliseconds.
 const SILENCE_SLACK_MS: u64 = 20;
 /// Longest pause between two looks at what is due in which this process has not stood still, in
 /// milliseconds.
@@ -28,8 +29,17 @@
     /// When it came.
     claimed_ms: u64,
     /// Whether it is granted, by this holder or by others. Otherwise, one that others have granted
-    /// replaces it.
+    /// goes before it.
     is_granted: bool,
+    /// Whether its claimant has given it up, or is not connected.
+    is_ending: bool,
+}
+
+impl Claim {
+    fn end_by(&mut self, over_ms: u64) {
+        self.ends_ms = self.ends_ms.min(over_ms);
+        self.is_ending = true;
+    }
 }
 
 /// The entry that has the claim on a job, for the log.
@@ -43,34 +53,44 @@
     pub silent_ms: u64,
 }
 
+/// When a claim ends.
+enum End {
+    /// It has ended.
+    Over,
+    /// At the latest in so many milliseconds.
+    In(u64),
+    /// Its claimant goes on with the job.
+    Open,
+}
+
 /// State of a holder.
 #[derive(Debug)]
 pub struct ClaimTable {
-    claims: HashMap<CallerJobId, Claim>,
+    /// Claims on each job in the order in which they came. The first one may be granted; the others
+    /// wait for its end, since one of them may be granted by other holders.
+    claims: HashMap<CallerJobId, Vec<Claim>>,
     /// Number of the last connection of each claimant.
     connections: HashMap<Incarnation, u64>,
-    last_connection: u64,
     /// When each connected claimant was heard last, later by the time in which this process stood
     /// still since.
     heard_ms: HashMap<Incarnation, u64>,
     ticked_ms: u64,
     /// Claims that an earlier process of this entry has granted are over, or known, by this time.
     grants_from_ms: u64,
-    run_over_ms: u64,
+    limits: ClaimLimits,
 }
 
 impl ClaimTable {
     /// Creates the table of an entry that has granted nothing before.
     #[must_use]
-    pub fn new(run_over_ms: u64) -> Self {
+    pub fn new(limits: ClaimLimits) -> Self {
         Self {
             claims: HashMap::new(),
             connections: HashMap::new(),
-            last_connection: 0,
             heard_ms: HashMap::new(),
             ticked_ms: 0,
             grants_from_ms: 0,
-            run_over_ms,
+            limits,
         }
     }
 
@@ -78,64 +98,85 @@
     /// over which it does not know: those of entries that were gone before they could claim their
     /// jobs again.
     #[must_use]
-    pub fn restarted(run_over_ms: u64, now_ms: u64) -> Self {
-        Self { grants_from_ms: now_ms + RENEWAL_MS + run_over_ms, ..Self::new(run_over_ms) }
+    pub fn restarted(limits: ClaimLimits, now_ms: u64) -> Self {
+        let grants_from_ms = now_ms + RENEWAL_MS + limits.run_over_ms;
+        Self { grants_from_ms, ..Self::new(limits) }
     }
 
-    /// Grants a claim for some time, unless another entry has one on the job. A claimant that asks
-    /// again is granted the new time.
+    /// Grants a claim for some time, unless another entry has one on the job: then it waits for
+    /// that one's end. A claimant that asks again is granted the new time.
     pub fn claim(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> AnsweredClaim {
         let JobClaim { job, number, .. } = asked;
         AnsweredClaim { job, number, answer: self.grant(asked, claimant, now_ms) }
     }
 
     fn grant(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
-        let is_live = |claim: &&Claim| claim.ends_ms > now_ms && !self.is_silent(claim, now_ms);
-        let held = self.claims.get(&asked.job).filter(is_live);
-        let is_held = |claim: &Claim| {
-            if claim.claimant == claimant {
-                // A connection that was replaced may deliver an earlier claim.
-                claim.number > asked.number
-            } else {
-                claim.is_granted || !asked.is_granted
-            }
+        let mut queue = self.claims.remove(&asked.job).unwrap_or_default();
+        queue.retain(|claim| !matches!(self.end_of(claim, now_ms), End::Over));
+        let known = queue.iter().position(|claim| claim.claimant == claimant);
+        let is_overtaken = known.is_some_and(|known| queue[known].number > asked.number);
+        // A connection that was replaced may deliver an earlier claim.
+        let answer = if is_overtaken {
+            ClaimAnswer::Held
+        } else {
+            let same = known.map(|known| queue.remove(known));
+            let same = same.filter(|claim| claim.number == asked.number);
+            let claim = Claim {
+                claimant,
+                number: asked.number,
+                ends_ms: now_ms + asked.for_ms,
+                claimed_ms: same.map_or(now_ms, |claim| claim.claimed_ms),
+                is_granted: asked.is_granted,
+                is_ending: false,
+            };
+            let is_first = queue.first().is_none_or(|first| asked.is_granted && !first.is_granted);
+            let place = if is_first { 0 } else { known.unwrap_or(queue.len()) };
+            queue.insert(place, claim);
+            self.answer(&mut queue, claimant, now_ms)
         };
-        if held.is_some_and(is_held) {
-            return ClaimAnswer::Held;
+        self.claims.insert(asked.job, queue);
+        answer
+    }
+
+    /// Answers one of the claims on a job.
+    fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
+        let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
+        let is_alone = queue.len() == 1;
+        let Some(first) = queue.first_mut() else { return ClaimAnswer::Held };
+        if first.claimant != claimant {
+            return match self.end_of(first, now_ms) {
+                End::In(in_ms) => ClaimAnswer::Ending { in_ms: whole(in_ms) },
+                End::Open | End::Over => ClaimAnswer::Held,
+            };
         }
-        let is_granted = asked.is_granted || now_ms >= self.grants_from_ms;
-        let known = self.claims.get(&asked.job).filter(|claim| claim.number == asked.number);
-        let claim = Claim {
-            claimant,
-            number: asked.number,
-            ends_ms: now_ms + asked.for_ms,
-            claimed_ms: known.map_or(now_ms, |claim| claim.claimed_ms),
-            is_granted,
-        };
-        self.claims.insert(asked.job, claim);
-        if is_granted {
-            return ClaimAnswer::Granted;
+        first.is_granted |= now_ms >= self.grants_from_ms;
+        if first.is_granted {
+            ClaimAnswer::Granted { is_alone }
+        } else {
+            ClaimAnswer::NotYet { in_ms: whole(self.grants_from_ms - now_ms) }
         }
-        let in_ms = u32::try_from(self.grants_from_ms - now_ms).unwrap_or(u32::MAX);
-        ClaimAnswer::NotYet { in_ms }
     }
 
     /// Ends a claim after the time that its claimant names, or when it ends anyway.
     pub fn release(&mut self, release: ClaimRelease, claimant: Incarnation, now_ms: u64) {
-        let Some(claim) = self.claims.get_mut(&release.job) else { return };
-        if claim.claimant == claimant && claim.number <= release.number {
-            claim.ends_ms = claim.ends_ms.min(now_ms + release.after_ms);
+        let Some(queue) = self.claims.get_mut(&release.job) else { return };
+        let is_released =
+            |claim: &&mut Claim| claim.claimant == claimant && claim.number <= release.number;
+        for claim in queue.iter_mut().filter(is_released) {
+            claim.end_by(now_ms + release.after_ms);
         }
     }
 
-    /// Records a connection of a claimant, which claims its jobs again over it. What it may have
-    /// given up over an earlier one ends when its runs are over. Returns the connection's number.
-    pub fn connected(&mut self, claimant: Incarnation, now_ms: u64) -> u64 {
-        self.last_connection += 1;
-        self.connections.insert(claimant, self.last_connection);
+    /// Records a connection of a claimant, by its number, over which the claimant claims its jobs
+    /// again. What it may have given up over an earlier one ends as on a disconnect. A connection
+    /// that a later one has overtaken changes nothing.
+    pub fn connected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
+        if self.connections.get(&claimant).is_some_and(|last| *last > connection) {
+            return;
+        }
+        self.connections.insert(claimant, connection);
         self.shorten(claimant, now_ms);
         self.heard_ms.entry(claimant).or_insert(now_ms);
-        self.last_connection
     }
 
     /// Records that a claimant still wants its jobs.
@@ -143,17 +184,35 @@
         self.heard_ms.insert(claimant, now_ms);
     }
 
-    /// Whether a claimant has been silent for so long that its runs are over: it may stand still.
-    fn is_silent(&self, claim: &Claim, now_ms: u64) -> bool {
-        let Some(&heard_ms) = self.heard_ms.get(&claim.claimant) else { return false };
+    /// When a claim of another entry ends. It is about to end if only the longest time of runs is
+    /// left of it, its claimant is not connected, or has been silent for so long that it may stand
+    /// still or be cut off.
+    fn end_of(&self, claim: &Claim, now_ms: u64) -> End {
+        let silence_ms = self.silence_ms(claim, now_ms);
+        let silent_from_ms = self.limits.outlast_ms() + SILENCE_SLACK_MS;
+        let left_ms = claim.ends_ms.saturating_sub(now_ms);
+        if left_ms == 0 || silence_ms >= silent_from_ms {
+            End::Over
+        } else if claim.is_ending || left_ms <= self.limits.run_over_ms {
+            End::In(left_ms)
+        } else if silence_ms >= self.limits.confirm_within_ms {
+            End::In(left_ms.min(silent_from_ms - silence_ms))
+        } else {
+            End::Open
+        }
+    }
+
+    /// Time since the claimant of a claim was heard, or the claim came.
+    fn silence_ms(&self, claim: &Claim, now_ms: u64) -> u64 {
+        let Some(&heard_ms) = self.heard_ms.get(&claim.claimant) else { return 0 };
         // What came while this process stood still is not read yet.
         let own_stall_ms = own_stall_ms(self.ticked_ms, now_ms);
-        let heard_ms = heard_ms.max(claim.claimed_ms) + own_stall_ms;
-        now_ms.saturating_sub(heard_ms) >= self.run_over_ms + SILENCE_SLACK_MS
+        now_ms.saturating_sub(heard_ms.max(claim.claimed_ms) + own_stall_ms)
     }
 
-    /// Records the end of a connection. A claimant whose last one it was may be gone: its claims
-    /// end when its runs are over, unless it claims the jobs again.
+    /// Records the end of a connection. A claimant whose last one it was may be gone, or can't
+    /// reach this holder: its claims end when it has given them up and its runs are over, unless it
+    /// claims the jobs again.
     pub fn disconnected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
         if self.connections.get(&claimant) == Some(&connection) {
             self.connections.remove(&claimant);
@@ -163,10 +222,9 @@
     }
 
     fn shorten(&mut self, claimant: Incarnation, now_ms: u64) {
-        let over_ms = now_ms + self.run_over_ms;
-        for claim in self.claims.values_mut().filter(|claim| claim.claimant == claimant) {
-            claim.ends_ms = claim.ends_ms.min(over_ms);
-        }
+        let over_ms = now_ms + self.limits.outlast_ms();
+        let claims = self.claims.values_mut().flatten();
+        claims.filter(|claim| claim.claimant == claimant).for_each(|claim| claim.end_by(over_ms));
     }
 
     /// Forgets claims that have ended.
@@ -174,13 +232,16 @@
         let stall_ms = own_stall_ms(self.ticked_ms, now_ms);
         self.heard_ms.values_mut().for_each(|heard_ms| *heard_ms += stall_ms);
         self.ticked_ms = now_ms;
-        self.claims.retain(|_, claim| claim.ends_ms > now_ms);
+        self.claims.retain(|_, queue| {
+            queue.retain(|claim| claim.ends_ms > now_ms);
+            !queue.is_empty()
+        });
     }
 
     /// The entry that has the claim on a job.
     #[must_use]
     pub fn owner(&self, job: CallerJobId, now_ms: u64) -> Option<ClaimOwner> {
-        let Claim { claimant, number, .. } = *self.claims.get(&job)?;
+        let Claim { claimant, number, .. } = *self.claims.get(&job)?.first()?;
         let heard_ms = self.heard_ms.get(&claimant).copied().unwrap_or(now_ms);
         Some(ClaimOwner { claimant, number, silent_ms: now_ms.saturating_sub(heard_ms) })
     }
@@ -188,10 +249,10 @@
     /// Number of claims of an entry.
     #[must_use]
     pub fn count_of(&self, claimant: Incarnation) -> usize {
-        self.claims.values().filter(|claim| claim.claimant == claimant).count()
+        self.claims.values().flatten().filter(|claim| claim.claimant == claimant).count()
     }
 
-    /// Number of claims.
+    /// Number of jobs with claims.
     #[must_use]
     pub fn len(&self) -> usize {
         self.claims.len()
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -1,5 +1,5 @@
-//! Claims on jobs, as the dispatch needs them: a job waits until its claim is granted, and gives the
-//! claim up as it ends.
+//! Claims on jobs, as the dispatch needs them: a job waits until its claim is granted, and gives
+//! the claim up as it ends.
 
 use {
     super::{Dispatch, Ending, Job, JobKey, NoResultReason},
@@ -57,6 +57,20 @@
         }
     }
 
+    /// Lets a job wait as long as its caller, as another entry's claim on it is about to end.
+    pub fn claim_postponed(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.wait_as_long_as_caller();
+        }
+    }
+
+    /// Ends a job whose claim is not confirmed: another entry may soon be granted it.
+    pub fn claim_lapsed(&mut self, key: JobKey) {
+        if self.jobs.get(key).is_some_and(|job| job.ending.is_none()) {
+            self.begin_ending(key, Ending::GivenUp(NoResultReason::NoMajority));
+        }
+    }
+
     /// Returns the jobs that have ended since the last call.
     pub fn take_released(&mut self) -> Vec<ReleasedJob> {
         std::mem::take(&mut self.released)
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -280,6 +280,12 @@
         self.refuse_ms = self.give_up_ms;
     }
 
+    /// Lets the job run as long as its caller waits.
+    pub fn wait_as_long_as_caller(&mut self) {
+        self.give_up_ms = self.request.deadline_ms;
+        self.refuse_ms = self.request.deadline_ms;
+    }
+
     /// Work of all tasks by their estimates, in thousandths of a core times milliseconds.
     #[must_use]
     pub fn work_milli_ms(&self) -> u64 {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -199,12 +199,8 @@
         let refused = |reason, retry_after_ms| JobAnswer::NotRun { reason, retry_after_ms };
         // A job that is refused without a forecast must not report that of another job.
         self.last_forecast = JobForecast::default();
-        if self.by_id.contains_key(&request.id) {
-            // The first job may have run, so "not run" would be false.
-            return Err(JobAnswer::Unknown { reason: NoResultReason::Duplicate });
-        }
-        if self.is_held_elsewhere(request.id, now_ms) {
-            return Err(JobAnswer::Unknown { reason: NoResultReason::HeldElsewhere });
+        if let Some(answer) = self.answer_copy(request.id, now_ms) {
+            return Err(answer);
         }
         if self.jobs.len() >= self.limits.max_jobs {
             return Err(refused(NoResultReason::Overload, NO_UPSTREAM_RETRY_MS));
@@ -251,6 +247,30 @@
         Ok(key)
     }
 
+    /// Returns the answer to a job that can't be granted here.
+    pub fn refuse_without_majority(&mut self, id: CallerJobId, now_ms: u64) -> JobAnswer {
+        self.last_forecast = JobForecast::default();
+        // The caller's next attempt reaches another entry.
+        let refused = JobAnswer::NotRun {
+            reason: NoResultReason::NoMajority,
+            retry_after_ms: NOT_HERE_RETRY_MS,
+        };
+        self.answer_copy(id, now_ms).unwrap_or(refused)
+    }
+
+    /// Returns the answer to a copy of a job that is known: the job may have run, so that "not run"
+    /// would be false.
+    fn answer_copy(&self, id: CallerJobId, now_ms: u64) -> Option<JobAnswer> {
+        let unknown = |reason| Some(JobAnswer::Unknown { reason });
+        if self.by_id.contains_key(&id) {
+            unknown(NoResultReason::Duplicate)
+        } else if self.is_held_elsewhere(id, now_ms) {
+            unknown(NoResultReason::HeldElsewhere)
+        } else {
+            None
+        }
+    }
+
     fn apply_run_event(
         &mut self,
         agent: AgentKey,
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -141,6 +141,8 @@
     Duplicate,
     /// Another entry has the job.
     HeldElsewhere,
+    /// The entry can't reach a majority of the entries that know who has the job.
+    NoMajority,
 }
 
 impl NoResultReason {
@@ -159,6 +161,7 @@
             Self::Cancelled => "cancelled",
             Self::Duplicate => "duplicate",
             Self::HeldElsewhere => "held_elsewhere",
+            Self::NoMajority => "no_majority",
         }
     }
 }
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -1,5 +1,5 @@
-//! Entries that claim one job over connections that break and are slow, and that are killed and
-//! start again: no two of them run it at a time.
+//! Entries that claim one job over connections that break and are slow, that are cut off from each
+//! other, and that are killed and start again: no two of them run it at a time.
 
 use {
     proptest::prelude::*,
@@ -7,20 +7,31 @@
     sycamorerail_decide::claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{AnsweredClaim, CallerJobId, ClaimRelease, JobClaim},
+        runs::{AnsweredClaim, CallerJobId, ClaimRelease, EntryAddress, JobClaim},
     },
 };
 
 const JOB: CallerJobId = CallerJobId(1);
 const RUN_OVER_MS: u64 = 1_240;
-/// Longer than any message takes here: what follows from patience is a choice for service.
-const LIMITS: ClaimLimits =
-    ClaimLimits { run_over_ms: RUN_OVER_MS, patience_ms: 100_000, forget_holder_ms: 100_000 };
+const LIMITS: ClaimLimits = ClaimLimits {
+    run_over_ms: RUN_OVER_MS,
+    margin_ms: 400,
+    confirm_within_ms: 500,
+    stop_within_ms: 400,
+    lost_after_ms: 250,
+    noticed_within_ms: 1_500,
+};
 const STEP_MS: u64 = 10;
-/// Within this time at most two entries are asked for the job: callers wait longer before each copy.
+/// Between two messages by which holders hear that claims are still wanted.
+const BEAT_MS: u64 = 100;
+/// Within this time at most two entries are asked for the job: callers wait longer before each
+/// copy.
 const ASK_AGAIN_MS: u64 = 700;
 /// Longest time of a message on its way, and until a broken connection is made again.
 const MAX_DELAY_MS: u64 = 100;
+/// Between two kills while a cut may have kept entries from claiming their jobs again: holders that
+/// lose what they know at a time, one of them on each side of a cut, are not covered.
+const KILL_GAP_MS: u64 = 5_000;
 
 #[derive(Clone, Debug)]
 enum Act {
@@ -32,6 +43,9 @@
     Break { claimant: usize, holder: usize },
     /// An entry is killed, and starts again so many steps later.
     Kill { entry: usize, steps: u64 },
+    /// A cut separates some entries from the others for so many steps. It refuses connections, or
+    /// holds all up.
+    Cut { apart: u8, steps: u64, refuses: bool },
     /// Time passes; messages take so long meanwhile.
     Wait { steps: u64, delay_ms: u64 },
 }
@@ -43,16 +57,22 @@
         2 => (0..entries, 0..entries)
             .prop_map(|(claimant, holder)| Act::Break { claimant, holder }),
         1 => (0..entries, 0..150_u64).prop_map(|(entry, steps)| Act::Kill { entry, steps }),
+        1 => (1..31_u8, 1..500_u64, any::<bool>())
+            .prop_map(|(apart, steps, refuses)| Act::Cut { apart, steps, refuses }),
         6 => (0..60_u64, 0..MAX_DELAY_MS).prop_map(|(steps, delay_ms)| Act::Wait { steps, delay_ms }),
     ];
     prop::collection::vec(act, 1..60)
 }
 
 enum Message {
-    Connect(Incarnation),
+    Connect(Incarnation, u64),
     Claim(Incarnation, JobClaim),
     Release(Incarnation, ClaimRelease),
+    /// The claimant still wants its jobs, as of some time.
+    Beat(Incarnation, u64),
     Answer(AnsweredClaim),
+    /// A message of some time is answered.
+    Heard(u64),
 }
 
 struct Entry {
@@ -73,13 +93,20 @@
     to_claimant: Vec<Vec<VecDeque<(u64, Message)>>>,
     /// Incarnations whose connection each holder knows, by claimant and holder.
     connected: Vec<Vec<Option<(Incarnation, u64)>>>,
-    /// Runs that killed entries have left go on until then.
-    left_until_ms: Vec<u64>,
+    /// Runs that entries have left go on until then, by the incarnation.
+    left_until_ms: Vec<(u64, Incarnation)>,
+    /// Entries that are cut off from the others, as a bit each, and when the cut heals.
+    cut: Option<(u8, u64)>,
+    /// When an entry was killed last.
+    killed_ms: Option<u64>,
+    /// Since when a cut has been on, or until when one was.
+    cut_ms: Option<u64>,
     /// When entries were asked for the job.
     asked_ms: Vec<u64>,
     now_ms: u64,
     delay_ms: u64,
     next_incarnation: u64,
+    last_connection: u64,
 }
 
 fn address(entry: usize) -> SocketAddr {
@@ -100,13 +127,17 @@
             to_claimant: queues(),
             connected: vec![vec![None; count]; count],
             left_until_ms: Vec::new(),
+            cut: None,
+            killed_ms: None,
+            cut_ms: None,
             asked_ms: Vec::new(),
             now_ms: 0,
             delay_ms: 0,
             next_incarnation: 1,
+            last_connection: 0,
         };
         for _ in 0..count {
-            let entry = model.fresh(ClaimTable::new(RUN_OVER_MS));
+            let entry = model.fresh(ClaimTable::new(LIMITS));
             model.entries.push(entry);
         }
         for claimant in 0..count {
@@ -127,6 +158,12 @@
         }
     }
 
+    /// Whether a cut separates two entries.
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        let is_apart = |apart: u8, entry: usize| apart >> entry & 1;
+        self.cut.is_some_and(|(apart, _)| is_apart(apart, one) != is_apart(apart, other))
+    }
+
     fn is_up(&self, entry: usize) -> bool {
         self.entries[entry].down_until_ms.is_none()
     }
@@ -144,6 +181,10 @@
         if !self.is_up(claimant) {
             return;
         }
+        if self.is_cut(claimant, holder) {
+            self.entries[claimant].claims.holder_lost(address(holder), false, self.now_ms);
+            return;
+        }
         if !self.is_up(holder) {
             self.entries[claimant].claims.holder_lost(address(holder), true, self.now_ms);
             return;
@@ -152,7 +193,8 @@
         entry.claims.holder_reached(address(holder));
         let (incarnation, renewals) =
             (entry.incarnation, entry.claims.renewals(address(holder), self.now_ms));
-        self.send(claimant, holder, Message::Connect(incarnation));
+        self.last_connection += 1;
+        self.send(claimant, holder, Message::Connect(incarnation, self.last_connection));
         for ClaimRequest { claim, .. } in renewals {
             self.send(claimant, holder, Message::Claim(incarnation, claim));
         }
@@ -178,7 +220,7 @@
             if holder == claimant {
                 let answer = self.entries[holder].table.claim(claim, incarnation, self.now_ms);
                 self.answered(claimant, holder, answer);
-            } else if self.is_up(holder) {
+            } else if self.is_up(holder) && !self.is_cut(claimant, holder) {
                 self.send(claimant, holder, Message::Claim(incarnation, claim));
             } else {
                 self.connect(claimant, holder);
@@ -190,24 +232,28 @@
         let entry = &mut self.entries[claimant];
         match entry.claims.answered(answer, address(holder), self.now_ms) {
             Some(ClaimDecision::Granted) => entry.is_granted = true,
-            Some(ClaimDecision::Denied { .. }) => self.end(claimant),
-            None => {}
+            Some(ClaimDecision::Denied { .. }) => self.end(claimant, 0),
+            Some(ClaimDecision::Postponed) | None => {}
         }
     }
 
-    fn end(&mut self, entry: usize) {
+    /// Ends a job at an entry, whose runs are over so much later.
+    fn end(&mut self, entry: usize, after_ms: u64) {
         if self.entries[entry].job_ends_ms.take().is_none() {
             return;
         }
-        self.entries[entry].is_granted = false;
+        if std::mem::take(&mut self.entries[entry].is_granted) && after_ms > 0 {
+            let incarnation = self.entries[entry].incarnation;
+            self.left_until_ms.push((self.now_ms + after_ms, incarnation));
+        }
         let incarnation = self.entries[entry].incarnation;
         let Some((claim_number, holders)) = self.entries[entry].claims.end(JOB) else { return };
-        let release = ClaimRelease { job: JOB, number: claim_number, after_ms: 0 };
+        let release = ClaimRelease { job: JOB, number: claim_number, after_ms };
         for holder in holders {
             let holder = number(holder);
             if holder == entry {
                 self.entries[entry].table.release(release, incarnation, self.now_ms);
-            } else if self.is_up(holder) {
+            } else if self.is_up(holder) && !self.is_cut(entry, holder) {
                 self.send(entry, holder, Message::Release(incarnation, release));
             }
         }
@@ -218,19 +264,34 @@
             Act::Submit { entry, steps } => {
                 let is_recent = |asked_ms: &&u64| self.now_ms < **asked_ms + ASK_AGAIN_MS;
                 let is_asked = self.asked_ms.iter().filter(is_recent).count() > 1;
-                if !self.is_up(entry) || is_asked || self.entries[entry].job_ends_ms.is_some() {
+                // An entry refuses a job of which it has runs left.
+                let incarnation = self.entries[entry].incarnation;
+                let is_left = |&(until_ms, of): &_| self.now_ms < until_ms && of == incarnation;
+                let has_job = self.entries[entry].job_ends_ms.is_some()
+                    || self.left_until_ms.iter().any(is_left);
+                if !self.is_up(entry) || is_asked || has_job {
                     return;
                 }
                 let deadline_ms = self.now_ms + steps * STEP_MS;
                 self.asked_ms.push(self.now_ms);
-                let all: Vec<_> = (0..self.entries.len()).map(address).collect();
+                let located = |entry| EntryAddress {
+                    address: address(entry),
+                    data_centre: entry.to_string(),
+                };
+                let all: Vec<_> = (0..self.entries.len()).map(located).collect();
                 let entry_state = &mut self.entries[entry];
                 entry_state.job_ends_ms = Some(deadline_ms);
                 let requests = entry_state.claims.begin(JOB, &all, deadline_ms, self.now_ms);
                 self.ask(entry, requests);
             }
-            Act::End { entry } => self.end(entry),
-            Act::Break { claimant, holder } if claimant != holder && self.is_up(claimant) => {
+            Act::End { entry } => self.end(entry, 0),
+            Act::Cut { apart, steps, refuses } if self.cut.is_none() => {
+                self.cut(apart, self.now_ms + steps * STEP_MS, refuses);
+            }
+            Act::Cut { .. } => {}
+            Act::Break { claimant, holder }
+                if claimant != holder && self.is_up(claimant) && !self.is_cut(claimant, holder) =>
+            {
                 self.disconnect(claimant, holder);
                 self.connect(claimant, holder);
             }
@@ -245,12 +306,55 @@
         }
     }
 
+    fn cut(&mut self, apart: u8, until_ms: u64, refuses: bool) {
+        let is_recent = |at_ms: u64| self.now_ms < at_ms + KILL_GAP_MS;
+        if self.killed_ms.is_some_and(is_recent) {
+            return;
+        }
+        self.cut = Some((apart, until_ms));
+        self.cut_ms = Some(until_ms);
+        for claimant in 0..self.entries.len() {
+            for holder in (0..self.entries.len()).filter(|&holder| holder != claimant) {
+                if !self.is_cut(claimant, holder) {
+                    continue;
+                }
+                if refuses {
+                    self.disconnect(claimant, holder);
+                }
+                let gone = refuses && self.is_up(claimant);
+                if self.is_up(claimant) {
+                    let claims = &mut self.entries[claimant].claims;
+                    claims.holder_lost(address(holder), gone, self.now_ms);
+                }
+            }
+        }
+    }
+
+    /// Connections that a cut has held up are replaced as it heals.
+    fn heal(&mut self) {
+        let cut = self.cut.take();
+        for claimant in 0..self.entries.len() {
+            for holder in (0..self.entries.len()).filter(|&holder| holder != claimant) {
+                self.cut = cut;
+                let was_cut = self.is_cut(claimant, holder);
+                self.cut = None;
+                if was_cut && self.is_up(claimant) {
+                    self.disconnect(claimant, holder);
+                    self.connect(claimant, holder);
+                }
+            }
+        }
+    }
+
     fn kill(&mut self, entry: usize, steps: u64) {
-        if !self.is_up(entry) {
+        let is_recent = |at_ms: u64| self.now_ms < at_ms + KILL_GAP_MS;
+        if !self.is_up(entry) || self.cut_ms.is_some_and(is_recent) {
             return;
         }
+        self.killed_ms = Some(self.now_ms);
         if self.entries[entry].is_granted {
-            self.left_until_ms.push(self.now_ms + RUN_OVER_MS);
+            let incarnation = self.entries[entry].incarnation;
+            self.left_until_ms.push((self.now_ms + RUN_OVER_MS, incarnation));
         }
         for other in 0..self.entries.len() {
             self.disconnect(entry, other);
@@ -258,7 +362,7 @@
             self.to_claimant[other][entry].clear();
             self.connected[other][entry] = None;
         }
-        self.entries[entry] = self.fresh(ClaimTable::new(RUN_OVER_MS));
+        self.entries[entry] = self.fresh(ClaimTable::new(LIMITS));
         self.entries[entry].down_until_ms = Some(self.now_ms + steps * STEP_MS);
         for other in 0..self.entries.len() {
             if other != entry {
@@ -269,9 +373,12 @@
 
     fn step(&mut self) {
         self.now_ms += STEP_MS;
+        if self.cut.is_some_and(|(_, until_ms)| until_ms <= self.now_ms) {
+            self.heal();
+        }
         for entry in 0..self.entries.len() {
             if self.entries[entry].down_until_ms.is_some_and(|until_ms| until_ms <= self.now_ms) {
-                let table = ClaimTable::restarted(RUN_OVER_MS, self.now_ms);
+                let table = ClaimTable::restarted(LIMITS, self.now_ms);
                 self.entries[entry] = self.fresh(table);
                 self.connect_all(entry);
                 for other in (0..self.entries.len()).filter(|&other| other != entry) {
@@ -282,29 +389,47 @@
                 continue;
             }
             if self.entries[entry].job_ends_ms.is_some_and(|ends_ms| ends_ms <= self.now_ms) {
-                self.end(entry);
+                self.end(entry, 0);
             }
+            self.entries[entry].claims.confirmed(address(entry), self.now_ms);
             let (granted, requests) = self.entries[entry].claims.tick(self.now_ms);
             self.entries[entry].is_granted |= !granted.is_empty();
             self.ask(entry, requests);
+            if !self.entries[entry].claims.take_lapsed(self.now_ms).is_empty() {
+                self.end(entry, LIMITS.stop_within_ms);
+            }
         }
+        self.beat();
         self.deliver();
         for holder in 0..self.entries.len() {
-            for claimant in 0..self.entries.len() {
-                if let Some((incarnation, _)) = self.connected[claimant][holder] {
-                    self.entries[holder].table.heard(incarnation, self.now_ms);
-                }
-            }
             self.entries[holder].table.tick(self.now_ms);
         }
         let live = self.entries.iter().filter(|entry| entry.is_granted).count();
-        let left = self.left_until_ms.iter().filter(|&&until_ms| self.now_ms < until_ms).count();
+        let left = self.left_until_ms.iter().filter(|left| self.now_ms < left.0).count();
         assert!(live + left <= 1, "{live} entries run the job, and {left} have left runs");
     }
 
+    /// Claimants are heard from time to time.
+    fn beat(&mut self) {
+        if !self.now_ms.is_multiple_of(BEAT_MS) {
+            return;
+        }
+        for claimant in 0..self.entries.len() {
+            for holder in (0..self.entries.len()).filter(|&holder| holder != claimant) {
+                if self.is_up(claimant) && self.is_up(holder) {
+                    let incarnation = self.entries[claimant].incarnation;
+                    self.send(claimant, holder, Message::Beat(incarnation, self.now_ms));
+                }
+            }
+        }
+    }
+
     fn deliver(&mut self) {
         for claimant in 0..self.entries.len() {
             for holder in 0..self.entries.len() {
+                if self.is_cut(claimant, holder) {
+                    continue;
+                }
                 let now_ms = self.now_ms;
                 let is_due = |queue: &VecDeque<(u64, Message)>| {
                     queue.front().is_some_and(|(at_ms, _)| *at_ms <= now_ms)
@@ -315,8 +440,13 @@
                 }
                 while is_due(&self.to_claimant[claimant][holder]) {
                     let (_, message) = self.to_claimant[claimant][holder].pop_front().unwrap();
-                    let Message::Answer(answer) = message else { unreachable!() };
-                    self.answered(claimant, holder, answer);
+                    match message {
+                        Message::Answer(answer) => self.answered(claimant, holder, answer),
+                        Message::Heard(sent_ms) => {
+                            self.entries[claimant].claims.confirmed(address(holder), sent_ms);
+                        }
+                        _ => unreachable!(),
+                    }
                 }
             }
         }
@@ -325,8 +455,8 @@
     fn handle_at_holder(&mut self, claimant: usize, holder: usize, message: Message) {
         let table = &mut self.entries[holder].table;
         match message {
-            Message::Connect(incarnation) => {
-                let connection = table.connected(incarnation, self.now_ms);
+            Message::Connect(incarnation, connection) => {
+                table.connected(incarnation, connection, self.now_ms);
                 self.connected[claimant][holder] = Some((incarnation, connection));
             }
             Message::Claim(incarnation, claim) => {
@@ -338,7 +468,15 @@
             Message::Release(incarnation, release) => {
                 table.release(release, incarnation, self.now_ms);
             }
-            Message::Answer(_) => unreachable!(),
+            Message::Beat(incarnation, sent_ms) => {
+                let is_known = |(known, _): (Incarnation, u64)| known == incarnation;
+                if self.connected[claimant][holder].is_some_and(is_known) {
+                    table.heard(incarnation, self.now_ms);
+                    let at_ms = self.now_ms + self.delay_ms;
+                    self.to_claimant[claimant][holder].push_back((at_ms, Message::Heard(sent_ms)));
+                }
+            }
+            Message::Answer(_) | Message::Heard(_) => unreachable!(),
         }
     }
 }
@@ -351,7 +489,7 @@
         let is_there = |act: &&Act| match **act {
             Act::Submit { entry, .. } | Act::End { entry } | Act::Kill { entry, .. } => entry < count,
             Act::Break { claimant, holder } => claimant < count && holder < count,
-            Act::Wait { .. } => true,
+            Act::Wait { .. } | Act::Cut { .. } => true,
         };
         for act in acts.iter().filter(is_there) {
             model.act(act);
--- /dev/null
+++ b/crates/decide/tests/contested_claims.rs
@@ -0,0 +1,319 @@
+//! Claims beside cuts, stalls, stops and entries that join: two entries never run a job.
+
+use {
+    std::net::SocketAddr,
+    sycamorerail_decide::claims::{ClaimDecision, ClaimLimits, ClaimTable, Claims, holders},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, JobClaim},
+    },
+};
+
+const LIMITS: ClaimLimits = ClaimLimits {
+    run_over_ms: 1_240,
+    margin_ms: 400,
+    confirm_within_ms: 500,
+    stop_within_ms: 400,
+    lost_after_ms: 250,
+    noticed_within_ms: 1_500,
+};
+const JOB: CallerJobId = CallerJobId(7);
+const FIRST: Incarnation = Incarnation(1);
+const SECOND: Incarnation = Incarnation(2);
+const GRANTED: ClaimAnswer = ClaimAnswer::Granted { is_alone: true };
+const STEP_MS: usize = 20;
+
+fn entry(last: u8) -> EntryAddress {
+    EntryAddress {
+        address: SocketAddr::from(([10, 0, 0, last], 7_720)),
+        data_centre: format!("dc-{}", last % 4),
+    }
+}
+
+/// So many entries in four data centres.
+fn entries(count: u8) -> Vec<EntryAddress> {
+    (1..=count).map(entry).collect()
+}
+
+fn new_claim(for_ms: u64) -> JobClaim {
+    JobClaim { job: JOB, number: 1, for_ms, is_granted: false }
+}
+
+fn granted(claims: &mut Claims, holder: SocketAddr, now_ms: u64) -> Option<ClaimDecision> {
+    claims.answered(AnsweredClaim { job: JOB, number: 1, answer: GRANTED }, holder, now_ms)
+}
+
+/// Returns a granted claim that began at 0 ms, and its holders.
+fn granted_claim(by: &[usize]) -> (Claims, Vec<SocketAddr>) {
+    let mut claims = Claims::new(LIMITS);
+    let asked = claims.begin(JOB, &entries(14), 20_000, 0);
+    let holders: Vec<_> = asked.into_iter().map(|request| request.holder).collect();
+    for &holder in by {
+        granted(&mut claims, holders[holder], 1);
+    }
+    (claims, holders)
+}
+
+/// Guards against two runs: an entry is cut off from its holders as it stands still for 400 ms. It counts its
+/// wake-up as a confirmation, and gives the job up, whose agents are in contact, when its holders
+/// have granted it to another entry.
+#[test]
+fn a_stall_within_a_cut_does_not_prolong_a_claim() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    let cut_ms = 1_000;
+    let mut table = ClaimTable::new(LIMITS);
+    table.connected(FIRST, 1, 0);
+    table.claim(new_claim(20_000), FIRST, 0);
+    for now_ms in (0..=cut_ms).step_by(STEP_MS) {
+        table.heard(FIRST, now_ms);
+        table.tick(now_ms);
+        holders.iter().for_each(|&holder| claims.confirmed(holder, now_ms));
+    }
+    let woken_ms = cut_ms + 400;
+    claims.claim_again(woken_ms + 40);
+    let mut lapses = (woken_ms + 60..).step_by(STEP_MS);
+    let given_up_ms = lapses.find(|&now_ms| !claims.take_lapsed(now_ms).is_empty());
+    let over_ms = given_up_ms.unwrap() + LIMITS.stop_within_ms;
+    let mut copies = (cut_ms + 20..).step_by(STEP_MS).filter(|&now_ms| {
+        table.tick(now_ms);
+        table.claim(new_claim(2_740), SECOND, now_ms).answer == GRANTED
+    });
+    let copy_ms = copies.next().unwrap();
+    assert!(over_ms <= copy_ms, "runs are over at {over_ms} ms, a copy is granted at {copy_ms} ms");
+}
+
+/// Guards against two runs: connections that a claimant has replaced wait at a holder that stood still. It reads
+/// them in any order, and takes the end of an older one for that of the claimant, which is
+/// connected and heard.
+#[test]
+fn the_end_of_an_overtaken_connection_does_not_end_claims() {
+    let mut table = ClaimTable::new(LIMITS);
+    let renewed = JobClaim { is_granted: true, ..new_claim(20_000) };
+    table.connected(FIRST, 2, 0);
+    table.claim(renewed, FIRST, 0);
+    // The hello and the claims of the connection before, then its end.
+    table.connected(FIRST, 1, 1);
+    table.claim(renewed, FIRST, 1);
+    table.disconnected(FIRST, 1, 2);
+    for now_ms in (0..=3_000).step_by(STEP_MS) {
+        table.heard(FIRST, now_ms);
+        table.tick(now_ms);
+    }
+    assert_eq!(table.claim(new_claim(2_740), SECOND, 3_010).answer, ClaimAnswer::Held);
+}
+
+/// Guards against two runs: answers of entries that are no holders any more count as votes.
+#[test]
+fn former_holders_make_no_majority() {
+    let few = entries(3);
+    let later: Vec<_> = (3..=60).map(entry).collect();
+    // A job of which two holders are others as entries become known.
+    let moved = |id: &u64| {
+        let (before, after) = (holders(CallerJobId(*id), &few), holders(CallerJobId(*id), &later));
+        before.iter().filter(|holder| after.contains(holder)).count() == 1
+    };
+    let job = CallerJobId((0..).find(moved).unwrap());
+    let now = holders(job, &later);
+    let mut claims = Claims::new(LIMITS);
+    let asked = claims.begin(job, &few, 1_500, 0);
+    claims.set_entries(&later, 5);
+    let decisions = asked.iter().map(|request| {
+        let answer = AnsweredClaim { job, number: request.claim.number, answer: GRANTED };
+        claims.answered(answer, request.holder, 6)
+    });
+    let decisions: Vec<_> = decisions.collect();
+    let voters = asked.iter().filter(|request| now.contains(&request.holder)).count();
+    assert_eq!(voters, 1);
+    assert!(decisions.iter().all(Option::is_none), "one of three holders grants: {decisions:?}");
+}
+
+/// Guards against the same, with votes that a new connection to former holders gives back to them.
+#[test]
+fn a_new_connection_makes_no_holder_of_a_former_one() {
+    let few = entries(3);
+    let later: Vec<_> = (4..=60).map(entry).collect();
+    let mut claims = Claims::new(LIMITS);
+    let asked = claims.begin(JOB, &few, 1_500, 0);
+    let new = claims.set_entries(&later, 5);
+    for request in &asked {
+        assert!(!claims.renewals(request.holder, 10).is_empty());
+        granted(&mut claims, request.holder, 20);
+    }
+    let decision = granted(&mut claims, new[0].holder, 20);
+    assert_eq!((decision, claims.tick(40).0), (None, Vec::new()), "one of three holders grants");
+}
+
+/// Guards against two runs without any failure: a second entry joins, ranks first for a job that runs at the first
+/// one, and grants itself a copy by its casting vote.
+#[test]
+fn a_second_entry_does_not_grant_itself_a_running_job() {
+    let (one, two) = (entries(1), entries(2));
+    let is_second_first = |id: &u64| holders(CallerJobId(*id), &two)[0] == two[1].address;
+    let job = CallerJobId((0..).find(is_second_first).unwrap());
+    let (mut at_first, mut at_second) =
+        (ClaimTable::new(LIMITS), ClaimTable::restarted(LIMITS, 100));
+    let mut first = Claims::new(LIMITS);
+    let asked = first.begin(job, &one, 20_000, 0);
+    let answer = at_first.claim(asked[0].claim, FIRST, 0);
+    assert_eq!(first.answered(answer, asked[0].holder, 0), Some(ClaimDecision::Granted));
+    // Everything that the first entry sends as it learns of the second one arrives.
+    for request in first.set_entries(&two, 200) {
+        let table = if request.holder == two[1].address { &mut at_second } else { &mut at_first };
+        table.claim(request.claim, FIRST, 200);
+    }
+    let mut second = Claims::new(LIMITS);
+    let decisions = second.begin(job, &two, 20_000, 2_000).into_iter().filter_map(|request| {
+        let table = if request.holder == two[1].address { &mut at_second } else { &mut at_first };
+        let answer = table.claim(request.claim, SECOND, 2_000);
+        second.answered(answer, request.holder, 2_000)
+    });
+    assert_ne!(decisions.collect::<Vec<_>>().first(), Some(&ClaimDecision::Granted));
+}
+
+/// Guards against two runs without any failure: more entries join, and hold a job that others have granted before.
+#[test]
+fn entries_that_join_know_of_running_jobs() {
+    let (few, later) = (entries(3), entries(60));
+    let is_moved = |id: &u64| {
+        let before = holders(CallerJobId(*id), &few);
+        holders(CallerJobId(*id), &later).iter().all(|holder| !before.contains(holder))
+    };
+    let job = CallerJobId((0..).find(is_moved).unwrap());
+    let mut first = Claims::new(LIMITS);
+    for request in first.begin(job, &few, 20_000, 0) {
+        let answer = AnsweredClaim { job, number: request.claim.number, answer: GRANTED };
+        first.answered(answer, request.holder, 1);
+    }
+    let mut tables: Vec<_> = holders(job, &later)
+        .into_iter()
+        .map(|holder| (holder, ClaimTable::restarted(LIMITS, 100)))
+        .collect();
+    for request in first.set_entries(&later, 200) {
+        if let Some((_, table)) = tables.iter_mut().find(|(holder, _)| *holder == request.holder) {
+            table.claim(request.claim, FIRST, 200);
+        }
+    }
+    let mut second = Claims::new(LIMITS);
+    let mut decisions = Vec::new();
+    for request in second.begin(job, &later, 20_000, 2_000) {
+        let (_, table) = tables.iter_mut().find(|(holder, _)| *holder == request.holder).unwrap();
+        let answer = table.claim(request.claim, SECOND, 2_000);
+        decisions.extend(second.answered(answer, request.holder, 2_000));
+    }
+    assert!(!decisions.contains(&ClaimDecision::Granted), "a running job is granted again");
+}
+
+/// Guards against two runs: the two holders that granted a job leave as planned, and the third one, which its
+/// claimant can't reach, grants it alone and at once.
+#[test]
+fn what_holders_that_left_have_granted_counts() {
+    let (mut first, holders) = granted_claim(&[0, 1]);
+    first.holder_lost(holders[2], false, 0);
+    let mut second = Claims::new(LIMITS);
+    for holder in [holders[0], holders[1]] {
+        first.confirmed(holder, 1_000);
+        first.holder_left(holder, 1_000);
+        second.holder_left(holder, 1_000);
+    }
+    second.begin(JOB, &entries(14), 3_000, 1_010);
+    let copy = granted(&mut second, holders[2], 1_011);
+    let is_given_up = !first.take_lapsed(1_011).is_empty();
+    assert!(copy.is_none() || is_given_up, "a copy is granted beside the job");
+}
+
+/// Guards against two runs for as long as a cut lasts: the first of two entries has left, and starts again on the
+/// other side of it.
+#[test]
+fn an_entry_that_has_left_is_back_behind_a_cut() {
+    let two = entries(2);
+    let asked = holders(JOB, &two);
+    let mut second = Claims::new(LIMITS);
+    second.holder_left(asked[0], 0);
+    // It does not answer any more, as a cut began while it was away.
+    second.holder_lost(asked[0], false, 100);
+    (0..10_000).step_by(STEP_MS).for_each(|now_ms| drop(second.tick(now_ms)));
+    let claim_at = |claims: &mut Claims, own: SocketAddr| {
+        claims.begin(JOB, &two, 20_000, 10_000);
+        claims.confirmed(own, 10_000);
+        granted(claims, own, 10_000)
+    };
+    let mut first = Claims::new(LIMITS);
+    first.holder_lost(asked[1], false, 500);
+    let decisions = [claim_at(&mut first, asked[0]), claim_at(&mut second, asked[1])];
+    assert_eq!(decisions.iter().flatten().count(), 1, "{decisions:?}");
+}
+
+/// Guards against a running job that is given up though a new claim on it would be granted at once.
+#[test]
+fn a_job_goes_on_with_the_last_holder_that_has_not_left() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    claims.holder_left(holders[0], 1_000);
+    claims.holder_left(holders[1], 1_000);
+    claims.confirmed(holders[2], 5_000);
+    assert!(claims.can_be_granted(JOB, &entries(14), 5_000));
+    assert_eq!(claims.take_lapsed(5_000), []);
+}
+
+/// Guards against two copies that reach their holders in different orders deny each other.
+#[test]
+fn one_of_two_copies_is_granted() {
+    let mut claimants = [Claims::new(LIMITS), Claims::new(LIMITS)];
+    let asked = claimants.each_mut().map(|claims| claims.begin(JOB, &entries(14), 1_500, 0));
+    let mut tables = [(); 3].map(|()| ClaimTable::new(LIMITS));
+    let incarnations = [FIRST, SECOND];
+    let mut answers = Vec::new();
+    // The holders hear both within a millisecond; each has another one first.
+    for (holder, order) in [[0, 1], [1, 0], [0, 1]].into_iter().enumerate() {
+        for claimant in order {
+            let claim = asked[claimant][holder].claim;
+            let answer = tables[holder].claim(claim, incarnations[claimant], 1);
+            answers.push((claimant, asked[claimant][holder].holder, answer));
+        }
+    }
+    // Those that are held come first.
+    answers.sort_by_key(|(_, _, answer)| answer.answer != ClaimAnswer::Held);
+    let mut is_denied = [false; 2];
+    for (claimant, holder, answer) in answers {
+        let decision = claimants[claimant].answered(answer, holder, 2);
+        is_denied[claimant] |= matches!(decision, Some(ClaimDecision::Denied { .. }));
+    }
+    assert_ne!(is_denied, [true, true], "each copy is denied for the other's sake");
+}
+
+/// Guards against two runs: an entry that is cut off keeps a job as its agents are in contact, and is killed
+/// before it gives the job up. Nobody stops the runs then, and the claim ends before them.
+#[test]
+fn runs_of_an_entry_that_is_killed_after_a_cut_end_with_its_claim() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    let cut_ms = 1_000;
+    holders.iter().for_each(|&holder| claims.confirmed(holder, cut_ms));
+    let mut table = ClaimTable::new(LIMITS);
+    table.connected(FIRST, 1, 0);
+    table.claim(new_claim(20_000), FIRST, 0);
+    table.disconnected(FIRST, 1, cut_ms);
+    let killed_ms = cut_ms + 1_300;
+    let gives_up = |now_ms: &u64| !claims.take_lapsed(*now_ms).is_empty();
+    let given_up_ms = (cut_ms..killed_ms).step_by(STEP_MS).find(gives_up).unwrap_or(killed_ms);
+    let over_ms = given_up_ms + LIMITS.run_over_ms;
+    let copy = table.claim(new_claim(2_740), SECOND, over_ms - 1).answer;
+    assert!(matches!(copy, ClaimAnswer::Ending { .. } | ClaimAnswer::Held), "{copy:?}");
+}
+
+/// Guards against two runs: the first of two entries is killed, starts again at once, and grants by its casting
+/// vote before the other one's runs are over, which it can't hear as a cut began.
+#[test]
+fn a_casting_vote_that_has_started_again_waits_for_claims_that_it_cannot_know() {
+    let two = entries(2);
+    let asked = holders(JOB, &two);
+    let mut second = Claims::new(LIMITS);
+    second.begin(JOB, &two, 20_000, 0);
+    granted(&mut second, asked[0], 1);
+    let killed_ms = 1_000;
+    second.confirmed(asked[0], killed_ms);
+    let gives_up = |now_ms: &u64| !second.take_lapsed(*now_ms).is_empty();
+    let given_up_ms = (killed_ms..).step_by(STEP_MS).find(gives_up).unwrap();
+    let over_ms = given_up_ms + LIMITS.run_over_ms;
+    let mut table = ClaimTable::restarted(LIMITS, killed_ms + 100);
+    let copy = table.claim(new_claim(2_740), FIRST, over_ms - 1).answer;
+    assert!(matches!(copy, ClaimAnswer::NotYet { .. }), "{copy:?}");
+}
--- a/crates/decide/tests/one_side_is_granted.rs
+++ b/crates/decide/tests/one_side_is_granted.rs
@@ -3,23 +3,36 @@
 use {
     std::net::SocketAddr,
     sycamorerail_decide::claims::{ClaimDecision, ClaimLimits, ClaimTable, Claims},
-    sycamorerail_wire::{ids::Incarnation, runs::CallerJobId},
+    sycamorerail_wire::{
+        ids::Incarnation,
+        runs::{CallerJobId, EntryAddress},
+    },
 };
 
-const LIMITS: ClaimLimits =
-    ClaimLimits { run_over_ms: 1_240, patience_ms: 250, forget_holder_ms: 2_740 };
+const LIMITS: ClaimLimits = ClaimLimits {
+    run_over_ms: 1_240,
+    margin_ms: 400,
+    confirm_within_ms: 500,
+    stop_within_ms: 400,
+    lost_after_ms: 250,
+    noticed_within_ms: 1_500,
+};
 const JOB: CallerJobId = CallerJobId(7);
 /// Longer than callers wait, and than any limit of claims.
 const WAIT_MS: u64 = 5_000;
 
-fn entries() -> Vec<SocketAddr> {
-    (1..=14).map(|last| SocketAddr::from(([10, 0, 0, last], 7_720))).collect()
+fn entries() -> Vec<EntryAddress> {
+    let entry = |last: u8| EntryAddress {
+        address: SocketAddr::from(([10, 0, 0, last], 7_720)),
+        data_centre: format!("dc-{}", last % 4),
+    };
+    (1..=14).map(entry).collect()
 }
 
 /// The job's holders, and what each has granted.
 fn tables() -> Vec<(SocketAddr, ClaimTable)> {
     let asked = Claims::new(LIMITS).begin(JOB, &entries(), 1_500, 0);
-    let table = |holder| (holder, ClaimTable::new(LIMITS.run_over_ms));
+    let table = |holder| (holder, ClaimTable::new(LIMITS));
     asked.into_iter().map(|request| table(request.holder)).collect()
 }
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -1,14 +1,14 @@
 //! Claims on jobs over connections between entries.
 //!
-//! An entry connects to a holder for its first claim there and keeps the connection. The holder hears
-//! it as long as it has claims of it. A connection on which a message stays unanswered is replaced,
-//! and the claims that the holder should have are sent again over the new one.
+//! An entry connects to a holder for its first claim there and keeps the connection. The holder
+//! hears it as long as it has claims of it. A connection on which a message stays unanswered is
+//! replaced, and the claims that the holder should have are sent again over the new one.
 
 use {
     super::{JobService, query::is_process_gone},
     parking_lot::Mutex,
     std::{
-        collections::HashMap,
+        collections::{HashMap, VecDeque},
         fmt,
         net::SocketAddr,
         sync::{
@@ -18,7 +18,7 @@
         time::Duration,
     },
     sycamorerail_decide::{
-        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
+        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, has_no_agents},
         dispatch::{Dispatch, DispatchLimits},
         receipts,
     },
@@ -28,7 +28,7 @@
         ids::Incarnation,
         runs::{
             AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
-            ClaimantHello, RunsFirstMessage, StepPlacement,
+            ClaimantHello, EntryAddress, RunsFirstMessage, StepPlacement,
         },
     },
     tokio::{
@@ -48,16 +48,24 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// A holder closes a connection on which it has heard nothing for this long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// A claim that some holders grant counts after this time without an answer of the others: that of
-/// a silent connection and one more attempt.
-const PATIENCE_MS: u64 = 250;
-/// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run are
-/// given up with the next one: their callers come again later than that.
+/// Time without an answer after which a holder's vote is not expected any more: that of a silent
+/// connection and one more attempt.
+const LOST_AFTER_MS: u64 = 250;
+/// A majority of holders was in contact within this time: five beats, so that none is missing where
+/// a connection is replaced.
+const CONFIRM_WITHIN_MS: u64 = 500;
+/// Time for which claims last beyond the longest runs.
+const MARGIN_MS: u64 = 400;
+/// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
+/// several attempts at the upstream.
+const STOP_WITHIN_MS: u64 = 400;
+/// Agents take an entry for silent after 900 ms, and tell others with their next heartbeat.
+const NOTICED_WITHIN_MS: u64 = 1_500;
+/// Longest time in which claimants are told that this entry ends.
+const LEAVE_WITHIN: Duration = Duration::from_millis(20);
+/// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
+/// are given up with the next one: their callers come again later than that.
 const BEAT_MS: u64 = 100;
-/// Longest time that callers commonly wait. A holder that was lost for that time and the time of
-/// runs has no claims any more.
-const COMMON_DEADLINE_MS: u64 = 1_500;
-
 /// Claims of this entry and of others.
 pub(super) struct ClaimLinks {
     /// Locked after the dispatch.
@@ -66,12 +74,16 @@
     table: Mutex<ClaimTable>,
     /// Connections to holders.
     holders: Mutex<HashMap<SocketAddr, Arc<Holder>>>,
-    run_over_ms: u64,
+    limits: ClaimLimits,
     /// Up to when this process has handled what was due. Agents acknowledge nothing later, so that
     /// the runs of a job that is given up are over a while after it.
     handled_ms: AtomicU64,
     /// When holders were last sent what is sent from time to time.
     beat_ms: AtomicU64,
+    /// Number of connections to holders so far.
+    connections: AtomicU64,
+    /// Whether this entry is about to end as planned.
+    leaving: watch::Sender<bool>,
 }
 
 /// Messages on their way to a holder.
@@ -97,19 +109,23 @@
 
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
-        let run_over_ms = limits.run_over_ms;
-        let claim_limits = ClaimLimits {
-            run_over_ms,
-            patience_ms: PATIENCE_MS,
-            forget_holder_ms: COMMON_DEADLINE_MS + run_over_ms,
+        let limits = ClaimLimits {
+            run_over_ms: limits.run_over_ms,
+            margin_ms: MARGIN_MS,
+            confirm_within_ms: CONFIRM_WITHIN_MS,
+            stop_within_ms: STOP_WITHIN_MS,
+            lost_after_ms: LOST_AFTER_MS,
+            noticed_within_ms: NOTICED_WITHIN_MS,
         };
         Self {
-            claims: Mutex::new(Claims::new(claim_limits)),
-            table: Mutex::new(ClaimTable::new(run_over_ms)),
+            claims: Mutex::new(Claims::new(limits)),
+            table: Mutex::new(ClaimTable::new(limits)),
             holders: Mutex::default(),
-            run_over_ms,
+            limits,
             handled_ms: AtomicU64::new(0),
             beat_ms: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+            leaving: watch::Sender::default(),
         }
     }
 
@@ -134,8 +150,27 @@
     /// Grants no claims until those are over that an earlier process of this entry may have
     /// granted.
     pub fn wait_for_earlier_claims(&self) {
-        let run_over_ms = self.claims.run_over_ms;
-        *self.claims.table.lock() = ClaimTable::restarted(run_over_ms, self.now_ms());
+        *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
+        self.change_cluster(|cluster| cluster.may_have_others = true);
+    }
+
+    /// Tells claimants that this entry ends as planned. It answers no claims any more.
+    pub async fn leave(&self) {
+        self.claims.leaving.send_replace(true);
+        // Connections that have not been told in time end with the process.
+        let _ = timeout(LEAVE_WITHIN, self.claims.leaving.closed()).await;
+    }
+
+    /// Whether a majority of a job's holders may grant it to this entry.
+    pub(super) fn can_be_claimed(&self, job: CallerJobId, now_ms: u64) -> bool {
+        let claims = self.claims.claims.lock();
+        claims.can_be_granted(job, &self.claim_holders.borrow(), now_ms)
+    }
+
+    /// Whether this entry can't reach most entries.
+    pub(super) fn is_apart(&self) -> bool {
+        let claims = self.claims.claims.lock();
+        claims.is_apart(&self.claim_holders.borrow(), self.clock.now_ms())
     }
 
     /// Claims a job that was just accepted.
@@ -146,21 +181,13 @@
         deadline_ms: u64,
         now_ms: u64,
     ) {
-        let entries = self.claimable_entries();
         let mut claims = self.claims.claims.lock();
-        let requests = claims.begin(job, &entries, deadline_ms, now_ms);
+        let requests = claims.begin(job, &self.claim_holders.borrow(), deadline_ms, now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
         drop(claims);
         self.apply(dispatch, decided, now_ms);
     }
 
-    /// Entries that hold claims.
-    fn claimable_entries(&self) -> Vec<SocketAddr> {
-        let mut entries = self.members.borrow().clone();
-        entries.push(self.settings.own);
-        entries
-    }
-
     /// Sends claims to their holders, of which this entry may be one.
     fn send_claims(
         self: &Arc<Self>,
@@ -171,6 +198,7 @@
         let mut decided = Vec::new();
         for ClaimRequest { holder, claim } in requests {
             if holder == self.settings.own {
+                claims.confirmed(holder, now_ms);
                 let answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
                 let decision = claims.answered(answer, holder, now_ms);
                 decided.extend(decision.map(|decision| (claim.job, decision)));
@@ -201,6 +229,7 @@
                     metrics::counter!("sycamorerail_claims_denied_total").increment(1);
                     dispatch.claim_denied(key);
                 }
+                ClaimDecision::Postponed => dispatch.claim_postponed(key),
             }
         }
     }
@@ -238,7 +267,8 @@
         for job in dispatch.take_released() {
             let now_ms = self.clock.now_ms();
             let mut claims = self.claims.claims.lock();
-            let over_ms = self.claims.handled_ms.load(Ordering::Relaxed) + self.claims.run_over_ms;
+            let over_ms =
+                self.claims.handled_ms.load(Ordering::Relaxed) + self.claims.limits.run_over_ms;
             let ended =
                 if job.is_ending { claims.end_by(job.id, over_ms) } else { claims.end(job.id) };
             drop(claims);
@@ -272,11 +302,11 @@
     /// Does what is due by time, so many passes after this process has stood still.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
-        members: &mut watch::Receiver<Vec<SocketAddr>>,
+        holders: &mut watch::Receiver<Vec<EntryAddress>>,
         passes: usize,
     ) {
-        let is_changed = members.has_changed().unwrap_or(false);
-        members.mark_unchanged();
+        let is_changed = holders.has_changed().unwrap_or(false);
+        holders.mark_unchanged();
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
@@ -284,26 +314,55 @@
                 self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
                 self.claims.beat(&claims, now_ms);
             }
+            claims.confirmed(self.settings.own, now_ms);
+            self.ask_agents_of_lost_holders(dispatch, &mut claims);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
-            for (job, _) in &decided {
-                event!(Info, "job_claim_unanswered", job = job);
-                metrics::counter!("sycamorerail_claims_unanswered_total").increment(1);
-            }
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
             if is_changed {
-                let requests = claims.set_entries(&self.claimable_entries(), now_ms);
+                let requests = claims.set_entries(&holders.borrow(), now_ms);
                 decided.extend(self.send_claims(&mut claims, requests, now_ms));
             }
+            let lapsed =
+                if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
             drop(claims);
             self.apply(dispatch, decided, now_ms);
+            self.give_up_lapsed(dispatch, lapsed);
             if passes == receipts::PASSES {
                 self.claim_again(dispatch, now_ms);
             }
         });
     }
 
+    /// Looks which of the lost holders have no agents.
+    fn ask_agents_of_lost_holders(&self, dispatch: &Dispatch, claims: &mut Claims) {
+        if !claims.has_lost_holders() {
+            return;
+        }
+        let mut reached: Vec<_> =
+            self.claim_holders.borrow().iter().map(|entry| entry.address).collect();
+        reached.retain(|entry| !claims.is_lost(*entry));
+        let agents = dispatch.agents_known();
+        let mut cluster = self.cluster.lock();
+        cluster.forget_seen(&agents);
+        let has_no_agents = |holder| {
+            let connected = agents.iter().map(|agent| cluster.witness(*agent, holder));
+            has_no_agents(holder, connected, &reached)
+        };
+        claims.set_without_agents(has_no_agents, self.clock.now_ms());
+    }
+
+    /// Gives up jobs whose claims are not confirmed.
+    fn give_up_lapsed(&self, dispatch: &mut Dispatch, lapsed: Vec<CallerJobId>) {
+        for job in lapsed {
+            let Some(key) = dispatch.find_job(job) else { continue };
+            event!(Info, "job_claim_lapsed", job = job);
+            metrics::counter!("sycamorerail_claims_lapsed_total").increment(1);
+            dispatch.claim_lapsed(key);
+        }
+    }
+
     /// The connection to a holder, which is made if there is none.
     fn holder(self: &Arc<Self>, address: SocketAddr) -> Arc<Holder> {
         let mut holders = self.claims.holders.lock();
@@ -315,15 +374,22 @@
         Arc::clone(holders.entry(address).or_insert_with(new))
     }
 
-    /// Takes a holder's answers. Returns whether it has left other claims unanswered.
+    /// Takes a holder's answers to a message. Returns whether it has left other claims unanswered.
     fn claims_answered(
         self: &Arc<Self>,
         holder: SocketAddr,
-        ClaimAnswers(answers): ClaimAnswers,
+        ClaimAnswers { answers, is_leaving }: ClaimAnswers,
+        contact_ms: Option<u64>,
     ) -> bool {
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
-            claims.holder_reached(holder);
+            if is_leaving {
+                event!(Info, "claim_holder_left", holder = holder);
+                claims.holder_left(holder, now_ms);
+            } else {
+                claims.holder_reached(holder);
+                contact_ms.into_iter().for_each(|sent_ms| claims.confirmed(holder, sent_ms));
+            }
             let decision = |answer: AnsweredClaim| {
                 Some((answer.job, claims.answered(answer, holder, now_ms)?))
             };
@@ -343,13 +409,17 @@
         claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
 
+    fn is_claim_holder(&self, address: SocketAddr) -> bool {
+        self.claim_holders.borrow().iter().any(|entry| entry.address == address)
+    }
+
     /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
     /// again, as long as it is a member.
     fn forget_idle_holder(&self, holder: SocketAddr, link: &Holder) -> bool {
         let mut claims = self.claims.claims.lock();
         let mut holders = self.claims.holders.lock();
-        let is_needed = claims.has_claims_at(holder)
-            || claims.is_lost(holder) && self.members.borrow().contains(&holder);
+        let is_needed =
+            claims.has_claims_at(holder) || claims.is_lost(holder) && self.is_claim_holder(holder);
         // Claims are queued under the lock of the claims.
         let is_idle = !is_needed && link.requests.lock().claims.is_empty();
         if is_idle {
@@ -441,26 +511,34 @@
         holder: SocketAddr,
         link: &Holder,
     ) -> LinkEnd {
-        if begin_on(service, holder, link, &mut self.writer).is_err() {
+        let Ok(is_current) = begin_on(service, holder, link, &mut self.writer) else {
             return LinkEnd::Closed { answered: false };
-        }
+        };
+        // When messages were sent that are not answered yet, if the holder heard by them that
+        // claims are still wanted.
+        let sent_ms = |is_current: bool| is_current.then(|| service.clock.now_ms());
+        let mut unanswered = VecDeque::from([sent_ms(is_current)]);
         let answer_at = |within| Instant::now() + within;
         let mut answer_by = Some(answer_at(self.answer_within));
         let mut answered = false;
         loop {
-            if self.writer.flush().await.is_err() {
-                return LinkEnd::Closed { answered };
+            match timeout(MAX_ANSWER_WITHIN, self.writer.flush()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return LinkEnd::Closed { answered },
+                Err(_) => return LinkEnd::Silent { answered },
             }
             tokio::select! {
                 biased;
                 answers = self.reader.next::<ClaimAnswers>() => {
                     let Ok(answers) = answers else { return LinkEnd::Closed { answered } };
-                    let is_pending = service.claims_answered(holder, answers);
+                    let contact_ms = unanswered.pop_front().flatten();
+                    let is_pending = service.claims_answered(holder, answers, contact_ms);
                     answer_by = is_pending.then(|| answer_at(ANSWER_WITHIN));
                     (answered, self.answer_within) = (true, ANSWER_WITHIN);
                 }
                 () = link.filled.notified() => {
                     let requests = std::mem::take(&mut *link.requests.lock());
+                    unanswered.push_back(sent_ms(requests.is_current));
                     answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     if self.writer.push(&requests).is_err() {
                         return LinkEnd::Closed { answered };
@@ -474,20 +552,25 @@
     }
 }
 
-/// Queues the first messages of a connection.
+/// Queues the first messages of a connection. Returns whether the claims are still wanted.
 fn begin_on(
     service: &JobService,
     holder: SocketAddr,
     link: &Holder,
     writer: &mut FrameWriter,
-) -> Result<(), FrameError> {
-    let hello = ClaimantHello { incarnation: service.incarnation, entry: service.settings.own };
+) -> Result<bool, FrameError> {
+    let hello = ClaimantHello {
+        incarnation: service.incarnation,
+        entry: service.settings.own,
+        connection: service.claims.connections.fetch_add(1, Ordering::Relaxed),
+    };
     writer.push(&RunsFirstMessage::Claimant(hello))?;
-    let mut claims = service.claims.claims.lock();
+    let claims = service.claims.claims.lock();
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
-    writer.push(&requests)
+    writer.push(&requests)?;
+    Ok(requests.is_current)
 }
 
 /// Answers the claims of another entry.
@@ -498,18 +581,32 @@
     mut reader: FrameReader,
     mut writer: FrameWriter,
 ) {
-    let ClaimantHello { incarnation: claimant, entry } = hello;
+    let ClaimantHello { incarnation: claimant, entry, connection } = hello;
     let table = &service.claims.table;
-    let connection = table.lock().connected(claimant, service.now_ms());
+    table.lock().connected(claimant, connection, service.now_ms());
     let mut heard_ms = service.now_ms();
+    // What a cut has held up arrives before the end of the connection.
+    let mut longest_silence_ms = 0;
+    let mut leaving = service.claims.leaving.subscribe();
     let end = loop {
-        let requests = match timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>()).await {
-            Ok(Ok(requests)) => requests,
-            Ok(Err(error)) => break error,
-            Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
+        let next = timeout(IDLE_TIMEOUT, reader.next::<ClaimRequests>());
+        let answers = tokio::select! {
+            biased;
+            // The service holds the sender.
+            _ = leaving.wait_for(|leaving| *leaving) => {
+                ClaimAnswers { answers: Vec::new(), is_leaving: true }
+            }
+            next = next => match next {
+                Ok(Ok(requests)) => {
+                    let now_ms = service.now_ms();
+                    longest_silence_ms = longest_silence_ms.max(now_ms.saturating_sub(heard_ms));
+                    heard_ms = now_ms;
+                    service.grant(claimant, &requests)
+                }
+                Ok(Err(error)) => break error,
+                Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
+            },
         };
-        heard_ms = service.now_ms();
-        let answers = service.grant(claimant, &requests);
         // An answer without claims shows that this process reads.
         let sent = match writer.push(&answers) {
             Ok(()) => writer.flush().await,
@@ -518,6 +615,9 @@
         if let Err(error) = sent {
             break error;
         }
+        if answers.is_leaving {
+            break FrameError::Closed(peer);
+        }
     };
     let now_ms = service.now_ms();
     let mut table = table.lock();
@@ -532,6 +632,7 @@
         peer = peer,
         error = end,
         silent_ms = now_ms.saturating_sub(heard_ms),
+        longest_silence_ms = longest_silence_ms,
         claims = claims,
     );
 }
@@ -564,7 +665,7 @@
             }
             answered
         });
-        ClaimAnswers(answers.collect())
+        ClaimAnswers { answers: answers.collect(), is_leaving: false }
     }
 }
 
--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -2,21 +2,26 @@
 
 use {
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
     },
     sycamorerail_decide::dispatch::AgentKey,
+    sycamorerail_wire::runs::EntryAddress,
 };
 
 /// Entries known, by who told.
 #[derive(Debug, Default)]
 pub(super) struct Cluster {
     /// Those of the roster, or this entry alone before the roster was read in this process.
-    pub(super) roster: Vec<SocketAddr>,
+    pub(super) roster: Vec<EntryAddress>,
     /// Whether the roster was read in this process.
     pub(super) is_roster_read: bool,
     /// Those that each agent linked here knows.
     pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
+    /// Those to which each agent was seen connected.
+    pub(super) seen: HashMap<AgentKey, BTreeSet<SocketAddr>>,
+    /// Whether there may be entries that neither the roster nor an agent has named yet.
+    pub(super) may_have_others: bool,
 }
 
 /// Entries that an agent knows.
@@ -25,16 +30,55 @@
     /// It is connected to them.
     pub(super) connected: Vec<SocketAddr>,
     /// Its entries told it of them.
-    pub(super) named: Vec<SocketAddr>,
+    pub(super) named: Vec<EntryAddress>,
 }
 
 impl Cluster {
     /// Entries that are surely there, to tell agents of. What agents were told is not
     /// among them: entries that are gone would be named for ever.
-    pub(super) fn members(&self) -> Vec<SocketAddr> {
-        let connected = self.by_agent.values().flat_map(|entries| &entries.connected);
-        let members: BTreeSet<_> = self.roster.iter().chain(connected).copied().collect();
-        members.into_iter().collect()
+    pub(super) fn members(&self) -> Vec<EntryAddress> {
+        let connected = self.by_agent.values().flat_map(|entries| &entries.connected).copied();
+        let rostered = self.roster.iter().map(|entry| entry.address);
+        self.located(rostered.chain(connected).collect())
+    }
+
+    /// Entries that may hold claims, the entry `own` among them. Before the roster is read these
+    /// are also those that other entries know, and none at all where no agent has named any.
+    pub(super) fn claim_holders(&self, own: &EntryAddress) -> Vec<EntryAddress> {
+        let others = if self.is_roster_read { self.members() } else { self.located(self.all()) };
+        let others: Vec<_> =
+            others.into_iter().filter(|entry| entry.address != own.address).collect();
+        if self.may_have_others && !self.is_roster_read && self.by_agent.is_empty() {
+            return Vec::new();
+        }
+        others.into_iter().chain([own.clone()]).collect()
+    }
+
+    /// Adds the data centres of entries, as far as they are known.
+    fn located(&self, addresses: BTreeSet<SocketAddr>) -> Vec<EntryAddress> {
+        let named = self.by_agent.values().flat_map(|entries| &entries.named);
+        let known: BTreeMap<_, _> = named
+            .chain(&self.roster)
+            .filter(|entry| !entry.data_centre.is_empty())
+            .map(|entry| (entry.address, &entry.data_centre))
+            .collect();
+        let located = |address| {
+            let data_centre = known.get(&address).copied().cloned().unwrap_or_default();
+            EntryAddress { address, data_centre }
+        };
+        addresses.into_iter().map(located).collect()
+    }
+
+    /// Entries that an agent is connected to, if it is linked here and was seen connected to
+    /// `entry` before. An agent on the other side of a cut knows nothing of the entry.
+    pub(super) fn witness(&self, agent: AgentKey, entry: SocketAddr) -> Option<&[SocketAddr]> {
+        self.seen.get(&agent).filter(|seen| seen.contains(&entry))?;
+        self.by_agent.get(&agent).map(|entries| &entries.connected[..])
+    }
+
+    /// Forgets what was seen of agents that are not known any more.
+    pub(super) fn forget_seen(&mut self, known: &[AgentKey]) {
+        self.seen.retain(|agent, _| known.contains(agent));
     }
 
     /// Whether [`Self::all`] names every entry that may hold a job. What agents tell does not: at
@@ -46,7 +90,8 @@
 
     /// All that may be there.
     pub(super) fn all(&self) -> BTreeSet<SocketAddr> {
-        let named = self.by_agent.values().flat_map(|entries| &entries.named).copied();
-        self.members().into_iter().chain(named).collect()
+        let named = self.by_agent.values().flat_map(|entries| &entries.named);
+        let known = self.members();
+        known.iter().chain(named).map(|entry| entry.address).collect()
     }
 }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -39,7 +39,10 @@
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerJobId, ConfigurationCopy, Evacuations, PRIORITY_CLASSES, ToRunsAgent},
+        runs::{
+            CallerJobId, ConfigurationCopy, EntryAddress, Evacuations, PRIORITY_CLASSES,
+            ToRunsAgent,
+        },
     },
     tokio::{
         net::TcpListener,
@@ -69,6 +72,14 @@
     pub limits: DispatchLimits,
     /// Own inner address, as other entries know it.
     pub own: SocketAddr,
+    /// Name of the data centre of this entry.
+    pub data_centre: String,
+}
+
+impl JobServiceSettings {
+    fn own_entry(&self) -> EntryAddress {
+        EntryAddress { address: self.own, data_centre: self.data_centre.clone() }
+    }
 }
 
 /// Where a request comes from, for the log.
@@ -100,7 +111,9 @@
     cluster_changes: watch::Sender<()>,
     /// Inner addresses of entries that are surely there, for agents: those of the roster
     /// and those that agents are connected to.
-    pub(crate) members: watch::Sender<Vec<SocketAddr>>,
+    pub(crate) members: watch::Sender<Vec<EntryAddress>>,
+    /// Entries that may hold claims.
+    claim_holders: watch::Sender<Vec<EntryAddress>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
     /// Old jobs that each connected agent was told of. Locked after the dispatch.
     told_jobs: Mutex<ToldJobs>,
@@ -137,6 +150,7 @@
             copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
+            claim_holders: watch::Sender::new(vec![settings.own_entry()]),
             cluster: Mutex::default(),
             cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
@@ -174,10 +188,14 @@
         self.dispatch.lock().usable_agents(self.clock.now_ms())
     }
 
-    /// Whether a request is answered here as well as anywhere: some upstream takes work,
-    /// or all data centres are evacuated, which each entry answers alike.
+    /// Whether a request is answered here as well as anywhere: a majority of entries is reached,
+    /// and some upstream takes work, or all data centres are evacuated, which each entry answers
+    /// alike.
     #[must_use]
     pub fn can_answer(&self) -> bool {
+        if self.is_apart() {
+            return false;
+        }
         let dispatch = self.dispatch.lock();
         dispatch.usable_agents(self.clock.now_ms()) > 0 || dispatch.is_all_evacuated()
     }
@@ -239,15 +257,16 @@
 
     /// The roster of entries was read or has changed, or is not read yet: then `members` names
     /// this entry at most.
-    pub fn set_members(&self, members: Vec<SocketAddr>, is_read: bool) {
+    pub fn set_members(&self, members: Vec<EntryAddress>, is_read: bool) {
         self.change_cluster(|cluster| {
             cluster.roster = members;
             cluster.is_roster_read = is_read;
         });
     }
 
-    fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<SocketAddr>) {
+    fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<EntryAddress>) {
         self.change_cluster(|cluster| {
+            cluster.seen.entry(agent).or_default().extend(&connected);
             cluster.by_agent.insert(agent, AgentsEntries { connected, named });
         });
     }
@@ -259,12 +278,8 @@
     fn change_cluster(&self, change: impl FnOnce(&mut Cluster)) {
         let mut cluster = self.cluster.lock();
         change(&mut cluster);
-        let members = cluster.members();
-        self.members.send_if_modified(|known| {
-            let changed = *known != members;
-            *known = members;
-            changed
-        });
+        set_if_changed(&self.members, cluster.members());
+        set_if_changed(&self.claim_holders, cluster.claim_holders(&self.settings.own_entry()));
         drop(cluster);
         self.cluster_changes.send_replace(());
     }
@@ -291,7 +306,11 @@
             // A claim of the job's last submission is given up first.
             self.release_claims(&mut dispatch);
             let (now_ms, deadline_ms) = (self.clock.now_ms(), request.deadline_ms);
-            let submitted = dispatch.submit_unclaimed(request, now_ms);
+            let submitted = if self.can_be_claimed(id, now_ms) {
+                dispatch.submit_unclaimed(request, now_ms)
+            } else {
+                Err(dispatch.refuse_without_majority(id, now_ms))
+            };
             if let Ok(key) = submitted {
                 self.waiters.lock().insert(key, sender);
                 self.begin_claim(&mut dispatch, id, deadline_ms, now_ms);
@@ -407,6 +426,14 @@
     }
 }
 
+fn set_if_changed(sender: &watch::Sender<Vec<EntryAddress>>, entries: Vec<EntryAddress>) {
+    sender.send_if_modified(|known| {
+        let changed = *known != entries;
+        *known = entries;
+        changed
+    });
+}
+
 /// A caller that waits; when it is dropped without an answer its job is given up.
 struct Waiting<'a> {
     service: &'a Arc<JobService>,
@@ -510,7 +537,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
-    let mut members = service.members.subscribe();
+    let mut claim_holders = service.claim_holders.subscribe();
     // Passes since the process has last stood still.
     let mut calm_passes = usize::MAX;
     loop {
@@ -526,7 +553,7 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut members, calm_passes);
+        service.tick_claims(&mut claim_holders, calm_passes);
         calm_passes = calm_passes.saturating_add(1);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -53,7 +53,12 @@
 async fn start_entry(limits: DispatchLimits) -> (Arc<JobService>, SocketAddr) {
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
     let own = listener.local_addr().unwrap();
-    let settings = JobServiceSettings { name: "entry".to_owned(), limits, own };
+    let settings = JobServiceSettings {
+        name: "entry".to_owned(),
+        limits,
+        own,
+        data_centre: "dc-1".to_owned(),
+    };
     (JobService::start(settings, listener), own)
 }
 
--- a/crates/entry/tests/suspended_stops.rs
+++ b/crates/entry/tests/suspended_stops.rs
@@ -24,7 +24,12 @@
     let listener = TcpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
     let own = listener.local_addr().unwrap();
     let limits = DispatchLimits::default();
-    let settings = JobServiceSettings { name: "entry".to_owned(), limits, own };
+    let settings = JobServiceSettings {
+        name: "entry".to_owned(),
+        limits,
+        own,
+        data_centre: "dc-1".to_owned(),
+    };
     let clock = Clock::start_with_test_suspension(leaps_ms);
     let service = JobService::start_with(settings, listener, clock);
     service.stop_within(LEFT);
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -6,6 +6,7 @@
     std::{collections::BTreeSet, net::SocketAddr},
     sycamorerail_platform::{KeyValue, Mirror, Platform, backoff::jittered},
     sycamorerail_telemetry::event,
+    sycamorerail_wire::runs::EntryAddress,
     tokio::time::sleep,
 };
 
@@ -26,23 +27,24 @@
 /// What an entry knows of the entries in the platform's roster.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Roster {
-    /// Inner addresses, the entry's own among them.
-    pub entries: Vec<SocketAddr>,
+    /// The entries, this one among them.
+    pub entries: Vec<EntryAddress>,
     /// Whether the roster was read in this process. Otherwise, a missing address tells nothing.
     pub is_read: bool,
 }
 
-/// Keeps an entry's address in the roster, and tells of all addresses there.
+/// Keeps an entry's address and data centre in the roster, and tells of all entries there.
 pub fn announce(
     platform: &Platform,
-    own: SocketAddr,
+    own: EntryAddress,
     shortest_lease_ms: u32,
     on_change: impl Fn(Roster) + Send + 'static,
 ) {
     let lease_ms = shortest_lease_ms * SHORTEST_LEASES;
-    let key = format!("{PREFIX}{own}");
+    let key = format!("{PREFIX}{}", own.address);
+    let value = format!("{} {}", own.address, own.data_centre);
     let keeper = platform.clone();
-    tokio::spawn(async move { hold_key(&keeper, &key, &own.to_string(), lease_ms).await });
+    tokio::spawn(async move { hold_key(&keeper, &key, &value, lease_ms).await });
     let mirror = Mirror::start(platform.clone(), PREFIX, POLL_MS);
     tokio::spawn(async move {
         let mut changed = mirror.subscribe();
@@ -51,9 +53,9 @@
             changed.borrow_and_update();
             // Before the list: what is read in between must not count as listed.
             let is_read = mirror.synced();
-            let mut entries = reader.addresses(&mirror.list(PREFIX));
+            let mut entries = reader.entries(&mirror.list(PREFIX));
             if !entries.contains(&own) {
-                entries.push(own);
+                entries.push(own.clone());
             }
             on_change(Roster { entries, is_read });
             if changed.changed().await.is_err() {
@@ -97,11 +99,16 @@
 impl RosterReader {
     /// Addresses in the items of the roster.
     pub fn addresses(&mut self, items: &[KeyValue]) -> Vec<SocketAddr> {
-        let mut addresses = Vec::with_capacity(items.len());
+        self.entries(items).into_iter().map(|entry| entry.address).collect()
+    }
+
+    /// Entries in the items of the roster.
+    pub fn entries(&mut self, items: &[KeyValue]) -> Vec<EntryAddress> {
+        let mut entries = Vec::with_capacity(items.len());
         let mut refused = BTreeSet::new();
         for item in items {
-            match read_address(&item.value) {
-                Ok(address) => addresses.push(address),
+            match read_entry(&item.value) {
+                Ok(entry) => entries.push(entry),
                 Err(error) => {
                     self.tell_refused(item, &error);
                     refused.insert((item.key.clone(), item.modified));
@@ -109,7 +116,7 @@
             }
         }
         self.refused = refused;
-        addresses
+        entries
     }
 
     fn tell_refused(&self, item: &KeyValue, error: &str) {
@@ -127,8 +134,13 @@
     }
 }
 
-fn read_address(value: &str) -> Result<SocketAddr, String> {
-    let address: SocketAddr = value.parse().map_err(|error| format!("address: {error}"))?;
+/// Reads an address, and the name of a data centre if one follows.
+fn read_entry(value: &str) -> Result<EntryAddress, String> {
+    let (address, data_centre) = value.split_once(' ').unwrap_or((value, ""));
+    let address: SocketAddr = address.parse().map_err(|error| format!("address: {error}"))?;
     // Connections to it fail, and each takes the turn of an entry that answers.
-    if address.port() == 0 { Err("port: 0 names no entry".to_owned()) } else { Ok(address) }
+    if address.port() == 0 {
+        return Err("port: 0 names no entry".to_owned());
+    }
+    Ok(EntryAddress { address, data_centre: data_centre.to_owned() })
 }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -502,6 +502,15 @@
     Claimant(ClaimantHello),
 }
 
+/// Where an entry is reached, and where it is.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct EntryAddress {
+    /// Its inner address.
+    pub address: SocketAddr,
+    /// Name of its data centre; empty if it is not known.
+    pub data_centre: String,
+}
+
 /// First message of an entry that claims jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimantHello {
@@ -509,6 +518,8 @@
     pub incarnation: Incarnation,
     /// Its inner address, as other entries know it.
     pub entry: SocketAddr,
+    /// Number of the connection, which rises over the connections of an incarnation.
+    pub connection: u64,
 }
 
 /// Claims of an entry on jobs, and claims that it gives up.
@@ -547,9 +558,14 @@
     pub after_ms: u64,
 }
 
-/// Answers to claims.
+/// Answers to claims. Each [`ClaimRequests`] gets one, in the same order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimAnswers(pub Vec<AnsweredClaim>);
+pub struct ClaimAnswers {
+    /// Answers to the claims of the message.
+    pub answers: Vec<AnsweredClaim>,
+    /// Whether the holder is about to end as planned and answers no claims any more.
+    pub is_leaving: bool,
+}
 
 /// Claim with the answer to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -566,9 +582,18 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimAnswer {
     /// The claimant has the job.
-    Granted,
+    Granted {
+        /// Whether the holder knows of no other claim on it.
+        is_alone: bool,
+    },
     /// Another entry has it.
     Held,
+    /// Another entry has had it, and its claim ends by some time: the entry has given the job up,
+    /// or is not heard. The claim is to be sent again.
+    Ending {
+        /// Time until the other claim ends at the latest, in milliseconds.
+        in_ms: u32,
+    },
     /// The holder has started lately and does not know what its process before has granted. The
     /// claim is to be sent again after this time.
     NotYet {
@@ -613,7 +638,7 @@
         /// Entries that the agent is connected to.
         connected: Vec<SocketAddr>,
         /// Entries that those entries have told the agent of.
-        named: Vec<SocketAddr>,
+        named: Vec<EntryAddress>,
     },
     /// Largest amount of each resource that any upstream of the agent's pool has, as reported
     /// by the agent's entries.
@@ -662,7 +687,7 @@
         upstream: Option<UpstreamInstance>,
     },
     /// Addresses of all known entries, for the agent to connect to.
-    Members(Vec<SocketAddr>),
+    Members(Vec<EntryAddress>),
     /// Start these tasks.
     Place(StepPlacement),
     /// Start no more tasks of the job, and stop its active runs.
