Claims: names and comments that say who does what

The entries among which holders are chosen are possible_holders, as a job's holders are others; known_agents; has_started_again in place of may_have_others; two constants of one name told apart. Comments name the entry or the holder that acts. No change of logic.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -96,15 +96,15 @@
         self.votes.iter().filter(|(_, vote)| is_wanted(*vote)).count()
     }
 
-    /// Number of holders of which a majority has to grant the claim.
+    /// Number of holders with a vote, of which a majority has to grant the claim.
     fn voting(&self, reach: &Reach) -> usize {
         // A holder that has not started lately knows of every claim, as each is sent to all, but
         // for those that the first one of two has granted alone.
         let is_alone = self.count(|vote| vote == Vote::Granted { is_alone: true }) > 0;
-        let has_cast = |holder| self.votes.len() == 2 && self.votes[0].0 == holder;
+        let has_casting_vote = |holder| self.votes.len() == 2 && self.votes[0].0 == holder;
         let has_vote = |(holder, vote): &&(SocketAddr, Vote)| {
             let is_new = matches!(vote, Vote::NotYet { .. });
-            let knows_nothing = is_new && is_alone && !has_cast(*holder);
+            let knows_nothing = is_new && is_alone && !has_casting_vote(*holder);
             !reach.is_out(*holder) && !knows_nothing
         };
         self.votes.iter().filter(has_vote).count()
@@ -121,7 +121,7 @@
         self.votes.iter().map(|(holder, _)| *holder).chain(self.told.iter().copied())
     }
 
-    /// Takes note of holders that are to be told of it, which it returns.
+    /// Adds the holders of `ranked` that do not know of it yet, which it returns, to those told.
     fn tell(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
         let is_new = |entry: &SocketAddr| self.known_to().all(|known| known != *entry);
         let new: Vec<_> = ranked.iter().copied().filter(is_new).collect();
@@ -129,7 +129,8 @@
         new
     }
 
-    /// Gives it these holders. Returns those that are to be asked.
+    /// Replaces its holders. Votes of former ones are dropped. Returns the new ones, which are to be
+    /// asked.
     fn move_to(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
         let known: Vec<_> = self.known_to().collect();
         let votes = std::mem::take(&mut self.votes);
@@ -170,21 +171,22 @@
     }
 }
 
-/// A holder that can't be reached.
+/// A holder that has left or can't be reached.
 #[derive(Clone, Copy, Debug)]
 struct LostHolder {
+    /// When it left, or could not be reached first.
     since_ms: u64,
     /// Whether it has said that it ends as planned.
     has_left: bool,
     /// Whether no agent is in contact with it, if agents can tell.
     has_no_agents: Option<bool>,
-    /// When agents told so last.
-    told_ms: u64,
+    /// When agents could tell last.
+    agents_told_ms: u64,
 }
 
 impl LostHolder {
     fn new(has_left: bool, now_ms: u64) -> Self {
-        Self { since_ms: now_ms, has_left, has_no_agents: None, told_ms: now_ms }
+        Self { since_ms: now_ms, has_left, has_no_agents: None, agents_told_ms: now_ms }
     }
 }
 
@@ -199,12 +201,12 @@
 }
 
 impl Reach {
-    /// Whether a holder grants nothing, or nothing that could run.
+    /// Whether a holder has no vote: it has left, or no agent could run what it grants.
     fn is_out(&self, holder: SocketAddr) -> bool {
         self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
     }
 
-    /// Whether a holder's vote is not to be expected.
+    /// Whether a holder has not been reached for so long that its vote is not waited for.
     fn is_given_up(&self, holder: SocketAddr, now_ms: u64) -> bool {
         let ClaimLimits { lost_after_ms, noticed_within_ms, .. } = self.limits;
         self.lost.get(&holder).is_some_and(|lost| {
@@ -277,6 +279,7 @@
     pub fn can_be_granted(&self, job: CallerJobId, entries: &[EntryAddress], now_ms: u64) -> bool {
         let holders = holders(job, entries);
         let is_reached = |holder: &SocketAddr| !self.reach.is_given_up(*holder, now_ms);
+        // The first of two has the casting vote.
         if let [first, _] = &holders[..]
             && is_reached(first)
         {
@@ -392,8 +395,8 @@
         for (&holder, lost) in &mut self.reach.lost {
             let told = has_no_agents(holder);
             if told.is_some() {
-                lost.told_ms = now_ms;
-            } else if now_ms < lost.told_ms + self.reach.limits.noticed_within_ms {
+                lost.agents_told_ms = now_ms;
+            } else if now_ms < lost.agents_told_ms + self.reach.limits.noticed_within_ms {
                 continue;
             }
             lost.has_no_agents = told;
@@ -422,9 +425,9 @@
             granted.for_each(|(_, vote)| *vote = Vote::Unsure);
         }
         if claim.is_granted {
-            // The claim has lapsed where this entry could not be heard.
-            let is_lapsed = claim.count(|vote| vote == Vote::Held) * 2 > claim.votes.len();
-            return is_lapsed.then_some(ClaimDecision::Denied { holder });
+            // Holders that did not hear this entry have granted the job to another one.
+            let is_lost = claim.count(|vote| vote == Vote::Held) * 2 > claim.votes.len();
+            return is_lost.then_some(ClaimDecision::Denied { holder });
         }
         claim.is_granted = claim.is_decided(&self.reach, now_ms);
         claim.is_granted.then_some(ClaimDecision::Granted)
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -13,12 +13,11 @@
 /// that of a connection attempt after a refused one.
 const RENEWAL_MS: u64 = 150;
 
-/// Time by which the longest pause between two messages of a claimant may exceed that of its runs,
-/// in milliseconds.
+/// A message of a claimant may be on its way for so long, in milliseconds.
 const SILENCE_SLACK_MS: u64 = 20;
 /// Longest pause between two looks at what is due in which this process has not stood still, in
 /// milliseconds.
-const MAX_TICK_MS: u64 = 100;
+const MAX_CALM_PAUSE_MS: u64 = 100;
 
 /// A claim that is known here.
 #[derive(Clone, Copy, Debug)]
@@ -268,5 +267,5 @@
 /// Returns for how long this process has stood still since the last look at what is due.
 fn own_stall_ms(ticked_ms: u64, now_ms: u64) -> u64 {
     let pause_ms = now_ms.saturating_sub(ticked_ms);
-    if pause_ms > MAX_TICK_MS { pause_ms } else { 0 }
+    if pause_ms > MAX_CALM_PAUSE_MS { pause_ms } else { 0 }
 }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -32,7 +32,7 @@
 
     /// Agents that are connected, or were until lately.
     #[must_use]
-    pub fn agents_known(&self) -> Vec<AgentKey> {
+    pub fn known_agents(&self) -> Vec<AgentKey> {
         self.agents.keys().collect()
     }
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -66,6 +66,7 @@
 /// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
 /// are given up with the next one: their callers come again later than that.
 const BEAT_MS: u64 = 100;
+
 /// Claims of this entry and of others.
 pub(super) struct ClaimLinks {
     /// Locked after the dispatch.
@@ -151,7 +152,7 @@
     /// granted.
     pub fn wait_for_earlier_claims(&self) {
         *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
-        self.change_cluster(|cluster| cluster.may_have_others = true);
+        self.change_cluster(|cluster| cluster.has_started_again = true);
     }
 
     /// Tells claimants that this entry ends as planned. It answers no claims any more.
@@ -164,13 +165,13 @@
     /// Whether a majority of a job's holders may grant it to this entry.
     pub(super) fn can_be_claimed(&self, job: CallerJobId, now_ms: u64) -> bool {
         let claims = self.claims.claims.lock();
-        claims.can_be_granted(job, &self.claim_holders.borrow(), now_ms)
+        claims.can_be_granted(job, &self.possible_holders.borrow(), now_ms)
     }
 
     /// Whether this entry can't reach most entries.
     pub(super) fn is_apart(&self) -> bool {
         let claims = self.claims.claims.lock();
-        claims.is_apart(&self.claim_holders.borrow(), self.clock.now_ms())
+        claims.is_apart(&self.possible_holders.borrow(), self.clock.now_ms())
     }
 
     /// Claims a job that was just accepted.
@@ -182,7 +183,7 @@
         now_ms: u64,
     ) {
         let mut claims = self.claims.claims.lock();
-        let requests = claims.begin(job, &self.claim_holders.borrow(), deadline_ms, now_ms);
+        let requests = claims.begin(job, &self.possible_holders.borrow(), deadline_ms, now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
         drop(claims);
         self.apply(dispatch, decided, now_ms);
@@ -302,11 +303,11 @@
     /// Does what is due by time, so many passes after this process has stood still.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
-        holders: &mut watch::Receiver<Vec<EntryAddress>>,
+        possible_holders: &mut watch::Receiver<Vec<EntryAddress>>,
         passes: usize,
     ) {
-        let is_changed = holders.has_changed().unwrap_or(false);
-        holders.mark_unchanged();
+        let is_changed = possible_holders.has_changed().unwrap_or(false);
+        possible_holders.mark_unchanged();
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
@@ -315,15 +316,16 @@
                 self.claims.beat(&claims, now_ms);
             }
             claims.confirmed(self.settings.own, now_ms);
-            self.ask_agents_of_lost_holders(dispatch, &mut claims);
+            self.update_lost_holders(dispatch, &mut claims);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
             if is_changed {
-                let requests = claims.set_entries(&holders.borrow(), now_ms);
+                let requests = claims.set_entries(&possible_holders.borrow(), now_ms);
                 decided.extend(self.send_claims(&mut claims, requests, now_ms));
             }
+            // After a stall claims are claimed again below before any counts as lapsed.
             let lapsed =
                 if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
             drop(claims);
@@ -335,15 +337,15 @@
         });
     }
 
-    /// Looks which of the lost holders have no agents.
-    fn ask_agents_of_lost_holders(&self, dispatch: &Dispatch, claims: &mut Claims) {
+    /// Records which of the lost holders have no agents, as the agents linked here tell.
+    fn update_lost_holders(&self, dispatch: &Dispatch, claims: &mut Claims) {
         if !claims.has_lost_holders() {
             return;
         }
         let mut reached: Vec<_> =
-            self.claim_holders.borrow().iter().map(|entry| entry.address).collect();
+            self.possible_holders.borrow().iter().map(|entry| entry.address).collect();
         reached.retain(|entry| !claims.is_lost(*entry));
-        let agents = dispatch.agents_known();
+        let agents = dispatch.known_agents();
         let mut cluster = self.cluster.lock();
         cluster.forget_seen(&agents);
         let has_no_agents = |holder| {
@@ -409,8 +411,8 @@
         claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
 
-    fn is_claim_holder(&self, address: SocketAddr) -> bool {
-        self.claim_holders.borrow().iter().any(|entry| entry.address == address)
+    fn is_possible_holder(&self, address: SocketAddr) -> bool {
+        self.possible_holders.borrow().iter().any(|entry| entry.address == address)
     }
 
     /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
@@ -418,8 +420,8 @@
     fn forget_idle_holder(&self, holder: SocketAddr, link: &Holder) -> bool {
         let mut claims = self.claims.claims.lock();
         let mut holders = self.claims.holders.lock();
-        let is_needed =
-            claims.has_claims_at(holder) || claims.is_lost(holder) && self.is_claim_holder(holder);
+        let is_needed = claims.has_claims_at(holder)
+            || claims.is_lost(holder) && self.is_possible_holder(holder);
         // Claims are queued under the lock of the claims.
         let is_idle = !is_needed && link.requests.lock().claims.is_empty();
         if is_idle {
@@ -514,8 +516,8 @@
         let Ok(is_current) = begin_on(service, holder, link, &mut self.writer) else {
             return LinkEnd::Closed { answered: false };
         };
-        // When messages were sent that are not answered yet, if the holder heard by them that
-        // claims are still wanted.
+        // When each message was sent that the holder has not answered yet; `None` if the message
+        // did not tell it that this entry still wants its claims.
         let sent_ms = |is_current: bool| is_current.then(|| service.clock.now_ms());
         let mut unanswered = VecDeque::from([sent_ms(is_current)]);
         let answer_at = |within| Instant::now() + within;
@@ -552,7 +554,8 @@
     }
 }
 
-/// Queues the first messages of a connection. Returns whether the claims are still wanted.
+/// Queues the first messages of a connection. Returns whether they tell the holder that this entry
+/// still wants its claims.
 fn begin_on(
     service: &JobService,
     holder: SocketAddr,
@@ -585,7 +588,8 @@
     let table = &service.claims.table;
     table.lock().connected(claimant, connection, service.now_ms());
     let mut heard_ms = service.now_ms();
-    // What a cut has held up arrives before the end of the connection.
+    // For the log: after a cut, messages that it has held up arrive together with the end of the
+    // connection, so that the last silence is short.
     let mut longest_silence_ms = 0;
     let mut leaving = service.claims.leaving.subscribe();
     let end = loop {
--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -20,8 +20,8 @@
     pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
     /// Those to which each agent was seen connected.
     pub(super) seen: HashMap<AgentKey, BTreeSet<SocketAddr>>,
-    /// Whether there may be entries that neither the roster nor an agent has named yet.
-    pub(super) may_have_others: bool,
+    /// Whether this entry has started again, so that others may be there that it has not heard of.
+    pub(super) has_started_again: bool,
 }
 
 /// Entries that an agent knows.
@@ -42,16 +42,15 @@
         self.located(rostered.chain(connected).collect())
     }
 
-    /// Entries that may hold claims, the entry `own` among them. Before the roster is read these
+    /// Entries among which holders of claims are chosen, the entry `own` among them. Before the roster is read these
     /// are also those that other entries know, and none at all where no agent has named any.
-    pub(super) fn claim_holders(&self, own: &EntryAddress) -> Vec<EntryAddress> {
-        let others = if self.is_roster_read { self.members() } else { self.located(self.all()) };
-        let others: Vec<_> =
-            others.into_iter().filter(|entry| entry.address != own.address).collect();
-        if self.may_have_others && !self.is_roster_read && self.by_agent.is_empty() {
+    pub(super) fn possible_holders(&self, own: &EntryAddress) -> Vec<EntryAddress> {
+        if self.has_started_again && !self.is_roster_read && self.by_agent.is_empty() {
             return Vec::new();
         }
-        others.into_iter().chain([own.clone()]).collect()
+        let known = if self.is_roster_read { self.members() } else { self.located(self.all()) };
+        let others = known.into_iter().filter(|entry| entry.address != own.address);
+        others.chain([own.clone()]).collect()
     }
 
     /// Adds the data centres of entries, as far as they are known.
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -112,8 +112,8 @@
     /// Inner addresses of entries that are surely there, for agents: those of the roster
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<EntryAddress>>,
-    /// Entries that may hold claims.
-    claim_holders: watch::Sender<Vec<EntryAddress>>,
+    /// Entries among which each job's holders of claims are chosen.
+    possible_holders: watch::Sender<Vec<EntryAddress>>,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
     /// Old jobs that each connected agent was told of. Locked after the dispatch.
     told_jobs: Mutex<ToldJobs>,
@@ -150,7 +150,7 @@
             copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
-            claim_holders: watch::Sender::new(vec![settings.own_entry()]),
+            possible_holders: watch::Sender::new(vec![settings.own_entry()]),
             cluster: Mutex::default(),
             cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
@@ -279,7 +279,10 @@
         let mut cluster = self.cluster.lock();
         change(&mut cluster);
         set_if_changed(&self.members, cluster.members());
-        set_if_changed(&self.claim_holders, cluster.claim_holders(&self.settings.own_entry()));
+        set_if_changed(
+            &self.possible_holders,
+            cluster.possible_holders(&self.settings.own_entry()),
+        );
         drop(cluster);
         self.cluster_changes.send_replace(());
     }
@@ -537,7 +540,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
-    let mut claim_holders = service.claim_holders.subscribe();
+    let mut possible_holders = service.possible_holders.subscribe();
     // Passes since the process has last stood still.
     let mut calm_passes = usize::MAX;
     loop {
@@ -553,7 +556,7 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut claim_holders, calm_passes);
+        service.tick_claims(&mut possible_holders, calm_passes);
         calm_passes = calm_passes.saturating_add(1);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -558,7 +558,8 @@
     pub after_ms: u64,
 }
 
-/// Answers to claims. Each [`ClaimRequests`] gets one, in the same order.
+/// Answers to claims. Each [`ClaimRequests`] gets one, in the same order; one more without answers
+/// tells that the holder is leaving.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimAnswers {
     /// Answers to the claims of the message.
