Claims: tests of copies that come early, and of kills without cuts

Of the model's cases, those without cuts are a property of their own: with cuts in all of them fewer acts were kills.

--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -139,6 +139,9 @@
     ask(&mut table, new_claim(20_000), FIRST, 0);
     table.disconnected(FIRST, 1, 1_000);
     let over_ms = 1_000 + LIMITS.outlast_ms();
+    // A copy that comes as soon as callers come again waits.
+    let copy = ask(&mut table, new_claim(2_740), SECOND, 1_000 + 1_300);
+    assert_eq!(copy, ClaimAnswer::Ending { in_ms: 340 });
     let ending = ClaimAnswer::Ending { in_ms: 1 };
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, over_ms - 1), ending);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, over_ms), GRANTED);
@@ -311,6 +314,15 @@
     assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms()), [JOB]);
 }
 
+/// Guards against a copy that is refused although its first attempt has had no answer until its
+/// deadline.
+#[test]
+fn claims_end_before_callers_come_again() {
+    let mut claims = Claims::new(LIMITS);
+    let asked = claims.begin(JOB, &entries(3), DEADLINE_MS, 0);
+    assert!(asked.iter().all(|request| request.claim.for_ms < DEADLINE_MS + 1_300));
+}
+
 /// Guards against claims that end with a connection, as the next one is there already.
 #[test]
 fn a_second_connection_keeps_claims() {
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -50,14 +50,15 @@
     Wait { steps: u64, delay_ms: u64 },
 }
 
-fn acts(entries: usize) -> impl Strategy<Value = Vec<Act>> {
+/// Acts of connections, kills and callers, and cuts beside them with some weight.
+fn acts(entries: usize, cut_weight: u32) -> impl Strategy<Value = Vec<Act>> {
     let act = prop_oneof![
         4 => (0..entries, 1..400_u64).prop_map(|(entry, steps)| Act::Submit { entry, steps }),
         1 => (0..entries).prop_map(|entry| Act::End { entry }),
         2 => (0..entries, 0..entries)
             .prop_map(|(claimant, holder)| Act::Break { claimant, holder }),
         1 => (0..entries, 0..150_u64).prop_map(|(entry, steps)| Act::Kill { entry, steps }),
-        1 => (1..31_u8, 1..500_u64, any::<bool>())
+        cut_weight => (1..31_u8, 1..500_u64, any::<bool>())
             .prop_map(|(apart, steps, refuses)| Act::Cut { apart, steps, refuses }),
         6 => (0..60_u64, 0..MAX_DELAY_MS).prop_map(|(steps, delay_ms)| Act::Wait { steps, delay_ms }),
     ];
@@ -481,19 +482,30 @@
     }
 }
 
+/// Plays the acts of entries that are there.
+fn play(count: usize, acts: &[Act]) {
+    let mut model = Model::new(count);
+    let is_there = |act: &&Act| match **act {
+        Act::Submit { entry, .. } | Act::End { entry } | Act::Kill { entry, .. } => entry < count,
+        Act::Break { claimant, holder } => claimant < count && holder < count,
+        Act::Wait { .. } | Act::Cut { .. } => true,
+    };
+    for act in acts.iter().filter(is_there) {
+        model.act(act);
+        model.step();
+    }
+}
+
 proptest! {
     /// Guards against a job that two entries run, or one beside the runs that another has left.
     #[test]
-    fn one_entry_runs_a_job(count in 1..6_usize, acts in acts(5)) {
-        let mut model = Model::new(count);
-        let is_there = |act: &&Act| match **act {
-            Act::Submit { entry, .. } | Act::End { entry } | Act::Kill { entry, .. } => entry < count,
-            Act::Break { claimant, holder } => claimant < count && holder < count,
-            Act::Wait { .. } | Act::Cut { .. } => true,
-        };
-        for act in acts.iter().filter(is_there) {
-            model.act(act);
-            model.step();
-        }
+    fn one_entry_runs_a_job(count in 1..6_usize, acts in acts(5, 0)) {
+        play(count, &acts);
+    }
+
+    /// Guards against the same where cuts separate entries.
+    #[test]
+    fn one_side_of_a_cut_runs_a_job(count in 1..6_usize, acts in acts(5, 1)) {
+        play(count, &acts);
     }
 }
