--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -297,8 +297,8 @@
         of_entry.extend(held);
     }
 
-    /// Returns the jobs to tell this entry of: old jobs of other entries, as these report and as the
-    /// agent's own runs show, and those of runs that an earlier process left.
+    /// Returns the jobs to tell this entry of: old jobs of other entries, as these report and as
+    /// the agent's own runs show, and those of runs that an earlier process left.
     pub(crate) fn jobs_of_others(&self, entry: Incarnation) -> BTreeSet<CallerJobId> {
         let now_ms = self.clock.now_ms();
         let ledger = self.ledger.lock();
--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -129,8 +129,8 @@
         new
     }
 
-    /// Replaces its holders. Votes of former ones are dropped. Returns the new ones, which are to be
-    /// asked.
+    /// Replaces its holders. Votes of former ones are dropped. Returns the new ones, which are to
+    /// be asked.
     fn move_to(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
         let known: Vec<_> = self.known_to().collect();
         let votes = std::mem::take(&mut self.votes);
--- a/crates/decide/src/dispatch/returning.rs
+++ b/crates/decide/src/dispatch/returning.rs
@@ -46,8 +46,8 @@
         self.returns.promise(job.request.id, kind.priority, work_milli_ms, rate_milli, now_ms)
     }
 
-    /// Rate at which this entry gains capacity for jobs of a priority, in thousandths of a core: its
-    /// share of what more urgent work leaves. 0 while agents report no arriving work.
+    /// Rate at which this entry gains capacity for jobs of a priority, in thousandths of a core:
+    /// its share of what more urgent work leaves. 0 while agents report no arriving work.
     fn gained_milli(&self, pool: &str, priority: u8, now_ms: u64) -> u64 {
         let load = self.pool_load(pool, now_ms);
         if load.arriving_milli() == 0 {
--- a/crates/decide/src/dispatch/shedding.rs
+++ b/crates/decide/src/dispatch/shedding.rs
@@ -9,10 +9,10 @@
 //!
 //! Jobs are therefore shed before that, at once and in proportion to the load, for two reasons.
 //! **Pressure** is how long the work of a priority class has to wait at the upstreams of the pool,
-//! relative to the slack of the kind. All entries see about the same, and jobs of all sizes are shed
-//! alike. A kind that is not the most urgent one also yields to less urgent kinds that are shed:
-//! otherwise only the least urgent kind would be refused in an overload. **Strain** is the share of
-//! more urgent jobs that are refused or late at this entry.
+//! relative to the slack of the kind. All entries see about the same, and jobs of all sizes are
+//! shed alike. A kind that is not the most urgent one also yields to less urgent kinds that are
+//! shed: otherwise only the least urgent kind would be refused in an overload. **Strain** is the
+//! share of more urgent jobs that are refused or late at this entry.
 
 use {
     super::{
@@ -25,15 +25,15 @@
 /// Wait, as a part of the slack, from which jobs are shed. A queue as short as this only covers the
 /// time between the end of a run and the next start.
 const MIN_SHED_WAIT: f64 = 0.1;
-/// Wait, as a part of the slack, at which every job that has to wait is shed. A job whose estimate is
-/// too high by 40 % has 0.71 of the slack that the entry assumes, and the wait of its slowest task is
-/// longer than the mean.
+/// Wait, as a part of the slack, at which every job that has to wait is shed. A job whose estimate
+/// is too high by 40 % has 0.71 of the slack that the entry assumes, and the wait of its slowest
+/// task is longer than the mean.
 const MAX_SHED_WAIT: f64 = 0.6;
-/// Share of jobs that a kind gives up for each share that less urgent kinds are shed: in an overload
-/// each class then loses about half of what the next less urgent one loses.
+/// Share of jobs that a kind gives up for each share that less urgent kinds are shed: in an
+/// overload each class then loses about half of what the next less urgent one loses.
 const YIELDED_SHARE: f64 = 0.5;
-/// A kind without arrivals for this long, in milliseconds, counts for no decision on others. An entry
-/// sees a kind with a job a second, over ten entries, about this often.
+/// A kind without arrivals for this long, in milliseconds, counts for no decision on others. An
+/// entry sees a kind with a job a second, over ten entries, about this often.
 const ACTIVE_KIND_MS: u64 = 10_000;
 
 /// Tolerated share of refused and late jobs, in percent: estimates that are off by 40 % make a
--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -54,9 +54,9 @@
     (claims, holders)
 }
 
-/// Guards against two runs: an entry is cut off from its holders as it stands still for 400 ms. It counts its
-/// wake-up as a confirmation, and gives the job up, whose agents are in contact, when its holders
-/// have granted it to another entry.
+/// Guards against two runs: an entry is cut off from its holders as it stands still for 400 ms. It
+/// counts its wake-up as a confirmation, and gives the job up, whose agents are in contact, when
+/// its holders have granted it to another entry.
 #[test]
 fn a_stall_within_a_cut_does_not_prolong_a_claim() {
     let (mut claims, holders) = granted_claim(&[0, 1, 2]);
@@ -82,9 +82,9 @@
     assert!(over_ms <= copy_ms, "runs are over at {over_ms} ms, a copy is granted at {copy_ms} ms");
 }
 
-/// Guards against two runs: connections that a claimant has replaced wait at a holder that stood still. It reads
-/// them in any order, and takes the end of an older one for that of the claimant, which is
-/// connected and heard.
+/// Guards against two runs: connections that a claimant has replaced wait at a holder that stood
+/// still. It reads them in any order, and takes the end of an older one for that of the claimant,
+/// which is connected and heard.
 #[test]
 fn the_end_of_an_overtaken_connection_does_not_end_claims() {
     let mut table = ClaimTable::new(LIMITS);
@@ -143,8 +143,8 @@
     assert_eq!((decision, claims.tick(40).0), (None, Vec::new()), "one of three holders grants");
 }
 
-/// Guards against two runs without any failure: a second entry joins, ranks first for a job that runs at the first
-/// one, and grants itself a copy by its casting vote.
+/// Guards against two runs without any failure: a second entry joins, ranks first for a job that
+/// runs at the first one, and grants itself a copy by its casting vote.
 #[test]
 fn a_second_entry_does_not_grant_itself_a_running_job() {
     let (one, two) = (entries(1), entries(2));
@@ -170,7 +170,8 @@
     assert_ne!(decisions.collect::<Vec<_>>().first(), Some(&ClaimDecision::Granted));
 }
 
-/// Guards against two runs without any failure: more entries join, and hold a job that others have granted before.
+/// Guards against two runs without any failure: more entries join, and hold a job that others have
+/// granted before.
 #[test]
 fn entries_that_join_know_of_running_jobs() {
     let (few, later) = (entries(3), entries(60));
@@ -203,8 +204,8 @@
     assert!(!decisions.contains(&ClaimDecision::Granted), "a running job is granted again");
 }
 
-/// Guards against two runs: the two holders that granted a job leave as planned, and the third one, which its
-/// claimant can't reach, grants it alone and at once.
+/// Guards against two runs: the two holders that granted a job leave as planned, and the third one,
+/// which its claimant can't reach, grants it alone and at once.
 #[test]
 fn what_holders_that_left_have_granted_counts() {
     let (mut first, holders) = granted_claim(&[0, 1]);
@@ -221,8 +222,8 @@
     assert!(copy.is_none() || is_given_up, "a copy is granted beside the job");
 }
 
-/// Guards against two runs for as long as a cut lasts: the first of two entries has left, and starts again on the
-/// other side of it.
+/// Guards against two runs for as long as a cut lasts: the first of two entries has left, and
+/// starts again on the other side of it.
 #[test]
 fn an_entry_that_has_left_is_back_behind_a_cut() {
     let two = entries(2);
@@ -280,8 +281,9 @@
     assert_ne!(is_denied, [true, true], "each copy is denied for the other's sake");
 }
 
-/// Guards against two runs: an entry that is cut off keeps a job as its agents are in contact, and is killed
-/// before it gives the job up. Nobody stops the runs then, and the claim ends before them.
+/// Guards against two runs: an entry that is cut off keeps a job as its agents are in contact, and
+/// is killed before it gives the job up. Nobody stops the runs then, and the claim ends before
+/// them.
 #[test]
 fn runs_of_an_entry_that_is_killed_after_a_cut_end_with_its_claim() {
     let (mut claims, holders) = granted_claim(&[0, 1, 2]);
@@ -299,8 +301,8 @@
     assert!(matches!(copy, ClaimAnswer::Ending { .. } | ClaimAnswer::Held), "{copy:?}");
 }
 
-/// Guards against two runs: the first of two entries is killed, starts again at once, and grants by its casting
-/// vote before the other one's runs are over, which it can't hear as a cut began.
+/// Guards against two runs: the first of two entries is killed, starts again at once, and grants by
+/// its casting vote before the other one's runs are over, which it can't hear as a cut began.
 #[test]
 fn a_casting_vote_that_has_started_again_waits_for_claims_that_it_cannot_know() {
     let two = entries(2);
--- a/crates/decide/tests/returns.rs
+++ b/crates/decide/tests/returns.rs
@@ -120,8 +120,8 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// In any interval, the promised work of a priority or higher is at most that done at the rate, but
-    /// for the last job. Each delay is within its range, and each promise is redeemed once.
+    /// In any interval, the promised work of a priority or higher is at most that done at the rate,
+    /// but for the last job. Each delay is within its range, and each promise is redeemed once.
     #[test]
     fn promises_fit_the_rate(jobs in refused(), rate_milli in 100u64..20_000) {
         let mut schedule = ReturnSchedule::default();
--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -42,8 +42,9 @@
         self.located(rostered.chain(connected).collect())
     }
 
-    /// Entries among which holders of claims are chosen, the entry `own` among them. Before the roster is read these
-    /// are also those that other entries know, and none at all where no agent has named any.
+    /// Entries among which holders of claims are chosen, the entry `own` among them. Before the
+    /// roster is read these are also those that other entries know, and none at all where no agent
+    /// has named any.
     pub(super) fn possible_holders(&self, own: &EntryAddress) -> Vec<EntryAddress> {
         if self.has_started_again && !self.is_roster_read && self.by_agent.is_empty() {
             return Vec::new();
