--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -1,7 +1,7 @@
 //! Claims of this entry, on their way or granted.
 
 use {
-    super::{ClaimLimits, HOLDERS, holders},
+    super::{ClaimLimits, holders},
     std::{cmp::Reverse, collections::HashMap, net::SocketAddr},
     sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, JobClaim},
 };
@@ -61,8 +61,6 @@
 struct Claim {
     number: u64,
     votes: Vec<(SocketAddr, Vote)>,
-    /// Whether every entry is a holder, which knows of its own claims.
-    are_holders_all: bool,
     /// Entries without a vote that know of the claim: former holders, and such as have become
     /// holders since it was granted.
     told: Vec<SocketAddr>,
@@ -73,8 +71,8 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
-    /// Whether its job is given up, or has ended.
-    is_given_up: bool,
+    /// Whether no majority has confirmed it in time.
+    is_lapsed: bool,
     /// It does not lapse before this time, as holders were asked again after this process stood
     /// still.
     lapses_from_ms: u64,
@@ -118,32 +116,6 @@
         granted.map(|(holder, _)| *holder).filter(|holder| !reach.is_out(*holder))
     }
 
-    /// Whether this entry runs the job, as far as the claim tells.
-    fn may_run(&self) -> bool {
-        (self.is_granted || self.was_granted) && !self.is_given_up
-    }
-
-    /// Whether all holders but one have left, and that one does not know of it and can't be
-    /// reached.
-    fn is_forgotten(&self, reach: &Reach) -> bool {
-        let mut remaining =
-            self.votes.iter().filter(|(holder, _)| reach.left_ms(*holder).is_none());
-        let (first, second) = (remaining.next(), remaining.next());
-        let is_unknown = |(holder, vote): &(SocketAddr, Vote)| {
-            *vote == Vote::Pending && reach.lost.contains_key(holder)
-        };
-        self.votes.len() == HOLDERS && second.is_none() && first.is_some_and(is_unknown)
-    }
-
-    /// Whether one holder may grant it alone. If the two others have left, what they granted to an
-    /// entry that the third one does not know of has to be given up and over.
-    fn may_be_granted_alone(&self, reach: &Reach, now_ms: u64) -> bool {
-        let holders = self.votes.iter().map(|(holder, _)| *holder);
-        let left_ms: Vec<_> = holders.filter_map(|holder| reach.left_ms(holder)).collect();
-        let is_over = |left_ms: &u64| now_ms >= left_ms + reach.limits.stop_within_ms;
-        self.are_holders_all || left_ms.len() < HOLDERS - 1 || left_ms.iter().all(is_over)
-    }
-
     /// Entries that know of it, or should.
     fn known_to(&self) -> impl Iterator<Item = SocketAddr> {
         self.votes.iter().map(|(holder, _)| *holder).chain(self.told.iter().copied())
@@ -174,11 +146,9 @@
 
     /// Whether a majority has granted it, and keeps it for long enough.
     fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
-        let (granted, voting) = (self.granted_by(reach).count(), self.voting(reach));
-        let is_majority =
-            granted * 2 > voting && (voting > 1 || self.may_be_granted_alone(reach, now_ms));
-        (is_majority || self.casting_vote().is_some())
-            && now_ms < self.last_confirmed_ms(reach) + reach.limits.grant_within_ms()
+        let granted = self.granted_by(reach).count();
+        (granted * 2 > self.voting(reach) || self.casting_vote().is_some())
+            && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
     }
 
     /// The first holder of two, if it has granted the claim: its vote decides.
@@ -231,11 +201,6 @@
 }
 
 impl Reach {
-    /// When a holder left as planned, if it has.
-    fn left_ms(&self, holder: SocketAddr) -> Option<u64> {
-        self.lost.get(&holder).filter(|lost| lost.has_left).map(|lost| lost.since_ms)
-    }
-
     /// Whether a holder has no vote: it has left, or no agent could run what it grants.
     fn is_out(&self, holder: SocketAddr) -> bool {
         self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
@@ -295,13 +260,12 @@
         let claim = Claim {
             number: self.last_number,
             votes,
-            are_holders_all: entries.len() <= HOLDERS,
             told: Vec::new(),
             ends_ms: deadline_ms + self.reach.limits.run_over_ms,
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
-            is_given_up: false,
+            is_lapsed: false,
             lapses_from_ms: now_ms,
         };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
@@ -381,7 +345,6 @@
         let mut requests = Vec::new();
         for (&job, claim) in &mut self.claims {
             let ranked = holders(job, entries);
-            claim.are_holders_all = entries.len() <= HOLDERS;
             let to_ask =
                 if claim.is_granted { claim.tell(&ranked) } else { claim.move_to(&ranked) };
             requests.extend(to_ask.into_iter().map(|holder| claim.request(job, holder, now_ms)));
@@ -510,12 +473,13 @@
     pub fn take_lapsed(&mut self, now_ms: u64) -> Vec<CallerJobId> {
         let reach = &self.reach;
         let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
-            let is_unconfirmed = now_ms >= claim.lapses_from_ms
-                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms;
-            claim.may_run() && (is_unconfirmed || claim.is_forgotten(reach))
+            (claim.is_granted || claim.was_granted)
+                && !claim.is_lapsed
+                && now_ms >= claim.lapses_from_ms
+                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms()
         };
         let mark = |(&job, claim): (&CallerJobId, &mut Claim)| {
-            claim.is_given_up = true;
+            claim.is_lapsed = true;
             job
         };
         // Kept, as a holder that is back and has a vote again has confirmed nothing yet.
@@ -525,16 +489,6 @@
         self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
     }
 
-    /// Up to when messages of agents may be acknowledged. Runs end so long after the last one that
-    /// those of this entry are over as its claims end, also if it is killed, or an agent goes out
-    /// of reach.
-    #[must_use]
-    pub fn acknowledge_until_ms(&self) -> u64 {
-        let running = self.claims.values().filter(|claim| claim.may_run());
-        let oldest_ms = running.map(|claim| claim.confirmed_ms).min();
-        oldest_ms.map_or(u64::MAX, |oldest_ms| oldest_ms + self.reach.limits.margin_ms)
-    }
-
     /// Returns the claims to send again to a holder, over a new connection.
     #[must_use]
     pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
@@ -554,7 +508,6 @@
     pub fn end_by(&mut self, job: CallerJobId, over_ms: u64) -> Option<(u64, Vec<SocketAddr>)> {
         let claim = self.claims.get_mut(&job)?;
         claim.ends_ms = claim.ends_ms.min(over_ms);
-        claim.is_given_up = true;
         Some((claim.number, claim.known_to().collect()))
     }
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -59,9 +59,6 @@
 /// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
 /// several attempts at the upstream.
 const STOP_WITHIN_MS: u64 = 400;
-/// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
-/// passes over what is due.
-const ACKNOWLEDGE_WITHIN_MS: u64 = 40;
 /// Agents take an entry for silent after 900 ms, and tell others with their next heartbeat.
 const NOTICED_WITHIN_MS: u64 = 1_500;
 /// Longest time in which claimants are told that this entry ends.
@@ -113,11 +110,9 @@
 
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
-        let silent_from_ms = MARGIN_MS + limits.owner_timeout_ms - 2 * limits.heartbeat_ms;
         let limits = ClaimLimits {
             run_over_ms: limits.run_over_ms,
             margin_ms: MARGIN_MS,
-            give_up_ms: silent_from_ms - ACKNOWLEDGE_WITHIN_MS,
             confirm_within_ms: CONFIRM_WITHIN_MS,
             stop_within_ms: STOP_WITHIN_MS,
             lost_after_ms: LOST_AFTER_MS,
@@ -305,13 +300,12 @@
         self.apply(dispatch, decided, now_ms);
     }
 
-    /// Does what is due by time, so many passes after this process has stood still. Returns whether
-    /// what agents have sent so far may be acknowledged.
+    /// Does what is due by time, so many passes after this process has stood still.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
         possible_holders: &mut watch::Receiver<Vec<EntryAddress>>,
         passes: usize,
-    ) -> bool {
+    ) {
         let is_changed = possible_holders.has_changed().unwrap_or(false);
         possible_holders.mark_unchanged();
         self.change(|dispatch, now_ms| {
@@ -340,8 +334,7 @@
             if passes == receipts::PASSES {
                 self.claim_again(dispatch, now_ms);
             }
-            now_ms <= self.claims.claims.lock().acknowledge_until_ms()
-        })
+        });
     }
 
     /// Records which of the lost holders have no agents, as the agents linked here tell.
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -119,7 +119,7 @@
     told_jobs: Mutex<ToldJobs>,
     /// Claims on jobs, of this entry and of others.
     claims: ClaimLinks,
-    /// Number of passes over what is due by time, without those at which claims were unconfirmed.
+    /// Number of passes over what is due by time.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
     stopped: watch::Sender<bool>,
@@ -177,8 +177,7 @@
         self.clock.now_ms()
     }
 
-    /// Number of passes over what is due by time that are complete, for acknowledgements. It stands
-    /// still while a claim is unconfirmed, so that runs of an entry that is killed are over in time.
+    /// Number of passes over what is due by time that are complete.
     fn passes(&self) -> u64 {
         self.passes.load(Ordering::Acquire)
     }
@@ -557,10 +556,9 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        if service.tick_claims(&mut possible_holders, calm_passes) {
-            service.passes.fetch_add(1, Ordering::AcqRel);
-        }
+        service.tick_claims(&mut possible_holders, calm_passes);
         calm_passes = calm_passes.saturating_add(1);
+        service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
     }
