--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -204,22 +204,52 @@
     assert!(!decisions.contains(&ClaimDecision::Granted), "a running job is granted again");
 }
 
-/// Guards against two runs: the two holders that granted a job leave as planned, and the third one,
-/// which its claimant can't reach, grants it alone and at once.
-#[test]
-fn what_holders_that_left_have_granted_counts() {
+/// Returns when the runs of a job are over at an entry, and when a copy is granted by the third
+/// holder, which that entry can't reach. The other two, which granted the job, are lost at some
+/// time, as `lose` tells the claims of both entries.
+fn over_and_copied_ms(lose: impl Fn(&mut Claims, &[SocketAddr], u64)) -> (u64, u64) {
+    let lost_ms = 1_000;
     let (mut first, holders) = granted_claim(&[0, 1]);
     first.holder_lost(holders[2], false, 0);
     let mut second = Claims::new(LIMITS);
-    for holder in [holders[0], holders[1]] {
-        first.confirmed(holder, 1_000);
-        first.holder_left(holder, 1_000);
-        second.holder_left(holder, 1_000);
+    for &holder in &holders[..2] {
+        first.confirmed(holder, lost_ms);
+        second.confirmed(holder, lost_ms);
+    }
+    assert_eq!(first.take_lapsed(lost_ms), []);
+    lose(&mut first, &holders[..2], lost_ms);
+    lose(&mut second, &holders[..2], lost_ms);
+    second.begin(JOB, &entries(14), 20_000, lost_ms);
+    let mut copied_ms = granted(&mut second, holders[2], lost_ms).map(|_| lost_ms);
+    let mut given_up_ms = None;
+    for now_ms in (lost_ms..lost_ms + 10_000).step_by(STEP_MS) {
+        second.confirmed(holders[2], now_ms);
+        let is_granted = !second.tick(now_ms).0.is_empty();
+        copied_ms = copied_ms.or(is_granted.then_some(now_ms));
+        let is_given_up = !first.take_lapsed(now_ms).is_empty();
+        given_up_ms = given_up_ms.or(is_given_up.then_some(now_ms));
     }
-    second.begin(JOB, &entries(14), 3_000, 1_010);
-    let copy = granted(&mut second, holders[2], 1_011);
-    let is_given_up = !first.take_lapsed(1_011).is_empty();
-    assert!(copy.is_none() || is_given_up, "a copy is granted beside the job");
+    (given_up_ms.unwrap() + LIMITS.stop_within_ms, copied_ms.unwrap())
+}
+
+/// Guards against two runs: the two holders that granted a job leave as planned, and the third one,
+/// which its claimant can't reach, grants it alone and at once.
+#[test]
+fn what_holders_that_left_have_granted_counts() {
+    let (over_ms, copied_ms) = over_and_copied_ms(|claims, holders, now_ms| {
+        holders.iter().for_each(|&holder| claims.holder_left(holder, now_ms));
+    });
+    assert!(over_ms <= copied_ms, "a copy is granted at {copied_ms} ms, runs end by {over_ms} ms");
+}
+
+/// Guards against the same where the two are killed, and agents show that they have none.
+#[test]
+fn what_killed_holders_have_granted_counts() {
+    let (over_ms, copied_ms) = over_and_copied_ms(|claims, holders, now_ms| {
+        holders.iter().for_each(|&holder| claims.holder_lost(holder, true, now_ms));
+        claims.set_without_agents(|lost| Some(holders.contains(&lost)), now_ms);
+    });
+    assert!(over_ms <= copied_ms, "a copy is granted at {copied_ms} ms, runs end by {over_ms} ms");
 }
 
 /// Guards against two runs for as long as a cut lasts: the first of two entries has left, and
@@ -319,3 +349,25 @@
     let copy = table.claim(new_claim(2_740), FIRST, over_ms - 1).answer;
     assert!(matches!(copy, ClaimAnswer::NotYet { .. }), "{copy:?}");
 }
+
+/// Guards against two runs: both holders that granted a job are killed with its entry, start again,
+/// and leave the decision to the third one, which was cut off and knows of no claim.
+#[test]
+fn a_holder_that_was_cut_off_does_not_decide_alone() {
+    let asked = holders(JOB, &entries(14));
+    let (killed_ms, now_ms) = (1_000, 1_500);
+    let mut restarted = [0, 1].map(|_| ClaimTable::restarted(LIMITS, killed_ms + 100));
+    let mut cut_off = ClaimTable::new(LIMITS);
+    cut_off.connected(FIRST, 1, 0);
+    cut_off.disconnected(FIRST, 1, 10);
+    let mut second = Claims::new(LIMITS);
+    let claim = second.begin(JOB, &entries(14), 3_000, now_ms)[0].claim;
+    let [first, other] = &mut restarted;
+    let mut decisions = Vec::new();
+    for (holder, table) in asked.into_iter().zip([first, other, &mut cut_off]) {
+        let answer = table.claim(claim, SECOND, now_ms);
+        decisions.extend(second.answered(answer, holder, now_ms));
+    }
+    let over_ms = killed_ms + LIMITS.run_over_ms;
+    assert_eq!(decisions, [], "granted at {now_ms} ms, runs are over at {over_ms} ms");
+}
