--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -130,6 +130,11 @@
         }
     }
 
+    /// Up to when this process has handled what was due.
+    pub(super) fn handled_ms(&self) -> u64 {
+        self.handled_ms.load(Ordering::Relaxed)
+    }
+
     /// Lets holders hear of this entry that have claims of it, or of claims that it gives up.
     fn beat(&self, claims: &Claims, now_ms: u64) {
         if now_ms < self.beat_ms.load(Ordering::Relaxed) + BEAT_MS {
@@ -245,6 +250,7 @@
             claim = state.number,
             granted_by = list(&state.granted_by),
             others = list(&state.others),
+            entries = self.possible_holders.borrow().len(),
         );
     }
 
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -227,7 +227,8 @@
             agent = hello.name,
             peer = peer,
             run = hello.agent,
-            held = hello.held_runs.len()
+            held = hello.held_runs.len(),
+            waited_ms = service.unhandled_ms(),
         );
         let confirmed =
             if same { hello.unconfirmed_reports.last().map_or(0, |last| last.number) } else { 0 };
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -20,7 +20,7 @@
     parking_lot::Mutex,
     rand::Rng,
     std::{
-        collections::HashMap,
+        collections::{BTreeMap, HashMap},
         net::SocketAddr,
         sync::{
             Arc,
@@ -279,14 +279,34 @@
         let mut cluster = self.cluster.lock();
         change(&mut cluster);
         set_if_changed(&self.members, cluster.members());
-        set_if_changed(
-            &self.possible_holders,
-            cluster.possible_holders(&self.settings.own_entry()),
-        );
+        let possible_holders = cluster.possible_holders(&self.settings.own_entry());
+        if set_if_changed(&self.possible_holders, possible_holders) {
+            self.log_possible_holders(&cluster);
+        }
         drop(cluster);
         self.cluster_changes.send_replace(());
     }
 
+    /// Logs among which entries holders of claims are chosen now, and who told of them.
+    fn log_possible_holders(&self, cluster: &Cluster) {
+        let holders = self.possible_holders.borrow();
+        event!(
+            Info,
+            "possible_holders_changed",
+            entries = holders.len(),
+            data_centres = by_data_centre(&holders),
+            rostered = cluster.roster.len(),
+            is_roster_read = cluster.is_roster_read,
+            agents = cluster.by_agent.len(),
+        );
+    }
+
+    /// Time since this process handled what was due, in milliseconds. What is read now may have
+    /// waited for so long.
+    fn unhandled_ms(&self) -> u64 {
+        self.clock.now_ms().saturating_sub(self.claims.handled_ms())
+    }
+
     /// Runs a job and waits for its answer. Dropping the future gives the job
     /// up: its caller has left.
     pub async fn run(self: &Arc<Self>, request: JobRequest) -> JobAnswer {
@@ -429,12 +449,22 @@
     }
 }
 
-fn set_if_changed(sender: &watch::Sender<Vec<EntryAddress>>, entries: Vec<EntryAddress>) {
+fn set_if_changed(sender: &watch::Sender<Vec<EntryAddress>>, entries: Vec<EntryAddress>) -> bool {
     sender.send_if_modified(|known| {
         let changed = *known != entries;
         *known = entries;
         changed
-    });
+    })
+}
+
+/// Names of data centres with the number of their entries, for the log.
+fn by_data_centre(entries: &[EntryAddress]) -> String {
+    let mut counts = BTreeMap::<&str, usize>::new();
+    for entry in entries {
+        *counts.entry(&entry.data_centre).or_default() += 1;
+    }
+    let counts = counts.iter().map(|(data_centre, count)| format!("{data_centre}:{count}"));
+    counts.collect::<Vec<_>>().join(",")
 }
 
 /// A caller that waits; when it is dropped without an answer its job is given up.
