--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -2,6 +2,7 @@
 
 use {
     super::{ClaimLimits, holders},
+    crate::voters::VoterSets,
     std::{cmp::Reverse, collections::HashMap, net::SocketAddr},
     sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, JobClaim},
 };
@@ -9,6 +10,8 @@
 /// Pause before a claim is sent again to a holder where another one is about to end, in
 /// milliseconds: that one may end sooner than at the latest.
 const ENDING_PAUSE_MS: u64 = 100;
+/// Pause before a claim is sent again to a holder that has no vote, in milliseconds.
+const NO_VOTE_PAUSE_MS: u64 = 100;
 
 /// A claim to be sent to a holder.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +52,8 @@
     Unsure,
     /// Another entry has the job, though this one's claim is granted.
     Held,
+    /// It can't tell whether its list of voters is in force. To be asked again at this time.
+    NoVote { until_ms: u64 },
 }
 
 impl Vote {
@@ -60,9 +65,11 @@
 #[derive(Debug)]
 struct Claim {
     number: u64,
+    /// Its holders in each set of voters. A majority of each has to grant it.
+    holders: Vec<Vec<SocketAddr>>,
+    /// Of all holders.
     votes: Vec<(SocketAddr, Vote)>,
-    /// Entries without a vote that know of the claim: former holders, and such as have become
-    /// holders since it was granted.
+    /// Former holders, which know of the claim.
     told: Vec<SocketAddr>,
     /// When runs of the job are over at the latest.
     ends_ms: u64,
@@ -92,28 +99,40 @@
         }
     }
 
-    fn count(&self, is_wanted: impl Fn(Vote) -> bool) -> usize {
-        self.votes.iter().filter(|(_, vote)| is_wanted(*vote)).count()
+    fn count(&self, holders: &[SocketAddr], is_wanted: impl Fn(Vote) -> bool) -> usize {
+        self.votes_of(holders).filter(|(_, vote)| is_wanted(*vote)).count()
     }
 
-    /// Number of holders with a vote, of which a majority has to grant the claim.
-    fn voting(&self, reach: &Reach) -> usize {
+    fn votes_of<'a>(
+        &'a self,
+        holders: &'a [SocketAddr],
+    ) -> impl Iterator<Item = (SocketAddr, Vote)> + 'a {
+        let vote_of = |holder| self.votes.iter().find(|(of, _)| of == holder).copied();
+        holders.iter().filter_map(vote_of)
+    }
+
+    /// Number of holders of a set with a vote, of which a majority has to grant the claim.
+    fn voting(&self, holders: &[SocketAddr], reach: &Reach) -> usize {
         // A holder that has not started lately knows of every claim, as each is sent to all, but
         // for those that the first one of two has granted alone.
-        let is_alone = self.count(|vote| vote == Vote::Granted { is_alone: true }) > 0;
-        let has_casting_vote = |holder| self.votes.len() == 2 && self.votes[0].0 == holder;
-        let has_vote = |(holder, vote): &&(SocketAddr, Vote)| {
+        let is_alone = self.count(holders, |vote| vote == Vote::Granted { is_alone: true }) > 0;
+        let has_casting_vote = |holder| holders.len() == 2 && holders[0] == holder;
+        let has_vote = |(holder, vote): &(SocketAddr, Vote)| {
             let is_new = matches!(vote, Vote::NotYet { .. });
             let knows_nothing = is_new && is_alone && !has_casting_vote(*holder);
             !reach.is_out(*holder) && !knows_nothing
         };
-        self.votes.iter().filter(has_vote).count()
+        self.votes_of(holders).filter(has_vote).count()
     }
 
-    /// Holders with a vote that have granted it.
-    fn granted_by(&self, reach: &Reach) -> impl Iterator<Item = SocketAddr> {
-        let granted = self.votes.iter().filter(|(_, vote)| vote.is_granted());
-        granted.map(|(holder, _)| *holder).filter(|holder| !reach.is_out(*holder))
+    /// Holders of a set with a vote that have granted it.
+    fn granted_by<'a>(
+        &'a self,
+        holders: &'a [SocketAddr],
+        reach: &'a Reach,
+    ) -> impl Iterator<Item = SocketAddr> + 'a {
+        let granted = self.votes_of(holders).filter(|(_, vote)| vote.is_granted());
+        granted.map(|(holder, _)| holder).filter(|holder| !reach.is_out(*holder))
     }
 
     /// Entries that know of it, or should.
@@ -121,54 +140,77 @@
         self.votes.iter().map(|(holder, _)| *holder).chain(self.told.iter().copied())
     }
 
-    /// Adds the holders of `ranked` that do not know of it yet, which it returns, to those told.
-    fn tell(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
-        let is_new = |entry: &SocketAddr| self.known_to().all(|known| known != *entry);
-        let new: Vec<_> = ranked.iter().copied().filter(is_new).collect();
-        self.told.extend(&new);
-        new
-    }
-
     /// Replaces its holders. Votes of former ones are dropped. Returns the new ones, which are to
     /// be asked.
-    fn move_to(&mut self, ranked: &[SocketAddr]) -> Vec<SocketAddr> {
+    fn move_to(&mut self, holders: Vec<Vec<SocketAddr>>) -> Vec<SocketAddr> {
         let known: Vec<_> = self.known_to().collect();
         let votes = std::mem::take(&mut self.votes);
+        let all = union(&holders);
         let vote_of = |holder: SocketAddr| votes.iter().find(|(of, _)| *of == holder).copied();
-        // In their order: the first of two has the casting vote.
-        self.votes = ranked
-            .iter()
-            .map(|&holder| vote_of(holder).unwrap_or((holder, Vote::Pending)))
-            .collect();
-        self.told = known.into_iter().filter(|entry| !ranked.contains(entry)).collect();
-        ranked.iter().copied().filter(|&holder| vote_of(holder).is_none()).collect()
+        self.votes =
+            all.iter().map(|&holder| vote_of(holder).unwrap_or((holder, Vote::Pending))).collect();
+        self.told = known.into_iter().filter(|entry| !all.contains(entry)).collect();
+        self.holders = holders;
+        all.into_iter().filter(|&holder| vote_of(holder).is_none()).collect()
     }
 
-    /// Whether a majority has granted it, and keeps it for long enough.
+    /// Whether a majority of each set has granted it, and keeps it for long enough.
     fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
-        let granted = self.granted_by(reach).count();
-        (granted * 2 > self.voting(reach) || self.casting_vote().is_some())
+        let is_granted_by = |holders: &Vec<SocketAddr>| {
+            let granted = self.granted_by(holders, reach).count();
+            granted * 2 > self.voting(holders, reach) || self.casting_vote(holders).is_some()
+        };
+        !self.holders.is_empty()
+            && self.holders.iter().all(is_granted_by)
             && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
     }
 
     /// The first holder of two, if it has granted the claim: its vote decides.
-    fn casting_vote(&self) -> Option<SocketAddr> {
-        match self.votes[..] {
-            [(first, Vote::Granted { .. }), _] => Some(first),
-            _ => None,
-        }
+    fn casting_vote(&self, holders: &[SocketAddr]) -> Option<SocketAddr> {
+        let [first, _] = *holders else { return None };
+        self.votes_of(&[first]).any(|(_, vote)| vote.is_granted()).then_some(first)
     }
 
-    /// Returns when a majority was last certain to keep it.
+    /// Returns when a majority of each set was last certain to keep it.
     fn last_confirmed_ms(&self, reach: &Reach) -> u64 {
+        let by_set = self.holders.iter().map(|holders| self.confirmed_by_ms(holders, reach));
+        by_set.min().unwrap_or(0).max(self.confirmed_ms)
+    }
+
+    fn confirmed_by_ms(&self, holders: &[SocketAddr], reach: &Reach) -> u64 {
         let contact_ms = |holder| reach.contacts_ms.get(&holder).copied();
-        let mut contacts_ms: Vec<_> = self.granted_by(reach).filter_map(contact_ms).collect();
+        let mut contacts_ms: Vec<_> =
+            self.granted_by(holders, reach).filter_map(contact_ms).collect();
         contacts_ms.sort_unstable_by_key(|&contact_ms| Reverse(contact_ms));
-        let by_majority_ms = contacts_ms.get(self.voting(reach) / 2).copied();
-        let by_first_ms = self.casting_vote().and_then(|holder| reach.contacts_ms.get(&holder));
-        let confirmed_ms = by_majority_ms.max(by_first_ms.copied());
-        confirmed_ms.unwrap_or(0).max(self.confirmed_ms)
+        let by_majority_ms = contacts_ms.get(self.voting(holders, reach) / 2).copied();
+        let by_first_ms =
+            self.casting_vote(holders).and_then(|holder| reach.contacts_ms.get(&holder));
+        by_majority_ms.max(by_first_ms.copied()).unwrap_or(0)
     }
+
+    /// Whether most holders of a set have the job for another entry.
+    fn is_lost(&self) -> bool {
+        let is_held = |holders: &Vec<SocketAddr>| {
+            self.count(holders, |vote| vote == Vote::Held) * 2 > holders.len()
+        };
+        self.holders.iter().any(is_held)
+    }
+}
+
+/// Holders of a job in each set of voters.
+fn holders_of(job: CallerJobId, sets: VoterSets) -> Vec<Vec<SocketAddr>> {
+    sets.iter().map(|voters| holders(job, voters)).collect()
+}
+
+/// All holders in the order of their sets.
+fn union(holders: &[Vec<SocketAddr>]) -> Vec<SocketAddr> {
+    let mut all: Vec<SocketAddr> = Vec::new();
+    for &holder in holders.iter().flatten() {
+        if !all.contains(&holder) {
+            all.push(holder);
+        }
+    }
+    all
 }
 
 /// A holder that has left or can't be reached.
@@ -246,19 +288,20 @@
     }
 
     /// Begins a claim on a job whose caller waits until `deadline_ms`. Returns what to ask the
-    /// holders among `entries`.
-    pub fn begin(
+    /// holders among the voters.
+    pub fn begin<'a>(
         &mut self,
         job: CallerJobId,
-        entries: &[EntryAddress],
+        sets: impl Into<VoterSets<'a>>,
         deadline_ms: u64,
         now_ms: u64,
     ) -> Vec<ClaimRequest> {
-        let votes = holders(job, entries).into_iter().map(|holder| (holder, Vote::Pending));
-        let votes = votes.collect();
+        let holders = holders_of(job, sets.into());
+        let votes = union(&holders).into_iter().map(|holder| (holder, Vote::Pending)).collect();
         self.last_number += 1;
         let claim = Claim {
             number: self.last_number,
+            holders,
             votes,
             told: Vec::new(),
             ends_ms: deadline_ms + self.reach.limits.run_over_ms,
@@ -276,28 +319,55 @@
 
     /// Whether so many holders of a job can be reached that they may grant it.
     #[must_use]
-    pub fn can_be_granted(&self, job: CallerJobId, entries: &[EntryAddress], now_ms: u64) -> bool {
-        let holders = holders(job, entries);
+    pub fn can_be_granted<'a>(
+        &self,
+        job: CallerJobId,
+        sets: impl Into<VoterSets<'a>>,
+        now_ms: u64,
+    ) -> bool {
+        let holders = holders_of(job, sets.into());
+        !holders.is_empty() && holders.iter().all(|holders| self.may_decide(holders, now_ms))
+    }
+
+    fn may_decide(&self, holders: &[SocketAddr], now_ms: u64) -> bool {
         let is_reached = |holder: &SocketAddr| !self.reach.is_given_up(*holder, now_ms);
         // The first of two has the casting vote.
-        if let [first, _] = &holders[..]
+        if let [first, _] = holders
             && is_reached(first)
         {
             return true;
         }
-        let voting = holders.into_iter().filter(|holder| !self.reach.is_out(*holder));
+        let voting = holders.iter().copied().filter(|holder| !self.reach.is_out(*holder));
         let (reached, lost): (Vec<_>, Vec<_>) = voting.partition(is_reached);
         reached.len() > lost.len()
     }
 
-    /// Whether this entry is without contact to most entries, itself included.
+    /// Whether this entry is without contact to most voters, itself included, or knows of none.
     #[must_use]
-    pub fn is_apart(&self, entries: &[EntryAddress], now_ms: u64) -> bool {
-        let addresses = entries.iter().map(|entry| entry.address);
-        let voting = addresses.filter(|entry| !self.reach.is_out(*entry));
-        let (lost, reached): (Vec<_>, Vec<_>) =
-            voting.partition(|entry| self.reach.is_given_up(*entry, now_ms));
-        lost.len() > reached.len()
+    pub fn is_apart<'a>(&self, sets: impl Into<VoterSets<'a>>, now_ms: u64) -> bool {
+        let sets = sets.into();
+        let is_apart_from = |voters: &[EntryAddress]| {
+            let addresses = voters.iter().map(|voter| voter.address);
+            let voting = addresses.filter(|voter| !self.reach.is_out(*voter));
+            let (lost, reached): (Vec<_>, Vec<_>) =
+                voting.partition(|voter| self.reach.is_given_up(*voter, now_ms));
+            lost.len() > reached.len()
+        };
+        sets.iter().next().is_none() || sets.iter().any(is_apart_from)
+    }
+
+    /// Whether a voter has left, or is lost and without agents, so that nothing that it grants
+    /// could run.
+    #[must_use]
+    pub fn is_out(&self, voter: SocketAddr) -> bool {
+        self.reach.is_out(voter)
+    }
+
+    /// Whether a voter is lost and without agents.
+    #[must_use]
+    pub fn is_without_agents(&self, voter: SocketAddr) -> bool {
+        let lost = self.reach.lost.get(&voter);
+        lost.is_some_and(|lost| lost.has_no_agents == Some(true))
     }
 
     /// Records a holder's answer. Returns the decision, if it is made by this answer.
@@ -318,6 +388,7 @@
                 self.record(job, holder, Vote::Ending { until_ms }, now_ms);
                 return Some(ClaimDecision::Postponed);
             }
+            ClaimAnswer::NoVote => Vote::NoVote { until_ms: now_ms + NO_VOTE_PAUSE_MS },
         };
         self.record(job, holder, vote, now_ms)
     }
@@ -339,14 +410,19 @@
         requests
     }
 
-    /// Takes note of other entries: claims that are not decided have the holders that rank first
-    /// now, and new ones are told of granted claims. Returns what to send.
-    pub fn set_entries(&mut self, entries: &[EntryAddress], now_ms: u64) -> Vec<ClaimRequest> {
+    /// Takes note of other voters: claims have the holders that rank first among these, and go on
+    /// as far as they are granted once new holders have confirmed them. Returns what to send.
+    pub fn set_entries<'a>(
+        &mut self,
+        sets: impl Into<VoterSets<'a>>,
+        now_ms: u64,
+    ) -> Vec<ClaimRequest> {
+        let sets = sets.into();
         let mut requests = Vec::new();
         for (&job, claim) in &mut self.claims {
-            let ranked = holders(job, entries);
-            let to_ask =
-                if claim.is_granted { claim.tell(&ranked) } else { claim.move_to(&ranked) };
+            // What the former holders have confirmed stays so.
+            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
+            let to_ask = claim.move_to(holders_of(job, sets));
             requests.extend(to_ask.into_iter().map(|holder| claim.request(job, holder, now_ms)));
         }
         requests
@@ -426,8 +502,7 @@
         }
         if claim.is_granted {
             // Holders that did not hear this entry have granted the job to another one.
-            let is_lost = claim.count(|vote| vote == Vote::Held) * 2 > claim.votes.len();
-            return is_lost.then_some(ClaimDecision::Denied { holder });
+            return claim.is_lost().then_some(ClaimDecision::Denied { holder });
         }
         claim.is_granted = claim.is_decided(&self.reach, now_ms);
         claim.is_granted.then_some(ClaimDecision::Granted)
@@ -448,6 +523,7 @@
                     // A holder that grants nothing takes note of a granted claim.
                     Vote::NotYet { until_ms } => claim.is_granted || until_ms <= now_ms,
                     Vote::Ending { until_ms } => claim.is_granted || until_ms <= now_ms,
+                    Vote::NoVote { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
                     Vote::Held | Vote::Unsure => true,
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -63,8 +63,8 @@
     }
 }
 
-/// Returns the entries that hold claims on a job, the same at every entry that knows the same
-/// entries. They are in different data centres if there are as many, so that the loss of one leaves
+/// Returns the voters of a set that hold claims on a job, the same at every entry that knows the
+/// same set. They are in different data centres if there are as many, so that the loss of one leaves
 /// a majority.
 #[must_use]
 pub fn holders(job: CallerJobId, entries: &[EntryAddress]) -> Vec<SocketAddr> {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod retry;
 pub mod share;
 pub mod view;
+pub mod voters;
--- /dev/null
+++ b/crates/decide/src/voters/mod.rs
@@ -0,0 +1,101 @@
+//! Which entries vote on claims.
+//!
+//! The platform keeps one numbered list of voters ([`VoterList`]). An entry that is gone stays on
+//! it until the others have agreed on a list without it: silence, or the end of a lease, alone
+//! takes nobody's vote.
+//!
+//! A change goes over a list with two sets of voters, of which both decide, and ends once
+//!
+//! - a majority of the old voters has adopted that list, and tells so in the roster;
+//! - the lease of each other old voter has ended, so that it can't vote by its lease any more;
+//! - the time has passed after which it can't vote by the word of a majority either, and its
+//!   claimants have given their jobs up.
+//!
+//! [`Electorate`] is what an entry knows of the list, and decides whether it votes;
+//! [`VoterChanges`] decides when the list is to be changed.
+
+mod changes;
+mod electorate;
+
+pub use {
+    changes::{RosterEntry, VoterChanges},
+    electorate::Electorate,
+};
+
+use {
+    crate::claims::ClaimLimits,
+    std::net::SocketAddr,
+    sycamorerail_wire::runs::{EntryAddress, VoterList},
+};
+
+/// A voter whose lease is not known to be alive votes while a majority has told it within this
+/// time that its list is in force, in milliseconds: several messages, so that a connection may be
+/// replaced between them.
+pub const CONTACT_WITHIN_MS: u64 = 1_500;
+/// What the settling of a change allows for messages and timers, in milliseconds.
+const SETTLE_SLACK_MS: u64 = 400;
+
+/// Time after which nobody votes on a list, and nothing runs by it, once a majority of its voters
+/// has adopted a later one and the leases of the others have ended, in milliseconds.
+#[must_use]
+pub fn settle_ms(limits: &ClaimLimits) -> u64 {
+    CONTACT_WITHIN_MS + limits.outlast_ms() + SETTLE_SLACK_MS
+}
+
+/// The sets of voters of a list, of which each has to decide by a majority. None without a list.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct VoterSets<'a> {
+    present: &'a [EntryAddress],
+    next: &'a [EntryAddress],
+}
+
+impl<'a> VoterSets<'a> {
+    /// The sets, at most two.
+    pub fn iter(self) -> impl Iterator<Item = &'a [EntryAddress]> {
+        [self.present, self.next].into_iter().filter(|set| !set.is_empty())
+    }
+
+    /// The voters of both sets.
+    pub fn voters(self) -> impl Iterator<Item = &'a EntryAddress> {
+        let is_other = move |entry: &&EntryAddress| !self.present.contains(entry);
+        self.present.iter().chain(self.next.iter().filter(is_other))
+    }
+
+    /// Whether an entry is a voter.
+    #[must_use]
+    pub fn contains(self, entry: SocketAddr) -> bool {
+        self.voters().any(|voter| voter.address == entry)
+    }
+}
+
+impl<'a> From<&'a [EntryAddress]> for VoterSets<'a> {
+    fn from(voters: &'a [EntryAddress]) -> Self {
+        Self { present: voters, next: &[] }
+    }
+}
+
+impl<'a> From<&'a Vec<EntryAddress>> for VoterSets<'a> {
+    fn from(voters: &'a Vec<EntryAddress>) -> Self {
+        voters.as_slice().into()
+    }
+}
+
+impl<'a> From<&'a VoterList> for VoterSets<'a> {
+    fn from(list: &'a VoterList) -> Self {
+        Self { present: &list.voters, next: &list.next }
+    }
+}
+
+/// Whether some voters of a set are a majority of those that are not out. Of two halves, the one
+/// with the first voter is.
+pub fn is_majority(
+    voters: &[EntryAddress],
+    is_in: impl Fn(SocketAddr) -> bool,
+    is_out: impl Fn(SocketAddr) -> bool,
+) -> bool {
+    let voters = voters.iter().map(|voter| voter.address).filter(|voter| !is_out(*voter));
+    let voters: Vec<_> = voters.collect();
+    let count = voters.iter().filter(|voter| is_in(**voter)).count();
+    let has_casting_vote = voters.first().is_some_and(|first| is_in(*first));
+    count * 2 > voters.len() || count * 2 == voters.len() && has_casting_vote
+}
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -5,7 +5,7 @@
 //! replaced, and the claims that the holder should have are sent again over the new one.
 
 use {
-    super::{JobService, query::is_process_gone},
+    super::{JobService, query::is_process_gone, voters},
     parking_lot::Mutex,
     std::{
         collections::{HashMap, VecDeque},
@@ -28,7 +28,7 @@
         ids::Incarnation,
         runs::{
             AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
-            ClaimantHello, EntryAddress, RunsFirstMessage, StepPlacement,
+            ClaimantHello, RunsFirstMessage, StepPlacement, VoterList,
         },
     },
     tokio::{
@@ -135,6 +135,14 @@
         self.handled_ms.load(Ordering::Relaxed)
     }
 
+    pub(super) fn limits(&self) -> ClaimLimits {
+        self.limits
+    }
+
+    pub(super) fn is_without_agents(&self, entry: SocketAddr) -> bool {
+        self.claims.lock().is_without_agents(entry)
+    }
+
     /// Lets holders hear of this entry that have claims of it, or of claims that it gives up.
     fn beat(&self, claims: &Claims, now_ms: u64) {
         if now_ms < self.beat_ms.load(Ordering::Relaxed) + BEAT_MS {
@@ -157,7 +165,6 @@
     /// granted.
     pub fn wait_for_earlier_claims(&self) {
         *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
-        self.change_cluster(|cluster| cluster.has_started_again = true);
     }
 
     /// Tells claimants that this entry ends as planned. It answers no claims any more.
@@ -169,14 +176,15 @@
 
     /// Whether a majority of a job's holders may grant it to this entry.
     pub(super) fn can_be_claimed(&self, job: CallerJobId, now_ms: u64) -> bool {
-        let claims = self.claims.claims.lock();
-        claims.can_be_granted(job, &self.possible_holders.borrow(), now_ms)
+        let list = self.voters.list();
+        self.claims.claims.lock().can_be_granted(job, voters::sets(list.as_deref()), now_ms)
     }
 
-    /// Whether this entry can't reach most entries.
+    /// Whether this entry can't reach most voters, or knows of none.
     pub(super) fn is_apart(&self) -> bool {
-        let claims = self.claims.claims.lock();
-        claims.is_apart(&self.possible_holders.borrow(), self.clock.now_ms())
+        let list = self.voters.list();
+        let sets = voters::sets(list.as_deref());
+        self.claims.claims.lock().is_apart(sets, self.clock.now_ms())
     }
 
     /// Claims a job that was just accepted.
@@ -187,8 +195,9 @@
         deadline_ms: u64,
         now_ms: u64,
     ) {
+        let list = self.voters.list();
         let mut claims = self.claims.claims.lock();
-        let requests = claims.begin(job, &self.possible_holders.borrow(), deadline_ms, now_ms);
+        let requests = claims.begin(job, voters::sets(list.as_deref()), deadline_ms, now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
         drop(claims);
         self.apply(dispatch, decided, now_ms);
@@ -204,8 +213,13 @@
         let mut decided = Vec::new();
         for ClaimRequest { holder, claim } in requests {
             if holder == self.settings.own {
-                claims.confirmed(holder, now_ms);
-                let answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
+                let has_vote = self.has_vote(claims, now_ms);
+                let mut answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
+                if has_vote {
+                    claims.confirmed(holder, now_ms);
+                } else {
+                    answer.answer = ClaimAnswer::NoVote;
+                }
                 let decision = claims.answered(answer, holder, now_ms);
                 decided.extend(decision.map(|decision| (claim.job, decision)));
                 continue;
@@ -250,7 +264,7 @@
             claim = state.number,
             granted_by = list(&state.granted_by),
             others = list(&state.others),
-            entries = self.possible_holders.borrow().len(),
+            voters = self.voters.electorate().number(),
         );
     }
 
@@ -309,11 +323,14 @@
     /// Does what is due by time, so many passes after this process has stood still.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
-        possible_holders: &mut watch::Receiver<Vec<EntryAddress>>,
+        voters: &mut watch::Receiver<Option<Arc<VoterList>>>,
         passes: usize,
     ) {
-        let is_changed = possible_holders.has_changed().unwrap_or(false);
-        possible_holders.mark_unchanged();
+        let is_changed = voters.has_changed().unwrap_or(false);
+        let list = voters.borrow_and_update().clone();
+        if passes >= receipts::PASSES {
+            self.contact_voters();
+        }
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             self.claims.table.lock().tick(now_ms);
@@ -321,14 +338,16 @@
                 self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
                 self.claims.beat(&claims, now_ms);
             }
-            claims.confirmed(self.settings.own, now_ms);
+            if self.has_vote(&claims, now_ms) {
+                claims.confirmed(self.settings.own, now_ms);
+            }
             self.update_lost_holders(dispatch, &mut claims);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
             if is_changed {
-                let requests = claims.set_entries(&possible_holders.borrow(), now_ms);
+                let requests = claims.set_entries(voters::sets(list.as_deref()), now_ms);
                 decided.extend(self.send_claims(&mut claims, requests, now_ms));
             }
             // After a stall claims are claimed again below before any counts as lapsed.
@@ -348,9 +367,9 @@
         if !claims.has_lost_holders() {
             return;
         }
-        let mut reached: Vec<_> =
-            self.possible_holders.borrow().iter().map(|entry| entry.address).collect();
-        reached.retain(|entry| !claims.is_lost(*entry));
+        let list = self.voters.list();
+        let voters = voters::sets(list.as_deref()).voters().map(|voter| voter.address);
+        let reached: Vec<_> = voters.filter(|entry| !claims.is_lost(*entry)).collect();
         let agents = dispatch.known_agents();
         let mut cluster = self.cluster.lock();
         cluster.forget_seen(&agents);
@@ -386,9 +405,16 @@
     fn claims_answered(
         self: &Arc<Self>,
         holder: SocketAddr,
-        ClaimAnswers { answers, is_leaving }: ClaimAnswers,
+        ClaimAnswers { answers, is_leaving, voters_number, voters, has_vote }: ClaimAnswers,
         contact_ms: Option<u64>,
     ) -> bool {
+        if let Some(list) = voters {
+            self.voters_told(list, holder);
+        }
+        if let Some(sent_ms) = contact_ms {
+            self.voters.electorate().answered(holder, voters_number, sent_ms);
+        }
+        let confirmed_ms = contact_ms.filter(|_| has_vote);
         self.change(|dispatch, now_ms| {
             let mut claims = self.claims.claims.lock();
             if is_leaving {
@@ -396,7 +422,7 @@
                 claims.holder_left(holder, now_ms);
             } else {
                 claims.holder_reached(holder);
-                contact_ms.into_iter().for_each(|sent_ms| claims.confirmed(holder, sent_ms));
+                confirmed_ms.into_iter().for_each(|sent_ms| claims.confirmed(holder, sent_ms));
             }
             let decision = |answer: AnsweredClaim| {
                 Some((answer.job, claims.answered(answer, holder, now_ms)?))
@@ -417,8 +443,26 @@
         claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
 
-    fn is_possible_holder(&self, address: SocketAddr) -> bool {
-        self.possible_holders.borrow().iter().any(|entry| entry.address == address)
+    /// Tells holders of a new list of voters.
+    pub(super) fn tell_holders_of_voters(&self) {
+        let list = self.voters.list();
+        for link in self.claims.holders.lock().values() {
+            link.requests.lock().voters = list.as_deref().cloned();
+            link.filled.notify_one();
+        }
+    }
+
+    /// Asks other voters for their lists, if this entry needs their word to vote.
+    fn contact_voters(self: &Arc<Self>) {
+        for entry in self.due_contacts(self.now_ms()) {
+            let link = self.holder(entry);
+            link.requests.lock().is_current = true;
+            link.filled.notify_one();
+        }
+    }
+
+    fn is_voter(&self, address: SocketAddr) -> bool {
+        voters::sets(self.voters.list().as_deref()).contains(address)
     }
 
     /// Ends the link to a holder without claims, unless the holder is lost: then it is tried
@@ -426,8 +470,8 @@
     fn forget_idle_holder(&self, holder: SocketAddr, link: &Holder) -> bool {
         let mut claims = self.claims.claims.lock();
         let mut holders = self.claims.holders.lock();
-        let is_needed = claims.has_claims_at(holder)
-            || claims.is_lost(holder) && self.is_possible_holder(holder);
+        let is_needed =
+            claims.has_claims_at(holder) || claims.is_lost(holder) && self.is_voter(holder);
         // Claims are queued under the lock of the claims.
         let is_idle = !is_needed && link.requests.lock().claims.is_empty();
         if is_idle {
@@ -545,7 +589,8 @@
                     (answered, self.answer_within) = (true, ANSWER_WITHIN);
                 }
                 () = link.filled.notified() => {
-                    let requests = std::mem::take(&mut *link.requests.lock());
+                    let mut requests = std::mem::take(&mut *link.requests.lock());
+                    requests.voters_number = service.voters.electorate().number();
                     unanswered.push_back(sent_ms(requests.is_current));
                     answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     if self.writer.push(&requests).is_err() {
@@ -578,6 +623,8 @@
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
+    requests.voters = service.voters.list().as_deref().cloned();
+    requests.voters_number = requests.voters.as_ref().map_or(0, |list| list.number);
     writer.push(&requests)?;
     Ok(requests.is_current)
 }
@@ -604,14 +651,14 @@
             biased;
             // The service holds the sender.
             _ = leaving.wait_for(|leaving| *leaving) => {
-                ClaimAnswers { answers: Vec::new(), is_leaving: true }
+                ClaimAnswers { is_leaving: true, ..ClaimAnswers::default() }
             }
             next = next => match next {
                 Ok(Ok(requests)) => {
                     let now_ms = service.now_ms();
                     longest_silence_ms = longest_silence_ms.max(now_ms.saturating_sub(heard_ms));
                     heard_ms = now_ms;
-                    service.grant(claimant, &requests)
+                    service.grant(claimant, entry, requests)
                 }
                 Ok(Err(error)) => break error,
                 Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
@@ -648,18 +695,31 @@
 }
 
 impl JobService {
-    fn grant(&self, claimant: Incarnation, requests: &ClaimRequests) -> ClaimAnswers {
+    fn grant(
+        &self,
+        claimant: Incarnation,
+        entry: SocketAddr,
+        requests: ClaimRequests,
+    ) -> ClaimAnswers {
+        let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
+        if let Some(list) = voters {
+            self.voters_told(list, entry);
+        }
         let now_ms = self.now_ms();
+        let own_claims = self.claims.claims.lock();
+        let list = self.voters.list();
+        let number = list.as_ref().map_or(0, |list| list.number);
+        let has_vote = voters_number == number && self.has_vote(&own_claims, now_ms);
+        drop(own_claims);
         let mut table = self.claims.table.lock();
-        if requests.is_current {
+        if is_current {
             table.heard(claimant, now_ms);
         }
-        for &release in &requests.releases {
+        for release in releases {
             table.release(release, claimant, now_ms);
         }
-        let claims = requests.claims.iter();
-        let answers = claims.map(|&claim| {
-            let answered = table.claim(claim, claimant, now_ms);
+        let answers = claims.into_iter().map(|claim| {
+            let mut answered = table.claim(claim, claimant, now_ms);
             if answered.answer == ClaimAnswer::Held
                 && let Some(owner) = table.owner(claim.job, now_ms)
             {
@@ -673,9 +733,18 @@
                     silent_ms = owner.silent_ms,
                 );
             }
+            if !has_vote {
+                answered.answer = ClaimAnswer::NoVote;
+            }
             answered
         });
-        ClaimAnswers { answers: answers.collect(), is_leaving: false }
+        ClaimAnswers {
+            answers: answers.collect(),
+            is_leaving: false,
+            voters_number: number,
+            voters: list.filter(|_| voters_number < number).as_deref().cloned(),
+            has_vote,
+        }
     }
 }
 
--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -20,8 +20,6 @@
     pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
     /// Those to which each agent was seen connected.
     pub(super) seen: HashMap<AgentKey, BTreeSet<SocketAddr>>,
-    /// Whether this entry has started again, so that others may be there that it has not heard of.
-    pub(super) has_started_again: bool,
 }
 
 /// Entries that an agent knows.
@@ -42,18 +40,6 @@
         self.located(rostered.chain(connected).collect())
     }
 
-    /// Entries among which holders of claims are chosen, the entry `own` among them. Before the
-    /// roster is read these are also those that other entries know, and none at all where no agent
-    /// has named any.
-    pub(super) fn possible_holders(&self, own: &EntryAddress) -> Vec<EntryAddress> {
-        if self.has_started_again && !self.is_roster_read && self.by_agent.is_empty() {
-            return Vec::new();
-        }
-        let known = if self.is_roster_read { self.members() } else { self.located(self.all()) };
-        let others = known.into_iter().filter(|entry| entry.address != own.address);
-        others.chain([own.clone()]).collect()
-    }
-
     /// Adds the data centres of entries, as far as they are known.
     fn located(&self, addresses: BTreeSet<SocketAddr>) -> Vec<EntryAddress> {
         let named = self.by_agent.values().flat_map(|entries| &entries.named);
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod old_jobs;
 mod query;
+mod voters;
 
 pub use query::Held;
 
@@ -48,6 +49,7 @@
         net::TcpListener,
         sync::{oneshot, watch},
     },
+    voters::Voters,
 };
 
 /// Pause between looks at what is due by time. Events place tasks; only
@@ -113,7 +115,7 @@
     /// and those that agents are connected to.
     pub(crate) members: watch::Sender<Vec<EntryAddress>>,
     /// Entries among which each job's holders of claims are chosen.
-    possible_holders: watch::Sender<Vec<EntryAddress>>,
+    voters: Voters,
     waiters: Mutex<HashMap<JobKey, oneshot::Sender<JobAnswer>>>,
     /// Old jobs that each connected agent was told of. Locked after the dispatch.
     told_jobs: Mutex<ToldJobs>,
@@ -150,7 +152,7 @@
             copies: Mutex::new(CopyFetch::new(COPY_LIMITS)),
             evacuations: watch::Sender::default(),
             members: watch::Sender::new(Vec::new()),
-            possible_holders: watch::Sender::new(vec![settings.own_entry()]),
+            voters: Voters::alone(settings.own_entry()),
             cluster: Mutex::default(),
             cluster_changes: watch::Sender::new(()),
             waiters: Mutex::new(HashMap::new()),
@@ -279,28 +281,10 @@
         let mut cluster = self.cluster.lock();
         change(&mut cluster);
         set_if_changed(&self.members, cluster.members());
-        let possible_holders = cluster.possible_holders(&self.settings.own_entry());
-        if set_if_changed(&self.possible_holders, possible_holders) {
-            self.log_possible_holders(&cluster);
-        }
         drop(cluster);
         self.cluster_changes.send_replace(());
     }
 
-    /// Logs among which entries holders of claims are chosen now, and who told of them.
-    fn log_possible_holders(&self, cluster: &Cluster) {
-        let holders = self.possible_holders.borrow();
-        event!(
-            Info,
-            "possible_holders_changed",
-            entries = holders.len(),
-            data_centres = by_data_centre(&holders),
-            rostered = cluster.roster.len(),
-            is_roster_read = cluster.is_roster_read,
-            agents = cluster.by_agent.len(),
-        );
-    }
-
     /// Time since this process handled what was due, in milliseconds. What is read now may have
     /// waited for so long.
     fn unhandled_ms(&self) -> u64 {
@@ -449,12 +433,12 @@
     }
 }
 
-fn set_if_changed(sender: &watch::Sender<Vec<EntryAddress>>, entries: Vec<EntryAddress>) -> bool {
+fn set_if_changed(sender: &watch::Sender<Vec<EntryAddress>>, entries: Vec<EntryAddress>) {
     sender.send_if_modified(|known| {
         let changed = *known != entries;
         *known = entries;
         changed
-    })
+    });
 }
 
 /// Names of data centres with the number of their entries, for the log.
@@ -570,7 +554,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut stalls = StallMeter::new(TICK.as_millis() as u64, service.clock.now_ms());
     let mut shared = SharedJobs::new(service.cluster_changes.subscribe());
-    let mut possible_holders = service.possible_holders.subscribe();
+    let mut voters = service.voters.subscribe();
     // Passes since the process has last stood still.
     let mut calm_passes = usize::MAX;
     loop {
@@ -586,7 +570,7 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut possible_holders, calm_passes);
+        service.tick_claims(&mut voters, calm_passes);
         calm_passes = calm_passes.saturating_add(1);
         service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
--- /dev/null
+++ b/crates/entry/src/runs/voters.rs
@@ -0,0 +1,178 @@
+//! The list of voters in force at this entry, and the messages that it needs to vote.
+
+use {
+    super::{JobService, by_data_centre},
+    parking_lot::{Mutex, MutexGuard},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+    },
+    sycamorerail_decide::{
+        claims::{ClaimLimits, Claims},
+        voters::{Electorate, VoterSets},
+    },
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::runs::{EntryAddress, VoterList},
+    tokio::sync::watch,
+};
+
+/// Pause between messages to other voters by which this entry learns whether its list is in force,
+/// in milliseconds. Several are answered in the time for which it votes by them.
+const CONTACT_PAUSE_MS: u64 = 400;
+
+/// What this entry knows of the voters.
+pub(super) struct Voters {
+    /// Locked after the table of claims.
+    electorate: Mutex<Electorate>,
+    /// The list in force.
+    list: watch::Sender<Option<Arc<VoterList>>>,
+    /// When other voters were last asked for their lists.
+    contacted_ms: AtomicU64,
+    /// Whether this entry had a vote lately, for the log.
+    had_vote: AtomicBool,
+}
+
+impl Voters {
+    /// An entry without others, the only voter.
+    pub(super) fn alone(own: EntryAddress) -> Self {
+        let mut electorate = Electorate::new(own.address);
+        electorate.lease_held(1, u64::MAX);
+        let list = VoterList { number: 1, voters: vec![own], next: Vec::new() };
+        electorate.read(Some(list), 1);
+        let list = watch::Sender::new(electorate.list().cloned());
+        Self {
+            electorate: Mutex::new(electorate),
+            list,
+            contacted_ms: AtomicU64::new(0),
+            had_vote: AtomicBool::new(true),
+        }
+    }
+
+    pub(super) fn electorate(&self) -> MutexGuard<'_, Electorate> {
+        self.electorate.lock()
+    }
+
+    /// The list in force, if one is known.
+    pub(super) fn list(&self) -> Option<Arc<VoterList>> {
+        self.list.borrow().clone()
+    }
+
+    pub(super) fn subscribe(&self) -> watch::Receiver<Option<Arc<VoterList>>> {
+        self.list.subscribe()
+    }
+
+    /// Whether other voters are to be asked now for their lists.
+    fn are_contacts_due(&self, now_ms: u64) -> bool {
+        let contacted_ms = self.contacted_ms.load(Ordering::Relaxed);
+        let is_due = now_ms >= contacted_ms + CONTACT_PAUSE_MS
+            && self.electorate.lock().needs_contacts(now_ms);
+        if is_due {
+            self.contacted_ms.store(now_ms, Ordering::Relaxed);
+        }
+        is_due
+    }
+}
+
+/// The sets of voters of a list, none without one.
+pub(super) fn sets(list: Option<&VoterList>) -> VoterSets<'_> {
+    list.map_or_else(VoterSets::default, VoterSets::from)
+}
+
+impl JobService {
+    /// Takes the voters from the platform's list, and from other entries, from now on. Until one
+    /// is known this entry neither votes nor starts jobs.
+    pub fn follow_voters(&self) {
+        *self.voters.electorate.lock() = Electorate::new(self.settings.own);
+        self.voters.list.send_replace(None);
+    }
+
+    /// Takes note of the platform's list of voters, as of one of its revisions.
+    pub fn read_voters(&self, list: Option<VoterList>, revision: u64) {
+        let is_new = self.voters.electorate.lock().read(list, revision);
+        if is_new {
+            self.put_voters_in_force("platform");
+        }
+    }
+
+    /// Takes note of the list of voters that another entry has.
+    pub(super) fn voters_told(&self, list: VoterList, by: SocketAddr) {
+        let is_new = self.voters.electorate.lock().told(list, by);
+        if is_new {
+            self.put_voters_in_force("entries");
+        }
+    }
+
+    fn put_voters_in_force(&self, source: &str) {
+        let list = self.voters.electorate.lock().list().cloned();
+        if let Some(list) = &list {
+            event!(
+                Info,
+                "voters_changed",
+                number = list.number,
+                voters = list.voters.len(),
+                data_centres = by_data_centre(&list.voters),
+                next = list.next.len(),
+                next_data_centres = by_data_centre(&list.next),
+                source = source,
+            );
+        }
+        metrics::gauge!("sycamorerail_voters")
+            .set(list.as_ref().map_or(0, |list| list.voters.len()) as f64);
+        self.voters.list.send_replace(list);
+        self.tell_holders_of_voters();
+    }
+
+    /// Number of the list of voters in force, 0 without one. Wakes when it changes.
+    #[must_use]
+    pub fn voters(&self) -> watch::Receiver<Option<Arc<VoterList>>> {
+        self.voters.subscribe()
+    }
+
+    /// Records that this entry is in the roster from a revision of the platform on, under a lease
+    /// that is alive until then.
+    pub fn roster_lease_held(&self, revision: u64, until_ms: u64) {
+        self.voters.electorate.lock().lease_held(revision, until_ms);
+    }
+
+    /// Records that this entry's lease in the roster has ended, or may have.
+    pub fn roster_lease_lost(&self) {
+        self.voters.electorate.lock().lease_lost();
+    }
+
+    /// Whether a voter is lost and without agents, so that nothing that it grants could run.
+    #[must_use]
+    pub fn is_without_agents(&self, voter: SocketAddr) -> bool {
+        self.claims.is_without_agents(voter)
+    }
+
+    /// Limits of claims, which tell when a change of voters has settled.
+    #[must_use]
+    pub fn claim_limits(&self) -> ClaimLimits {
+        self.claims.limits()
+    }
+
+    /// Whether this entry votes now.
+    pub(super) fn has_vote(&self, claims: &Claims, now_ms: u64) -> bool {
+        let has_vote = self.voters.electorate.lock().has_vote(|entry| claims.is_out(entry), now_ms);
+        if self.voters.had_vote.swap(has_vote, Ordering::Relaxed) != has_vote {
+            event!(Info, "vote_changed", has_vote = has_vote);
+        }
+        has_vote
+    }
+
+    /// Entries to ask for their lists of voters, if it is time.
+    pub(super) fn due_contacts(&self, now_ms: u64) -> Vec<SocketAddr> {
+        if !self.voters.are_contacts_due(now_ms) {
+            return Vec::new();
+        }
+        let own = self.settings.own;
+        let entries: Vec<_> = match self.voters.list() {
+            Some(list) => VoterSets::from(&*list).voters().map(|voter| voter.address).collect(),
+            None => self.cluster.lock().all().into_iter().collect(),
+        };
+        entries.into_iter().filter(|entry| *entry != own).collect()
+    }
+}
--- a/crates/membership/src/announce.rs
+++ b/crates/membership/src/announce.rs
@@ -42,7 +42,8 @@
 async fn announce(shared: &Shared, own: Incarnation) -> Result<LeaseId, MembershipError> {
     let key = keys::key(ENTRIES, own);
     let value = record::to_json(&shared.config.own);
-    write_key(&shared.platform, &key, &value, shared.config.lease_ms).await
+    let written = write_key(&shared.platform, &key, &value, shared.config.lease_ms).await?;
+    Ok(written.lease)
 }
 
 /// Keeps the lease alive until it is lost or the incarnation retires.
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -19,10 +19,12 @@
 pub mod life_record;
 pub mod members;
 pub mod membership;
+mod presence;
 pub mod record;
 pub mod register;
 pub mod roster;
 mod sweep;
+mod voters;
 
 pub use {
     error::{MembershipError, MembershipStep},
--- /dev/null
+++ b/crates/membership/src/voters.rs
@@ -0,0 +1,106 @@
+//! The list of voters in the platform: one key without a lease, which entries change by
+//! compare-and-swap.
+
+use {
+    crate::roster::{Member, PREFIX, RosterReader},
+    std::{sync::Arc, time::Duration},
+    sycamorerail_decide::voters::VoterChanges,
+    sycamorerail_platform::{Expected, Mirror, Platform, Swap},
+    sycamorerail_telemetry::event,
+    sycamorerail_wire::runs::VoterList,
+    tokio::time::interval,
+};
+
+/// The key of the list.
+pub(crate) const KEY: &str = "sycamorerail/voters";
+/// Pause between looks at whether the list is to be changed.
+const LOOK_PAUSE: Duration = Duration::from_millis(200);
+/// So many entries read the roster anew as the list is changed, in case that others are gone.
+const READERS: usize = 2;
+
+/// Tells an entry of the list.
+pub(crate) async fn follow(member: Arc<Member>, mirror: Mirror) {
+    let mut changed = mirror.subscribe();
+    loop {
+        changed.borrow_and_update();
+        let table = mirror.snapshot();
+        if table.synced() {
+            let list = table.get(KEY).and_then(|item| read_or_log(&item.value));
+            (member.read_voters)(list, table.mark());
+        }
+        if changed.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Changes the list as entries join and are gone.
+pub(crate) async fn change_on(
+    platform: Platform,
+    member: Arc<Member>,
+    list: Mirror,
+    roster: Mirror,
+) {
+    let own = member.entry.address;
+    let mut changes = VoterChanges::new(own, member.limits);
+    let mut reader = RosterReader::default();
+    let mut looks = interval(LOOK_PAUSE);
+    looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    // Revision of the list for which the roster was read anew.
+    let mut read_for = 0;
+    loop {
+        looks.tick().await;
+        let (known, entries) = (list.snapshot(), roster.snapshot());
+        if !known.synced() || !entries.synced() {
+            continue;
+        }
+        let item = known.get(KEY);
+        let in_force = item.and_then(|item| read(&item.value).ok());
+        if item.is_some() && in_force.is_none() {
+            continue;
+        }
+        let items: Vec<_> = entries.list(PREFIX).cloned().collect();
+        let present = reader.roster_entries(&items);
+        let revision = item.map_or(0, |item| item.modified);
+        if entries.mark() < revision {
+            let before = present.iter().filter(|entry| entry.entry.address < own).count();
+            if read_for < revision && before < READERS {
+                read_for = revision;
+                roster.poke();
+            }
+            continue;
+        }
+        let next =
+            changes.next(in_force.as_ref(), &present, &member.is_without_agents, (member.now_ms)());
+        let Some(next) = next else { continue };
+        let expected = if item.is_some() { Expected::Modified(revision) } else { Expected::Absent };
+        write(&platform, &next, expected).await;
+        if let Err(error) = list.sync().await {
+            event!(Info, "voters_unread", error = error);
+        }
+    }
+}
+
+async fn write(platform: &Platform, list: &VoterList, expected: Expected) {
+    let value = serde_json::to_string(list).expect("a list of addresses has a JSON form");
+    match platform.swap(KEY, expected, &value, None, &[]).await {
+        Ok(Swap::Done { mark }) => event!(
+            Info,
+            "voters_written",
+            number = list.number,
+            revision = mark,
+            voters = list.voters.len(),
+            next = list.next.len(),
+        ),
+        Ok(Swap::Lost { .. }) => event!(Info, "voters_written_by_another", number = list.number),
+        Err(error) => event!(Warn, "voters_not_written", number = list.number, error = error),
+    }
+}
+
+fn read(value: &str) -> serde_json::Result<VoterList> {
+    serde_json::from_str(value)
+}
+
+fn read_or_log(value: &str) -> Option<VoterList> {
+    read(value).inspect_err(|error| event!(Warn, "voters_refused", error = error)).ok()
+}
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -511,6 +511,19 @@
     pub data_centre: String,
 }
 
+/// Entries that vote on claims. The platform keeps it; only its voters' agreement changes it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VoterList {
+    /// Rises by one with each change.
+    pub number: u64,
+    /// The voters. Of two halves, the one with the first voter is the majority.
+    pub voters: Vec<EntryAddress>,
+    /// The voters that are to replace them; empty if no change is under way. Until then both
+    /// decide.
+    #[serde(default)]
+    pub next: Vec<EntryAddress>,
+}
+
 /// First message of an entry that claims jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimantHello {
@@ -532,6 +545,10 @@
     /// Whether the entry has handled what was due, so that it still wants the jobs that it has
     /// claimed.
     pub is_current: bool,
+    /// Number of the entry's list of voters; 0 if it has none.
+    pub voters_number: u64,
+    /// The list, if it is new on this connection.
+    pub voters: Option<VoterList>,
 }
 
 /// Claim on a job.
@@ -566,6 +583,13 @@
     pub answers: Vec<AnsweredClaim>,
     /// Whether the holder is about to end as planned and answers no claims any more.
     pub is_leaving: bool,
+    /// Number of the holder's list of voters; 0 if it has none.
+    pub voters_number: u64,
+    /// The list, if the claimant has an earlier one or none.
+    pub voters: Option<VoterList>,
+    /// Whether the holder votes on claims of the list that the message named. Otherwise the answer
+    /// confirms no claim.
+    pub has_vote: bool,
 }
 
 /// Claim with the answer to it.
@@ -601,6 +625,9 @@
         /// In milliseconds.
         in_ms: u32,
     },
+    /// The holder has another list of voters, or can't tell whether its own is still in force. It
+    /// takes note of the claim, which is to be sent again.
+    NoVote,
 }
 
 /// Sent to the other entries by an entry whose caller names a job that the entry does not
