--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -53,7 +53,7 @@
     /// Another entry has the job, though this one's claim is granted.
     Held,
     /// It can't tell whether its list of voters is in force. To be asked again at this time.
-    NoVote { until_ms: u64 },
+    Voteless { until_ms: u64 },
 }
 
 impl Vote {
@@ -240,6 +240,8 @@
     /// When the last message was sent that each holder has answered. Holders keep claims for a
     /// while after it.
     contacts_ms: HashMap<SocketAddr, u64>,
+    /// Since when holders that are reached have had no vote.
+    voteless_ms: HashMap<SocketAddr, u64>,
 }
 
 impl Reach {
@@ -251,6 +253,10 @@
     /// Whether a holder has not been reached for so long that its vote is not waited for.
     fn is_given_up(&self, holder: SocketAddr, now_ms: u64) -> bool {
         let ClaimLimits { lost_after_ms, noticed_within_ms, .. } = self.limits;
+        let is_voteless = |since_ms: &u64| now_ms >= since_ms + lost_after_ms;
+        if self.voteless_ms.get(&holder).is_some_and(is_voteless) {
+            return true;
+        }
         self.lost.get(&holder).is_some_and(|lost| {
             let wait_ms =
                 if lost.has_no_agents.is_some() { noticed_within_ms } else { lost_after_ms };
@@ -283,7 +289,12 @@
     /// Creates the state of an entry without claims.
     #[must_use]
     pub fn new(limits: ClaimLimits) -> Self {
-        let reach = Reach { limits, lost: HashMap::new(), contacts_ms: HashMap::new() };
+        let reach = Reach {
+            limits,
+            lost: HashMap::new(),
+            contacts_ms: HashMap::new(),
+            voteless_ms: HashMap::new(),
+        };
         Self { reach, claims: HashMap::new(), last_number: 0 }
     }
 
@@ -388,7 +399,7 @@
                 self.record(job, holder, Vote::Ending { until_ms }, now_ms);
                 return Some(ClaimDecision::Postponed);
             }
-            ClaimAnswer::NoVote => Vote::NoVote { until_ms: now_ms + NO_VOTE_PAUSE_MS },
+            ClaimAnswer::NoVote => Vote::Voteless { until_ms: now_ms + NO_VOTE_PAUSE_MS },
         };
         self.record(job, holder, vote, now_ms)
     }
@@ -434,6 +445,21 @@
         *contact_ms = sent_ms.max(*contact_ms);
     }
 
+    /// Records whether a holder has a vote, as it says.
+    pub fn set_vote(&mut self, holder: SocketAddr, has_vote: bool, now_ms: u64) {
+        if has_vote {
+            self.reach.voteless_ms.remove(&holder);
+        } else {
+            self.reach.voteless_ms.entry(holder).or_insert(now_ms);
+        }
+    }
+
+    /// Whether a holder had no vote when it answered last.
+    #[must_use]
+    pub fn is_voteless(&self, holder: SocketAddr) -> bool {
+        self.reach.voteless_ms.contains_key(&holder)
+    }
+
     /// Records that a holder is no entry any more, or is reached again.
     pub fn holder_reached(&mut self, holder: SocketAddr) {
         self.reach.lost.remove(&holder);
@@ -523,7 +549,7 @@
                     // A holder that grants nothing takes note of a granted claim.
                     Vote::NotYet { until_ms } => claim.is_granted || until_ms <= now_ms,
                     Vote::Ending { until_ms } => claim.is_granted || until_ms <= now_ms,
-                    Vote::NoVote { until_ms } => until_ms <= now_ms,
+                    Vote::Voteless { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
                     Vote::Held | Vote::Unsure => true,
--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -11,12 +11,12 @@
 const LEASE_SPARE_MS: u64 = 1_500;
 
 /// The lease under which the platform keeps this entry in the roster.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lease {
-    /// Until when it is surely alive.
-    until_ms: u64,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RosterLease {
     /// Platform revision at which the entry was written under it.
-    revision: u64,
+    pub revision: u64,
+    /// Until when it is surely alive, in milliseconds.
+    pub until_ms: u64,
 }
 
 /// What an entry knows of the list of voters.
@@ -28,7 +28,7 @@
     told: HashMap<SocketAddr, VoterList>,
     /// When the last message was sent to each entry that has answered it with this entry's list.
     contacts_ms: HashMap<SocketAddr, u64>,
-    lease: Lease,
+    lease: Option<RosterLease>,
     /// Platform revision as of which the list was read there.
     read_revision: u64,
 }
@@ -42,7 +42,7 @@
             list: None,
             told: HashMap::new(),
             contacts_ms: HashMap::new(),
-            lease: Lease::default(),
+            lease: None,
             read_revision: 0,
         }
     }
@@ -107,23 +107,16 @@
         }
     }
 
-    /// Records that this entry is in the roster, from a revision of the platform on, and until
-    /// when its lease is surely alive.
-    pub fn lease_held(&mut self, revision: u64, until_ms: u64) {
-        self.lease = Lease { until_ms, revision };
-    }
-
-    /// Records that the lease has ended, or may have.
-    pub fn lease_lost(&mut self) {
-        self.lease = Lease::default();
+    /// Records the lease, or that it has ended.
+    pub fn set_lease(&mut self, lease: Option<RosterLease>) {
+        self.lease = lease;
     }
 
     /// Whether the list is surely in force at some time by the lease: nobody votes by a later one
     /// before the lease has ended. A list that was read before the lease began may be an old one.
     fn is_leased(&self, at_ms: u64) -> bool {
-        self.lease.revision > 0
-            && at_ms < self.lease.until_ms
-            && self.read_revision >= self.lease.revision
+        self.lease
+            .is_some_and(|lease| at_ms < lease.until_ms && self.read_revision >= lease.revision)
     }
 
     /// Whether this entry votes: its lease is alive, or a majority of the voters that are not out
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -19,7 +19,7 @@
 
 pub use {
     changes::{RosterEntry, VoterChanges},
-    electorate::Electorate,
+    electorate::{Electorate, RosterLease},
 };
 
 use {
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -151,7 +151,9 @@
         self.beat_ms.store(now_ms, Ordering::Relaxed);
         let holders = self.holders.lock();
         let is_heard = |(holder, link): &(&SocketAddr, &Arc<Holder>)| {
-            claims.has_claims_at(**holder) || !link.requests.lock().releases.is_empty()
+            claims.has_claims_at(**holder)
+                || claims.is_voteless(**holder)
+                || !link.requests.lock().releases.is_empty()
         };
         for (_, link) in holders.iter().filter(is_heard) {
             link.requests.lock().is_current = true;
@@ -338,7 +340,9 @@
                 self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
                 self.claims.beat(&claims, now_ms);
             }
-            if self.has_vote(&claims, now_ms) {
+            let has_vote = self.has_vote(&claims, now_ms);
+            claims.set_vote(self.settings.own, has_vote, now_ms);
+            if has_vote {
                 claims.confirmed(self.settings.own, now_ms);
             }
             self.update_lost_holders(dispatch, &mut claims);
@@ -408,8 +412,10 @@
         ClaimAnswers { answers, is_leaving, voters_number, voters, has_vote }: ClaimAnswers,
         contact_ms: Option<u64>,
     ) -> bool {
-        if let Some(list) = voters {
-            self.voters_told(list, holder);
+        match voters {
+            Some(list) => self.voters_told(list, holder),
+            None if !is_leaving => self.tell_voters(holder, voters_number),
+            None => {}
         }
         if let Some(sent_ms) = contact_ms {
             self.voters.electorate().answered(holder, voters_number, sent_ms);
@@ -422,6 +428,7 @@
                 claims.holder_left(holder, now_ms);
             } else {
                 claims.holder_reached(holder);
+                claims.set_vote(holder, has_vote, now_ms);
                 confirmed_ms.into_iter().for_each(|sent_ms| claims.confirmed(holder, sent_ms));
             }
             let decision = |answer: AnsweredClaim| {
@@ -443,11 +450,13 @@
         claims.holder_lost(holder, is_gone, self.clock.now_ms());
     }
 
-    /// Tells holders of a new list of voters.
-    pub(super) fn tell_holders_of_voters(&self) {
-        let list = self.voters.list();
-        for link in self.claims.holders.lock().values() {
-            link.requests.lock().voters = list.as_deref().cloned();
+    /// Sends the list of voters with the next message to a holder that has an earlier one.
+    fn tell_voters(&self, holder: SocketAddr, holders_number: u64) {
+        let newer = self.voters.list().filter(|list| holders_number < list.number);
+        if let Some(list) = newer
+            && let Some(link) = self.claims.holders.lock().get(&holder)
+        {
+            link.requests.lock().voters = Some((*list).clone());
             link.filled.notify_one();
         }
     }
@@ -476,8 +485,9 @@
         let is_idle = !is_needed && link.requests.lock().claims.is_empty();
         if is_idle {
             holders.remove(&holder);
-            // It counts as reachable when it is a member again.
+            // It counts as reachable, and as one with a vote, when it is asked again.
             claims.holder_reached(holder);
+            claims.set_vote(holder, true, self.clock.now_ms());
         }
         is_idle
     }
@@ -623,8 +633,7 @@
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
-    requests.voters = service.voters.list().as_deref().cloned();
-    requests.voters_number = requests.voters.as_ref().map_or(0, |list| list.number);
+    requests.voters_number = service.voters.electorate().number();
     writer.push(&requests)?;
     Ok(requests.is_current)
 }
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -12,7 +12,7 @@
     },
     sycamorerail_decide::{
         claims::{ClaimLimits, Claims},
-        voters::{Electorate, VoterSets},
+        voters::{Electorate, RosterLease, VoterSets},
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::runs::{EntryAddress, VoterList},
@@ -39,7 +39,7 @@
     /// An entry without others, the only voter.
     pub(super) fn alone(own: EntryAddress) -> Self {
         let mut electorate = Electorate::new(own.address);
-        electorate.lease_held(1, u64::MAX);
+        electorate.set_lease(Some(RosterLease { revision: 1, until_ms: u64::MAX }));
         let list = VoterList { number: 1, voters: vec![own], next: Vec::new() };
         electorate.read(Some(list), 1);
         let list = watch::Sender::new(electorate.list().cloned());
@@ -122,7 +122,6 @@
         metrics::gauge!("sycamorerail_voters")
             .set(list.as_ref().map_or(0, |list| list.voters.len()) as f64);
         self.voters.list.send_replace(list);
-        self.tell_holders_of_voters();
     }
 
     /// Number of the list of voters in force, 0 without one. Wakes when it changes.
@@ -131,15 +130,9 @@
         self.voters.subscribe()
     }
 
-    /// Records that this entry is in the roster from a revision of the platform on, under a lease
-    /// that is alive until then.
-    pub fn roster_lease_held(&self, revision: u64, until_ms: u64) {
-        self.voters.electorate.lock().lease_held(revision, until_ms);
-    }
-
-    /// Records that this entry's lease in the roster has ended, or may have.
-    pub fn roster_lease_lost(&self) {
-        self.voters.electorate.lock().lease_lost();
+    /// Records the lease under which this entry is in the roster, or that it has ended.
+    pub fn set_roster_lease(&self, lease: Option<RosterLease>) {
+        self.voters.electorate.lock().set_lease(lease);
     }
 
     /// Whether a voter is lost and without agents, so that nothing that it grants could run.
--- a/crates/membership/src/presence.rs
+++ b/crates/membership/src/presence.rs
@@ -6,6 +6,7 @@
         roster::{Member, PREFIX, write_entry},
     },
     std::sync::Arc,
+    sycamorerail_decide::voters::RosterLease,
     sycamorerail_platform::{Expected, Mirror, Platform, Swap},
     sycamorerail_telemetry::event,
     tokio::time::sleep,
@@ -32,9 +33,10 @@
 }
 
 impl Presence {
-    /// Until when a lease is alive that was granted or renewed by a call at some time.
-    fn alive_until_ms(&self, called_ms: u64) -> u64 {
-        called_ms + u64::from(self.lease_ms).saturating_sub(LEASE_MARGIN_MS)
+    /// Tells the entry of its lease, which was granted or renewed by a call at some time.
+    fn set_lease(&self, revision: u64, called_ms: u64) {
+        let until_ms = called_ms + u64::from(self.lease_ms).saturating_sub(LEASE_MARGIN_MS);
+        (self.member.set_lease)(Some(RosterLease { revision, until_ms }));
     }
 
     /// Writes the key under a new lease, and keeps it until the lease is lost.
@@ -48,7 +50,7 @@
             Ok(written) => written,
             Err(error) => return event!(Info, "key_not_written", key = key, error = error),
         };
-        (self.member.set_lease)(Some((written.revision, self.alive_until_ms(called_ms))));
+        self.set_lease(written.revision, called_ms);
         // The lease counts once the list of voters is known as of its begin.
         if let Err(error) = list.sync().await {
             event!(Info, "voters_unread", error = error);
@@ -89,8 +91,7 @@
                     let called_ms = (self.member.now_ms)();
                     match self.platform.keep_alive(lease).await {
                         Ok(true) => {
-                            let until_ms = self.alive_until_ms(called_ms);
-                            (self.member.set_lease)(Some((revision, until_ms)));
+                            self.set_lease(revision, called_ms);
                         }
                         Ok(false) => return event!(Info, "lease_lost", lease = lease.0),
                         Err(error) => event!(Debug, "keep_alive_failed", error = error),
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -5,7 +5,10 @@
 use {
     crate::{presence, voters},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
-    sycamorerail_decide::{claims::ClaimLimits, voters::RosterEntry},
+    sycamorerail_decide::{
+        claims::ClaimLimits,
+        voters::{RosterEntry, RosterLease},
+    },
     sycamorerail_platform::{KeyValue, Mirror, Platform, backoff::jittered},
     sycamorerail_telemetry::event,
     sycamorerail_wire::runs::{EntryAddress, VoterList},
@@ -51,9 +54,8 @@
     pub set_roster: Box<dyn Fn(Roster) + Send + Sync>,
     /// The list of voters was read, as of a revision of the platform.
     pub read_voters: Box<dyn Fn(Option<VoterList>, u64) + Send + Sync>,
-    /// It is in the roster from a revision of the platform on, under a lease that is alive until
-    /// some time; `None` if the lease has ended.
-    pub set_lease: Box<dyn Fn(Option<(u64, u64)>) + Send + Sync>,
+    /// It is in the roster under a lease; `None` if that has ended.
+    pub set_lease: Box<dyn Fn(Option<RosterLease>) + Send + Sync>,
     /// Whether a voter is lost and without agents.
     pub is_without_agents: Box<dyn Fn(SocketAddr) -> bool + Send + Sync>,
 }
--- a/crates/membership/src/voters.rs
+++ b/crates/membership/src/voters.rs
@@ -56,7 +56,9 @@
         }
         let item = known.get(KEY);
         let in_force = item.and_then(|item| read(&item.value).ok());
-        if item.is_some() && in_force.is_none() {
+        // A list that was removed or overwritten is not begun anew, as entries go on with it.
+        let is_lost = in_force.is_none() && (item.is_some() || member.voters.borrow().is_some());
+        if is_lost {
             continue;
         }
         let items: Vec<_> = entries.list(PREFIX).cloned().collect();
