--- a/crates/decide/src/voters/changes.rs
+++ b/crates/decide/src/voters/changes.rs
@@ -9,7 +9,7 @@
 
 /// A voter that is missing from the roster for this long is to be left out, in milliseconds. An
 /// entry that starts again, or whose lease has ended while the platform was away, is back sooner.
-const MISSING_AFTER_MS: u64 = 4_000;
+const MISSING_AFTER_MS: u64 = 2_500;
 /// Entries that join within this time do so by one change, in milliseconds.
 const GATHER_MS: u64 = 500;
 /// Entries of a new deployment are in the roster within this time of the first one's start, in
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -124,7 +124,7 @@
         self.voters.list.send_replace(list);
     }
 
-    /// Number of the list of voters in force, 0 without one. Wakes when it changes.
+    /// The list of voters in force, if one is known. Wakes when it changes.
     #[must_use]
     pub fn voters(&self) -> watch::Receiver<Option<Arc<VoterList>>> {
         self.voters.subscribe()
