--- a/crates/decide/src/voters/changes.rs
+++ b/crates/decide/src/voters/changes.rs
@@ -32,7 +32,8 @@
 #[derive(Debug)]
 pub struct VoterChanges {
     own: SocketAddr,
-    limits: ClaimLimits,
+    /// Time for which a change has to be agreed on.
+    settle_ms: u64,
     /// Since when each voter has been missing from the roster.
     missing_ms: HashMap<SocketAddr, u64>,
     /// Since when a change is wanted, with the number of the list before it.
@@ -46,10 +47,12 @@
 }
 
 impl VoterChanges {
-    /// Creates the state of an entry that has seen no roster.
+    /// Creates the state of an entry that has seen no roster. Entries are there under leases of
+    /// this time, in milliseconds.
     #[must_use]
-    pub fn new(own: SocketAddr, limits: ClaimLimits) -> Self {
-        Self { own, limits, missing_ms: HashMap::new(), wanted: None }
+    pub fn new(own: SocketAddr, limits: ClaimLimits, lease_ms: u64) -> Self {
+        let settle_ms = settle_ms(&limits, lease_ms);
+        Self { own, settle_ms, missing_ms: HashMap::new(), wanted: None }
     }
 
     /// Returns the list to write in place of `list`, if it is time. The roster has to be one of the
@@ -120,7 +123,7 @@
             && list.voters.iter().all(|voter| has_ended(voter.address));
         let list =
             VoterList { number: list.number + 1, voters: list.next.clone(), next: Vec::new() };
-        is_agreed.then_some(Wanted { list, after_ms: settle_ms(&self.limits) })
+        is_agreed.then_some(Wanted { list, after_ms: self.settle_ms })
     }
 
     fn turn_ms(&self, roster: &[RosterEntry]) -> u64 {
--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -1,7 +1,7 @@
 //! The list of voters that an entry has adopted, and whether it may vote by it.
 
 use {
-    super::{CONTACT_WITHIN_MS, VoterSets, is_majority},
+    super::{CONTACT_WITHIN_MS, VOUCH_WITHIN_MS, VoterSets, is_majority},
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     sycamorerail_wire::runs::VoterList,
 };
@@ -29,6 +29,8 @@
     /// When the last message was sent to each entry that has answered it with this entry's list.
     contacts_ms: HashMap<SocketAddr, u64>,
     lease: Option<RosterLease>,
+    /// When this entry last had a vote by the list.
+    voted_ms: Option<u64>,
     /// Platform revision as of which the list was read there.
     read_revision: u64,
 }
@@ -43,6 +45,7 @@
             told: HashMap::new(),
             contacts_ms: HashMap::new(),
             lease: None,
+            voted_ms: None,
             read_revision: 0,
         }
     }
@@ -74,11 +77,11 @@
     }
 
     /// Takes note of the list of another entry, and adopts it if it is later than this one's. An
-    /// entry without a list adopts one that a majority of its voters has told: a single one may
-    /// have missed the change to a later list that this entry had adopted before it started again.
-    /// Returns whether it has adopted one.
-    pub fn told(&mut self, list: VoterList, by: SocketAddr) -> bool {
-        if self.list.is_some() {
+    /// entry without a list adopts one that another vouches for, as it has voted lately, or that a
+    /// majority of its voters has told: a single one may have missed the change to a later list
+    /// that this entry had adopted before it started again. Returns whether it has adopted one.
+    pub fn told(&mut self, list: VoterList, by: SocketAddr, is_vouched: bool) -> bool {
+        if self.list.is_some() || is_vouched {
             return self.adopt(list);
         }
         let number = list.number;
@@ -96,6 +99,7 @@
         self.told.clear();
         // These have answered with the list before.
         self.contacts_ms.clear();
+        self.voted_ms = None;
         true
     }
 
@@ -121,7 +125,21 @@
 
     /// Whether this entry votes: its lease is alive, or a majority of the voters that are not out
     /// has told it lately that the list is in force.
-    pub fn has_vote(&self, is_out: impl Fn(SocketAddr) -> bool, now_ms: u64) -> bool {
+    pub fn has_vote(&mut self, is_out: impl Fn(SocketAddr) -> bool, now_ms: u64) -> bool {
+        let has_vote = self.may_vote(is_out, now_ms);
+        if has_vote {
+            self.voted_ms = Some(now_ms);
+        }
+        has_vote
+    }
+
+    /// Whether this entry had a vote by its list so lately that it vouches for it.
+    #[must_use]
+    pub fn vouches(&self, now_ms: u64) -> bool {
+        self.voted_ms.is_some_and(|voted_ms| now_ms < voted_ms + VOUCH_WITHIN_MS)
+    }
+
+    fn may_vote(&self, is_out: impl Fn(SocketAddr) -> bool, now_ms: u64) -> bool {
         let is_in_contact = |entry| {
             let contact_ms = self.contacts_ms.get(&entry);
             entry == self.own
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -32,14 +32,20 @@
 /// time that its list is in force, in milliseconds: several messages, so that a connection may be
 /// replaced between them.
 pub const CONTACT_WITHIN_MS: u64 = 1_500;
+/// An entry that has voted within this time, in milliseconds, vouches for its list to one that has
+/// started again.
+const VOUCH_WITHIN_MS: u64 = 3_000;
 /// What the settling of a change allows for messages and timers, in milliseconds.
 const SETTLE_SLACK_MS: u64 = 400;
 
 /// Time after which nobody votes on a list, and nothing runs by it, once a majority of its voters
-/// has adopted a later one and the leases of the others have ended, in milliseconds.
+/// has adopted a later one and the leases of the others have ended, in milliseconds. By then
+/// entries that were vouched for the list since are missing in that majority, as the leases of
+/// their earlier processes have ended.
 #[must_use]
-pub fn settle_ms(limits: &ClaimLimits) -> u64 {
-    CONTACT_WITHIN_MS + limits.outlast_ms() + SETTLE_SLACK_MS
+pub fn settle_ms(limits: &ClaimLimits, lease_ms: u64) -> u64 {
+    let vouched_ms = VOUCH_WITHIN_MS + lease_ms;
+    CONTACT_WITHIN_MS + limits.outlast_ms().max(vouched_ms) + SETTLE_SLACK_MS
 }
 
 /// The sets of voters of a list, of which each has to decide by a majority. None without a list.
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -409,11 +409,11 @@
     fn claims_answered(
         self: &Arc<Self>,
         holder: SocketAddr,
-        ClaimAnswers { answers, is_leaving, voters_number, voters, has_vote }: ClaimAnswers,
+        ClaimAnswers { answers, is_leaving, voters_number, voters, has_vote, vouches }: ClaimAnswers,
         contact_ms: Option<u64>,
     ) -> bool {
         match voters {
-            Some(list) => self.voters_told(list, holder),
+            Some(list) => self.voters_told(list, holder, vouches),
             None if !is_leaving => self.tell_voters(holder, voters_number),
             None => {}
         }
@@ -712,7 +712,7 @@
     ) -> ClaimAnswers {
         let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
         if let Some(list) = voters {
-            self.voters_told(list, entry);
+            self.voters_told(list, entry, false);
         }
         let now_ms = self.now_ms();
         let own_claims = self.claims.claims.lock();
@@ -720,6 +720,7 @@
         let number = list.as_ref().map_or(0, |list| list.number);
         let has_vote = voters_number == number && self.has_vote(&own_claims, now_ms);
         drop(own_claims);
+        let vouches = self.voters.electorate().vouches(now_ms);
         let mut table = self.claims.table.lock();
         if is_current {
             table.heard(claimant, now_ms);
@@ -753,6 +754,7 @@
             voters_number: number,
             voters: list.filter(|_| voters_number < number).as_deref().cloned(),
             has_vote,
+            vouches,
         }
     }
 }
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -98,8 +98,8 @@
     }
 
     /// Takes note of the list of voters that another entry has.
-    pub(super) fn voters_told(&self, list: VoterList, by: SocketAddr) {
-        let is_new = self.voters.electorate.lock().told(list, by);
+    pub(super) fn voters_told(&self, list: VoterList, by: SocketAddr, is_vouched: bool) {
+        let is_new = self.voters.electorate.lock().told(list, by, is_vouched);
         if is_new {
             self.put_voters_in_force("entries");
         }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -70,7 +70,7 @@
     tokio::spawn(presence::hold(platform.clone(), Arc::clone(&member), list.clone(), lease_ms));
     tokio::spawn(follow(Arc::clone(&member), roster.clone()));
     tokio::spawn(voters::follow(Arc::clone(&member), list.clone()));
-    tokio::spawn(voters::change_on(platform.clone(), member, list, roster));
+    tokio::spawn(voters::change_on(platform.clone(), member, list, roster, lease_ms));
 }
 
 async fn follow(member: Arc<Member>, mirror: Mirror) {
--- a/crates/membership/src/voters.rs
+++ b/crates/membership/src/voters.rs
@@ -40,9 +40,10 @@
     member: Arc<Member>,
     list: Mirror,
     roster: Mirror,
+    lease_ms: u32,
 ) {
     let own = member.entry.address;
-    let mut changes = VoterChanges::new(own, member.limits);
+    let mut changes = VoterChanges::new(own, member.limits, lease_ms.into());
     let mut reader = RosterReader::default();
     let mut looks = interval(LOOK_PAUSE);
     looks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -590,6 +590,8 @@
     /// Whether the holder votes on claims of the list that the message named. Otherwise the answer
     /// confirms no claim.
     pub has_vote: bool,
+    /// Whether the holder has voted by its list lately, so that a claimant without one may take it.
+    pub vouches: bool,
 }
 
 /// Claim with the answer to it.
