--- /dev/null
+++ b/crates/decide/tests/voters.rs
@@ -0,0 +1,246 @@
+//! The list of voters: who votes by it, and when it is changed.
+
+use {
+    std::net::SocketAddr,
+    sycamorerail_decide::{
+        claims::{ClaimDecision, ClaimLimits, Claims, holders},
+        voters::{
+            CONTACT_WITHIN_MS, Electorate, RosterEntry, RosterLease, VoterChanges, settle_ms,
+        },
+    },
+    sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, VoterList},
+};
+
+const LIMITS: ClaimLimits = ClaimLimits {
+    run_over_ms: 1_240,
+    margin_ms: 400,
+    confirm_within_ms: 500,
+    stop_within_ms: 400,
+    lost_after_ms: 250,
+    noticed_within_ms: 1_500,
+};
+const LEASE_MS: u64 = 3_000;
+const LOOK_MS: usize = 200;
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 7_720))
+}
+
+fn entry(last: u8) -> EntryAddress {
+    EntryAddress { address: address(last), data_centre: format!("dc-{}", last % 4) }
+}
+
+fn entries(numbers: impl IntoIterator<Item = u8>) -> Vec<EntryAddress> {
+    numbers.into_iter().map(entry).collect()
+}
+
+fn list(number: u64, voters: impl IntoIterator<Item = u8>) -> VoterList {
+    VoterList { number, voters: entries(voters), next: Vec::new() }
+}
+
+fn roster(numbers: impl IntoIterator<Item = u8>, voters_number: u64) -> Vec<RosterEntry> {
+    entries(numbers).into_iter().map(|entry| RosterEntry { entry, voters_number }).collect()
+}
+
+fn nobody(_: SocketAddr) -> bool {
+    false
+}
+
+/// What an entry writes in place of a list, and when, if the roster stays the same for a minute.
+fn next(list: &VoterList, roster: &[RosterEntry]) -> Option<(u64, VoterList)> {
+    let mut changes = VoterChanges::new(address(1), LIMITS, LEASE_MS);
+    (0..60_000).step_by(LOOK_MS).find_map(|now_ms| {
+        let next = changes.next(Some(list), roster, nobody, now_ms)?;
+        Some((now_ms, next))
+    })
+}
+
+/// An entry that has read a list, with or without a lease.
+fn voter(own: u8, list: VoterList, is_leased: bool) -> Electorate {
+    let mut electorate = Electorate::new(address(own));
+    electorate.set_lease(is_leased.then_some(RosterLease { revision: 5, until_ms: LEASE_MS }));
+    electorate.read(Some(list), 5);
+    electorate
+}
+
+/// Guards against a side of a cut that leaves the others out as it alone reaches the platform.
+#[test]
+fn a_minority_changes_nothing() {
+    assert_eq!(next(&list(3, 1..=14), &roster(1..=4, 0)), None);
+    assert_eq!(next(&list(3, 1..=4), &roster([2, 3], 0)), None);
+}
+
+/// Guards against two halves that both leave the other one out.
+#[test]
+fn the_half_with_the_first_voter_is_the_majority() {
+    assert!(next(&list(3, 1..=4), &roster([1, 3], 0)).is_some());
+}
+
+/// Guards against a change by the news of a missing entry alone.
+#[test]
+fn a_missing_entry_stays_a_voter_during_the_change() {
+    let (_, joint) = next(&list(3, 1..=5), &roster(1..=4, 0)).unwrap();
+    let expected = VoterList { number: 4, voters: entries(1..=5), next: entries(1..=4) };
+    assert_eq!(joint, expected);
+}
+
+/// Guards against entries that start again, or lose their leases, and are left out for that.
+#[test]
+fn a_short_absence_changes_nothing() {
+    let voters = list(3, 1..=5);
+    let mut changes = VoterChanges::new(address(1), LIMITS, LEASE_MS);
+    for round in 0..20 {
+        for (of_ms, present) in [(0, 4), (1_000, 4), (2_000, 4), (2_400, 5), (2_800, 5)] {
+            let now_ms = round * 3_000 + of_ms;
+            let next = changes.next(Some(&voters), &roster(1..=present, 0), nobody, now_ms);
+            assert_eq!(next, None, "at {now_ms} ms");
+        }
+    }
+}
+
+/// Guards against the end of a change that a majority of the old voters has not adopted.
+#[test]
+fn a_change_ends_with_the_agreement_of_the_old_voters() {
+    let joint = VoterList { next: entries(1..=3), ..list(4, 1..=5) };
+    let adopted_by = |numbers: Vec<u8>, others: Vec<u8>| {
+        let mut present = roster(numbers, 4);
+        present.extend(roster(others, 3));
+        next(&joint, &present)
+    };
+    assert_eq!(adopted_by(vec![1, 2], vec![]), None, "a minority has adopted it");
+    assert_eq!(adopted_by(vec![1, 2, 3], vec![4]), None, "another voter is in the roster");
+    let (ended_ms, ended) = adopted_by(vec![1, 2, 3], vec![]).unwrap();
+    assert_eq!(ended, list(5, 1..=3));
+    assert!(ended_ms >= settle_ms(&LIMITS, LEASE_MS), "{ended_ms} ms");
+}
+
+/// Guards against an agreement that is interrupted, and counts from its first begin.
+#[test]
+fn a_change_settles_without_interruption() {
+    let joint = VoterList { next: entries(1..=3), ..list(4, 1..=4) };
+    let mut changes = VoterChanges::new(address(1), LIMITS, LEASE_MS);
+    let settle_ms = settle_ms(&LIMITS, LEASE_MS);
+    for now_ms in (0..60_000).step_by(LOOK_MS) {
+        let is_back = now_ms % settle_ms < 400;
+        let mut present = roster(1..=3, 4);
+        present.extend(roster([4], 3).into_iter().filter(|_| is_back));
+        assert_eq!(changes.next(Some(&joint), &present, nobody, now_ms), None);
+    }
+}
+
+/// Guards against entries that write first lists at once, one after the other.
+#[test]
+fn a_first_list_names_the_entries_of_the_roster() {
+    let mut changes = VoterChanges::new(address(1), LIMITS, LEASE_MS);
+    let present = roster([1, 2, 3], 0);
+    assert_eq!(changes.next(None, &present, nobody, 0), None);
+    assert_eq!(changes.next(None, &present, nobody, 600), Some(list(1, 1..=3)));
+}
+
+/// Guards against votes by a list that was read before the lease began: a later one may be in
+/// force.
+#[test]
+fn a_lease_counts_with_a_later_reading_of_the_list() {
+    let mut electorate = voter(1, list(3, 1..=3), false);
+    electorate.set_lease(Some(RosterLease { revision: 6, until_ms: LEASE_MS }));
+    assert!(!electorate.has_vote(nobody, 10));
+    electorate.read(Some(list(3, 1..=3)), 6);
+    assert!(electorate.has_vote(nobody, 10));
+    assert!(!electorate.has_vote(nobody, LEASE_MS));
+}
+
+/// Guards against votes of an entry that is cut off from the platform and from most others.
+#[test]
+fn a_minority_without_leases_has_no_vote() {
+    let mut electorate = voter(1, list(3, 1..=5), false);
+    electorate.answered(address(2), 3, 1_000);
+    assert!(!electorate.has_vote(nobody, 1_000));
+    electorate.answered(address(3), 2, 1_000);
+    assert!(!electorate.has_vote(nobody, 1_000), "an entry with another list counts");
+    electorate.answered(address(3), 3, 1_000);
+    assert!(electorate.has_vote(nobody, 1_000));
+    assert!(!electorate.has_vote(nobody, 1_000 + CONTACT_WITHIN_MS));
+}
+
+/// Guards against an outage of the platform that takes all votes.
+#[test]
+fn others_are_asked_before_the_lease_ends() {
+    let electorate = voter(1, list(3, 1..=5), true);
+    assert!(!electorate.needs_contacts(0));
+    assert!(electorate.needs_contacts(LEASE_MS - CONTACT_WITHIN_MS));
+}
+
+/// Guards against an entry that has adopted a list, starts again, and goes back to the one before
+/// by the word of an entry that was left out.
+#[test]
+fn an_entry_without_a_list_takes_none_from_a_minority() {
+    let mut electorate = Electorate::new(address(1));
+    assert!(!electorate.told(list(3, 1..=3), address(2), false));
+    assert!(electorate.told(list(3, 1..=3), address(3), false));
+    assert_eq!(electorate.number(), 3);
+}
+
+/// Guards against a site of two that serves nobody as one of them starts again while the platform
+/// is away.
+#[test]
+fn an_entry_without_a_list_takes_one_that_is_vouched_for() {
+    let mut second = voter(2, list(3, 1..=2), true);
+    assert!(second.has_vote(nobody, 2_000));
+    assert!(second.vouches(4_000));
+    assert!(!second.vouches(5_000));
+    assert!(Electorate::new(address(1)).told(list(3, 1..=2), address(2), true));
+}
+
+/// Guards against numbers that go back.
+#[test]
+fn an_earlier_list_is_not_adopted() {
+    let mut electorate = voter(1, list(3, 1..=5), true);
+    assert!(!electorate.told(list(2, 1..=5), address(2), true));
+    assert!(!electorate.read(Some(list(2, 1..=5)), 9));
+    assert_eq!(electorate.number(), 3);
+}
+
+/// Guards against a claim that is granted by the old or the new voters alone during a change.
+#[test]
+fn a_change_takes_majorities_of_old_and_new_voters() {
+    let joint = VoterList { next: entries(11..=25), ..list(4, 1..=5) };
+    let job = CallerJobId(7);
+    let (old, new) = (holders(job, &joint.voters), holders(job, &joint.next));
+    for (granting, is_enough) in [
+        (vec![old[0], old[1], old[2]], false),
+        (vec![new[0], new[1], new[2]], false),
+        (vec![old[0], old[1], new[0]], false),
+        (vec![old[0], old[2], new[1], new[2]], true),
+    ] {
+        let mut claims = Claims::new(LIMITS);
+        let asked = claims.begin(job, &joint, 2_000, 0);
+        assert_eq!(asked.len(), old.len() + new.len());
+        let answer = ClaimAnswer::Granted { is_alone: true };
+        let answer = AnsweredClaim { job, number: asked[0].claim.number, answer };
+        let decisions = granting.iter().filter_map(|&holder| claims.answered(answer, holder, 1));
+        let is_granted = decisions.last() == Some(ClaimDecision::Granted);
+        assert_eq!(is_granted, is_enough, "{granting:?}");
+    }
+}
+
+/// Guards against a running job that goes on by the old voters' word, while the new ones that
+/// alone decide soon do not know of it.
+#[test]
+fn a_granted_claim_lapses_without_the_new_voters() {
+    let (old, joint) = (list(3, 1..=5), VoterList { next: entries(11..=25), ..list(4, 1..=5) });
+    let job = CallerJobId(7);
+    let mut claims = Claims::new(LIMITS);
+    let asked = claims.begin(job, &old, 20_000, 0);
+    for request in &asked {
+        let answer = ClaimAnswer::Granted { is_alone: true };
+        let answer = AnsweredClaim { job, number: request.claim.number, answer };
+        claims.answered(answer, request.holder, 1);
+    }
+    let told = claims.set_entries(&joint, 100);
+    assert!(told.iter().all(|request| request.claim.is_granted));
+    let lapsed = (100..10_000).step_by(20).find(|&now_ms| {
+        asked.iter().for_each(|request| claims.confirmed(request.holder, now_ms));
+        !claims.take_lapsed(now_ms).is_empty()
+    });
+    assert!(lapsed.unwrap() <= 100 + LIMITS.give_up_ms(), "{lapsed:?}");
+}
