--- a/crates/decide/src/dispatch/evacuation.rs
+++ b/crates/decide/src/dispatch/evacuation.rs
@@ -26,6 +26,12 @@
         data_centre.clone_into(&mut view.data_centre);
     }
 
+    /// The data centre of an agent.
+    #[must_use]
+    pub fn data_centre(&self, key: AgentKey) -> Option<&str> {
+        self.agents.get(key).map(|view| view.data_centre.as_str())
+    }
+
     /// Whether this entry has links to upstreams of the pool and all of them are evacuated.
     pub(super) fn is_pool_evacuated(&self, pool: &str) -> bool {
         self.are_all_evacuated(|agent| {
--- a/crates/decide/src/voters/changes.rs
+++ b/crates/decide/src/voters/changes.rs
@@ -1,7 +1,7 @@
 //! When the list of voters is to be changed, and to what.
 
 use {
-    super::{is_majority, settle_ms},
+    super::{VoterSets, is_half, settle_ms},
     crate::claims::ClaimLimits,
     std::{collections::HashMap, net::SocketAddr},
     sycamorerail_wire::runs::{EntryAddress, VoterList},
@@ -32,12 +32,12 @@
 #[derive(Debug)]
 pub struct VoterChanges {
     own: SocketAddr,
-    /// Time for which a change has to be agreed on.
-    settle_ms: u64,
+    limits: ClaimLimits,
+    lease_ms: u64,
     /// Since when each voter has been missing from the roster.
     missing_ms: HashMap<SocketAddr, u64>,
-    /// Since when a change is wanted, with the number of the list before it.
-    wanted: Option<(u64, u64)>,
+    /// The list that is wanted in place of the present one, and since when.
+    wanted: Option<(VoterList, u64)>,
 }
 
 /// A list that is to follow once it has been wanted for some time.
@@ -51,79 +51,74 @@
     /// this time, in milliseconds.
     #[must_use]
     pub fn new(own: SocketAddr, limits: ClaimLimits, lease_ms: u64) -> Self {
-        let settle_ms = settle_ms(&limits, lease_ms);
-        Self { own, settle_ms, missing_ms: HashMap::new(), wanted: None }
+        Self { own, limits, lease_ms, missing_ms: HashMap::new(), wanted: None }
     }
 
     /// Returns the list to write in place of `list`, if it is time. The roster has to be one of the
-    /// revision of the list or a later one. `is_out` tells of voters without agents, so that
-    /// nothing that they grant could run.
+    /// revision of the list or a later one.
     pub fn next(
         &mut self,
         list: Option<&VoterList>,
         roster: &[RosterEntry],
-        is_out: impl Fn(SocketAddr) -> bool,
         now_ms: u64,
     ) -> Option<VoterList> {
         let wanted = match list {
             None => first_list(roster),
-            Some(list) if list.next.is_empty() => self.change(list, roster, is_out, now_ms),
-            Some(list) => self.end_of_change(list, roster, is_out),
+            Some(list) => self.change(list, roster, now_ms),
         };
-        let number = list.map_or(0, |list| list.number);
-        self.wanted = self.wanted.filter(|(of, _)| wanted.is_some() && *of == number);
-        let Wanted { list, after_ms } = wanted?;
-        let (_, since_ms) = *self.wanted.get_or_insert((number, now_ms));
+        let Some(Wanted { list, after_ms }) = wanted else {
+            self.wanted = None;
+            return None;
+        };
+        self.wanted = self.wanted.take().filter(|(before, _)| *before == list);
+        let (_, since_ms) = *self.wanted.get_or_insert((list.clone(), now_ms));
         (now_ms >= since_ms + after_ms + self.turn_ms(roster)).then_some(list)
     }
 
-    /// Entries that have joined become voters, and those that are missing for long end as such. A
-    /// minority of the voters changes nothing.
-    fn change(
+    /// Entries that have joined become voters, and those that are missing for long end as such. Less
+    /// than half of the voters change nothing.
+    fn change(&mut self, list: &VoterList, roster: &[RosterEntry], now_ms: u64) -> Option<Wanted> {
+        let next = self.next_voters(list, roster, now_ms);
+        let under_way = if list.next.is_empty() { &list.voters } else { &list.next };
+        let is_present = |entry| find(roster, entry).is_some();
+        let settle_ms = settle_ms(&self.limits, self.lease_ms, list.voters.len());
+        if next == *under_way {
+            let is_served = is_half(&next, is_present);
+            return (!list.next.is_empty() && is_served && is_agreed(list, roster)).then(|| {
+                let list = VoterList { number: list.number + 1, voters: next, next: Vec::new() };
+                Wanted { list, after_ms: settle_ms }
+            });
+        }
+        // One change takes the place of another one under way: both need the same old voters.
+        let is_enough = is_half(&list.voters, is_present);
+        let voters = list.voters.clone();
+        let list = VoterList { number: list.number + 1, voters, next };
+        is_enough.then_some(Wanted { list, after_ms: GATHER_MS })
+    }
+
+    /// The voters that are to follow those of a list, as the roster shows.
+    fn next_voters(
         &mut self,
         list: &VoterList,
         roster: &[RosterEntry],
-        is_out: impl Fn(SocketAddr) -> bool,
         now_ms: u64,
-    ) -> Option<Wanted> {
-        let is_present = |entry: SocketAddr| find(roster, entry).is_some();
-        let is_missing = |entry: &SocketAddr| !is_present(*entry);
-        let voters = || list.voters.iter().map(|voter| voter.address);
-        self.missing_ms
-            .retain(|entry, _| voters().any(|voter| voter == *entry) && is_missing(entry));
-        for entry in voters().filter(is_missing) {
+    ) -> Vec<EntryAddress> {
+        let all: Vec<_> = VoterSets::from(list).voters().collect();
+        let is_missing = |entry: SocketAddr| find(roster, entry).is_none();
+        self.missing_ms.retain(|entry, _| is_missing(*entry));
+        for entry in all.iter().map(|entry| entry.address).filter(|entry| is_missing(*entry)) {
             self.missing_ms.entry(entry).or_insert(now_ms);
         }
-        let is_gone = |entry: SocketAddr| {
-            let missing_ms = self.missing_ms.get(&entry);
-            missing_ms.is_some_and(|missing_ms| now_ms >= missing_ms + MISSING_AFTER_MS)
+        let under_way = if list.next.is_empty() { &list.voters } else { &list.next };
+        let stays = |entry: &&&EntryAddress| match self.missing_ms.get(&entry.address) {
+            Some(missing_ms) => {
+                now_ms < missing_ms + MISSING_AFTER_MS && under_way.contains(*entry)
+            }
+            None => true,
         };
-        let stay = list.voters.iter().filter(|voter| !is_gone(voter.address));
-        let is_new = |entry: &&EntryAddress| voters().all(|voter| voter != entry.address);
+        let is_new = |entry: &&EntryAddress| all.iter().all(|known| known.address != entry.address);
         let join = roster.iter().map(|entry| &entry.entry).filter(is_new);
-        let next: Vec<_> = stay.chain(join).cloned().collect();
-        let is_wanted = next != list.voters && is_majority(&list.voters, is_present, is_out);
-        let voters = list.voters.clone();
-        let list = VoterList { number: list.number + 1, voters, next };
-        is_wanted.then_some(Wanted { list, after_ms: GATHER_MS })
-    }
-
-    /// A change ends once a majority of the old voters has adopted it, and the others can't vote
-    /// any more.
-    fn end_of_change(
-        &self,
-        list: &VoterList,
-        roster: &[RosterEntry],
-        is_out: impl Fn(SocketAddr) -> bool,
-    ) -> Option<Wanted> {
-        let has_adopted =
-            |entry| find(roster, entry).is_some_and(|entry| entry.voters_number >= list.number);
-        let has_ended = |entry| has_adopted(entry) || find(roster, entry).is_none();
-        let is_agreed = is_majority(&list.voters, has_adopted, is_out)
-            && list.voters.iter().all(|voter| has_ended(voter.address));
-        let list =
-            VoterList { number: list.number + 1, voters: list.next.clone(), next: Vec::new() };
-        is_agreed.then_some(Wanted { list, after_ms: self.settle_ms })
+        all.iter().filter(stays).copied().chain(join).cloned().collect()
     }
 
     fn turn_ms(&self, roster: &[RosterEntry]) -> u64 {
@@ -133,13 +128,24 @@
 }
 
 /// The first list of a deployment. Which entries it names does not matter to safety, as nobody
-/// votes without one.
+/// votes without one. An entry that has adopted one shows that the list was lost.
 fn first_list(roster: &[RosterEntry]) -> Option<Wanted> {
+    if roster.iter().any(|entry| entry.voters_number > 0) {
+        return None;
+    }
     let voters: Vec<_> = roster.iter().map(|entry| entry.entry.clone()).collect();
     let list = VoterList { number: 1, voters, next: Vec::new() };
     (!list.voters.is_empty()).then_some(Wanted { list, after_ms: FIRST_LIST_AFTER_MS })
 }
 
+/// Whether half of the old voters have adopted a change, and the others can't vote any more.
+fn is_agreed(list: &VoterList, roster: &[RosterEntry]) -> bool {
+    let has_adopted =
+        |entry| find(roster, entry).is_some_and(|entry| entry.voters_number >= list.number);
+    let has_ended = |entry| has_adopted(entry) || find(roster, entry).is_none();
+    is_half(&list.voters, has_adopted) && list.voters.iter().all(|voter| has_ended(voter.address))
+}
+
 fn find(roster: &[RosterEntry], entry: SocketAddr) -> Option<&RosterEntry> {
     roster.iter().find(|known| known.entry.address == entry)
 }
--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -1,7 +1,7 @@
 //! The list of voters that an entry has adopted, and whether it may vote by it.
 
 use {
-    super::{CONTACT_WITHIN_MS, VOUCH_WITHIN_MS, VoterSets, is_majority},
+    super::{CONTACT_WITHIN_MS, PAIR, VOUCH_WITHIN_MS, VoterSets, is_majority},
     std::{collections::HashMap, net::SocketAddr, sync::Arc},
     sycamorerail_wire::runs::VoterList,
 };
@@ -10,6 +10,17 @@
 /// on by their word.
 const LEASE_SPARE_MS: u64 = 1_500;
 
+/// What an entry tells others of its list of voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VotersAnswer {
+    /// Number of the list; 0 without one.
+    pub number: u64,
+    /// Whether the entry can say that the list is in force.
+    pub has_word: bool,
+    /// Whether it has voted by the list lately.
+    pub vouches: bool,
+}
+
 /// The lease under which the platform keeps this entry in the roster.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RosterLease {
@@ -24,9 +35,11 @@
 pub struct Electorate {
     own: SocketAddr,
     list: Option<Arc<VoterList>>,
-    /// Lists that other entries have told this one before it has one.
-    told: HashMap<SocketAddr, VoterList>,
-    /// When the last message was sent to each entry that has answered it with this entry's list.
+    /// Whether a list was read at the platform since this entry has started, or is vouched for.
+    /// Before, it may have adopted a later list than it knows of.
+    has_word: bool,
+    /// When the last message was sent to each entry that has answered it with the word that this
+    /// entry's list is in force.
     contacts_ms: HashMap<SocketAddr, u64>,
     lease: Option<RosterLease>,
     /// When this entry last had a vote by the list.
@@ -42,7 +55,7 @@
         Self {
             own,
             list: None,
-            told: HashMap::new(),
+            has_word: false,
             contacts_ms: HashMap::new(),
             lease: None,
             voted_ms: None,
@@ -71,24 +84,16 @@
     /// Adopts a list of the platform, as of one of its revisions, if it is later than this one's.
     /// Returns whether it is.
     pub fn read(&mut self, list: Option<VoterList>, revision: u64) -> bool {
-        let is_new = list.is_some_and(|list| self.adopt(list));
         self.read_revision = self.read_revision.max(revision);
-        is_new
+        list.is_some_and(|list| {
+            self.has_word = true;
+            self.adopt(list)
+        })
     }
 
-    /// Takes note of the list of another entry, and adopts it if it is later than this one's. An
-    /// entry without a list adopts one that another vouches for, as it has voted lately, or that a
-    /// majority of its voters has told: a single one may have missed the change to a later list
-    /// that this entry had adopted before it started again. Returns whether it has adopted one.
-    pub fn told(&mut self, list: VoterList, by: SocketAddr, is_vouched: bool) -> bool {
-        if self.list.is_some() || is_vouched {
-            return self.adopt(list);
-        }
-        let number = list.number;
-        self.told.insert(by, list.clone());
-        let has_told = |entry| self.told.get(&entry).is_some_and(|told| told.number == number);
-        let is_told = |set| is_majority(set, has_told, |_| false);
-        VoterSets::from(&list).iter().all(is_told) && self.adopt(list)
+    /// Adopts the list of another entry, if it is later than this one's. Returns whether it is.
+    pub fn told(&mut self, list: VoterList) -> bool {
+        self.adopt(list)
     }
 
     fn adopt(&mut self, list: VoterList) -> bool {
@@ -96,21 +101,36 @@
             return false;
         }
         self.list = Some(Arc::new(list));
-        self.told.clear();
         // These have answered with the list before.
         self.contacts_ms.clear();
         self.voted_ms = None;
         true
     }
 
-    /// Records that an entry with a list of this number has answered a message of some time.
-    pub fn answered(&mut self, entry: SocketAddr, number: u64, sent_ms: u64) {
-        if number == self.number() {
+    /// Records that an entry has answered a message of some time.
+    pub fn answered(&mut self, entry: SocketAddr, answer: VotersAnswer, sent_ms: u64) {
+        if answer.number != self.number() {
+            return;
+        }
+        // The other one of two has no majority without this one to tell it the list.
+        self.has_word |= answer.vouches && self.sets().voters().count() == PAIR;
+        if answer.has_word {
             let contact_ms = self.contacts_ms.entry(entry).or_default();
             *contact_ms = sent_ms.max(*contact_ms);
         }
     }
 
+    /// What this entry tells others of its list.
+    #[must_use]
+    pub fn answer(&self, now_ms: u64) -> VotersAnswer {
+        let is_lately = |voted_ms: u64| now_ms < voted_ms + VOUCH_WITHIN_MS;
+        VotersAnswer {
+            number: self.number(),
+            has_word: self.has_word,
+            vouches: self.voted_ms.is_some_and(is_lately),
+        }
+    }
+
     /// Records the lease, or that it has ended.
     pub fn set_lease(&mut self, lease: Option<RosterLease>) {
         self.lease = lease;
@@ -123,32 +143,26 @@
             .is_some_and(|lease| at_ms < lease.until_ms && self.read_revision >= lease.revision)
     }
 
-    /// Whether this entry votes: its lease is alive, or a majority of the voters that are not out
-    /// has told it lately that the list is in force.
-    pub fn has_vote(&mut self, is_out: impl Fn(SocketAddr) -> bool, now_ms: u64) -> bool {
-        let has_vote = self.may_vote(is_out, now_ms);
+    /// Whether this entry votes: its lease is alive, or a majority of the voters has told it lately
+    /// that the list is in force.
+    pub fn has_vote(&mut self, now_ms: u64) -> bool {
+        let has_vote = self.may_vote(now_ms);
         if has_vote {
             self.voted_ms = Some(now_ms);
         }
         has_vote
     }
 
-    /// Whether this entry had a vote by its list so lately that it vouches for it.
-    #[must_use]
-    pub fn vouches(&self, now_ms: u64) -> bool {
-        self.voted_ms.is_some_and(|voted_ms| now_ms < voted_ms + VOUCH_WITHIN_MS)
-    }
-
-    fn may_vote(&self, is_out: impl Fn(SocketAddr) -> bool, now_ms: u64) -> bool {
+    fn may_vote(&self, now_ms: u64) -> bool {
         let is_in_contact = |entry| {
             let contact_ms = self.contacts_ms.get(&entry);
             entry == self.own
                 || contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + CONTACT_WITHIN_MS)
         };
         let sets = self.sets();
-        sets.contains(self.own)
-            && (self.is_leased(now_ms)
-                || sets.iter().all(|set| is_majority(set, is_in_contact, &is_out)))
+        self.has_word
+            && sets.contains(self.own)
+            && (self.is_leased(now_ms) || sets.iter().all(|set| is_majority(set, is_in_contact)))
     }
 
     /// Whether other entries have to be asked for their lists: this one has none, or its lease may
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -6,8 +6,8 @@
 //!
 //! A change goes over a list with two sets of voters, of which both decide, and ends once
 //!
-//! - a majority of the old voters has adopted that list, and tells so in the roster;
-//! - the lease of each other old voter has ended, so that it can't vote by its lease any more;
+//! - half of the old voters have adopted that list, and tell so in the roster;
+//! - each other old voter is missing there, so that it can't vote by its lease any more;
 //! - the time has passed after which it can't vote by the word of a majority either, and its
 //!   claimants have given their jobs up.
 //!
@@ -19,7 +19,7 @@
 
 pub use {
     changes::{RosterEntry, VoterChanges},
-    electorate::{Electorate, RosterLease},
+    electorate::{Electorate, RosterLease, VotersAnswer},
 };
 
 use {
@@ -32,20 +32,24 @@
 /// time that its list is in force, in milliseconds: several messages, so that a connection may be
 /// replaced between them.
 pub const CONTACT_WITHIN_MS: u64 = 1_500;
-/// An entry that has voted within this time, in milliseconds, vouches for its list to one that has
-/// started again.
+/// One of two voters that has voted within this time, in milliseconds, vouches for its list to the
+/// other one if that has started again.
 const VOUCH_WITHIN_MS: u64 = 3_000;
+/// Voters of a list of two.
+const PAIR: usize = 2;
 /// What the settling of a change allows for messages and timers, in milliseconds.
 const SETTLE_SLACK_MS: u64 = 400;
 
-/// Time after which nobody votes on a list, and nothing runs by it, once a majority of its voters
-/// has adopted a later one and the leases of the others have ended, in milliseconds. By then
-/// entries that were vouched for the list since are missing in that majority, as the leases of
-/// their earlier processes have ended.
+/// Time after which nobody votes on a list, and nothing runs by it, once half of its voters have
+/// adopted a later one and the others are missing in the roster, in milliseconds. The platform
+/// may end a lease before its time, which its entry learns with the next renewal.
 #[must_use]
-pub fn settle_ms(limits: &ClaimLimits, lease_ms: u64) -> u64 {
-    let vouched_ms = VOUCH_WITHIN_MS + lease_ms;
-    CONTACT_WITHIN_MS + limits.outlast_ms().max(vouched_ms) + SETTLE_SLACK_MS
+pub fn settle_ms(limits: &ClaimLimits, lease_ms: u64, voters: usize) -> u64 {
+    // One of two may have gone back to the list, and its earlier process is in the roster until
+    // its lease ends.
+    let vouched_ms = if voters == PAIR { VOUCH_WITHIN_MS + lease_ms } else { 0 };
+    let voted_ms = CONTACT_WITHIN_MS.max(lease_ms);
+    voted_ms + limits.outlast_ms().max(vouched_ms) + SETTLE_SLACK_MS
 }
 
 /// The sets of voters of a list, of which each has to decide by a majority. None without a list.
@@ -92,16 +96,17 @@
     }
 }
 
-/// Whether some voters of a set are a majority of those that are not out. Of two halves, the one
-/// with the first voter is.
-pub fn is_majority(
-    voters: &[EntryAddress],
-    is_in: impl Fn(SocketAddr) -> bool,
-    is_out: impl Fn(SocketAddr) -> bool,
-) -> bool {
-    let voters = voters.iter().map(|voter| voter.address).filter(|voter| !is_out(*voter));
-    let voters: Vec<_> = voters.collect();
-    let count = voters.iter().filter(|voter| is_in(**voter)).count();
-    let has_casting_vote = voters.first().is_some_and(|first| is_in(*first));
-    count * 2 > voters.len() || count * 2 == voters.len() && has_casting_vote
+/// Number of the voters of a set that `is_in` names.
+fn count(voters: &[EntryAddress], is_in: impl Fn(SocketAddr) -> bool) -> usize {
+    voters.iter().filter(|voter| is_in(voter.address)).count()
+}
+
+/// Whether some voters of a set are a majority, by whose word a list is in force.
+fn is_majority(voters: &[EntryAddress], is_in: impl Fn(SocketAddr) -> bool) -> bool {
+    count(voters, is_in) * 2 > voters.len()
+}
+
+/// Whether some voters of a set are enough to change the list: each majority has one of them.
+fn is_half(voters: &[EntryAddress], is_in: impl Fn(SocketAddr) -> bool) -> bool {
+    count(voters, is_in) * 2 >= voters.len()
 }
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -19,8 +19,9 @@
     },
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, has_no_agents},
-        dispatch::{Dispatch, DispatchLimits},
+        dispatch::{AgentKey, Dispatch, DispatchLimits},
         receipts,
+        voters::VotersAnswer,
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::{
@@ -139,10 +140,6 @@
         self.limits
     }
 
-    pub(super) fn is_without_agents(&self, entry: SocketAddr) -> bool {
-        self.claims.lock().is_without_agents(entry)
-    }
-
     /// Lets holders hear of this entry that have claims of it, or of claims that it gives up.
     fn beat(&self, claims: &Claims, now_ms: u64) {
         if now_ms < self.beat_ms.load(Ordering::Relaxed) + BEAT_MS {
@@ -215,7 +212,7 @@
         let mut decided = Vec::new();
         for ClaimRequest { holder, claim } in requests {
             if holder == self.settings.own {
-                let has_vote = self.has_vote(claims, now_ms);
+                let has_vote = self.has_vote(now_ms);
                 let mut answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
                 if has_vote {
                     claims.confirmed(holder, now_ms);
@@ -340,7 +337,7 @@
                 self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
                 self.claims.beat(&claims, now_ms);
             }
-            let has_vote = self.has_vote(&claims, now_ms);
+            let has_vote = self.has_vote(now_ms);
             claims.set_vote(self.settings.own, has_vote, now_ms);
             if has_vote {
                 claims.confirmed(self.settings.own, now_ms);
@@ -374,10 +371,22 @@
         let list = self.voters.list();
         let voters = voters::sets(list.as_deref()).voters().map(|voter| voter.address);
         let reached: Vec<_> = voters.filter(|entry| !claims.is_lost(*entry)).collect();
+        let data_centre_of = |holder| {
+            let voter =
+                voters::sets(list.as_deref()).voters().find(|voter| voter.address == holder);
+            voter.map(|voter| voter.data_centre.as_str())
+        };
         let agents = dispatch.known_agents();
         let mut cluster = self.cluster.lock();
         cluster.forget_seen(&agents);
         let has_no_agents = |holder| {
+            // Agents of the other side of a cut may not be known here.
+            let data_centre = data_centre_of(holder)?;
+            let is_beside = |agent: &&AgentKey| {
+                dispatch.data_centre(**agent) == Some(data_centre)
+                    && cluster.witness(**agent, holder).is_some()
+            };
+            agents.iter().find(is_beside)?;
             let connected = agents.iter().map(|agent| cluster.witness(*agent, holder));
             has_no_agents(holder, connected, &reached)
         };
@@ -409,16 +418,22 @@
     fn claims_answered(
         self: &Arc<Self>,
         holder: SocketAddr,
-        ClaimAnswers { answers, is_leaving, voters_number, voters, has_vote, vouches }: ClaimAnswers,
+        answers: ClaimAnswers,
         contact_ms: Option<u64>,
     ) -> bool {
-        match voters {
-            Some(list) => self.voters_told(list, holder, vouches),
-            None if !is_leaving => self.tell_voters(holder, voters_number),
-            None => {}
+        let of_voters = VotersAnswer {
+            number: answers.voters_number,
+            has_word: answers.has_word,
+            vouches: answers.vouches,
+        };
+        let ClaimAnswers { answers, is_leaving, voters, has_vote, .. } = answers;
+        if let Some(list) = voters {
+            self.voters_told(list);
+        } else if !is_leaving {
+            self.tell_voters(holder, of_voters.number);
         }
         if let Some(sent_ms) = contact_ms {
-            self.voters.electorate().answered(holder, voters_number, sent_ms);
+            self.voters.electorate().answered(holder, of_voters, sent_ms);
         }
         let confirmed_ms = contact_ms.filter(|_| has_vote);
         self.change(|dispatch, now_ms| {
@@ -600,7 +615,7 @@
                 }
                 () = link.filled.notified() => {
                     let mut requests = std::mem::take(&mut *link.requests.lock());
-                    requests.voters_number = service.voters.electorate().number();
+                    requests.voters_number = service.voters.list().map_or(0, |list| list.number);
                     unanswered.push_back(sent_ms(requests.is_current));
                     answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     if self.writer.push(&requests).is_err() {
@@ -633,7 +648,7 @@
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
-    requests.voters_number = service.voters.electorate().number();
+    requests.voters_number = service.voters.list().map_or(0, |list| list.number);
     writer.push(&requests)?;
     Ok(requests.is_current)
 }
@@ -667,7 +682,7 @@
                     let now_ms = service.now_ms();
                     longest_silence_ms = longest_silence_ms.max(now_ms.saturating_sub(heard_ms));
                     heard_ms = now_ms;
-                    service.grant(claimant, entry, requests)
+                    service.grant(claimant, requests)
                 }
                 Ok(Err(error)) => break error,
                 Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
@@ -704,23 +719,16 @@
 }
 
 impl JobService {
-    fn grant(
-        &self,
-        claimant: Incarnation,
-        entry: SocketAddr,
-        requests: ClaimRequests,
-    ) -> ClaimAnswers {
+    fn grant(&self, claimant: Incarnation, requests: ClaimRequests) -> ClaimAnswers {
         let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
         if let Some(list) = voters {
-            self.voters_told(list, entry, false);
+            self.voters_told(list);
         }
         let now_ms = self.now_ms();
-        let own_claims = self.claims.claims.lock();
         let list = self.voters.list();
         let number = list.as_ref().map_or(0, |list| list.number);
-        let has_vote = voters_number == number && self.has_vote(&own_claims, now_ms);
-        drop(own_claims);
-        let vouches = self.voters.electorate().vouches(now_ms);
+        let has_vote = voters_number == number && self.has_vote(now_ms);
+        let VotersAnswer { has_word, vouches, .. } = self.voters.electorate().answer(now_ms);
         let mut table = self.claims.table.lock();
         if is_current {
             table.heard(claimant, now_ms);
@@ -754,6 +762,7 @@
             voters_number: number,
             voters: list.filter(|_| voters_number < number).as_deref().cloned(),
             has_vote,
+            has_word,
             vouches,
         }
     }
--- a/crates/entry/src/runs/query.rs
+++ b/crates/entry/src/runs/query.rs
@@ -5,7 +5,7 @@
 //! other entry.
 
 use {
-    super::JobService,
+    super::{JobService, voters},
     futures::{StreamExt, stream::FuturesUnordered},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     sycamorerail_telemetry::event,
@@ -100,8 +100,12 @@
 
     /// Other entries that are known, and whether these are all.
     fn cluster_view(&self) -> (BTreeSet<SocketAddr>, bool) {
+        let list = self.voters.list();
+        let voters = voters::sets(list.as_deref()).voters().map(|voter| voter.address);
         let cluster = self.cluster.lock();
         let mut entries = cluster.all();
+        // One that is missing in the roster may run jobs behind a cut.
+        entries.extend(voters);
         entries.remove(&self.settings.own);
         (entries, cluster.is_complete())
     }
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -11,7 +11,7 @@
         },
     },
     sycamorerail_decide::{
-        claims::{ClaimLimits, Claims},
+        claims::ClaimLimits,
         voters::{Electorate, RosterLease, VoterSets},
     },
     sycamorerail_telemetry::event,
@@ -91,37 +91,34 @@
 
     /// Takes note of the platform's list of voters, as of one of its revisions.
     pub fn read_voters(&self, list: Option<VoterList>, revision: u64) {
-        let is_new = self.voters.electorate.lock().read(list, revision);
-        if is_new {
-            self.put_voters_in_force("platform");
-        }
+        self.adopt_voters("platform", |electorate| electorate.read(list, revision));
     }
 
     /// Takes note of the list of voters that another entry has.
-    pub(super) fn voters_told(&self, list: VoterList, by: SocketAddr, is_vouched: bool) {
-        let is_new = self.voters.electorate.lock().told(list, by, is_vouched);
-        if is_new {
-            self.put_voters_in_force("entries");
-        }
+    pub(super) fn voters_told(&self, list: VoterList) {
+        self.adopt_voters("entries", |electorate| electorate.told(list));
     }
 
-    fn put_voters_in_force(&self, source: &str) {
-        let list = self.voters.electorate.lock().list().cloned();
-        if let Some(list) = &list {
-            event!(
-                Info,
-                "voters_changed",
-                number = list.number,
-                voters = list.voters.len(),
-                data_centres = by_data_centre(&list.voters),
-                next = list.next.len(),
-                next_data_centres = by_data_centre(&list.next),
-                source = source,
-            );
+    fn adopt_voters(&self, source: &str, adopt: impl FnOnce(&mut Electorate) -> bool) {
+        let mut electorate = self.voters.electorate.lock();
+        if !adopt(&mut electorate) {
+            return;
         }
-        metrics::gauge!("sycamorerail_voters")
-            .set(list.as_ref().map_or(0, |list| list.voters.len()) as f64);
-        self.voters.list.send_replace(list);
+        // Under the lock, so that an earlier list doesn't overtake a later one.
+        self.voters.list.send_replace(electorate.list().cloned());
+        let Some(list) = electorate.list().cloned() else { return };
+        drop(electorate);
+        event!(
+            Info,
+            "voters_changed",
+            number = list.number,
+            voters = list.voters.len(),
+            data_centres = by_data_centre(&list.voters),
+            next = list.next.len(),
+            next_data_centres = by_data_centre(&list.next),
+            source = source,
+        );
+        metrics::gauge!("sycamorerail_voters").set(list.voters.len() as f64);
     }
 
     /// The list of voters in force, if one is known. Wakes when it changes.
@@ -135,12 +132,6 @@
         self.voters.electorate.lock().set_lease(lease);
     }
 
-    /// Whether a voter is lost and without agents, so that nothing that it grants could run.
-    #[must_use]
-    pub fn is_without_agents(&self, voter: SocketAddr) -> bool {
-        self.claims.is_without_agents(voter)
-    }
-
     /// Limits of claims, which tell when a change of voters has settled.
     #[must_use]
     pub fn claim_limits(&self) -> ClaimLimits {
@@ -148,8 +139,8 @@
     }
 
     /// Whether this entry votes now.
-    pub(super) fn has_vote(&self, claims: &Claims, now_ms: u64) -> bool {
-        let has_vote = self.voters.electorate.lock().has_vote(|entry| claims.is_out(entry), now_ms);
+    pub(super) fn has_vote(&self, now_ms: u64) -> bool {
+        let has_vote = self.voters.electorate.lock().has_vote(now_ms);
         if self.voters.had_vote.swap(has_vote, Ordering::Relaxed) != has_vote {
             event!(Info, "vote_changed", has_vote = has_vote);
         }
--- a/crates/membership/src/presence.rs
+++ b/crates/membership/src/presence.rs
@@ -64,40 +64,39 @@
         let LeasedKey { lease, revision } = written;
         let mut voters = self.member.voters.clone();
         let mut written_revision = revision;
-        // Lists that were adopted since the key was written are told at once.
-        voters.mark_changed();
+        let mut is_written = true;
         loop {
-            tokio::select! {
+            let is_beat = tokio::select! {
                 changed = voters.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    let number = voters.borrow_and_update().as_ref().and_then(|list| {
-                        (!list.next.is_empty()).then_some(list.number)
-                    });
-                    let Some(number) = number else { continue };
-                    let value = write_entry(&self.member.entry, number);
-                    let expected = Expected::Modified(written_revision);
-                    match self.platform.swap(key, expected, &value, Some(lease), &[]).await {
-                        Ok(Swap::Done { mark }) => written_revision = mark,
-                        Ok(Swap::Lost { .. }) => return,
-                        Err(error) => {
-                            event!(Info, "key_not_written", key = key, error = error);
-                            return;
-                        }
-                    }
+                    false
                 }
-                () = sleep(beat_pause(self.lease_ms)) => {
-                    let called_ms = (self.member.now_ms)();
-                    match self.platform.keep_alive(lease).await {
-                        Ok(true) => {
-                            self.set_lease(revision, called_ms);
-                        }
-                        Ok(false) => return event!(Info, "lease_lost", lease = lease.0),
-                        Err(error) => event!(Debug, "keep_alive_failed", error = error),
+                () = sleep(beat_pause(self.lease_ms)) => true,
+            };
+            let change = voters.borrow_and_update().clone().filter(|list| !list.next.is_empty());
+            if let Some(list) = change.filter(|_| !is_beat || !is_written) {
+                let value = write_entry(&self.member.entry, list.number);
+                let expected = Expected::Modified(written_revision);
+                match self.platform.swap(key, expected, &value, Some(lease), &[]).await {
+                    Ok(Swap::Done { mark }) => (written_revision, is_written) = (mark, true),
+                    Ok(Swap::Lost { .. }) => return,
+                    // Tried again with the next beat, as the lease may be alive.
+                    Err(error) => {
+                        event!(Info, "key_not_written", key = key, error = error);
+                        is_written = false;
                     }
                 }
             }
+            if is_beat {
+                let called_ms = (self.member.now_ms)();
+                match self.platform.keep_alive(lease).await {
+                    Ok(true) => self.set_lease(revision, called_ms),
+                    Ok(false) => return event!(Info, "lease_lost", lease = lease.0),
+                    Err(error) => event!(Debug, "keep_alive_failed", error = error),
+                }
+            }
         }
     }
 }
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -56,8 +56,6 @@
     pub read_voters: Box<dyn Fn(Option<VoterList>, u64) + Send + Sync>,
     /// It is in the roster under a lease; `None` if that has ended.
     pub set_lease: Box<dyn Fn(Option<RosterLease>) + Send + Sync>,
-    /// Whether a voter is lost and without agents.
-    pub is_without_agents: Box<dyn Fn(SocketAddr) -> bool + Send + Sync>,
 }
 
 /// Keeps an entry in the roster, tells it of all entries there and of the voters, and changes the
--- a/crates/membership/src/voters.rs
+++ b/crates/membership/src/voters.rs
@@ -73,8 +73,7 @@
             }
             continue;
         }
-        let next =
-            changes.next(in_force.as_ref(), &present, &member.is_without_agents, (member.now_ms)());
+        let next = changes.next(in_force.as_ref(), &present, (member.now_ms)());
         let Some(next) = next else { continue };
         let expected = if item.is_some() { Expected::Modified(revision) } else { Expected::Absent };
         write(&platform, &next, expected).await;
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -516,7 +516,7 @@
 pub struct VoterList {
     /// Rises by one with each change.
     pub number: u64,
-    /// The voters. Of two halves, the one with the first voter is the majority.
+    /// The voters.
     pub voters: Vec<EntryAddress>,
     /// The voters that are to replace them; empty if no change is under way. Until then both
     /// decide.
@@ -590,7 +590,9 @@
     /// Whether the holder votes on claims of the list that the message named. Otherwise the answer
     /// confirms no claim.
     pub has_vote: bool,
-    /// Whether the holder has voted by its list lately, so that a claimant without one may take it.
+    /// Whether the holder can say that its list is in force.
+    pub has_word: bool,
+    /// Whether the holder has voted by its list lately.
     pub vouches: bool,
 }
 
