--- /dev/null
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -0,0 +1,152 @@
+//! Entries that vote on claims by a list in the platform, which they change as they come and go:
+//! no two of them run a job at a time, and jobs are granted again once everything heals. Beside
+//! what `claims_machine` plays, the platform is away or reached by some, tells changes late, and
+//! carries calls out late; leases end; entries join, are gone for good, and stand still.
+//!
+//! No agents: no entry tells that another is without them. No planned stops.
+
+mod cluster;
+mod links;
+mod member;
+mod platform;
+
+use {
+    cluster::{Cut, Model, Outage},
+    proptest::prelude::*,
+    std::net::SocketAddr,
+    sycamorerail_decide::claims::ClaimLimits,
+    sycamorerail_wire::runs::CallerJobId,
+};
+
+const JOB: CallerJobId = CallerJobId(1);
+const RUN_OVER_MS: u64 = 1_240;
+const LIMITS: ClaimLimits = ClaimLimits {
+    run_over_ms: RUN_OVER_MS,
+    margin_ms: 400,
+    confirm_within_ms: 500,
+    stop_within_ms: 400,
+    lost_after_ms: 250,
+    noticed_within_ms: 1_500,
+};
+const STEP_MS: u64 = 10;
+const MAX_ENTRIES: usize = 6;
+/// By then a new deployment has voters.
+const FIRST_VOTERS_MS: u64 = 1_500;
+
+fn address(entry: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(entry).unwrap()], 1))
+}
+
+fn index(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { unreachable!() };
+    address.ip().octets()[3].into()
+}
+
+#[derive(Clone, Debug)]
+enum Act {
+    /// A caller submits the job, which ends so many steps later at the latest.
+    Submit { entry: usize, steps: u64 },
+    /// The job ends, if it is there.
+    End { entry: usize },
+    /// A connection breaks.
+    Break { claimant: usize, holder: usize },
+    /// An entry is killed, and starts again so many steps later, or never.
+    Kill { entry: usize, steps: Option<u64> },
+    /// An entry joins.
+    Join { entry: usize },
+    /// An entry handles nothing for so many steps.
+    Stall { entry: usize, steps: u64 },
+    /// A cut separates some entries from the others for so many steps. It refuses connections, or
+    /// holds all up. Each side may reach the platform.
+    Cut { apart: u8, steps: u64, refuses: bool, platform: [bool; 2] },
+    /// The platform answers some entries nothing for so many steps. Some calls are carried out so
+    /// many steps later; leases may be kept meanwhile.
+    Outage { entries: u8, steps: u64, late_steps: Option<u64>, pauses: bool },
+    /// Changes of the list and of the roster reach an entry so many steps later from now on.
+    Late { entry: usize, steps: [u64; 2] },
+    /// Time passes; messages take so long meanwhile.
+    Wait { steps: u64, delay_ms: u64 },
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let entry = || 0..MAX_ENTRIES;
+    let some = || prop_oneof![1 => Just(0xff_u8), 3 => 1..63_u8];
+    prop_oneof![
+        8 => (entry(), 50..500_u64).prop_map(|(entry, steps)| Act::Submit { entry, steps }),
+        1 => entry().prop_map(|entry| Act::End { entry }),
+        1 => (entry(), entry()).prop_map(|(claimant, holder)| Act::Break { claimant, holder }),
+        2 => (entry(), prop::option::weighted(0.7, 0..150_u64))
+            .prop_map(|(entry, steps)| Act::Kill { entry, steps }),
+        2 => entry().prop_map(|entry| Act::Join { entry }),
+        1 => (entry(), 30..500_u64).prop_map(|(entry, steps)| Act::Stall { entry, steps }),
+        3 => (1..63_u8, 1..1_200_u64, any::<bool>(), any::<[bool; 2]>())
+            .prop_map(|(apart, steps, refuses, platform)| Act::Cut { apart, steps, refuses, platform }),
+        2 => (some(), 1..800_u64, prop::option::of(1..400_u64), any::<bool>())
+            .prop_map(|(entries, steps, late_steps, pauses)| {
+                Act::Outage { entries, steps, late_steps, pauses }
+            }),
+        1 => (entry(), [0..400_u64, 0..400_u64])
+            .prop_map(|(entry, steps)| Act::Late { entry, steps }),
+        8 => (0..60_u64, 0..50_u64).prop_map(|(steps, delay_ms)| Act::Wait { steps, delay_ms }),
+        3 => (100..500_u64, 0..50_u64)
+            .prop_map(|(steps, delay_ms)| Act::Wait { steps, delay_ms }),
+    ]
+}
+
+/// Does what is possible with entries that are there.
+fn apply(model: &mut Model, act: &Act) {
+    let (count, now_ms) = (model.entries.len(), model.now_ms);
+    let after = |steps: u64| now_ms + steps * STEP_MS;
+    match *act {
+        Act::Submit { entry, steps } => {
+            model.submit(entry % count, steps);
+        }
+        Act::End { entry } => model.end_job(entry % count),
+        Act::Break { claimant, holder } => model.break_link(claimant % count, holder % count),
+        Act::Kill { entry, steps } => model.kill(entry % count, steps.map_or(u64::MAX, after)),
+        Act::Join { entry } => model.join(entry % count),
+        Act::Stall { entry, steps } => model.stall(entry % count, steps),
+        Act::Cut { apart, steps, refuses, platform } => {
+            model.cut(Cut { apart, until_ms: after(steps), refuses, platform });
+        }
+        Act::Outage { entries, steps, late_steps, pauses } => model.begin_outage(Outage {
+            entries,
+            until_ms: after(steps),
+            late_ms: late_steps.map(|steps| steps * STEP_MS),
+            pauses,
+            since_ms: now_ms,
+        }),
+        Act::Late { entry, steps } => {
+            model.entries[entry % count].member.late_ms = steps.map(|steps| steps * STEP_MS);
+        }
+        Act::Wait { steps, delay_ms } => {
+            model.delay_ms = delay_ms;
+            for _ in 0..steps {
+                model.step();
+            }
+        }
+    }
+}
+
+proptest! {
+    /// Guards against a job that two entries run as voters change, and against voters that agree
+    /// on nothing any more.
+    #[test]
+    fn one_majority_at_a_time(
+        count in 1..=MAX_ENTRIES,
+        up in 1..=MAX_ENTRIES,
+        data_centres in 1..5_usize,
+        seed: u64,
+        acts in prop::collection::vec(act(), 1..60),
+    ) {
+        let mut model = Model::new(count, up.min(count), data_centres, seed);
+        while model.now_ms < FIRST_VOTERS_MS {
+            model.step();
+        }
+        for act in &acts {
+            apply(&mut model, act);
+            model.step();
+        }
+        model.settle();
+    }
+}
