--- a/crates/decide/src/voters/changes.rs
+++ b/crates/decide/src/voters/changes.rs
@@ -137,6 +137,6 @@
     (!list.voters.is_empty()).then_some(Wanted { list, after_ms: FIRST_LIST_AFTER_MS })
 }
 
-fn find(roster: &[RosterEntry], entry: SocketAddr) -> Option<&RosterEntry> {
+pub(super) fn find(roster: &[RosterEntry], entry: SocketAddr) -> Option<&RosterEntry> {
     roster.iter().find(|known| known.entry.address == entry)
 }
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -12,14 +12,17 @@
 //!   claimants have given their jobs up.
 //!
 //! [`Electorate`] is what an entry knows of the list, and decides whether it votes;
-//! [`VoterChanges`] decides when the list is to be changed.
+//! [`VoterChanges`] decides when the list is to be changed. [`leave_out`] is the list without voters
+//! that are gone for good by the word of an operator.
 
 mod changes;
 mod electorate;
+mod leave_out;
 
 pub use {
     changes::{RosterEntry, VoterChanges},
     electorate::{Electorate, RosterLease},
+    leave_out::{LEAVE_OUT_AFTER_MS, LeaveOutError, leave_out},
 };
 
 use {
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod roster;
 mod sweep;
 mod voters;
+pub mod voters_at_hand;
 
 pub use {
     error::{MembershipError, MembershipStep},
--- a/crates/membership/src/presence.rs
+++ b/crates/membership/src/presence.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         lease_key::{LeasedKey, beat_pause, write_key},
-        roster::{Member, PREFIX, write_entry},
+        roster::{Member, entry_key, write_entry},
     },
     std::sync::Arc,
     sycamorerail_decide::voters::RosterLease,
@@ -42,7 +42,7 @@
     /// Writes the key under a new lease, and keeps it until the lease is lost.
     async fn hold_once(&mut self, list: &Mirror) {
         let mut voters = self.member.voters.clone();
-        let key = format!("{PREFIX}{}", self.member.entry.address);
+        let key = entry_key(self.member.entry.address);
         let number = voters.borrow_and_update().as_ref().map_or(0, |list| list.number);
         let value = write_entry(&self.member.entry, number);
         let called_ms = (self.member.now_ms)();
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -166,6 +166,11 @@
     }
 }
 
+/// The key of an entry in the roster.
+pub(crate) fn entry_key(address: SocketAddr) -> String {
+    format!("{PREFIX}{address}")
+}
+
 /// The value of an entry in the roster.
 pub(crate) fn write_entry(entry: &EntryAddress, voters_number: u64) -> String {
     format!("{} {} #{voters_number}", entry.address, entry.data_centre)
--- a/crates/membership/src/voters.rs
+++ b/crates/membership/src/voters.rs
@@ -99,7 +99,7 @@
     }
 }
 
-fn read(value: &str) -> serde_json::Result<VoterList> {
+pub(crate) fn read(value: &str) -> serde_json::Result<VoterList> {
     serde_json::from_str(value)
 }
 
