--- a/crates/membership/src/voters_at_hand.rs
+++ b/crates/membership/src/voters_at_hand.rs
@@ -135,7 +135,7 @@
         let EntryAddress { address, data_centre } = voter;
         write!(f, "{set} {address} {data_centre:?} ")?;
         match self.roster.iter().find(|entry| entry.entry.address == *address) {
-            Some(entry) => writeln!(f, "in the roster, with list {}", entry.voters_number),
+            Some(entry) => writeln!(f, "in the roster, has told list {}", entry.voters_number),
             None => writeln!(f, "not in the roster"),
         }
     }
