--- a/crates/decide/src/voters/changes.rs
+++ b/crates/decide/src/voters/changes.rs
@@ -146,6 +146,6 @@
     is_half(&list.voters, has_adopted) && list.voters.iter().all(|voter| has_ended(voter.address))
 }
 
-fn find(roster: &[RosterEntry], entry: SocketAddr) -> Option<&RosterEntry> {
+pub(super) fn find(roster: &[RosterEntry], entry: SocketAddr) -> Option<&RosterEntry> {
     roster.iter().find(|known| known.entry.address == entry)
 }
