--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -103,6 +103,8 @@
     pub late_ms: Option<u64>,
     /// Leases don't end meanwhile.
     pub pauses: bool,
+    /// Only readings and watches are unanswered.
+    pub is_of_reads: bool,
     pub since_ms: u64,
 }
 
@@ -206,8 +208,10 @@
         self.is_up(entry) && self.entries[entry].stalled.is_none()
     }
 
-    fn reaches_platform(&self, entry: usize) -> bool {
-        let is_out = self.outage.is_some_and(|outage| outage.entries >> entry & 1 == 1);
+    fn reaches_platform(&self, entry: usize, is_read: bool) -> bool {
+        let is_out = self.outage.is_some_and(|outage| {
+            outage.entries >> entry & 1 == 1 && (is_read || !outage.is_of_reads)
+        });
         let is_cut = self.cut.is_some_and(|Cut { apart, platform, .. }| {
             !platform[usize::from(apart >> entry & 1 == 0)]
         });
@@ -224,7 +228,8 @@
         let late_ms = self.outage.and_then(|outage| outage.late_ms);
         let incarnation = self.entries[entry].incarnation;
         for (number, what) in calls {
-            let at_ms = if self.reaches_platform(entry) {
+            let is_read = matches!(what, Call::Read);
+            let at_ms = if self.reaches_platform(entry, is_read) {
                 self.now_ms + self.delay_ms
             } else {
                 match late_ms {
@@ -246,7 +251,7 @@
         let due: Vec<OnTheWay<Call>> = due;
         for OnTheWay { entry, incarnation, number, what, .. } in due {
             let reply = self.platform.carry_out(entry, &what, self.now_ms);
-            if self.reaches_platform(entry) {
+            if self.reaches_platform(entry, matches!(what, Call::Read)) {
                 let at_ms = self.now_ms + self.delay_ms;
                 self.replies.push(OnTheWay { at_ms, entry, incarnation, number, what: reply });
             }
@@ -315,7 +320,7 @@
 
     fn tick(&mut self, entry: usize) {
         let now_ms = self.now_ms;
-        if self.reaches_platform(entry) {
+        if self.reaches_platform(entry, true) {
             self.entries[entry].member.watch(&self.platform, now_ms);
         }
         let mut calls = Calls::new();
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -60,8 +60,8 @@
     /// holds all up. Each side may reach the platform.
     Cut { apart: u8, steps: u64, refuses: bool, platform: [bool; 2] },
     /// The platform answers some entries nothing for so many steps. Some calls are carried out so
-    /// many steps later; leases may be kept meanwhile.
-    Outage { entries: u8, steps: u64, late_steps: Option<u64>, pauses: bool },
+    /// many steps later; leases may be kept meanwhile. Or it answers all but readings.
+    Outage { entries: u8, steps: u64, late_steps: Option<u64>, pauses: bool, is_of_reads: bool },
     /// Changes of the list and of the roster reach an entry so many steps later from now on.
     Late { entry: usize, steps: [u64; 2] },
     /// Time passes; messages take so long meanwhile.
@@ -81,9 +81,9 @@
         1 => (entry(), 30..500_u64).prop_map(|(entry, steps)| Act::Stall { entry, steps }),
         3 => (1..63_u8, 1..1_200_u64, any::<bool>(), any::<[bool; 2]>())
             .prop_map(|(apart, steps, refuses, platform)| Act::Cut { apart, steps, refuses, platform }),
-        2 => (some(), 1..800_u64, prop::option::of(1..400_u64), any::<bool>())
-            .prop_map(|(entries, steps, late_steps, pauses)| {
-                Act::Outage { entries, steps, late_steps, pauses }
+        2 => (some(), 1..800_u64, prop::option::of(1..400_u64), any::<[bool; 2]>())
+            .prop_map(|(entries, steps, late_steps, [pauses, is_of_reads])| {
+                Act::Outage { entries, steps, late_steps, pauses, is_of_reads }
             }),
         1 => (entry(), [0..400_u64, 0..400_u64])
             .prop_map(|(entry, steps)| Act::Late { entry, steps }),
@@ -93,6 +93,33 @@
     ]
 }
 
+/// Entries are cut off from the others, and from the platform for so long that they are voters no
+/// more. They are back in the roster before they can read the list.
+fn unread_return() -> impl Strategy<Value = Vec<Act>> {
+    let submits = prop::collection::vec((0..MAX_ENTRIES, 5..40_u64), 2..8);
+    (1..63_u8, any::<bool>(), 800..1_300_u64, 50..300_u64, submits).prop_map(
+        |(apart, refuses, out_steps, back_steps, submits)| {
+            let wait = |steps| Act::Wait { steps, delay_ms: 5 };
+            let outage = |steps, is_of_reads| Act::Outage {
+                entries: apart,
+                steps,
+                late_steps: None,
+                pauses: false,
+                is_of_reads,
+            };
+            let cut = Act::Cut { apart, steps: 2_500, refuses, platform: [true; 2] };
+            let begin = [cut, outage(out_steps, false), wait(out_steps + 1)];
+            let back = [outage(1_000, true), wait(back_steps)];
+            let submit = |(entry, steps)| [Act::Submit { entry, steps: 500 }, wait(steps)];
+            begin.into_iter().chain(back).chain(submits.into_iter().flat_map(submit)).collect()
+        },
+    )
+}
+
+fn acts() -> impl Strategy<Value = Vec<Act>> {
+    prop_oneof![9 => prop::collection::vec(act(), 1..60), 1 => unread_return()]
+}
+
 /// Does what is possible with entries that are there.
 fn apply(model: &mut Model, act: &Act) {
     let (count, now_ms) = (model.entries.len(), model.now_ms);
@@ -109,13 +136,16 @@
         Act::Cut { apart, steps, refuses, platform } => {
             model.cut(Cut { apart, until_ms: after(steps), refuses, platform });
         }
-        Act::Outage { entries, steps, late_steps, pauses } => model.begin_outage(Outage {
-            entries,
-            until_ms: after(steps),
-            late_ms: late_steps.map(|steps| steps * STEP_MS),
-            pauses,
-            since_ms: now_ms,
-        }),
+        Act::Outage { entries, steps, late_steps, pauses, is_of_reads } => {
+            model.begin_outage(Outage {
+                entries,
+                until_ms: after(steps),
+                late_ms: late_steps.map(|steps| steps * STEP_MS),
+                pauses,
+                is_of_reads,
+                since_ms: now_ms,
+            })
+        }
         Act::Late { entry, steps } => {
             model.entries[entry % count].member.late_ms = steps.map(|steps| steps * STEP_MS);
         }
@@ -150,7 +180,7 @@
         up in 1..=MAX_ENTRIES,
         data_centres in 1..5_usize,
         seed: u64,
-        acts in prop::collection::vec(act(), 1..60),
+        acts in acts(),
     ) {
         play(count, up, data_centres, seed, &acts);
     }
@@ -162,7 +192,7 @@
         up in 1..=MAX_ENTRIES,
         data_centres in 1..5_usize,
         seed: u64,
-        acts in prop::collection::vec(act(), 1..60),
+        acts in acts(),
     ) {
         play(count, up, data_centres, seed, &acts).settle();
     }
