--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -165,6 +165,13 @@
             && (self.is_leased(now_ms) || sets.iter().all(|set| is_majority(set, is_in_contact)))
     }
 
+    /// Whether this entry knows so little of the voters that no claim can be granted: it has no
+    /// list, or is one of two voters and has no word yet.
+    #[must_use]
+    pub fn is_unsettled(&self) -> bool {
+        self.list.is_none() || !self.has_word && self.sets().voters().count() == PAIR
+    }
+
     /// Whether other entries have to be asked for their lists: this one has none, or its lease may
     /// end soon.
     #[must_use]
--- a/crates/decide/src/voters/leave_out.rs
+++ b/crates/decide/src/voters/leave_out.rs
@@ -100,6 +100,8 @@
     }
     let is_missing = |address| !gone.contains(&address) && find(roster, address).is_none();
     let missing = stay().find(|voter| is_missing(*voter));
-    let may_vote = is_majority(&list.voters, is_missing, |address| gone.contains(&address));
+    let left: Vec<_> =
+        list.voters.iter().filter(|voter| !gone.contains(&voter.address)).cloned().collect();
+    let may_vote = is_majority(&left, is_missing);
     missing.filter(|_| may_vote).map_or(Ok(()), |missing| Err(LeaveOutError::Unheard(missing)))
 }
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -105,7 +105,7 @@
 }
 
 /// Whether some voters of a set are a majority, by whose word a list is in force.
-fn is_majority(voters: &[EntryAddress], is_in: impl Fn(SocketAddr) -> bool) -> bool {
+pub fn is_majority(voters: &[EntryAddress], is_in: impl Fn(SocketAddr) -> bool) -> bool {
     count(voters, is_in) * 2 > voters.len()
 }
 
--- a/crates/decide/tests/voters_gone.rs
+++ b/crates/decide/tests/voters_gone.rs
@@ -35,15 +35,15 @@
         voters: vec![entry(0), entry(1), entry(2)],
         next: vec![entry(1), entry(2)],
     };
-    let mut changes = VoterChanges::new(entry(0).address, LIMITS);
+    let mut changes = VoterChanges::new(entry(0).address, LIMITS, 3_000);
     for now_ms in (0..20_000).step_by(200) {
-        if let Some(next) = changes.next(Some(&list), &roster, |_| false, now_ms) {
+        if let Some(next) = changes.next(Some(&list), &roster, now_ms) {
             list = next;
         }
         let sets = VoterSets::from(&list);
         let present = VoterSets::from(&list.voters);
         assert!(
-            present.iter().all(|set| is_majority(set, is_there, |_| false)),
+            present.iter().all(|set| is_majority(set, is_there)),
             "at {now_ms} ms, only a minority is there: {sets:?}"
         );
     }
--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -14,7 +14,7 @@
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimRequest, ClaimTable, Claims},
         receipts::PASSES,
-        voters::{VoterSets, is_majority},
+        voters::{VoterSets, VotersAnswer, is_majority},
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -218,9 +218,8 @@
         !is_out && !is_cut
     }
 
-    fn has_vote(&self, entry: usize) -> bool {
-        let Entry { member, claims, .. } = &self.entries[entry];
-        member.electorate.has_vote(|voter| claims.is_out(voter), self.now_ms)
+    fn has_vote(&mut self, entry: usize) -> bool {
+        self.entries[entry].member.electorate.has_vote(self.now_ms)
     }
 
     /// Sends calls to the platform, which get there, get there late, or never do.
@@ -652,7 +651,7 @@
     ) -> ClaimAnswers {
         let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
         if let Some(list) = voters {
-            self.entries[holder].member.electorate.told(list, address(claimant));
+            self.entries[holder].member.electorate.told(list);
         }
         let number = self.entries[holder].member.electorate.number();
         let has_vote = voters_number == number && self.has_vote(holder);
@@ -671,6 +670,7 @@
             }
             answered
         });
+        let word = member.electorate.answer(now_ms);
         let list = member.electorate.list().filter(|_| voters_number < number);
         ClaimAnswers {
             answers: answers.collect(),
@@ -678,6 +678,8 @@
             voters_number: number,
             voters: list.map(|list| (**list).clone()),
             has_vote,
+            has_word: word.has_word,
+            vouches: word.vouches,
         }
     }
 
@@ -688,12 +690,13 @@
         answers: ClaimAnswers,
         contact_ms: Option<u64>,
     ) {
-        let ClaimAnswers { answers, voters_number, voters, has_vote, .. } = answers;
+        let ClaimAnswers { answers, voters_number, voters, has_vote, has_word, vouches, .. } =
+            answers;
         let of = address(holder);
         let Entry { member, claims, .. } = &mut self.entries[claimant];
         match voters {
             Some(list) => {
-                member.electorate.told(list, of);
+                member.electorate.told(list);
             }
             None => {
                 let newer = member.electorate.list().filter(|list| voters_number < list.number);
@@ -705,7 +708,8 @@
             }
         }
         if let Some(sent_ms) = contact_ms {
-            member.electorate.answered(of, voters_number, sent_ms);
+            let answer = VotersAnswer { number: voters_number, has_word, vouches };
+            member.electorate.answered(of, answer, sent_ms);
         }
         claims.holder_reached(of);
         claims.set_vote(of, has_vote, self.now_ms);
@@ -893,9 +897,7 @@
         let up: Vec<_> = (0..self.entries.len()).filter(|&entry| self.is_up(entry)).collect();
         let is_there = |voter| self.is_up(index(voter));
         let can_go_on = match &self.platform.current().list {
-            Some((list, _)) => {
-                VoterSets::from(list).iter().all(|set| is_majority(set, is_there, |_| false))
-            }
+            Some((list, _)) => VoterSets::from(list).iter().all(|set| is_majority(set, is_there)),
             None => !up.is_empty(),
         };
         if !can_go_on {
--- a/crates/decide/tests/voters_machine/member.rs
+++ b/crates/decide/tests/voters_machine/member.rs
@@ -100,7 +100,7 @@
             own,
             data_centres,
             electorate: Electorate::new(address(own)),
-            changes: VoterChanges::new(address(own), LIMITS),
+            changes: VoterChanges::new(address(own), LIMITS, LEASE_MS),
             presence: Presence::Pause { until_ms: now_ms },
             changer: Changer::Looking { at_ms: now_ms },
             list: None,
@@ -336,6 +336,6 @@
             return None;
         }
         let list = known.list.as_ref().map(|(list, _)| list);
-        Some((self.changes.next(list, &present, |_| false, now_ms)?, expected))
+        Some((self.changes.next(list, &present, now_ms)?, expected))
     }
 }
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -176,11 +176,17 @@
     /// Whether a majority of a job's holders may grant it to this entry.
     pub(super) fn can_be_claimed(&self, job: CallerJobId, now_ms: u64) -> bool {
         let list = self.voters.list();
-        self.claims.claims.lock().can_be_granted(job, voters::sets(list.as_deref()), now_ms)
+        let has_vote = self.has_vote(now_ms);
+        let mut claims = self.claims.claims.lock();
+        claims.set_vote(self.settings.own, has_vote, now_ms);
+        claims.can_be_granted(job, voters::sets(list.as_deref()), now_ms)
     }
 
-    /// Whether this entry can't reach most voters, or knows of none.
+    /// Whether this entry can't reach most voters, or knows too little of them.
     pub(super) fn is_apart(&self) -> bool {
+        if self.voters.electorate().is_unsettled() {
+            return true;
+        }
         let list = self.voters.list();
         let sets = voters::sets(list.as_deref());
         self.claims.claims.lock().is_apart(sets, self.clock.now_ms())
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -108,6 +108,8 @@
         self.voters.list.send_replace(electorate.list().cloned());
         let Some(list) = electorate.list().cloned() else { return };
         drop(electorate);
+        // Others are asked at once whether it is in force.
+        self.voters.contacted_ms.store(0, Ordering::Relaxed);
         event!(
             Info,
             "voters_changed",
