--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -112,7 +112,7 @@
     }
 
     /// Number of holders of a set with a vote, of which a majority has to grant the claim.
-    fn voting(&self, holders: &[SocketAddr], reach: &Reach, now_ms: u64) -> usize {
+    fn voting(&self, holders: &[SocketAddr], reach: &Reach) -> usize {
         // A holder that has not started lately knows of every claim, as each is sent to all, but
         // for those that the first one of two has granted alone.
         let is_alone = self.count(holders, |vote| vote == Vote::Granted { is_alone: true }) > 0;
@@ -120,7 +120,7 @@
         let has_vote = |(holder, vote): &(SocketAddr, Vote)| {
             let is_new = matches!(vote, Vote::NotYet { .. });
             let knows_nothing = is_new && is_alone && !has_casting_vote(*holder);
-            !reach.is_out(*holder, now_ms) && !knows_nothing
+            !reach.is_out(*holder) && !knows_nothing
         };
         self.votes_of(holders).filter(has_vote).count()
     }
@@ -130,10 +130,9 @@
         &'a self,
         holders: &'a [SocketAddr],
         reach: &'a Reach,
-        now_ms: u64,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
         let granted = self.votes_of(holders).filter(|(_, vote)| vote.is_granted());
-        granted.map(|(holder, _)| holder).filter(move |holder| !reach.is_out(*holder, now_ms))
+        granted.map(|(holder, _)| holder).filter(|holder| !reach.is_out(*holder))
     }
 
     /// Entries that know of it, or should.
@@ -158,13 +157,12 @@
     /// Whether a majority of each set has granted it, and keeps it for long enough.
     fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
         let is_granted_by = |holders: &Vec<SocketAddr>| {
-            let granted = self.granted_by(holders, reach, now_ms).count();
-            granted * 2 > self.voting(holders, reach, now_ms)
-                || self.casting_vote(holders).is_some()
+            let granted = self.granted_by(holders, reach).count();
+            granted * 2 > self.voting(holders, reach) || self.casting_vote(holders).is_some()
         };
         !self.holders.is_empty()
             && self.holders.iter().all(is_granted_by)
-            && now_ms < self.last_confirmed_ms(reach, now_ms) + reach.limits.confirm_within_ms
+            && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
     }
 
     /// The first holder of two, if it has granted the claim: its vote decides.
@@ -174,18 +172,17 @@
     }
 
     /// Returns when a majority of each set was last certain to keep it.
-    fn last_confirmed_ms(&self, reach: &Reach, now_ms: u64) -> u64 {
-        let by_set =
-            self.holders.iter().map(|holders| self.confirmed_by_ms(holders, reach, now_ms));
+    fn last_confirmed_ms(&self, reach: &Reach) -> u64 {
+        let by_set = self.holders.iter().map(|holders| self.confirmed_by_ms(holders, reach));
         by_set.min().unwrap_or(0).max(self.confirmed_ms)
     }
 
-    fn confirmed_by_ms(&self, holders: &[SocketAddr], reach: &Reach, now_ms: u64) -> u64 {
+    fn confirmed_by_ms(&self, holders: &[SocketAddr], reach: &Reach) -> u64 {
         let contact_ms = |holder| reach.contacts_ms.get(&holder).copied();
         let mut contacts_ms: Vec<_> =
-            self.granted_by(holders, reach, now_ms).filter_map(contact_ms).collect();
+            self.granted_by(holders, reach).filter_map(contact_ms).collect();
         contacts_ms.sort_unstable_by_key(|&contact_ms| Reverse(contact_ms));
-        let by_majority_ms = contacts_ms.get(self.voting(holders, reach, now_ms) / 2).copied();
+        let by_majority_ms = contacts_ms.get(self.voting(holders, reach) / 2).copied();
         let by_first_ms =
             self.casting_vote(holders).and_then(|holder| reach.contacts_ms.get(&holder));
         by_majority_ms.max(by_first_ms.copied()).unwrap_or(0)
@@ -248,15 +245,9 @@
 }
 
 impl Reach {
-    /// Whether a holder has no vote: it has left lately, or agents have told lately that none could
-    /// run what it grants.
-    fn is_out(&self, holder: SocketAddr, now_ms: u64) -> bool {
-        let ClaimLimits { run_over_ms, noticed_within_ms, .. } = self.limits;
-        self.lost.get(&holder).is_some_and(|lost| {
-            let has_left = lost.has_left && now_ms < lost.since_ms + run_over_ms;
-            let is_told = now_ms < lost.agents_told_ms + noticed_within_ms;
-            has_left || is_told && lost.has_no_agents == Some(true)
-        })
+    /// Whether a holder has no vote: it has left, or no agent could run what it grants.
+    fn is_out(&self, holder: SocketAddr) -> bool {
+        self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
     }
 
     /// Whether a holder has not been reached for so long that its vote is not waited for.
@@ -357,7 +348,7 @@
         {
             return true;
         }
-        let voting = holders.iter().copied().filter(|holder| !self.reach.is_out(*holder, now_ms));
+        let voting = holders.iter().copied().filter(|holder| !self.reach.is_out(*holder));
         let (reached, lost): (Vec<_>, Vec<_>) = voting.partition(is_reached);
         reached.len() > lost.len()
     }
@@ -368,7 +359,7 @@
         let sets = sets.into();
         let is_apart_from = |voters: &[EntryAddress]| {
             let addresses = voters.iter().map(|voter| voter.address);
-            let voting = addresses.filter(|voter| !self.reach.is_out(*voter, now_ms));
+            let voting = addresses.filter(|voter| !self.reach.is_out(*voter));
             let (lost, reached): (Vec<_>, Vec<_>) =
                 voting.partition(|voter| self.reach.is_given_up(*voter, now_ms));
             lost.len() > reached.len()
@@ -427,7 +418,7 @@
         let mut requests = Vec::new();
         for (&job, claim) in &mut self.claims {
             // What the former holders have confirmed stays so.
-            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach, now_ms);
+            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
             let to_ask = claim.move_to(holders_of(job, sets));
             requests.extend(to_ask.into_iter().map(|holder| claim.request(job, holder, now_ms)));
         }
@@ -581,7 +572,7 @@
         };
         // Kept, as a holder that is back and has a vote again has confirmed nothing yet.
         for claim in self.claims.values_mut() {
-            claim.confirmed_ms = claim.last_confirmed_ms(reach, now_ms);
+            claim.confirmed_ms = claim.last_confirmed_ms(reach);
         }
         self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
     }
