--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -577,7 +577,7 @@
             else {
                 continue;
             };
-            self.deliver_to_holder(claimant, entry, &mut connection);
+            self.deliver_to_holder(entry, &mut connection);
             if let Some(link) = self.links[claimant].get_mut(&entry) {
                 link.connection = Some(connection);
             }
@@ -611,7 +611,7 @@
         for mut ended in std::mem::take(&mut self.ended) {
             let is_open = ended.holder == holder && !self.is_cut(ended.claimant, holder);
             if is_open {
-                self.deliver_to_holder(ended.claimant, holder, &mut ended.connection);
+                self.deliver_to_holder(holder, &mut ended.connection);
             }
             let connection = &ended.connection;
             if !is_open || !connection.to_holder.is_empty() || connection.ends_ms > self.now_ms {
@@ -623,7 +623,7 @@
         }
     }
 
-    fn deliver_to_holder(&mut self, claimant: usize, holder: usize, connection: &mut Connection) {
+    fn deliver_to_holder(&mut self, holder: usize, connection: &mut Connection) {
         while connection.to_holder.front().is_some_and(|(at_ms, _)| *at_ms <= self.now_ms) {
             let (_, requests) = connection.to_holder.pop_front().unwrap();
             if !std::mem::replace(&mut connection.is_known, true) {
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -144,7 +144,7 @@
                 pauses,
                 is_of_reads,
                 since_ms: now_ms,
-            })
+            });
         }
         Act::Late { entry, steps } => {
             model.entries[entry % count].member.late_ms = steps.map(|steps| steps * STEP_MS);
