--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -824,10 +824,10 @@
         }
     }
 
+    /// Begins one in place of another.
     pub fn begin_outage(&mut self, outage: Outage) {
-        if self.outage.is_none() {
-            self.outage = Some(outage);
-        }
+        self.end_outage();
+        self.outage = Some(outage);
     }
 
     pub fn end_outage(&mut self) {
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -97,7 +97,8 @@
 /// more. They are back in the roster before they can read the list.
 fn unread_return() -> impl Strategy<Value = Vec<Act>> {
     let submits = prop::collection::vec((0..MAX_ENTRIES, 5..40_u64), 2..8);
-    (1..63_u8, any::<bool>(), 800..1_300_u64, 50..300_u64, submits).prop_map(
+    let apart = (0..5_u32, 0..5_u32).prop_map(|(one, other)| 1_u8 << one | 1 << other);
+    (apart, any::<bool>(), 1_000..1_300_u64, 150..300_u64, submits).prop_map(
         |(apart, refuses, out_steps, back_steps, submits)| {
             let wait = |steps| Act::Wait { steps, delay_ms: 5 };
             let outage = |steps, is_of_reads| Act::Outage {
@@ -108,7 +109,7 @@
                 is_of_reads,
             };
             let cut = Act::Cut { apart, steps: 2_500, refuses, platform: [true; 2] };
-            let begin = [cut, outage(out_steps, false), wait(out_steps + 1)];
+            let begin = [cut, outage(out_steps, false), wait(out_steps - 2)];
             let back = [outage(1_000, true), wait(back_steps)];
             let submit = |(entry, steps)| [Act::Submit { entry, steps: 500 }, wait(steps)];
             begin.into_iter().chain(back).chain(submits.into_iter().flat_map(submit)).collect()
@@ -196,4 +197,15 @@
     ) {
         play(count, up, data_centres, seed, &acts).settle();
     }
+
+    /// Guards against a majority of those that have missed a change, and are back in the roster.
+    #[test]
+    fn unread_lists_make_no_majority(
+        count in 5..=MAX_ENTRIES,
+        data_centres in 1..5_usize,
+        seed: u64,
+        acts in unread_return(),
+    ) {
+        play(count, count, data_centres, seed, &acts);
+    }
 }
