Logs: a vote that agents' word takes or gives back

Each change of who votes names its source: voters_changed the platform or other entries, vote_changed the entry's own vote, claim_holder_without_agents the word of agents.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -474,12 +474,14 @@
 
     /// Records which of the lost holders have no agents, as far as agents can tell: nothing that
     /// they grant could run. What they have told holds for a while where one of them is replacing
-    /// its connection.
+    /// its connection. Returns the holders whose vote this takes or gives back, and whether it is
+    /// taken.
     pub fn set_without_agents(
         &mut self,
         has_no_agents: impl Fn(SocketAddr) -> Option<bool>,
         now_ms: u64,
-    ) {
+    ) -> Vec<(SocketAddr, bool)> {
+        let mut changed = Vec::new();
         for (&holder, lost) in &mut self.reach.lost {
             let told = has_no_agents(holder);
             if told.is_some() {
@@ -487,8 +489,13 @@
             } else if now_ms < lost.agents_told_ms + self.reach.limits.noticed_within_ms {
                 continue;
             }
+            let is_without = |told: Option<bool>| told == Some(true);
+            if is_without(lost.has_no_agents) != is_without(told) {
+                changed.push((holder, is_without(told)));
+            }
             lost.has_no_agents = told;
         }
+        changed
     }
 
     /// Whether any holder can't be reached.
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -399,7 +399,15 @@
             let connected = agents.iter().map(|agent| cluster.witness(*agent, holder));
             has_no_agents(holder, connected, &reached)
         };
-        claims.set_without_agents(has_no_agents, self.clock.now_ms());
+        for (holder, is_without) in claims.set_without_agents(has_no_agents, self.clock.now_ms()) {
+            event!(
+                Info,
+                "claim_holder_without_agents",
+                holder = holder,
+                has_no_vote = is_without,
+                agents = agents.len(),
+            );
+        }
     }
 
     /// Gives up jobs whose claims are not confirmed.
