--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -265,6 +265,24 @@
     }
 }
 
+impl Reach {
+    /// Why a holder has not granted a claim, for the log.
+    fn reason(&self, holder: SocketAddr, vote: Vote) -> &'static str {
+        match (self.lost.get(&holder), vote) {
+            (Some(LostHolder { has_left: true, .. }), _) => "left",
+            (Some(LostHolder { has_no_agents: Some(true), .. }), _) => "without_agents",
+            (Some(_), _) => "out_of_reach",
+            (None, Vote::Pending) => "not_answered",
+            (None, Vote::NotYet { .. }) => "started_lately",
+            (None, Vote::Ending { .. }) => "other_claim_ends",
+            (None, Vote::Granted { .. }) => "granted",
+            (None, Vote::Unsure) => "asked_again",
+            (None, Vote::Held) => "held",
+            (None, Vote::Voteless { .. }) => "no_vote",
+        }
+    }
+}
+
 /// State of a claim, for the log.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ClaimState {
@@ -272,8 +290,10 @@
     pub number: u64,
     /// Holders that have granted it.
     pub granted_by: Vec<SocketAddr>,
-    /// Its other holders.
-    pub others: Vec<SocketAddr>,
+    /// Its other holders, and what keeps each of them from having granted it.
+    pub others: Vec<(SocketAddr, &'static str)>,
+    /// When a majority was last certain to keep it.
+    pub confirmed_ms: u64,
 }
 
 /// State of an entry that claims jobs.
@@ -623,13 +643,16 @@
     #[must_use]
     pub fn state(&self, job: CallerJobId) -> Option<ClaimState> {
         let claim = self.claims.get(&job)?;
-        let with = |is_granted: bool| {
-            let votes = claim.votes.iter();
-            let wanted = votes.filter(|(_, vote)| vote.is_granted() == is_granted);
-            wanted.map(|(holder, _)| *holder).collect()
-        };
-        let (granted_by, others) = (with(true), with(false));
-        Some(ClaimState { number: claim.number, granted_by, others })
+        let (granted_by, others): (Vec<_>, Vec<_>) =
+            claim.votes.iter().partition(|(_, vote)| vote.is_granted());
+        let missing =
+            |(holder, vote): (SocketAddr, Vote)| (holder, self.reach.reason(holder, vote));
+        Some(ClaimState {
+            number: claim.number,
+            granted_by: granted_by.into_iter().map(|(holder, _)| holder).collect(),
+            others: others.into_iter().map(missing).collect(),
+            confirmed_ms: claim.last_confirmed_ms(&self.reach),
+        })
     }
 
     /// Number of claims.
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -17,6 +17,7 @@
         },
         time::Duration,
     },
+    sycamorerail_clock::Clock,
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, has_no_agents},
         dispatch::{AgentKey, Dispatch, DispatchLimits},
@@ -269,7 +270,8 @@
             job = job,
             claim = state.number,
             granted_by = list(&state.granted_by),
-            others = list(&state.others),
+            others = list_others(&state.others),
+            confirmed_ago_ms = self.clock.now_ms().saturating_sub(state.confirmed_ms),
             voters = voters::sets(voter_list.as_deref()).voters().count(),
             voters_number = voter_list.as_ref().map_or(0, |list| list.number),
         );
@@ -277,12 +279,14 @@
 
     /// Logs an order with the claim that it rests on.
     pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement) {
-        let claim = self.claims.claims.lock().state(placement.job).map(|state| state.number);
+        let claim = self.claims.claims.lock().state(placement.job);
+        let now_ms = self.clock.now_ms();
         event!(
             Info,
             "tasks_placed",
             job = placement.job,
-            claim = claim.unwrap_or(0),
+            claim = claim.as_ref().map_or(0, |claim| claim.number),
+            confirmed_ago_ms = claim.map_or(0, |claim| now_ms.saturating_sub(claim.confirmed_ms)),
             agent = agent,
             step = placement.step,
             tasks = placement.tasks.len(),
@@ -659,6 +663,7 @@
         incarnation: service.incarnation,
         entry: service.settings.own,
         connection: service.claims.connections.fetch_add(1, Ordering::Relaxed),
+        sent_unix_ms: Clock::unix_ms(),
     };
     writer.push(&RunsFirstMessage::Claimant(hello))?;
     let claims = service.claims.claims.lock();
@@ -680,6 +685,8 @@
         peer = peer,
         connection = hello.connection,
         waited_ms = service.unhandled_ms(),
+        // With the difference between the clocks of the two.
+        sent_ago_ms = Clock::unix_ms().saturating_sub(hello.sent_unix_ms),
     );
 }
 
@@ -692,7 +699,7 @@
     mut writer: FrameWriter,
 ) {
     log_claimant(service, &hello, peer);
-    let ClaimantHello { incarnation: claimant, entry, connection } = hello;
+    let ClaimantHello { incarnation: claimant, entry, connection, .. } = hello;
     let table = &service.claims.table;
     table.lock().connected(claimant, connection, service.now_ms());
     let mut heard_ms = service.now_ms();
@@ -799,6 +806,11 @@
     }
 }
 
+fn list_others(others: &[(SocketAddr, &str)]) -> String {
+    let others = others.iter().map(|(holder, reason)| format!("{holder}:{reason}"));
+    others.collect::<Vec<_>>().join(",")
+}
+
 fn list(entries: &[SocketAddr]) -> String {
     entries.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(",")
 }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -533,6 +533,8 @@
     pub entry: SocketAddr,
     /// Number of the connection, which rises over the connections of an incarnation.
     pub connection: u64,
+    /// When it was sent, in Unix milliseconds by the clock of the entry, for logs.
+    pub sent_unix_ms: u64,
 }
 
 /// Claims of an entry on jobs, and claims that it gives up.
