Runs end with the claim that they rest on, whatever becomes of their entry

What callers could see: a task runs twice. An entry that is cut off from the holders of a job keeps it as its agents are in contact. Killed 0.4 to 1.24 s later, or with an agent out of reach, it left runs that went on for 1.24 s, up to 0.84 s longer than its claim, which another entry was granted then.

Cause: agents rely on the entry's acknowledgements, which went on whether or not the claims were confirmed, so that a right derived from a claim outlasted it.

Runs end 1.24 s after the last acknowledged message, so with the claim. A job without confirmation is given up after 0.86 s in place of 1.24 s, before agents take the entry for silent. New: it places nothing by such a claim (hold_claim), as an agent that has just connected is not bound by earlier acknowledgements.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -78,8 +78,10 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
-    /// Whether no majority has confirmed it in time.
-    is_lapsed: bool,
+    /// Whether its job is given up, or has ended.
+    is_given_up: bool,
+    /// Whether no task is placed by it until a majority confirms it again.
+    is_on_hold: bool,
     /// It does not lapse before this time, as holders were asked again after this process stood
     /// still.
     lapses_from_ms: u64,
@@ -135,6 +137,11 @@
         granted.map(|(holder, _)| holder).filter(|holder| !reach.is_out(*holder))
     }
 
+    /// Whether this entry runs the job, as far as the claim tells.
+    fn may_run(&self) -> bool {
+        (self.is_granted || self.was_granted) && !self.is_given_up
+    }
+
     /// Entries that know of it, or should.
     fn known_to(&self) -> impl Iterator<Item = SocketAddr> {
         self.votes.iter().map(|(holder, _)| *holder).chain(self.told.iter().copied())
@@ -162,7 +169,7 @@
         };
         !self.holders.is_empty()
             && self.holders.iter().all(is_granted_by)
-            && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
+            && now_ms < self.last_confirmed_ms(reach) + reach.limits.grant_within_ms()
     }
 
     /// The first holder of two, if it has granted the claim: its vote decides.
@@ -339,7 +346,8 @@
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
-            is_lapsed: false,
+            is_given_up: false,
+            is_on_hold: false,
             lapses_from_ms: now_ms,
         };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
@@ -588,13 +596,12 @@
     pub fn take_lapsed(&mut self, now_ms: u64) -> Vec<CallerJobId> {
         let reach = &self.reach;
         let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
-            (claim.is_granted || claim.was_granted)
-                && !claim.is_lapsed
-                && now_ms >= claim.lapses_from_ms
-                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms()
+            let is_unconfirmed = now_ms >= claim.lapses_from_ms
+                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms;
+            claim.may_run() && is_unconfirmed
         };
         let mark = |(&job, claim): (&CallerJobId, &mut Claim)| {
-            claim.is_lapsed = true;
+            claim.is_given_up = true;
             job
         };
         // Kept, as a holder that is back and has a vote again has confirmed nothing yet.
@@ -604,6 +611,34 @@
         self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
     }
 
+    /// Returns the granted jobs of which no task may be placed from now on, as no majority has
+    /// confirmed their claims lately, and those that go on. An agent that has just connected would
+    /// run a task longer than the claim lasts.
+    pub fn take_holds(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<CallerJobId>) {
+        let (mut held, mut resumed) = (Vec::new(), Vec::new());
+        let running = self.claims.iter_mut().filter(|(_, claim)| claim.may_run());
+        for (&job, claim) in running.filter(|(_, claim)| claim.is_granted) {
+            let is_old = now_ms >= claim.confirmed_ms + self.reach.limits.grant_within_ms();
+            let was_on_hold = std::mem::replace(&mut claim.is_on_hold, is_old);
+            match (was_on_hold, is_old) {
+                (false, true) => held.push(job),
+                (true, false) => resumed.push(job),
+                _ => {}
+            }
+        }
+        (held, resumed)
+    }
+
+    /// Up to when messages of agents may be acknowledged. Runs end so long after the last one that
+    /// those of this entry are over as its claims end, also if it is killed, or an agent goes out
+    /// of reach.
+    #[must_use]
+    pub fn acknowledge_until_ms(&self) -> u64 {
+        let running = self.claims.values().filter(|claim| claim.may_run());
+        let oldest_ms = running.map(|claim| claim.confirmed_ms).min();
+        oldest_ms.map_or(u64::MAX, |oldest_ms| oldest_ms + self.reach.limits.margin_ms)
+    }
+
     /// Returns the claims to send again to a holder, over a new connection.
     #[must_use]
     pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
@@ -623,6 +658,7 @@
     pub fn end_by(&mut self, job: CallerJobId, over_ms: u64) -> Option<(u64, Vec<SocketAddr>)> {
         let claim = self.claims.get_mut(&job)?;
         claim.ends_ms = claim.ends_ms.min(over_ms);
+        claim.is_given_up = true;
         Some((claim.number, claim.known_to().collect()))
     }
 
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -33,6 +33,10 @@
     pub run_over_ms: u64,
     /// Time for which a claim lasts beyond that, in milliseconds.
     pub margin_ms: u64,
+    /// Time after the last contact with a majority of its holders after which an entry gives a job
+    /// up, in milliseconds. The runs of the job have to be over within [`Self::stop_within_ms`],
+    /// before the claim ends, and agents must not take the entry for silent meanwhile.
+    pub give_up_ms: u64,
     /// A claim counts as granted only if the majority of its holders was in contact within this
     /// time, in milliseconds.
     pub confirm_within_ms: u64,
@@ -55,11 +59,10 @@
         self.run_over_ms + self.margin_ms
     }
 
-    /// Time after the last contact with a majority of its holders after which an entry gives a job
-    /// up, in milliseconds.
-    #[must_use]
-    pub fn give_up_ms(&self) -> u64 {
-        self.outlast_ms() - self.stop_within_ms
+    /// Time after the last contact with a majority of its holders within which a claim may be
+    /// granted, in milliseconds. Agents may have been acknowledged until now.
+    fn grant_within_ms(&self) -> u64 {
+        self.confirm_within_ms.min(self.margin_ms)
     }
 }
 
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -39,6 +39,13 @@
         self.place_job(key, now_ms);
     }
 
+    /// Places no more tasks of a job until its claim is confirmed again.
+    pub fn hold_claim(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.is_claimed = false;
+        }
+    }
+
     /// Places no more tasks until claims are granted again.
     pub fn suspend_claims(&mut self) {
         let claimed = self.jobs.values_mut().filter(|job| job.needs_claim);
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -39,6 +39,8 @@
     pub share_job_after_ms: u64,
     /// Time for which runs may go on after their entry is gone, in milliseconds.
     pub run_over_ms: u64,
+    /// Silence of an entry after which agents stop its runs, in milliseconds.
+    pub owner_timeout_ms: u64,
     /// Maximum number of jobs held at once; more are refused.
     pub max_jobs: usize,
 }
@@ -56,6 +58,7 @@
             forget_jobs_after_ms: LedgerLimits::default().forget_jobs_after_ms(),
             share_job_after_ms: LedgerLimits::default().share_job_after_ms,
             run_over_ms: LedgerLimits::default().longest_run_after_contact_ms(),
+            owner_timeout_ms: LedgerLimits::default().owner_timeout_ms,
             // At 4 KB a job, about 40 MB.
             max_jobs: 10_000,
         }
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -14,6 +14,7 @@
 const LIMITS: ClaimLimits = ClaimLimits {
     run_over_ms: 1_240,
     margin_ms: 400,
+    give_up_ms: 860,
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
@@ -171,8 +172,8 @@
     claims.confirmed(holders[0], 700);
     claims.confirmed(holders[1], 600);
     claims.confirmed(holders[2], 800);
-    assert_eq!(claims.take_lapsed(600 + LIMITS.give_up_ms() - 1), []);
-    let given_up_ms = 600 + LIMITS.give_up_ms();
+    assert_eq!(claims.take_lapsed(600 + LIMITS.give_up_ms - 1), []);
+    let given_up_ms = 600 + LIMITS.give_up_ms;
     assert_eq!(claims.take_lapsed(given_up_ms), [JOB]);
     assert_eq!(claims.take_lapsed(given_up_ms + 1), []);
     let mut table = ClaimTable::new(LIMITS);
@@ -181,7 +182,8 @@
     table.heard(FIRST, 600);
     table.disconnected(FIRST, 1, 600);
     let runs_end_ms = given_up_ms + LIMITS.stop_within_ms;
-    let before = ask(&mut table, new_claim(2_740), SECOND, runs_end_ms - 1);
+    assert!(runs_end_ms <= 600 + LIMITS.outlast_ms());
+    let before = ask(&mut table, new_claim(2_740), SECOND, 600 + LIMITS.outlast_ms() - 1);
     assert_eq!(before, ClaimAnswer::Ending { in_ms: 1 });
 }
 
@@ -309,9 +311,9 @@
         assert_eq!(claims.take_lapsed(now_ms), []);
     }
     claims.holder_reached(asked[0]);
-    claims.confirmed(asked[1], 5_000 + LIMITS.give_up_ms());
-    assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms() - 1), []);
-    assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms()), [JOB]);
+    claims.confirmed(asked[1], 5_000 + LIMITS.give_up_ms);
+    assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms - 1), []);
+    assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms), [JOB]);
 }
 
 /// Guards against a copy that is refused although its first attempt has had no answer until its
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -16,6 +16,7 @@
 const LIMITS: ClaimLimits = ClaimLimits {
     run_over_ms: RUN_OVER_MS,
     margin_ms: 400,
+    give_up_ms: 860,
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
@@ -29,8 +30,8 @@
 const ASK_AGAIN_MS: u64 = 700;
 /// Longest time of a message on its way, and until a broken connection is made again.
 const MAX_DELAY_MS: u64 = 100;
-/// Between two kills while a cut may have kept entries from claiming their jobs again: holders that
-/// lose what they know at a time, one of them on each side of a cut, are not covered.
+/// At most one entry is killed within this time before, in and after a cut: two holders that lose
+/// what they know, of which the third one was cut off, are not covered.
 const KILL_GAP_MS: u64 = 5_000;
 
 #[derive(Clone, Debug)]
@@ -65,6 +66,28 @@
     prop::collection::vec(act, 1..60)
 }
 
+/// An entry with a job is killed while a cut separates it, or another one is, and copies come.
+fn kill_within_a_cut() -> impl Strategy<Value = Vec<Act>> {
+    let entry = || 0..5_usize;
+    let entries = (entry(), prop_oneof![2 => Just(None), 1 => entry().prop_map(Some)], entry());
+    let cut = (1..31_u8, 0..130_u64, any::<bool>());
+    (entries, cut, 0..150_u64, 0..100_u64, 0..30_u64).prop_map(
+        |((entry, victim, other), (apart, after, refuses), down, copy_after, delay_ms)| {
+            let wait = |steps| Act::Wait { steps, delay_ms };
+            vec![
+                Act::Submit { entry, steps: 400 },
+                wait(20),
+                Act::Cut { apart, steps: 600, refuses },
+                wait(after),
+                Act::Kill { entry: victim.unwrap_or(entry), steps: down },
+                wait(copy_after),
+                Act::Submit { entry: other, steps: 300 },
+                wait(400),
+            ]
+        },
+    )
+}
+
 enum Message {
     Connect(Incarnation, u64),
     Claim(Incarnation, JobClaim),
@@ -85,6 +108,8 @@
     /// By when the job ends here, if it is here.
     job_ends_ms: Option<u64>,
     is_granted: bool,
+    /// Up to when it has acknowledged messages of agents: runs are over so long after it.
+    acknowledged_ms: u64,
 }
 
 struct Model {
@@ -98,10 +123,10 @@
     left_until_ms: Vec<(u64, Incarnation)>,
     /// Entries that are cut off from the others, as a bit each, and when the cut heals.
     cut: Option<(u8, u64)>,
-    /// When an entry was killed last.
-    killed_ms: Option<u64>,
-    /// Since when a cut has been on, or until when one was.
-    cut_ms: Option<u64>,
+    /// When the last cut healed or will heal.
+    cut_until_ms: Option<u64>,
+    /// When entries were killed.
+    killed_ms: Vec<u64>,
     /// When entries were asked for the job.
     asked_ms: Vec<u64>,
     now_ms: u64,
@@ -129,8 +154,8 @@
             connected: vec![vec![None; count]; count],
             left_until_ms: Vec::new(),
             cut: None,
-            killed_ms: None,
-            cut_ms: None,
+            cut_until_ms: None,
+            killed_ms: Vec::new(),
             asked_ms: Vec::new(),
             now_ms: 0,
             delay_ms: 0,
@@ -156,6 +181,7 @@
             down_until_ms: None,
             job_ends_ms: None,
             is_granted: false,
+            acknowledged_ms: self.now_ms,
         }
     }
 
@@ -307,13 +333,17 @@
         }
     }
 
+    fn recent_kills(&self) -> usize {
+        let is_recent = |at_ms: &&u64| self.now_ms < **at_ms + KILL_GAP_MS;
+        self.killed_ms.iter().filter(is_recent).count()
+    }
+
     fn cut(&mut self, apart: u8, until_ms: u64, refuses: bool) {
-        let is_recent = |at_ms: u64| self.now_ms < at_ms + KILL_GAP_MS;
-        if self.killed_ms.is_some_and(is_recent) {
+        if self.recent_kills() > 1 {
             return;
         }
         self.cut = Some((apart, until_ms));
-        self.cut_ms = Some(until_ms);
+        self.cut_until_ms = Some(until_ms);
         for claimant in 0..self.entries.len() {
             for holder in (0..self.entries.len()).filter(|&holder| holder != claimant) {
                 if !self.is_cut(claimant, holder) {
@@ -348,14 +378,15 @@
     }
 
     fn kill(&mut self, entry: usize, steps: u64) {
-        let is_recent = |at_ms: u64| self.now_ms < at_ms + KILL_GAP_MS;
-        if !self.is_up(entry) || self.cut_ms.is_some_and(is_recent) {
+        let is_beside_cut =
+            self.cut_until_ms.is_some_and(|until_ms| self.now_ms < until_ms + KILL_GAP_MS);
+        if !self.is_up(entry) || is_beside_cut && self.recent_kills() > 0 {
             return;
         }
-        self.killed_ms = Some(self.now_ms);
+        self.killed_ms.push(self.now_ms);
         if self.entries[entry].is_granted {
-            let incarnation = self.entries[entry].incarnation;
-            self.left_until_ms.push((self.now_ms + RUN_OVER_MS, incarnation));
+            let Entry { incarnation, acknowledged_ms, .. } = self.entries[entry];
+            self.left_until_ms.push((acknowledged_ms + RUN_OVER_MS, incarnation));
         }
         for other in 0..self.entries.len() {
             self.disconnect(entry, other);
@@ -399,6 +430,10 @@
             if !self.entries[entry].claims.take_lapsed(self.now_ms).is_empty() {
                 self.end(entry, LIMITS.stop_within_ms);
             }
+            let entry = &mut self.entries[entry];
+            if self.now_ms <= entry.claims.acknowledge_until_ms() {
+                entry.acknowledged_ms = self.now_ms;
+            }
         }
         self.beat();
         self.deliver();
@@ -503,6 +538,15 @@
         play(count, &acts);
     }
 
+    /// Guards against the same where an entry is killed within a cut.
+    #[test]
+    fn a_kill_within_a_cut_leaves_no_runs_beside_a_copy(
+        count in 2..6_usize,
+        acts in kill_within_a_cut(),
+    ) {
+        play(count, &acts);
+    }
+
     /// Guards against the same where cuts separate entries.
     #[test]
     fn one_side_of_a_cut_runs_a_job(count in 1..6_usize, acts in acts(5, 1)) {
--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -12,6 +12,7 @@
 const LIMITS: ClaimLimits = ClaimLimits {
     run_over_ms: 1_240,
     margin_ms: 400,
+    give_up_ms: 860,
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
@@ -311,24 +312,82 @@
     assert_ne!(is_denied, [true, true], "each copy is denied for the other's sake");
 }
 
+/// Returns when the runs of an entry are over that is killed at some time without contact to its
+/// holders since `cut_ms`: so long after the last message of an agent that it acknowledges, or once
+/// they are stopped.
+fn over_after_kill_ms(claims: &mut Claims, cut_ms: u64, killed_ms: u64) -> u64 {
+    let mut acknowledged_ms = cut_ms;
+    for now_ms in (cut_ms..killed_ms).step_by(STEP_MS) {
+        if !claims.take_lapsed(now_ms).is_empty() {
+            return now_ms + LIMITS.stop_within_ms;
+        }
+        if now_ms <= claims.acknowledge_until_ms() {
+            acknowledged_ms = now_ms;
+        }
+    }
+    acknowledged_ms + LIMITS.run_over_ms
+}
+
 /// Guards against two runs: an entry that is cut off keeps a job as its agents are in contact, and
 /// is killed before it gives the job up. Nobody stops the runs then, and the claim ends before
 /// them.
 #[test]
 fn runs_of_an_entry_that_is_killed_after_a_cut_end_with_its_claim() {
+    let cut_ms = 1_000;
+    for killed_ms in (cut_ms..cut_ms + 1_700).step_by(STEP_MS) {
+        let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+        holders.iter().for_each(|&holder| claims.confirmed(holder, cut_ms));
+        let mut table = ClaimTable::new(LIMITS);
+        table.connected(FIRST, 1, 0);
+        table.claim(new_claim(20_000), FIRST, 0);
+        table.disconnected(FIRST, 1, cut_ms);
+        let over_ms = over_after_kill_ms(&mut claims, cut_ms, killed_ms);
+        let copy = table.claim(new_claim(2_740), SECOND, over_ms - 1).answer;
+        let is_refused = matches!(copy, ClaimAnswer::Ending { .. } | ClaimAnswer::Held);
+        assert!(is_refused, "killed at {killed_ms} ms, over at {over_ms} ms: {copy:?}");
+    }
+}
+
+/// Guards against the same where the entry stands still within the cut and is killed as it goes on.
+#[test]
+fn runs_of_an_entry_that_is_killed_after_a_stall_within_a_cut_end_with_its_claim() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    let (cut_ms, stalled_for_ms) = (1_000, 700);
+    holders.iter().for_each(|&holder| claims.confirmed(holder, cut_ms));
+    assert_eq!(claims.take_lapsed(cut_ms), []);
+    claims.claim_again(cut_ms + stalled_for_ms);
+    let acknowledged_ms = claims.acknowledge_until_ms();
+    assert!(acknowledged_ms + LIMITS.run_over_ms <= cut_ms + LIMITS.outlast_ms());
+}
+
+/// Guards against the same with an agent that connects within the cut: nothing that the entry has
+/// acknowledged before limits a task that starts there.
+#[test]
+fn nothing_is_placed_by_an_unconfirmed_claim() {
     let (mut claims, holders) = granted_claim(&[0, 1, 2]);
     let cut_ms = 1_000;
     holders.iter().for_each(|&holder| claims.confirmed(holder, cut_ms));
-    let mut table = ClaimTable::new(LIMITS);
-    table.connected(FIRST, 1, 0);
-    table.claim(new_claim(20_000), FIRST, 0);
-    table.disconnected(FIRST, 1, cut_ms);
-    let killed_ms = cut_ms + 1_300;
-    let gives_up = |now_ms: &u64| !claims.take_lapsed(*now_ms).is_empty();
-    let given_up_ms = (cut_ms..killed_ms).step_by(STEP_MS).find(gives_up).unwrap_or(killed_ms);
-    let over_ms = given_up_ms + LIMITS.run_over_ms;
-    let copy = table.claim(new_claim(2_740), SECOND, over_ms - 1).answer;
-    assert!(matches!(copy, ClaimAnswer::Ending { .. } | ClaimAnswer::Held), "{copy:?}");
+    let holds_at = |claims: &mut Claims, now_ms| {
+        assert_eq!(claims.take_lapsed(now_ms), []);
+        claims.take_holds(now_ms)
+    };
+    let held_ms = cut_ms + LIMITS.margin_ms;
+    assert_eq!(holds_at(&mut claims, held_ms - 1), (Vec::new(), Vec::new()));
+    assert_eq!(holds_at(&mut claims, held_ms), (vec![JOB], Vec::new()));
+    assert_eq!(holds_at(&mut claims, held_ms + 1), (Vec::new(), Vec::new()));
+    holders.iter().for_each(|&holder| claims.confirmed(holder, held_ms));
+    assert_eq!(holds_at(&mut claims, held_ms + 2), (Vec::new(), vec![JOB]));
+}
+
+/// Guards against an entry that acknowledges nothing any more, so that agents stop all of its runs,
+/// once a job without a majority is given up.
+#[test]
+fn a_job_that_is_given_up_holds_up_no_acknowledgement() {
+    let (mut claims, _) = granted_claim(&[0, 1, 2]);
+    let given_up_ms = LIMITS.give_up_ms;
+    assert!(claims.acknowledge_until_ms() < given_up_ms);
+    assert_eq!(claims.take_lapsed(given_up_ms), [JOB]);
+    assert_eq!(claims.acknowledge_until_ms(), u64::MAX);
 }
 
 /// Guards against two runs: the first of two entries is killed, starts again at once, and grants by
@@ -337,17 +396,18 @@
 fn a_casting_vote_that_has_started_again_waits_for_claims_that_it_cannot_know() {
     let two = entries(2);
     let asked = holders(JOB, &two);
-    let mut second = Claims::new(LIMITS);
-    second.begin(JOB, &two, 20_000, 0);
-    granted(&mut second, asked[0], 1);
-    let killed_ms = 1_000;
-    second.confirmed(asked[0], killed_ms);
-    let gives_up = |now_ms: &u64| !second.take_lapsed(*now_ms).is_empty();
-    let given_up_ms = (killed_ms..).step_by(STEP_MS).find(gives_up).unwrap();
-    let over_ms = given_up_ms + LIMITS.run_over_ms;
-    let mut table = ClaimTable::restarted(LIMITS, killed_ms + 100);
-    let copy = table.claim(new_claim(2_740), FIRST, over_ms - 1).answer;
-    assert!(matches!(copy, ClaimAnswer::NotYet { .. }), "{copy:?}");
+    let cut_ms = 1_000;
+    for killed_ms in (cut_ms..cut_ms + 1_700).step_by(STEP_MS) {
+        let mut second = Claims::new(LIMITS);
+        second.begin(JOB, &two, 20_000, 0);
+        granted(&mut second, asked[0], 1);
+        second.confirmed(asked[0], cut_ms);
+        let over_ms = over_after_kill_ms(&mut second, cut_ms, killed_ms);
+        let mut table = ClaimTable::restarted(LIMITS, cut_ms);
+        let copy = table.claim(new_claim(2_740), FIRST, over_ms - 1).answer;
+        let is_refused = matches!(copy, ClaimAnswer::NotYet { .. });
+        assert!(is_refused, "killed at {killed_ms} ms, over at {over_ms} ms: {copy:?}");
+    }
 }
 
 /// Guards against two runs: both holders that granted a job are killed with its entry, start again,
--- a/crates/decide/tests/voters.rs
+++ b/crates/decide/tests/voters.rs
@@ -15,6 +15,7 @@
 const LIMITS: ClaimLimits = ClaimLimits {
     run_over_ms: 1_240,
     margin_ms: 400,
+    give_up_ms: 860,
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
@@ -269,5 +270,5 @@
         asked.iter().for_each(|request| claims.confirmed(request.holder, now_ms));
         !claims.take_lapsed(now_ms).is_empty()
     });
-    assert!(lapsed.unwrap() <= 100 + LIMITS.give_up_ms(), "{lapsed:?}");
+    assert!(lapsed.unwrap() <= 100 + LIMITS.give_up_ms, "{lapsed:?}");
 }
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -23,6 +23,7 @@
 const LIMITS: ClaimLimits = ClaimLimits {
     run_over_ms: RUN_OVER_MS,
     margin_ms: 400,
+    give_up_ms: 860,
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -61,6 +61,9 @@
 /// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
 /// several attempts at the upstream.
 const STOP_WITHIN_MS: u64 = 400;
+/// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
+/// passes over what is due.
+const ACKNOWLEDGE_WITHIN_MS: u64 = 40;
 /// Agents take an entry for silent after 900 ms, and tell others with their next heartbeat.
 const NOTICED_WITHIN_MS: u64 = 1_500;
 /// Longest time in which claimants are told that this entry ends.
@@ -112,9 +115,11 @@
 
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
+        let silent_from_ms = MARGIN_MS + limits.owner_timeout_ms - 2 * limits.heartbeat_ms;
         let limits = ClaimLimits {
             run_over_ms: limits.run_over_ms,
             margin_ms: MARGIN_MS,
+            give_up_ms: silent_from_ms - ACKNOWLEDGE_WITHIN_MS,
             confirm_within_ms: CONFIRM_WITHIN_MS,
             stop_within_ms: STOP_WITHIN_MS,
             lost_after_ms: LOST_AFTER_MS,
@@ -331,12 +336,13 @@
         self.apply(dispatch, decided, now_ms);
     }
 
-    /// Does what is due by time, so many passes after this process has stood still.
+    /// Does what is due by time, so many passes after this process has stood still. Returns whether
+    /// what agents have sent so far may be acknowledged.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
         voters: &mut watch::Receiver<Option<Arc<VoterList>>>,
         passes: usize,
-    ) {
+    ) -> bool {
         let is_changed = voters.has_changed().unwrap_or(false);
         let list = voters.borrow_and_update().clone();
         if passes >= receipts::PASSES {
@@ -366,13 +372,16 @@
             // After a stall claims are claimed again below before any counts as lapsed.
             let lapsed =
                 if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
+            let (held, resumed) = claims.take_holds(now_ms);
             drop(claims);
             self.apply(dispatch, decided, now_ms);
             self.give_up_lapsed(dispatch, lapsed);
+            hold(dispatch, &held, &resumed, now_ms);
             if passes == receipts::PASSES {
                 self.claim_again(dispatch, now_ms);
             }
-        });
+            now_ms <= self.claims.claims.lock().acknowledge_until_ms()
+        })
     }
 
     /// Records which of the lost holders have no agents, as the agents linked here tell.
@@ -806,6 +815,18 @@
     }
 }
 
+/// Stops and resumes the placement of jobs.
+fn hold(dispatch: &mut Dispatch, held: &[CallerJobId], resumed: &[CallerJobId], now_ms: u64) {
+    for &job in held {
+        event!(Info, "job_claim_unconfirmed", job = job);
+        dispatch.find_job(job).into_iter().for_each(|key| dispatch.hold_claim(key));
+    }
+    for job in resumed {
+        let key = dispatch.find_job(*job);
+        key.into_iter().for_each(|key| dispatch.claim_granted(key, now_ms));
+    }
+}
+
 fn list_others(others: &[(SocketAddr, &str)]) -> String {
     let others = others.iter().map(|(holder, reason)| format!("{holder}:{reason}"));
     others.collect::<Vec<_>>().join(",")
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -121,7 +121,7 @@
     told_jobs: Mutex<ToldJobs>,
     /// Claims on jobs, of this entry and of others.
     claims: ClaimLinks,
-    /// Number of passes over what is due by time.
+    /// Number of passes over what is due by time, without those at which claims were unconfirmed.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
     stopped: watch::Sender<bool>,
@@ -179,7 +179,8 @@
         self.clock.now_ms()
     }
 
-    /// Number of passes over what is due by time that are complete.
+    /// Number of passes over what is due by time that are complete, for acknowledgements. It stands
+    /// still while a claim is unconfirmed, so that runs of an entry that is killed are over in time.
     fn passes(&self) -> u64 {
         self.passes.load(Ordering::Acquire)
     }
@@ -570,9 +571,10 @@
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut voters, calm_passes);
+        if service.tick_claims(&mut voters, calm_passes) {
+            service.passes.fetch_add(1, Ordering::AcqRel);
+        }
         calm_passes = calm_passes.saturating_add(1);
-        service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
     }
--- a/crates/entry/tests/agent_links.rs
+++ b/crates/entry/tests/agent_links.rs
@@ -45,6 +45,7 @@
     forget_jobs_after_ms: 100_000,
     share_job_after_ms: 650,
     run_over_ms: 100_000,
+    owner_timeout_ms: 100_000,
     max_jobs: 10,
 };
 /// Far longer than anything should take on a busy machine.
