A holder that starts again grants nothing before claims of its earlier process have ended

What callers could see: of two entries the first is killed, is back at once and cut off from the other: it granted a copy up to 0.25 s before the other's runs were over; so did two of three holders that start again at one time.

Cause: it waited 1.39 s, the time in which connected entries claim their jobs again and the runs of dead ones end. An entry that is cut off does neither: its runs end 1.64 s after the last contact.

Change: a restarted holder waits 1.64 s, as long as its earlier process had promised claims to last.

The times in a_restarted_holder_grants_nothing_before_earlier_claims_are_over follow.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -9,10 +9,6 @@
     },
 };
 
-/// Time within which entries claim their jobs again at a holder that has started, in milliseconds:
-/// that of a connection attempt after a refused one.
-const RENEWAL_MS: u64 = 150;
-
 /// A message of a claimant may be on its way for so long, in milliseconds.
 const SILENCE_SLACK_MS: u64 = 20;
 /// Longest pause between two looks at what is due in which this process has not stood still, in
@@ -93,12 +89,12 @@
         }
     }
 
-    /// Creates the table of an entry that starts again. It grants nothing before the claims are
-    /// over which it does not know: those of entries that were gone before they could claim their
-    /// jobs again.
+    /// Creates the table of an entry that starts again. It grants nothing before the claims that
+    /// its process before has granted are over, or claimed again: some entries may be gone by now,
+    /// others cut off.
     #[must_use]
     pub fn restarted(limits: ClaimLimits, now_ms: u64) -> Self {
-        let grants_from_ms = now_ms + RENEWAL_MS + limits.run_over_ms;
+        let grants_from_ms = now_ms + limits.outlast_ms();
         Self { grants_from_ms, ..Self::new(limits) }
     }
 
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -343,11 +343,11 @@
 #[test]
 fn a_restarted_holder_grants_nothing_before_earlier_claims_are_over() {
     let mut table = ClaimTable::restarted(LIMITS, 0);
-    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 40), ClaimAnswer::NotYet { in_ms: 1_350 });
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 40), ClaimAnswer::NotYet { in_ms: 1_600 });
     let renewed = JobClaim { is_granted: true, ..new_claim(2_000) };
     assert_eq!(ask(&mut table, renewed, FIRST, 50), GRANTED_FIRST);
-    let ending = ClaimAnswer::Ending { in_ms: 660 };
-    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_390), ending);
+    let ending = ClaimAnswer::Ending { in_ms: 410 };
+    assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_640), ending);
     let (mut claims, holders) = begun();
     assert_eq!(answer(&mut claims, holders[0], ClaimAnswer::NotYet { in_ms: 100 }, 10), None);
     assert_eq!(claims.tick(109).1, []);
