A job is granted by a majority of its holders, and by nothing less

What callers could see: a task runs twice. A data centre is cut off; just after the cut has healed the entries of the others are killed and start again.

Cause: what a holder doesn't know was taken for what isn't there. Holders that had started lately, had left as planned, or had no agents by the agents' word were taken out of the count, so that one of three was a majority. What they had granted before may still run, and the one that is left need not know of it.

Change: nothing takes a holder out of the count. The exceptions are gone: is_alone and asking again, holders that have left, holders without agents (set_without_agents, has_no_agents and what agents were seen connected to). A holder that says that it ends still counts as out of reach at once, so that jobs are refused and don't wait.

Tests that asked for the exceptions are replaced by ones that ask for the opposite, as the exceptions were the fault: holders_that_have_left_have_no_vote and lost_holders_without_agents_have_no_vote by one_holder_of_three_decides_nothing and jobs_of_holders_that_have_left_are_refused_at_once, a_holder_that_has_not_started_ lately_decides and a_holder_that_knows_of_other_claims_does_not_decide by holders_that_ have_started_lately_are_waited_for, a_job_goes_on_with_the_last_holder_that_has_not_ left by a_job_does_not_go_on_with_its_last_holder; all_agents_have_to_show_that_a_ holder_has_none tested a function that is gone.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -45,23 +45,14 @@
     NotYet { until_ms: u64 },
     /// Another entry's claim is about to end there. To be asked again at this time.
     Ending { until_ms: u64 },
-    /// It has granted the claim, and knew whether it was the only one.
-    Granted { is_alone: bool },
-    /// It has granted the claim before another holder turned out to have started lately: it may
-    /// know of other claims since, which that one has forgotten.
-    Unsure,
+    /// It has granted the claim.
+    Granted,
     /// Another entry has the job, though this one's claim is granted.
     Held,
     /// It can't tell whether its list of voters is in force. To be asked again at this time.
     Voteless { until_ms: u64 },
 }
 
-impl Vote {
-    fn is_granted(self) -> bool {
-        matches!(self, Self::Granted { .. })
-    }
-}
-
 #[derive(Debug)]
 struct Claim {
     number: u64,
@@ -101,10 +92,6 @@
         }
     }
 
-    fn count(&self, holders: &[SocketAddr], is_wanted: impl Fn(Vote) -> bool) -> usize {
-        self.votes_of(holders).filter(|(_, vote)| is_wanted(*vote)).count()
-    }
-
     fn votes_of<'a>(
         &'a self,
         holders: &'a [SocketAddr],
@@ -113,28 +100,13 @@
         holders.iter().filter_map(vote_of)
     }
 
-    /// Number of holders of a set with a vote, of which a majority has to grant the claim.
-    fn voting(&self, holders: &[SocketAddr], reach: &Reach) -> usize {
-        // A holder that has not started lately knows of every claim, as each is sent to all, but
-        // for those that the first one of two has granted alone.
-        let is_alone = self.count(holders, |vote| vote == Vote::Granted { is_alone: true }) > 0;
-        let has_casting_vote = |holder| holders.len() == 2 && holders[0] == holder;
-        let has_vote = |(holder, vote): &(SocketAddr, Vote)| {
-            let is_new = matches!(vote, Vote::NotYet { .. });
-            let knows_nothing = is_new && is_alone && !has_casting_vote(*holder);
-            !reach.is_out(*holder) && !knows_nothing
-        };
-        self.votes_of(holders).filter(has_vote).count()
-    }
-
-    /// Holders of a set with a vote that have granted it.
+    /// Holders of a set that have granted it.
     fn granted_by<'a>(
         &'a self,
         holders: &'a [SocketAddr],
-        reach: &'a Reach,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
-        let granted = self.votes_of(holders).filter(|(_, vote)| vote.is_granted());
-        granted.map(|(holder, _)| holder).filter(|holder| !reach.is_out(*holder))
+        let granted = self.votes_of(holders).filter(|(_, vote)| *vote == Vote::Granted);
+        granted.map(|(holder, _)| holder)
     }
 
     /// Whether this entry runs the job, as far as the claim tells.
@@ -164,8 +136,8 @@
     /// Whether a majority of each set has granted it, and keeps it for long enough.
     fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
         let is_granted_by = |holders: &Vec<SocketAddr>| {
-            let granted = self.granted_by(holders, reach).count();
-            granted * 2 > self.voting(holders, reach) || self.casting_vote(holders).is_some()
+            is_majority(self.granted_by(holders).count(), holders)
+                || self.casting_vote(holders).is_some()
         };
         !self.holders.is_empty()
             && self.holders.iter().all(is_granted_by)
@@ -175,7 +147,7 @@
     /// The first holder of two, if it has granted the claim: its vote decides.
     fn casting_vote(&self, holders: &[SocketAddr]) -> Option<SocketAddr> {
         let [first, _] = *holders else { return None };
-        self.votes_of(&[first]).any(|(_, vote)| vote.is_granted()).then_some(first)
+        self.votes_of(&[first]).any(|(_, vote)| vote == Vote::Granted).then_some(first)
     }
 
     /// Returns when a majority of each set was last certain to keep it.
@@ -186,10 +158,9 @@
 
     fn confirmed_by_ms(&self, holders: &[SocketAddr], reach: &Reach) -> u64 {
         let contact_ms = |holder| reach.contacts_ms.get(&holder).copied();
-        let mut contacts_ms: Vec<_> =
-            self.granted_by(holders, reach).filter_map(contact_ms).collect();
+        let mut contacts_ms: Vec<_> = self.granted_by(holders).filter_map(contact_ms).collect();
         contacts_ms.sort_unstable_by_key(|&contact_ms| Reverse(contact_ms));
-        let by_majority_ms = contacts_ms.get(self.voting(holders, reach) / 2).copied();
+        let by_majority_ms = contacts_ms.get(holders.len() / 2).copied();
         let by_first_ms =
             self.casting_vote(holders).and_then(|holder| reach.contacts_ms.get(&holder));
         by_majority_ms.max(by_first_ms.copied()).unwrap_or(0)
@@ -198,12 +169,19 @@
     /// Whether most holders of a set have the job for another entry.
     fn is_lost(&self) -> bool {
         let is_held = |holders: &Vec<SocketAddr>| {
-            self.count(holders, |vote| vote == Vote::Held) * 2 > holders.len()
+            let held = self.votes_of(holders).filter(|(_, vote)| *vote == Vote::Held);
+            is_majority(held.count(), holders)
         };
         self.holders.iter().any(is_held)
     }
 }
 
+/// Whether so many are most of the holders of a set. Nothing takes a holder out of the count: what
+/// one has granted that has left, is lost or has started again counts until it is over.
+fn is_majority(count: usize, holders: &[SocketAddr]) -> bool {
+    count * 2 > holders.len()
+}
+
 /// Holders of a job in each set of voters.
 fn holders_of(job: CallerJobId, sets: VoterSets) -> Vec<Vec<SocketAddr>> {
     sets.iter().map(|voters| holders(job, voters)).collect()
@@ -227,16 +205,6 @@
     since_ms: u64,
     /// Whether it has said that it ends as planned.
     has_left: bool,
-    /// Whether no agent is in contact with it, if agents can tell.
-    has_no_agents: Option<bool>,
-    /// When agents could tell last.
-    agents_told_ms: u64,
-}
-
-impl LostHolder {
-    fn new(has_left: bool, now_ms: u64) -> Self {
-        Self { since_ms: now_ms, has_left, has_no_agents: None, agents_told_ms: now_ms }
-    }
 }
 
 /// What is known of the holders.
@@ -252,38 +220,26 @@
 }
 
 impl Reach {
-    /// Whether a holder has no vote: it has left, or no agent could run what it grants.
-    fn is_out(&self, holder: SocketAddr) -> bool {
-        self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
-    }
-
     /// Whether a holder has not been reached for so long that its vote is not waited for.
     fn is_given_up(&self, holder: SocketAddr, now_ms: u64) -> bool {
-        let ClaimLimits { lost_after_ms, noticed_within_ms, .. } = self.limits;
+        let lost_after_ms = self.limits.lost_after_ms;
         let is_voteless = |since_ms: &u64| now_ms >= since_ms + lost_after_ms;
         if self.voteless_ms.get(&holder).is_some_and(is_voteless) {
             return true;
         }
-        self.lost.get(&holder).is_some_and(|lost| {
-            let wait_ms =
-                if lost.has_no_agents.is_some() { noticed_within_ms } else { lost_after_ms };
-            now_ms >= lost.since_ms + wait_ms
-        })
+        let is_gone = |lost: &LostHolder| lost.has_left || now_ms >= lost.since_ms + lost_after_ms;
+        self.lost.get(&holder).is_some_and(is_gone)
     }
-}
 
-impl Reach {
     /// Why a holder has not granted a claim, for the log.
     fn reason(&self, holder: SocketAddr, vote: Vote) -> &'static str {
         match (self.lost.get(&holder), vote) {
             (Some(LostHolder { has_left: true, .. }), _) => "left",
-            (Some(LostHolder { has_no_agents: Some(true), .. }), _) => "without_agents",
             (Some(_), _) => "out_of_reach",
             (None, Vote::Pending) => "not_answered",
             (None, Vote::NotYet { .. }) => "started_lately",
             (None, Vote::Ending { .. }) => "other_claim_ends",
-            (None, Vote::Granted { .. }) => "granted",
-            (None, Vote::Unsure) => "asked_again",
+            (None, Vote::Granted) => "granted",
             (None, Vote::Held) => "held",
             (None, Vote::Voteless { .. }) => "no_vote",
         }
@@ -376,9 +332,7 @@
         {
             return true;
         }
-        let voting = holders.iter().copied().filter(|holder| !self.reach.is_out(*holder));
-        let (reached, lost): (Vec<_>, Vec<_>) = voting.partition(is_reached);
-        reached.len() > lost.len()
+        is_majority(holders.iter().filter(|holder| is_reached(holder)).count(), holders)
     }
 
     /// Whether this entry is without contact to most voters, itself included, or knows of none.
@@ -386,11 +340,8 @@
     pub fn is_apart<'a>(&self, sets: impl Into<VoterSets<'a>>, now_ms: u64) -> bool {
         let sets = sets.into();
         let is_apart_from = |voters: &[EntryAddress]| {
-            let addresses = voters.iter().map(|voter| voter.address);
-            let voting = addresses.filter(|voter| !self.reach.is_out(*voter));
-            let (lost, reached): (Vec<_>, Vec<_>) =
-                voting.partition(|voter| self.reach.is_given_up(*voter, now_ms));
-            lost.len() > reached.len()
+            let is_lost = |voter: &&EntryAddress| self.reach.is_given_up(voter.address, now_ms);
+            voters.iter().filter(is_lost).count() * 2 > voters.len()
         };
         sets.iter().next().is_none() || sets.iter().any(is_apart_from)
     }
@@ -404,7 +355,7 @@
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get(&job).filter(|claim| claim.number == number)?;
         let vote = match answer {
-            ClaimAnswer::Granted { is_alone } => Vote::Granted { is_alone },
+            ClaimAnswer::Granted => Vote::Granted,
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
             ClaimAnswer::Held | ClaimAnswer::Ending { .. } if claim.is_granted => Vote::Held,
             ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
@@ -488,48 +439,16 @@
     /// Records that a holder can't be reached, and whether nobody listens there: what it has
     /// granted may be forgotten.
     pub fn holder_lost(&mut self, holder: SocketAddr, is_gone: bool, now_ms: u64) {
-        self.reach.lost.entry(holder).or_insert(LostHolder::new(false, now_ms));
+        self.reach.lost.entry(holder).or_insert(LostHolder { since_ms: now_ms, has_left: false });
         let undecided = self.claims.values_mut().filter(|claim| is_gone && !claim.is_granted);
         let votes = undecided.flat_map(|claim| &mut claim.votes);
-        let granted = votes.filter(|(of, vote)| *of == holder && vote.is_granted());
+        let granted = votes.filter(|(of, vote)| *of == holder && *vote == Vote::Granted);
         granted.for_each(|(_, vote)| *vote = Vote::Pending);
     }
 
     /// Records that a holder ends as planned, and grants nothing any more.
     pub fn holder_left(&mut self, holder: SocketAddr, now_ms: u64) {
-        self.reach.lost.insert(holder, LostHolder::new(true, now_ms));
-    }
-
-    /// Records which of the lost holders have no agents, as far as agents can tell: nothing that
-    /// they grant could run. What they have told holds for a while where one of them is replacing
-    /// its connection. Returns the holders whose vote this takes or gives back, and whether it is
-    /// taken.
-    pub fn set_without_agents(
-        &mut self,
-        has_no_agents: impl Fn(SocketAddr) -> Option<bool>,
-        now_ms: u64,
-    ) -> Vec<(SocketAddr, bool)> {
-        let mut changed = Vec::new();
-        for (&holder, lost) in &mut self.reach.lost {
-            let told = has_no_agents(holder);
-            if told.is_some() {
-                lost.agents_told_ms = now_ms;
-            } else if now_ms < lost.agents_told_ms + self.reach.limits.noticed_within_ms {
-                continue;
-            }
-            let is_without = |told: Option<bool>| told == Some(true);
-            if is_without(lost.has_no_agents) != is_without(told) {
-                changed.push((holder, is_without(told)));
-            }
-            lost.has_no_agents = told;
-        }
-        changed
-    }
-
-    /// Whether any holder can't be reached.
-    #[must_use]
-    pub fn has_lost_holders(&self) -> bool {
-        !self.reach.lost.is_empty()
+        self.reach.lost.insert(holder, LostHolder { since_ms: now_ms, has_left: true });
     }
 
     fn record(
@@ -541,12 +460,7 @@
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get_mut(&job)?;
         let (_, known) = claim.votes.iter_mut().find(|(of, _)| *of == holder)?;
-        let before = std::mem::replace(known, vote);
-        let is_new = |vote: Vote| matches!(vote, Vote::NotYet { .. });
-        if is_new(vote) && !is_new(before) {
-            let granted = claim.votes.iter_mut().filter(|(_, vote)| vote.is_granted());
-            granted.for_each(|(_, vote)| *vote = Vote::Unsure);
-        }
+        *known = vote;
         if claim.is_granted {
             // Holders that did not hear this entry have granted the job to another one.
             return claim.is_lost().then_some(ClaimDecision::Denied { holder });
@@ -555,14 +469,10 @@
         claim.is_granted.then_some(ClaimDecision::Granted)
     }
 
-    /// Returns the claims that are granted now, as holders have left, and what to ask holders again
-    /// that can answer now.
+    /// Returns the claims that are granted now, as majorities are in contact again, and what to ask
+    /// holders again that can answer now.
     pub fn tick(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<ClaimRequest>) {
         let (mut granted, mut requests) = (Vec::new(), Vec::new());
-        // By then an entry that has left may have started again, and grants claims.
-        let left_for_ms = self.reach.limits.run_over_ms;
-        let may_be_back = |lost: &&mut LostHolder| now_ms >= lost.since_ms + left_for_ms;
-        self.reach.lost.values_mut().filter(may_be_back).for_each(|lost| lost.has_left = false);
         for (&job, claim) in &mut self.claims {
             let mut ask_again = Vec::new();
             for (holder, vote) in &mut claim.votes {
@@ -573,7 +483,7 @@
                     Vote::Voteless { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
-                    Vote::Held | Vote::Unsure => true,
+                    Vote::Held => true,
                     _ => false,
                 };
                 if is_due {
@@ -680,7 +590,7 @@
     pub fn state(&self, job: CallerJobId) -> Option<ClaimState> {
         let claim = self.claims.get(&job)?;
         let (granted_by, others): (Vec<_>, Vec<_>) =
-            claim.votes.iter().partition(|(_, vote)| vote.is_granted());
+            claim.votes.iter().partition(|(_, vote)| *vote == Vote::Granted);
         let missing =
             |(holder, vote): (SocketAddr, Vote)| (holder, self.reach.reason(holder, vote));
         Some(ClaimState {
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -46,9 +46,6 @@
     /// Time after which an entry no longer expects the vote of a holder that it can't reach, in
     /// milliseconds.
     pub lost_after_ms: u64,
-    /// Time within which agents that are linked to all entries notice that one is lost, in
-    /// milliseconds.
-    pub noticed_within_ms: u64,
 }
 
 impl ClaimLimits {
@@ -83,20 +80,3 @@
     let chosen = first.into_iter().chain(others).take(HOLDERS);
     chosen.map(|entry| entry.address).collect()
 }
-
-/// Whether nothing that a lost holder grants could run, as no agent is in contact with it; `None`
-/// if agents can't tell. Each agent is given with the entries that it is connected to, or `None` if
-/// it has not told them. Agents that are not linked to every entry that is `reached` link to some
-/// entries only, and can't tell.
-pub fn has_no_agents<'a>(
-    holder: SocketAddr,
-    agents: impl IntoIterator<Item = Option<&'a [SocketAddr]>>,
-    reached: &[SocketAddr],
-) -> Option<bool> {
-    let is_linked_to_all =
-        |connected: &&[SocketAddr]| reached.iter().all(|entry| connected.contains(entry));
-    let agents = agents.into_iter().map(|connected| connected.filter(is_linked_to_all));
-    let agents: Vec<_> = agents.collect::<Option<_>>()?;
-    let is_without = |connected: &&[SocketAddr]| !connected.contains(&holder);
-    (!agents.is_empty()).then(|| agents.iter().all(is_without))
-}
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -136,7 +136,6 @@
     /// Answers one of the claims on a job.
     fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
         let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
-        let is_alone = queue.len() == 1;
         let Some(first) = queue.first_mut() else { return ClaimAnswer::Held };
         if first.claimant != claimant {
             return match self.end_of(first, now_ms) {
@@ -146,7 +145,7 @@
         }
         first.is_granted |= now_ms >= self.grants_from_ms;
         if first.is_granted {
-            ClaimAnswer::Granted { is_alone }
+            ClaimAnswer::Granted
         } else {
             ClaimAnswer::NotYet { in_ms: whole(self.grants_from_ms - now_ms) }
         }
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -30,12 +30,6 @@
         self.agents.values().filter(usable).count()
     }
 
-    /// Agents that are connected, or were until lately.
-    #[must_use]
-    pub fn known_agents(&self) -> Vec<AgentKey> {
-        self.agents.keys().collect()
-    }
-
     /// Whether many agents have just connected and will soon be usable.
     ///
     /// Covers the first second after all programs were killed: jobs that wait for the first few
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -3,7 +3,7 @@
 use {
     std::net::SocketAddr,
     sycamorerail_decide::claims::{
-        ClaimDecision, ClaimLimits, ClaimTable, Claims, HOLDERS, has_no_agents, holders,
+        ClaimDecision, ClaimLimits, ClaimTable, Claims, HOLDERS, holders,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -18,15 +18,12 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const JOB: CallerJobId = CallerJobId(7);
 const FIRST: Incarnation = Incarnation(1);
 const SECOND: Incarnation = Incarnation(2);
 const DEADLINE_MS: u64 = 1_500;
-const GRANTED: ClaimAnswer = ClaimAnswer::Granted { is_alone: true };
-/// The answer where another entry has claimed the job, too.
-const GRANTED_FIRST: ClaimAnswer = ClaimAnswer::Granted { is_alone: false };
+const GRANTED: ClaimAnswer = ClaimAnswer::Granted;
 
 /// So many entries in four data centres.
 fn entries(count: u8) -> Vec<EntryAddress> {
@@ -104,7 +101,7 @@
     let mut table = ClaimTable::new(LIMITS);
     assert_eq!(ask(&mut table, new_claim(2_740), FIRST, 0), GRANTED);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_390), ClaimAnswer::Held);
-    assert_eq!(ask(&mut table, new_claim(2_740), FIRST, 1_300), GRANTED_FIRST);
+    assert_eq!(ask(&mut table, new_claim(2_740), FIRST, 1_300), GRANTED);
     let (mut claims, holders) = begun();
     let denied = ClaimDecision::Denied { holder: holders[0] };
     assert_eq!(answer(&mut claims, holders[0], ClaimAnswer::Held, 1), Some(denied));
@@ -235,49 +232,40 @@
     assert!(claims.is_apart(&entries, 5_000 + LIMITS.lost_after_ms));
 }
 
-/// Guards against planned stops in turn after which a single entry is left and serves nobody.
-#[test]
-fn holders_that_have_left_have_no_vote() {
-    let (mut claims, asked) = begun();
-    granted(&mut claims, asked[2]);
-    claims.holder_left(asked[0], 5);
-    assert_eq!(claims.tick(10).0, []);
-    claims.holder_left(asked[1], 15);
-    assert_eq!(claims.tick(20).0, [JOB]);
-    assert!(claims.can_be_granted(JOB, &entries(14), 10_000));
+/// Guards against one holder of three that decides alone, as the others have left, are gone or have
+/// started lately: what they have granted may run.
+#[test]
+fn one_holder_of_three_decides_nothing() {
+    type Lose = fn(&mut Claims, SocketAddr);
+    let ways: [Lose; 3] = [
+        |claims, holder| claims.holder_left(holder, 5),
+        |claims, holder| claims.holder_lost(holder, true, 5),
+        |claims, holder| {
+            answer(claims, holder, ClaimAnswer::NotYet { in_ms: 1_600 }, 5);
+        },
+    ];
+    for lose in ways {
+        let (mut claims, asked) = begun();
+        lose(&mut claims, asked[0]);
+        lose(&mut claims, asked[1]);
+        assert_eq!(granted(&mut claims, asked[2]), None);
+        for now_ms in (10..20_000).step_by(20) {
+            claims.confirmed(asked[2], now_ms);
+            assert_eq!(claims.tick(now_ms).0, [], "granted by one holder at {now_ms} ms");
+        }
+    }
 }
 
-/// Guards against a last entry that serves nobody, though agents show that no other one has any.
+/// Guards against jobs that wait for holders that have said that they end.
 #[test]
-fn lost_holders_without_agents_have_no_vote() {
+fn jobs_of_holders_that_have_left_are_refused_at_once() {
     let (mut claims, asked) = begun();
-    granted(&mut claims, asked[2]);
-    claims.holder_lost(asked[0], true, 5);
-    claims.holder_lost(asked[1], false, 5);
-    claims.set_without_agents(|holder| Some(holder == asked[0]), 5);
-    assert_eq!(claims.tick(10).0, []);
-    assert!(!claims.can_be_granted(JOB, &entries(14), 10_000));
-    claims.set_without_agents(|_| Some(true), 10);
-    claims.set_without_agents(|_| None, 9 + LIMITS.noticed_within_ms);
-    assert!(claims.can_be_granted(JOB, &entries(14), 10_000));
-    claims.set_without_agents(|_| None, 10 + LIMITS.noticed_within_ms);
-    assert!(!claims.can_be_granted(JOB, &entries(14), 10_000));
-    claims.set_without_agents(|_| Some(true), 20);
-    assert_eq!(claims.tick(20).0, [JOB]);
-}
-
-/// Guards against a holder that counts as gone while agents are in contact with it, or may be.
-#[test]
-fn all_agents_have_to_show_that_a_holder_has_none() {
-    let [lost, own, other, _] = [1, 2, 3, 4].map(|last| entries(14)[last].address);
-    let reached = [own, other];
-    let without = Some(&reached[..]);
-    assert_eq!(has_no_agents(lost, [without, without], &reached), Some(true));
-    assert_eq!(has_no_agents(lost, [], &reached), None);
-    assert_eq!(has_no_agents(lost, [without, None], &reached), None);
-    let linked: &[_] = &[own, other, lost];
-    assert_eq!(has_no_agents(lost, [without, Some(linked)], &reached), Some(false));
-    assert_eq!(has_no_agents(lost, [without, Some(&[own])], &reached), None);
+    claims.holder_left(asked[0], 5);
+    assert!(claims.can_be_granted(JOB, &entries(14), 5));
+    claims.holder_left(asked[1], 5);
+    assert!(!claims.can_be_granted(JOB, &entries(14), 5));
+    claims.holder_reached(asked[0]);
+    assert!(claims.can_be_granted(JOB, &entries(14), 6));
 }
 
 /// Guards against two entries of which none serves as they can't reach each other, or both do.
@@ -299,19 +287,16 @@
 /// Guards against a job that is given up as a holder is back which has confirmed nothing yet.
 #[test]
 fn a_holder_that_is_back_ends_no_claim() {
-    let two = entries(2);
-    let asked = holders(JOB, &two);
-    let mut claims = Claims::new(LIMITS);
-    claims.begin(JOB, &two, DEADLINE_MS, 0);
-    claims.holder_lost(asked[0], true, 0);
-    claims.set_without_agents(|_| Some(true), 0);
-    assert_eq!(granted(&mut claims, asked[1]), Some(ClaimDecision::Granted));
+    let (mut claims, asked) = begun();
+    granted(&mut claims, asked[0]);
+    granted(&mut claims, asked[1]);
+    claims.holder_lost(asked[2], true, 0);
     for now_ms in (0..5_000).step_by(20) {
-        claims.confirmed(asked[1], now_ms);
+        asked[..2].iter().for_each(|&holder| claims.confirmed(holder, now_ms));
         assert_eq!(claims.take_lapsed(now_ms), []);
     }
-    claims.holder_reached(asked[0]);
-    claims.confirmed(asked[1], 5_000 + LIMITS.give_up_ms);
+    claims.holder_reached(asked[2]);
+    claims.confirmed(asked[0], 5_000 + LIMITS.give_up_ms);
     assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms - 1), []);
     assert_eq!(claims.take_lapsed(4_980 + LIMITS.give_up_ms), [JOB]);
 }
@@ -345,7 +330,7 @@
     let mut table = ClaimTable::restarted(LIMITS, 0);
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 40), ClaimAnswer::NotYet { in_ms: 1_600 });
     let renewed = JobClaim { is_granted: true, ..new_claim(2_000) };
-    assert_eq!(ask(&mut table, renewed, FIRST, 50), GRANTED_FIRST);
+    assert_eq!(ask(&mut table, renewed, FIRST, 50), GRANTED);
     let ending = ClaimAnswer::Ending { in_ms: 410 };
     assert_eq!(ask(&mut table, new_claim(2_740), SECOND, 1_640), ending);
     let (mut claims, holders) = begun();
@@ -528,29 +513,19 @@
     assert_eq!(answer(&mut claims, other, GRANTED, 11), Some(ClaimDecision::Granted));
 }
 
-/// Guards against jobs that are held up by stops in turn, after which two holders know nothing.
+/// Guards against a job that one holder grants alone, as the others have started lately and may have
+/// granted it to another entry before, and against one that is not granted once they can tell.
 #[test]
-fn a_holder_that_has_not_started_lately_decides() {
+fn holders_that_have_started_lately_are_waited_for() {
     let (mut claims, holders) = begun();
     let not_yet = ClaimAnswer::NotYet { in_ms: 1_000 };
+    assert_eq!(granted(&mut claims, holders[2]), None);
     assert_eq!(answer(&mut claims, holders[0], not_yet, 1), None);
     assert_eq!(answer(&mut claims, holders[1], not_yet, 1), None);
-    assert_eq!(granted(&mut claims, holders[2]), Some(ClaimDecision::Granted));
-}
-
-/// Guards against a job that one holder alone grants, which knows that others may have granted it
-/// to another entry before they were restarted.
-#[test]
-fn a_holder_that_knows_of_other_claims_does_not_decide() {
-    let (mut claims, holders) = begun();
-    granted(&mut claims, holders[2]);
-    let not_yet = ClaimAnswer::NotYet { in_ms: 1_000 };
-    assert_eq!(answer(&mut claims, holders[0], not_yet, 1), None);
-    assert_eq!(answer(&mut claims, holders[1], not_yet, 1), None);
-    assert_eq!(claims.tick(10).1.len(), 1);
-    assert_eq!(answer(&mut claims, holders[2], GRANTED_FIRST, 11), None);
-    assert_eq!(claims.tick(20), (Vec::new(), Vec::new()));
-    assert_eq!(answer(&mut claims, holders[2], GRANTED, 21), Some(ClaimDecision::Granted));
+    assert_eq!(claims.tick(1_000), (Vec::new(), Vec::new()));
+    assert_eq!(claims.tick(1_001).1.len(), 2);
+    holders.iter().for_each(|&holder| claims.confirmed(holder, 1_002));
+    assert_eq!(answer(&mut claims, holders[0], GRANTED, 1_002), Some(ClaimDecision::Granted));
 }
 
 /// Guards against a copy that is refused as agents have not said that the runs of a job are over
--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -20,7 +20,6 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const STEP_MS: u64 = 10;
 /// Between two messages by which holders hear that claims are still wanted.
@@ -30,9 +29,6 @@
 const ASK_AGAIN_MS: u64 = 700;
 /// Longest time of a message on its way, and until a broken connection is made again.
 const MAX_DELAY_MS: u64 = 100;
-/// At most one entry is killed within this time before, in and after a cut: two holders that lose
-/// what they know, of which the third one was cut off, are not covered.
-const KILL_GAP_MS: u64 = 5_000;
 
 #[derive(Clone, Debug)]
 enum Act {
@@ -123,10 +119,6 @@
     left_until_ms: Vec<(u64, Incarnation)>,
     /// Entries that are cut off from the others, as a bit each, and when the cut heals.
     cut: Option<(u8, u64)>,
-    /// When the last cut healed or will heal.
-    cut_until_ms: Option<u64>,
-    /// When entries were killed.
-    killed_ms: Vec<u64>,
     /// When entries were asked for the job.
     asked_ms: Vec<u64>,
     now_ms: u64,
@@ -154,8 +146,6 @@
             connected: vec![vec![None; count]; count],
             left_until_ms: Vec::new(),
             cut: None,
-            cut_until_ms: None,
-            killed_ms: Vec::new(),
             asked_ms: Vec::new(),
             now_ms: 0,
             delay_ms: 0,
@@ -333,17 +323,8 @@
         }
     }
 
-    fn recent_kills(&self) -> usize {
-        let is_recent = |at_ms: &&u64| self.now_ms < **at_ms + KILL_GAP_MS;
-        self.killed_ms.iter().filter(is_recent).count()
-    }
-
     fn cut(&mut self, apart: u8, until_ms: u64, refuses: bool) {
-        if self.recent_kills() > 1 {
-            return;
-        }
         self.cut = Some((apart, until_ms));
-        self.cut_until_ms = Some(until_ms);
         for claimant in 0..self.entries.len() {
             for holder in (0..self.entries.len()).filter(|&holder| holder != claimant) {
                 if !self.is_cut(claimant, holder) {
@@ -378,12 +359,9 @@
     }
 
     fn kill(&mut self, entry: usize, steps: u64) {
-        let is_beside_cut =
-            self.cut_until_ms.is_some_and(|until_ms| self.now_ms < until_ms + KILL_GAP_MS);
-        if !self.is_up(entry) || is_beside_cut && self.recent_kills() > 0 {
+        if !self.is_up(entry) {
             return;
         }
-        self.killed_ms.push(self.now_ms);
         if self.entries[entry].is_granted {
             let Entry { incarnation, acknowledged_ms, .. } = self.entries[entry];
             self.left_until_ms.push((acknowledged_ms + RUN_OVER_MS, incarnation));
@@ -428,7 +406,10 @@
             self.entries[entry].is_granted |= !granted.is_empty();
             self.ask(entry, requests);
             if !self.entries[entry].claims.take_lapsed(self.now_ms).is_empty() {
-                self.end(entry, LIMITS.stop_within_ms);
+                // Agents that are in contact stop the runs, others end them with their leases.
+                let leases_end_ms = self.entries[entry].acknowledged_ms + RUN_OVER_MS;
+                let over_ms = leases_end_ms.max(self.now_ms + LIMITS.stop_within_ms);
+                self.end(entry, over_ms - self.now_ms);
             }
             let entry = &mut self.entries[entry];
             if self.now_ms <= entry.claims.acknowledge_until_ms() {
--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -16,12 +16,11 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const JOB: CallerJobId = CallerJobId(7);
 const FIRST: Incarnation = Incarnation(1);
 const SECOND: Incarnation = Incarnation(2);
-const GRANTED: ClaimAnswer = ClaimAnswer::Granted { is_alone: true };
+const GRANTED: ClaimAnswer = ClaimAnswer::Granted;
 const STEP_MS: usize = 20;
 
 fn entry(last: u8) -> EntryAddress {
@@ -206,9 +205,9 @@
 }
 
 /// Returns when the runs of a job are over at an entry, and when a copy is granted by the third
-/// holder, which that entry can't reach. The other two, which granted the job, are lost at some
-/// time, as `lose` tells the claims of both entries.
-fn over_and_copied_ms(lose: impl Fn(&mut Claims, &[SocketAddr], u64)) -> (u64, u64) {
+/// holder, if it ever is, which that entry can't reach. The other two, which granted the job, are
+/// lost at some time, as `lose` tells the claims of both entries.
+fn over_and_copied_ms(lose: impl Fn(&mut Claims, &[SocketAddr], u64)) -> (u64, Option<u64>) {
     let lost_ms = 1_000;
     let (mut first, holders) = granted_claim(&[0, 1]);
     first.holder_lost(holders[2], false, 0);
@@ -230,27 +229,26 @@
         let is_given_up = !first.take_lapsed(now_ms).is_empty();
         given_up_ms = given_up_ms.or(is_given_up.then_some(now_ms));
     }
-    (given_up_ms.unwrap() + LIMITS.stop_within_ms, copied_ms.unwrap())
+    (given_up_ms.unwrap() + LIMITS.stop_within_ms, copied_ms)
 }
 
 /// Guards against two runs: the two holders that granted a job leave as planned, and the third one,
-/// which its claimant can't reach, grants it alone and at once.
+/// which its claimant can't reach, grants it alone.
 #[test]
 fn what_holders_that_left_have_granted_counts() {
     let (over_ms, copied_ms) = over_and_copied_ms(|claims, holders, now_ms| {
         holders.iter().for_each(|&holder| claims.holder_left(holder, now_ms));
     });
-    assert!(over_ms <= copied_ms, "a copy is granted at {copied_ms} ms, runs end by {over_ms} ms");
+    assert_eq!(copied_ms, None, "runs end by {over_ms} ms");
 }
 
-/// Guards against the same where the two are killed, and agents show that they have none.
+/// Guards against the same where the two are killed.
 #[test]
 fn what_killed_holders_have_granted_counts() {
     let (over_ms, copied_ms) = over_and_copied_ms(|claims, holders, now_ms| {
         holders.iter().for_each(|&holder| claims.holder_lost(holder, true, now_ms));
-        claims.set_without_agents(|lost| Some(holders.contains(&lost)), now_ms);
     });
-    assert!(over_ms <= copied_ms, "a copy is granted at {copied_ms} ms, runs end by {over_ms} ms");
+    assert_eq!(copied_ms, None, "runs end by {over_ms} ms");
 }
 
 /// Guards against two runs for as long as a cut lasts: the first of two entries has left, and
@@ -275,15 +273,18 @@
     assert_eq!(decisions.iter().flatten().count(), 1, "{decisions:?}");
 }
 
-/// Guards against a running job that is given up though a new claim on it would be granted at once.
+/// Guards against a job that goes on by the word of one holder of three, as the others have left.
 #[test]
-fn a_job_goes_on_with_the_last_holder_that_has_not_left() {
+fn a_job_does_not_go_on_with_its_last_holder() {
     let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    holders.iter().for_each(|&holder| claims.confirmed(holder, 1_000));
     claims.holder_left(holders[0], 1_000);
     claims.holder_left(holders[1], 1_000);
-    claims.confirmed(holders[2], 5_000);
-    assert!(claims.can_be_granted(JOB, &entries(14), 5_000));
-    assert_eq!(claims.take_lapsed(5_000), []);
+    let over_ms = 1_000 + LIMITS.give_up_ms;
+    claims.confirmed(holders[2], over_ms);
+    assert_eq!(claims.take_lapsed(over_ms - 1), []);
+    assert_eq!(claims.take_lapsed(over_ms), [JOB]);
+    assert!(!claims.can_be_granted(JOB, &entries(14), over_ms));
 }
 
 /// Guards against two copies that reach their holders in different orders deny each other.
--- a/crates/decide/tests/forgotten_change.rs
+++ b/crates/decide/tests/forgotten_change.rs
@@ -16,9 +16,8 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
-const GRANTED: ClaimAnswer = ClaimAnswer::Granted { is_alone: true };
+const GRANTED: ClaimAnswer = ClaimAnswer::Granted;
 
 fn entry(last: u8) -> EntryAddress {
     EntryAddress {
@@ -87,12 +86,11 @@
     assert_eq!(decide_alone(&mut claims, own, 7_000), None);
 }
 
-/// The same for entries that had no agents as the third one stood still.
+/// The same for entries that were killed.
 #[test]
-fn entries_without_agents_count_again_after_a_stall() {
+fn entries_that_were_killed_count_after_a_stall() {
     let [own, others @ ..] = [1, 2, 3].map(|last| entry(last).address);
     let mut claims = Claims::new(LIMITS);
     others.iter().for_each(|&other| claims.holder_lost(other, true, 1_000));
-    claims.set_without_agents(|_| Some(true), 2_600);
     assert_eq!(decide_alone(&mut claims, own, 8_600), None);
 }
--- a/crates/decide/tests/leave_out.rs
+++ b/crates/decide/tests/leave_out.rs
@@ -88,7 +88,6 @@
         confirm_within_ms: 0,
         stop_within_ms: 0,
         lost_after_ms: 0,
-        noticed_within_ms: 0,
     };
     assert!(settle_ms(&limits, 3_000, 2) < LEAVE_OUT_AFTER_MS, "{limits:?}");
 }
--- a/crates/decide/tests/voters.rs
+++ b/crates/decide/tests/voters.rs
@@ -19,7 +19,6 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const LEASE_MS: u64 = 3_000;
 const LOOK_MS: usize = 200;
@@ -243,7 +242,7 @@
         let mut claims = Claims::new(LIMITS);
         let asked = claims.begin(job, &joint, 2_000, 0);
         assert_eq!(asked.len(), old.len() + new.len());
-        let answer = ClaimAnswer::Granted { is_alone: true };
+        let answer = ClaimAnswer::Granted;
         let answer = AnsweredClaim { job, number: asked[0].claim.number, answer };
         let decisions = granting.iter().filter_map(|&holder| claims.answered(answer, holder, 1));
         let is_granted = decisions.last() == Some(ClaimDecision::Granted);
@@ -260,7 +259,7 @@
     let mut claims = Claims::new(LIMITS);
     let asked = claims.begin(job, &old, 20_000, 0);
     for request in &asked {
-        let answer = ClaimAnswer::Granted { is_alone: true };
+        let answer = ClaimAnswer::Granted;
         let answer = AnsweredClaim { job, number: request.claim.number, answer };
         claims.answered(answer, request.holder, 1);
     }
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -27,7 +27,6 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const STEP_MS: u64 = 10;
 const MAX_ENTRIES: usize = 6;
--- a/crates/decide/tests/vouched_pair.rs
+++ b/crates/decide/tests/vouched_pair.rs
@@ -16,7 +16,6 @@
     confirm_within_ms: 500,
     stop_within_ms: 400,
     lost_after_ms: 250,
-    noticed_within_ms: 1_500,
 };
 const LEASE_MS: u64 = 3_000;
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -19,8 +19,8 @@
     },
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
-        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, has_no_agents},
-        dispatch::{AgentKey, Dispatch, DispatchLimits},
+        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
+        dispatch::{Dispatch, DispatchLimits},
         receipts,
         voters::VotersAnswer,
     },
@@ -64,8 +64,6 @@
 /// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
 /// passes over what is due.
 const ACKNOWLEDGE_WITHIN_MS: u64 = 40;
-/// Agents take an entry for silent after 900 ms, and tell others with their next heartbeat.
-const NOTICED_WITHIN_MS: u64 = 1_500;
 /// Longest time in which claimants are told that this entry ends.
 const LEAVE_WITHIN: Duration = Duration::from_millis(20);
 /// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
@@ -123,7 +121,6 @@
             confirm_within_ms: CONFIRM_WITHIN_MS,
             stop_within_ms: STOP_WITHIN_MS,
             lost_after_ms: LOST_AFTER_MS,
-            noticed_within_ms: NOTICED_WITHIN_MS,
         };
         Self {
             claims: Mutex::new(Claims::new(limits)),
@@ -360,7 +357,6 @@
             if has_vote {
                 claims.confirmed(self.settings.own, now_ms);
             }
-            self.update_lost_holders(dispatch, &mut claims);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
@@ -384,45 +380,6 @@
         })
     }
 
-    /// Records which of the lost holders have no agents, as the agents linked here tell.
-    fn update_lost_holders(&self, dispatch: &Dispatch, claims: &mut Claims) {
-        if !claims.has_lost_holders() {
-            return;
-        }
-        let list = self.voters.list();
-        let voters = voters::sets(list.as_deref()).voters().map(|voter| voter.address);
-        let reached: Vec<_> = voters.filter(|entry| !claims.is_lost(*entry)).collect();
-        let data_centre_of = |holder| {
-            let voter =
-                voters::sets(list.as_deref()).voters().find(|voter| voter.address == holder);
-            voter.map(|voter| voter.data_centre.as_str())
-        };
-        let agents = dispatch.known_agents();
-        let mut cluster = self.cluster.lock();
-        cluster.forget_seen(&agents);
-        let has_no_agents = |holder| {
-            // This entry may know the agents of its own side of a cut alone, so that one of the
-            // holder's data centre has to be among them.
-            let data_centre = data_centre_of(holder)?;
-            let is_beside = |agent: &&AgentKey| {
-                dispatch.data_centre(**agent) == Some(data_centre)
-                    && cluster.witness(**agent, holder).is_some()
-            };
-            agents.iter().find(is_beside)?;
-            let connected = agents.iter().map(|agent| cluster.witness(*agent, holder));
-            has_no_agents(holder, connected, &reached)
-        };
-        for (holder, is_without) in claims.set_without_agents(has_no_agents, self.clock.now_ms()) {
-            event!(
-                Info,
-                "claim_holder_without_agents",
-                holder = holder,
-                has_no_vote = is_without,
-                agents = agents.len(),
-            );
-        }
-    }
-
     /// Gives up jobs whose claims are not confirmed.
     fn give_up_lapsed(&self, dispatch: &mut Dispatch, lapsed: Vec<CallerJobId>) {
         for job in lapsed {
--- a/crates/entry/src/runs/cluster.rs
+++ b/crates/entry/src/runs/cluster.rs
@@ -18,8 +18,6 @@
     pub(super) is_roster_read: bool,
     /// Those that each agent linked here knows.
     pub(super) by_agent: HashMap<AgentKey, AgentsEntries>,
-    /// Those to which each agent was seen connected.
-    pub(super) seen: HashMap<AgentKey, BTreeSet<SocketAddr>>,
 }
 
 /// Entries that an agent knows.
@@ -55,18 +53,6 @@
         addresses.into_iter().map(located).collect()
     }
 
-    /// Entries that an agent is connected to, if it is linked here and was seen connected to
-    /// `entry` before. An agent on the other side of a cut knows nothing of the entry.
-    pub(super) fn witness(&self, agent: AgentKey, entry: SocketAddr) -> Option<&[SocketAddr]> {
-        self.seen.get(&agent).filter(|seen| seen.contains(&entry))?;
-        self.by_agent.get(&agent).map(|entries| &entries.connected[..])
-    }
-
-    /// Forgets what was seen of agents that are not known any more.
-    pub(super) fn forget_seen(&mut self, known: &[AgentKey]) {
-        self.seen.retain(|agent, _| known.contains(agent));
-    }
-
     /// Whether [`Self::all`] names every entry that may hold a job. What agents tell does not: at
     /// the start of an entry, few or none are connected, and each knows the entries of its own
     /// links.
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -269,7 +269,6 @@
 
     fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<EntryAddress>) {
         self.change_cluster(|cluster| {
-            cluster.seen.entry(agent).or_default().extend(&connected);
             cluster.by_agent.insert(agent, AgentsEntries { connected, named });
         });
     }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -613,10 +613,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimAnswer {
     /// The claimant has the job.
-    Granted {
-        /// Whether the holder knows of no other claim on it.
-        is_alone: bool,
-    },
+    Granted,
     /// Another entry has it.
     Held,
     /// Another entry has had it, and its claim ends by some time: the entry has given the job up,
