An entry knows that it has started again before it answers anyone

What callers could see: a task runs twice. By reading (a review): an entry accepted connections, as the only voter and with an empty table that grants at once, until its main thread had told it to follow the platform's voters and to wait for the claims of its process before. A thread that lost the processor in between let claims that had waited in the listener's queue be granted.

Change: start_prepared sets both up before connections are accepted. No test shows the window, which is some microseconds on a calm machine.

--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -141,6 +141,25 @@
         settings: JobServiceSettings,
         listener: TcpListener,
         clock: Clock,
+    ) -> Arc<Self> {
+        Self::start_on(settings, listener, clock, |_| {})
+    }
+
+    /// The same with what has to be done before other entries and agents are answered.
+    #[must_use]
+    pub fn start_prepared(
+        settings: JobServiceSettings,
+        listener: TcpListener,
+        prepare: impl FnOnce(&Self),
+    ) -> Arc<Self> {
+        Self::start_on(settings, listener, Clock::start(), prepare)
+    }
+
+    fn start_on(
+        settings: JobServiceSettings,
+        listener: TcpListener,
+        clock: Clock,
+        prepare: impl FnOnce(&Self),
     ) -> Arc<Self> {
         let incarnation = Incarnation(rand::rng().random());
         let service = Arc::new(Self {
@@ -162,6 +181,7 @@
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
+        prepare(&service);
         tokio::spawn(links::accept(Arc::clone(&service), listener));
         tokio::spawn(tick(Arc::clone(&service)));
         event!(
@@ -562,9 +582,10 @@
         let stopped = service.change(|dispatch, now_ms| {
             if let Some(stall_ms) = stalls.record(now_ms) {
                 dispatch.note_stall(stall_ms, now_ms);
-                dispatch.suspend_claims();
+                service.suspend_claims(dispatch, now_ms);
                 calm_passes = 0;
             }
+            service.hold_claims(dispatch, now_ms);
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
