Claims of before a long stall end, and lapses in series share one pause

- A task runs twice, or again after it is done.
An entry that stood still for more than 1.64 s named its claims as granted as it went on; holders that had started again, or had seen the copy's job end, granted them.
Now such a claim ends at once with its job, is never named as granted, and is granted no more (suspend, is_outlived).
Votes of before a stall count for nothing from the moment at which it is noticed.
- Jobs that lose their majorities one after the other silenced the entry for up to 1.3 s, so that agents stopped all of its runs.
Now they share one pause: when it has lasted give_up_ms - margin_ms, all jobs that are unconfirmed are given up together.
- By reading: a tick that is late by 0.3 s let tasks be placed by a claim that was 0.7 s old.
Holds are looked at before each pass, and nothing is placed more than 0.1 s after one, or by a claim older than the margin less that.

The margin of claims is 300 ms in place of 400 ms, so that a restarted holder waits 1.54 s.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -73,6 +73,9 @@
     is_given_up: bool,
     /// Whether no task is placed by it until a majority confirms it again.
     is_on_hold: bool,
+    /// Whether this process stood still for so long that another entry may have been granted the
+    /// job since, and be done with it.
+    is_outlived: bool,
     /// It does not lapse before this time, as holders were asked again after this process stood
     /// still.
     lapses_from_ms: u64,
@@ -87,7 +90,7 @@
                 job,
                 number: self.number,
                 for_ms,
-                is_granted: self.is_granted || self.was_granted,
+                is_granted: (self.is_granted || self.was_granted) && !self.is_outlived,
             },
         }
     }
@@ -140,6 +143,7 @@
                 || self.casting_vote(holders).is_some()
         };
         !self.holders.is_empty()
+            && !self.is_outlived
             && self.holders.iter().all(is_granted_by)
             && now_ms < self.last_confirmed_ms(reach) + reach.limits.grant_within_ms()
     }
@@ -266,6 +270,8 @@
     claims: HashMap<CallerJobId, Claim>,
     /// Number of the last claim.
     last_number: u64,
+    /// Since when messages of agents are not acknowledged, as a claim is unconfirmed.
+    paused_ms: Option<u64>,
 }
 
 impl Claims {
@@ -278,7 +284,7 @@
             contacts_ms: HashMap::new(),
             voteless_ms: HashMap::new(),
         };
-        Self { reach, claims: HashMap::new(), last_number: 0 }
+        Self { reach, claims: HashMap::new(), last_number: 0, paused_ms: None }
     }
 
     /// Begins a claim on a job whose caller waits until `deadline_ms`. Returns what to ask the
@@ -304,6 +310,7 @@
             was_granted: false,
             is_given_up: false,
             is_on_hold: false,
+            is_outlived: false,
             lapses_from_ms: now_ms,
         };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
@@ -369,17 +376,27 @@
         self.record(job, holder, vote, now_ms)
     }
 
-    /// Claims all jobs again after this process has stood still: holders may have taken it for lost
-    /// and granted a job to another entry. Returns what to ask.
-    pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
-        let mut requests = Vec::new();
-        for (&job, claim) in &mut self.claims {
+    /// Takes no vote of before for one any more, as this process has stood still: holders may have
+    /// taken it for lost and granted a job to another entry. A claim that has outlasted what
+    /// holders promise ends with the next look at lapsed claims.
+    pub fn suspend(&mut self, now_ms: u64) {
+        let outlast_ms = self.reach.limits.outlast_ms();
+        for claim in self.claims.values_mut() {
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
-            claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
+            claim.is_outlived |= now_ms >= claim.confirmed_ms + outlast_ms;
             self.last_number += 1;
             claim.number = self.last_number;
             claim.votes.iter_mut().for_each(|(_, vote)| *vote = Vote::Pending);
+        }
+    }
+
+    /// Claims all jobs again that this process had before it stood still. Returns what to ask.
+    pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
+        self.suspend(now_ms);
+        let mut requests = Vec::new();
+        for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_outlived) {
+            claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
             requests
                 .extend(claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, now_ms)));
         }
@@ -505,11 +522,7 @@
     /// claims are granted again before.
     pub fn take_lapsed(&mut self, now_ms: u64) -> Vec<CallerJobId> {
         let reach = &self.reach;
-        let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
-            let is_unconfirmed = now_ms >= claim.lapses_from_ms
-                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms;
-            claim.may_run() && is_unconfirmed
-        };
+        let limits = reach.limits;
         let mark = |(&job, claim): (&CallerJobId, &mut Claim)| {
             claim.is_given_up = true;
             job
@@ -518,6 +531,18 @@
         for claim in self.claims.values_mut() {
             claim.confirmed_ms = claim.last_confirmed_ms(reach);
         }
+        let is_paused = now_ms > self.acknowledge_until_ms();
+        self.paused_ms = is_paused.then(|| self.paused_ms.unwrap_or(now_ms));
+        // Jobs that lose their majorities one after the other share one pause, or agents would take
+        // this entry for silent.
+        let pause_ms = limits.give_up_ms - limits.margin_ms;
+        let is_pause_over = self.paused_ms.is_some_and(|since_ms| now_ms >= since_ms + pause_ms);
+        let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
+            let may_wait_ms = if is_pause_over { limits.margin_ms } else { limits.give_up_ms };
+            let is_unconfirmed =
+                now_ms >= claim.lapses_from_ms && now_ms >= claim.confirmed_ms + may_wait_ms;
+            claim.may_run() && is_unconfirmed || claim.is_outlived && !claim.is_given_up
+        };
         self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
     }
 
@@ -528,6 +553,7 @@
         let (mut held, mut resumed) = (Vec::new(), Vec::new());
         let running = self.claims.iter_mut().filter(|(_, claim)| claim.may_run());
         for (&job, claim) in running.filter(|(_, claim)| claim.is_granted) {
+            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
             let is_old = now_ms >= claim.confirmed_ms + self.reach.limits.grant_within_ms();
             let was_on_hold = std::mem::replace(&mut claim.is_on_hold, is_old);
             match (was_on_hold, is_old) {
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use {
-    crate::rendezvous,
+    crate::{dispatch::MAX_TICK_MS, rendezvous},
     std::{cmp::Reverse, collections::HashSet, net::SocketAddr},
     sycamorerail_wire::runs::{CallerJobId, EntryAddress},
 };
@@ -57,9 +57,10 @@
     }
 
     /// Time after the last contact with a majority of its holders within which a claim may be
-    /// granted, in milliseconds. Agents may have been acknowledged until now.
+    /// granted, and tasks placed by it, in milliseconds. Agents may have been acknowledged until
+    /// now, and tasks are placed until [`MAX_TICK_MS`] after a look at what is due.
     fn grant_within_ms(&self) -> u64 {
-        self.confirm_within_ms.min(self.margin_ms)
+        self.confirm_within_ms.min(self.margin_ms.saturating_sub(MAX_TICK_MS))
     }
 }
 
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -6,8 +6,9 @@
     sycamorerail_wire::runs::CallerJobId,
 };
 
-/// Longest pause between two looks at what is due after which claims hold, in milliseconds.
-pub const MAX_TICK_MS: u64 = 300;
+/// Longest time after a look at what is due in which tasks are placed, in milliseconds: claims may
+/// have become too old since.
+pub const MAX_TICK_MS: u64 = 100;
 
 /// A job that has ended at this entry, or is being ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +53,7 @@
         claimed.for_each(|job| job.is_claimed = false);
     }
 
-    /// Whether this process may have stood still, so that claims have to be granted again.
+    /// Whether claims may be too old to place tasks by, as this process may have stood still.
     pub(super) fn may_have_stood_still(&self, now_ms: u64) -> bool {
         now_ms > self.ticked_ms + MAX_TICK_MS
     }
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -57,13 +57,13 @@
 /// a connection is replaced.
 const CONFIRM_WITHIN_MS: u64 = 500;
 /// Time for which claims last beyond the longest runs.
-const MARGIN_MS: u64 = 400;
+const MARGIN_MS: u64 = 300;
 /// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
 /// several attempts at the upstream.
 const STOP_WITHIN_MS: u64 = 400;
 /// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
-/// passes over what is due.
-const ACKNOWLEDGE_WITHIN_MS: u64 = 40;
+/// passes over what is due, of which one may be late.
+const ACKNOWLEDGE_WITHIN_MS: u64 = 100;
 /// Longest time in which claimants are told that this entry ends.
 const LEAVE_WITHIN: Duration = Duration::from_millis(20);
 /// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
@@ -296,6 +296,26 @@
         );
     }
 
+    /// Stops the placement of jobs whose claims no majority has confirmed lately, and resumes that
+    /// of others, before a pass over what is due.
+    pub(super) fn hold_claims(&self, dispatch: &mut Dispatch, now_ms: u64) {
+        let (held, resumed) = self.claims.claims.lock().take_holds(now_ms);
+        for job in held {
+            event!(Info, "job_claim_unconfirmed", job = job);
+            dispatch.find_job(job).into_iter().for_each(|key| dispatch.hold_claim(key));
+        }
+        for job in resumed {
+            let key = dispatch.find_job(job);
+            key.into_iter().for_each(|key| dispatch.claim_granted(key, now_ms));
+        }
+    }
+
+    /// Takes no vote of before a stall for one any more.
+    pub(super) fn suspend_claims(&self, dispatch: &mut Dispatch, now_ms: u64) {
+        dispatch.suspend_claims();
+        self.claims.claims.lock().suspend(now_ms);
+    }
+
     /// Gives up the claims of jobs that have ended.
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
@@ -368,11 +388,9 @@
             // After a stall claims are claimed again below before any counts as lapsed.
             let lapsed =
                 if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
-            let (held, resumed) = claims.take_holds(now_ms);
             drop(claims);
             self.apply(dispatch, decided, now_ms);
             self.give_up_lapsed(dispatch, lapsed);
-            hold(dispatch, &held, &resumed, now_ms);
             if passes == receipts::PASSES {
                 self.claim_again(dispatch, now_ms);
             }
@@ -772,18 +790,6 @@
     }
 }
 
-/// Stops and resumes the placement of jobs.
-fn hold(dispatch: &mut Dispatch, held: &[CallerJobId], resumed: &[CallerJobId], now_ms: u64) {
-    for &job in held {
-        event!(Info, "job_claim_unconfirmed", job = job);
-        dispatch.find_job(job).into_iter().for_each(|key| dispatch.hold_claim(key));
-    }
-    for job in resumed {
-        let key = dispatch.find_job(*job);
-        key.into_iter().for_each(|key| dispatch.claim_granted(key, now_ms));
-    }
-}
-
 fn list_others(others: &[(SocketAddr, &str)]) -> String {
     let others = others.iter().map(|(holder, reason)| format!("{holder}:{reason}"));
     others.collect::<Vec<_>>().join(",")
