--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -45,23 +45,14 @@
     NotYet { until_ms: u64 },
     /// Another entry's claim is about to end there. To be asked again at this time.
     Ending { until_ms: u64 },
-    /// It has granted the claim, and knew whether it was the only one.
-    Granted { is_alone: bool },
-    /// It has granted the claim before another holder turned out to have started lately: it may
-    /// know of other claims since, which that one has forgotten.
-    Unsure,
+    /// It has granted the claim.
+    Granted,
     /// Another entry has the job, though this one's claim is granted.
     Held,
     /// It can't tell whether its list of voters is in force. To be asked again at this time.
     Voteless { until_ms: u64 },
 }
 
-impl Vote {
-    fn is_granted(self) -> bool {
-        matches!(self, Self::Granted { .. })
-    }
-}
-
 #[derive(Debug)]
 struct Claim {
     number: u64,
@@ -78,8 +69,13 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
-    /// Whether no majority has confirmed it in time.
-    is_lapsed: bool,
+    /// Whether its job is given up, or has ended.
+    is_given_up: bool,
+    /// Whether no task is placed by it until a majority confirms it again.
+    is_on_hold: bool,
+    /// Whether this process stood still for so long that another entry may have been granted the
+    /// job since, and be done with it.
+    is_outlived: bool,
     /// It does not lapse before this time, as holders were asked again after this process stood
     /// still.
     lapses_from_ms: u64,
@@ -94,15 +90,11 @@
                 job,
                 number: self.number,
                 for_ms,
-                is_granted: self.is_granted || self.was_granted,
+                is_granted: (self.is_granted || self.was_granted) && !self.is_outlived,
             },
         }
     }
 
-    fn count(&self, holders: &[SocketAddr], is_wanted: impl Fn(Vote) -> bool) -> usize {
-        self.votes_of(holders).filter(|(_, vote)| is_wanted(*vote)).count()
-    }
-
     fn votes_of<'a>(
         &'a self,
         holders: &'a [SocketAddr],
@@ -111,28 +103,18 @@
         holders.iter().filter_map(vote_of)
     }
 
-    /// Number of holders of a set with a vote, of which a majority has to grant the claim.
-    fn voting(&self, holders: &[SocketAddr], reach: &Reach) -> usize {
-        // A holder that has not started lately knows of every claim, as each is sent to all, but
-        // for those that the first one of two has granted alone.
-        let is_alone = self.count(holders, |vote| vote == Vote::Granted { is_alone: true }) > 0;
-        let has_casting_vote = |holder| holders.len() == 2 && holders[0] == holder;
-        let has_vote = |(holder, vote): &(SocketAddr, Vote)| {
-            let is_new = matches!(vote, Vote::NotYet { .. });
-            let knows_nothing = is_new && is_alone && !has_casting_vote(*holder);
-            !reach.is_out(*holder) && !knows_nothing
-        };
-        self.votes_of(holders).filter(has_vote).count()
-    }
-
-    /// Holders of a set with a vote that have granted it.
+    /// Holders of a set that have granted it.
     fn granted_by<'a>(
         &'a self,
         holders: &'a [SocketAddr],
-        reach: &'a Reach,
     ) -> impl Iterator<Item = SocketAddr> + 'a {
-        let granted = self.votes_of(holders).filter(|(_, vote)| vote.is_granted());
-        granted.map(|(holder, _)| holder).filter(|holder| !reach.is_out(*holder))
+        let granted = self.votes_of(holders).filter(|(_, vote)| *vote == Vote::Granted);
+        granted.map(|(holder, _)| holder)
+    }
+
+    /// Whether this entry runs the job, as far as the claim tells.
+    fn may_run(&self) -> bool {
+        (self.is_granted || self.was_granted) && !self.is_given_up
     }
 
     /// Entries that know of it, or should.
@@ -157,18 +139,19 @@
     /// Whether a majority of each set has granted it, and keeps it for long enough.
     fn is_decided(&self, reach: &Reach, now_ms: u64) -> bool {
         let is_granted_by = |holders: &Vec<SocketAddr>| {
-            let granted = self.granted_by(holders, reach).count();
-            granted * 2 > self.voting(holders, reach) || self.casting_vote(holders).is_some()
+            is_majority(self.granted_by(holders).count(), holders)
+                || self.casting_vote(holders).is_some()
         };
         !self.holders.is_empty()
+            && !self.is_outlived
             && self.holders.iter().all(is_granted_by)
-            && now_ms < self.last_confirmed_ms(reach) + reach.limits.confirm_within_ms
+            && now_ms < self.last_confirmed_ms(reach) + reach.limits.grant_within_ms()
     }
 
     /// The first holder of two, if it has granted the claim: its vote decides.
     fn casting_vote(&self, holders: &[SocketAddr]) -> Option<SocketAddr> {
         let [first, _] = *holders else { return None };
-        self.votes_of(&[first]).any(|(_, vote)| vote.is_granted()).then_some(first)
+        self.votes_of(&[first]).any(|(_, vote)| vote == Vote::Granted).then_some(first)
     }
 
     /// Returns when a majority of each set was last certain to keep it.
@@ -179,10 +162,9 @@
 
     fn confirmed_by_ms(&self, holders: &[SocketAddr], reach: &Reach) -> u64 {
         let contact_ms = |holder| reach.contacts_ms.get(&holder).copied();
-        let mut contacts_ms: Vec<_> =
-            self.granted_by(holders, reach).filter_map(contact_ms).collect();
+        let mut contacts_ms: Vec<_> = self.granted_by(holders).filter_map(contact_ms).collect();
         contacts_ms.sort_unstable_by_key(|&contact_ms| Reverse(contact_ms));
-        let by_majority_ms = contacts_ms.get(self.voting(holders, reach) / 2).copied();
+        let by_majority_ms = contacts_ms.get(holders.len() / 2).copied();
         let by_first_ms =
             self.casting_vote(holders).and_then(|holder| reach.contacts_ms.get(&holder));
         by_majority_ms.max(by_first_ms.copied()).unwrap_or(0)
@@ -191,12 +173,19 @@
     /// Whether most holders of a set have the job for another entry.
     fn is_lost(&self) -> bool {
         let is_held = |holders: &Vec<SocketAddr>| {
-            self.count(holders, |vote| vote == Vote::Held) * 2 > holders.len()
+            let held = self.votes_of(holders).filter(|(_, vote)| *vote == Vote::Held);
+            is_majority(held.count(), holders)
         };
         self.holders.iter().any(is_held)
     }
 }
 
+/// Whether so many are most of the holders of a set. Nothing takes a holder out of the count: what
+/// one has granted that has left, is lost or has started again counts until it is over.
+fn is_majority(count: usize, holders: &[SocketAddr]) -> bool {
+    count * 2 > holders.len()
+}
+
 /// Holders of a job in each set of voters.
 fn holders_of(job: CallerJobId, sets: VoterSets) -> Vec<Vec<SocketAddr>> {
     sets.iter().map(|voters| holders(job, voters)).collect()
@@ -220,16 +209,6 @@
     since_ms: u64,
     /// Whether it has said that it ends as planned.
     has_left: bool,
-    /// Whether no agent is in contact with it, if agents can tell.
-    has_no_agents: Option<bool>,
-    /// When agents could tell last.
-    agents_told_ms: u64,
-}
-
-impl LostHolder {
-    fn new(has_left: bool, now_ms: u64) -> Self {
-        Self { since_ms: now_ms, has_left, has_no_agents: None, agents_told_ms: now_ms }
-    }
 }
 
 /// What is known of the holders.
@@ -245,23 +224,29 @@
 }
 
 impl Reach {
-    /// Whether a holder has no vote: it has left, or no agent could run what it grants.
-    fn is_out(&self, holder: SocketAddr) -> bool {
-        self.lost.get(&holder).is_some_and(|lost| lost.has_left || lost.has_no_agents == Some(true))
-    }
-
     /// Whether a holder has not been reached for so long that its vote is not waited for.
     fn is_given_up(&self, holder: SocketAddr, now_ms: u64) -> bool {
-        let ClaimLimits { lost_after_ms, noticed_within_ms, .. } = self.limits;
+        let lost_after_ms = self.limits.lost_after_ms;
         let is_voteless = |since_ms: &u64| now_ms >= since_ms + lost_after_ms;
         if self.voteless_ms.get(&holder).is_some_and(is_voteless) {
             return true;
         }
-        self.lost.get(&holder).is_some_and(|lost| {
-            let wait_ms =
-                if lost.has_no_agents.is_some() { noticed_within_ms } else { lost_after_ms };
-            now_ms >= lost.since_ms + wait_ms
-        })
+        let is_gone = |lost: &LostHolder| lost.has_left || now_ms >= lost.since_ms + lost_after_ms;
+        self.lost.get(&holder).is_some_and(is_gone)
+    }
+
+    /// Why a holder has not granted a claim, for the log.
+    fn reason(&self, holder: SocketAddr, vote: Vote) -> &'static str {
+        match (self.lost.get(&holder), vote) {
+            (Some(LostHolder { has_left: true, .. }), _) => "left",
+            (Some(_), _) => "out_of_reach",
+            (None, Vote::Pending) => "not_answered",
+            (None, Vote::NotYet { .. }) => "started_lately",
+            (None, Vote::Ending { .. }) => "other_claim_ends",
+            (None, Vote::Granted) => "granted",
+            (None, Vote::Held) => "held",
+            (None, Vote::Voteless { .. }) => "no_vote",
+        }
     }
 }
 
@@ -272,8 +257,10 @@
     pub number: u64,
     /// Holders that have granted it.
     pub granted_by: Vec<SocketAddr>,
-    /// Its other holders.
-    pub others: Vec<SocketAddr>,
+    /// Its other holders, and what keeps each of them from having granted it.
+    pub others: Vec<(SocketAddr, &'static str)>,
+    /// When a majority was last certain to keep it.
+    pub confirmed_ms: u64,
 }
 
 /// State of an entry that claims jobs.
@@ -283,6 +270,8 @@
     claims: HashMap<CallerJobId, Claim>,
     /// Number of the last claim.
     last_number: u64,
+    /// Since when messages of agents are not acknowledged, as a claim is unconfirmed.
+    paused_ms: Option<u64>,
 }
 
 impl Claims {
@@ -295,7 +284,7 @@
             contacts_ms: HashMap::new(),
             voteless_ms: HashMap::new(),
         };
-        Self { reach, claims: HashMap::new(), last_number: 0 }
+        Self { reach, claims: HashMap::new(), last_number: 0, paused_ms: None }
     }
 
     /// Begins a claim on a job whose caller waits until `deadline_ms`. Returns what to ask the
@@ -319,7 +308,9 @@
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
-            is_lapsed: false,
+            is_given_up: false,
+            is_on_hold: false,
+            is_outlived: false,
             lapses_from_ms: now_ms,
         };
         let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
@@ -348,9 +339,7 @@
         {
             return true;
         }
-        let voting = holders.iter().copied().filter(|holder| !self.reach.is_out(*holder));
-        let (reached, lost): (Vec<_>, Vec<_>) = voting.partition(is_reached);
-        reached.len() > lost.len()
+        is_majority(holders.iter().filter(|holder| is_reached(holder)).count(), holders)
     }
 
     /// Whether this entry is without contact to most voters, itself included, or knows of none.
@@ -358,11 +347,8 @@
     pub fn is_apart<'a>(&self, sets: impl Into<VoterSets<'a>>, now_ms: u64) -> bool {
         let sets = sets.into();
         let is_apart_from = |voters: &[EntryAddress]| {
-            let addresses = voters.iter().map(|voter| voter.address);
-            let voting = addresses.filter(|voter| !self.reach.is_out(*voter));
-            let (lost, reached): (Vec<_>, Vec<_>) =
-                voting.partition(|voter| self.reach.is_given_up(*voter, now_ms));
-            lost.len() > reached.len()
+            let is_lost = |voter: &&EntryAddress| self.reach.is_given_up(voter.address, now_ms);
+            voters.iter().filter(is_lost).count() * 2 > voters.len()
         };
         sets.iter().next().is_none() || sets.iter().any(is_apart_from)
     }
@@ -376,7 +362,7 @@
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get(&job).filter(|claim| claim.number == number)?;
         let vote = match answer {
-            ClaimAnswer::Granted { is_alone } => Vote::Granted { is_alone },
+            ClaimAnswer::Granted => Vote::Granted,
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
             ClaimAnswer::Held | ClaimAnswer::Ending { .. } if claim.is_granted => Vote::Held,
             ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
@@ -390,17 +376,27 @@
         self.record(job, holder, vote, now_ms)
     }
 
-    /// Claims all jobs again after this process has stood still: holders may have taken it for lost
-    /// and granted a job to another entry. Returns what to ask.
-    pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
-        let mut requests = Vec::new();
-        for (&job, claim) in &mut self.claims {
+    /// Takes no vote of before for one any more, as this process has stood still: holders may have
+    /// taken it for lost and granted a job to another entry. A claim that has outlasted what
+    /// holders promise ends with the next look at lapsed claims.
+    pub fn suspend(&mut self, now_ms: u64) {
+        let outlast_ms = self.reach.limits.outlast_ms();
+        for claim in self.claims.values_mut() {
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
-            claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
+            claim.is_outlived |= now_ms >= claim.confirmed_ms + outlast_ms;
             self.last_number += 1;
             claim.number = self.last_number;
             claim.votes.iter_mut().for_each(|(_, vote)| *vote = Vote::Pending);
+        }
+    }
+
+    /// Claims all jobs again that this process had before it stood still. Returns what to ask.
+    pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
+        self.suspend(now_ms);
+        let mut requests = Vec::new();
+        for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_outlived) {
+            claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
             requests
                 .extend(claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, now_ms)));
         }
@@ -460,48 +456,16 @@
     /// Records that a holder can't be reached, and whether nobody listens there: what it has
     /// granted may be forgotten.
     pub fn holder_lost(&mut self, holder: SocketAddr, is_gone: bool, now_ms: u64) {
-        self.reach.lost.entry(holder).or_insert(LostHolder::new(false, now_ms));
+        self.reach.lost.entry(holder).or_insert(LostHolder { since_ms: now_ms, has_left: false });
         let undecided = self.claims.values_mut().filter(|claim| is_gone && !claim.is_granted);
         let votes = undecided.flat_map(|claim| &mut claim.votes);
-        let granted = votes.filter(|(of, vote)| *of == holder && vote.is_granted());
+        let granted = votes.filter(|(of, vote)| *of == holder && *vote == Vote::Granted);
         granted.for_each(|(_, vote)| *vote = Vote::Pending);
     }
 
     /// Records that a holder ends as planned, and grants nothing any more.
     pub fn holder_left(&mut self, holder: SocketAddr, now_ms: u64) {
-        self.reach.lost.insert(holder, LostHolder::new(true, now_ms));
-    }
-
-    /// Records which of the lost holders have no agents, as far as agents can tell: nothing that
-    /// they grant could run. What they have told holds for a while where one of them is replacing
-    /// its connection. Returns the holders whose vote this takes or gives back, and whether it is
-    /// taken.
-    pub fn set_without_agents(
-        &mut self,
-        has_no_agents: impl Fn(SocketAddr) -> Option<bool>,
-        now_ms: u64,
-    ) -> Vec<(SocketAddr, bool)> {
-        let mut changed = Vec::new();
-        for (&holder, lost) in &mut self.reach.lost {
-            let told = has_no_agents(holder);
-            if told.is_some() {
-                lost.agents_told_ms = now_ms;
-            } else if now_ms < lost.agents_told_ms + self.reach.limits.noticed_within_ms {
-                continue;
-            }
-            let is_without = |told: Option<bool>| told == Some(true);
-            if is_without(lost.has_no_agents) != is_without(told) {
-                changed.push((holder, is_without(told)));
-            }
-            lost.has_no_agents = told;
-        }
-        changed
-    }
-
-    /// Whether any holder can't be reached.
-    #[must_use]
-    pub fn has_lost_holders(&self) -> bool {
-        !self.reach.lost.is_empty()
+        self.reach.lost.insert(holder, LostHolder { since_ms: now_ms, has_left: true });
     }
 
     fn record(
@@ -513,12 +477,7 @@
     ) -> Option<ClaimDecision> {
         let claim = self.claims.get_mut(&job)?;
         let (_, known) = claim.votes.iter_mut().find(|(of, _)| *of == holder)?;
-        let before = std::mem::replace(known, vote);
-        let is_new = |vote: Vote| matches!(vote, Vote::NotYet { .. });
-        if is_new(vote) && !is_new(before) {
-            let granted = claim.votes.iter_mut().filter(|(_, vote)| vote.is_granted());
-            granted.for_each(|(_, vote)| *vote = Vote::Unsure);
-        }
+        *known = vote;
         if claim.is_granted {
             // Holders that did not hear this entry have granted the job to another one.
             return claim.is_lost().then_some(ClaimDecision::Denied { holder });
@@ -527,14 +486,10 @@
         claim.is_granted.then_some(ClaimDecision::Granted)
     }
 
-    /// Returns the claims that are granted now, as holders have left, and what to ask holders again
-    /// that can answer now.
+    /// Returns the claims that are granted now, as majorities are in contact again, and what to ask
+    /// holders again that can answer now.
     pub fn tick(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<ClaimRequest>) {
         let (mut granted, mut requests) = (Vec::new(), Vec::new());
-        // By then an entry that has left may have started again, and grants claims.
-        let left_for_ms = self.reach.limits.run_over_ms;
-        let may_be_back = |lost: &&mut LostHolder| now_ms >= lost.since_ms + left_for_ms;
-        self.reach.lost.values_mut().filter(may_be_back).for_each(|lost| lost.has_left = false);
         for (&job, claim) in &mut self.claims {
             let mut ask_again = Vec::new();
             for (holder, vote) in &mut claim.votes {
@@ -545,7 +500,7 @@
                     Vote::Voteless { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
-                    Vote::Held | Vote::Unsure => true,
+                    Vote::Held => true,
                     _ => false,
                 };
                 if is_due {
@@ -567,23 +522,59 @@
     /// claims are granted again before.
     pub fn take_lapsed(&mut self, now_ms: u64) -> Vec<CallerJobId> {
         let reach = &self.reach;
-        let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
-            (claim.is_granted || claim.was_granted)
-                && !claim.is_lapsed
-                && now_ms >= claim.lapses_from_ms
-                && now_ms >= claim.confirmed_ms + reach.limits.give_up_ms()
-        };
+        let limits = reach.limits;
         let mark = |(&job, claim): (&CallerJobId, &mut Claim)| {
-            claim.is_lapsed = true;
+            claim.is_given_up = true;
             job
         };
         // Kept, as a holder that is back and has a vote again has confirmed nothing yet.
         for claim in self.claims.values_mut() {
             claim.confirmed_ms = claim.last_confirmed_ms(reach);
         }
+        let is_paused = now_ms > self.acknowledge_until_ms();
+        self.paused_ms = is_paused.then(|| self.paused_ms.unwrap_or(now_ms));
+        // Jobs that lose their majorities one after the other share one pause, or agents would take
+        // this entry for silent.
+        let pause_ms = limits.give_up_ms - limits.margin_ms;
+        let is_pause_over = self.paused_ms.is_some_and(|since_ms| now_ms >= since_ms + pause_ms);
+        let is_lapsed = |(_, claim): &(&CallerJobId, &mut Claim)| {
+            let may_wait_ms = if is_pause_over { limits.margin_ms } else { limits.give_up_ms };
+            let is_unconfirmed =
+                now_ms >= claim.lapses_from_ms && now_ms >= claim.confirmed_ms + may_wait_ms;
+            claim.may_run() && is_unconfirmed || claim.is_outlived && !claim.is_given_up
+        };
         self.claims.iter_mut().filter(is_lapsed).map(mark).collect()
     }
 
+    /// Returns the granted jobs of which no task may be placed from now on, as no majority has
+    /// confirmed their claims lately, and those that go on. An agent that has just connected would
+    /// run a task longer than the claim lasts.
+    pub fn take_holds(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<CallerJobId>) {
+        let (mut held, mut resumed) = (Vec::new(), Vec::new());
+        let running = self.claims.iter_mut().filter(|(_, claim)| claim.may_run());
+        for (&job, claim) in running.filter(|(_, claim)| claim.is_granted) {
+            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
+            let is_old = now_ms >= claim.confirmed_ms + self.reach.limits.grant_within_ms();
+            let was_on_hold = std::mem::replace(&mut claim.is_on_hold, is_old);
+            match (was_on_hold, is_old) {
+                (false, true) => held.push(job),
+                (true, false) => resumed.push(job),
+                _ => {}
+            }
+        }
+        (held, resumed)
+    }
+
+    /// Up to when messages of agents may be acknowledged. Runs end so long after the last one that
+    /// those of this entry are over as its claims end, also if it is killed, or an agent goes out
+    /// of reach.
+    #[must_use]
+    pub fn acknowledge_until_ms(&self) -> u64 {
+        let running = self.claims.values().filter(|claim| claim.may_run());
+        let oldest_ms = running.map(|claim| claim.confirmed_ms).min();
+        oldest_ms.map_or(u64::MAX, |oldest_ms| oldest_ms + self.reach.limits.margin_ms)
+    }
+
     /// Returns the claims to send again to a holder, over a new connection.
     #[must_use]
     pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
@@ -603,6 +594,7 @@
     pub fn end_by(&mut self, job: CallerJobId, over_ms: u64) -> Option<(u64, Vec<SocketAddr>)> {
         let claim = self.claims.get_mut(&job)?;
         claim.ends_ms = claim.ends_ms.min(over_ms);
+        claim.is_given_up = true;
         Some((claim.number, claim.known_to().collect()))
     }
 
@@ -623,13 +615,16 @@
     #[must_use]
     pub fn state(&self, job: CallerJobId) -> Option<ClaimState> {
         let claim = self.claims.get(&job)?;
-        let with = |is_granted: bool| {
-            let votes = claim.votes.iter();
-            let wanted = votes.filter(|(_, vote)| vote.is_granted() == is_granted);
-            wanted.map(|(holder, _)| *holder).collect()
-        };
-        let (granted_by, others) = (with(true), with(false));
-        Some(ClaimState { number: claim.number, granted_by, others })
+        let (granted_by, others): (Vec<_>, Vec<_>) =
+            claim.votes.iter().partition(|(_, vote)| *vote == Vote::Granted);
+        let missing =
+            |(holder, vote): (SocketAddr, Vote)| (holder, self.reach.reason(holder, vote));
+        Some(ClaimState {
+            number: claim.number,
+            granted_by: granted_by.into_iter().map(|(holder, _)| holder).collect(),
+            others: others.into_iter().map(missing).collect(),
+            confirmed_ms: claim.last_confirmed_ms(&self.reach),
+        })
     }
 
     /// Number of claims.
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -17,7 +17,7 @@
 };
 
 use {
-    crate::rendezvous,
+    crate::{dispatch::MAX_TICK_MS, rendezvous},
     std::{cmp::Reverse, collections::HashSet, net::SocketAddr},
     sycamorerail_wire::runs::{CallerJobId, EntryAddress},
 };
@@ -33,6 +33,10 @@
     pub run_over_ms: u64,
     /// Time for which a claim lasts beyond that, in milliseconds.
     pub margin_ms: u64,
+    /// Time after the last contact with a majority of its holders after which an entry gives a job
+    /// up, in milliseconds. The runs of the job have to be over within [`Self::stop_within_ms`],
+    /// before the claim ends, and agents must not take the entry for silent meanwhile.
+    pub give_up_ms: u64,
     /// A claim counts as granted only if the majority of its holders was in contact within this
     /// time, in milliseconds.
     pub confirm_within_ms: u64,
@@ -42,9 +46,6 @@
     /// Time after which an entry no longer expects the vote of a holder that it can't reach, in
     /// milliseconds.
     pub lost_after_ms: u64,
-    /// Time within which agents that are linked to all entries notice that one is lost, in
-    /// milliseconds.
-    pub noticed_within_ms: u64,
 }
 
 impl ClaimLimits {
@@ -55,11 +56,11 @@
         self.run_over_ms + self.margin_ms
     }
 
-    /// Time after the last contact with a majority of its holders after which an entry gives a job
-    /// up, in milliseconds.
-    #[must_use]
-    pub fn give_up_ms(&self) -> u64 {
-        self.outlast_ms() - self.stop_within_ms
+    /// Time after the last contact with a majority of its holders within which a claim may be
+    /// granted, and tasks placed by it, in milliseconds. Agents may have been acknowledged until
+    /// now, and tasks are placed until [`MAX_TICK_MS`] after a look at what is due.
+    fn grant_within_ms(&self) -> u64 {
+        self.confirm_within_ms.min(self.margin_ms.saturating_sub(MAX_TICK_MS))
     }
 }
 
@@ -80,20 +81,3 @@
     let chosen = first.into_iter().chain(others).take(HOLDERS);
     chosen.map(|entry| entry.address).collect()
 }
-
-/// Whether nothing that a lost holder grants could run, as no agent is in contact with it; `None`
-/// if agents can't tell. Each agent is given with the entries that it is connected to, or `None` if
-/// it has not told them. Agents that are not linked to every entry that is `reached` link to some
-/// entries only, and can't tell.
-pub fn has_no_agents<'a>(
-    holder: SocketAddr,
-    agents: impl IntoIterator<Item = Option<&'a [SocketAddr]>>,
-    reached: &[SocketAddr],
-) -> Option<bool> {
-    let is_linked_to_all =
-        |connected: &&[SocketAddr]| reached.iter().all(|entry| connected.contains(entry));
-    let agents = agents.into_iter().map(|connected| connected.filter(is_linked_to_all));
-    let agents: Vec<_> = agents.collect::<Option<_>>()?;
-    let is_without = |connected: &&[SocketAddr]| !connected.contains(&holder);
-    (!agents.is_empty()).then(|| agents.iter().all(is_without))
-}
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -6,8 +6,9 @@
     sycamorerail_wire::runs::CallerJobId,
 };
 
-/// Longest pause between two looks at what is due after which claims hold, in milliseconds.
-pub const MAX_TICK_MS: u64 = 300;
+/// Longest time after a look at what is due in which tasks are placed, in milliseconds: claims may
+/// have become too old since.
+pub const MAX_TICK_MS: u64 = 100;
 
 /// A job that has ended at this entry, or is being ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,13 +40,20 @@
         self.place_job(key, now_ms);
     }
 
+    /// Places no more tasks of a job until its claim is confirmed again.
+    pub fn hold_claim(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs.get_mut(key) {
+            job.is_claimed = false;
+        }
+    }
+
     /// Places no more tasks until claims are granted again.
     pub fn suspend_claims(&mut self) {
         let claimed = self.jobs.values_mut().filter(|job| job.needs_claim);
         claimed.for_each(|job| job.is_claimed = false);
     }
 
-    /// Whether this process may have stood still, so that claims have to be granted again.
+    /// Whether claims may be too old to place tasks by, as this process may have stood still.
     pub(super) fn may_have_stood_still(&self, now_ms: u64) -> bool {
         now_ms > self.ticked_ms + MAX_TICK_MS
     }
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -17,9 +17,10 @@
         },
         time::Duration,
     },
+    sycamorerail_clock::Clock,
     sycamorerail_decide::{
-        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, has_no_agents},
-        dispatch::{AgentKey, Dispatch, DispatchLimits},
+        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
+        dispatch::{Dispatch, DispatchLimits},
         receipts,
         voters::VotersAnswer,
     },
@@ -56,12 +57,13 @@
 /// a connection is replaced.
 const CONFIRM_WITHIN_MS: u64 = 500;
 /// Time for which claims last beyond the longest runs.
-const MARGIN_MS: u64 = 400;
+const MARGIN_MS: u64 = 300;
 /// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
 /// several attempts at the upstream.
 const STOP_WITHIN_MS: u64 = 400;
-/// Agents take an entry for silent after 900 ms, and tell others with their next heartbeat.
-const NOTICED_WITHIN_MS: u64 = 1_500;
+/// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
+/// passes over what is due, of which one may be late.
+const ACKNOWLEDGE_WITHIN_MS: u64 = 100;
 /// Longest time in which claimants are told that this entry ends.
 const LEAVE_WITHIN: Duration = Duration::from_millis(20);
 /// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
@@ -111,13 +113,14 @@
 
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
+        let silent_from_ms = MARGIN_MS + limits.owner_timeout_ms - 2 * limits.heartbeat_ms;
         let limits = ClaimLimits {
             run_over_ms: limits.run_over_ms,
             margin_ms: MARGIN_MS,
+            give_up_ms: silent_from_ms - ACKNOWLEDGE_WITHIN_MS,
             confirm_within_ms: CONFIRM_WITHIN_MS,
             stop_within_ms: STOP_WITHIN_MS,
             lost_after_ms: LOST_AFTER_MS,
-            noticed_within_ms: NOTICED_WITHIN_MS,
         };
         Self {
             claims: Mutex::new(Claims::new(limits)),
@@ -269,7 +272,8 @@
             job = job,
             claim = state.number,
             granted_by = list(&state.granted_by),
-            others = list(&state.others),
+            others = list_others(&state.others),
+            confirmed_ago_ms = self.clock.now_ms().saturating_sub(state.confirmed_ms),
             voters = voters::sets(voter_list.as_deref()).voters().count(),
             voters_number = voter_list.as_ref().map_or(0, |list| list.number),
         );
@@ -277,12 +281,14 @@
 
     /// Logs an order with the claim that it rests on.
     pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement) {
-        let claim = self.claims.claims.lock().state(placement.job).map(|state| state.number);
+        let claim = self.claims.claims.lock().state(placement.job);
+        let now_ms = self.clock.now_ms();
         event!(
             Info,
             "tasks_placed",
             job = placement.job,
-            claim = claim.unwrap_or(0),
+            claim = claim.as_ref().map_or(0, |claim| claim.number),
+            confirmed_ago_ms = claim.map_or(0, |claim| now_ms.saturating_sub(claim.confirmed_ms)),
             agent = agent,
             step = placement.step,
             tasks = placement.tasks.len(),
@@ -290,6 +296,26 @@
         );
     }
 
+    /// Stops the placement of jobs whose claims no majority has confirmed lately, and resumes that
+    /// of others, before a pass over what is due.
+    pub(super) fn hold_claims(&self, dispatch: &mut Dispatch, now_ms: u64) {
+        let (held, resumed) = self.claims.claims.lock().take_holds(now_ms);
+        for job in held {
+            event!(Info, "job_claim_unconfirmed", job = job);
+            dispatch.find_job(job).into_iter().for_each(|key| dispatch.hold_claim(key));
+        }
+        for job in resumed {
+            let key = dispatch.find_job(job);
+            key.into_iter().for_each(|key| dispatch.claim_granted(key, now_ms));
+        }
+    }
+
+    /// Takes no vote of before a stall for one any more.
+    pub(super) fn suspend_claims(&self, dispatch: &mut Dispatch, now_ms: u64) {
+        dispatch.suspend_claims();
+        self.claims.claims.lock().suspend(now_ms);
+    }
+
     /// Gives up the claims of jobs that have ended.
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
@@ -327,12 +353,13 @@
         self.apply(dispatch, decided, now_ms);
     }
 
-    /// Does what is due by time, so many passes after this process has stood still.
+    /// Does what is due by time, so many passes after this process has stood still. Returns whether
+    /// what agents have sent so far may be acknowledged.
     pub(super) fn tick_claims(
         self: &Arc<Self>,
         voters: &mut watch::Receiver<Option<Arc<VoterList>>>,
         passes: usize,
-    ) {
+    ) -> bool {
         let is_changed = voters.has_changed().unwrap_or(false);
         let list = voters.borrow_and_update().clone();
         if passes >= receipts::PASSES {
@@ -350,7 +377,6 @@
             if has_vote {
                 claims.confirmed(self.settings.own, now_ms);
             }
-            self.update_lost_holders(dispatch, &mut claims);
             let (granted, requests) = claims.tick(now_ms);
             let mut decided: Vec<_> =
                 granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
@@ -368,46 +394,8 @@
             if passes == receipts::PASSES {
                 self.claim_again(dispatch, now_ms);
             }
-        });
-    }
-
-    /// Records which of the lost holders have no agents, as the agents linked here tell.
-    fn update_lost_holders(&self, dispatch: &Dispatch, claims: &mut Claims) {
-        if !claims.has_lost_holders() {
-            return;
-        }
-        let list = self.voters.list();
-        let voters = voters::sets(list.as_deref()).voters().map(|voter| voter.address);
-        let reached: Vec<_> = voters.filter(|entry| !claims.is_lost(*entry)).collect();
-        let data_centre_of = |holder| {
-            let voter =
-                voters::sets(list.as_deref()).voters().find(|voter| voter.address == holder);
-            voter.map(|voter| voter.data_centre.as_str())
-        };
-        let agents = dispatch.known_agents();
-        let mut cluster = self.cluster.lock();
-        cluster.forget_seen(&agents);
-        let has_no_agents = |holder| {
-            // This entry may know the agents of its own side of a cut alone, so that one of the
-            // holder's data centre has to be among them.
-            let data_centre = data_centre_of(holder)?;
-            let is_beside = |agent: &&AgentKey| {
-                dispatch.data_centre(**agent) == Some(data_centre)
-                    && cluster.witness(**agent, holder).is_some()
-            };
-            agents.iter().find(is_beside)?;
-            let connected = agents.iter().map(|agent| cluster.witness(*agent, holder));
-            has_no_agents(holder, connected, &reached)
-        };
-        for (holder, is_without) in claims.set_without_agents(has_no_agents, self.clock.now_ms()) {
-            event!(
-                Info,
-                "claim_holder_without_agents",
-                holder = holder,
-                has_no_vote = is_without,
-                agents = agents.len(),
-            );
-        }
+            now_ms <= self.claims.claims.lock().acknowledge_until_ms()
+        })
     }
 
     /// Gives up jobs whose claims are not confirmed.
@@ -659,6 +647,7 @@
         incarnation: service.incarnation,
         entry: service.settings.own,
         connection: service.claims.connections.fetch_add(1, Ordering::Relaxed),
+        sent_unix_ms: Clock::unix_ms(),
     };
     writer.push(&RunsFirstMessage::Claimant(hello))?;
     let claims = service.claims.claims.lock();
@@ -680,6 +669,8 @@
         peer = peer,
         connection = hello.connection,
         waited_ms = service.unhandled_ms(),
+        // With the difference between the clocks of the two.
+        sent_ago_ms = Clock::unix_ms().saturating_sub(hello.sent_unix_ms),
     );
 }
 
@@ -692,7 +683,7 @@
     mut writer: FrameWriter,
 ) {
     log_claimant(service, &hello, peer);
-    let ClaimantHello { incarnation: claimant, entry, connection } = hello;
+    let ClaimantHello { incarnation: claimant, entry, connection, .. } = hello;
     let table = &service.claims.table;
     table.lock().connected(claimant, connection, service.now_ms());
     let mut heard_ms = service.now_ms();
@@ -799,6 +790,11 @@
     }
 }
 
+fn list_others(others: &[(SocketAddr, &str)]) -> String {
+    let others = others.iter().map(|(holder, reason)| format!("{holder}:{reason}"));
+    others.collect::<Vec<_>>().join(",")
+}
+
 fn list(entries: &[SocketAddr]) -> String {
     entries.iter().map(SocketAddr::to_string).collect::<Vec<_>>().join(",")
 }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -121,7 +121,7 @@
     told_jobs: Mutex<ToldJobs>,
     /// Claims on jobs, of this entry and of others.
     claims: ClaimLinks,
-    /// Number of passes over what is due by time.
+    /// Number of passes over what is due by time, without those at which claims were unconfirmed.
     passes: AtomicU64,
     /// Whether a planned stop has answered all jobs.
     stopped: watch::Sender<bool>,
@@ -141,6 +141,25 @@
         settings: JobServiceSettings,
         listener: TcpListener,
         clock: Clock,
+    ) -> Arc<Self> {
+        Self::start_on(settings, listener, clock, |_| {})
+    }
+
+    /// The same with what has to be done before other entries and agents are answered.
+    #[must_use]
+    pub fn start_prepared(
+        settings: JobServiceSettings,
+        listener: TcpListener,
+        prepare: impl FnOnce(&Self),
+    ) -> Arc<Self> {
+        Self::start_on(settings, listener, Clock::start(), prepare)
+    }
+
+    fn start_on(
+        settings: JobServiceSettings,
+        listener: TcpListener,
+        clock: Clock,
+        prepare: impl FnOnce(&Self),
     ) -> Arc<Self> {
         let incarnation = Incarnation(rand::rng().random());
         let service = Arc::new(Self {
@@ -162,6 +181,7 @@
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
+        prepare(&service);
         tokio::spawn(links::accept(Arc::clone(&service), listener));
         tokio::spawn(tick(Arc::clone(&service)));
         event!(
@@ -179,7 +199,8 @@
         self.clock.now_ms()
     }
 
-    /// Number of passes over what is due by time that are complete.
+    /// Number of passes over what is due by time that are complete, for acknowledgements. It stands
+    /// still while a claim is unconfirmed, so that runs of an entry that is killed are over in time.
     fn passes(&self) -> u64 {
         self.passes.load(Ordering::Acquire)
     }
@@ -268,7 +289,6 @@
 
     fn set_linked(&self, agent: AgentKey, connected: Vec<SocketAddr>, named: Vec<EntryAddress>) {
         self.change_cluster(|cluster| {
-            cluster.seen.entry(agent).or_default().extend(&connected);
             cluster.by_agent.insert(agent, AgentsEntries { connected, named });
         });
     }
@@ -562,17 +582,19 @@
         let stopped = service.change(|dispatch, now_ms| {
             if let Some(stall_ms) = stalls.record(now_ms) {
                 dispatch.note_stall(stall_ms, now_ms);
-                dispatch.suspend_claims();
+                service.suspend_claims(dispatch, now_ms);
                 calm_passes = 0;
             }
+            service.hold_claims(dispatch, now_ms);
             dispatch.tick(now_ms);
             dispatch.forget_agents(now_ms, FORGET_AGENTS_MS);
             dispatch.is_stopped(now_ms)
         });
         service.share_old_jobs(&mut shared);
-        service.tick_claims(&mut voters, calm_passes);
+        if service.tick_claims(&mut voters, calm_passes) {
+            service.passes.fetch_add(1, Ordering::AcqRel);
+        }
         calm_passes = calm_passes.saturating_add(1);
-        service.passes.fetch_add(1, Ordering::AcqRel);
         // After the answers that are due with it.
         service.stopped.send_if_modified(|told| stopped && !std::mem::replace(told, true));
     }
