What is not sent as an agent connects again is lost with the connection before

What callers could see: a task runs twice. An agent hands a task back, and its link ends before the report is read, as where one direction of it failed. As it connects again, the entry places the task at this agent, counts the run as lost with the same hello, and sends the order nonetheless. The run starts; after the agent has refused some further runs of the task, another agent starts one, too.

Cause: a hello lists the runs that the agent held as it was sent. The entry takes for lost what it has placed and the hello doesn't list, which includes placements that it has decided and not sent yet. Those went over the new connection: the placements by the reports in the hello itself (apply_resent_reports), and those of another thread whose decision and sending the hello comes between. After a restart of the agent they would count as runs of its earlier process.

Change: agent_connected drops the commands for the agent that have not been taken, as if they had been sent over the connection before. Stops of jobs whose runs the agent holds are sent again, as before.

Ruled out: that the model departs from the product.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -179,7 +179,8 @@
 
     /// Registers an agent that has connected. `held` are the runs of this entry that the agent
     /// still has, if it knows this incarnation of the entry. They tell nothing of runs that an
-    /// earlier process of the agent left.
+    /// earlier process of the agent left. Commands for the agent that have not been taken are lost
+    /// with the connection before.
     pub fn agent_connected(
         &mut self,
         name: &str,
@@ -195,6 +196,9 @@
             self.by_name.insert(name.to_owned(), key);
             return key;
         };
+        // The hello knows nothing of what has not been sent: over the new connection its runs would
+        // start and be taken for lost.
+        self.commands.retain(|command| command.agent() != Some(key));
         let view = &mut self.agents[key];
         if view.process.incarnation != incarnation {
             let earlier_runs = EarlierRuns {
--- a/crates/decide/tests/reconnects.rs
+++ b/crates/decide/tests/reconnects.rs
@@ -199,3 +199,22 @@
     entry.tick(2_000);
     assert_eq!(entry.job_count(), 0, "the task is done, and its report confirmed");
 }
+
+/// Guards against a run that starts after it was lost: its placement waits to be sent as its agent
+/// connects again, and goes over the new connection.
+#[test]
+fn a_placement_not_sent_before_a_hello_is_not_sent_after_it() {
+    for (process, held) in [(FIRST, Some(&[][..])), (SECOND, None)] {
+        let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+        let key = connect_usable(&mut entry, "a", 100);
+        entry.submit(job(), 100).unwrap();
+        entry.agent_connected("a", process, held, 101);
+        entry.agent_ready(key, 101);
+        let mut sent = ordered(&mut entry);
+        entry.handle_report(key, &[], load(true), 1, 103);
+        sent.extend(ordered(&mut entry));
+        let lost: Vec<_> = entry.take_losses().iter().map(|loss| (loss.agent, loss.run)).collect();
+        assert_eq!(lost, [(key, 1)]);
+        assert_eq!(sent, [(key, 2)], "run 1 is lost");
+    }
+}
--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -207,3 +207,20 @@
         assert_eq!((world.late, world.twice), (None, None));
     }
 }
+
+/// Guards against a run that starts after its entry has lost it: a report sent again in a hello has
+/// the task placed at the same agent, and the hello, which doesn't list it, counts it as lost.
+#[test]
+fn run_placed_as_its_agent_connects_again_is_not_started_and_lost() {
+    for agent in 0..AGENTS {
+        let plan = [
+            (0, cut(1 - agent, [true; 2], 2_000, 0)),
+            (1_000, SUBMIT),
+            (0, Fault::Slow { agent, ms: 10, late_ms: 200 }),
+            (10, cut(agent, [true, false], 150, 500)),
+            (140, Fault::Reset { entry: 0, agent }),
+        ];
+        let world = World::play(&plan, [0; AGENTS]);
+        assert_eq!((world.late, world.twice), (None, None));
+    }
+}
