A claim on hold that is granted again is held again

What callers could see: a task may run twice. An entry's claim is on hold, as no majority has confirmed it for 400 ms; the entry stands still, claims again, and is granted by slow answers that are nearly 400 ms old. By the next pass they are older. take_holds still took the claim for one on hold and named it not, so that tasks were placed by it until it was given up at 860 ms.

Change: a claim that is granted is not on hold.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -144,6 +144,13 @@
             && now_ms < self.last_confirmed_ms(reach) + reach.limits.grant_within_ms()
     }
 
+    /// Grants it if it is decided. Its tasks are placed then, also of one that was on hold.
+    fn decide(&mut self, reach: &Reach, now_ms: u64) -> bool {
+        self.is_granted = self.is_decided(reach, now_ms);
+        self.is_on_hold &= !self.is_granted;
+        self.is_granted
+    }
+
     /// The first holder of two, if it has granted the claim: its vote decides.
     fn casting_vote(&self, holders: &[SocketAddr]) -> Option<SocketAddr> {
         let [first, _] = *holders else { return None };
@@ -465,8 +472,7 @@
             // Holders that did not hear this entry have granted the job to another one.
             return claim.is_lost().then_some(ClaimDecision::Denied { holder });
         }
-        claim.is_granted = claim.is_decided(&self.reach, now_ms);
-        claim.is_granted.then_some(ClaimDecision::Granted)
+        claim.decide(&self.reach, now_ms).then_some(ClaimDecision::Granted)
     }
 
     /// Returns the claims that are granted now, as majorities are in contact again, and what to ask
@@ -492,8 +498,7 @@
                 }
             }
             requests.extend(ask_again.into_iter().map(|holder| claim.request(job, holder, now_ms)));
-            if !claim.is_granted && claim.is_decided(&self.reach, now_ms) {
-                claim.is_granted = true;
+            if !claim.is_granted && claim.decide(&self.reach, now_ms) {
                 granted.push(job);
             }
         }
--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -380,6 +380,28 @@
     assert_eq!(holds_at(&mut claims, held_ms + 2), (Vec::new(), vec![JOB]));
 }
 
+/// Guards against two runs: a claim on hold is granted again after a stall by slow answers, and is
+/// unconfirmed again by the next pass. Tasks are placed by it until it is given up.
+#[test]
+fn a_claim_on_hold_that_is_granted_again_is_held_again() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    claims.take_lapsed(500);
+    assert_eq!(claims.take_holds(500).0, [JOB]);
+    let number = claims.claim_again(640)[0].claim.number;
+    let sent_ms = 650;
+    let granted_ms = sent_ms + 390;
+    let again = AnsweredClaim { job: JOB, number, answer: GRANTED };
+    let answered = |&holder: &SocketAddr| {
+        claims.confirmed(holder, sent_ms);
+        claims.answered(again, holder, granted_ms)
+    };
+    let decisions: Vec<_> = holders[..2].iter().map(answered).collect();
+    assert_eq!(decisions, [None, Some(ClaimDecision::Granted)]);
+    let passed_ms = sent_ms + 410;
+    claims.take_lapsed(passed_ms);
+    assert_eq!(claims.take_holds(passed_ms).0, [JOB]);
+}
+
 /// Guards against an entry that acknowledges nothing any more, so that agents stop all of its runs,
 /// once a job without a majority is given up.
 #[test]
