--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -533,6 +533,8 @@
     pub entry: SocketAddr,
     /// Number of the connection, which rises over the connections of an incarnation.
     pub connection: u64,
+    /// When it was sent, in Unix milliseconds by the clock of the entry, for logs.
+    pub sent_unix_ms: u64,
 }
 
 /// Claims of an entry on jobs, and claims that it gives up.
@@ -611,10 +613,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimAnswer {
     /// The claimant has the job.
-    Granted {
-        /// Whether the holder knows of no other claim on it.
-        is_alone: bool,
-    },
+    Granted,
     /// Another entry has it.
     Held,
     /// Another entry has had it, and its claim ends by some time: the entry has given the job up,
