Test, known red: a short stall places tasks by an unconfirmed claim

Claims are put on hold by passes only. A run at an agent that has just connected then outlasts the claim, if the entry is killed or the agent goes out of reach.

Not mended: the dispatch has to know until when each claim holds, which is wired in crates/entry.

--- a/crates/decide/tests/claimed_jobs.rs
+++ b/crates/decide/tests/claimed_jobs.rs
@@ -1,16 +1,19 @@
 //! Jobs that wait until the claim on them is granted.
 
 use {
-    std::sync::Arc,
-    sycamorerail_decide::dispatch::{
-        AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest, KindParameters,
-        MAX_TICK_MS, NoResultReason, ReleasedJob, StepRequest,
+    std::{net::SocketAddr, sync::Arc},
+    sycamorerail_decide::{
+        claims::{ClaimLimits, Claims},
+        dispatch::{
+            AgentKey, Command, Dispatch, DispatchLimits, JobAnswer, JobKey, JobRequest,
+            KindParameters, MAX_TICK_MS, NoResultReason, ReleasedJob, StepRequest,
+        },
     },
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
-            CallerJobId, InstanceId, NotStarted, Resources, RunEvent, RunReport, TaskKey,
-            UpstreamInstance, UpstreamLoad,
+            AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, InstanceId, NotStarted,
+            Resources, RunEvent, RunReport, TaskKey, UpstreamInstance, UpstreamLoad,
         },
     },
 };
@@ -136,3 +139,36 @@
     let ending = ReleasedJob { id: JOB, is_ending: true, may_run: true, may_have_run: true };
     assert_eq!(dispatch.take_released(), [ending]);
 }
+
+/// Guards against two runs: an entry stands still for less than 300 ms, in which its claim becomes
+/// unconfirmed. Before its next pass it places the job's tasks at an agent that has just connected,
+/// where they run on after the claim has ended.
+#[test]
+fn a_short_stall_places_nothing_by_an_unconfirmed_claim() {
+    let limits = ClaimLimits {
+        run_over_ms: 1_240,
+        margin_ms: 400,
+        give_up_ms: 860,
+        confirm_within_ms: 500,
+        stop_within_ms: 400,
+        lost_after_ms: 250,
+    };
+    let mut dispatch = Dispatch::new(DispatchLimits::default(), Incarnation(1));
+    dispatch.tick(100);
+    let key = dispatch.submit_unclaimed(job(100), 100).unwrap();
+    let address = SocketAddr::from(([10, 0, 0, 1], 7_720));
+    let voters = [EntryAddress { address, data_centre: "dc".to_owned() }];
+    let mut claims = Claims::new(limits);
+    let number = claims.begin(JOB, &voters[..], 1_600, 100)[0].claim.number;
+    let granted = AnsweredClaim { job: JOB, number, answer: ClaimAnswer::Granted };
+    assert!(claims.answered(granted, address, 101).is_some());
+    dispatch.claim_granted(key, 101);
+    let confirmed_ms = 200;
+    claims.confirmed(address, confirmed_ms);
+    let passed_ms = confirmed_ms + limits.margin_ms - 10;
+    dispatch.tick(passed_ms);
+    claims.take_lapsed(passed_ms);
+    assert_eq!(claims.take_holds(passed_ms), (Vec::new(), Vec::new()));
+    connect(&mut dispatch, passed_ms + MAX_TICK_MS - 10);
+    assert_eq!(placements(&mut dispatch), 0, "placed by a claim that ends before its runs");
+}
