A claim that may have ended in a stall is not granted by its own word

What callers could see: a task runs twice. An entry stands still for longer than its claim lasts. A copy is granted by two holders, which are killed and start again. The entry goes on and claims again; its claim says that it is granted, and holders that have started lately take that word, though the claim had ended before they started.

Change: as an entry claims again after a stall, its claims say that they were granted only up to give_up_ms (860 ms) after their last confirmation. Later, holders that have started lately answer NotYet, as to a new claim.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -69,6 +69,8 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
+    /// Up to when holders are told that it was: later, it may have ended there as they are asked.
+    kept_until_ms: u64,
     /// Whether its job is given up, or has ended.
     is_given_up: bool,
     /// Whether no task is placed by it until a majority confirms it again.
@@ -81,14 +83,11 @@
 impl Claim {
     fn request(&self, job: CallerJobId, holder: SocketAddr, now_ms: u64) -> ClaimRequest {
         let for_ms = self.ends_ms.saturating_sub(now_ms);
+        // A holder that has started lately grants what others have granted.
+        let is_kept = self.is_granted || self.was_granted && now_ms < self.kept_until_ms;
         ClaimRequest {
             holder,
-            claim: JobClaim {
-                job,
-                number: self.number,
-                for_ms,
-                is_granted: self.is_granted || self.was_granted,
-            },
+            claim: JobClaim { job, number: self.number, for_ms, is_granted: is_kept },
         }
     }
 
@@ -309,6 +308,7 @@
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
+            kept_until_ms: now_ms,
             is_given_up: false,
             is_on_hold: false,
             lapses_from_ms: now_ms,
@@ -381,6 +381,8 @@
     pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
         let mut requests = Vec::new();
         for (&job, claim) in &mut self.claims {
+            claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
+            claim.kept_until_ms = claim.confirmed_ms + self.reach.limits.give_up_ms;
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
             claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -581,8 +581,11 @@
     let (mut claims, holders) = begun();
     granted(&mut claims, holders[0]);
     granted(&mut claims, holders[1]);
-    let again = claims.claim_again(3_000);
+    let again = claims.claim_again(LIMITS.give_up_ms - 1);
     assert!(again.len() == HOLDERS && again.iter().all(|request| request.claim.is_granted));
+    // It may have ended by now.
+    let again = claims.claim_again(3_000);
+    assert!(again.len() == HOLDERS && again.iter().all(|request| !request.claim.is_granted));
     let number = again[0].claim.number;
     let held = AnsweredClaim { job: JOB, number, answer: ClaimAnswer::Held };
     let denied = Some(ClaimDecision::Denied { holder: holders[2] });
--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -454,3 +454,20 @@
     let over_ms = killed_ms + LIMITS.run_over_ms;
     assert_eq!(decisions, [], "granted at {now_ms} ms, runs are over at {over_ms} ms");
 }
+
+/// Guards against two runs: an entry stands still for longer than its claim lasts. Two holders have
+/// granted a copy meanwhile, and have started again. They take the entry's word that its claim is
+/// granted.
+#[test]
+fn a_claim_that_has_ended_in_a_stall_is_not_granted_by_its_own_word() {
+    let (mut claims, holders) = granted_claim(&[0, 1, 2]);
+    let stalled_ms = 1_000;
+    holders.iter().for_each(|&holder| claims.confirmed(holder, stalled_ms));
+    claims.take_lapsed(stalled_ms);
+    let woken_ms = stalled_ms + LIMITS.outlast_ms() + 400;
+    for request in claims.claim_again(woken_ms) {
+        let mut table = ClaimTable::restarted(LIMITS, woken_ms - 10);
+        let answer = table.claim(request.claim, FIRST, woken_ms);
+        assert!(matches!(answer.answer, ClaimAnswer::NotYet { .. }), "{:?}", answer.answer);
+    }
+}
