--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -69,6 +69,8 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
+    /// Up to when holders are told that it was: later, it may have ended there as they are asked.
+    kept_until_ms: u64,
     /// Whether its job is given up, or has ended.
     is_given_up: bool,
     /// Whether no task is placed by it until a majority confirms it again.
@@ -84,14 +86,11 @@
 impl Claim {
     fn request(&self, job: CallerJobId, holder: SocketAddr, now_ms: u64) -> ClaimRequest {
         let for_ms = self.ends_ms.saturating_sub(now_ms);
+        // A holder that has started lately grants what others have granted.
+        let is_kept = self.is_granted || self.was_granted && now_ms < self.kept_until_ms;
         ClaimRequest {
             holder,
-            claim: JobClaim {
-                job,
-                number: self.number,
-                for_ms,
-                is_granted: (self.is_granted || self.was_granted) && !self.is_outlived,
-            },
+            claim: JobClaim { job, number: self.number, for_ms, is_granted: is_kept },
         }
     }
 
@@ -315,6 +314,7 @@
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
+            kept_until_ms: now_ms,
             is_given_up: false,
             is_on_hold: false,
             is_outlived: false,
@@ -389,6 +389,7 @@
     pub fn suspend(&mut self, now_ms: u64) {
         let outlast_ms = self.reach.limits.outlast_ms();
         for claim in self.claims.values_mut() {
+            claim.kept_until_ms = claim.confirmed_ms + self.reach.limits.give_up_ms;
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
             claim.is_outlived |= now_ms >= claim.confirmed_ms + outlast_ms;
