Jobs go on after a stall of all processes: holders that still have a claim keep it

What callers saw: after all processes had stood still together for more than 1.54 s, an entry ended its running jobs (504 no_majority), though its holders had stood still, too.

Cause: claims of before such a stall ended, as another entry may have run the job since and be done with it. The entry can't tell; a holder can: if it still has the claim, it has granted the job to nobody since.

Change: a claim says what it is (ClaimStanding: new, granted, renewed). A renewed one, granted before a stall and too old to be taken at its claimant's word, is kept by holders that still have it, and gets no vote from others. One that had not been granted ends as before.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -4,7 +4,9 @@
     super::{ClaimLimits, holders},
     crate::voters::VoterSets,
     std::{cmp::Reverse, collections::HashMap, net::SocketAddr},
-    sycamorerail_wire::runs::{AnsweredClaim, CallerJobId, ClaimAnswer, EntryAddress, JobClaim},
+    sycamorerail_wire::runs::{
+        AnsweredClaim, CallerJobId, ClaimAnswer, ClaimStanding, EntryAddress, JobClaim,
+    },
 };
 
 /// Pause before a claim is sent again to a holder where another one is about to end, in
@@ -69,14 +71,15 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
-    /// Up to when holders are told that it was: later, it may have ended there as they are asked.
+    /// Up to when holders are told that it is granted nevertheless: later, it may have ended there
+    /// as they are asked.
     kept_until_ms: u64,
     /// Whether its job is given up, or has ended.
     is_given_up: bool,
     /// Whether no task is placed by it until a majority confirms it again.
     is_on_hold: bool,
-    /// Whether this process stood still for so long that another entry may have been granted the
-    /// job since, and be done with it.
+    /// Whether it had not been granted when this process stood still for so long that another entry
+    /// may have been granted the job since, and be done with it.
     is_outlived: bool,
     /// It does not lapse before this time, as holders were asked again after this process stood
     /// still.
@@ -86,12 +89,13 @@
 impl Claim {
     fn request(&self, job: CallerJobId, holder: SocketAddr, now_ms: u64) -> ClaimRequest {
         let for_ms = self.ends_ms.saturating_sub(now_ms);
-        // A holder that has started lately grants what others have granted.
-        let is_kept = self.is_granted || self.was_granted && now_ms < self.kept_until_ms;
-        ClaimRequest {
-            holder,
-            claim: JobClaim { job, number: self.number, for_ms, is_granted: is_kept },
-        }
+        let standing = match (self.is_granted, self.was_granted) {
+            (true, _) => ClaimStanding::Granted,
+            (false, true) if now_ms < self.kept_until_ms => ClaimStanding::Granted,
+            (false, true) => ClaimStanding::Renewed,
+            (false, false) => ClaimStanding::New,
+        };
+        ClaimRequest { holder, claim: JobClaim { job, number: self.number, for_ms, standing } }
     }
 
     fn votes_of<'a>(
@@ -384,15 +388,15 @@
     }
 
     /// Takes no vote of before for one any more, as this process has stood still: holders may have
-    /// taken it for lost and granted a job to another entry. A claim that has outlasted what
-    /// holders promise ends with the next look at lapsed claims.
+    /// taken it for lost and granted a job to another entry. A claim that was not granted, and may
+    /// have come to its turn after another one, ends with the next look at lapsed claims.
     pub fn suspend(&mut self, now_ms: u64) {
         let outlast_ms = self.reach.limits.outlast_ms();
         for claim in self.claims.values_mut() {
             claim.kept_until_ms = claim.confirmed_ms + self.reach.limits.give_up_ms;
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
-            claim.is_outlived |= now_ms >= claim.confirmed_ms + outlast_ms;
+            claim.is_outlived |= !claim.was_granted && now_ms >= claim.confirmed_ms + outlast_ms;
             self.last_number += 1;
             claim.number = self.last_number;
             claim.votes.iter_mut().for_each(|(_, vote)| *vote = Vote::Pending);
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -5,7 +5,7 @@
     std::collections::HashMap,
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{AnsweredClaim, CallerJobId, ClaimAnswer, ClaimRelease, JobClaim},
+        runs::{AnsweredClaim, CallerJobId, ClaimAnswer, ClaimRelease, ClaimStanding, JobClaim},
     },
 };
 
@@ -113,18 +113,26 @@
         // A connection that was replaced may deliver an earlier claim.
         let answer = if is_overtaken {
             ClaimAnswer::Held
+        } else if known.is_none() && asked.standing == ClaimStanding::Renewed {
+            // Another entry may have been granted the job since, and be done with it.
+            ClaimAnswer::NoVote
         } else {
-            let same = known.map(|known| queue.remove(known));
-            let same = same.filter(|claim| claim.number == asked.number);
+            let before = known.map(|known| queue.remove(known));
+            let same = before.filter(|claim| claim.number == asked.number);
+            let is_granted = match asked.standing {
+                ClaimStanding::New => false,
+                ClaimStanding::Granted => true,
+                ClaimStanding::Renewed => before.is_some_and(|claim| claim.is_granted),
+            };
             let claim = Claim {
                 claimant,
                 number: asked.number,
                 ends_ms: now_ms + asked.for_ms,
                 claimed_ms: same.map_or(now_ms, |claim| claim.claimed_ms),
-                is_granted: asked.is_granted,
+                is_granted,
                 is_ending: false,
             };
-            let is_first = queue.first().is_none_or(|first| asked.is_granted && !first.is_granted);
+            let is_first = queue.first().is_none_or(|first| is_granted && !first.is_granted);
             let place = if is_first { 0 } else { known.unwrap_or(queue.len()) };
             queue.insert(place, claim);
             self.answer(&mut queue, claimant, now_ms)
--- a/crates/decide/tests/stale_claims.rs
+++ b/crates/decide/tests/stale_claims.rs
@@ -124,3 +124,22 @@
     let decisions = holders.ask(&mut first, FIRST, &asked, woken_ms);
     assert!(!decisions.contains(&ClaimDecision::Granted), "done at {done_ms} ms: {decisions:?}");
 }
+
+/// Guards against jobs that end as all processes stood still together: the holders still have their
+/// claims.
+#[test]
+fn a_job_goes_on_after_a_stall_of_all_processes() {
+    let mut first = Claims::new(LIMITS);
+    let asked = first.begin(JOB, &entries(), 20_000, 0);
+    let addresses: Vec<_> = asked.iter().map(|request| request.holder).collect();
+    let tables = addresses.iter().map(|_| ClaimTable::new(LIMITS)).collect();
+    let mut holders = Holders { addresses, tables };
+    holders.tables.iter_mut().for_each(|table| table.connected(FIRST, 1, 0));
+    assert_eq!(holders.ask(&mut first, FIRST, &asked, 0), [ClaimDecision::Granted]);
+    holders.hear(&mut first, FIRST, STALLED_MS, 0);
+    let woken_ms = STALLED_MS + 5_000;
+    holders.tables.iter_mut().for_each(|table| table.tick(woken_ms));
+    let asked = first.claim_again(woken_ms);
+    assert_eq!(holders.ask(&mut first, FIRST, &asked, woken_ms), [ClaimDecision::Granted]);
+    assert_eq!(first.take_lapsed(woken_ms + LIMITS.lost_after_ms), []);
+}
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -562,8 +562,20 @@
     pub number: u64,
     /// Time for which it is claimed, in milliseconds.
     pub for_ms: u64,
-    /// Whether enough holders have granted the claim, so that the job may run.
-    pub is_granted: bool,
+    /// What the entry says of it.
+    pub standing: ClaimStanding,
+}
+
+/// What an entry says of a claim that it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimStanding {
+    /// It is not granted yet.
+    New,
+    /// Enough holders have granted it, so that the job may run.
+    Granted,
+    /// Enough holders had granted it before the entry stood still for so long that they may have
+    /// granted the job to another one since. Only a holder that still has the claim keeps it.
+    Renewed,
 }
 
 /// End of a claim.
