A copy that waits for another entry's claim is denied as the job is done

What callers could see: a task runs again after it was done. A copy waits while another entry's claim is about to end, as that entry was silent for 0.5 s; the job is done there, and the holders grant it to the copy.

Cause: a release said that the claim ended, not that the job was done.

Change: a release says so, and holders deny the claims that wait then. A copy that comes later runs, as after a lost answer.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -28,6 +28,9 @@
     is_granted: bool,
     /// Whether its claimant has given it up, or is not connected.
     is_ending: bool,
+    /// Whether the job was done as it waited for its turn: it is granted no more, and stands in no
+    /// other one's way.
+    is_late: bool,
 }
 
 impl Claim {
@@ -131,8 +134,10 @@
                 claimed_ms: same.map_or(now_ms, |claim| claim.claimed_ms),
                 is_granted,
                 is_ending: false,
+                is_late: same.is_some_and(|claim| claim.is_late),
             };
-            let is_first = queue.first().is_none_or(|first| is_granted && !first.is_granted);
+            let first = queue.iter().find(|claim| !claim.is_late);
+            let is_first = first.is_none_or(|first| is_granted && !first.is_granted);
             let place = if is_first { 0 } else { known.unwrap_or(queue.len()) };
             queue.insert(place, claim);
             self.answer(&mut queue, claimant, now_ms)
@@ -144,7 +149,8 @@
     /// Answers one of the claims on a job.
     fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
         let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
-        let Some(first) = queue.first_mut() else { return ClaimAnswer::Held };
+        let first = queue.iter_mut().find(|claim| !claim.is_late);
+        let Some(first) = first else { return ClaimAnswer::Held };
         if first.claimant != claimant {
             return match self.end_of(first, now_ms) {
                 End::In(in_ms) => ClaimAnswer::Ending { in_ms: whole(in_ms) },
@@ -163,9 +169,14 @@
     pub fn release(&mut self, release: ClaimRelease, claimant: Incarnation, now_ms: u64) {
         let Some(queue) = self.claims.get_mut(&release.job) else { return };
         let is_released =
-            |claim: &&mut Claim| claim.claimant == claimant && claim.number <= release.number;
-        for claim in queue.iter_mut().filter(is_released) {
-            claim.end_by(now_ms + release.after_ms);
+            |claim: &&Claim| claim.claimant == claimant && claim.number <= release.number;
+        let has_released = queue.iter().any(|claim| is_released(&claim));
+        for claim in queue.iter_mut() {
+            if is_released(&&*claim) {
+                claim.end_by(now_ms + release.after_ms);
+            } else {
+                claim.is_late |= release.is_done && has_released;
+            }
         }
     }
 
@@ -243,7 +254,8 @@
     /// The entry that has the claim on a job.
     #[must_use]
     pub fn owner(&self, job: CallerJobId, now_ms: u64) -> Option<ClaimOwner> {
-        let Claim { claimant, number, .. } = *self.claims.get(&job)?.first()?;
+        let queue = self.claims.get(&job)?;
+        let Claim { claimant, number, .. } = *queue.iter().find(|claim| !claim.is_late)?;
         let heard_ms = self.heard_ms.get(&claimant).copied().unwrap_or(now_ms);
         Some(ClaimOwner { claimant, number, silent_ms: now_ms.saturating_sub(heard_ms) })
     }
