A claim is sent with the number of the list that it was made for

What callers could see: a task runs twice. By reading (a review): claims move to the holders of a new list of voters with the next pass, up to 20 ms after the list is in force, and were sent with the newer number meanwhile. An entry two lists behind could be granted a claim by holders of the list before.

Change: the number of a message, the holders of new claims and this entry's own vote follow one list, that among which claims have their holders.

No test shows the window; no model has lists that claims follow late.

--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -88,6 +88,9 @@
     connections: AtomicU64,
     /// Whether this entry is about to end as planned.
     leaving: watch::Sender<bool>,
+    /// The list of voters among which claims have their holders. It follows the one in force with
+    /// the next pass. Locked after the claims.
+    list: Mutex<Option<Arc<VoterList>>>,
 }
 
 /// Messages on their way to a holder.
@@ -131,9 +134,19 @@
             beat_ms: AtomicU64::new(0),
             connections: AtomicU64::new(0),
             leaving: watch::Sender::default(),
+            list: Mutex::default(),
         }
     }
 
+    /// The list of voters among which claims have their holders.
+    fn list(&self) -> Option<Arc<VoterList>> {
+        self.list.lock().clone()
+    }
+
+    pub(super) fn set_list(&self, list: Option<Arc<VoterList>>) {
+        *self.list.lock() = list;
+    }
+
     /// Up to when this process has handled what was due.
     pub(super) fn handled_ms(&self) -> u64 {
         self.handled_ms.load(Ordering::Relaxed)
@@ -178,19 +191,25 @@
 
     /// Whether a majority of a job's holders may grant it to this entry.
     pub(super) fn can_be_claimed(&self, job: CallerJobId, now_ms: u64) -> bool {
-        let list = self.voters.list();
-        let has_vote = self.has_vote(now_ms);
+        let has_vote = self.votes_for_itself(now_ms);
         let mut claims = self.claims.claims.lock();
+        let list = self.claims.list();
         claims.set_vote(self.settings.own, has_vote, now_ms);
         claims.can_be_granted(job, voters::sets(list.as_deref()), now_ms)
     }
 
+    /// Whether this entry votes on its own claims: by the list among which these have their holders.
+    fn votes_for_itself(&self, now_ms: u64) -> bool {
+        let number = |list: Option<Arc<VoterList>>| list.map_or(0, |list| list.number);
+        self.has_vote(now_ms) && number(self.claims.list()) == number(self.voters.list())
+    }
+
     /// Whether this entry can't reach most voters, or knows too little of them.
     pub(super) fn is_apart(&self) -> bool {
         if self.voters.electorate().is_unsettled() {
             return true;
         }
-        let list = self.voters.list();
+        let list = self.claims.list();
         let sets = voters::sets(list.as_deref());
         self.claims.claims.lock().is_apart(sets, self.clock.now_ms())
     }
@@ -203,8 +222,8 @@
         deadline_ms: u64,
         now_ms: u64,
     ) {
-        let list = self.voters.list();
         let mut claims = self.claims.claims.lock();
+        let list = self.claims.list();
         let requests = claims.begin(job, voters::sets(list.as_deref()), deadline_ms, now_ms);
         let decided = self.send_claims(&mut claims, requests, now_ms);
         drop(claims);
@@ -221,7 +240,7 @@
         let mut decided = Vec::new();
         for ClaimRequest { holder, claim } in requests {
             if holder == self.settings.own {
-                let has_vote = self.has_vote(now_ms);
+                let has_vote = self.votes_for_itself(now_ms);
                 let mut answer = self.claims.table.lock().claim(claim, self.incarnation, now_ms);
                 if has_vote {
                     claims.confirmed(holder, now_ms);
@@ -265,7 +284,7 @@
     /// Logs which holders have granted a claim.
     fn log_grant(&self, job: CallerJobId) {
         let Some(state) = self.claims.claims.lock().state(job) else { return };
-        let voter_list = self.voters.list();
+        let voter_list = self.claims.list();
         event!(
             Info,
             "job_claim_granted",
@@ -372,19 +391,20 @@
                 self.claims.handled_ms.store(now_ms, Ordering::Relaxed);
                 self.claims.beat(&claims, now_ms);
             }
-            let has_vote = self.has_vote(now_ms);
+            let mut decided = Vec::new();
+            if is_changed {
+                self.claims.set_list(list.clone());
+                let requests = claims.set_entries(voters::sets(list.as_deref()), now_ms);
+                decided.extend(self.send_claims(&mut claims, requests, now_ms));
+            }
+            let has_vote = self.votes_for_itself(now_ms);
             claims.set_vote(self.settings.own, has_vote, now_ms);
             if has_vote {
                 claims.confirmed(self.settings.own, now_ms);
             }
             let (granted, requests) = claims.tick(now_ms);
-            let mut decided: Vec<_> =
-                granted.into_iter().map(|job| (job, ClaimDecision::Granted)).collect();
+            decided.extend(granted.into_iter().map(|job| (job, ClaimDecision::Granted)));
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
-            if is_changed {
-                let requests = claims.set_entries(voters::sets(list.as_deref()), now_ms);
-                decided.extend(self.send_claims(&mut claims, requests, now_ms));
-            }
             // After a stall claims are claimed again below before any counts as lapsed.
             let lapsed =
                 if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
@@ -620,7 +640,7 @@
                 }
                 () = link.filled.notified() => {
                     let mut requests = std::mem::take(&mut *link.requests.lock());
-                    requests.voters_number = service.voters.list().map_or(0, |list| list.number);
+                    requests.voters_number = service.claims.list().map_or(0, |list| list.number);
                     unanswered.push_back(sent_ms(requests.is_current));
                     answer_by.get_or_insert_with(|| answer_at(self.answer_within));
                     if self.writer.push(&requests).is_err() {
@@ -654,7 +674,7 @@
     let renewals = claims.renewals(holder, service.clock.now_ms());
     let mut requests = std::mem::take(&mut *link.requests.lock());
     requests.claims = renewals.into_iter().map(|renewal| renewal.claim).collect();
-    requests.voters_number = service.voters.list().map_or(0, |list| list.number);
+    requests.voters_number = service.claims.list().map_or(0, |list| list.number);
     writer.push(&requests)?;
     Ok(requests.is_current)
 }
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -181,6 +181,7 @@
             passes: AtomicU64::new(0),
             stopped: watch::Sender::default(),
         });
+        service.claims.set_list(service.voters.list());
         prepare(&service);
         tokio::spawn(links::accept(Arc::clone(&service), listener));
         tokio::spawn(tick(Arc::clone(&service)));
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -87,6 +87,7 @@
     pub fn follow_voters(&self) {
         *self.voters.electorate.lock() = Electorate::new(self.settings.own);
         self.voters.list.send_replace(None);
+        self.claims.set_list(None);
     }
 
     /// Takes note of the platform's list of voters, as of one of its revisions.
