Of two copies that come at one time one is granted

What callers saw: two copies within one round trip each found a part of the holders taken by the other one, and both were answered 504.

Cause: one holder that has the job for another entry denied a claim, though the others might still have granted it.

Change: a claim is denied once the holders that are left can't grant it: most of them, or, of two, the first one. A holder that is given up counts as one that can't, so that nobody waits for it. What grants is as before a majority.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -49,7 +49,7 @@
     Ending { until_ms: u64 },
     /// It has granted the claim.
     Granted,
-    /// Another entry has the job, though this one's claim is granted.
+    /// Another entry has the job there.
     Held,
     /// It can't tell whether its list of voters is in force. To be asked again at this time.
     Voteless { until_ms: u64 },
@@ -180,6 +180,25 @@
         by_majority_ms.max(by_first_ms.copied()).unwrap_or(0)
     }
 
+    /// The holder of a set that has the job for another entry, if those that are left can't grant
+    /// it. Two copies that come at one time may each hold a part of the holders: one of them has
+    /// a majority, or may still get one.
+    fn denied_by(&self, reach: &Reach, now_ms: u64) -> Option<SocketAddr> {
+        let may_grant = |&(holder, vote): &(SocketAddr, Vote)| {
+            let is_reached = vote == Vote::Granted || !reach.is_given_up(holder, now_ms);
+            vote != Vote::Held && is_reached
+        };
+        let held_in = |holders: &Vec<SocketAddr>| {
+            let mut votes = self.votes_of(holders);
+            let (held_by, _) = votes.find(|(_, vote)| *vote == Vote::Held)?;
+            let left = self.votes_of(holders).filter(may_grant).count();
+            let has_casting_vote =
+                holders.len() == 2 && self.votes_of(&holders[..1]).any(|vote| may_grant(&vote));
+            (!has_casting_vote && !is_majority(left, holders)).then_some(held_by)
+        };
+        self.holders.iter().find_map(held_in)
+    }
+
     /// Whether most holders of a set have the job for another entry.
     fn is_lost(&self) -> bool {
         let is_held = |holders: &Vec<SocketAddr>| {
@@ -375,8 +394,8 @@
         let vote = match answer {
             ClaimAnswer::Granted => Vote::Granted,
             ClaimAnswer::NotYet { in_ms } => Vote::NotYet { until_ms: now_ms + u64::from(in_ms) },
-            ClaimAnswer::Held | ClaimAnswer::Ending { .. } if claim.is_granted => Vote::Held,
-            ClaimAnswer::Held => return Some(ClaimDecision::Denied { holder }),
+            ClaimAnswer::Ending { .. } if claim.is_granted => Vote::Held,
+            ClaimAnswer::Held => Vote::Held,
             ClaimAnswer::Ending { in_ms } => {
                 let until_ms = now_ms + u64::from(in_ms).min(ENDING_PAUSE_MS);
                 self.record(job, holder, Vote::Ending { until_ms }, now_ms);
@@ -494,7 +513,22 @@
             // Holders that did not hear this entry have granted the job to another one.
             return claim.is_lost().then_some(ClaimDecision::Denied { holder });
         }
-        claim.decide(&self.reach, now_ms).then_some(ClaimDecision::Granted)
+        if claim.decide(&self.reach, now_ms) {
+            return Some(ClaimDecision::Granted);
+        }
+        let denied_by = claim.denied_by(&self.reach, now_ms);
+        denied_by.map(|holder| ClaimDecision::Denied { holder })
+    }
+
+    /// Returns the claims that can't be granted any more, as some holders have the job for another
+    /// entry and too many of the others are lost, with one of the former.
+    #[must_use]
+    pub fn denied(&self, now_ms: u64) -> Vec<(CallerJobId, SocketAddr)> {
+        let undecided =
+            self.claims.iter().filter(|(_, claim)| !claim.is_granted && !claim.is_given_up);
+        let denied = undecided
+            .filter_map(|(job, claim)| Some((*job, claim.denied_by(&self.reach, now_ms)?)));
+        denied.collect()
     }
 
     /// Returns the claims that are granted now, as majorities are in contact again, and what to ask
@@ -511,7 +545,7 @@
                     Vote::Voteless { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
-                    Vote::Held => true,
+                    Vote::Held => claim.is_granted,
                     _ => false,
                 };
                 if is_due {
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -405,6 +405,8 @@
             let (granted, requests) = claims.tick(now_ms);
             decided.extend(granted.into_iter().map(|job| (job, ClaimDecision::Granted)));
             decided.extend(self.send_claims(&mut claims, requests, now_ms));
+            let denied = claims.denied(now_ms).into_iter();
+            decided.extend(denied.map(|(job, holder)| (job, ClaimDecision::Denied { holder })));
             // After a stall claims are claimed again below before any counts as lapsed.
             let lapsed =
                 if passes > receipts::PASSES { claims.take_lapsed(now_ms) } else { Vec::new() };
