A renewed claim is kept by holders that have granted it, and nobody else since

An entry that stood still was granted its job again - by holders that had started again, as its links named the claim as granted before it noticed that it had stood still; - by a holder at which the claim had waited behind another entry's, which was done; - the same after two stalls in a row; - by a holder that had refused the renewal, and read a message of before it later.

Cause: a claim that a holder knows was taken for one that it has kept.

Change: a renewal tells how long ago a majority has confirmed the claim. A holder keeps it only if it has granted it itself within give_up_ms of that, when no other entry can have been granted the job yet, and has answered for it since. Any claim that is as old is named as a renewed one, noticed stall or not. The answer of others is not_kept, which is no vote, and not asked again before the claim is granted.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -51,6 +51,8 @@
     Granted,
     /// Another entry has the job there.
     Held,
+    /// It has not kept the claim as this entry stood still.
+    NotKept,
     /// It can't tell whether its list of voters is in force. To be asked again at this time.
     Voteless { until_ms: u64 },
 }
@@ -71,9 +73,6 @@
     is_granted: bool,
     /// Whether it was granted before this process stood still.
     was_granted: bool,
-    /// Up to when holders are told that it is granted nevertheless: later, it may have ended there
-    /// as they are asked.
-    kept_until_ms: u64,
     /// Whether its job is given up, or has ended.
     is_given_up: bool,
     /// Whether no task is placed by it until a majority confirms it again.
@@ -87,13 +86,24 @@
 }
 
 impl Claim {
-    fn request(&self, job: CallerJobId, holder: SocketAddr, now_ms: u64) -> ClaimRequest {
+    /// What to ask a holder. The claimant's word that the claim is granted counts with holders that
+    /// have started again: it is given only as long as they can't have granted the job to another
+    /// entry.
+    fn request(
+        &self,
+        job: CallerJobId,
+        holder: SocketAddr,
+        limits: ClaimLimits,
+        now_ms: u64,
+    ) -> ClaimRequest {
         let for_ms = self.ends_ms.saturating_sub(now_ms);
-        let standing = match (self.is_granted, self.was_granted) {
-            (true, _) => ClaimStanding::Granted,
-            (false, true) if now_ms < self.kept_until_ms => ClaimStanding::Granted,
-            (false, true) => ClaimStanding::Renewed,
-            (false, false) => ClaimStanding::New,
+        let confirmed_ago_ms = now_ms.saturating_sub(self.confirmed_ms);
+        let standing = if !self.is_granted && !self.was_granted {
+            ClaimStanding::New
+        } else if confirmed_ago_ms < limits.give_up_ms {
+            ClaimStanding::Granted
+        } else {
+            ClaimStanding::Renewed { confirmed_ago_ms }
         };
         ClaimRequest { holder, claim: JobClaim { job, number: self.number, for_ms, standing } }
     }
@@ -186,7 +196,7 @@
     fn denied_by(&self, reach: &Reach, now_ms: u64) -> Option<SocketAddr> {
         let may_grant = |&(holder, vote): &(SocketAddr, Vote)| {
             let is_reached = vote == Vote::Granted || !reach.is_given_up(holder, now_ms);
-            vote != Vote::Held && is_reached
+            !matches!(vote, Vote::Held | Vote::NotKept) && is_reached
         };
         let held_in = |holders: &Vec<SocketAddr>| {
             let mut votes = self.votes_of(holders);
@@ -274,6 +284,7 @@
             (None, Vote::Ending { .. }) => "other_claim_ends",
             (None, Vote::Granted) => "granted",
             (None, Vote::Held) => "held",
+            (None, Vote::NotKept) => "not_kept",
             (None, Vote::Voteless { .. }) => "no_vote",
         }
     }
@@ -337,13 +348,13 @@
             confirmed_ms: now_ms,
             is_granted: false,
             was_granted: false,
-            kept_until_ms: now_ms,
             is_given_up: false,
             is_on_hold: false,
             is_outlived: false,
             lapses_from_ms: now_ms,
         };
-        let request = |&(holder, _): &_| claim.request(job, holder, now_ms);
+        let limits = self.reach.limits;
+        let request = |&(holder, _): &_| claim.request(job, holder, limits, now_ms);
         let requests = claim.votes.iter().map(request).collect();
         self.claims.insert(job, claim);
         requests
@@ -401,18 +412,19 @@
                 self.record(job, holder, Vote::Ending { until_ms }, now_ms);
                 return Some(ClaimDecision::Postponed);
             }
+            ClaimAnswer::NotKept => Vote::NotKept,
             ClaimAnswer::NoVote => Vote::Voteless { until_ms: now_ms + NO_VOTE_PAUSE_MS },
         };
         self.record(job, holder, vote, now_ms)
     }
 
-    /// Takes no vote of before for one any more, as this process has stood still: holders may have
-    /// taken it for lost and granted a job to another entry. A claim that was not granted, and may
-    /// have come to its turn after another one, ends with the next look at lapsed claims.
+    /// Drops all votes as this process has stood still, and numbers the claims anew, so that answers
+    /// of before count for nothing either: holders may have taken this entry for lost and granted a
+    /// job to another one. A claim that was not granted, and whose turn may have come after another
+    /// entry was done with the job, ends with the next look at lapsed claims.
     pub fn suspend(&mut self, now_ms: u64) {
         let outlast_ms = self.reach.limits.outlast_ms();
         for claim in self.claims.values_mut() {
-            claim.kept_until_ms = claim.confirmed_ms + self.reach.limits.give_up_ms;
             claim.was_granted |= claim.is_granted;
             claim.is_granted = false;
             claim.is_outlived |= !claim.was_granted && now_ms >= claim.confirmed_ms + outlast_ms;
@@ -425,11 +437,12 @@
     /// Claims all jobs again that this process had before it stood still. Returns what to ask.
     pub fn claim_again(&mut self, now_ms: u64) -> Vec<ClaimRequest> {
         self.suspend(now_ms);
-        let mut requests = Vec::new();
+        let (limits, mut requests) = (self.reach.limits, Vec::new());
         for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_outlived) {
             claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
-            requests
-                .extend(claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, now_ms)));
+            requests.extend(
+                claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, limits, now_ms)),
+            );
         }
         requests
     }
@@ -442,12 +455,14 @@
         now_ms: u64,
     ) -> Vec<ClaimRequest> {
         let sets = sets.into();
-        let mut requests = Vec::new();
+        let (limits, mut requests) = (self.reach.limits, Vec::new());
         for (&job, claim) in &mut self.claims {
             // What the former holders have confirmed stays so.
             claim.confirmed_ms = claim.last_confirmed_ms(&self.reach);
             let to_ask = claim.move_to(holders_of(job, sets));
-            requests.extend(to_ask.into_iter().map(|holder| claim.request(job, holder, now_ms)));
+            requests.extend(
+                to_ask.into_iter().map(|holder| claim.request(job, holder, limits, now_ms)),
+            );
         }
         requests
     }
@@ -534,6 +549,7 @@
     /// Returns the claims that are granted now, as majorities are in contact again, and what to ask
     /// holders again that can answer now.
     pub fn tick(&mut self, now_ms: u64) -> (Vec<CallerJobId>, Vec<ClaimRequest>) {
+        let limits = self.reach.limits;
         let (mut granted, mut requests) = (Vec::new(), Vec::new());
         for (&job, claim) in &mut self.claims {
             let mut ask_again = Vec::new();
@@ -545,7 +561,7 @@
                     Vote::Voteless { until_ms } => until_ms <= now_ms,
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
-                    Vote::Held => claim.is_granted,
+                    Vote::Held | Vote::NotKept => claim.is_granted,
                     _ => false,
                 };
                 if is_due {
@@ -553,7 +569,9 @@
                     ask_again.push(*holder);
                 }
             }
-            requests.extend(ask_again.into_iter().map(|holder| claim.request(job, holder, now_ms)));
+            requests.extend(
+                ask_again.into_iter().map(|holder| claim.request(job, holder, limits, now_ms)),
+            );
             if !claim.is_granted && claim.decide(&self.reach, now_ms) {
                 granted.push(job);
             }
@@ -624,7 +642,8 @@
     pub fn renewals(&self, holder: SocketAddr, now_ms: u64) -> Vec<ClaimRequest> {
         let of_holder =
             self.claims.iter().filter(|(_, claim)| claim.known_to().any(|entry| entry == holder));
-        of_holder.map(|(&job, claim)| claim.request(job, holder, now_ms)).collect()
+        let limits = self.reach.limits;
+        of_holder.map(|(&job, claim)| claim.request(job, holder, limits, now_ms)).collect()
     }
 
     /// Whether there are claims that a holder has, or should have.
--- a/crates/decide/src/claims/mod.rs
+++ b/crates/decide/src/claims/mod.rs
@@ -9,15 +9,17 @@
 //! [`ClaimTable`] is the state of a holder, [`Claims`] that of an entry that claims.
 
 mod claimant;
+mod limits;
 mod table;
 
 pub use {
     claimant::{ClaimDecision, ClaimRequest, ClaimState, Claims},
+    limits::ClaimLimits,
     table::{ClaimOwner, ClaimTable},
 };
 
 use {
-    crate::{dispatch::MAX_TICK_MS, rendezvous},
+    crate::rendezvous,
     std::{cmp::Reverse, collections::HashSet, net::SocketAddr},
     sycamorerail_wire::runs::{CallerJobId, EntryAddress},
 };
@@ -25,45 +27,6 @@
 /// Number of holders of a claim: a majority answers while one of them is lost.
 pub const HOLDERS: usize = 3;
 
-/// Limits of claims, from the settings.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ClaimLimits {
-    /// Time for which runs may go on after their entry is gone or has given up their job, in
-    /// milliseconds.
-    pub run_over_ms: u64,
-    /// Time for which a claim lasts beyond that, in milliseconds.
-    pub margin_ms: u64,
-    /// Time after the last contact with a majority of its holders after which an entry gives a job
-    /// up, in milliseconds. The runs of the job have to be over within [`Self::stop_within_ms`],
-    /// before the claim ends, and agents must not take the entry for silent meanwhile.
-    pub give_up_ms: u64,
-    /// A claim counts as granted only if the majority of its holders was in contact within this
-    /// time, in milliseconds.
-    pub confirm_within_ms: u64,
-    /// Time within which the runs of a job are over at agents that are in contact once it is given
-    /// up, in milliseconds.
-    pub stop_within_ms: u64,
-    /// Time after which an entry no longer expects the vote of a holder that it can't reach, in
-    /// milliseconds.
-    pub lost_after_ms: u64,
-}
-
-impl ClaimLimits {
-    /// Time for which a claim lasts after the last sign of its claimant, in milliseconds: its runs
-    /// are over, whether they can be stopped or end with their leases.
-    #[must_use]
-    pub fn outlast_ms(&self) -> u64 {
-        self.run_over_ms + self.margin_ms
-    }
-
-    /// Time after the last contact with a majority of its holders within which a claim may be
-    /// granted, and tasks placed by it, in milliseconds. Agents may have been acknowledged until
-    /// now, and tasks are placed until [`MAX_TICK_MS`] after a look at what is due.
-    fn grant_within_ms(&self) -> u64 {
-        self.confirm_within_ms.min(self.margin_ms.saturating_sub(MAX_TICK_MS))
-    }
-}
-
 /// Returns the voters of a set that hold claims on a job, the same at every entry that knows the
 /// same set. They are in different data centres if there are as many, so that the loss of one leaves
 /// a majority.
--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -26,6 +26,8 @@
     /// Whether it is granted, by this holder or by others. Otherwise, one that others have granted
     /// goes before it.
     is_granted: bool,
+    /// Since when this holder has granted it, and no other one, if it has.
+    granted_ms: Option<u64>,
     /// Whether its claimant has given it up, or is not connected.
     is_ending: bool,
     /// Whether the job was done as it waited for its turn: it is granted no more, and stands in no
@@ -116,23 +118,19 @@
         // A connection that was replaced may deliver an earlier claim.
         let answer = if is_overtaken {
             ClaimAnswer::Held
-        } else if known.is_none() && asked.standing == ClaimStanding::Renewed {
-            // Another entry may have been granted the job since, and be done with it.
-            ClaimAnswer::NoVote
+        } else if !self.is_kept(known.map(|known| &queue[known]), asked.standing, now_ms) {
+            ClaimAnswer::NotKept
         } else {
             let before = known.map(|known| queue.remove(known));
             let same = before.filter(|claim| claim.number == asked.number);
-            let is_granted = match asked.standing {
-                ClaimStanding::New => false,
-                ClaimStanding::Granted => true,
-                ClaimStanding::Renewed => before.is_some_and(|claim| claim.is_granted),
-            };
+            let is_granted = asked.standing != ClaimStanding::New;
             let claim = Claim {
                 claimant,
                 number: asked.number,
                 ends_ms: now_ms + asked.for_ms,
                 claimed_ms: same.map_or(now_ms, |claim| claim.claimed_ms),
                 is_granted,
+                granted_ms: before.and_then(|claim| claim.granted_ms),
                 is_ending: false,
                 is_late: same.is_some_and(|claim| claim.is_late),
             };
@@ -142,10 +140,22 @@
             queue.insert(place, claim);
             self.answer(&mut queue, claimant, now_ms)
         };
-        self.claims.insert(asked.job, queue);
+        if !queue.is_empty() {
+            self.claims.insert(asked.job, queue);
+        }
         answer
     }
 
+    /// Whether this holder may answer for a claim. For a renewed one, it must have granted it before
+    /// another entry could be granted the job after the last confirmation, and to nobody else since.
+    fn is_kept(&self, known: Option<&Claim>, standing: ClaimStanding, now_ms: u64) -> bool {
+        let ClaimStanding::Renewed { confirmed_ago_ms } = standing else { return true };
+        let granted_ms = known.and_then(|claim| claim.granted_ms);
+        let is_early =
+            |granted_ms: u64| granted_ms + confirmed_ago_ms <= now_ms + self.limits.give_up_ms;
+        granted_ms.is_some_and(is_early)
+    }
+
     /// Answers one of the claims on a job.
     fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
         let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
@@ -159,6 +169,7 @@
         }
         first.is_granted |= now_ms >= self.grants_from_ms;
         if first.is_granted {
+            first.granted_ms.get_or_insert(now_ms);
             ClaimAnswer::Granted
         } else {
             ClaimAnswer::NotYet { in_ms: whole(self.grants_from_ms - now_ms) }
@@ -208,7 +219,7 @@
             End::Over
         } else if claim.is_ending || left_ms <= self.limits.run_over_ms {
             End::In(left_ms)
-        } else if silence_ms >= self.limits.confirm_within_ms {
+        } else if silence_ms >= self.limits.silent_from_ms {
             End::In(left_ms.min(silent_from_ms - silence_ms))
         } else {
             End::Open
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -50,20 +50,6 @@
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 /// A holder closes a connection on which it has heard nothing for this long.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
-/// Time without an answer after which a holder's vote is not expected any more: that of a silent
-/// connection and one more attempt.
-const LOST_AFTER_MS: u64 = 250;
-/// A majority of holders was in contact within this time: five beats, so that none is missing where
-/// a connection is replaced.
-const CONFIRM_WITHIN_MS: u64 = 500;
-/// Time for which claims last beyond the longest runs.
-const MARGIN_MS: u64 = 300;
-/// Time for the stop of a run whose agent is in contact: the look at what is due, the way there,
-/// several attempts at the upstream.
-const STOP_WITHIN_MS: u64 = 400;
-/// Time in which agents are acknowledged again once a job is given up, beside two heartbeats: two
-/// passes over what is due, of which one may be late.
-const ACKNOWLEDGE_WITHIN_MS: u64 = 100;
 /// Longest time in which claimants are told that this entry ends.
 const LEAVE_WITHIN: Duration = Duration::from_millis(20);
 /// Pause between messages to a holder that has claims of this entry. Claims of jobs that have run
@@ -116,15 +102,8 @@
 
 impl ClaimLinks {
     pub(super) fn new(limits: &DispatchLimits) -> Self {
-        let silent_from_ms = MARGIN_MS + limits.owner_timeout_ms - 2 * limits.heartbeat_ms;
-        let limits = ClaimLimits {
-            run_over_ms: limits.run_over_ms,
-            margin_ms: MARGIN_MS,
-            give_up_ms: silent_from_ms - ACKNOWLEDGE_WITHIN_MS,
-            confirm_within_ms: CONFIRM_WITHIN_MS,
-            stop_within_ms: STOP_WITHIN_MS,
-            lost_after_ms: LOST_AFTER_MS,
-        };
+        let DispatchLimits { run_over_ms, owner_timeout_ms, heartbeat_ms, .. } = *limits;
+        let limits = ClaimLimits::new(run_over_ms, owner_timeout_ms, heartbeat_ms);
         Self {
             claims: Mutex::new(Claims::new(limits)),
             table: Mutex::new(ClaimTable::new(limits)),
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -573,9 +573,13 @@
     New,
     /// Enough holders have granted it, so that the job may run.
     Granted,
-    /// Enough holders had granted it before the entry stood still for so long that they may have
-    /// granted the job to another one since. Only a holder that still has the claim keeps it.
-    Renewed,
+    /// Enough holders had granted it, and none has confirmed it for so long that they may have
+    /// granted the job to another entry since. Only a holder that has granted it before, and to
+    /// nobody else since, keeps it.
+    Renewed {
+        /// Time since the last confirmation, in milliseconds.
+        confirmed_ago_ms: u64,
+    },
 }
 
 /// End of a claim.
@@ -642,6 +646,9 @@
         /// In milliseconds.
         in_ms: u32,
     },
+    /// The holder has not granted the claim that is renewed, or has granted the job to another entry
+    /// since.
+    NotKept,
     /// The holder has another list of voters, or can't tell whether its own is still in force. It
     /// takes note of the claim, which is to be sent again.
     NoVote,
