A release that is read late takes no granted claim

What callers could see: a task runs twice at once. A claim and its release, as done, which a cut has held up, are read after another entry was granted the job: took that one's claim for a copy that waited, and granted the next copy beside it.

Change: only claims that are not granted count as late.

Evidence: a_release_that_is_read_late_takes_no_granted_claim, red before.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -186,7 +186,7 @@
             if is_released(&&*claim) {
                 claim.end_by(now_ms + release.after_ms);
             } else {
-                claim.is_late |= release.is_done && has_released;
+                claim.is_late |= release.is_done && has_released && !claim.is_granted;
             }
         }
     }
--- a/crates/decide/tests/renewed_claims.rs
+++ b/crates/decide/tests/renewed_claims.rs
@@ -6,7 +6,7 @@
     sycamorerail_decide::claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
     sycamorerail_wire::{
         ids::Incarnation,
-        runs::{CallerJobId, ClaimRelease, EntryAddress},
+        runs::{CallerJobId, ClaimAnswer, ClaimRelease, EntryAddress},
     },
 };
 
@@ -96,6 +96,13 @@
         }
     }
 
+    /// All holders read a new claim of an entry.
+    fn ask(&mut self, claimant: Incarnation, now_ms: u64) {
+        let asked = self.claims(claimant).begin(JOB, &entries(), 30_000, now_ms);
+        let decisions = self.read(claimant, &asked, &[0, 1, 2], true, now_ms);
+        assert_eq!(decisions, [ClaimDecision::Granted]);
+    }
+
     /// The second entry, which reaches these holders, begins its claim. It is not granted at once.
     fn ask_second(&mut self, by: &[usize], now_ms: u64) {
         let asked = self.second.begin(JOB, &entries(), 30_000, now_ms);
@@ -214,6 +221,21 @@
     assert!(!decisions.contains(&ClaimDecision::Granted), "done at {done_ms} ms: {decisions:?}");
 }
 
+/// Guards against two runs at once: a claim and its release, which a cut has held up, are read after
+/// another entry was granted the job. What it has is none of the copies that waited.
+#[test]
+fn a_release_that_is_read_late_takes_no_granted_claim() {
+    let third = Incarnation(3);
+    let (mut world, asked) = World::begin();
+    world.ask(SECOND, 10);
+    let table = &mut world.tables[0];
+    table.claim(asked[0].claim, FIRST, 3_000);
+    let number = asked[0].claim.number;
+    table.release(ClaimRelease { job: JOB, number, after_ms: 0, is_done: true }, FIRST, 3_000);
+    let copy = table.claim(asked[0].claim, third, 3_010).answer;
+    assert_eq!(copy, ClaimAnswer::Held);
+}
+
 /// Guards against the same with a message that is read after a renewal was refused: the first
 /// entry's claim of 0 ms reaches one holder only after that one has said that it has no such claim.
 #[test]
