--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -30,9 +30,6 @@
     granted_ms: Option<u64>,
     /// Whether its claimant has given it up, or is not connected.
     is_ending: bool,
-    /// Whether the job was done as it waited for its turn: it is granted no more, and stands in no
-    /// other one's way.
-    is_late: bool,
 }
 
 impl Claim {
@@ -132,10 +129,8 @@
                 is_granted,
                 granted_ms: before.and_then(|claim| claim.granted_ms),
                 is_ending: false,
-                is_late: same.is_some_and(|claim| claim.is_late),
             };
-            let first = queue.iter().find(|claim| !claim.is_late);
-            let is_first = first.is_none_or(|first| is_granted && !first.is_granted);
+            let is_first = queue.first().is_none_or(|first| is_granted && !first.is_granted);
             let place = if is_first { 0 } else { known.unwrap_or(queue.len()) };
             queue.insert(place, claim);
             self.answer(&mut queue, claimant, now_ms)
@@ -159,8 +154,7 @@
     /// Answers one of the claims on a job.
     fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
         let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
-        let first = queue.iter_mut().find(|claim| !claim.is_late);
-        let Some(first) = first else { return ClaimAnswer::Held };
+        let Some(first) = queue.first_mut() else { return ClaimAnswer::Held };
         if first.claimant != claimant {
             return match self.end_of(first, now_ms) {
                 End::In(in_ms) => ClaimAnswer::Ending { in_ms: whole(in_ms) },
@@ -180,14 +174,9 @@
     pub fn release(&mut self, release: ClaimRelease, claimant: Incarnation, now_ms: u64) {
         let Some(queue) = self.claims.get_mut(&release.job) else { return };
         let is_released =
-            |claim: &&Claim| claim.claimant == claimant && claim.number <= release.number;
-        let has_released = queue.iter().any(|claim| is_released(&claim));
-        for claim in queue.iter_mut() {
-            if is_released(&&*claim) {
-                claim.end_by(now_ms + release.after_ms);
-            } else {
-                claim.is_late |= release.is_done && has_released && !claim.is_granted;
-            }
+            |claim: &&mut Claim| claim.claimant == claimant && claim.number <= release.number;
+        for claim in queue.iter_mut().filter(is_released) {
+            claim.end_by(now_ms + release.after_ms);
         }
     }
 
@@ -265,8 +254,7 @@
     /// The entry that has the claim on a job.
     #[must_use]
     pub fn owner(&self, job: CallerJobId, now_ms: u64) -> Option<ClaimOwner> {
-        let queue = self.claims.get(&job)?;
-        let Claim { claimant, number, .. } = *queue.iter().find(|claim| !claim.is_late)?;
+        let Claim { claimant, number, .. } = *self.claims.get(&job)?.first()?;
         let heard_ms = self.heard_ms.get(&claimant).copied().unwrap_or(now_ms);
         Some(ClaimOwner { claimant, number, silent_ms: now_ms.saturating_sub(heard_ms) })
     }
--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -23,20 +23,12 @@
     /// Whether a task was started, or may have been. Otherwise, its caller may submit it again at
     /// once.
     pub may_have_run: bool,
-    /// Whether all of its tasks are done.
-    pub is_done: bool,
 }
 
 impl ReleasedJob {
     pub(super) fn new(job: &Job, is_ending: bool) -> Self {
         let may_run = job.has_placed();
-        Self {
-            id: job.request.id,
-            is_ending,
-            may_run,
-            may_have_run: job.may_have_run || may_run,
-            is_done: job.is_done(),
-        }
+        Self { id: job.request.id, is_ending, may_run, may_have_run: job.may_have_run || may_run }
     }
 }
 
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -257,12 +257,6 @@
         }
     }
 
-    /// Whether all of its tasks have succeeded.
-    #[must_use]
-    pub fn is_done(&self) -> bool {
-        self.unfinished.iter().all(|unfinished| *unfinished == 0)
-    }
-
     fn is_all_running(&self) -> bool {
         self.tasks.iter().flatten().all(Task::has_started)
     }
@@ -463,7 +457,7 @@
                 task.state = TaskState::Done;
                 self.may_have_run = true;
                 self.unfinished[step] -= 1;
-                if self.is_done() {
+                if self.unfinished.iter().all(|unfinished| *unfinished == 0) {
                     RunEffect::Completed
                 } else if self.unfinished[step] == 0 {
                     RunEffect::PlaceAgain
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -327,7 +327,7 @@
             let Some((number, holders)) = ended else { continue };
             let may_run = job.is_ending || job.may_run;
             let after_ms = if may_run { over_ms.saturating_sub(now_ms) } else { 0 };
-            let release = ClaimRelease { job: job.id, number, after_ms, is_done: job.is_done };
+            let release = ClaimRelease { job: job.id, number, after_ms };
             for holder in holders {
                 if holder == self.settings.own {
                     let mut table = self.claims.table.lock();
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -591,8 +591,6 @@
     pub number: u64,
     /// Time after which it ends, in milliseconds.
     pub after_ms: u64,
-    /// Whether the job is done, so that claims that wait for the end of this one must not have it.
-    pub is_done: bool,
 }
 
 /// Answers to claims. Each [`ClaimRequests`] gets one, in the same order; one more without answers
