--- a/crates/decide/tests/reconnects.rs
+++ b/crates/decide/tests/reconnects.rs
@@ -204,17 +204,25 @@
 /// connects again, and goes over the new connection.
 #[test]
 fn a_placement_not_sent_before_a_hello_is_not_sent_after_it() {
-    for (process, held) in [(FIRST, Some(&[][..])), (SECOND, None)] {
-        let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
-        let key = connect_usable(&mut entry, "a", 100);
-        entry.submit(job(), 100).unwrap();
-        entry.agent_connected("a", process, held, 101);
-        entry.agent_ready(key, 101);
-        let mut sent = ordered(&mut entry);
-        entry.handle_report(key, &[], load(true), 1, 103);
-        sent.extend(ordered(&mut entry));
-        let lost: Vec<_> = entry.take_losses().iter().map(|loss| (loss.agent, loss.run)).collect();
-        assert_eq!(lost, [(key, 1)]);
-        assert_eq!(sent, [(key, 2)], "run 1 is lost");
-    }
+    check_unsent_placement_is_lost(FIRST, Some(&[]));
+}
+
+/// Guards against the same where the agent has started again.
+#[test]
+fn a_placement_not_sent_before_a_new_agents_hello_is_not_sent_after_it() {
+    check_unsent_placement_is_lost(SECOND, None);
+}
+
+fn check_unsent_placement_is_lost(process: Incarnation, held: Option<&[(TaskKey, u32)]>) {
+    let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let key = connect_usable(&mut entry, "a", 100);
+    entry.submit(job(), 100).unwrap();
+    entry.agent_connected("a", process, held, 101);
+    entry.agent_ready(key, 101);
+    let mut sent = ordered(&mut entry);
+    entry.handle_report(key, &[], load(true), 1, 103);
+    sent.extend(ordered(&mut entry));
+    let lost: Vec<_> = entry.take_losses().iter().map(|loss| (loss.agent, loss.run)).collect();
+    assert_eq!(lost, [(key, 1)]);
+    assert_eq!(sent, [(key, 2)], "run 1 is lost");
 }
