Agents that connect before an entry has its membership are registered

Cause: an entry accepts agents before Peers::attach starts its membership. A hello in between was not noted, and agents say hello once a connection: if each entry missed it, nobody registers the agent.

Change: such agents are noted, and registered as membership starts; under the same lock, so that a hello is either noted before or finds the membership.

--- a/crates/entry/src/peers/mod.rs
+++ b/crates/entry/src/peers/mod.rs
@@ -21,6 +21,7 @@
     concluded::Concluded,
     fencing::Fences,
     home::Homes,
+    parking_lot::Mutex,
     sessions::Sessions,
     std::{
         fmt,
@@ -34,7 +35,9 @@
     },
     sycamorerail_platform::{Mirror, Platform},
     sycamorerail_wire::{
-        message::{ConfigMark, EntryReplyBody, EntryStatus, TemplateRecord, ToEntry},
+        message::{
+            AgentIdentity, ConfigMark, EntryReplyBody, EntryStatus, TemplateRecord, ToEntry,
+        },
         session::SessionError,
     },
 };
@@ -68,6 +71,8 @@
 pub(crate) struct Inner {
     sources: Sources,
     membership: OnceLock<Membership>,
+    /// Agents that said hello before there was a membership.
+    early_agents: Mutex<Vec<AgentIdentity>>,
     sessions: Sessions,
     homes: Homes,
     fences: Fences,
@@ -88,6 +93,7 @@
         let inner = Inner {
             sources,
             membership: OnceLock::new(),
+            early_agents: Mutex::default(),
             sessions: Sessions::default(),
             homes: Homes::default(),
             fences: Fences::default(),
@@ -131,6 +137,7 @@
         }
         self.inner.usable.keep(Arc::clone(shared));
         shared.lifecycle.await_agents();
+        self.inner.register_early_agents();
         self.inner.apply_records();
         tokio::spawn(gossip::tell_usage(Arc::downgrade(&self.inner), Arc::clone(shared)));
         tokio::spawn(arrival::settle(Arc::downgrade(&self.inner), Arc::clone(shared)));
--- a/crates/entry/src/peers/usable.rs
+++ b/crates/entry/src/peers/usable.rs
@@ -89,10 +89,29 @@
 
     /// An agent said hello.
     pub(super) fn heard(self: &Arc<Self>, identity: &AgentIdentity) {
-        let Some(membership) = self.membership.get() else { return };
+        let Some(membership) = self.membership_or_note(identity) else { return };
         membership.heard(identity);
         // Once the hello is taken in.
         let inner = Arc::clone(self);
         tokio::spawn(async move { inner.apply_records() });
     }
+
+    /// Returns the membership; notes the agent for [`Self::register_early_agents`] if there is none
+    /// yet.
+    fn membership_or_note(&self, identity: &AgentIdentity) -> Option<&Membership> {
+        let mut early = self.early_agents.lock();
+        let membership = self.membership.get();
+        if membership.is_none() {
+            early.push(identity.clone());
+        }
+        membership
+    }
+
+    /// Registers the agents that said hello before there was a membership.
+    pub(super) fn register_early_agents(&self) {
+        let early = std::mem::take(&mut *self.early_agents.lock());
+        if let Some(membership) = self.membership.get() {
+            early.iter().for_each(|identity| membership.heard(identity));
+        }
+    }
 }
--- a/crates/entry/tests/forward_cluster/mod.rs
+++ b/crates/entry/tests/forward_cluster/mod.rs
@@ -91,12 +91,19 @@
     pub entry: EntryHandle,
     pub peers: Peers,
     pub relay: Relay,
+    platform: Platform,
     /// Other entries get no answer from it.
     pub cut_from_entries: Arc<AtomicBool>,
     http: Client,
 }
 
 impl Node {
+    /// Starts its membership.
+    pub fn attach(&self) {
+        let mirror = Mirror::start(self.platform.clone(), ROOT, 1_000);
+        self.peers.attach(&self.entry.shared, self.platform.clone(), mirror);
+    }
+
     pub async fn call(&self, method: Method, path: &str, body: Option<&Value>) -> Got {
         send(&self.http, self.entry.http_address(), method, path, TOKEN, body).await
     }
@@ -208,6 +215,17 @@
     }
 
     pub async fn add_node_at(&mut self, inner_address: SocketAddr) -> &Node {
+        let node = self.add_unattached_node_at(inner_address).await;
+        node.attach();
+        node
+    }
+
+    /// Adds an entry that accepts agents and has no membership yet.
+    pub async fn add_unattached_node(&mut self) -> &Node {
+        self.add_unattached_node_at("127.0.0.1:0".parse().unwrap()).await
+    }
+
+    async fn add_unattached_node_at(&mut self, inner_address: SocketAddr) -> &Node {
         let relay = Relay::start(self.platform.address()).await;
         let settings = self.entry_settings(inner_address, relay.address);
         let platform_url = settings.platform.url.clone();
@@ -219,9 +237,8 @@
         let config =
             PlatformConfig { url: platform_url, timeout_ms: 1_000, call_budget_per_s: 500 };
         let platform = Platform::new(config).unwrap();
-        let mirror = Mirror::start(platform.clone(), ROOT, 1_000);
-        peers.attach(&entry.shared, platform, mirror);
-        self.nodes.push(Node { entry, peers, relay, cut_from_entries, http: Client::new() });
+        let http = Client::new();
+        self.nodes.push(Node { entry, peers, relay, platform, cut_from_entries, http });
         self.nodes.last().unwrap()
     }
 
