run_bound: in half of the cases what an entry decides is sent in a step of its own

The product sends what is decided after it has released the lock, so that a connection may begin in between. The model sent within the same step. Directed tests, which count steps, play as before.

--- a/crates/decide/tests/run_bound.rs
+++ b/crates/decide/tests/run_bound.rs
@@ -58,16 +58,20 @@
 
     /// Guards against a second run of a task while the first goes on.
     #[test]
-    fn no_task_runs_twice_at_once(plan in plan(), slow_permille in slow_permille()) {
-        let world = World::play(&plan, slow_permille);
+    fn no_task_runs_twice_at_once(
+        plan in plan(), slow_permille in slow_permille(), sends_apart: bool,
+    ) {
+        let world = World::play_with(&plan, slow_permille, sends_apart);
         prop_assert_eq!(world.twice, None);
     }
 
     /// Guards against runs that go on when a copy of their job may come to another entry, or
     /// after their entry took them for lost.
     #[test]
-    fn runs_are_over_within_the_bound(plan in plan(), slow_permille in slow_permille()) {
-        let world = World::play(&plan, slow_permille);
+    fn runs_are_over_within_the_bound(
+        plan in plan(), slow_permille in slow_permille(), sends_apart: bool,
+    ) {
+        let world = World::play_with(&plan, slow_permille, sends_apart);
         prop_assert_eq!(world.late, None);
     }
 }
--- a/crates/decide/tests/run_bound_chain/entry.rs
+++ b/crates/decide/tests/run_bound_chain/entry.rs
@@ -23,6 +23,8 @@
 
 #[derive(Clone, Copy, Debug)]
 pub enum EntryStep {
+    /// Sends what is decided.
+    Send,
     Tick,
     Caller,
     Accept(usize),
@@ -36,6 +38,9 @@
 pub struct Entry {
     pub incarnation: Incarnation,
     pub dispatch: Dispatch,
+    /// What is decided is sent in a step of its own, except by the pass over what is due.
+    pub sends_apart: bool,
+    must_send: bool,
     pub tick_ms: u64,
     pub passes: u64,
     /// Connections whose hello was not read yet.
@@ -97,10 +102,12 @@
 }
 
 impl Entry {
-    pub fn new(incarnation: Incarnation, now_ms: u64) -> Self {
+    pub fn new(incarnation: Incarnation, sends_apart: bool, now_ms: u64) -> Self {
         Self {
             incarnation,
             dispatch: Dispatch::new(DispatchLimits::default(), incarnation),
+            sends_apart,
+            must_send: false,
             tick_ms: now_ms,
             passes: 0,
             backlog: Vec::new(),
@@ -116,6 +123,9 @@
 
     pub fn steps(&self, connections: &[Connection]) -> Vec<(u64, EntryStep)> {
         let mut steps = vec![(self.tick_ms, EntryStep::Tick)];
+        if self.must_send {
+            steps.push((0, EntryStep::Send));
+        }
         if !self.inbox.is_empty() {
             steps.push((0, EntryStep::Caller));
         }
@@ -142,7 +152,16 @@
         steps
     }
 
+    fn decided(&mut self, now_ms: u64) {
+        if self.sends_apart {
+            self.must_send = true;
+        } else {
+            self.act(now_ms);
+        }
+    }
+
     pub fn act(&mut self, now_ms: u64) {
+        self.must_send = false;
         for loss in self.dispatch.take_losses() {
             let submission = self.submissions[&loss.task.job];
             self.lost.push((submission, self.agents[&loss.agent], loss.run));
@@ -209,7 +228,7 @@
             }
             None => {}
         }
-        self.act(now_ms);
+        self.decided(now_ms);
     }
 
     pub fn accept(&mut self, connection: usize, agent: usize, hello: &RunsHello, now_ms: u64) {
@@ -247,7 +266,7 @@
             silent_ms: now_ms + ENTRY_SILENCE_MS,
             counted: None,
         });
-        self.act(now_ms);
+        self.decided(now_ms);
     }
 
     pub fn count(&mut self, link: usize, message: FromRunsAgent, now_ms: u64) {
@@ -274,7 +293,7 @@
             }
             _ => {}
         }
-        self.act(now_ms);
+        self.decided(now_ms);
     }
 
     pub fn beat(&mut self, link: usize, now_ms: u64) {
@@ -296,7 +315,7 @@
         if link.is_present {
             self.dispatch.agent_disconnected(link.agent);
         }
-        self.act(now_ms);
+        self.decided(now_ms);
         link.connection
     }
 }
--- a/crates/decide/tests/run_bound_chain/mod.rs
+++ b/crates/decide/tests/run_bound_chain/mod.rs
@@ -172,6 +172,8 @@
     pub now_ms: u64,
     pub incarnations: u64,
     pub entries: Vec<Option<Entry>>,
+    /// See [`Entry::sends_apart`].
+    pub sends_apart: bool,
     pub agents: Vec<Option<Agent>>,
     pub upstreams: Vec<Upstream>,
     pub recorded: Vec<UpstreamInstance>,
@@ -200,12 +202,13 @@
 }
 
 impl World {
-    pub fn new(slow_permille: [u64; AGENTS]) -> Self {
+    pub fn new(slow_permille: [u64; AGENTS], sends_apart: bool) -> Self {
         let upstream = |slow_permille| Upstream { slow_permille, ..Upstream::default() };
         let mut world = Self {
             now_ms: 0,
             incarnations: 0,
             entries: (0..ENTRIES).map(|_| None).collect(),
+            sends_apart,
             agents: (0..AGENTS).map(|_| None).collect(),
             upstreams: slow_permille.map(upstream).into(),
             recorded: vec![instance(); AGENTS],
@@ -228,7 +231,15 @@
     }
 
     pub fn play(plan: &[(u64, Fault)], slow_permille: [u64; AGENTS]) -> Self {
-        let mut world = Self::new(slow_permille);
+        Self::play_with(plan, slow_permille, false)
+    }
+
+    pub fn play_with(
+        plan: &[(u64, Fault)],
+        slow_permille: [u64; AGENTS],
+        sends_apart: bool,
+    ) -> Self {
+        let mut world = Self::new(slow_permille, sends_apart);
         for (wait_ms, fault) in plan {
             world.pass(*wait_ms);
             world.apply(fault);
@@ -242,7 +253,9 @@
         let incarnation = Incarnation(self.incarnations);
         self.paces[process.index()] = Pace::default();
         match process {
-            EntryOf(entry) => self.entries[entry] = Some(Entry::new(incarnation, self.now_ms)),
+            EntryOf(entry) => {
+                self.entries[entry] = Some(Entry::new(incarnation, self.sends_apart, self.now_ms));
+            }
             AgentOf(agent) => {
                 let recorded = self.recorded[agent].clone();
                 self.agents[agent] = Some(Agent::new(incarnation, recorded, self.now_ms));
@@ -424,6 +437,7 @@
         let now_ms = self.now_ms;
         let entry = self.entries[number].as_mut().unwrap();
         match step {
+            EntryStep::Send => entry.act(now_ms),
             EntryStep::Tick => entry.tick(now_ms),
             EntryStep::Caller => entry.handle_caller(now_ms),
             EntryStep::Accept(connection) => {
