What is decided and not sent as an agent connects again is sent, or lost for good

Cause: since all messages that were not sent as an agent connects again were dropped. Only placements have to be: a hello without a list of runs left a dropped one neither lost nor given again, and a recall, or the word that a job has mostly started, was never given again; nor was one that was sent and lost with its connection, as before.

Change: placements are dropped and their runs lost at once; stops, recalls and words go over the new connection, and recalls and words that were sent before are given again where they still fit.

By reading no agent of today's programs sends a hello without a list while it has orders.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -179,8 +179,8 @@
 
     /// Registers an agent that has connected. `held` are the runs of this entry that the agent
     /// still has, if it knows this incarnation of the entry. They tell nothing of runs that an
-    /// earlier process of the agent left. Commands for the agent that have not been taken are lost
-    /// with the connection before.
+    /// earlier process of the agent left. Placements that have not been taken are lost with the
+    /// connection before.
     pub fn agent_connected(
         &mut self,
         name: &str,
@@ -196,9 +196,9 @@
             self.by_name.insert(name.to_owned(), key);
             return key;
         };
-        // The hello knows nothing of what has not been sent: over the new connection its runs would
-        // start and be taken for lost.
-        self.commands.retain(|command| command.agent() != Some(key));
+        let unsent = self.drop_placements(key);
+        // What was sent may be lost with the connection before.
+        self.jobs.values_mut().for_each(|job| job.forget_messages_to(key));
         let view = &mut self.agents[key];
         if view.process.incarnation != incarnation {
             let earlier_runs = EarlierRuns {
@@ -208,14 +208,34 @@
                 held: held.map_or_else(Vec::new, <[_]>::to_vec),
             };
             view.change_process(incarnation, earlier_runs);
-        } else if let Some(held) = held.filter(|_| view.earlier_runs.is_none()) {
-            let is_lost = |task, run| !held.contains(&(task, run));
+        } else {
+            let held = held.filter(|_| view.earlier_runs.is_none());
+            let is_lost = |task, run| match held {
+                Some(held) => !held.contains(&(task, run)),
+                None => unsent.contains(&(task, run)),
+            };
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
         }
         self.stop_ended_jobs(key, held.unwrap_or_default());
         key
     }
 
+    /// Drops the placements at an agent that have not been taken, and returns their runs. No list
+    /// of runs that the agent holds can name them: over the next connection they would start and be
+    /// taken for lost.
+    fn drop_placements(&mut self, agent: AgentKey) -> Vec<(TaskKey, u32)> {
+        let mut runs = Vec::new();
+        self.commands.retain(|command| match command {
+            Command::Place(at, placement) if *at == agent => {
+                let task = |index| TaskKey { job: placement.job, step: placement.step, index };
+                runs.extend(placement.tasks.iter().map(|start| (task(start.index), start.run)));
+                false
+            }
+            _ => true,
+        });
+        runs
+    }
+
     /// Stops runs that the agent still holds of jobs that have ended or are being ended, because
     /// a stop is lost with the connection that carried it.
     fn stop_ended_jobs(&mut self, agent: AgentKey, held: &[(TaskKey, u32)]) {
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -391,6 +391,17 @@
         })
     }
 
+    /// Has messages to an agent that may be lost given again: recalls of tasks there, and that the
+    /// job has mostly started.
+    pub fn forget_messages_to(&mut self, agent: AgentKey) {
+        for task in self.tasks.iter_mut().flatten().filter(|task| task.is_at(agent)) {
+            self.told_mostly_started = false;
+            if let TaskState::Placed { recalled, .. } = &mut task.state {
+                *recalled = false;
+            }
+        }
+    }
+
     /// Keys of all tasks.
     pub fn keys(&self) -> impl Iterator<Item = TaskKey> {
         self.tasks.iter().enumerate().flat_map(move |(step, tasks)| {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -322,16 +322,3 @@
     /// Answer the caller of the job.
     Answer(JobKey, JobAnswer),
 }
-
-impl Command {
-    /// The agent that a message goes to.
-    pub(super) fn agent(&self) -> Option<AgentKey> {
-        match self {
-            Self::Place(agent, _)
-            | Self::Stop(agent, _)
-            | Self::Withdraw(agent, _)
-            | Self::JobMostlyStarted(agent, ..) => Some(*agent),
-            Self::Answer(..) => None,
-        }
-    }
-}
