A job that another entry has is not answered as not run

Cause: a claim that is granted, lapses and is denied left the mark of a granted claim, by which a job of which nothing was placed here was answered "not run"; another entry may run it.

--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -382,7 +382,11 @@
             // entry.
             let answer = if reason == NoResultReason::Crashing {
                 self.crash_answer(job, job.verdict_at_ms.is_none())
-            } else if job.may_have_run || job.has_placed() || job.may_be_elsewhere() {
+            } else if job.may_have_run
+                || job.has_placed()
+                || job.may_be_elsewhere()
+                || reason == NoResultReason::HeldElsewhere
+            {
                 JobAnswer::Unknown { reason }
             } else {
                 JobAnswer::NotRun { reason, retry_after_ms }
