--- a/crates/decide/tests/contested_claims.rs
+++ b/crates/decide/tests/contested_claims.rs
@@ -467,3 +467,21 @@
         assert_eq!(answer.answer, ClaimAnswer::NotKept);
     }
 }
+
+/// Guards against two runs: a claim is granted by answers of which a majority is only as old as its
+/// second youngest one, and a task that is placed then at an agent that has just connected lasts
+/// longer than its holders keep the claim.
+#[test]
+fn confirmations_that_are_too_old_grant_nothing() {
+    let (young_ms, old_ms) = (150, 100);
+    let decision_at = |now_ms| {
+        let (mut claims, holders) = granted_claim(&[]);
+        claims.confirmed(holders[0], young_ms);
+        claims.confirmed(holders[1], old_ms);
+        assert_eq!(granted(&mut claims, holders[0], now_ms), None);
+        granted(&mut claims, holders[1], now_ms)
+    };
+    let too_old_ms = old_ms + LIMITS.margin_ms - MAX_TICK_MS;
+    assert_eq!(decision_at(too_old_ms - 1), Some(ClaimDecision::Granted));
+    assert_eq!(decision_at(too_old_ms), None, "placed until {} ms", too_old_ms + MAX_TICK_MS);
+}
