--- a/crates/decide/tests/claims_machine.rs
+++ b/crates/decide/tests/claims_machine.rs
@@ -9,6 +9,7 @@
     std::{collections::VecDeque, net::SocketAddr},
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
+        dispatch::MAX_TICK_MS,
         receipts::PASSES,
     },
     sycamorerail_wire::{
@@ -31,9 +32,6 @@
 /// Time for an answer, after which a connection is replaced.
 const ANSWER_WITHIN_MS: u64 = 250;
 const RECONNECT_PAUSE_MS: u64 = 50;
-/// Longest pause since the last pass in which tasks are placed. Up to 300 ms are red:
-/// `a_short_stall_places_nothing_by_an_unconfirmed_claim`.
-const MAX_TICK_MS: u64 = 10;
 /// Shortest pause between two passes after which a process knows that it stood still.
 const MIN_STALL_MS: u64 = 320;
 const ENTRIES: usize = 5;
--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -13,6 +13,7 @@
     std::collections::BTreeMap,
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimRequest, ClaimTable, Claims},
+        dispatch::MAX_TICK_MS,
         receipts::PASSES,
         voters::{VoterSets, VotersAnswer, is_majority},
     },
@@ -29,9 +30,6 @@
 /// Within this time at most two entries are asked for the job: callers wait longer before each
 /// copy.
 const ASK_AGAIN_MS: u64 = 700;
-/// Longest pause since the last pass in which tasks are placed. Up to 300 ms are red:
-/// `a_short_stall_places_nothing_by_an_unconfirmed_claim`.
-const MAX_TICK_MS: u64 = 10;
 /// Shortest pause between two passes after which a process knows that it stood still.
 const MIN_STALL_MS: u64 = 320;
 
