--- a/crates/decide/tests/crash_loop.rs
+++ b/crates/decide/tests/crash_loop.rs
@@ -82,8 +82,7 @@
     entry.handle_report(key, &[started], load(), 2, 110);
     let other = connect(&mut entry, "b", 2, 120);
     let starts: Vec<_> = (300..20_000).step_by(each_ms).collect();
-    let mut heard = 1;
-    for now_ms in (120..20_000).step_by(20) {
+    for (heard, now_ms) in (1..).zip((120..20_000).step_by(20)) {
         if starts.contains(&now_ms) {
             connect(&mut entry, "a", 10 + now_ms, now_ms);
         }
@@ -100,7 +99,6 @@
             }
         }
         entry.message_sent(other, None, now_ms);
-        heard += 1;
     }
     None
 }
