Whether an entry votes on a claim is decided in one place, under one lock

Cause, by reading: the number of the holder's list and its vote were looked at one after the other, so that a list that is adopted in between makes a holder grant a claim among the holders of the list before. A claimant two lists behind could be granted by a majority that has nobody of the present one.

Change: Electorate::votes_on, used by the product and the model.

Evidence: an_entry_votes_on_claims_of_its_own_list_only, red if the number is ignored.

--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -153,6 +153,12 @@
         has_vote
     }
 
+    /// Whether this entry votes on claims whose holders are those of the list of this number. A claim
+    /// of an entry that is two lists behind may have a majority that has nobody of the present one.
+    pub fn votes_on(&mut self, voters_number: u64, now_ms: u64) -> bool {
+        voters_number == self.number() && self.has_vote(now_ms)
+    }
+
     fn may_vote(&self, now_ms: u64) -> bool {
         let is_in_contact = |entry| {
             let contact_ms = self.contacts_ms.get(&entry);
--- a/crates/decide/tests/voters.rs
+++ b/crates/decide/tests/voters.rs
@@ -266,3 +266,17 @@
     });
     assert!(lapsed.unwrap() <= 100 + LIMITS.give_up_ms, "{lapsed:?}");
 }
+
+/// Guards against a claim that is granted among the holders of a list that is not in force any more:
+/// one that has a vote by a later list answered for it.
+#[test]
+fn an_entry_votes_on_claims_of_its_own_list_only() {
+    let mut electorate = voter(1, list(3, 1..=5), true);
+    assert!(electorate.votes_on(3, 100));
+    assert!(!electorate.votes_on(2, 100), "an earlier list");
+    assert!(!electorate.votes_on(4, 100), "a later list");
+    assert!(electorate.told(list(4, 1..=5)));
+    electorate.read(Some(list(4, 1..=5)), 6);
+    assert!(!electorate.votes_on(3, 100), "its list before");
+    assert!(electorate.votes_on(4, 100));
+}
--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -641,8 +641,9 @@
         if let Some(list) = voters {
             self.entries[holder].member.electorate.told(list);
         }
-        let number = self.entries[holder].member.electorate.number();
-        let has_vote = voters_number == number && self.has_vote(holder);
+        let electorate = &mut self.entries[holder].member.electorate;
+        let number = electorate.number();
+        let has_vote = electorate.votes_on(voters_number, self.now_ms);
         let now_ms = self.now_ms;
         let Entry { table, member, .. } = &mut self.entries[holder];
         if is_current {
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -179,8 +179,7 @@
 
     /// Whether this entry votes on its own claims: by the list among which these have their holders.
     fn votes_for_itself(&self, now_ms: u64) -> bool {
-        let number = |list: Option<Arc<VoterList>>| list.map_or(0, |list| list.number);
-        self.has_vote(now_ms) && number(self.claims.list()) == number(self.voters.list())
+        self.votes_on(self.claims.list().map_or(0, |list| list.number), now_ms)
     }
 
     /// Whether this entry can't reach most voters, or knows too little of them.
@@ -750,7 +749,7 @@
         let now_ms = self.now_ms();
         let list = self.voters.list();
         let number = list.as_ref().map_or(0, |list| list.number);
-        let has_vote = voters_number == number && self.has_vote(now_ms);
+        let has_vote = self.votes_on(voters_number, now_ms);
         let VotersAnswer { has_word, vouches, .. } = self.voters.electorate().answer(now_ms);
         let mut table = self.claims.table.lock();
         if is_current {
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -150,6 +150,11 @@
         has_vote
     }
 
+    /// Whether this entry votes on claims whose holders are those of the list of this number.
+    pub(super) fn votes_on(&self, voters_number: u64, now_ms: u64) -> bool {
+        self.has_vote(now_ms) && self.voters.electorate.lock().votes_on(voters_number, now_ms)
+    }
+
     /// Entries to ask for their lists of voters, if it is time.
     pub(super) fn due_contacts(&self, now_ms: u64) -> Vec<SocketAddr> {
         if !self.voters.are_contacts_due(now_ms) {
