--- a/crates/decide/tests/claims.rs
+++ b/crates/decide/tests/claims.rs
@@ -2,8 +2,9 @@
 
 use {
     std::net::SocketAddr,
-    sycamorerail_decide::claims::{
-        ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, HOLDERS, holders,
+    sycamorerail_decide::{
+        claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims, HOLDERS, holders},
+        dispatch::MAX_TICK_MS,
     },
     sycamorerail_wire::{
         ids::Incarnation,
@@ -468,7 +469,7 @@
     let (mut claims, holders) = begun();
     claims.confirmed(holders[0], 100);
     assert_eq!(granted(&mut claims, holders[0]), None);
-    let late_ms = 100 + LIMITS.silent_from_ms;
+    let late_ms = 100 + LIMITS.margin_ms - MAX_TICK_MS;
     claims.confirmed(holders[1], late_ms);
     assert_eq!(answer(&mut claims, holders[1], GRANTED, late_ms), None);
     claims.confirmed(holders[0], late_ms);
