--- a/crates/decide/tests/claimed_jobs.rs
+++ b/crates/decide/tests/claimed_jobs.rs
@@ -140,9 +140,9 @@
     assert_eq!(dispatch.take_released(), [ending]);
 }
 
-/// Guards against two runs: an entry stands still for less than it takes for a stall, in which its claim becomes
-/// unconfirmed. Before its next pass it places the job's tasks at an agent that has just connected,
-/// where they run on after the claim has ended.
+/// Guards against two runs: an entry stands still for less than it takes for a stall, in which its
+/// claim becomes unconfirmed. Before its next pass it places the job's tasks at an agent that has
+/// just connected, where they run on after the claim has ended.
 #[test]
 fn a_short_stall_places_nothing_by_an_unconfirmed_claim() {
     let limits = ClaimLimits::new(1_240, 900, 200);
