An entry that starts grants at once only where the platform has no list of voters

What callers saw: a task runs at two upstreams at once, both runs end as done.

Cause: a flag of the settings decided alone whether the holders that start again wait for the claims of their processes before. Where it is still set they forget what they have granted, and grant copies of it.

Change: an entry that starts always waits, unless the flag is set and its first reading at the platform shows no list. Nobody votes without a list, so nothing was granted before. An unreadable list is one. voters_first_read logs both, and how long the entry still grants nothing.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -100,6 +100,17 @@
         Self { grants_from_ms, ..Self::new(limits) }
     }
 
+    /// Records that no earlier process of this entry has granted anything, so that it grants at once.
+    pub fn rule_out_earlier_grants(&mut self) {
+        self.grants_from_ms = 0;
+    }
+
+    /// How long this entry still grants nothing, in milliseconds.
+    #[must_use]
+    pub fn waits_ms(&self, now_ms: u64) -> u64 {
+        self.grants_from_ms.saturating_sub(now_ms)
+    }
+
     /// Grants a claim for some time, unless another entry has one on the job: then it waits for
     /// that one's end. A claimant that asks again is granted the new time.
     pub fn claim(&mut self, asked: JobClaim, claimant: Incarnation, now_ms: u64) -> AnsweredClaim {
--- a/crates/decide/src/voters/mod.rs
+++ b/crates/decide/src/voters/mod.rs
@@ -55,6 +55,17 @@
     voted_ms + limits.outlast_ms().max(vouched_ms) + SETTLE_SLACK_MS
 }
 
+/// What a reading of the platform's list of voters has shown.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum VotersRead {
+    /// There is none. Nobody has voted before, as nobody votes without a list.
+    Absent,
+    /// There is one, which can't be read.
+    Unreadable,
+    /// The list.
+    List(VoterList),
+}
+
 /// The sets of voters of a list, of which each has to decide by a majority. None without a list.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct VoterSets<'a> {
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -157,10 +157,20 @@
 impl JobService {
     /// Grants no claims until those are over that an earlier process of this entry may have
     /// granted.
-    pub fn wait_for_earlier_claims(&self) {
+    pub(super) fn wait_for_earlier_claims(&self) {
         *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
     }
 
+    /// Grants claims at once, as there was no earlier process of this entry.
+    pub(super) fn rule_out_earlier_claims(&self) {
+        self.claims.table.lock().rule_out_earlier_grants();
+    }
+
+    /// How long this entry still grants no claims, in milliseconds.
+    pub(super) fn grants_in_ms(&self) -> u64 {
+        self.claims.table.lock().waits_ms(self.now_ms())
+    }
+
     /// Tells claimants that this entry ends as planned. It answers no claims any more.
     pub async fn leave(&self) {
         self.claims.leaving.send_replace(true);
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -12,7 +12,7 @@
     },
     sycamorerail_decide::{
         claims::ClaimLimits,
-        voters::{Electorate, RosterLease, VoterSets},
+        voters::{Electorate, RosterLease, VoterSets, VotersRead},
     },
     sycamorerail_telemetry::event,
     sycamorerail_wire::runs::{EntryAddress, VoterList},
@@ -33,6 +33,10 @@
     contacted_ms: AtomicU64,
     /// Whether this entry had a vote lately, for the log.
     had_vote: AtomicBool,
+    /// Whether the platform's list was not read yet.
+    is_unread: AtomicBool,
+    /// Whether the settings say that the whole system starts for the first time.
+    is_first_start: AtomicBool,
 }
 
 impl Voters {
@@ -48,6 +52,8 @@
             list,
             contacted_ms: AtomicU64::new(0),
             had_vote: AtomicBool::new(true),
+            is_unread: AtomicBool::new(false),
+            is_first_start: AtomicBool::new(false),
         }
     }
 
@@ -83,18 +89,49 @@
 
 impl JobService {
     /// Takes the voters from the platform's list, and from other entries, from now on. Until one
-    /// is known this entry neither votes nor starts jobs.
-    pub fn follow_voters(&self) {
+    /// is known this entry neither votes nor starts jobs, and until claims are over that an earlier
+    /// process of it may have granted it grants none.
+    ///
+    /// It need not wait where the settings say that the whole system starts for the first time, and
+    /// the platform's first reading shows no list. The settings alone may be those of an earlier
+    /// start.
+    pub fn follow_voters(&self, is_first_start: bool) {
+        self.wait_for_earlier_claims();
+        self.voters.is_unread.store(true, Ordering::Relaxed);
+        self.voters.is_first_start.store(is_first_start, Ordering::Relaxed);
         *self.voters.electorate.lock() = Electorate::new(self.settings.own);
         self.voters.list.send_replace(None);
         self.claims.set_list(None);
     }
 
     /// Takes note of the platform's list of voters, as of one of its revisions.
-    pub fn read_voters(&self, list: Option<VoterList>, revision: u64) {
+    pub fn read_voters(&self, read: VotersRead, revision: u64) {
+        if self.voters.is_unread.swap(false, Ordering::Relaxed) {
+            let is_first_start = self.voters.is_first_start.load(Ordering::Relaxed);
+            self.note_first_reading(&read, is_first_start);
+        }
+        let list = match read {
+            VotersRead::List(list) => Some(list),
+            VotersRead::Absent | VotersRead::Unreadable => None,
+        };
         self.adopt_voters("platform", |electorate| electorate.read(list, revision));
     }
 
+    /// Before the list is adopted, so that this entry has no vote yet.
+    fn note_first_reading(&self, read: &VotersRead, is_first_start: bool) {
+        let is_absent = *read == VotersRead::Absent;
+        if is_first_start && is_absent {
+            self.rule_out_earlier_claims();
+        }
+        event!(
+            Info,
+            "voters_first_read",
+            first_start = is_first_start,
+            absent = is_absent,
+            grants_in_ms = self.grants_in_ms(),
+        );
+    }
+
     /// Takes note of the list of voters that another entry has.
     pub(super) fn voters_told(&self, list: VoterList) {
         self.adopt_voters("entries", |electorate| electorate.told(list));
--- a/crates/membership/src/roster.rs
+++ b/crates/membership/src/roster.rs
@@ -7,7 +7,7 @@
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
     sycamorerail_decide::{
         claims::ClaimLimits,
-        voters::{RosterEntry, RosterLease},
+        voters::{RosterEntry, RosterLease, VotersRead},
     },
     sycamorerail_platform::{KeyValue, Mirror, Platform, backoff::jittered},
     sycamorerail_telemetry::event,
@@ -53,7 +53,7 @@
     /// The roster was read, or is not read yet.
     pub set_roster: Box<dyn Fn(Roster) + Send + Sync>,
     /// The list of voters was read, as of a revision of the platform.
-    pub read_voters: Box<dyn Fn(Option<VoterList>, u64) + Send + Sync>,
+    pub read_voters: Box<dyn Fn(VotersRead, u64) + Send + Sync>,
     /// It is in the roster under a lease; `None` if that has ended.
     pub set_lease: Box<dyn Fn(Option<RosterLease>) + Send + Sync>,
 }
--- a/crates/membership/src/voters.rs
+++ b/crates/membership/src/voters.rs
@@ -4,7 +4,7 @@
 use {
     crate::roster::{Member, PREFIX, RosterReader},
     std::{sync::Arc, time::Duration},
-    sycamorerail_decide::voters::VoterChanges,
+    sycamorerail_decide::voters::{VoterChanges, VotersRead},
     sycamorerail_platform::{Expected, Mirror, Platform, Swap},
     sycamorerail_telemetry::event,
     sycamorerail_wire::runs::VoterList,
@@ -25,8 +25,8 @@
         changed.borrow_and_update();
         let table = mirror.snapshot();
         if table.synced() {
-            let list = table.get(KEY).and_then(|item| read_or_log(&item.value));
-            (member.read_voters)(list, table.mark());
+            let read = table.get(KEY).map_or(VotersRead::Absent, |item| read_or_log(&item.value));
+            (member.read_voters)(read, table.mark());
         }
         if changed.changed().await.is_err() {
             return;
@@ -103,6 +103,12 @@
     serde_json::from_str(value)
 }
 
-fn read_or_log(value: &str) -> Option<VoterList> {
-    read(value).inspect_err(|error| event!(Warn, "voters_refused", error = error)).ok()
+fn read_or_log(value: &str) -> VotersRead {
+    read(value).map_or_else(
+        |error| {
+            event!(Warn, "voters_refused", error = error);
+            VotersRead::Unreadable
+        },
+        VotersRead::List,
+    )
 }
