A run that its entry does not want where it goes on is stopped

Callers would see: a task runs at two upstreams at once, and no run shows a stop. A hello that lists a run stopped it only if its job had ended. One whose task was placed elsewhere since, or whose job came again to the same entry, went on under the acknowledgements of that entry, as did one that is reported as started after it was taken for lost.

What brings an entry there is not shown: by the bound on runs nothing is left of them by then.

Change: what a hello lists, and what is reported as started, is compared with the placement that the entry has; the job of any other run is stopped at that agent.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss, agents::EarlierRuns,
+        AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss, StrayRun,
+        agents::EarlierRuns,
     },
     crate::rendezvous::weight,
     std::collections::BTreeSet,
@@ -155,9 +156,14 @@
         for report in reports {
             let view = self.agents.get_mut(agent);
             let process = view.and_then(|view| view.process_of_mut(incarnation));
-            if process.is_some_and(|process| process.take_report(report.number)) {
-                self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
+            if !process.is_some_and(|process| process.take_report(report.number)) {
+                continue;
             }
+            let is_wanted = self.is_wanted(agent, report.task, report.run);
+            if report.event == RunEvent::Started && !is_wanted {
+                self.stop_stray(agent, report.task, report.run);
+            }
+            self.apply_run_event(agent, report.task, report.run, report.event, now_ms);
         }
     }
 
@@ -216,7 +222,7 @@
             };
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
         }
-        self.stop_ended_jobs(key, held.unwrap_or_default());
+        self.stop_unwanted_runs(key, held.unwrap_or_default());
         key
     }
 
@@ -236,17 +242,37 @@
         runs
     }
 
-    /// Stops runs that the agent still holds of jobs that have ended or are being ended, because
-    /// a stop is lost with the connection that carried it.
-    fn stop_ended_jobs(&mut self, agent: AgentKey, held: &[(TaskKey, u32)]) {
-        let jobs: BTreeSet<_> = held.iter().map(|(task, _)| task.job).collect();
-        let is_open = |job: &CallerJobId| {
-            let job = self.find_job(*job).and_then(|key| self.jobs.get(key));
-            job.is_some_and(|job| job.ending.is_none())
-        };
-        let over = jobs.into_iter().filter(|job| !is_open(job));
-        let stops: Vec<_> = over.map(|job| Command::Stop(agent, job)).collect();
-        self.commands.extend(stops);
+    /// Stops the jobs of runs that the agent still holds and that are not wanted there: the job has
+    /// ended or is being ended, as a stop is lost with the connection that carried it, or the task
+    /// has been placed elsewhere since, or is one of an earlier submission.
+    fn stop_unwanted_runs(&mut self, agent: AgentKey, held: &[(TaskKey, u32)]) {
+        let is_unwanted = |&&(task, run): &&_| !self.is_wanted(agent, task, run);
+        let unwanted: Vec<_> = held.iter().filter(is_unwanted).copied().collect();
+        let strays = unwanted.iter().filter(|(task, _)| self.is_open(task.job));
+        let strays: Vec<_> = strays.map(|&(task, run)| StrayRun { agent, task, run }).collect();
+        self.strays.extend(strays);
+        let jobs: BTreeSet<_> = unwanted.into_iter().map(|(task, _)| task.job).collect();
+        self.commands.extend(jobs.into_iter().map(|job| Command::Stop(agent, job)));
+    }
+
+    fn is_open(&self, job: CallerJobId) -> bool {
+        let job = self.find_job(job).and_then(|key| self.jobs.get(key));
+        job.is_some_and(|job| job.ending.is_none())
+    }
+
+    /// Whether a run at an agent is the one by which this entry wants the task done.
+    fn is_wanted(&self, agent: AgentKey, task: TaskKey, run: u32) -> bool {
+        let job = self.find_job(task.job).and_then(|key| self.jobs.get(key));
+        job.is_some_and(|job| job.ending.is_none() && job.is_placed_at(task, run, agent))
+    }
+
+    /// Stops the job of a run that its agent reports as started and that is not wanted there: its
+    /// task counts as lost there, and may have been placed again.
+    fn stop_stray(&mut self, agent: AgentKey, task: TaskKey, run: u32) {
+        if self.is_open(task.job) {
+            self.strays.push(StrayRun { agent, task, run });
+            self.commands.push(Command::Stop(agent, task.job));
+        }
     }
 
     /// Puts the connection of [`Self::agent_connected`] to use.
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -391,6 +391,12 @@
         })
     }
 
+    /// Whether a task is at an agent, with this run.
+    #[must_use]
+    pub fn is_placed_at(&self, task: TaskKey, run: u32, agent: AgentKey) -> bool {
+        self.task(task).is_some_and(|task| task.is_at(agent) && task.run == run)
+    }
+
     /// Has messages to an agent that may be lost given again: recalls of tasks there, and that the
     /// job has mostly started.
     pub fn forget_messages_to(&mut self, agent: AgentKey) {
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -33,7 +33,7 @@
     types::{
         AgentKey, Command, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
         KindParameters, LossCause, NoResultReason, PoolView, RunLoss, ShedCause, Shedding,
-        StepRequest,
+        StepRequest, StrayRun,
     },
 };
 
@@ -98,6 +98,8 @@
     commands: Vec<Command>,
     /// Losses of runs since they were last taken.
     losses: Vec<RunLoss>,
+    /// Runs that are not wanted where they go on, since they were last taken.
+    strays: Vec<StrayRun>,
     /// Jobs that were removed since they were last taken.
     released: Vec<ReleasedJob>,
     /// When what is due was last looked at.
@@ -129,6 +131,7 @@
             crashes: Crashes::default(),
             commands: Vec::new(),
             losses: Vec::new(),
+            strays: Vec::new(),
             released: Vec::new(),
             ticked_ms: 0,
             stop_at_ms: None,
@@ -146,6 +149,12 @@
         std::mem::take(&mut self.losses)
     }
 
+    /// Returns the runs of open jobs that were found where they are not wanted since the last call,
+    /// for the log.
+    pub fn take_strays(&mut self) -> Vec<StrayRun> {
+        std::mem::take(&mut self.strays)
+    }
+
     /// Number of jobs held.
     #[must_use]
     pub fn job_count(&self) -> usize {
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -289,6 +289,17 @@
     }
 }
 
+/// A run that goes on at an agent though its entry does not want it there, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StrayRun {
+    /// The agent that has the run.
+    pub agent: AgentKey,
+    /// The task.
+    pub task: TaskKey,
+    /// Number of the run.
+    pub run: u32,
+}
+
 /// A run that an entry takes for lost without a report of it, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RunLoss {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -407,6 +407,11 @@
             let agent = dispatch.agent_silence(loss.agent, now_ms).map_or("", |(name, _)| name);
             log_loss(&loss, agent);
         }
+        for stray in dispatch.take_strays() {
+            let agent = dispatch.agent_silence(stray.agent, now_ms).map_or("", |(name, _)| name);
+            metrics::counter!("sycamorerail_stray_runs_total").increment(1);
+            event!(Warn, "run_stray", task = stray.task, run = stray.run, agent = agent);
+        }
         for command in dispatch.take_commands() {
             match command {
                 Command::Place(agent, placement) => {
