An agent that forgets an entry and hears of it again keeps one link to it

What callers may see: a task runs at two upstreams at once, both runs end as done, none is stopped. Whether the users' runs were these is not shown.

Cause: an entry that nobody lists, that has no connection and was listed 30 s ago or longer is forgotten, and the Tokio task of its link told to end. If the entry is listed again before that task looks (it dials, waits for a welcome or pauses, 0.7 s at most), it reads the flag of the next link, and goes on for good beside the task of that one. So the agent has two connections to one entry, which replace each other at the entry; a hello on one lists what the agent had before it read an order on the other, so that the entry takes the order's runs for not held and places them again, while the agent starts them.

Change: a link's task ends unless it is the one that the known entry has.

--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -81,6 +81,11 @@
             failing_since_ms: self.failing_since_ms,
         }
     }
+
+    /// Whether this Tokio task, known by its receiver, keeps the link.
+    fn has_task(&self, task: &watch::Receiver<bool>) -> bool {
+        self.kept.as_ref().is_some_and(|kept| kept.subscribe().same_channel(task))
+    }
 }
 
 impl Links {
@@ -165,10 +170,12 @@
     }
 
     /// Marks the task of a link as ended unless the link is to be kept; returns whether it
-    /// ended.
-    fn end_unless_kept(&self, peer: SocketAddr) -> bool {
+    /// ended. An entry that was forgotten and listed again has a task of its own.
+    fn end_unless_kept(&self, peer: SocketAddr, task: &watch::Receiver<bool>) -> bool {
         let mut known = self.known.lock();
-        let Some(entry) = known.entries.get_mut(&peer) else { return true };
+        let Some(entry) = known.entries.get_mut(&peer).filter(|entry| entry.has_task(task)) else {
+            return true;
+        };
         if entry.state().is_kept {
             return false;
         }
@@ -267,7 +274,7 @@
 /// Keeps a link to an entry for as long as the link is chosen.
 async fn keep_link(agent: Arc<LeasedAgent>, peer: SocketAddr, kept: watch::Receiver<bool>) {
     let mut pause_ms = REDIAL_MS.0;
-    while !agent.links.end_unless_kept(peer) {
+    while !agent.links.end_unless_kept(peer, &kept) {
         let last_run = agent.links.last_run(peer);
         match Link::open(&agent, peer, last_run, kept.clone()).await {
             Ok((link, reader, writer)) => {
