An order that a later hello of its agent lacks starts nothing

What callers may see: both tasks of a job run at two upstreams at once, both runs end as done, none is stopped. Whether the users' runs were these is not shown.

Cause: an entry takes what a hello doesn't list for not held and places it again. That is so only if the agent starts nothing more that it reads over its connections of before. It had no such rule: it relied on having one connection to an entry at a time.

Change: the ledger numbers the hellos that list an entry's runs; what is read over a connection of an earlier hello is answered "not started" (stale). The entry has lost these runs by then, or places them elsewhere.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -20,7 +20,8 @@
         ids::Incarnation,
         runs::{
             CallerJobId, CopyPart, EntryAddress, Evacuations, FromRunsAgent, Resources, RunReport,
-            RunsFirstMessage, RunsHello, ToRunsAgent, UpstreamInstance, UpstreamLoad,
+            RunsFirstMessage, RunsHello, StepPlacement, ToRunsAgent, UpstreamInstance,
+            UpstreamLoad,
         },
     },
     tokio::{
@@ -70,6 +71,8 @@
     peer: SocketAddr,
     /// Incarnation of the entry.
     pub(super) entry: Incarnation,
+    /// Number of the hello that began it.
+    hello: u64,
     acks: Mutex<AckTracker>,
     /// Number of messages received on this connection.
     heard: AtomicU64,
@@ -101,7 +104,7 @@
         let hello = hello(agent, last_entry);
         let last_report = hello.unconfirmed_reports.last().map_or(0, |report| report.number);
         let hello_ms = agent.clock.now_ms();
-        let held = hello.held_runs.clone();
+        let (held, number) = (hello.held_runs.clone(), hello.number);
         writer.push(&RunsFirstMessage::Agent(hello))?;
         writer.flush().await?;
         let first = timeout(WELCOME_TIMEOUT, reader.next::<ToRunsAgent>()).await;
@@ -127,6 +130,7 @@
             agent: Arc::clone(agent),
             peer,
             entry,
+            hello: number,
             acks: Mutex::new(acks),
             heard: AtomicU64::new(1),
             entry_revision: AtomicU64::new(0),
@@ -200,9 +204,7 @@
             ToRunsAgent::Members(entries) => {
                 agent.links.set_listed_by(self.peer, entries, agent.clock.now_ms());
             }
-            ToRunsAgent::Place(placement) => {
-                agent.update_ledger(|ledger, now_ms| ledger.place(self.entry, placement, now_ms));
-            }
+            ToRunsAgent::Place(placement) => self.place(placement),
             ToRunsAgent::Stop(job) => {
                 agent.update_ledger(|ledger, _| ledger.stop_job(self.entry, job));
             }
@@ -255,6 +257,12 @@
         }
     }
 
+    fn place(&self, placement: StepPlacement) {
+        self.agent.update_ledger(|ledger, now_ms| {
+            ledger.place_over(self.entry, self.hello, placement, now_ms);
+        });
+    }
+
     /// Takes note of the configuration that the entry holds, to fetch it if it is newer.
     fn add_copy_source(&self, revision: u64) {
         self.entry_revision.fetch_max(revision, Ordering::AcqRel);
@@ -474,15 +482,18 @@
 }
 
 fn hello(agent: &LeasedAgent, last_entry: Option<Incarnation>) -> RunsHello {
-    let ledger = agent.ledger.lock();
+    let mut ledger = agent.ledger.lock();
+    // Under the ledger's lock, so that hellos list runs in the order of their numbers.
+    let number = agent.hellos.fetch_add(1, Ordering::AcqRel) + 1;
+    let held_runs = last_entry.map(|entry| ledger.hold_for_hello(entry, number));
     RunsHello {
         agent: agent.incarnation,
         name: agent.settings.name.clone(),
         data_centre: agent.settings.data_centre.clone(),
         last_heard_entry: last_entry,
-        held_runs: last_entry.map(|entry| ledger.held_runs(entry)).unwrap_or_default(),
+        held_runs: held_runs.unwrap_or_default(),
         unconfirmed_reports: last_entry.map(|entry| ledger.reports(entry)).unwrap_or_default(),
         configuration_revision: agent.configuration_revision(),
-        number: agent.hellos.fetch_add(1, Ordering::AcqRel) + 1,
+        number,
     }
 }
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -192,6 +192,8 @@
     pending_starts: usize,
     next_arrival: u64,
     owners: Owners,
+    /// Numbers of the last hellos that listed runs of these entries.
+    last_hellos: HashMap<Incarnation, u64>,
     leftovers: BTreeMap<(TaskKey, u32), Stop>,
     run_times: RunTimes,
     arrivals: ArrivalRates,
@@ -234,6 +236,7 @@
             pending_starts: 0,
             next_arrival: 0,
             owners: Owners::default(),
+            last_hellos: HashMap::new(),
             leftovers: BTreeMap::new(),
             run_times: RunTimes::default(),
             arrivals: ArrivalRates::default(),
@@ -355,6 +358,16 @@
         mine.map(|run| (run.task, run.number)).collect()
     }
 
+    /// Returns the runs of an entry for a hello of this number, like [`Self::held_runs`].
+    ///
+    /// The entry counts all others that it has placed here as over. So none of them may start that
+    /// is read later, over a connection of an earlier hello.
+    pub fn hold_for_hello(&mut self, owner: Incarnation, hello: u64) -> Vec<(TaskKey, u32)> {
+        let last = self.last_hellos.entry(owner).or_default();
+        *last = hello.max(*last);
+        self.held_runs(owner)
+    }
+
     /// Reports runs as lost that were listed to an entry as held and have ended since. They
     /// ended while the entry counted as silent, and reports to a silent entry are not kept.
     pub fn report_missing_runs(&mut self, owner: Incarnation, held: &[(TaskKey, u32)]) {
--- a/crates/decide/src/ledger/orders.rs
+++ b/crates/decide/src/ledger/orders.rs
@@ -10,6 +10,24 @@
 };
 
 impl Ledger {
+    /// Accepts tasks of a job that were read over the connection of this hello, as [`Self::place`]
+    /// does, unless a later hello has listed the entry's runs without them.
+    pub fn place_over(
+        &mut self,
+        owner: Incarnation,
+        hello: u64,
+        placement: StepPlacement,
+        now_ms: u64,
+    ) {
+        let is_overtaken = self.last_hellos.get(&owner).is_some_and(|last| hello < *last);
+        let refusal = if is_overtaken {
+            Some(NotStarted::Stale)
+        } else {
+            self.refusal(owner, &placement, now_ms)
+        };
+        self.accept_step(owner, placement, refusal, now_ms);
+    }
+
     /// Accepts tasks of a job. Tasks that are not accepted are reported as not started.
     ///
     /// Nothing is accepted from an entry that was not heard from lately: after a suspension of
@@ -17,6 +35,16 @@
     /// anything accepted that was placed for another upstream than the present one.
     pub fn place(&mut self, owner: Incarnation, placement: StepPlacement, now_ms: u64) {
         let refusal = self.refusal(owner, &placement, now_ms);
+        self.accept_step(owner, placement, refusal, now_ms);
+    }
+
+    fn accept_step(
+        &mut self,
+        owner: Incarnation,
+        placement: StepPlacement,
+        refusal: Option<NotStarted>,
+        now_ms: u64,
+    ) {
         let spec: Arc<str> = placement.spec.into();
         let required_label: Option<Arc<str>> = placement.target.required_label.map(Arc::from);
         let objective_ms = now_ms + u64::from(placement.objective_in_ms);
--- a/crates/decide/tests/run_bound_chain/agent.rs
+++ b/crates/decide/tests/run_bound_chain/agent.rs
@@ -77,6 +77,7 @@
 }
 
 pub struct SentHello {
+    number: u64,
     sent_ms: u64,
     held_runs: Vec<(TaskKey, u32)>,
     last_report: u64,
@@ -84,6 +85,8 @@
 
 pub struct OpenLink {
     pub entry: Incarnation,
+    /// Number of the hello that began it.
+    pub hello: u64,
     pub acks: AckTracker,
     pub heard: u64,
     pub reported_up_to: u64,
@@ -278,14 +281,17 @@
             name: name.to_string(),
             data_centre: "a".to_owned(),
             last_heard_entry: known,
-            held_runs: known.map(|known| self.ledger.held_runs(known)).unwrap_or_default(),
+            held_runs: known
+                .map(|known| self.ledger.hold_for_hello(known, self.hellos))
+                .unwrap_or_default(),
             unconfirmed_reports: known.map(|known| self.ledger.reports(known)).unwrap_or_default(),
             configuration_revision: 0,
             number: self.hellos,
         };
         let last_report = hello.unconfirmed_reports.last().map_or(0, |report| report.number);
         let held_runs = hello.held_runs.clone();
-        link.hello = Some(SentHello { sent_ms: now_ms, held_runs, last_report });
+        let number = hello.number;
+        link.hello = Some(SentHello { number, sent_ms: now_ms, held_runs, last_report });
         hello
     }
 
@@ -304,7 +310,9 @@
         let Some(open) = &mut self.links[from].open else { return };
         open.heard += 1;
         match message {
-            ToRunsAgent::Place(placement) => self.ledger.place(open.entry, placement, now_ms),
+            ToRunsAgent::Place(placement) => {
+                self.ledger.place_over(open.entry, open.hello, placement, now_ms);
+            }
             ToRunsAgent::Stop(job) => self.ledger.stop_job(open.entry, job),
             ToRunsAgent::JobMostlyStarted { job, give_up_in_ms } => {
                 self.ledger.prioritise_job(open.entry, job, give_up_in_ms, now_ms);
@@ -349,6 +357,7 @@
         acks.record_sent(hello.sent_ms);
         self.links[from].open = Some(OpenLink {
             entry,
+            hello: hello.number,
             acks,
             heard: 1,
             reported_up_to: if is_same { hello.last_report } else { 0 },
