A vote counts no more once its holder may have dropped the claim over a live connection

What callers saw: a task runs at two upstreams at once, both runs end as done. That this fault was the cause is not shown: by reading, connections of entries are replaced within 0.96 s without an answer, and claims are sent again then, so that no play is known that gets here.

Cause: a holder that hears nothing of a claimant for 1,560 ms drops its claim, also while the connection lasts, and grants the job to another entry. The claimant keeps its vote, and as the holder is heard again it counts for a majority beside the one that is left, while the dropped claim and that of a third holder make another majority.

Evidence: a_vote_counts_no_more_once_its_holder_may_have_dropped_the_claim, with Claims and ClaimTable only. Failed before (the claim never lapses), passes now.

Change: a vote of a holder that has not answered for 1,240 ms is pending again, and the holder is asked. That is 300 ms, the longest unnoticed stall, before the holder may drop the claim.

Not run: the other packages.

--- a/crates/decide/src/claims/claimant.rs
+++ b/crates/decide/src/claims/claimant.rs
@@ -66,6 +66,8 @@
     votes: Vec<(SocketAddr, Vote)>,
     /// Former holders, which know of the claim.
     told: Vec<SocketAddr>,
+    /// When holders were asked first, or all of them again.
+    asked_ms: u64,
     /// When runs of the job are over at the latest.
     ends_ms: u64,
     /// When a majority was last certain to keep it, or holders were first asked.
@@ -274,6 +276,14 @@
         self.lost.get(&holder).is_some_and(is_gone)
     }
 
+    /// Whether a holder may soon drop a claim that it was asked for at some time, as it hears nothing
+    /// of this entry. Over a connection that lasts nobody would tell.
+    fn may_be_dropped(&self, holder: SocketAddr, asked_ms: u64, now_ms: u64) -> bool {
+        let contact_ms = self.contacts_ms.get(&holder).copied().unwrap_or(0);
+        // Sooner than the claim lasts by the longest stall that a process may not notice.
+        now_ms >= contact_ms.max(asked_ms) + self.limits.run_over_ms
+    }
+
     /// Why a holder has not granted a claim, for the log.
     fn reason(&self, holder: SocketAddr, vote: Vote) -> &'static str {
         match (self.lost.get(&holder), vote) {
@@ -344,6 +354,7 @@
             holders,
             votes,
             told: Vec::new(),
+            asked_ms: now_ms,
             ends_ms: deadline_ms + self.reach.limits.run_over_ms,
             confirmed_ms: now_ms,
             is_granted: false,
@@ -440,6 +451,7 @@
         let (limits, mut requests) = (self.reach.limits, Vec::new());
         for (&job, claim) in self.claims.iter_mut().filter(|(_, claim)| !claim.is_outlived) {
             claim.lapses_from_ms = now_ms + self.reach.limits.lost_after_ms;
+            claim.asked_ms = now_ms;
             requests.extend(
                 claim.votes.iter().map(|(holder, _)| claim.request(job, *holder, limits, now_ms)),
             );
@@ -562,7 +574,8 @@
                     // The other entry is about to give its claim up. The holder has to know of
                     // this one, should those that granted it be lost.
                     Vote::Held | Vote::NotKept => claim.is_granted,
-                    _ => false,
+                    Vote::Granted => self.reach.may_be_dropped(*holder, claim.asked_ms, now_ms),
+                    Vote::Pending => false,
                 };
                 if is_due {
                     *vote = Vote::Pending;
