Logs tell the build, and what a lost connection was among

Cause: of an incident only excerpts are known, the first 200 characters of some lines. They show neither which code a process runs, nor since when, nor its list of voters.

Change: lines of connections, orders and runs have `build=` first. Whether an entry has a vote is read for the log without a note that it has voted (Electorate::may_vote), so that nothing is decided by it.

A release build from a clean checkout was not run.

--- a/crates/agent/src/leased/links/link.rs
+++ b/crates/agent/src/leased/links/link.rs
@@ -14,7 +14,7 @@
         time::Duration,
     },
     sycamorerail_decide::{ack_tracker::AckTracker, copies, ledger::is_significant_change},
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
@@ -115,7 +115,14 @@
                 ledger.report_missing_runs(entry, &held);
             }
         });
-        event!(Info, "link_opened", peer = peer, entry = entry, again = last_entry == Some(entry));
+        event!(
+            Info,
+            "link_opened",
+            build = build::code(),
+            peer = peer,
+            entry = entry,
+            again = last_entry == Some(entry),
+        );
         if let Some(instance) = upstream {
             agent.restore_upstream(instance);
         }
--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -18,7 +18,7 @@
     sycamorerail_decide::links::{
         LinkChoice, LinkLimits, LinkState, next_link_count, rank_entries, select_links,
     },
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{EntryAddress, Resources},
@@ -286,7 +286,15 @@
                         ledger.forget_settled_owner(link.entry);
                     }
                 });
-                event!(Info, "link_ended", peer = peer, entry = link.entry, end = end);
+                event!(
+                    Info,
+                    "link_ended",
+                    build = build::code(),
+                    peer = peer,
+                    entry = link.entry,
+                    up_ms = agent.clock.now_ms(),
+                    end = end,
+                );
             }
             Err(error) => {
                 event!(Debug, "dial_failed", peer = peer, error = error);
--- a/crates/agent/src/leased/mod.rs
+++ b/crates/agent/src/leased/mod.rs
@@ -28,7 +28,7 @@
         },
         links::LinkLimits,
     },
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
@@ -428,6 +428,7 @@
     event!(
         Info,
         "run",
+        build = build::code(),
         task = decided.task,
         run = decided.run,
         outcome = name,
--- a/crates/decide/src/voters/electorate.rs
+++ b/crates/decide/src/voters/electorate.rs
@@ -159,7 +159,9 @@
         voters_number == self.number() && self.has_vote(now_ms)
     }
 
-    fn may_vote(&self, now_ms: u64) -> bool {
+    /// The same without a note that it has voted.
+    #[must_use]
+    pub fn may_vote(&self, now_ms: u64) -> bool {
         let is_in_contact = |entry| {
             let contact_ms = self.contacts_ms.get(&entry);
             entry == self.own
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -24,7 +24,7 @@
         receipts,
         voters::VotersAnswer,
     },
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         ids::Incarnation,
@@ -293,6 +293,7 @@
         event!(
             Info,
             "tasks_placed",
+            build = build::code(),
             job = placement.job,
             claim = claim.as_ref().map_or(0, |claim| claim.number),
             confirmed_ago_ms = claim.map_or(0, |claim| now_ms.saturating_sub(claim.confirmed_ms)),
@@ -473,11 +474,22 @@
     }
 
     fn holder_lost(self: &Arc<Self>, holder: SocketAddr, is_gone: bool, end: &LinkEnd) {
+        let now_ms = self.clock.now_ms();
         let mut claims = self.claims.claims.lock();
         if !claims.is_lost(holder) {
-            event!(Info, "claim_holder_lost", holder = holder, is_gone = is_gone, error = end);
+            event!(
+                Info,
+                "claim_holder_lost",
+                build = build::code(),
+                holder = holder,
+                up_ms = now_ms,
+                voters_number = self.voters_number(),
+                has_vote = self.may_vote(now_ms),
+                is_gone = is_gone,
+                error = end,
+            );
         }
-        claims.holder_lost(holder, is_gone, self.clock.now_ms());
+        claims.holder_lost(holder, is_gone, now_ms);
     }
 
     /// Sends the list of voters with the next message to a holder that has an earlier one.
@@ -674,6 +686,7 @@
     event!(
         Info,
         "claimant_connected",
+        build = build::code(),
         claimant = hello.incarnation,
         entry = hello.entry,
         peer = peer,
@@ -740,13 +753,17 @@
     event!(
         Info,
         "claimant_disconnected",
+        build = build::code(),
         claimant = claimant,
         entry = entry,
-        peer = peer,
-        error = end,
+        up_ms = now_ms,
+        voters_number = service.voters_number(),
+        has_vote = service.may_vote(now_ms),
         silent_ms = now_ms.saturating_sub(heard_ms),
         longest_silence_ms = longest_silence_ms,
         claims = claims,
+        peer = peer,
+        error = end,
     );
 }
 
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -18,7 +18,7 @@
         dispatch::{AgentKey, Dispatch, PoolView},
         receipts::Receipts,
     },
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         frames::{self, FrameError, FrameReader, FrameWriter},
         runs::{
@@ -183,6 +183,20 @@
     agent_evacuations: Mutex<Evacuations>,
 }
 
+/// Logs a connection of an agent, and how long it may have waited before it was read.
+fn log_agent(service: &JobService, hello: &RunsHello, peer: SocketAddr) {
+    event!(
+        Info,
+        "agent_connected",
+        build = build::code(),
+        agent = hello.name,
+        peer = peer,
+        run = hello.agent,
+        held = hello.held_runs.len(),
+        waited_ms = service.unhandled_ms(),
+    );
+}
+
 impl Link {
     /// Makes this the agent's connection, unless its hello was overtaken by a later one.
     fn begin(service: &Arc<JobService>, peer: SocketAddr, hello: RunsHello) -> Option<Self> {
@@ -221,15 +235,7 @@
             event!(Info, "hello_overtaken", agent = hello.name, peer = peer, run = hello.agent);
             return None;
         };
-        event!(
-            Info,
-            "agent_connected",
-            agent = hello.name,
-            peer = peer,
-            run = hello.agent,
-            held = hello.held_runs.len(),
-            waited_ms = service.unhandled_ms(),
-        );
+        log_agent(service, &hello, peer);
         let confirmed =
             if same { hello.unconfirmed_reports.last().map_or(0, |last| last.number) } else { 0 };
         // What was requested on the connection before is lost with it.
@@ -267,14 +273,19 @@
         let queued =
             self.traffic.sent.load(Ordering::Relaxed) + self.outbox.messages.lock().len() as u64;
         let unread = queued.saturating_sub(self.traffic.read_by_agent.load(Ordering::Relaxed));
+        let now_ms = self.service.now_ms();
         event!(
             Info,
             "agent_disconnected",
+            build = build::code(),
             agent = self.name,
-            peer = self.peer,
-            error = end,
+            up_ms = now_ms,
+            voters_number = self.service.voters_number(),
+            has_vote = self.service.may_vote(now_ms),
             silent_ms = silent_ms,
             unread = unread,
+            peer = self.peer,
+            error = end,
         );
     }
 
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -37,7 +37,7 @@
             JobRequest, NoResultReason, RunLoss, STOP_ANSWER_MS, ShedCause, returns::ReturnCounts,
         },
     },
-    sycamorerail_telemetry::event,
+    sycamorerail_telemetry::{build, event},
     sycamorerail_wire::{
         ids::Incarnation,
         runs::{
@@ -495,6 +495,7 @@
     event!(
         Info,
         "run_lost",
+        build = build::code(),
         task = loss.task,
         run = loss.run,
         agent = agent,
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -187,6 +187,16 @@
         has_vote
     }
 
+    /// The same for the log, which is no vote.
+    pub(super) fn may_vote(&self, now_ms: u64) -> bool {
+        self.voters.electorate.lock().may_vote(now_ms)
+    }
+
+    /// Number of the list of voters in force; 0 if none is known.
+    pub(super) fn voters_number(&self) -> u64 {
+        self.voters.list().map_or(0, |list| list.number)
+    }
+
     /// Whether this entry votes on claims whose holders are those of the list of this number.
     pub(super) fn votes_on(&self, voters_number: u64, now_ms: u64) -> bool {
         self.has_vote(now_ms) && self.voters.electorate.lock().votes_on(voters_number, now_ms)
