Draft, untested: grants tell how their holders started, orders the run before

Cause: a grant names its holders, not whether one had just started; an order of a run after the first doesn't tell what became of the one before; a job that is removed while agents have tasks of it leaves no line.

Change: ClaimAnswers carry how the holder started (up_ms, whether it waited for claims of its process before); job_claim_granted lists it (granted_up_ms). tasks_placed tells voters_number and the last run that is over and why (before). job_released_running is new. Dispatch notes the ends of runs for the log only. claimed_jobs' literal of ReleasedJob names the agents as well, which is stricter.

Bytes of log per job with these fields were not measured. Postcard has no defaults and decode refuses bytes that are left: entries of before and after this commit can't read each other's ClaimAnswers, as with the fields added before.

--- a/crates/decide/src/dispatch/claims.rs
+++ b/crates/decide/src/dispatch/claims.rs
@@ -2,7 +2,7 @@
 //! the claim up as it ends.
 
 use {
-    super::{Dispatch, Ending, Job, JobKey, NoResultReason},
+    super::{AgentKey, Dispatch, Ending, Job, JobKey, NoResultReason},
     sycamorerail_wire::runs::CallerJobId,
 };
 
@@ -11,7 +11,7 @@
 pub const MAX_TICK_MS: u64 = 100;
 
 /// A job that has ended at this entry, or is being ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReleasedJob {
     /// Its id.
     pub id: CallerJobId,
@@ -23,12 +23,20 @@
     /// Whether a task was started, or may have been. Otherwise, its caller may submit it again at
     /// once.
     pub may_have_run: bool,
+    /// Agents that have tasks of it.
+    pub agents: Vec<AgentKey>,
 }
 
 impl ReleasedJob {
     pub(super) fn new(job: &Job, is_ending: bool) -> Self {
         let may_run = job.has_placed();
-        Self { id: job.request.id, is_ending, may_run, may_have_run: job.may_have_run || may_run }
+        Self {
+            id: job.request.id,
+            is_ending,
+            may_run,
+            may_have_run: job.may_have_run || may_run,
+            agents: job.agents(),
+        }
     }
 }
 
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -127,9 +127,31 @@
         for (task, run) in lost {
             self.losses.push(RunLoss { agent, task, run, cause, silent_ms, stalled_ms });
             self.apply_run_event(agent, task, run, RunEvent::Lost, now_ms);
+            self.note_loss(task, run, cause);
         }
     }
 
+    /// Notes for the log that a run is over as the entry took it for lost.
+    fn note_loss(&mut self, task: TaskKey, run: u32, cause: LossCause) {
+        let Some(job) = self.find_job(task.job).and_then(|key| self.jobs.get_mut(key)) else {
+            return;
+        };
+        let step = job.tasks.get_mut(usize::from(task.step));
+        let lost = step.and_then(|step| step.get_mut(usize::from(task.index)));
+        if let Some((last, end)) = lost.and_then(|task| task.last_end.as_mut())
+            && *last == run
+        {
+            *end = cause.name();
+        }
+    }
+
+    /// The last run of a task that is over, and why, for the log of its next one.
+    #[must_use]
+    pub fn last_end(&self, task: TaskKey) -> Option<(u32, &'static str)> {
+        let job = self.jobs.get(self.find_job(task.job)?)?;
+        job.tasks.get(usize::from(task.step))?.get(usize::from(task.index))?.last_end
+    }
+
     /// Applies the reports that an agent sends again on reconnecting. Call it before the runs
     /// that the agent still holds are compared.
     pub fn apply_resent_reports(
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -67,6 +67,8 @@
     pub reported_crashes: u8,
     /// The agent that returned the task last.
     pub avoid: Option<AgentKey>,
+    /// Its last run that is over, and why, for logs.
+    pub last_end: Option<(u32, &'static str)>,
     /// Refusals since the task last started.
     refusals: u32,
     /// The task is not placed before this time.
@@ -107,9 +109,10 @@
     }
 
     /// Marks the task as unplaced after `from` returned it.
-    fn mark_returned(&mut self, from: AgentKey) {
+    fn mark_returned(&mut self, from: AgentKey, end: &'static str) {
         self.state = TaskState::Unplaced;
         self.avoid = Some(from);
+        self.last_end = Some((self.run, end));
     }
 
     /// The agent that has the task.
@@ -200,6 +203,7 @@
             crashes: 0,
             reported_crashes: 0,
             avoid: None,
+            last_end: None,
             refusals: 0,
             paused_until_ms: 0,
         };
@@ -477,7 +481,7 @@
                 }
             }
             RunEvent::Failed { .. } => {
-                task.mark_returned(from);
+                task.mark_returned(from, end_of(event));
                 task.failures += 1;
                 self.may_have_run = true;
                 if task.failures >= max_attempts {
@@ -487,18 +491,18 @@
                 }
             }
             RunEvent::Stopped | RunEvent::Lost => {
-                task.mark_returned(from);
+                task.mark_returned(from, end_of(event));
                 self.may_have_run = true;
                 RunEffect::PlaceAgain
             }
             RunEvent::Crashed => {
-                task.mark_returned(from);
+                task.mark_returned(from, end_of(event));
                 task.crashes += 1;
                 self.may_have_run = true;
                 if task.is_crashing() { RunEffect::Crashing } else { RunEffect::PlaceAgain }
             }
             RunEvent::NotStarted(why) => {
-                task.mark_returned(from);
+                task.mark_returned(from, end_of(event));
                 match why {
                     NotStarted::OldRun => task.run += OLD_RUN_SKIP,
                     NotStarted::Refused | NotStarted::OtherInstance => task.record_refusal(now_ms),
@@ -511,6 +515,19 @@
     }
 }
 
+/// Name of the end of a run, for logs.
+fn end_of(event: RunEvent) -> &'static str {
+    match event {
+        RunEvent::Started => "started",
+        RunEvent::Done { .. } => "done",
+        RunEvent::Failed { .. } => "failed",
+        RunEvent::Stopped => "stopped",
+        RunEvent::Lost => "lost",
+        RunEvent::Crashed => "crashed",
+        RunEvent::NotStarted(why) => why.name(),
+    }
+}
+
 /// Run numbers to skip when an upstream has seen a higher one, because another entry started the
 /// task there for an earlier submission of the same job.
 const OLD_RUN_SKIP: u32 = 8;
--- a/crates/decide/tests/claimed_jobs.rs
+++ b/crates/decide/tests/claimed_jobs.rs
@@ -129,14 +129,37 @@
     assert_eq!(placements(&mut dispatch), 1);
 }
 
+/// Guards against orders of which nothing tells what became of the run before.
+#[test]
+fn the_end_of_the_run_before_is_known() {
+    let task = TaskKey { job: JOB, step: 0, index: 0 };
+    let (mut dispatch, agent, key) = entry_with_job();
+    dispatch.claim_granted(key, 101);
+    assert_eq!(dispatch.last_end(task), None);
+    hand_back(&mut dispatch, agent, 110);
+    assert_eq!(dispatch.last_end(task), Some((1, "withdrawn")));
+    let (mut dispatch, _, key) = entry_with_job();
+    dispatch.claim_granted(key, 101);
+    // A reconnect without the run, which the entry takes for lost.
+    dispatch.agent_connected("agent", Incarnation(1), Some(&[]), 120);
+    assert_eq!(dispatch.last_end(task), Some((1, "not_held")));
+    assert_eq!(dispatch.take_losses().len(), 1);
+}
+
 /// Guards against a claim that outlives its job.
 #[test]
 fn a_job_that_ends_is_released() {
-    let (mut dispatch, _, key) = entry_with_job();
+    let (mut dispatch, agent, key) = entry_with_job();
     dispatch.claim_granted(key, 101);
     assert_eq!(dispatch.take_released(), []);
     dispatch.cancel(key);
-    let ending = ReleasedJob { id: JOB, is_ending: true, may_run: true, may_have_run: true };
+    let ending = ReleasedJob {
+        id: JOB,
+        is_ending: true,
+        may_run: true,
+        may_have_run: true,
+        agents: vec![agent],
+    };
     assert_eq!(dispatch.take_released(), [ending]);
 }
 
--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -669,6 +669,7 @@
             has_vote,
             has_word: word.has_word,
             vouches: word.vouches,
+            start: None,
         }
     }
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -13,14 +13,14 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
     sycamorerail_clock::Clock,
     sycamorerail_decide::{
         claims::{ClaimDecision, ClaimLimits, ClaimRequest, ClaimTable, Claims},
-        dispatch::{Dispatch, DispatchLimits},
+        dispatch::{Dispatch, DispatchLimits, ReleasedJob},
         receipts,
         voters::VotersAnswer,
     },
@@ -30,7 +30,7 @@
         ids::Incarnation,
         runs::{
             AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
-            ClaimantHello, RunsFirstMessage, StepPlacement, VoterList,
+            ClaimantHello, HolderStart, RunsFirstMessage, StepPlacement, VoterList,
         },
     },
     tokio::{
@@ -72,6 +72,8 @@
     beat_ms: AtomicU64,
     /// Number of connections to holders so far.
     connections: AtomicU64,
+    /// Whether this entry grants nothing at first, for logs.
+    waits_at_start: AtomicBool,
     /// Whether this entry is about to end as planned.
     leaving: watch::Sender<bool>,
     /// The list of voters among which claims have their holders. It follows the one in force with
@@ -84,6 +86,8 @@
 struct Holder {
     requests: Mutex<ClaimRequests>,
     filled: Notify,
+    /// How the holder started, as it told last, for logs.
+    start: Mutex<Option<HolderStart>>,
 }
 
 impl Holder {
@@ -112,6 +116,7 @@
             handled_ms: AtomicU64::new(0),
             beat_ms: AtomicU64::new(0),
             connections: AtomicU64::new(0),
+            waits_at_start: AtomicBool::new(false),
             leaving: watch::Sender::default(),
             list: Mutex::default(),
         }
@@ -159,11 +164,13 @@
     /// granted.
     pub(super) fn wait_for_earlier_claims(&self) {
         *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
+        self.claims.waits_at_start.store(true, Ordering::Relaxed);
     }
 
     /// Grants claims at once, as there was no earlier process of this entry.
     pub(super) fn rule_out_earlier_claims(&self) {
         self.claims.table.lock().rule_out_earlier_grants();
+        self.claims.waits_at_start.store(false, Ordering::Relaxed);
     }
 
     /// How long this entry still grants no claims, in milliseconds.
@@ -279,6 +286,7 @@
             job = job,
             claim = state.number,
             granted_by = list(&state.granted_by),
+            granted_up_ms = self.starts_of(&state.granted_by),
             others = list_others(&state.others),
             confirmed_ago_ms = self.clock.now_ms().saturating_sub(state.confirmed_ms),
             voters = voters::sets(voter_list.as_deref()).voters().count(),
@@ -286,8 +294,26 @@
         );
     }
 
+    /// How holders have started, as they told with their last answers, for the log.
+    fn starts_of(&self, holders: &[SocketAddr]) -> String {
+        let links = self.claims.holders.lock();
+        let start_of = |holder: &SocketAddr| {
+            if *holder == self.settings.own {
+                return self.own_start().to_string();
+            }
+            let start = links.get(holder).and_then(|link| *link.start.lock());
+            start.map_or("unknown".to_owned(), |start| start.to_string())
+        };
+        holders.iter().map(start_of).collect::<Vec<_>>().join(",")
+    }
+
+    fn own_start(&self) -> HolderStart {
+        let has_waited = self.claims.waits_at_start.load(Ordering::Relaxed);
+        HolderStart { up_ms: self.clock.now_ms(), has_waited }
+    }
+
     /// Logs an order with the claim that it rests on.
-    pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement) {
+    pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement, before: &str) {
         let claim = self.claims.claims.lock().state(placement.job);
         let now_ms = self.clock.now_ms();
         event!(
@@ -297,10 +323,12 @@
             job = placement.job,
             claim = claim.as_ref().map_or(0, |claim| claim.number),
             confirmed_ago_ms = claim.map_or(0, |claim| now_ms.saturating_sub(claim.confirmed_ms)),
+            voters_number = self.voters_number(),
             agent = agent,
             step = placement.step,
             tasks = placement.tasks.len(),
             last_run = placement.tasks.iter().map(|task| task.run).max().unwrap_or(0),
+            before = before,
         );
     }
 
@@ -328,6 +356,9 @@
     pub(super) fn release_claims(&self, dispatch: &mut Dispatch) {
         for job in dispatch.take_released() {
             let now_ms = self.clock.now_ms();
+            if job.may_run {
+                log_release(dispatch, &job, now_ms);
+            }
             let mut claims = self.claims.claims.lock();
             let over_ms =
                 self.claims.handled_ms.load(Ordering::Relaxed) + self.claims.limits.run_over_ms;
@@ -635,6 +666,7 @@
                 biased;
                 answers = self.reader.next::<ClaimAnswers>() => {
                     let Ok(answers) = answers else { return LinkEnd::Closed { answered } };
+                    *link.start.lock() = answers.start;
                     let contact_ms = unanswered.pop_front().flatten();
                     let is_pending = service.claims_answered(holder, answers, contact_ms);
                     answer_by = is_pending.then(|| answer_at(ANSWER_WITHIN));
@@ -813,10 +845,26 @@
             has_vote,
             has_word,
             vouches,
+            start: Some(self.own_start()),
         }
     }
 }
 
+/// Logs a job whose runs may go on as its entry ends or removes it, with their agents.
+fn log_release(dispatch: &Dispatch, job: &ReleasedJob, now_ms: u64) {
+    let name = |agent| dispatch.agent_silence(agent, now_ms).map_or("unknown", |(name, _)| name);
+    let agents: Vec<_> = job.agents.iter().map(|agent| name(*agent)).collect();
+    event!(
+        Info,
+        "job_released_running",
+        build = build::code(),
+        job = job.id,
+        is_ending = job.is_ending,
+        count = agents.len(),
+        agents = agents.join(","),
+    );
+}
+
 fn list_others(others: &[(SocketAddr, &str)]) -> String {
     let others = others.iter().map(|(holder, reason)| format!("{holder}:{reason}"));
     others.collect::<Vec<_>>().join(",")
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -42,7 +42,7 @@
         ids::Incarnation,
         runs::{
             CallerJobId, ConfigurationCopy, EntryAddress, Evacuations, PRIORITY_CLASSES,
-            ToRunsAgent,
+            StepPlacement, TaskKey, ToRunsAgent,
         },
     },
     tokio::{
@@ -411,7 +411,8 @@
             match command {
                 Command::Place(agent, placement) => {
                     let silence = dispatch.agent_silence(agent, now_ms);
-                    self.log_placement(silence.map_or("", |(name, _)| name), &placement);
+                    let agent_name = silence.map_or("", |(name, _)| name);
+                    self.log_placement(agent_name, &placement, &runs_before(&dispatch, &placement));
                     dispatch.message_sent(agent, Some(&placement), now_ms);
                     self.send(agent, ToRunsAgent::Place(placement));
                 }
@@ -488,6 +489,21 @@
     }
 }
 
+/// What became of the last runs before those of an order: number of the task, of the run, and why
+/// it is over. Bounded, as tasks without an earlier run are left out and log values are cut.
+fn runs_before(dispatch: &Dispatch, placement: &StepPlacement) -> String {
+    let StepPlacement { job, step, .. } = *placement;
+    let again = placement.tasks.iter().filter(|start| start.run > 1);
+    let before = again.map(|start| {
+        let task = TaskKey { job, step, index: start.index };
+        match dispatch.last_end(task) {
+            Some((run, end)) => format!("{}.{run}:{end}", start.index),
+            None => format!("{}.0:unknown", start.index),
+        }
+    });
+    before.collect::<Vec<_>>().join(",")
+}
+
 /// Logs that a run counts as lost. Its task is ordered elsewhere from then on.
 fn log_loss(loss: &RunLoss, agent: &str) {
     let cause = loss.cause.name();
