A later run is refused only once the earlier one at the agent is over

What callers may see: a task runs at two upstreams at once, none of the runs is stopped. Whether the users' runs were these is not shown: it takes an entry that counts a run as over that its agent still has.

Cause: an agent that is ordered a later run of a task by the entry of the earlier one refuses at once, and goes on with the earlier one. The entry then places the task at another agent, though the refusal shows that the earlier run is there; nobody stops that one.

Change: the agent ends the earlier run: it drops it if it waits, and stops it otherwise. The later one is refused as the earlier one is over; until then hellos list both, so that the entry doesn't place it elsewhere.

--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -132,11 +132,20 @@
     rank: Rank,
     phase: Phase,
     stop: Option<Stop>,
+    /// Number of a later run that its entry has ordered, refused once this one is over.
+    refused_later: Option<u32>,
     start_reported: bool,
     /// Upstreams crashed while the task ran: it does not run beside other suspect tasks.
     suspect: bool,
 }
 
+impl Run {
+    /// Whether this is the number of the run, or of the later one that it holds up.
+    fn has_number(&self, number: u32) -> bool {
+        self.number == number || self.refused_later == Some(number)
+    }
+}
+
 /// Suspensions of the VM since the process began.
 #[derive(Clone, Copy, Debug, Default)]
 struct Suspension {
@@ -355,7 +364,9 @@
     #[must_use]
     pub fn held_runs(&self, owner: Incarnation) -> Vec<(TaskKey, u32)> {
         let mine = self.runs.values().filter(|run| run.owner == owner);
-        mine.map(|run| (run.task, run.number)).collect()
+        let numbers = |run: &Run| [Some(run.number), run.refused_later];
+        mine.flat_map(|run| numbers(run).into_iter().flatten().map(|number| (run.task, number)))
+            .collect()
     }
 
     /// Returns the runs of an entry for a hello of this number, like [`Self::held_runs`].
@@ -372,7 +383,9 @@
     /// ended while the entry counted as silent, and reports to a silent entry are not kept.
     pub fn report_missing_runs(&mut self, owner: Incarnation, held: &[(TaskKey, u32)]) {
         for &(task, run) in held {
-            if self.find_run(task, run).is_none() && !self.owners.has_report(owner, task, run) {
+            let present = self.by_task.get(&task).map(|key| &self.runs[*key]);
+            let is_present = present.is_some_and(|present| present.has_number(run));
+            if !is_present && !self.owners.has_report(owner, task, run) {
                 self.push_report(owner, task, run, RunEvent::Lost, Some(LossProof::EntrySilent));
             }
         }
@@ -445,6 +458,10 @@
             self.taken = self.taken.minus(&run.need);
         }
         self.push_report(run.owner, run.task, run.number, event, proof);
+        if let Some(later) = run.refused_later {
+            let refused = RunEvent::NotStarted(NotStarted::Refused);
+            self.push_report(run.owner, run.task, later, refused, None);
+        }
     }
 
     fn report(&mut self, run: &Run, event: RunEvent) {
--- a/crates/decide/src/ledger/orders.rs
+++ b/crates/decide/src/ledger/orders.rs
@@ -72,6 +72,7 @@
                 },
                 phase: Phase::Waiting,
                 stop: None,
+                refused_later: None,
                 start_reported: false,
                 suspect: placement.suspect,
             };
@@ -104,9 +105,12 @@
     }
 
     fn accept_task(&mut self, run: Run, refusal: Option<NotStarted>, now_ms: u64) {
+        if refusal != Some(NotStarted::Stale) {
+            self.end_earlier_run(&run);
+        }
         if let Some(&key) = self.by_task.get(&run.task) {
             let known = &self.runs[key];
-            if known.owner != run.owner || known.number != run.number {
+            if known.owner != run.owner || !known.has_number(run.number) {
                 self.report(&run, RunEvent::NotStarted(NotStarted::Refused));
             }
             return;
@@ -125,6 +129,22 @@
         self.waiting.insert((rank, key));
     }
 
+    /// Ends an earlier run of the task, which its entry counts as over as it orders a later one.
+    ///
+    /// The later one is refused only once the earlier one is over: the refusal has the task placed
+    /// elsewhere.
+    fn end_earlier_run(&mut self, later: &Run) {
+        let Some(&key) = self.by_task.get(&later.task) else { return };
+        let known = &self.runs[key];
+        if known.owner != later.owner || known.number >= later.number {
+            return;
+        }
+        self.stop_run(key);
+        if let Some(known) = self.runs.get_mut(key) {
+            known.refused_later = known.refused_later.max(Some(later.number));
+        }
+    }
+
     /// Moves the waiting tasks of an entry's job ahead of others of their priority, because
     /// most of the job has started, and gives them `give_up_in_ms` from now on.
     pub fn prioritise_job(
