A holder grants a job to its claimant anew only once the runs of the claim before are over

What callers saw: a task runs at two upstreams at once, both runs end as done. That this was the cause is not shown: by reading, an entry says that runs are over before it claims a job anew, and no way is known in which it forgets one. This is the guard at the holders should there be one.

Cause: a holder replaced what it knew of a claimant's claim on a job with that claimant's next one at once, also if the claimant had said until when runs may go on, so that the entry's memory alone kept a copy from a run that goes on.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -33,6 +33,14 @@
 }
 
 impl Claim {
+    /// Whether the claimant may have runs left by this claim as it claims the job anew: it has not
+    /// said that they are over. A claim that was not granted is numbered anew after a stall, and
+    /// waits, too.
+    fn may_have_runs_beside(&self, asked: &JobClaim) -> bool {
+        let is_anew = asked.standing == ClaimStanding::New && self.number < asked.number;
+        is_anew && self.granted_ms.is_some()
+    }
+
     fn end_by(&mut self, over_ms: u64) {
         self.ends_ms = self.ends_ms.min(over_ms);
         self.is_ending = true;
@@ -126,6 +134,11 @@
         // A connection that was replaced may deliver an earlier claim.
         let answer = if is_overtaken {
             ClaimAnswer::Held
+        } else if let Some(earlier) = known.map(|known| &mut queue[known])
+            && earlier.may_have_runs_beside(&asked)
+        {
+            earlier.end_by(now_ms + self.limits.outlast_ms());
+            ClaimAnswer::Ending { in_ms: whole(earlier.ends_ms - now_ms) }
         } else if !self.is_kept(known.map(|known| &queue[known]), asked.standing, now_ms) {
             ClaimAnswer::NotKept
         } else {
@@ -164,7 +177,6 @@
 
     /// Answers one of the claims on a job.
     fn answer(&self, queue: &mut [Claim], claimant: Incarnation, now_ms: u64) -> ClaimAnswer {
-        let whole = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
         let Some(first) = queue.first_mut() else { return ClaimAnswer::Held };
         if first.claimant != claimant {
             return match self.end_of(first, now_ms) {
@@ -289,6 +301,10 @@
     }
 }
 
+fn whole(ms: u64) -> u32 {
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
+
 /// Returns for how long this process has stood still since the last look at what is due.
 fn own_stall_ms(ticked_ms: u64, now_ms: u64) -> u64 {
     let pause_ms = now_ms.saturating_sub(ticked_ms);
