Unwanted runs are stopped before lost ones are placed again, and of ended jobs, too

What callers would see: a task that a hello's loss has just placed at the same agent is stopped with the order before it, and placed once more; a run that starts after its job has ended goes on unstopped. Cause, by a review that had not seen the work: the stop of a whole job was queued behind the placement, and a late start of an ended job was passed over. Its trial printed Place before Stop, and no command. Tests: a_run_is_stopped_before_its_task_is_placed_there_again, a_run_of_a_job_that_has_ended_is_stopped_as_it_starts. Both are new; the review's trial shows the order of before, the tests themselves were not run on it.

--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -225,6 +225,8 @@
             return key;
         };
         let unsent = self.drop_placements(key);
+        // Before lost runs are placed again, perhaps here: a stop is for all runs of a job.
+        self.stop_unwanted_runs(key, held.unwrap_or_default());
         // What was sent may be lost with the connection before.
         self.jobs.values_mut().for_each(|job| job.forget_messages_to(key));
         let view = &mut self.agents[key];
@@ -244,7 +246,6 @@
             };
             self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
         }
-        self.stop_unwanted_runs(key, held.unwrap_or_default());
         key
     }
 
@@ -289,12 +290,12 @@
     }
 
     /// Stops the job of a run that its agent reports as started and that is not wanted there: its
-    /// task counts as lost there, and may have been placed again.
+    /// task counts as lost there, and may have been placed again, or its job has ended since.
     fn stop_stray(&mut self, agent: AgentKey, task: TaskKey, run: u32) {
         if self.is_open(task.job) {
             self.strays.push(StrayRun { agent, task, run });
-            self.commands.push(Command::Stop(agent, task.job));
         }
+        self.commands.push(Command::Stop(agent, task.job));
     }
 
     /// Puts the connection of [`Self::agent_connected`] to use.
--- a/crates/decide/tests/stray_runs.rs
+++ b/crates/decide/tests/stray_runs.rs
@@ -173,3 +173,31 @@
     assert_eq!(stopped, []);
     assert_eq!(entry.take_strays(), []);
 }
+
+/// Guards against a run that goes on as its job has ended since it was taken for lost.
+#[test]
+fn a_run_of_a_job_that_has_ended_is_stopped_as_it_starts() {
+    let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let agent = connect(&mut entry, "agent", 100);
+    reports(&mut entry, agent, &[report(1, 1, RunEvent::Started)], 110);
+    let (_, stopped) = orders(&mut entry);
+    assert_eq!(stopped, [agent]);
+    assert_eq!(entry.take_strays(), []);
+}
+
+/// Guards against a stop that ends what the same hello has placed again.
+#[test]
+fn a_run_is_stopped_before_its_task_is_placed_there_again() {
+    let mut entry = Dispatch::new(DispatchLimits::default(), ENTRY);
+    let agent = connect(&mut entry, "agent", 100);
+    entry.submit(job(100), 100).unwrap();
+    entry.take_commands();
+    // The run that it was given is lost, and one is held that it was not given.
+    entry.agent_connected("agent", AGENT, Some(&[(TASK, 9)]), 120);
+    let commands = entry.take_commands();
+    assert!(
+        matches!(commands[..], [Command::Stop(stopped, JOB), Command::Place(placed, _)]
+            if stopped == agent && placed == agent),
+        "{commands:?}",
+    );
+}
