--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -119,7 +119,8 @@
 
     /// Before the list is adopted, so that this entry has no vote yet.
     fn note_first_reading(&self, read: &VotersRead, is_first_start: bool) {
-        let is_absent = *read == VotersRead::Absent;
+        // A list that others have told is one that the platform has lost.
+        let is_absent = *read == VotersRead::Absent && self.voters.list().is_none();
         if is_first_start && is_absent {
             self.rule_out_earlier_claims();
         }
