--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -511,7 +511,9 @@
                 task.mark_returned(from, end_of(event));
                 match why {
                     NotStarted::OldRun => task.run += OLD_RUN_SKIP,
-                    NotStarted::Refused | NotStarted::OtherInstance => task.record_refusal(now_ms),
+                    NotStarted::Refused | NotStarted::OtherInstance | NotStarted::Stale => {
+                        task.record_refusal(now_ms);
+                    }
                     _ => {}
                 }
                 RunEffect::PlaceAgain
