--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -672,7 +672,6 @@
             has_vote,
             has_word: word.has_word,
             vouches: word.vouches,
-            start: None,
         }
     }
 
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -13,7 +13,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -30,7 +30,7 @@
         ids::Incarnation,
         runs::{
             AnsweredClaim, CallerJobId, ClaimAnswer, ClaimAnswers, ClaimRelease, ClaimRequests,
-            ClaimantHello, HolderStart, RunsFirstMessage, StepPlacement, VoterList,
+            ClaimantHello, RunsFirstMessage, StepPlacement, VoterList,
         },
     },
     tokio::{
@@ -72,8 +72,6 @@
     beat_ms: AtomicU64,
     /// Number of connections to holders so far.
     connections: AtomicU64,
-    /// Whether this entry grants nothing at first, for logs.
-    waits_at_start: AtomicBool,
     /// Whether this entry is about to end as planned.
     leaving: watch::Sender<bool>,
     /// The list of voters among which claims have their holders. It follows the one in force with
@@ -86,8 +84,6 @@
 struct Holder {
     requests: Mutex<ClaimRequests>,
     filled: Notify,
-    /// How the holder started, as it told last, for logs.
-    start: Mutex<Option<HolderStart>>,
 }
 
 impl Holder {
@@ -116,7 +112,6 @@
             handled_ms: AtomicU64::new(0),
             beat_ms: AtomicU64::new(0),
             connections: AtomicU64::new(0),
-            waits_at_start: AtomicBool::new(false),
             leaving: watch::Sender::default(),
             list: Mutex::default(),
         }
@@ -164,13 +159,11 @@
     /// granted.
     pub(super) fn wait_for_earlier_claims(&self) {
         *self.claims.table.lock() = ClaimTable::restarted(self.claims.limits, self.now_ms());
-        self.claims.waits_at_start.store(true, Ordering::Relaxed);
     }
 
     /// Grants claims at once, as there was no earlier process of this entry.
     pub(super) fn rule_out_earlier_claims(&self) {
         self.claims.table.lock().rule_out_earlier_grants();
-        self.claims.waits_at_start.store(false, Ordering::Relaxed);
     }
 
     /// How long this entry still grants no claims, in milliseconds.
@@ -286,7 +279,6 @@
             job = job,
             claim = state.number,
             granted_by = list(&state.granted_by),
-            granted_up_ms = self.starts_of(&state.granted_by),
             others = list_others(&state.others),
             confirmed_ago_ms = self.clock.now_ms().saturating_sub(state.confirmed_ms),
             voters = voters::sets(voter_list.as_deref()).voters().count(),
@@ -294,24 +286,6 @@
         );
     }
 
-    /// How holders have started, as they told with their last answers, for the log.
-    fn starts_of(&self, holders: &[SocketAddr]) -> String {
-        let links = self.claims.holders.lock();
-        let start_of = |holder: &SocketAddr| {
-            if *holder == self.settings.own {
-                return self.own_start().to_string();
-            }
-            let start = links.get(holder).and_then(|link| *link.start.lock());
-            start.map_or("unknown".to_owned(), |start| start.to_string())
-        };
-        holders.iter().map(start_of).collect::<Vec<_>>().join(",")
-    }
-
-    fn own_start(&self) -> HolderStart {
-        let has_waited = self.claims.waits_at_start.load(Ordering::Relaxed);
-        HolderStart { up_ms: self.clock.now_ms(), has_waited }
-    }
-
     /// Logs an order with the claim that it rests on.
     pub(super) fn log_placement(&self, agent: &str, placement: &StepPlacement, before: &str) {
         let claim = self.claims.claims.lock().state(placement.job);
@@ -666,7 +640,6 @@
                 biased;
                 answers = self.reader.next::<ClaimAnswers>() => {
                     let Ok(answers) = answers else { return LinkEnd::Closed { answered } };
-                    *link.start.lock() = answers.start;
                     let contact_ms = unanswered.pop_front().flatten();
                     let is_pending = service.claims_answered(holder, answers, contact_ms);
                     answer_by = is_pending.then(|| answer_at(ANSWER_WITHIN));
@@ -845,7 +818,6 @@
             has_vote,
             has_word,
             vouches,
-            start: Some(self.own_start()),
         }
     }
 }
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -612,23 +612,6 @@
     pub has_word: bool,
     /// Whether the holder has voted by its list lately.
     pub vouches: bool,
-    /// How the holder started, for logs; `None` as it leaves.
-    pub start: Option<HolderStart>,
-}
-
-/// How the process of a holder started.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HolderStart {
-    /// For how long it runs, in milliseconds.
-    pub up_ms: u64,
-    /// Whether it granted nothing at first, as its process before may have granted claims.
-    pub has_waited: bool,
-}
-
-impl fmt::Display for HolderStart {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}", self.up_ms, if self.has_waited { "waited" } else { "at_once" })
-    }
 }
 
 /// Claim with the answer to it.
