A task leaves an agent only with what shows that its run is over

What logs lacked: a run that was taken for lost had its cause and a silence, not what its agent had last said and over which connection; an order named the end before it by a word that a second function had put there.

Change: RunOver is the evidence, a report of the agent or a loss with its cause, and Task::mark_over, which takes one, is the only way from an agent to the next one. run_lost tells the kind of the agent's last message and the number of the hello of its connection beside its age. NotSent, an order that was never sent, is told from NotHeld.

--- a/crates/decide/src/dispatch/agents.rs
+++ b/crates/decide/src/dispatch/agents.rs
@@ -38,6 +38,9 @@
 /// under way.
 const MAX_EARLIER_PROCESSES: usize = 64;
 
+/// Kind of the first message of a connection, for logs.
+const HELLO: &str = "hello";
+
 /// A placement that the agent's last report does not cover.
 #[derive(Clone, Copy, Debug)]
 struct UnreportedPlacement {
@@ -130,6 +133,8 @@
     pub connected_ms: u64,
     /// When the agent's last message arrived.
     pub last_heard_ms: u64,
+    /// Kind of that message.
+    pub last_message: &'static str,
     /// The longest stall of the entry since then, in milliseconds.
     pub stalled_ms: u64,
     /// The upstream instance, once the agent has reported it.
@@ -176,6 +181,7 @@
             is_disconnecting: false,
             connected_ms: now_ms,
             last_heard_ms: now_ms,
+            last_message: HELLO,
             stalled_ms: 0,
             instance: None,
             load: UpstreamLoad::default(),
@@ -199,6 +205,7 @@
         self.jobs_before_reconnect = std::mem::take(&mut self.jobs_of_others);
         self.heard_before_reconnect_ms = self.last_heard_ms + self.stalled_ms;
         self.note_heard(now_ms);
+        self.last_message = HELLO;
         self.acks = AckTracker::new(now_ms);
         self.load.usable = false;
         self.cold_until_ms = None;
--- a/crates/decide/src/dispatch/connections.rs
+++ b/crates/decide/src/dispatch/connections.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss, StrayRun,
+        AgentKey, AgentView, Command, Dispatch, LossCause, PoolView, RunLoss, RunOver, StrayRun,
         agents::EarlierRuns,
     },
     crate::rendezvous::weight,
@@ -59,8 +59,8 @@
         if load.usable
             && let Some(earlier) = view.earlier_runs.take()
         {
-            let is_lost = |task, run| earlier.contains(task, run);
-            self.mark_runs_lost(agent, LossCause::Restarted, is_lost, now_ms);
+            let is_lost = |task, run| earlier.contains(task, run).then_some(LossCause::Restarted);
+            self.mark_runs_lost(agent, is_lost, now_ms);
         }
         self.apply_reports(agent, incarnation, reports, now_ms);
         self.place_unplaced(now_ms);
@@ -68,9 +68,10 @@
     }
 
     /// Records that a message of an agent has arrived.
-    pub fn agent_heard(&mut self, key: AgentKey, now_ms: u64) {
+    pub fn agent_heard(&mut self, key: AgentKey, message: &'static str, now_ms: u64) {
         if let Some(view) = self.agents.get_mut(key) {
             view.note_heard(now_ms);
+            view.last_message = message;
         }
     }
 
@@ -93,7 +94,7 @@
             if let Some(view) = self.agents.get_mut(key) {
                 view.earlier_runs = None;
             }
-            self.mark_runs_lost(key, LossCause::Silent, |_, _| true, now_ms);
+            self.mark_runs_lost(key, |_, _| Some(LossCause::Silent), now_ms);
         }
     }
 
@@ -107,50 +108,45 @@
             .filter_map(|agent| Some((agent.key, agent.earlier_runs.take_if(is_over)?)));
         let over: Vec<_> = over.collect();
         for (key, earlier) in over {
-            let is_lost = |task, run| earlier.contains(task, run);
-            self.mark_runs_lost(key, LossCause::Restarted, is_lost, now_ms);
+            let is_lost = |task, run| earlier.contains(task, run).then_some(LossCause::Restarted);
+            self.mark_runs_lost(key, is_lost, now_ms);
         }
     }
 
-    /// Marks those tasks at an agent as lost that `is_lost` selects.
+    /// Marks those tasks at an agent as lost for which there is a cause.
     fn mark_runs_lost(
         &mut self,
         agent: AgentKey,
-        cause: LossCause,
-        is_lost: impl Fn(TaskKey, u32) -> bool,
+        cause_of: impl Fn(TaskKey, u32) -> Option<LossCause>,
         now_ms: u64,
     ) {
         let Some(view) = self.agents.get(agent) else { return };
         let silent_ms = now_ms.saturating_sub(view.last_heard_ms);
-        let stalled_ms = view.stalled_ms;
+        let (stalled_ms, last_message) = (view.stalled_ms, view.last_message);
+        let hello = view.process.last_hello;
         let here = self.jobs.values().flat_map(|job| job.tasks_at(agent));
-        let lost: Vec<_> = here.filter(|&(task, run)| is_lost(task, run)).collect();
-        for (task, run) in lost {
-            self.losses.push(RunLoss { agent, task, run, cause, silent_ms, stalled_ms });
-            self.apply_run_event(agent, task, run, RunEvent::Lost, now_ms);
-            self.note_loss(task, run, cause);
-        }
-    }
-
-    /// Notes for the log that a run is over as the entry took it for lost.
-    fn note_loss(&mut self, task: TaskKey, run: u32, cause: LossCause) {
-        let Some(job) = self.find_job(task.job).and_then(|key| self.jobs.get_mut(key)) else {
-            return;
-        };
-        let step = job.tasks.get_mut(usize::from(task.step));
-        let lost = step.and_then(|step| step.get_mut(usize::from(task.index)));
-        if let Some((last, end)) = lost.and_then(|task| task.last_end.as_mut())
-            && *last == run
-        {
-            *end = cause.name();
+        let lost: Vec<_> =
+            here.filter_map(|(task, run)| Some((task, run, cause_of(task, run)?))).collect();
+        for (task, run, cause) in lost {
+            self.losses.push(RunLoss {
+                agent,
+                task,
+                run,
+                cause,
+                last_message,
+                hello,
+                silent_ms,
+                stalled_ms,
+            });
+            self.lose_run(agent, task, run, cause, now_ms);
         }
     }
 
-    /// The last run of a task that is over, and why, for the log of its next one.
+    /// The last run of a task that is over, and what shows it, for the log of its next one.
     #[must_use]
-    pub fn last_end(&self, task: TaskKey) -> Option<(u32, &'static str)> {
+    pub fn last_over(&self, task: TaskKey) -> Option<(u32, RunOver)> {
         let job = self.jobs.get(self.find_job(task.job)?)?;
-        job.tasks.get(usize::from(task.step))?.get(usize::from(task.index))?.last_end
+        job.tasks.get(usize::from(task.step))?.get(usize::from(task.index))?.last_over
     }
 
     /// Applies the reports that an agent sends again on reconnecting. Call it before the runs
@@ -240,11 +236,12 @@
             view.change_process(incarnation, earlier_runs);
         } else {
             let held = held.filter(|_| view.earlier_runs.is_none());
-            let is_lost = |task, run| match held {
-                Some(held) => !held.contains(&(task, run)),
-                None => unsent.contains(&(task, run)),
+            let cause_of = |task, run| match held {
+                Some(held) if held.contains(&(task, run)) => None,
+                _ if unsent.contains(&(task, run)) => Some(LossCause::NotSent),
+                held => held.map(|_| LossCause::NotHeld),
             };
-            self.mark_runs_lost(key, LossCause::NotHeld, is_lost, now_ms);
+            self.mark_runs_lost(key, cause_of, now_ms);
         }
         key
     }
@@ -398,7 +395,7 @@
             .filter(|agent| !agent.connected && now_ms >= agent.last_heard_ms + after_ms);
         let gone: Vec<_> = gone.map(|agent| (agent.key, agent.name.clone())).collect();
         for (key, name) in gone {
-            self.mark_runs_lost(key, LossCause::Forgotten, |_, _| true, now_ms);
+            self.mark_runs_lost(key, |_, _| Some(LossCause::Forgotten), now_ms);
             self.agents.remove(key);
             self.by_name.remove(&name);
         }
--- a/crates/decide/src/dispatch/job.rs
+++ b/crates/decide/src/dispatch/job.rs
@@ -1,7 +1,7 @@
 //! One job at its entry: its steps, its tasks, and the state of each.
 
 use {
-    super::types::{AgentKey, JobRequest, StepRequest},
+    super::types::{AgentKey, JobRequest, LossCause, RunOver, StepRequest},
     sycamorerail_wire::runs::{NotStarted, RunEvent, TaskKey},
 };
 
@@ -67,8 +67,8 @@
     pub reported_crashes: u8,
     /// The agent that returned the task last.
     pub avoid: Option<AgentKey>,
-    /// Its last run that is over, and why, for logs.
-    pub last_end: Option<(u32, &'static str)>,
+    /// Its last run that is over, and what shows it.
+    pub last_over: Option<(u32, RunOver)>,
     /// Refusals since the task last started.
     refusals: u32,
     /// The task is not placed before this time.
@@ -108,11 +108,12 @@
         self.crashes.max(self.reported_crashes)
     }
 
-    /// Marks the task as unplaced after `from` returned it.
-    fn mark_returned(&mut self, from: AgentKey, end: &'static str) {
+    /// Marks the task as unplaced, as its run at `from` is over. There is no other way from an agent
+    /// to the next one.
+    fn mark_over(&mut self, from: AgentKey, over: RunOver) {
         self.state = TaskState::Unplaced;
         self.avoid = Some(from);
-        self.last_end = Some((self.run, end));
+        self.last_over = Some((self.run, over));
     }
 
     /// The agent that has the task.
@@ -203,7 +204,7 @@
             crashes: 0,
             reported_crashes: 0,
             avoid: None,
-            last_end: None,
+            last_over: None,
             refusals: 0,
             paused_until_ms: 0,
         };
@@ -450,6 +451,19 @@
         Some(TaskKey { job: self.request.id, step, index })
     }
 
+    /// Takes a run at an agent for lost. Returns `None` if it is not the task's current run there.
+    pub fn lose_run(
+        &mut self,
+        key: TaskKey,
+        run: u32,
+        cause: LossCause,
+        at: AgentKey,
+    ) -> Option<RunEffect> {
+        run_at(&mut self.tasks, key, run, at)?.mark_over(at, RunOver::Lost(cause));
+        self.may_have_run = true;
+        Some(RunEffect::PlaceAgain)
+    }
+
     /// Applies what an agent reports of a run. Returns `None` if it is not the task's current run
     /// at that agent.
     pub fn apply_run_event(
@@ -462,11 +476,8 @@
     ) -> Option<RunEffect> {
         let step = usize::from(key.step);
         let max_attempts = self.request.kind.max_attempts.max(1);
-        let task = self.tasks.get_mut(step)?.get_mut(usize::from(key.index))?;
+        let task = run_at(&mut self.tasks, key, run, from)?;
         let TaskState::Placed { agent, since_ms, .. } = task.state else { return None };
-        if agent != from || task.run != run {
-            return None;
-        }
         let effect = match event {
             RunEvent::Started => {
                 task.state = TaskState::Placed { agent, started: true, since_ms, recalled: false };
@@ -487,7 +498,7 @@
                 }
             }
             RunEvent::Failed { .. } => {
-                task.mark_returned(from, end_of(event));
+                task.mark_over(from, RunOver::Reported(event));
                 task.failures += 1;
                 self.may_have_run = true;
                 if task.failures >= max_attempts {
@@ -497,18 +508,18 @@
                 }
             }
             RunEvent::Stopped | RunEvent::Lost => {
-                task.mark_returned(from, end_of(event));
+                task.mark_over(from, RunOver::Reported(event));
                 self.may_have_run = true;
                 RunEffect::PlaceAgain
             }
             RunEvent::Crashed => {
-                task.mark_returned(from, end_of(event));
+                task.mark_over(from, RunOver::Reported(event));
                 task.crashes += 1;
                 self.may_have_run = true;
                 if task.is_crashing() { RunEffect::Crashing } else { RunEffect::PlaceAgain }
             }
             RunEvent::NotStarted(why) => {
-                task.mark_returned(from, end_of(event));
+                task.mark_over(from, RunOver::Reported(event));
                 match why {
                     NotStarted::OldRun => task.run += OLD_RUN_SKIP,
                     NotStarted::Refused | NotStarted::OtherInstance | NotStarted::Stale => {
@@ -523,17 +534,11 @@
     }
 }
 
-/// Name of the end of a run, for logs.
-fn end_of(event: RunEvent) -> &'static str {
-    match event {
-        RunEvent::Started => "started",
-        RunEvent::Done { .. } => "done",
-        RunEvent::Failed { .. } => "failed",
-        RunEvent::Stopped => "stopped",
-        RunEvent::Lost => "lost",
-        RunEvent::Crashed => "crashed",
-        RunEvent::NotStarted(why) => why.name(),
-    }
+/// The task of a run, if this is its current one at that agent.
+fn run_at(tasks: &mut [Vec<Task>], key: TaskKey, run: u32, at: AgentKey) -> Option<&mut Task> {
+    let step = tasks.get_mut(usize::from(key.step))?;
+    let task = step.get_mut(usize::from(key.index))?;
+    (task.is_at(at) && task.run == run).then_some(task)
 }
 
 /// Run numbers to skip when an upstream has seen a higher one, because another entry started the
--- a/crates/decide/src/dispatch/mod.rs
+++ b/crates/decide/src/dispatch/mod.rs
@@ -32,7 +32,7 @@
     stop::STOP_ANSWER_MS,
     types::{
         AgentKey, Command, DispatchLimits, JobAnswer, JobForecast, JobKey, JobRequest,
-        KindParameters, LossCause, NoResultReason, PoolView, RunLoss, ShedCause, Shedding,
+        KindParameters, LossCause, NoResultReason, PoolView, RunLoss, RunOver, ShedCause, Shedding,
         StepRequest, StrayRun,
     },
 };
@@ -304,6 +304,21 @@
         self.act_on_effect(key, effect, now_ms);
     }
 
+    fn lose_run(
+        &mut self,
+        agent: AgentKey,
+        task: TaskKey,
+        run: u32,
+        cause: LossCause,
+        now_ms: u64,
+    ) {
+        let Some(&key) = self.by_id.get(&task.job) else { return };
+        let effect = self.jobs.get_mut(key).and_then(|job| job.lose_run(task, run, cause, agent));
+        if let Some(effect) = effect {
+            self.act_on_effect(key, effect, now_ms);
+        }
+    }
+
     fn act_on_effect(&mut self, key: JobKey, effect: RunEffect, now_ms: u64) {
         let Some(job) = self.jobs.get(key) else { return };
         // A job that completes while it is being given up is answered with its result.
--- a/crates/decide/src/dispatch/types.rs
+++ b/crates/decide/src/dispatch/types.rs
@@ -4,7 +4,7 @@
     crate::ledger::LedgerLimits,
     slotmap::new_key_type,
     std::sync::Arc,
-    sycamorerail_wire::runs::{CallerJobId, Resources, StepPlacement, TaskKey},
+    sycamorerail_wire::runs::{CallerJobId, Resources, RunEvent, StepPlacement, TaskKey},
 };
 
 new_key_type! {
@@ -270,6 +270,8 @@
     Silent,
     /// The agent has reconnected and does not hold the run.
     NotHeld,
+    /// The agent has reconnected before the order of the run was sent.
+    NotSent,
     /// The agent has restarted, and nothing of its earlier process is left.
     Restarted,
     /// The agent has been disconnected for so long that the entry forgets it.
@@ -283,12 +285,39 @@
         match self {
             Self::Silent => "silent",
             Self::NotHeld => "not_held",
+            Self::NotSent => "not_sent",
             Self::Restarted => "restarted",
             Self::Forgotten => "forgotten",
         }
     }
 }
 
+/// What shows that a run is over. No task is placed again without it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOver {
+    /// Its agent has reported its end, or that it has not started.
+    Reported(RunEvent),
+    /// The entry has taken it for lost.
+    Lost(LossCause),
+}
+
+impl RunOver {
+    /// Name for logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Reported(RunEvent::Started) => "started",
+            Self::Reported(RunEvent::Done { .. }) => "done",
+            Self::Reported(RunEvent::Failed { .. }) => "failed",
+            Self::Reported(RunEvent::Stopped) => "stopped",
+            Self::Reported(RunEvent::Lost) => "lost",
+            Self::Reported(RunEvent::Crashed) => "crashed",
+            Self::Reported(RunEvent::NotStarted(why)) => why.name(),
+            Self::Lost(cause) => cause.name(),
+        }
+    }
+}
+
 /// A run that goes on at an agent though its entry does not want it there, for the log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StrayRun {
@@ -311,7 +340,11 @@
     pub run: u32,
     /// Why it counts as lost.
     pub cause: LossCause,
-    /// Time since the agent's last message, in milliseconds.
+    /// Kind of the agent's last message.
+    pub last_message: &'static str,
+    /// Number of the hello of the connection over which that message came.
+    pub hello: u64,
+    /// Time since then, in milliseconds.
     pub silent_ms: u64,
     /// The longest stall of the entry in that time, in which it could hear nobody, in
     /// milliseconds.
--- a/crates/entry/src/runs/links.rs
+++ b/crates/entry/src/runs/links.rs
@@ -308,12 +308,20 @@
         }
     }
 
-    fn take(&self, message: FromRunsAgent) {
+    /// Records that a message of this kind has arrived. Returns whether this is the agent's present
+    /// connection.
+    fn note_heard(&self, message: &'static str) -> bool {
         self.traffic.heard_ms.store(self.service.now_ms(), Ordering::Relaxed);
-        let is_present = self.update(|dispatch, now_ms| dispatch.agent_heard(self.agent, now_ms));
+        let heard = self.update(|dispatch, now_ms| {
+            dispatch.agent_heard(self.agent, message, now_ms);
+        });
         // Not before: an acknowledged message must have put off the loss of the agent.
         self.heard.lock().record(self.service.passes());
-        if is_present.is_none() {
+        heard.is_some()
+    }
+
+    fn take(&self, message: FromRunsAgent) {
+        if !self.note_heard(message.name()) {
             return;
         }
         match message {
--- a/crates/entry/src/runs/mod.rs
+++ b/crates/entry/src/runs/mod.rs
@@ -501,8 +501,8 @@
     let again = placement.tasks.iter().filter(|start| start.run > 1);
     let before = again.map(|start| {
         let task = TaskKey { job, step, index: start.index };
-        match dispatch.last_end(task) {
-            Some((run, end)) => format!("{}.{run}:{end}", start.index),
+        match dispatch.last_over(task) {
+            Some((run, over)) => format!("{}.{run}:{}", start.index, over.name()),
             None => format!("{}.0:unknown", start.index),
         }
     });
@@ -521,6 +521,8 @@
         run = loss.run,
         agent = agent,
         cause = cause,
+        last_message = loss.last_message,
+        hello = loss.hello,
         silent_ms = loss.silent_ms,
         stalled_ms = loss.stalled_ms,
     );
--- a/crates/wire/src/runs.rs
+++ b/crates/wire/src/runs.rs
@@ -726,6 +726,28 @@
     ConfigurationPart(CopyPart),
 }
 
+impl FromRunsAgent {
+    /// Name of the kind of message, for logs.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Report { .. } => "report",
+            Self::Upstream(_) => "upstream",
+            Self::Entries { .. } => "entries",
+            Self::LargestCapacity(_) => "largest_capacity",
+            Self::Unlink => "unlink",
+            Self::Configuration(_) => "configuration",
+            Self::Evacuations(_) => "evacuations",
+            Self::ConfigurationRevision { .. } => "configuration_revision",
+            Self::Crashes(_) => "crashes",
+            Self::Cold { .. } => "cold",
+            Self::JobsOfOthers { .. } => "jobs_of_others",
+            Self::RequestConfigurationPart(_) => "request_configuration_part",
+            Self::ConfigurationPart(_) => "configuration_part",
+        }
+    }
+}
+
 /// Messages about leased runs from an entry to an agent.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ToRunsAgent {
