A claim over an overtaken connection is not entered

What callers saw: a copy is refused (504, held_elsewhere) until the deadline of a job that nobody runs and 1.24 s after it. Cause: what a cut held up comes after the claimant has connected anew and given the job up over the new connection; the claim on the old one was entered then, counted as wanted while its claimant is heard, and was never given up. The number of a connection told only that its begin and end change nothing. A holder forgot it as a connection ended. Change: claims and signs of a claimant over an overtaken connection count for nothing, releases do; the number is remembered for 60 s after a connection's end, which is as long as one may stay silent.

--- a/crates/decide/src/claims/table.rs
+++ b/crates/decide/src/claims/table.rs
@@ -15,6 +15,10 @@
 /// milliseconds.
 const MAX_CALM_PAUSE_MS: u64 = 100;
 
+/// A connection that was overtaken may be read for so long after the end of the last one, in
+/// milliseconds: as long as a connection may stay silent.
+const REMEMBER_CONNECTION_MS: u64 = 60_000;
+
 /// A claim that is known here.
 #[derive(Clone, Copy, Debug)]
 struct Claim {
@@ -58,6 +62,14 @@
     pub silent_ms: u64,
 }
 
+/// The last connection of a claimant.
+#[derive(Clone, Copy, Debug)]
+struct LastConnection {
+    number: u64,
+    /// When it ended, if it has.
+    ended_ms: Option<u64>,
+}
+
 /// When a claim ends.
 enum End {
     /// It has ended.
@@ -74,8 +86,8 @@
     /// Claims on each job in the order in which they came. The first one may be granted; the others
     /// wait for its end, since one of them may be granted by other holders.
     claims: HashMap<CallerJobId, Vec<Claim>>,
-    /// Number of the last connection of each claimant.
-    connections: HashMap<Incarnation, u64>,
+    /// The last connection of each claimant.
+    connections: HashMap<Incarnation, LastConnection>,
     /// When each connected claimant was heard last, later by the time in which this process stood
     /// still since.
     heard_ms: HashMap<Incarnation, u64>,
@@ -207,14 +219,21 @@
     /// again. What it may have given up over an earlier one ends as on a disconnect. A connection
     /// that a later one has overtaken changes nothing.
     pub fn connected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
-        if self.connections.get(&claimant).is_some_and(|last| *last > connection) {
+        if self.is_overtaken(claimant, connection) {
             return;
         }
-        self.connections.insert(claimant, connection);
+        self.connections.insert(claimant, LastConnection { number: connection, ended_ms: None });
         self.shorten(claimant, now_ms);
         self.heard_ms.entry(claimant).or_insert(now_ms);
     }
 
+    /// Whether a claimant has made a later connection than this one. What comes over this one then is
+    /// of before, and the claimant knows of no answer to it.
+    #[must_use]
+    pub fn is_overtaken(&self, claimant: Incarnation, connection: u64) -> bool {
+        self.connections.get(&claimant).is_some_and(|last| last.number > connection)
+    }
+
     /// Records that a claimant still wants its jobs.
     pub fn heard(&mut self, claimant: Incarnation, now_ms: u64) {
         self.heard_ms.insert(claimant, now_ms);
@@ -250,8 +269,9 @@
     /// reach this holder: its claims end when it has given them up and its runs are over, unless it
     /// claims the jobs again.
     pub fn disconnected(&mut self, claimant: Incarnation, connection: u64, now_ms: u64) {
-        if self.connections.get(&claimant) == Some(&connection) {
-            self.connections.remove(&claimant);
+        let last = self.connections.get_mut(&claimant);
+        if let Some(last) = last.filter(|last| last.number == connection) {
+            last.ended_ms = Some(now_ms);
             self.heard_ms.remove(&claimant);
             self.shorten(claimant, now_ms);
         }
@@ -268,6 +288,8 @@
         let stall_ms = own_stall_ms(self.ticked_ms, now_ms);
         self.heard_ms.values_mut().for_each(|heard_ms| *heard_ms += stall_ms);
         self.ticked_ms = now_ms;
+        let is_recent = |ended_ms: u64| now_ms < ended_ms + REMEMBER_CONNECTION_MS;
+        self.connections.retain(|_, last| last.ended_ms.is_none_or(is_recent));
         self.claims.retain(|_, queue| {
             queue.retain(|claim| claim.ends_ms > now_ms);
             !queue.is_empty()
--- a/crates/entry/src/runs/claims.rs
+++ b/crates/entry/src/runs/claims.rs
@@ -732,7 +732,7 @@
                     let now_ms = service.now_ms();
                     longest_silence_ms = longest_silence_ms.max(now_ms.saturating_sub(heard_ms));
                     heard_ms = now_ms;
-                    service.grant(claimant, requests)
+                    service.grant((claimant, connection), requests)
                 }
                 Ok(Err(error)) => break error,
                 Err(_) => break FrameError::Broken(peer, std::io::ErrorKind::TimedOut.into()),
@@ -773,7 +773,11 @@
 }
 
 impl JobService {
-    fn grant(&self, claimant: Incarnation, requests: ClaimRequests) -> ClaimAnswers {
+    fn grant(
+        &self,
+        (claimant, connection): (Incarnation, u64),
+        requests: ClaimRequests,
+    ) -> ClaimAnswers {
         let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
         if let Some(list) = voters {
             self.voters_told(list);
@@ -784,13 +788,16 @@
         let has_vote = self.votes_on(voters_number, now_ms);
         let VotersAnswer { has_word, vouches, .. } = self.voters.electorate().answer(now_ms);
         let mut table = self.claims.table.lock();
-        if is_current {
+        // Jobs of which the claimant may not know any more are not claimed for it.
+        let is_overtaken = table.is_overtaken(claimant, connection);
+        if is_current && !is_overtaken {
             table.heard(claimant, now_ms);
         }
         for release in releases {
             table.release(release, claimant, now_ms);
         }
-        let answers = claims.into_iter().map(|claim| {
+        let claims = claims.into_iter().filter(|_| !is_overtaken);
+        let answers = claims.map(|claim| {
             let mut answered = table.claim(claim, claimant, now_ms);
             if answered.answer == ClaimAnswer::Held
                 && let Some(owner) = table.owner(claim.job, now_ms)
