An unreadable list of voters leaves no vote by the one before, hellos of ended entries are forgotten

What callers could see: two entries that are both granted a job. An entry that reads a list that it can't decode, as of a later build or a foreign writer, counted the list before as read at that revision, and voted by it under a lease that began later, though a later list may be in force. Found by the review by reading. Numbers of hellos by entry are dropped as another process answers at the entry's address; no test, they decide nothing then.

--- a/crates/agent/src/leased/links/mod.rs
+++ b/crates/agent/src/leased/links/mod.rs
@@ -279,7 +279,7 @@
         match Link::open(&agent, peer, last_run, kept.clone()).await {
             Ok((link, reader, writer)) => {
                 if let Some(before) = last_run.filter(|before| *before != link.entry) {
-                    agent.update_ledger(|ledger, _| ledger.drop_owner(before));
+                    agent.update_ledger(|ledger, _| ledger.drop_ended_owner(before));
                 }
                 pause_ms = REDIAL_MS.0;
                 agent.links.connected_to(peer, link.entry, agent.clock.now_ms());
--- a/crates/decide/src/ledger/mod.rs
+++ b/crates/decide/src/ledger/mod.rs
@@ -360,6 +360,12 @@
         self.owners.remove(owner);
     }
 
+    /// Ends all runs of a process of an entry that has ended, as another one answers at its address.
+    pub fn drop_ended_owner(&mut self, owner: Incarnation) {
+        self.drop_owner(owner);
+        self.last_hellos.remove(&owner);
+    }
+
     /// Returns the runs of an entry, to reconcile them over a new connection.
     #[must_use]
     pub fn held_runs(&self, owner: Incarnation) -> Vec<(TaskKey, u32)> {
--- a/crates/entry/src/runs/voters.rs
+++ b/crates/entry/src/runs/voters.rs
@@ -112,7 +112,9 @@
         }
         let list = match read {
             VotersRead::List(list) => Some(list),
-            VotersRead::Absent | VotersRead::Unreadable => None,
+            VotersRead::Absent => None,
+            // It may be a later one, so that the one before is not known to be in force.
+            VotersRead::Unreadable => return,
         };
         self.adopt_voters("platform", |electorate| electorate.read(list, revision));
     }
