Model of voters and claims: cuts between two data centres, of halves, and one way

The kinds of cuts that the platform's pages list were in it as a cut of some from all others, which refuses or is silent: it has those from some others only (bridge_cut), from the other half (split) and one way (one_way), with the platform in reach of those apart or not. Holders in it take no claim over an overtaken connection, as the product's. Cases drawn before are others now; bounds and checks are the same.

--- a/crates/decide/tests/voters_machine/cluster.rs
+++ b/crates/decide/tests/voters_machine/cluster.rs
@@ -71,10 +71,23 @@
     what: T,
 }
 
-/// A cut: a bit for each entry apart, when it heals, and how.
+/// Which messages a cut holds up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Held {
+    Both,
+    /// Of those apart.
+    FromApart,
+    /// To those apart.
+    ToApart,
+}
+
+/// A cut: a bit for each entry apart, and for each one that it separates from them, when it heals,
+/// and how.
 #[derive(Clone, Copy)]
 pub struct Cut {
     pub apart: u16,
+    pub from: u16,
+    pub held: Held,
     pub until_ms: u64,
     pub refuses: bool,
     /// Whether the platform is reached by the entries apart, and by the others.
@@ -179,8 +192,21 @@
         self.seed & 64 != 0
     }
 
+    /// Whether messages of one entry to another are held up.
+    fn is_held(&self, sender: usize, receiver: usize) -> bool {
+        let has = |entries: u16, entry: usize| entries >> entry & 1 == 1;
+        self.cut.is_some_and(|Cut { apart, from, held, .. }| {
+            match (has(apart, sender), has(apart, receiver)) {
+                (true, false) => held != Held::ToApart && has(from, receiver),
+                (false, true) => held != Held::FromApart && has(from, sender),
+                _ => false,
+            }
+        })
+    }
+
+    /// Whether no connection can be made between two entries.
     fn is_cut(&self, one: usize, other: usize) -> bool {
-        self.cut.is_some_and(|Cut { apart, .. }| apart >> one & 1 != apart >> other & 1)
+        self.is_held(one, other) || self.is_held(other, one)
     }
 
     pub fn is_up(&self, entry: usize) -> bool {
@@ -568,7 +594,7 @@
             self.deliver_ended(entry);
         }
         for claimant in 0..self.entries.len() {
-            if claimant == entry || self.is_cut(claimant, entry) {
+            if claimant == entry || self.is_held(claimant, entry) {
                 continue;
             }
             let Some(mut connection) =
@@ -585,7 +611,7 @@
             self.deliver_ended(entry);
         }
         for holder in self.links[entry].keys().copied().collect::<Vec<_>>() {
-            while !self.is_cut(entry, holder) {
+            while !self.is_held(holder, entry) {
                 let Some(link) = self.links[entry].get_mut(&holder) else { break };
                 let Some(connection) = &mut link.connection else { break };
                 if connection.to_claimant.front().is_none_or(|(at_ms, _)| *at_ms > now_ms) {
@@ -608,7 +634,7 @@
     /// Connections that claimants have ended deliver what is left on them, then their end.
     fn deliver_ended(&mut self, holder: usize) {
         for mut ended in std::mem::take(&mut self.ended) {
-            let is_open = ended.holder == holder && !self.is_cut(ended.claimant, holder);
+            let is_open = ended.holder == holder && !self.is_held(ended.claimant, holder);
             if is_open {
                 self.deliver_to_holder(holder, &mut ended.connection);
             }
@@ -629,7 +655,8 @@
                 let Connection { incarnation, number, .. } = *connection;
                 self.entries[holder].table.connected(incarnation, number, self.now_ms);
             }
-            let answers = self.grant(holder, connection.incarnation, requests);
+            let claimant = (connection.incarnation, connection.number);
+            let answers = self.grant(holder, claimant, requests);
             connection.to_claimant.push_back((self.now_ms + self.delay_ms, answers));
         }
     }
@@ -637,7 +664,7 @@
     fn grant(
         &mut self,
         holder: usize,
-        incarnation: Incarnation,
+        (incarnation, connection): (Incarnation, u64),
         requests: ClaimRequests,
     ) -> ClaimAnswers {
         let ClaimRequests { claims, releases, is_current, voters_number, voters } = requests;
@@ -649,13 +676,15 @@
         let has_vote = electorate.votes_on(voters_number, self.now_ms);
         let now_ms = self.now_ms;
         let Entry { table, member, .. } = &mut self.entries[holder];
-        if is_current {
+        let is_overtaken = table.is_overtaken(incarnation, connection);
+        if is_current && !is_overtaken {
             table.heard(incarnation, now_ms);
         }
         for release in releases {
             table.release(release, incarnation, now_ms);
         }
-        let answers = claims.into_iter().map(|claim| {
+        let claims = claims.into_iter().filter(|_| !is_overtaken);
+        let answers = claims.map(|claim| {
             let mut answered = table.claim(claim, incarnation, now_ms);
             if !has_vote {
                 answered.answer = ClaimAnswer::NoVote;
--- a/crates/decide/tests/voters_machine/main.rs
+++ b/crates/decide/tests/voters_machine/main.rs
@@ -11,7 +11,7 @@
 mod platform;
 
 use {
-    cluster::{Cut, Model, Outage},
+    cluster::{Cut, Held, Model, Outage},
     proptest::prelude::*,
     std::net::SocketAddr,
     sycamorerail_decide::claims::ClaimLimits,
@@ -49,9 +49,9 @@
     Join { entry: usize },
     /// An entry handles nothing for so many steps.
     Stall { entry: usize, steps: u64 },
-    /// A cut separates some entries from the others for so many steps. It refuses connections, or
-    /// holds all up. Each side may reach the platform.
-    Cut { apart: u16, steps: u64, refuses: bool, platform: [bool; 2] },
+    /// A cut separates some entries from others for so many steps. It refuses connections, or
+    /// holds up what goes one way or both. Each side may reach the platform.
+    Cut { apart: u16, from: u16, steps: u64, refuses: bool, held: Held, platform: [bool; 2] },
     /// The platform answers some entries nothing for so many steps. Some calls are carried out so
     /// many steps later; leases may be kept meanwhile. Or it answers all but readings.
     Outage { entries: u16, steps: u64, late_steps: Option<u64>, pauses: bool, is_of_reads: bool },
@@ -61,6 +61,21 @@
     Wait { steps: u64, delay_ms: u64 },
 }
 
+/// Whom a cut separates from those apart: all others, or some.
+fn from() -> impl Strategy<Value = u16> {
+    prop_oneof![2 => Just(u16::MAX), 1 => any::<u16>()]
+}
+
+/// How a cut separates: by refusals, or by what it holds up.
+fn how() -> impl Strategy<Value = (bool, Held)> {
+    prop_oneof![
+        2 => Just((true, Held::Both)),
+        2 => Just((false, Held::Both)),
+        1 => Just((false, Held::FromApart)),
+        1 => Just((false, Held::ToApart)),
+    ]
+}
+
 fn act() -> impl Strategy<Value = Act> {
     let entry = || 0..MAX_ENTRIES;
     let some = || prop_oneof![1 => Just(u16::MAX), 3 => 1..63_u16];
@@ -72,8 +87,11 @@
             .prop_map(|(entry, steps)| Act::Kill { entry, steps }),
         2 => entry().prop_map(|entry| Act::Join { entry }),
         1 => (entry(), 2..500_u64).prop_map(|(entry, steps)| Act::Stall { entry, steps }),
-        3 => (1..63_u16, 1..1_200_u64, any::<bool>(), any::<[bool; 2]>())
-            .prop_map(|(apart, steps, refuses, platform)| Act::Cut { apart, steps, refuses, platform }),
+        3 => (1..63_u16, from(), 1..1_200_u64, how(), any::<[bool; 2]>()).prop_map(
+            |(apart, from, steps, (refuses, held), platform)| {
+                Act::Cut { apart, from, steps, refuses, held, platform }
+            }
+        ),
         2 => (some(), 1..800_u64, prop::option::of(1..400_u64), any::<[bool; 2]>())
             .prop_map(|(entries, steps, late_steps, [pauses, is_of_reads])| {
                 Act::Outage { entries, steps, late_steps, pauses, is_of_reads }
@@ -101,7 +119,8 @@
                 pauses: false,
                 is_of_reads,
             };
-            let cut = Act::Cut { apart, steps: 2_500, refuses, platform: [true; 2] };
+            let (from, held) = (u16::MAX, Held::Both);
+            let cut = Act::Cut { apart, from, steps: 2_500, refuses, held, platform: [true; 2] };
             let begin = [cut, outage(out_steps, false), wait(out_steps - 2)];
             let back = [outage(1_000, true), wait(back_steps)];
             let submit = |(entry, steps)| [Act::Submit { entry, steps: 500 }, wait(steps)];
@@ -116,20 +135,44 @@
 /// A caller sends a copy so many steps after each attempt, which may be open.
 const COPY_STEPS: u64 = 130;
 
-/// A caller's job meets a cut around the entries of one data centre, which lose the platform, too.
-/// Entries are killed after the heal, mostly the others. Copies come to the entry of the first attempt
-/// as well as to others.
-fn near_cut() -> impl Strategy<Value = Vec<Act>> {
+/// Entries apart, and those that they are separated from: those of a data centre from all others or
+/// from another one, or half of them from the other half.
+fn sides() -> impl Strategy<Value = [u16; 2]> {
+    let of = |data_centre: usize| {
+        let entries = (0..SITE).filter(|entry| entry % SITE_DATA_CENTRES == data_centre);
+        entries.fold(0_u16, |all, entry| all | 1 << entry)
+    };
+    let data_centre = || 0..SITE_DATA_CENTRES;
+    prop_oneof![
+        3 => data_centre().prop_map(move |apart| [of(apart), u16::MAX]),
+        1 => (data_centre(), data_centre()).prop_map(move |(apart, from)| [of(apart), of(from)]),
+        1 => prop::sample::subsequence((0..SITE).collect::<Vec<_>>(), SITE / 2).prop_map(|half| {
+            [half.into_iter().fold(0_u16, |all, entry| all | 1 << entry), u16::MAX]
+        }),
+    ]
+}
+
+/// A caller's job meets a cut between entries; those apart may lose the platform, too. Others are
+/// killed after the heal. Copies come to the entry of the first attempt as well as to others.
+fn job_in_cut() -> impl Strategy<Value = Vec<Act>> {
     let entry = || 0..SITE;
     let target = prop_oneof![1 => Just(None), 2 => entry().prop_map(Some)];
     let copies = prop::collection::vec((target, 0..20_u64), 3..9);
     let kills = prop::collection::vec((entry(), 0..150_u64, 0..150_u64), 0..11);
-    let cut = (0..SITE_DATA_CENTRES, 0..200_u64, 5..600_u64, any::<bool>());
+    let cut = (sides(), 0..200_u64, 5..600_u64, how(), any::<bool>());
     (entry(), 100..900_u64, cut, copies, kills, 0..30_u64).prop_map(
-        |(first, steps, (data_centre, cut_at, cut_steps, refuses), copies, kills, delay_ms)| {
-            let is_apart = |entry: &usize| entry % SITE_DATA_CENTRES == data_centre;
-            let apart = (0..SITE).filter(is_apart).fold(0_u16, |apart, entry| apart | 1 << entry);
-            let cut = Act::Cut { apart, steps: cut_steps, refuses, platform: [false, true] };
+        |(
+            first,
+            steps,
+            (sides, cut_at, cut_steps, how, keeps_platform),
+            copies,
+            kills,
+            delay_ms,
+        )| {
+            let ([apart, from], (refuses, held)) = (sides, how);
+            let is_apart = |entry: &usize| apart >> *entry & 1 == 1;
+            let platform = [keeps_platform, true];
+            let cut = Act::Cut { apart, from, steps: cut_steps, refuses, held, platform };
             let mut timed = vec![(0, Act::Submit { entry: first, steps }), (cut_at, cut)];
             for (count, (target, late_steps)) in copies.into_iter().enumerate() {
                 let at = (count as u64 + 1) * COPY_STEPS + late_steps;
@@ -170,8 +213,8 @@
         Act::Kill { entry, steps } => model.kill(entry % count, steps.map_or(u64::MAX, after)),
         Act::Join { entry } => model.join(entry % count),
         Act::Stall { entry, steps } => model.stall(entry % count, steps),
-        Act::Cut { apart, steps, refuses, platform } => {
-            model.cut(Cut { apart, until_ms: after(steps), refuses, platform });
+        Act::Cut { apart, from, steps, refuses, held, platform } => {
+            model.cut(Cut { apart, from, held, until_ms: after(steps), refuses, platform });
         }
         Act::Outage { entries, steps, late_steps, pauses, is_of_reads } => {
             model.begin_outage(Outage {
@@ -269,14 +312,14 @@
     /// Guards against two runs after a cut around the entries of one data centre, with kills of
     /// others after its heal.
     #[test]
-    fn a_cut_that_heals_leaves_one_claimant(seed: u64, acts in near_cut()) {
+    fn a_cut_that_heals_leaves_one_claimant(seed: u64, acts in job_in_cut()) {
         play(SITE, SITE, SITE_DATA_CENTRES, seed, &acts);
     }
 
     /// Guards against the same where the holders alone keep an entry from a copy of a job that it has
     /// given up, whose runs go on.
     #[test]
-    fn holders_grant_nothing_beside_forgotten_runs(seed: u64, acts in near_cut()) {
+    fn holders_grant_nothing_beside_forgotten_runs(seed: u64, acts in job_in_cut()) {
         let mut model = start(SITE, SITE, SITE_DATA_CENTRES, seed);
         model.forgets = true;
         play_on(&mut model, &acts);
