--- a/review/harness-3/stands.py
+++ b/review/harness-3/stands.py
@@ -433,13 +433,97 @@
         return 200, self.reply(running=running, ended=self.ended[:500])
 
 
+# ---------------------------------------------------------------- relay
+
+def varint(data, at):
+    value, shift = 0, 0
+    while True:
+        byte = data[at]
+        value |= (byte & 0x7F) << shift
+        at, shift = at + 1, shift + 7
+        if byte < 0x80:
+            return value, at
+
+
+def sender_of(frame):
+    """The sender of the first message of a connection: ("front", ip) of one that claims jobs,
+    ("side", name) of an agent; None of a question about a job."""
+    tag, at = varint(frame, 0)
+    _, at = varint(frame, at)
+    if tag == 0:
+        length, at = varint(frame, at)
+        return "side", frame[at:at + length].decode()
+    if tag == 2:
+        family, at = varint(frame, at)
+        return "front", ".".join(str(byte) for byte in frame[at:at + 4]) if family == 0 else None
+    return None
+
+
+class Relay:
+    """Forwards connections to a front's inner port. While it is closed new connections are
+    refused, whoever they are from; those that are open go on unless they are reset."""
+
+    def __init__(self, ip, to_ip, port):
+        self.ip, self.to_ip, self.port = ip, to_ip, port
+        self.connections = []  # (sender, writers)
+        self.server = None
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.on_connection, self.ip, self.port, limit=1 << 22)
+
+    def close(self):
+        self.server.close()
+
+    def reset(self, senders):
+        for sender, *writers in list(self.connections):
+            if sender in senders:
+                for writer in writers:
+                    writer.transport.abort()
+
+    async def on_connection(self, reader, writer):
+        far_writer = None
+        known = None
+        try:
+            head = await reader.readexactly(4)
+            frame = await reader.readexactly(int.from_bytes(head, "big"))
+            far_reader, far_writer = await asyncio.open_connection(self.to_ip, self.port)
+            known = (sender_of(frame), writer, far_writer)
+            self.connections.append(known)
+            far_writer.write(head + frame)
+            done, pending = await asyncio.wait(
+                [asyncio.create_task(pump(reader, far_writer)), asyncio.create_task(pump(far_reader, writer))],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in pending:
+                task.cancel()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            if known in self.connections:
+                self.connections.remove(known)
+            for each in (writer, far_writer):
+                if each is not None:
+                    each.close()
+
+
+async def pump(reader, writer):
+    try:
+        while data := await reader.read(1 << 16):
+            writer.write(data)
+            await writer.drain()
+    except (OSError, asyncio.CancelledError):
+        pass
+
+
 # ---------------------------------------------------------------- site
 
 class Site:
     """Fronts and sides as processes, beside the stand-ins."""
 
-    def __init__(self, record, fronts, sides, capacity=16000):
+    def __init__(self, record, fronts, sides, capacity=16000, relayed=False):
         self.record = record
+        # With relays, fronts are known to all others by the addresses of theirs.
+        self.relayed, self.relays = relayed, []
         self.fronts_count, self.sides_count, self.capacity = fronts, sides, capacity
         self.net = f"127.{20 + os.getpid() % 200}.{1 + os.getpid() // 200 % 250}"
         self.dir = tempfile.TemporaryDirectory(prefix="review-3-")
@@ -452,6 +536,7 @@
         self.next_id = 1
         self.first_start = True
         self.more_bounds = {}
+        self.zones = ZONES
         self.jobs = {}  # id -> dict
 
     def ip(self, last):
@@ -460,11 +545,15 @@
     def front_ip(self, number):
         return self.ip(11 + number)
 
+    def known_ip(self, number):
+        """The address by which others know a front."""
+        return self.ip(31 + number) if self.relayed else self.front_ip(number)
+
     def side_ip(self, number):
         return self.ip(51 + number)
 
     def zone(self, number):
-        return ZONES[number % len(ZONES)]
+        return self.zones[number % len(self.zones)]
 
     def free_ports(self, count):
         sockets = []
@@ -493,6 +582,10 @@
             self.runners.append(runner)
             self.servers.append(await serve(runner.ip, runner.port, runner.handle))
             self.spawn(runner.tick_on())
+        if self.relayed:
+            for number in range(self.fronts_count):
+                self.relays.append(Relay(self.known_ip(number), self.front_ip(number), self.inner))
+                await self.relays[-1].open()
         for number in range(self.fronts_count):
             self.start_front(number)
         for number in range(self.sides_count):
@@ -522,7 +615,7 @@
     def settings(self, node, role, kind, ip, listen, extra=""):
         bounds = dict(BOUNDS, **self.more_bounds)
         text = lambda value: json.dumps(value)
-        seeds = [f"{self.front_ip(n)}:{self.control_port}" for n in range(min(3, self.fronts_count))]
+        seeds = [f"{self.known_ip(n)}:{self.control_port}" for n in range(min(3, self.fronts_count))]
         lines = [
             f'node = "{node}"', f'role = "{role}"', f'class = "{kind}"',
             f"serves = {text(['front', 'control'] if kind == 'front' else ['side'])}",
@@ -533,7 +626,7 @@
             'contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]',
             'orders = "rpc"', extra, "[zones]",
         ]
-        lines += [f'{zone} = "kolkata"' for zone in ZONES]
+        lines += [f'{zone} = "kolkata"' for zone in self.zones]
         lines += ["[listen]"] + [f'{name} = "{address}"' for name, address in listen.items()]
         lines += ["[limits]", "cpu_share = 0.25", "cores = 1", "memory_mb = 260", "max_fds = 4100",
                   "link_mbps = 1000.0", "disk_mb = 0"]
@@ -560,7 +653,8 @@
         ip, node = self.front_ip(number), f"front-{number}"
         listen = {"front": f"{ip}:{self.front_port}", "ready": f"{ip}:{self.ready_port}",
                   "control": f"{ip}:{self.control_port}"}
-        self.run(node, PROGRAMS["front"], self.settings(node, "entry", "front", ip, listen))
+        known_ip = self.known_ip(number)
+        self.run(node, PROGRAMS["front"], self.settings(node, "entry", "front", known_ip, listen))
 
     def start_side(self, number):
         ip, node = self.side_ip(number), f"side-{number}"
@@ -572,6 +666,20 @@
         self.record.write(f"process {node} gets {signal.Signals(number).name}")
         self.processes[node].send_signal(number)
 
+    def cut_zones(self, *numbers):
+        """Has the zones of two fronts not reach each other, by a cut that refuses."""
+        for number, other in (numbers, numbers[::-1]):
+            sides = [n for n in range(self.sides_count) if self.zone(n) == self.zone(other)]
+            senders = {("front", self.known_ip(other))} | {("side", f"side-{n}") for n in sides}
+            self.relays[number].close()
+            self.relays[number].reset(senders)
+        self.record.write("cut: " + " and ".join(self.zone(n) for n in numbers) + " can't reach each other")
+
+    async def heal_zones(self, *numbers):
+        for number in numbers:
+            await self.relays[number].open()
+        self.record.write("end of the cut: " + " and ".join(self.zone(n) for n in numbers))
+
     def kill(self, node):
         self.signal(node, signal.SIGKILL)
         self.processes[node].wait()
