--- a/review/harness-3/stands.py
+++ b/review/harness-3/stands.py
@@ -749,12 +749,14 @@
             sys.exit(2)
 
     async def within():
+        # A case that is ended from outside ends its processes first.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(115):
             await case(record, trouble)
 
     try:
         asyncio.run(within())
-    except Exception as error:  # the case couldn't run
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:  # the case couldn't run
         record.write(f"could not run: {error!r}")
         record.close()
         print(f"could not run: {error!r}")
